--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests: real processes behind a fault-injecting proxy."""
--- /dev/null
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what gypsumfold meets, for tests, bench and demo."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers: completions, service calls, keys."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, fencing tokens and orders to engines."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines and plain services, as the node meets them."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -0,0 +1,133 @@
+"""The numbered log events; docs/EVENTS.md is printed from this module."""
+
+import logging
+import sys
+from typing import NamedTuple
+
+import structlog
+
+
+class Event(NamedTuple):
+    """One kind of log line.
+
+    Attributes:
+        number: Unique and never used again for another meaning.
+        name: Short, lowercase, hyphenated.
+        level: A level name of ``logging``.
+        meaning: One sentence for operators.
+    """
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def define(number: int, name: str, level: str, meaning: str) -> Event:
+    """Adds an event to the catalogue.
+
+    Args:
+        number: 1xx node, 2xx callers, 3xx endpoints, 4xx platform,
+            5xx peers, 6xx control, 7xx configuration, 8xx decisions,
+            9xx operators.
+        name: Short, lowercase, hyphenated.
+        level: A level name of ``logging``.
+        meaning: One sentence for operators.
+
+    Returns:
+        The event, to be passed to `log`.
+    """
+    event = Event(number, name, level, meaning)
+    assert number not in CATALOGUE, number
+    CATALOGUE[number] = event
+    return event
+
+
+NODE_STARTED = define(100, "node-started", "info", "The process listens.")
+NODE_READY = define(
+    101, "node-ready", "info", "The node takes requests from callers."
+)
+NODE_NOT_READY = define(
+    102, "node-not-ready", "warning", "The node takes no new requests."
+)
+NODE_STOPPING = define(
+    103, "node-stopping", "info", "A graceful shutdown has begun."
+)
+NODE_STOPPED = define(104, "node-stopped", "info", "The process ends.")
+TASK_FAILED = define(
+    105, "task-failed", "error", "A task ended by a failure and starts again."
+)
+REQUEST_ENDED = define(
+    200, "request-ended", "info", "A request got its final answer."
+)
+STREAM_CONTINUED = define(
+    201,
+    "stream-continued",
+    "warning",
+    "A broken stream went on from its last token.",
+)
+ENDPOINT_HEARD = define(
+    300, "endpoint-heard", "info", "An endpoint answers its load poll."
+)
+ENDPOINT_SILENT = define(
+    301,
+    "endpoint-silent",
+    "warning",
+    "An endpoint was not heard of for seconds; it gets no work.",
+)
+ENDPOINT_LEAVING = define(
+    302, "endpoint-leaving", "info", "An endpoint leaves; it gets no work."
+)
+LOG_DOWN = define(
+    400, "log-down", "warning", "The log cannot be read; requests go on."
+)
+LOG_UP = define(401, "log-up", "info", "The log can be read again.")
+PEER_CONNECTED = define(500, "peer-connected", "info", "A peer answers.")
+PEER_LOST = define(
+    501, "peer-lost", "warning", "A peer failed on a fresh connection too."
+)
+FRAME_REFUSED = define(
+    502, "frame-refused", "warning", "A frame from a peer was not authentic."
+)
+CONFIG_APPLIED = define(
+    700, "config-applied", "info", "A change of configuration is in force."
+)
+CONFIG_REJECTED = define(
+    701, "config-rejected", "info", "A change of configuration is void."
+)
+
+
+def configure(node: str, stream=sys.stderr) -> None:
+    """Sets structlog up to write one JSON object a line.
+
+    Args:
+        node: The node's name, on every line.
+        stream: Where the lines go.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(stream),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(node=node)
+
+
+def log(event: Event, **fields) -> None:
+    """Writes one event.
+
+    Args:
+        event: What happened.
+        **fields: Names and values to go with it; never a secret.
+    """
+    write = getattr(structlog.get_logger(), event.level)
+    write(event.name, number=event.number, **fields)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The statement language, operators' HTTP and the burn report."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Node to node: thrift messages, framing, heartbeats, digests."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/platform/logs.py
@@ -0,0 +1,228 @@
+"""The platform's append-only log: its client, and the tail of a stream."""
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+import aiohttp
+import msgspec
+
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import settings as settings_module
+from gypsumfold.platform import records
+
+# Seconds for which a read may wait at the log for the next record; below
+# the client's time limit (settings.platform.timeout, 2 s by default).
+READ_WAIT = 1.0
+# Seconds between two tries to read a log that is down, plus up to as much
+# again at random, so that six nodes do not return in step.
+READ_RETRY = 0.25
+
+
+class Page(NamedTuple):
+    """What one read gives.
+
+    Attributes:
+        first: The lowest offset that the log still keeps.
+        end: One above the highest offset.
+        entries: In order of offset.
+    """
+
+    first: int
+    end: int
+    entries: tuple[records.Entry, ...]
+
+
+class Log(Protocol):
+    """The log service. It offers no compare-and-append."""
+
+    async def append(self, stream: str, batch: list[tuple]) -> int:
+        """Appends one batch and returns its offset.
+
+        Raises:
+            exceptions.LogUnavailable: Nothing was appended.
+            exceptions.AppendUndetermined: It may have been appended.
+        """
+
+    async def read(self, stream: str, start: int, wait: float) -> Page:
+        """Reads from an offset on, waiting up to some seconds for more.
+
+        Raises:
+            exceptions.LogUnavailable: The log does not answer.
+        """
+
+
+class _WireEntry(msgspec.Struct):
+    offset: int
+    time: float
+    body: str
+
+
+class _WirePage(msgspec.Struct):
+    first: int
+    end: int
+    entries: list[_WireEntry]
+
+
+class _WireAppended(msgspec.Struct):
+    offset: int
+
+
+class HTTPLog:
+    """The log service over HTTP (docs/PROTOCOLS.md).
+
+    >>> log = HTTPLog(settings.platform, session)
+    >>> offset = await log.append(records.CONFIG, [change])
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.PlatformSection,
+        session: aiohttp.ClientSession,
+    ):
+        self.settings = settings
+        self.session = session
+
+    async def append(self, stream: str, batch: list[tuple]) -> int:
+        """Appends one batch; see `Log.append`."""
+        body = records.encode(batch)
+        url = f"{self.settings.log}/streams/{stream}/records"
+        limit = aiohttp.ClientTimeout(total=self.settings.timeout)
+        try:
+            async with self.session.post(
+                url, data=body, timeout=limit
+            ) as answer:
+                content = await answer.read()
+                if answer.status in (429, 503):
+                    raise exceptions.LogUnavailable(f"status {answer.status}")
+                if answer.status != 200:
+                    raise exceptions.AppendUndetermined(
+                        f"status {answer.status}"
+                    )
+        except aiohttp.ClientConnectorError as error:
+            raise exceptions.LogUnavailable(str(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise exceptions.AppendUndetermined(repr(error)) from error
+        try:
+            return msgspec.json.decode(content, type=_WireAppended).offset
+        except msgspec.DecodeError as error:
+            raise exceptions.AppendUndetermined(str(error)) from error
+
+    async def read(self, stream: str, start: int, wait: float) -> Page:
+        """Reads from an offset on; see `Log.read`."""
+        url = f"{self.settings.log}/streams/{stream}/records"
+        limit = aiohttp.ClientTimeout(total=self.settings.timeout + wait)
+        query = {"from": str(start), "wait": str(wait)}
+        try:
+            async with self.session.get(
+                url, params=query, timeout=limit
+            ) as answer:
+                content = await answer.read()
+                if answer.status != 200:
+                    raise exceptions.LogUnavailable(f"status {answer.status}")
+            page = msgspec.json.decode(content, type=_WirePage)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise exceptions.LogUnavailable(repr(error)) from error
+        except msgspec.DecodeError as error:
+            raise exceptions.LogUnavailable(str(error)) from error
+        entries = []
+        for wire in page.entries:
+            decoded = records.decode(wire.body.encode())
+            entries.append(records.Entry(wire.offset, wire.time, decoded))
+        return Page(page.first, page.end, tuple(entries))
+
+
+class Tail:
+    """Follows one stream and hands each entry to its subscribers, in order.
+
+    Attributes:
+        next: The offset that is read next.
+        caught_up: Set once the end was reached for the first time.
+        healthy: Whether the last read was answered.
+        heard: Event loop time of the last answered read; 0 before it.
+
+    >>> tail = Tail(log, records.CLAIMS)
+    >>> tail.subscribe(claims.apply)
+    >>> await tail.reached(offset)  # one's own append is read back
+    """
+
+    def __init__(self, log: Log, stream: str, start: int = 0):
+        self.log = log
+        self.stream = stream
+        self.next = start
+        self.caught_up = asyncio.Event()
+        self.healthy = False
+        self.heard = 0.0
+        self.subscribers: list[Callable[[records.Entry], Any]] = []
+        self.gaps: list[Callable[[int, int], Any]] = []
+        self.moved = asyncio.Condition()
+
+    def subscribe(
+        self,
+        entry: Callable[[records.Entry], Any],
+        gap: Callable[[int, int], Any] | None = None,
+    ) -> None:
+        """Adds a subscriber; to be called before `run`.
+
+        Args:
+            entry: Called with each entry, in order of offset.
+            gap: Called with (wanted, first kept) where the log has already
+                dropped what was to be read next.
+        """
+        self.subscribers.append(entry)
+        if gap is not None:
+            self.gaps.append(gap)
+
+    async def reached(self, offset: int) -> None:
+        """Waits until the entry at an offset was handed out."""
+        async with self.moved:
+            await self.moved.wait_for(lambda: self.next > offset)
+
+    async def run(self) -> None:
+        """Reads for as long as the node runs."""
+        while True:
+            try:
+                page = await self.log.read(self.stream, self.next, READ_WAIT)
+            except (
+                exceptions.LogUnavailable,
+                exceptions.RecordInvalid,
+            ) as error:
+                self.set_health(False, repr(error))
+                await asyncio.sleep(READ_RETRY * (1 + random.random()))
+                continue
+            self.set_health(True, "")
+            await self.deliver(page)
+
+    async def deliver(self, page: Page) -> None:
+        """Hands a page's entries out and wakes those who wait for them."""
+        if page.first > self.next:
+            for gap in self.gaps:
+                gap(self.next, page.first)
+            self.next = page.first
+        for entry in page.entries:
+            if entry.offset < self.next:
+                continue
+            for subscriber in self.subscribers:
+                subscriber(entry)
+            self.next = entry.offset + 1
+        if self.next >= page.end:
+            self.caught_up.set()
+        if page.entries or page.first:
+            async with self.moved:
+                self.moved.notify_all()
+
+    def set_health(self, healthy: bool, reason: str) -> None:
+        """Notes whether the log answers, with an event at each turn."""
+        if healthy:
+            self.heard = asyncio.get_running_loop().time()
+        if healthy == self.healthy:
+            return
+        self.healthy = healthy
+        if healthy:
+            events.log(events.LOG_UP, stream=self.stream)
+        else:
+            events.log(events.LOG_DOWN, stream=self.stream, reason=reason)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/settings.py
@@ -0,0 +1,267 @@
+"""Settings of a node: one TOML file, checked as a whole.
+
+The types and bounds stand on the classes; `load` names the offending key
+and its line.
+"""
+
+import pathlib
+import re
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from gypsumfold import exceptions
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Section(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The base of all sections: unknown keys are errors."""
+
+
+class NodeSection(Section):
+    """Who this node is.
+
+    Attributes:
+        name: The VM's name in the platform's list.
+        data_centre: Where it stands.
+        address: The IP number it listens on and is reached by.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+
+
+class TLSSection(Section):
+    """Certificate files in PEM; TLS is off where the section is left out."""
+
+    certificate: str
+    key: str
+    authority: str = ""
+
+
+class CallersSection(Section):
+    """HTTP for callers.
+
+    Attributes:
+        port: TCP port.
+        body_limit: Largest request body in bytes.
+        read_timeout: Seconds a caller may take to send its body.
+        deadline: Seconds a request may take where its kind says nothing.
+    """
+
+    port: Port = 8080
+    body_limit: Count = 4 * 1024 * 1024
+    read_timeout: Seconds = 10.0
+    deadline: Seconds = 60.0
+    tls: TLSSection | None = None
+
+
+class OperatorsSection(Section):
+    """HTTP for operators.
+
+    Attributes:
+        port: TCP port.
+        tokens: Operator name to the SHA-256 of its bearer token, in hex.
+    """
+
+    port: Port = 8081
+    tokens: dict[str, str] = {}
+    tls: TLSSection | None = None
+
+
+class PeersSection(Section, kw_only=True):
+    """Node to node.
+
+    Attributes:
+        port: TCP port, the same on every node.
+        secret: Shared by all nodes; signs frames and tokens.
+        seeds: IP numbers of nodes, used until the VM list is read.
+        heartbeat: Seconds between heartbeats.
+        fanout: Peers to whom a digest goes each round.
+    """
+
+    port: Port = 8082
+    secret: Annotated[str, msgspec.Meta(min_length=16)]
+    seeds: tuple[str, ...] = ()
+    heartbeat: Seconds = 0.5
+    fanout: Count = 3
+    tls: TLSSection | None = None
+
+
+class PlatformSection(Section):
+    """Base addresses of the platform's systems.
+
+    Attributes:
+        log: Of the log service.
+        vms: Of the list of VMs.
+        weights: Of the weight store.
+        timeout: Seconds for one call.
+        retention: Seconds that the log keeps a record at the least.
+        poll: Seconds between two readings of the VM list.
+    """
+
+    log: str
+    vms: str
+    weights: str = ""
+    timeout: Seconds = 2.0
+    retention: Seconds = 86400.0
+    poll: Seconds = 1.0
+
+
+class EndpointsSection(Section):
+    """How endpoints are watched and called.
+
+    Attributes:
+        poll: Seconds between two load polls of an endpoint.
+        silent_after: Seconds without an answer until it gets no work.
+        connect_timeout: Seconds to connect, and to wait for a 100.
+        idle_timeout: Seconds without an event until a stream is probed.
+        subset: Replicas of a service that one node polls and routes to.
+    """
+
+    poll: Seconds = 0.25
+    silent_after: Seconds = 2.0
+    connect_timeout: Seconds = 1.0
+    idle_timeout: Seconds = 5.0
+    subset: Count = 16
+
+
+class ControlSection(Section):
+    """Leases over services, held through the log.
+
+    Attributes:
+        duration: Seconds that a lease is valid.
+        renewal: Seconds between two renewals.
+        drift: Seconds a challenger waits beyond the duration.
+        permission: Seconds that a node's permission to dispatch to an
+            engine lasts unless confirmed.
+        quarantine: Seconds after proof of a holder's end before an engine
+            that checks no tokens gets orders of another.
+    """
+
+    duration: Seconds = 6.0
+    renewal: Seconds = 2.0
+    drift: Seconds = 1.0
+    permission: Seconds = 3.0
+    quarantine: Seconds = 15.0
+
+
+class ShutdownSection(Section):
+    """The graceful shutdown of this node.
+
+    Attributes:
+        notice: Seconds the balancer needs to see that the node is not ready.
+        limit: Seconds after which requests in progress are given up.
+    """
+
+    notice: Seconds = 2.0
+    limit: Seconds = 300.0
+
+
+class MetricsSection(Section):
+    """Where statsd metrics go; nowhere if the host is empty."""
+
+    host: str = ""
+    port: Port = 8125
+    prefix: str = "gypsumfold"
+
+
+class Settings(Section):
+    """All settings of a node, passed whole.
+
+    >>> settings = load(pathlib.Path("examples/ramp-towage.toml"))
+    >>> settings.node.data_centre
+    'north-apron'
+    """
+
+    node: NodeSection
+    peers: PeersSection
+    platform: PlatformSection
+    callers: CallersSection = CallersSection()
+    operators: OperatorsSection = OperatorsSection()
+    endpoints: EndpointsSection = EndpointsSection()
+    control: ControlSection = ControlSection()
+    shutdown: ShutdownSection = ShutdownSection()
+    metrics: MetricsSection = MetricsSection()
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        exceptions.SettingsError: With the key, the reason and the line.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(str(path), "", str(error)) from error
+    return parse(text, str(path))
+
+
+def parse(text: str, path: str = "settings") -> Settings:
+    """Checks the text of a settings file.
+
+    Args:
+        text: TOML.
+        path: Named in errors.
+
+    Returns:
+        The settings.
+
+    Raises:
+        exceptions.SettingsError: With the key, the reason and the line.
+    """
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        found = re.search(r"at line (\d+)", str(error))
+        line = int(found[1]) if found else 0
+        raise exceptions.SettingsError(path, "", str(error), line) from error
+    try:
+        return msgspec.convert(data, Settings, strict=True)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at `$")
+        key = place.rstrip("`").lstrip(".")
+        unknown = re.search(r"unknown field `([^`]+)`", reason)
+        missing = re.search(r"required field `([^`]+)`", reason)
+        name = (unknown or missing or [None, ""])[1]
+        key = ".".join(part for part in (key, name) if part)
+        raise exceptions.SettingsError(
+            path, key, reason, line_of(text, key)
+        ) from error
+
+
+def line_of(text: str, key: str) -> int:
+    """Finds the line of a dotted key, or of the table it is missing from.
+
+    Args:
+        text: TOML.
+        key: Dotted, for example ``callers.port``.
+
+    Returns:
+        The line from 1; 0 if neither the key nor its table stands there.
+    """
+    table, _, name = re.sub(r"\[.*?\]", "", key).rpartition(".")
+    current = ""
+    found = 0
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = re.match(r"\s*\[+\s*([^\]]+?)\s*\]+", line)
+        if header:
+            current = header[1]
+            if current in (table, key):
+                found = found or number
+            continue
+        if current == table and re.match(rf"\s*{re.escape(name)}\s*=", line):
+            return number
+    return found
