--- a/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
+++ b/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
@@ -24,7 +24,7 @@
 
 /** Demand of one service on one node since the last digest. */
 struct Demand {
-  1: required string service;
+  1: required string service_name;
   2: required i64 prompt_tokens;
   3: required i64 output_tokens;
   4: required i32 waiting;
