--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/changes.py
@@ -0,0 +1,408 @@
+"""Changes of configuration: their records and the rules of validity.
+
+Whether a change is valid depends on nothing but the log before it, so that
+all nodes agree without talking to each other.
+"""
+
+from collections.abc import Iterable
+import ipaddress
+import re
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+import msgspec
+
+from gypsumfold import exceptions
+from gypsumfold import objects
+from gypsumfold.operators import language
+from gypsumfold.operators import statements
+from gypsumfold.platform import records
+
+# Seconds by which a change id, a UUIDv7 (RFC 9562), may be older than its
+# record's place on the log. Ids are remembered for as long, so 1,500 changes
+# a day make 63 of them; a client repeats a lost append within seconds.
+ID_AGE = 3600.0
+# Seconds by which an operator's clock may be ahead of the log's.
+ID_AHEAD = 300.0
+
+# Names stand in URLs, headers and metrics, so they hold no blanks.
+NAME = re.compile(r"[!-~]{1,200}")
+
+# The field of each kind that names an object of another kind.
+REFERENCES = {
+    "model": "service",
+    "version": "model",
+    "adapter": "model",
+    "endpoint": "service",
+    "kind": "service",
+    "objective": "service",
+}
+# The field of each kind that no two objects may share: one engine behind two
+# names could get conflicting orders, one token must name one account.
+UNIQUE = {"endpoint": "address", "account": "token_sha256"}
+# What stands between the model's name and the rest in these kinds' names.
+SEPARATORS = {"version": "@", "adapter": ":"}
+
+
+class Declared(NamedTuple):
+    """One object in force.
+
+    Attributes:
+        kind: Its kind, a key of `objects.KINDS`.
+        name: Its name, unique within the kind.
+        value: What is declared.
+        revision: Offset of the change that last touched it.
+        author: The operator who made that change.
+    """
+
+    kind: str
+    name: str
+    value: objects.Object
+    revision: int
+    author: str = ""
+
+
+class Operation(NamedTuple):
+    """One step of a change.
+
+    Attributes:
+        verb: ``create``, ``alter`` or ``drop``.
+        kind: Of the object.
+        name: Of the object.
+        fields: The fields to set.
+    """
+
+    verb: str
+    kind: str
+    name: str
+    fields: dict[str, Any] = {}
+
+
+class Precondition(NamedTuple):
+    """The revision that an object must have; -1 if it must not exist."""
+
+    kind: str
+    name: str
+    revision: int
+
+
+@records.register("change")
+class Change(NamedTuple):
+    """A change on the log: all of its operations take effect, or none.
+
+    Attributes:
+        change_id: A UUIDv7; a record repeated with it has no second effect.
+        author: The operator's name.
+        operations: In order.
+        preconditions: Revisions that the objects must still have.
+    """
+
+    change_id: str
+    author: str
+    operations: tuple[Operation, ...]
+    preconditions: tuple[Precondition, ...] = ()
+
+
+class Outcome(NamedTuple):
+    """What became of a change.
+
+    Attributes:
+        change_id: The change.
+        offset: Where it stands on the log.
+        accepted: Whether it took effect.
+        reason: Why it did not.
+        difference: Line by line, what is in force against what was asked.
+    """
+
+    change_id: str
+    offset: int
+    accepted: bool
+    reason: str = ""
+    difference: tuple[str, ...] = ()
+
+
+Objects = dict[str, dict[str, Declared]]
+
+
+def operations(
+    changes: Iterable[statements.Change],
+) -> tuple[Operation, ...]:
+    """Turns parsed statements into operations.
+
+    Args:
+        changes: Statements that change the configuration.
+
+    Returns:
+        One operation for each.
+    """
+    found = []
+    for change in changes:
+        match change:
+            case statements.Create(kind, name, fields):
+                found.append(Operation("create", kind, name, fields))
+            case statements.Alter(kind, name, fields):
+                found.append(Operation("alter", kind, name, fields))
+            case statements.Drop(kind, name):
+                found.append(Operation("drop", kind, name))
+            case statements.Drain(endpoint):
+                fields = {"drained": True}
+                found.append(Operation("alter", "endpoint", endpoint, fields))
+            case statements.Resume(endpoint):
+                fields = {"drained": False}
+                found.append(Operation("alter", "endpoint", endpoint, fields))
+    return tuple(found)
+
+
+def id_time(change_id: str) -> float:
+    """Reads the time out of a change id.
+
+    Args:
+        change_id: A UUIDv7.
+
+    Returns:
+        Seconds since the epoch, by the clock of whoever made it.
+
+    Raises:
+        exceptions.ChangeRejected: It is no UUIDv7.
+    """
+    try:
+        parsed = uuid.UUID(change_id)
+    except ValueError as error:
+        raise exceptions.ChangeRejected(
+            f"change id {change_id!r} is no UUID"
+        ) from error
+    if parsed.version != 7 or str(parsed) != change_id:
+        raise exceptions.ChangeRejected(
+            f"change id {change_id!r} is no UUIDv7 in lowercase"
+        )
+    return (parsed.int >> 80) / 1000
+
+
+def check_age(change_id: str, now: float) -> None:
+    """Refuses ids too old to be remembered or too far ahead.
+
+    Args:
+        change_id: A UUIDv7.
+        now: The log's time, in seconds since the epoch.
+
+    Raises:
+        exceptions.ChangeRejected: With the reason.
+    """
+    made = id_time(change_id)
+    if made < now - ID_AGE:
+        raise exceptions.ChangeRejected(
+            f"the change id is more than {ID_AGE:.0f} s old"
+        )
+    if made > now + ID_AHEAD:
+        raise exceptions.ChangeRejected(
+            f"the change id is more than {ID_AHEAD:.0f} s ahead of the log"
+        )
+
+
+class Draft:
+    """The objects as they would be after a change; the base stays as it is.
+
+    >>> draft = Draft(configuration.objects, offset=12)
+    >>> draft.run(change)
+    >>> configuration.objects = draft.objects
+    """
+
+    def __init__(self, base: Objects, offset: int):
+        self.base = base
+        self.objects = dict(base)
+        self.offset = offset
+        self.touched: set[str] = set()
+
+    def run(self, change: Change) -> None:
+        """Carries a change out.
+
+        Raises:
+            exceptions.ChangeRejected: Some rule forbids it; the draft is
+                then of no use.
+        """
+        if not change.operations:
+            raise exceptions.ChangeRejected("the change says nothing")
+        self.check_preconditions(change)
+        for operation in change.operations:
+            self.run_operation(operation, change.author)
+        check_objects(self.objects, self.touched)
+
+    def check_preconditions(self, change: Change) -> None:
+        """Compares the revisions that the author saw with those in force."""
+        moved = []
+        named = {(kind, name) for kind, name, _ in change.preconditions}
+        for _, kind, name, _ in change.operations:
+            if (kind, name) not in named:
+                raise exceptions.ChangeRejected(
+                    f'the change names no revision of {kind} "{name}"'
+                )
+        for kind, name, revision in change.preconditions:
+            current = self.objects.get(kind, {}).get(name)
+            found = current.revision if current else -1
+            if found != revision:
+                moved.append(f'{kind} "{name}"')
+        if moved:
+            raise exceptions.ChangeRejected(
+                f"changed meanwhile: {', '.join(moved)}"
+            )
+
+    def run_operation(self, operation: Operation, author: str) -> None:
+        """Creates, alters or drops one object."""
+        verb, kind, name, fields = operation
+        if kind not in objects.KINDS:
+            raise exceptions.ChangeRejected(f"no kind is named {kind!r}")
+        if not NAME.fullmatch(name):
+            raise exceptions.ChangeRejected(
+                f"the name {name!r} has blanks or more than 200 characters"
+            )
+        if kind not in self.touched:
+            self.touched.add(kind)
+            self.objects[kind] = dict(self.objects[kind])
+        current = self.objects[kind].get(name)
+        if verb == "create" and current:
+            raise exceptions.ChangeRejected(f'{kind} "{name}" exists')
+        if verb in ("alter", "drop") and not current:
+            raise exceptions.ChangeRejected(f'no {kind} is named "{name}"')
+        if verb == "drop":
+            del self.objects[kind][name]
+            return
+        value = merged(kind, name, current, fields)
+        self.objects[kind][name] = Declared(
+            kind, name, value, self.offset, author
+        )
+
+
+def merged(
+    kind: str, name: str, current: Declared | None, fields: dict[str, Any]
+) -> objects.Object:
+    """Sets fields of an object and checks the result.
+
+    Raises:
+        exceptions.ChangeRejected: A field is unknown, missing or wrong.
+    """
+    whole = msgspec.structs.asdict(current.value) if current else {}
+    whole.update(fields)
+    try:
+        return msgspec.convert(whole, objects.KINDS[kind])
+    except msgspec.ValidationError as error:
+        raise exceptions.ChangeRejected(f'{kind} "{name}": {error}') from error
+
+
+def check_objects(found: Objects, touched: set[str]) -> None:
+    """Checks what the objects of the touched kinds say of one another.
+
+    Raises:
+        exceptions.ChangeRejected: An object refers to one that is not
+            there, or two share what only one may have.
+    """
+    for kind, field in REFERENCES.items():
+        if kind not in touched and field not in touched:
+            continue
+        for declared in found[kind].values():
+            target = getattr(declared.value, field)
+            if target not in found[field]:
+                raise exceptions.ChangeRejected(
+                    f'{kind} "{declared.name}" needs {field} "{target}"'
+                )
+    for kind in sorted(touched):
+        check_unique(kind, found[kind])
+        check_names(kind, found[kind])
+        check_defaults(kind, found[kind])
+
+
+def check_unique(kind: str, found: dict[str, Declared]) -> None:
+    """Refuses two objects that share an address or a token."""
+    field = UNIQUE.get(kind)
+    if not field:
+        return
+    owners: dict[str, str] = {}
+    for name, declared in found.items():
+        value = getattr(declared.value, field)
+        if field == "address":
+            value = normalized(value, name)
+        if value in owners:
+            raise exceptions.ChangeRejected(
+                f'{kind} "{name}" has the {field} of "{owners[value]}"'
+            )
+        owners[value] = name
+
+
+def normalized(address: str, name: str) -> str:
+    """Spells an address in the one way that can be compared.
+
+    Raises:
+        exceptions.ChangeRejected: It is no IP number and port.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+    except ValueError as error:
+        raise exceptions.ChangeRejected(
+            f'endpoint "{name}": {error}'
+        ) from error
+    if not 1 <= int(port) <= 65535:
+        raise exceptions.ChangeRejected(f'endpoint "{name}": {port} is no port')
+    return f"{ip} {int(port)}"
+
+
+def check_names(kind: str, found: dict[str, Declared]) -> None:
+    """Checks that versions and adapters are named after their model."""
+    separator = SEPARATORS.get(kind)
+    if not separator:
+        return
+    for name, declared in found.items():
+        head = f"{declared.value.model}{separator}"
+        if not name.startswith(head) or name == head:
+            raise exceptions.ChangeRejected(
+                f'{kind} "{name}" must be named "{head}..."'
+            )
+
+
+def check_defaults(kind: str, found: dict[str, Declared]) -> None:
+    """Refuses two defaults of one service or model."""
+    if kind not in ("version", "kind"):
+        return
+    owners: dict[str, str] = {}
+    for name, declared in found.items():
+        if not declared.value.default:
+            continue
+        parent = getattr(declared.value, REFERENCES[kind])
+        if parent in owners:
+            raise exceptions.ChangeRejected(
+                f'{kind} "{name}" and "{owners[parent]}" are both defaults'
+            )
+        owners[parent] = name
+
+
+def difference(found: Objects, change: Change) -> tuple[str, ...]:
+    """Lists what is in force against what a change asked for.
+
+    Args:
+        found: The objects in force.
+        change: A change that was not accepted.
+
+    Returns:
+        One line for each field or object that differs.
+    """
+    lines = []
+    for verb, kind, name, fields in change.operations:
+        current = found.get(kind, {}).get(name)
+        if current is None:
+            if verb != "create":
+                lines.append(f'{kind} "{name}": not there')
+            continue
+        by = f"revision {current.revision} by {current.author or 'unknown'}"
+        if verb == "drop":
+            lines.append(f'{kind} "{name}": in force ({by}), asked to drop')
+            continue
+        values = msgspec.structs.asdict(current.value)
+        for field, asked in fields.items():
+            if field in values and values[field] != asked:
+                held = language.print_value(values[field])
+                wish = language.print_value(asked)
+                lines.append(
+                    f'{kind} "{name}".{field}: {held} in force ({by}), '
+                    f"{wish} asked"
+                )
+    return tuple(lines)
