--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -134,6 +134,24 @@
 
     Args:
         reason: Why, with the objects concerned.
+        difference: Line by line, what is in force against what was asked.
+    """
+
+    def __init__(self, reason: str, difference: tuple[str, ...] = ()):
+        self.reason = reason
+        self.difference = difference
+        super().__init__(reason)
+
+
+class OperatorUnknown(GypsumfoldError):
+    """No operator has this bearer token."""
+
+
+class CommandFailed(GypsumfoldError):
+    """An order or a seizure was not carried out.
+
+    Args:
+        reason: Why, for the operator.
     """
 
     def __init__(self, reason: str):
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/operators/publishing.py
@@ -0,0 +1,123 @@
+"""Puts changes of configuration on the log and reads them back."""
+
+import asyncio
+import random
+import time
+
+from gypsumfold import changes
+from gypsumfold import configuration as configuration_module
+from gypsumfold import exceptions
+from gypsumfold import snapshots
+from gypsumfold.platform import logs
+from gypsumfold.platform import records
+
+# Seconds until an operator is told that the log does not answer. Longer
+# than two of the platform's time limits, so that a lost answer is repeated
+# at least once.
+LIMIT = 6.0
+# Seconds between two appends of one change, plus up to as much at random.
+PAUSE = 0.2
+# Bytes of a batch beside the change itself: the log's JSON brackets.
+MARGIN = 1024
+
+
+class Publisher:
+    """Appends changes until their outcome is known from the log itself.
+
+    >>> outcome = await Publisher(configuration, log).publish(change)
+    >>> outcome.accepted
+    True
+    """
+
+    def __init__(
+        self,
+        configuration: configuration_module.Configuration,
+        log: logs.Log,
+    ):
+        self.configuration = configuration
+        self.log = log
+        self.moved = asyncio.Event()
+        configuration.watch(lambda outcome: self.moved.set())
+        configuration.subscribe(self.moved.set)
+
+    async def publish(self, change: changes.Change) -> changes.Outcome:
+        """Publishes a change; the same change id may be given again.
+
+        Args:
+            change: What is asked for.
+
+        Returns:
+            What the log's order made of it.
+
+        Raises:
+            exceptions.ChangeRejected: It was not sent.
+            exceptions.LogUnavailable: It is not on the log.
+            exceptions.AppendUndetermined: It may be on the log, or was
+                not read back; the same change id may be tried again.
+        """
+        known = self.configuration.outcome(change.change_id)
+        if known:
+            return known
+        changes.check_age(change.change_id, time.time())
+        if len(records.encode([change])) > records.BATCH_BYTES - MARGIN:
+            raise exceptions.ChangeRejected(
+                f"the change is larger than {records.BATCH_BYTES} bytes; "
+                "apply it in several"
+            )
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LIMIT
+        failure = None
+        while loop.time() < end:
+            try:
+                await self.log.append(records.CONFIG, [change])
+            except exceptions.AppendUndetermined as error:
+                failure = error
+            except exceptions.LogUnavailable as error:
+                # An earlier append that may have landed counts for more.
+                failure = failure or error
+            else:
+                return await self.read_back(change.change_id, end)
+            pause = loop.time() + PAUSE * (1 + random.random())
+            found = await self.wait(change.change_id, min(pause, end))
+            if found:
+                return found
+        raise failure
+
+    async def read_back(self, change_id: str, end: float) -> changes.Outcome:
+        """Waits for the outcome of a change that is on the log."""
+        found = await self.wait(change_id, end)
+        if found:
+            return found
+        raise exceptions.AppendUndetermined(
+            "the change is on the log and was not read back in time"
+        )
+
+    async def wait(self, change_id: str, end: float) -> changes.Outcome | None:
+        """Waits for an outcome until a time of the loop's clock."""
+        loop = asyncio.get_running_loop()
+        while True:
+            found = self.configuration.outcome(change_id)
+            left = end - loop.time()
+            if found or left <= 0:
+                return found
+            # Several may wait, so nobody relies on the event staying set.
+            self.moved.clear()
+            try:
+                await asyncio.wait_for(self.moved.wait(), left)
+            except TimeoutError:
+                continue
+
+    async def publish_snapshot(self) -> int:
+        """Puts a snapshot of the configuration on the log.
+
+        Returns:
+            The offset that it names.
+
+        Raises:
+            exceptions.PlatformError: Not all parts are on the log for sure;
+                the rest is harmless.
+        """
+        snapshot = self.configuration.snapshot()
+        for part in snapshots.split(snapshot):
+            await self.log.append(records.CONFIG, [part])
+        return snapshot.offset
