--- a/packages/gypsumfold/src/gypsumfold/callers/calls.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/calls.py
@@ -8,6 +8,7 @@
 from gypsumfold import objects
 from gypsumfold import outcomes
 from gypsumfold.callers import accounts
+from gypsumfold.callers import progress
 from gypsumfold.decisions import types
 
 
@@ -35,7 +36,9 @@
                 outcomes.Outcome.NOT_RUN,
             )
         body = await request.read()
-        wanted = self.describe(request["account"], service, call)
+        state = request[progress.KEY]
+        wanted = self.describe(state.account, service, call)
+        state.request = wanted
         grant = await self.node.dispatcher(service).admit(wanted)
         watched = self.node.fleet.endpoints[grant.replica]
         finish = types.Finish.CANCELLED
@@ -43,6 +46,7 @@
         try:
             answer = await watched.client.call(call, body, wanted.id, left)
             finish = types.Finish.DONE
+            state.answered()
         except exceptions.EndpointNotStarted as error:
             finish = types.Finish.NOT_STARTED
             raise exceptions.Unavailable(
@@ -88,4 +92,5 @@
             prompt_tokens=0,
             output_tokens=0,
             repeatable=kind.repeatable,
+            service=service,
         )
--- a/packages/gypsumfold/src/gypsumfold/callers/completions.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/completions.py
@@ -18,6 +18,7 @@
 from gypsumfold.callers import answers
 from gypsumfold.callers import models
 from gypsumfold.callers import problems
+from gypsumfold.callers import progress
 from gypsumfold.callers import resumption
 from gypsumfold.decisions import types
 from gypsumfold.endpoints import engines
@@ -63,10 +64,11 @@
         Raises:
             exceptions.RequestError: There is no answer to give.
         """
-        account = request["account"]
+        state = request[progress.KEY]
         body = read_body(await request.read())
         service, model = models.resolve(self.node.configuration, body.model)
-        wanted = self.describe(request, account, service, model, body)
+        wanted = self.describe(request, service, model, body)
+        state.request = wanted
         answer = answers.Answer(
             self.node.dispatcher(service),
             self.node.fleet,
@@ -76,16 +78,15 @@
         )
         last = request.headers.get("Last-Event-ID")
         if last:
-            position = self.positions.read(last, account)
+            position = self.positions.read(last, state.account)
             return await self.stream(request, answer, answer.resumed(position))
         if body.stream:
             return await self.stream(request, answer, answer.parts())
-        return await self.whole(answer)
+        return await self.whole(request, answer)
 
     def describe(
         self,
         request: web.Request,
-        account: str,
         service: str,
         model: str,
         body: Body,
@@ -104,6 +105,7 @@
             request.headers.get(accounts.KIND_HEADER, ""),
             fallback,
         )
+        account = request[progress.KEY].account
         declared = self.node.configuration.get("account", account)
         now = time.monotonic()
         text = msgspec.json.encode(body.messages)
@@ -119,14 +121,17 @@
             output_tokens=body.max_tokens,
             prefix=xxhash.xxh64_intdigest(text[:PREFIX_CHARACTERS]),
             repeatable=kind.repeatable,
+            service=service,
         )
 
-    async def whole(self, answer: answers.Answer) -> web.Response:
+    async def whole(
+        self, request: web.Request, answer: answers.Answer
+    ) -> web.Response:
         """Answers with one JSON document."""
         parts = answer.parts()
         async with deadline(answer), contextlib.aclosing(parts):
             async for _ in parts:
-                pass
+                request[progress.KEY].answered()
         finish = answer.finish
         document = {
             "id": answer.request.id,
@@ -173,9 +178,11 @@
                 async for part in source:
                     await writer.token(part)
             await writer.finish(answer.finish)
+            request[progress.KEY].outcome = outcomes.Outcome.COMPLETE
         except exceptions.RequestError as error:
             if not response.prepared:
                 raise
+            request[progress.KEY].outcome = error.outcome
             await writer.error(error)
         finally:
             await writer.close()
@@ -216,6 +223,7 @@
     async def token(self, part: answers.Part) -> None:
         """Sends one token with the position after it."""
         await self.start()
+        self.request[progress.KEY].answered()
         if part.dispatch != self.dispatch:
             self.dispatch = part.dispatch
             self.prefix = self.positions.prefix(
--- a/packages/gypsumfold/src/gypsumfold/callers/server.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/server.py
@@ -1,6 +1,6 @@
 """The HTTP server for callers: routes, authentication, errors."""
 
-import time
+import asyncio
 
 from aiohttp import web
 import msgspec
@@ -14,6 +14,7 @@
 from gypsumfold.callers import completions
 from gypsumfold.callers import models
 from gypsumfold.callers import problems
+from gypsumfold.callers import progress
 
 # Paths that need no account: they are the balancer's.
 OPEN_PATHS = ("/ready", "/live")
@@ -50,40 +51,44 @@
         """Turns failures into problem documents and counts the answer."""
         if request.path in OPEN_PATHS:
             return await handler(request)
-        started = time.monotonic()
+        state = progress.Progress()
+        request[progress.KEY] = state
         self.open_requests += 1
-        outcome = outcomes.Outcome.UNDETERMINED
         try:
             response = await handler(request)
-            outcome = response.headers.get(
-                outcomes.HEADER, outcomes.Outcome.COMPLETE
-            )
+            state.outcome = response.headers.get(outcomes.HEADER, state.outcome)
             return response
         except exceptions.RequestError as error:
-            outcome = error.outcome
+            state.outcome = error.outcome
             return problems.response(error)
         except web.HTTPException as error:
             problem = exceptions.RequestInvalid(
                 error.reason, outcomes.Outcome.NOT_RUN
             )
             problem.status = error.status
-            outcome = problem.outcome
+            state.outcome = problem.outcome
             return problems.response(problem)
+        except asyncio.CancelledError:
+            state.cancelled = True
+            raise
         finally:
             self.open_requests -= 1
-            self.ended(request, outcome, time.monotonic() - started)
+            self.ended(request.path, state)
 
-    def ended(self, request: web.Request, outcome: str, seconds: float):
-        """Counts one final answer."""
-        self.node.metrics.count(metrics.REQUESTS, label=outcome)
-        self.node.metrics.timing(metrics.REQUEST_SECONDS, seconds)
+    def ended(self, path: str, state: progress.Progress) -> None:
+        """Counts one final answer; one that its caller left is not judged."""
+        self.node.metrics.count(metrics.REQUESTS, label=state.outcome)
+        self.node.metrics.timing(metrics.REQUEST_SECONDS, state.seconds)
         self.node.metrics.gauge(metrics.OPEN_REQUESTS, self.open_requests)
+        if state.request is not None and not state.cancelled:
+            whole = state.outcome == outcomes.Outcome.COMPLETE
+            self.node.reporting.ended(state.request, whole, state.first)
         events.log(
             events.REQUEST_ENDED,
-            path=request.path,
-            account=request.get("account", ""),
-            outcome=outcome,
-            seconds=round(seconds, 4),
+            path=path,
+            account=state.account,
+            outcome=state.outcome,
+            seconds=round(state.seconds, 4),
         )
 
     @web.middleware
@@ -95,9 +100,8 @@
             raise exceptions.Unavailable(
                 "this node is not ready", outcomes.Outcome.NOT_RUN, 1.0
             )
-        request["account"] = accounts.account_of(
-            self.node.configuration, request
-        )
+        account = accounts.account_of(self.node.configuration, request)
+        request[progress.KEY].account = account
         return await handler(request)
 
     async def get_models(self, request: web.Request) -> web.Response:
@@ -106,6 +110,7 @@
         for name in models.names(self.node.configuration):
             data.append({"id": name, "object": "model"})
         body = msgspec.json.encode({"object": "list", "data": data})
+        request[progress.KEY].outcome = outcomes.Outcome.COMPLETE
         return web.Response(body=body, content_type="application/json")
 
     async def get_ready(self, request: web.Request) -> web.Response:
--- a/packages/gypsumfold/src/gypsumfold/decisions/types.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/types.py
@@ -34,6 +34,7 @@
         repeatable: Whether it may be run more than once.
         recovered: Whether an engine failed while running it; ``arrival`` is
             then still the first one.
+        service: The service that it is for.
     """
 
     id: str
@@ -48,6 +49,7 @@
     prefix: int = 0
     repeatable: bool = True
     recovered: bool = False
+    service: str = ""
 
 
 class Report(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -16,6 +16,7 @@
 from gypsumfold import membership
 from gypsumfold import metrics
 from gypsumfold import outcomes
+from gypsumfold import reporting
 from gypsumfold import settings as settings_module
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
@@ -72,6 +73,9 @@
             self.fleet,
         )
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
+        self.reporting = reporting.Reporting(
+            self.incarnation, self.configuration, self.log
+        )
         self.publisher = publishing.Publisher(self.configuration, self.log)
         self.sources = queries.Sources(self.configuration)
         live.register(self, self.sources)
@@ -190,6 +194,7 @@
         await self.peers.serve()
         for stream, tail in self.tails.items():
             self.supervise(f"tail-{stream}", tail.run)
+        self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
         await self.listen(self.operators.app(), self.settings.operators.port)
         callers = callers_server.Server(self).application()
@@ -220,6 +225,7 @@
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
             await runner.cleanup()
+        await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
             task.cancel()
