--- a/features/support/fleets.py
+++ b/features/support/fleets.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 from typing import Any
+from typing import NamedTuple
 
 import uuid6
 
@@ -82,6 +83,14 @@
     return "\n".join(lines) + "\n"
 
 
+class Endpoint(NamedTuple):
+    """How an engine or a plain service was started."""
+
+    protocol: str
+    data_centre: str
+    checks_tokens: bool = False
+
+
 class Fleet:
     """All the processes of one scenario.
 
@@ -100,6 +109,7 @@
         self.nodes: dict[str, processes.Process] = {}
         self.hosts: dict[str, str] = {}
         self.vms: dict[str, dict[str, str]] = {}
+        self.endpoints: dict[str, Endpoint] = {}
         self.failed = False
 
     def __getitem__(self, name: str) -> processes.Process:
@@ -172,6 +182,7 @@
             arguments += [f"--{option.replace('_', '-')}", str(value)]
         process = self.start_standin(name, "engine", *arguments)
         self.add_vm(name, data_centre, "endpoint")
+        self.endpoints[name] = Endpoint("engine", data_centre, checks_tokens)
         return process
 
     def start_service(
@@ -180,6 +191,7 @@
         """Starts a plain service."""
         process = self.start_standin(name, "plain", "--seconds", str(seconds))
         self.add_vm(name, data_centre, "endpoint")
+        self.endpoints[name] = Endpoint("plain", data_centre)
         return process
 
     def add_vm(self, name: str, data_centre: str, purpose: str) -> None:
