Prove that a leaving endpoint gets no new work, whichever way it leaves

Cause of the one real fault found: a VM that has gone is missing from the list, and membership only looked for "leaving".

An endpoint with a declared VM that the list does not name as live now gets no work; a list that names no endpoint at all is not believed (ruled out: "missing only if it was listed before", since a node that starts late never saw it). The price is that a new VM waits for the list's lag.

Nodes now connect from their own address (connections, channels), so that the other end sees which node it is; the fault proxy uses that to cut off one node of many.

--- a/packages/gypsumfold-standins/src/gypsumfold_standins/engine.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/engine.py
@@ -44,6 +44,7 @@
         self.incarnation = str(uuid.uuid4())
         self.sequences: dict[str, batcher_module.Sequence] = {}
         self.history: list[batcher_module.Sequence] = []
+        self.refusals: list[dict[str, Any]] = []
         self.snapshots: collections.deque[dict[str, Any]] = collections.deque()
         self.leaving = False
         self.session: aiohttp.ClientSession | None = None
@@ -58,6 +59,7 @@
         dispatch = msgspec.json.decode(await request.read())
         refusal = self.refusal(dispatch)
         if refusal is not None:
+            self.refusals.append({"id": dispatch["id"], "time": time.time()})
             return refusal
         sequence = batcher_module.Sequence(dispatch)
         self.sequences[sequence.id] = sequence
@@ -114,7 +116,7 @@
         """The load report as of now."""
         report = self.batcher.load()
         report["incarnation"] = self.incarnation
-        report["leaving"] = self.leaves
+        report["leaving"] = self.leaves or self.faults.announced
         report["models"] = sorted(self.orders.models)
         report["cache_sequence"] = self.batcher.cache.sequence
         report["changing"] = self.orders.changing is not None
@@ -135,7 +137,7 @@
                 "taken": time.time(),
                 "role": self.batcher.role,
                 "models": sorted(self.orders.models),
-                "leaving": self.leaves,
+                "leaving": self.leaves or self.faults.announced,
                 "running": running,
                 "changing": self.orders.changing is not None,
                 "highest_token": self.orders.highest_token,
@@ -209,6 +211,10 @@
         """``GET /_test/dispatches``."""
         return serving.answer([each.record() for each in self.history])
 
+    async def refused(self, request: web.Request) -> web.Response:
+        """``GET /_test/refusals``: dispatches that were not started."""
+        return serving.answer(self.refusals)
+
     async def order_records(self, request: web.Request) -> web.Response:
         """``GET /_test/orders``."""
         return serving.answer(self.orders.records)
@@ -266,6 +272,7 @@
     router.add_post("/v1/kv/exports", engine.export_kv)
     router.add_post("/v1/kv/imports", engine.import_kv_call)
     router.add_get("/_test/dispatches", engine.records)
+    router.add_get("/_test/refusals", engine.refused)
     router.add_get("/_test/orders", engine.order_records)
     router.add_post("/_test/crash", engine.crash_when_told)
     serving.add_faults(app, engine.faults)
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/engine_faults.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/engine_faults.py
@@ -26,6 +26,8 @@
         slow: Factor on the time of each step.
         stuck: The steps stop: nothing is computed.
         leaving: Says that it leaves, and takes nothing new.
+        announced: Says that it leaves, and would still take new work, so
+            that a test sees whether any comes.
         unreported: Load polls are not answered.
         load_lag: Seconds by which the load report is late.
         event_lag: Seconds by which cache events are late.
@@ -53,6 +55,7 @@
     slow: float = 1.0
     stuck: bool = False
     leaving: bool = False
+    announced: bool = False
     unreported: bool = False
     load_lag: float = 0.3
     event_lag: float = 0.3
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/plain.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/plain.py
@@ -34,6 +34,8 @@
         crash_before: The process exits after the body, before it runs.
         crash_after: The process exits after it ran, before the answer.
         leaving: Says that it leaves, and takes nothing new.
+        announced: Says that it leaves, and would still take new work, so
+            that a test sees whether any comes.
         unreported: Health polls are not answered.
         match: Faults only count calls whose body contains this text.
     """
@@ -47,6 +49,7 @@
     crash_before: bool = False
     crash_after: bool = False
     leaving: bool = False
+    announced: bool = False
     unreported: bool = False
     match: str = ""
 
@@ -67,6 +70,7 @@
         self.faults = faults
         self.incarnation = str(uuid.uuid4())
         self.records: list[dict[str, Any]] = []
+        self.refusals: list[dict[str, Any]] = []
         self.by_body: collections.Counter[str] = collections.Counter()
         self.by_dispatch: collections.Counter[str] = collections.Counter()
         self.running = 0
@@ -84,15 +88,21 @@
         if self.faults.continue_delay:
             await asyncio.sleep(self.faults.continue_delay)
         if self.leaves:
-            return serving.answer({"reason": "leaving"}, status=503)
+            return self.refuse(request)
         if request.transport is not None:
             request.transport.write(CONTINUE)
         return None
 
+    def refuse(self, request: web.Request) -> web.Response:
+        """Answers a call that is not run."""
+        dispatch = request.headers.get(HEADER, "")
+        self.refusals.append({"id": dispatch, "time": time.time()})
+        return serving.answer({"reason": "leaving"}, status=503)
+
     async def call(self, request: web.Request) -> web.Response:
         """``POST /calls/{name}``."""
         if self.leaves:
-            return serving.answer({"reason": "leaving"}, status=503)
+            return self.refuse(request)
         body = await request.read()
         if self.faults.takes("lost_requests", body):
             return serving.drop(request)
@@ -137,7 +147,7 @@
             {
                 "incarnation": self.incarnation,
                 "taken": time.time(),
-                "leaving": self.leaves,
+                "leaving": self.leaves or self.faults.announced,
                 "running": self.running,
             }
         )
@@ -146,6 +156,10 @@
         """``GET /_test/dispatches``: each execution."""
         return serving.answer(self.records)
 
+    async def refused(self, request: web.Request) -> web.Response:
+        """``GET /_test/refusals``: calls that were not run."""
+        return serving.answer(self.refusals)
+
     async def counts(self, request: web.Request) -> web.Response:
         """``GET /_test/counts``: executions by body and by dispatch."""
         return serving.answer(
@@ -167,6 +181,7 @@
     )
     app.router.add_get("/health", plain.health)
     app.router.add_get("/_test/dispatches", plain.dispatches)
+    app.router.add_get("/_test/refusals", plain.refused)
     app.router.add_get("/_test/counts", plain.counts)
     serving.add_faults(app, plain.faults)
     return app
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
@@ -63,6 +63,8 @@
         """Ends both sides with a reset."""
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
+            if sock is None:
+                continue
             with contextlib.suppress(OSError):
                 linger = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/gypsumfold/src/gypsumfold/endpoints/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/connections.py
@@ -15,6 +15,10 @@
 # Milliseconds that sent bytes may stay unacknowledged (RFC 5482); the
 # quarantine of settings.control must be longer.
 USER_TIMEOUT = 5000
+# Lets a socket that is bound to the node's address before it connects choose
+# its port when it connects, so that ports are counted per destination
+# (Linux ip(7); the socket module of Python 3.11 does not name it).
+BIND_ADDRESS_NO_PORT = 24
 # Seconds that an idle connection is kept for the next request. Below the
 # common 15 s of servers, so that the endpoint seldom closes first.
 POOL_KEEPALIVE = 10.0
@@ -32,6 +36,8 @@
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
     guard(sock)
+    if family == socket.AF_INET:
+        sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
     sock.setblocking(False)
     return sock
 
@@ -67,6 +73,9 @@
 def sessions(settings: settings_module.Settings) -> Sessions:
     """Makes the HTTP clients of a node.
 
+    They connect from the node's own address, so that the other end and all
+    between see which node it is, also on a VM with several addresses.
+
     Args:
         settings: Of the node.
 
@@ -76,13 +85,18 @@
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=settings.endpoints.connect_timeout
     )
+    local = (settings.node.address, 0)
     pooled = aiohttp.TCPConnector(
         limit=0,
+        local_addr=local,
         keepalive_timeout=POOL_KEEPALIVE,
         socket_factory=guarded_socket,
     )
     fresh = aiohttp.TCPConnector(
-        limit=0, force_close=True, socket_factory=guarded_socket
+        limit=0,
+        local_addr=local,
+        force_close=True,
+        socket_factory=guarded_socket,
     )
     return Sessions(
         aiohttp.ClientSession(connector=pooled, timeout=timeout),
--- a/packages/gypsumfold/src/gypsumfold/membership.py
+++ b/packages/gypsumfold/src/gypsumfold/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
 from gypsumfold.endpoints import fleet as fleet_module
@@ -47,12 +48,34 @@
     def apply(self, listed: vms.VMList) -> None:
         """Takes one reading of the list in."""
         addresses = {peer.address for peer in self.peers.known()}
-        leaving = set()
         for vm in listed.vms:
             if vm.purpose == "entry":
                 addresses.add(vm.address)
-            if vm.state == "leaving":
-                leaving.add(vm.name)
         self.peers.sync(addresses)
+        states = endpoint_states(listed)
         for watched in self.fleet.endpoints.values():
-            watched.vm_leaving = watched.declared.vm in leaving
+            self.note(watched, states)
+
+    def note(
+        self, watched: fleet_module.Watched, states: dict[str, str]
+    ) -> None:
+        """Notes whether an endpoint's VM leaves, with an event if it does.
+
+        One that is not listed has gone, or is so new that the list does not
+        name it yet; neither gets work. A list that names no endpoint at all
+        is not believed.
+        """
+        vm = watched.declared.vm
+        leaving = bool(vm and states) and states.get(vm) != "live"
+        if leaving and not watched.vm_leaving:
+            events.log(events.ENDPOINT_LEAVING, endpoint=watched.name, vm=vm)
+        watched.vm_leaving = leaving
+
+
+def endpoint_states(listed: vms.VMList) -> dict[str, str]:
+    """Gives the state of each endpoint's VM by its name."""
+    states = {}
+    for vm in listed.vms:
+        if vm.purpose == "endpoint":
+            states[vm.name] = vm.state
+    return states
--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -44,16 +44,23 @@
 
     @classmethod
     async def connect(
-        cls, address: str, port: int, secret: bytes, timeout: float
+        cls,
+        address: str,
+        port: int,
+        secret: bytes,
+        timeout: float,
+        local: str | None = None,
     ) -> "Channel":
-        """Connects to a peer.
+        """Connects to a peer, from this node's address if it is given.
 
         Raises:
             exceptions.PeerUnreachable: It does not answer in time.
         """
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(address, port)
+                reader, writer = await asyncio.open_connection(
+                    address, port, local_addr=(local, 0) if local else None
+                )
                 guard(writer)
                 nonce = await reader.readexactly(framing.NONCE_BYTES)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -127,7 +127,7 @@
     async def connect(self, address: str, timeout: float) -> channels.Channel:
         """Opens a connection to a peer."""
         return await channels.Channel.connect(
-            address, self.settings.port, self.secret, timeout
+            address, self.settings.port, self.secret, timeout, self.address
         )
 
     def sync(self, addresses: set[str]) -> None:
