Serve the thin path through separate processes

Cause: no request was served end to end. Three nodes, two engine stand-ins, one plain-service stand-in and the platform's stand-ins run as processes; a declaration is applied and streamed, whole and plain answers come back exact through each node (features/path.feature).

Before: no path. A node was ready a second late, since the first read of an empty stream waited at the log; it reads without waiting until it has caught up.

--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,74 @@
+"""Steps on the whole path through real processes."""
+
+import behave
+
+from features.support import deployments
+from features.support import fleets
+from features.support import http
+
+
+@behave.given(
+    "a path of {nodes:d} nodes, {engines:d} engines and 1 plain service"
+)
+def step_path(context, nodes, engines):
+    fleet = context.fleet = fleets.Fleet("path")
+    fleet.start_platform()
+    centres = ("north-apron", "cargo-ramp", "south-pen")
+    for number in range(engines):
+        fleet.start_engine(f"lm-{number}", centres[number % 3])
+    fleet.start_service("ramp-1", "south-pen")
+    fleet.start_nodes(*[f"entry-{number}" for number in range(nodes)])
+    deployments.declare(fleet)
+
+
+@behave.then("a streamed completion through each node is whole and exact")
+def step_streamed(context):
+    for name, node in context.fleet.nodes.items():
+        found = deployments.complete(node, f"streamed by {name}")
+        assert found.right and found.outcome == "complete", found
+
+
+@behave.then("an unstreamed completion through each node is whole and exact")
+def step_unstreamed(context):
+    for name, node in context.fleet.nodes.items():
+        content = f"whole by {name}"
+        body = {
+            "model": deployments.MODEL,
+            "messages": deployments.messages(content),
+            "max_tokens": 50,
+        }
+        found = http.post(
+            f"{node.url}/v1/chat/completions",
+            body,
+            headers=deployments.headers(),
+        )
+        assert found.status == 200, found
+        message = found.json()["choices"][0]["message"]
+        assert message["content"] == deployments.expected_text(content, 50)
+
+
+@behave.then("a plain call through each node is answered and ran once")
+def step_called(context):
+    for name, node in context.fleet.nodes.items():
+        content = f"tug for {name}"
+        found = deployments.call(node, content)
+        assert found.status == 200, found
+        assert found.body == deployments.expected_call(content), found
+    executions = context.fleet["ramp-1"].test("/_test/dispatches")
+    assert len(executions) == len(context.fleet.nodes), executions
+
+
+@behave.then("each node lists the declared model")
+def step_models(context):
+    for node in context.fleet.nodes.values():
+        found = http.get(f"{node.url}/v1/models", headers=deployments.headers())
+        names = [model["id"] for model in found.json()["data"]]
+        assert names == [deployments.MODEL], names
+
+
+@behave.then('a caller without a token gets a problem document with "{word}"')
+def step_unauthorized(context, word):
+    node = next(iter(context.fleet.nodes.values()))
+    found = http.get(f"{node.url}/v1/models")
+    assert found.status == 401, found
+    assert found.json()["outcome"] == word, found
--- a/packages/gypsumfold/src/gypsumfold/platform/logs.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/logs.py
@@ -185,8 +185,9 @@
     async def run(self) -> None:
         """Reads for as long as the node runs."""
         while True:
+            wait = READ_WAIT if self.caught_up.is_set() else 0.0
             try:
-                page = await self.log.read(self.stream, self.next, READ_WAIT)
+                page = await self.log.read(self.stream, self.next, wait)
             except (
                 exceptions.LogUnavailable,
                 exceptions.RecordInvalid,
