--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,7 +1,6 @@
 """Steps on the whole path through real processes."""
 
 import behave
-
 from features.support import deployments
 from features.support import fleets
 from features.support import http
@@ -54,7 +53,7 @@
         found = deployments.call(node, content)
         assert found.status == 200, found
         assert found.body == deployments.expected_call(content), found
-    executions = context.fleet["ramp-1"].test("/_test/dispatches")
+    executions = context.fleet["ramp-1"].test("dispatches")
     assert len(executions) == len(context.fleet.nodes), executions
 
 
