--- a/packages/gypsumfold/src/gypsumfold/callers/answers.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/answers.py
@@ -79,8 +79,8 @@
         Raises:
             exceptions.RequestError: The answer cannot be completed.
         """
-        for attempt in range(ENGINES):
-            request = self.request._replace(recovered=attempt > 0)
+        request = self.request
+        for _ in range(ENGINES):
             grant = await self.admit(request)
             finish = types.Finish.CANCELLED
             try:
@@ -91,11 +91,14 @@
                 return
             except exceptions.EndpointNotStarted:
                 finish = types.Finish.NOT_STARTED
+                self.fleet.suspect(grant.replica)
             except exceptions.EndpointError as error:
                 finish = types.Finish.FAILED
                 self.give_up_if_not_repeatable(error)
             finally:
                 grant.finish(finish)
+            avoid = request.avoid | {grant.replica}
+            request = request._replace(recovered=True, avoid=avoid)
             events.log(
                 events.STREAM_CONTINUED,
                 endpoint=grant.replica,
--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduler.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduler.py
@@ -62,6 +62,8 @@
         if not fitting:
             reason = "no replica is open for this request"
             return [types.Refuse(request, reason, self.RETRY_AFTER)]
+        fresh = [r for r in fitting if r.name not in request.avoid]
+        fitting = fresh or fitting
         chosen = fitting[self.turn[request.model] % len(fitting)]
         self.turn[request.model] += 1
         return [types.Dispatch(request, chosen.name)]
--- a/packages/gypsumfold/src/gypsumfold/decisions/types.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/types.py
@@ -35,6 +35,8 @@
         recovered: Whether an engine failed while running it; ``arrival`` is
             then still the first one.
         service: The service that it is for.
+        avoid: Replicas that failed it before; not to be chosen while there
+            is another.
     """
 
     id: str
@@ -50,6 +52,7 @@
     repeatable: bool = True
     recovered: bool = False
     service: str = ""
+    avoid: frozenset[str] = frozenset()
 
 
 class Report(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
@@ -132,6 +132,15 @@
         watched.load = load
         watched.heard = time.monotonic()
 
+    def suspect(self, name: str) -> None:
+        """Gives an endpoint no work until it is heard of again.
+
+        Args:
+            name: Of an endpoint that refused a connection or a dispatch.
+        """
+        if name in self.endpoints:
+            self.endpoints[name].heard = float("-inf")
+
     def replicas(self, service: str) -> list[types.Replica]:
         """Lists the replicas of a service for a decision."""
         now = time.monotonic()
