--- a/packages/gypsumfold/src/gypsumfold/configuration.py
+++ b/packages/gypsumfold/src/gypsumfold/configuration.py
@@ -38,6 +38,7 @@
         outcomes: Of recent changes, by change id.
         waiting: Entries beyond a gap, by offset.
         recent: The last entries, in order, for peers.
+        restored: Called with each snapshot that was taken over.
     """
 
     def __init__(self):
@@ -53,6 +54,7 @@
         self.assembler = snapshots.Assembler()
         self.subscribers: list[Callable[[], None]] = []
         self.watchers: list[Callable[[changes.Outcome], None]] = []
+        self.restored: Callable[[snapshots.Snapshot], None] | None = None
 
     def get(self, kind: str, name: str) -> objects.Object | None:
         """Returns one object, or None where it is not declared."""
@@ -195,6 +197,8 @@
         self.clock = snapshot.clock
         self.outcomes = {o.change_id: o for o in snapshot.outcomes}
         self.recent.clear()
+        if self.restored is not None:
+            self.restored(snapshot)
         for offset in [n for n in self.waiting if n <= self.position]:
             del self.waiting[offset]
         self.advance()
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -98,6 +98,30 @@
 CONFIG_REJECTED = define(
     701, "config-rejected", "info", "A change of configuration is void."
 )
+CONFIG_RESTORED = define(
+    702,
+    "config-restored",
+    "info",
+    "The configuration moved forward to a snapshot.",
+)
+CONFIG_PULL_FAILED = define(
+    703,
+    "config-pull-failed",
+    "warning",
+    "A peer that is ahead did not give its configuration.",
+)
+SNAPSHOT_PUBLISHED = define(
+    704,
+    "snapshot-published",
+    "info",
+    "A snapshot of the configuration is on the log.",
+)
+SNAPSHOT_FAILED = define(
+    705,
+    "snapshot-failed",
+    "warning",
+    "A snapshot of the configuration could not be put on the log.",
+)
 
 
 def configure(node: str, stream=sys.stderr) -> None:
--- a/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
+++ b/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
@@ -44,4 +44,28 @@
   4: required list<AccountUse> hottest;
 }
 
+/** Asks for the configuration from an offset of the log on. */
+struct ConfigPull {
+  1: required i64 start;
+  /** The snapshot whose next part is wanted; -1 for none. */
+  2: required i64 snapshot;
+  3: required i32 part;
+}
+
+/** One entry of the config stream, without parts of snapshots. */
+struct ConfigEntry {
+  1: required i64 offset;
+  2: required double time;
+  3: required binary body;
+}
+
+/** Either entries in order, or one part of a snapshot. */
+struct ConfigPage {
+  1: required list<ConfigEntry> entries;
+  /** Offset that the snapshot names; -1 where entries are sent. */
+  2: required i64 snapshot;
+  3: required i32 parts;
+  4: required binary body;
+}
+
 struct Nothing {}
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -0,0 +1,251 @@
+"""Spreads the configuration between nodes and keeps it on the log.
+
+The tail of the log is the first way. Heartbeats name each node's revision,
+and a node that is behind pulls from a peer; so a change that was accepted
+arrives everywhere though the log goes down at once.
+"""
+
+import asyncio
+import random
+import time
+
+from gypsumfold import changes
+from gypsumfold import configuration as configuration_module
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import settings as settings_module
+from gypsumfold import snapshots
+from gypsumfold.decisions import freshness as freshness_module
+from gypsumfold.operators import publishing
+from gypsumfold.peers import framing
+from gypsumfold.peers import links
+from gypsumfold.platform import logs
+from gypsumfold.platform import records
+
+thrift = framing.peers_thrift
+
+# Seconds between two looks at what peers say; a tenth of the default
+# heartbeat, so that it adds little to the time until a pull.
+LOOK = 0.05
+# Seconds for one pull: a page of at most half a frame between neighbours.
+PULL_TIMEOUT = 2.0
+# Bytes of entries or of a snapshot in one reply; a single batch on the log
+# has at most 256 KiB, and both together fit `framing.REPLY_LIMIT`.
+PAGE_BYTES = 512 * 1024
+# Share of the log's retention between two looks whether a snapshot is due.
+SNAPSHOT_LOOK = 0.02
+# Seconds between these looks at the most.
+SNAPSHOT_LOOK_LIMIT = 60.0
+# The share of the due time by which each further node waits longer, and how
+# many nodes do: if the first cannot reach the log, the next one publishes.
+# The fourth still does so at 0.25 * (1 + 3 * 0.5) = 0.63 of the retention.
+RANK_SHARE = 0.5
+MOST_RANK = 3
+
+
+class Replication:
+    """Keeps a node's configuration level with the log and its peers.
+
+    >>> replication = Replication(settings, configuration, tail, peers,
+    ...                           publisher, incarnation)
+    >>> replication.fresh()
+    True
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        configuration: configuration_module.Configuration,
+        tail: logs.Tail,
+        peers: links.Peers,
+        publisher: publishing.Publisher,
+        incarnation: str,
+    ):
+        self.settings = settings
+        self.configuration = configuration
+        self.tail = tail
+        self.peers = peers
+        self.publisher = publisher
+        self.incarnation = incarnation
+        self.freshness = freshness_module.Freshness()
+        self.served: tuple[int, bytes] = (-1, b"")
+        peers.handle("config.pull", thrift.ConfigPull, self.serve)
+        configuration.watch(log_outcome)
+        configuration.restored = log_restored
+
+    def fresh(self) -> bool:
+        """Whether the node knows the configuration well enough to serve."""
+        return self.freshness.fresh
+
+    def revision(self) -> int:
+        """The revision that this node may vouch for; -1 for none yet."""
+        return self.configuration.revision if self.freshness.settled else -1
+
+    def log_read(self) -> bool:
+        """Whether all up to the log's end, as last read, took its place."""
+        if not self.tail.caught_up.is_set():
+            return False
+        return self.configuration.position >= self.tail.next - 1
+
+    async def run(self) -> None:
+        """Looks at the peers and pulls, for as long as the node runs."""
+        while True:
+            self.look()
+            sources = self.sources()
+            if sources:
+                await self.try_pull(random.choice(sources))
+            await asyncio.sleep(LOOK)
+
+    def look(self) -> None:
+        """Decides anew whether this node's configuration is fresh."""
+        peers = []
+        for peer in self.peers.known():
+            peers.append(
+                freshness_module.PeerView(peer.revision, peer.heard)
+            )
+        view = freshness_module.View(
+            self.configuration.revision,
+            self.log_read(),
+            self.tail.heard or None,
+            tuple(peers),
+        )
+        self.freshness.update(view, time.monotonic())
+
+    def sources(self) -> list[str]:
+        """Lists the peers that know what this node does not."""
+        gap = self.configuration.position < self.tail.next - 1
+        found = []
+        for peer in self.peers.known():
+            if peer.revision < 0:
+                continue
+            if peer.revision > self.configuration.revision or gap:
+                found.append(peer.address)
+        return found
+
+    async def try_pull(self, address: str) -> None:
+        """Pulls once; a failure is left to the next look."""
+        try:
+            await self.pull(address)
+        except (exceptions.PeerError, exceptions.RecordInvalid) as error:
+            events.log(
+                events.CONFIG_PULL_FAILED, peer=address, reason=repr(error)
+            )
+
+    async def pull(self, address: str) -> None:
+        """Pulls what a peer has beyond this node's position.
+
+        Raises:
+            exceptions.PeerError: The peer does not answer.
+            exceptions.RecordInvalid: Its snapshot fits no known type.
+        """
+        page = await self.ask(address, -1, 0)
+        if page.snapshot >= 0:
+            await self.pull_snapshot(address, page)
+            return
+        for entry in page.entries:
+            found = records.decode(entry.body)
+            self.configuration.apply(
+                records.Entry(entry.offset, entry.time, found)
+            )
+
+    async def pull_snapshot(self, address: str, page) -> None:
+        """Pulls the other parts of a snapshot and takes it over."""
+        body = page.body
+        for part in range(1, page.parts):
+            further = await self.ask(address, page.snapshot, part)
+            if further.snapshot != page.snapshot:
+                return
+            body += further.body
+        self.configuration.restore(snapshots.decode(body))
+
+    async def ask(self, address: str, snapshot: int, part: int):
+        """Makes one call to a peer."""
+        start = self.configuration.position + 1
+        return await self.peers.call(
+            address,
+            "config.pull",
+            thrift.ConfigPull(start, snapshot, part),
+            thrift.ConfigPage,
+            PULL_TIMEOUT,
+        )
+
+    async def serve(self, message, address: str):
+        """Answers a peer's pull by entries or by a part of a snapshot."""
+        if message.snapshot >= 0 and message.snapshot == self.served[0]:
+            return self.snapshot_page(message.part)
+        entries = self.configuration.since(message.start)
+        if entries is None:
+            snapshot = self.configuration.snapshot()
+            self.served = (snapshot.offset, snapshots.encode(snapshot))
+            return self.snapshot_page(0)
+        page = []
+        size = 0
+        for entry in entries:
+            body = records.encode(list(entry.records))
+            size += len(body)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(thrift.ConfigEntry(entry.offset, entry.time, body))
+        return thrift.ConfigPage(page, -1, 0, b"")
+
+    def snapshot_page(self, part: int):
+        """Makes the reply with one part of the snapshot that is served."""
+        offset, body = self.served
+        parts = -(-len(body) // PAGE_BYTES)
+        piece = body[part * PAGE_BYTES : (part + 1) * PAGE_BYTES]
+        return thrift.ConfigPage([], offset, parts, piece)
+
+    async def run_snapshots(self) -> None:
+        """Publishes a snapshot whenever one is due from this node."""
+        retention = self.settings.platform.retention
+        pause = min(retention * SNAPSHOT_LOOK, SNAPSHOT_LOOK_LIMIT)
+        while True:
+            await asyncio.sleep(pause * (0.5 + random.random()))
+            waits = 1 + RANK_SHARE * min(self.rank(), MOST_RANK)
+            if not self.fresh() or not self.configuration.snapshot_due(
+                time.time(), retention * waits
+            ):
+                continue
+            try:
+                offset = await self.publisher.publish_snapshot()
+            except exceptions.PlatformError as error:
+                events.log(events.SNAPSHOT_FAILED, reason=repr(error))
+                continue
+            events.log(events.SNAPSHOT_PUBLISHED, offset=offset)
+
+    def rank(self) -> int:
+        """Counts the peers that come before this node in publishing."""
+        before = 0
+        now = time.monotonic()
+        for peer in self.peers.known():
+            if now - peer.heard > freshness_module.CUT_OFF_AFTER:
+                continue
+            if peer.incarnation < self.incarnation:
+                before += 1
+        return before
+
+
+def log_outcome(outcome: changes.Outcome) -> None:
+    """Writes the event of one change."""
+    if outcome.accepted:
+        events.log(
+            events.CONFIG_APPLIED,
+            revision=outcome.offset,
+            change=outcome.change_id,
+        )
+        return
+    events.log(
+        events.CONFIG_REJECTED,
+        offset=outcome.offset,
+        change=outcome.change_id,
+        reason=outcome.reason,
+    )
+
+
+def log_restored(snapshot: snapshots.Snapshot) -> None:
+    """Writes the event of a snapshot that was taken over."""
+    events.log(
+        events.CONFIG_RESTORED,
+        revision=snapshot.revision,
+        offset=snapshot.offset,
+    )
