--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -16,11 +16,15 @@
 from gypsumfold import membership
 from gypsumfold import metrics
 from gypsumfold import outcomes
+from gypsumfold import reporting
 from gypsumfold import settings as settings_module
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.endpoints import connections
 from gypsumfold.endpoints import fleet as fleet_module
+from gypsumfold.operators import live
+from gypsumfold.operators import publishing
+from gypsumfold.operators import queries
 from gypsumfold.operators import server as operators_server
 from gypsumfold.peers import framing
 from gypsumfold.peers import links
@@ -69,6 +73,19 @@
             self.fleet,
         )
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
+        self.reporting = reporting.Reporting(
+            self.incarnation, self.configuration, self.log
+        )
+        self.publisher = publishing.Publisher(self.configuration, self.log)
+        self.sources = queries.Sources(self.configuration)
+        live.register(self, self.sources)
+        self.operators = operators_server.Server(
+            settings.operators,
+            self.configuration,
+            self.publisher,
+            self.sources,
+            self.state,
+        )
         self.tails[records.CONFIG].subscribe(self.configuration.apply)
         self.configuration.subscribe(self.reconfigure)
 
@@ -92,6 +109,16 @@
             self.stopping,
         )
 
+    def state(self) -> operators_server.State:
+        """Makes what operators see of this node."""
+        return operators_server.State(
+            self.settings.node.name,
+            self.incarnation,
+            self.configuration.revision,
+            self.ready(),
+            self.stopping,
+        )
+
     def dispatcher(self, service: str) -> dispatching.Dispatcher:
         """Finds the dispatcher of a service.
 
@@ -167,9 +194,9 @@
         await self.peers.serve()
         for stream, tail in self.tails.items():
             self.supervise(f"tail-{stream}", tail.run)
+        self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
-        operators = operators_server.Server(self).application()
-        await self.listen(operators, self.settings.operators.port)
+        await self.listen(self.operators.app(), self.settings.operators.port)
         callers = callers_server.Server(self).application()
         await self.listen(callers, self.settings.callers.port)
         self.supervise("readiness", self.watch_readiness)
@@ -198,6 +225,7 @@
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
             await runner.cleanup()
+        await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
             task.cancel()
