Report service-level burn from counters on the log

Cause: VMs keep nothing, so no node could tell whether objectives held for six hours. Ruled out: every node tailing every node's counts, since 390 nodes would each read about 6 KB/s of the 11 KB/s they may spend; the stream is read when a report is asked for.

A killed (not stopped) node loses up to 15 s of its counts: not proved otherwise.

--- a/packages/gypsumfold/src/gypsumfold/decisions/freshness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/freshness.py
@@ -82,8 +82,7 @@
         """
         heard = [p for p in view.peers if now - p.heard <= CUT_OFF_AFTER]
         log_up = (
-            view.log_heard is not None
-            and now - view.log_heard <= CUT_OFF_AFTER
+            view.log_heard is not None and now - view.log_heard <= CUT_OFF_AFTER
         )
         if not heard:
             self.first_heard = None
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -85,6 +85,7 @@
             self.publisher,
             self.sources,
             self.state,
+            report=self.reporting.report,
         )
         self.tails[records.CONFIG].subscribe(self.configuration.apply)
         self.configuration.subscribe(self.reconfigure)
--- a/packages/gypsumfold/src/gypsumfold/operators/server.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/server.py
@@ -1,5 +1,6 @@
 """HTTP for operators: statements, queries and the node's state."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import hashlib
 import hmac
@@ -10,6 +11,7 @@
 import msgspec
 import uuid6
 
+from gypsumfold import burn
 from gypsumfold import changes
 from gypsumfold import configuration as configuration_module
 from gypsumfold import exceptions
@@ -101,6 +103,7 @@
         sources: queries.Sources,
         state: Callable[[], State],
         commands: Commands | None = None,
+        report: Callable[[], Awaitable[burn.Report]] | None = None,
     ):
         self.settings = settings
         self.configuration = configuration
@@ -108,6 +111,7 @@
         self.sources = sources
         self.state = state
         self.commands = commands or NoCommands()
+        self.report = report
 
     def app(self) -> web.Application:
         """Builds the aiohttp application."""
@@ -118,6 +122,8 @@
         app.router.add_post("/v1/statements", self.run_statements)
         app.router.add_post("/v1/queries", self.run_query)
         app.router.add_get("/v1/state", self.show_state)
+        if self.report is not None:
+            app.router.add_get("/v1/reports/burn", self.show_burn)
         return app
 
     @web.middleware
@@ -208,6 +214,10 @@
         """Answers ``GET /v1/state``."""
         return respond(self.state()._asdict())
 
+    async def show_burn(self, request: web.Request) -> web.Response:
+        """Answers ``GET /v1/reports/burn``."""
+        return respond(await self.report())
+
 
 def decode(body: bytes, body_type: type):
     """Decodes a request's body.
@@ -221,7 +231,7 @@
         raise exceptions.StatementError(f"the body: {error}") from error
 
 
-def respond(body: dict) -> web.Response:
+def respond(body: dict | tuple) -> web.Response:
     """Makes a JSON response."""
     return web.Response(
         body=msgspec.json.encode(body), content_type="application/json"
