--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 BEHAVE ?=
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format docs
 
 setup: $(VENV)/.stamp
 
@@ -30,5 +30,9 @@
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
+docs: setup
+	$(PY) -m gypsumfold.catalogues events > docs/EVENTS.md
+	$(PY) -m gypsumfold.catalogues metrics > docs/METRICS.md
+
 test: setup
 	$(PY) -m features.run $(BEHAVE)
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/burns.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/burns.py
@@ -154,7 +154,13 @@
     axes.set_ylabel("requests a minute")
     highest = max(map(operator.add, good, bad))
     axes.set_ylim(0, math.ceil(1.1 * highest) or 1)
-    axes.legend(loc="upper left", frameon=False, fontsize="small")
+    axes.legend(
+        loc="lower right",
+        bbox_to_anchor=(1.0, 1.0),
+        ncols=2,
+        frameon=False,
+        fontsize="small",
+    )
     written = io.StringIO()
     figure.savefig(written, format="svg", bbox_inches="tight")
     pyplot.close(figure)
