Stop a node without cutting a request: notice, drain, then the rest

gypsumfold/shutdown.py holds the order: readiness fails and peers hear of it, releases that others registered (node.shutdown.register, for leases) run, requests that the balancer still sends are served and their connections closed after the answer; after the notice the node listens no more, idle connections are closed, requests of callers and calls of peers end whole, up to the limit; then the rest goes down.

Ruled out: aiohttp's pre_shutdown alone for idle connections; they stayed open until the process ended ("the kept-alive connection ends without a reset, before the stream" failed). Server.shutdown closes them at once.

Not met: a request that is cut at the limit gets no final answer, only the end of its connection.

--- a/packages/gypsumfold/src/gypsumfold/callers/server.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/server.py
@@ -37,6 +37,7 @@
             middlewares=[self.answer_errors, self.authenticate],
             client_max_size=limit,
         )
+        app.on_response_prepare.append(self.end_connections)
         chat = completions.Completions(self.node)
         services = calls.Calls(self.node)
         app.router.add_post("/v1/chat/completions", chat.post)
@@ -46,6 +47,14 @@
         app.router.add_get("/live", self.get_live)
         return app
 
+    async def end_connections(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Closes each connection after its answer in a shutdown."""
+        if self.node.stopping:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     @web.middleware
     async def answer_errors(self, request: web.Request, handler):
         """Turns failures into problem documents and counts the answer."""
@@ -96,7 +105,7 @@
         """Finds the account; refuses where this node is not ready."""
         if request.path in OPEN_PATHS:
             return await handler(request)
-        if not self.node.ready():
+        if not self.node.serving():
             raise exceptions.Unavailable(
                 "this node is not ready", outcomes.Outcome.NOT_RUN, 1.0
             )
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -60,6 +60,18 @@
 TASK_FAILED = define(
     105, "task-failed", "error", "A task ended by a failure and starts again."
 )
+NODE_DRAINING = define(
+    106,
+    "node-draining",
+    "info",
+    "The node listens no more; requests in progress go on to their end.",
+)
+NODE_GAVE_UP = define(
+    107,
+    "node-gave-up",
+    "error",
+    "Requests still ran at the shutdown's limit and were cut.",
+)
 REQUEST_ENDED = define(
     200, "request-ended", "info", "A request got its final answer."
 )
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -18,6 +18,7 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold import shutdown
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.endpoints import connections
@@ -35,6 +36,8 @@
 # Seconds until a task that failed is started again, plus up to as much at
 # random.
 RESTART = 0.5
+# Seconds that the last bytes of an answer may take when the node ends.
+WRITE_LIMIT = 5.0
 
 
 class Node:
@@ -54,8 +57,11 @@
         self.numbers = itertools.count(1)
         self.stop = asyncio.Event()
         self.stopping = False
+        self.shutdown = shutdown.Shutdown(settings.shutdown)
         self.tasks: dict[str, asyncio.Task] = {}
         self.runners: list[web.AppRunner] = []
+        self.callers = callers_server.Server(self)
+        self.front: web.AppRunner | None = None
         self.metrics = metrics.Metrics(settings.metrics)
         self.sessions = connections.sessions(settings)
         session = self.sessions.pooled
@@ -96,8 +102,14 @@
 
     def ready(self) -> bool:
         """Whether callers' requests are taken."""
-        tail = self.tails[records.CONFIG]
-        return tail.caught_up.is_set() and not self.stopping
+        return self.serving() and not self.stopping
+
+    def serving(self) -> bool:
+        """Whether requests are served: also those that come in a shutdown.
+
+        The balancer goes on sending for its notice time.
+        """
+        return self.tails[records.CONFIG].caught_up.is_set()
 
     def describe(self):
         """Makes the heartbeat that tells peers of this node."""
@@ -184,11 +196,7 @@
         """Runs the node until `stop` is set."""
         await self.start()
         await self.stop.wait()
-        events.log(events.NODE_STOPPING)
-        self.stopping = True
-        await asyncio.sleep(self.settings.shutdown.notice)
-        await self.close()
-        events.log(events.NODE_STOPPED)
+        await self.shutdown.run(self)
 
     async def start(self) -> None:
         """Listens to peers, operators and callers and starts all tasks."""
@@ -197,19 +205,25 @@
             self.supervise(f"tail-{stream}", tail.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        application = self.callers.application()
+        self.front = await self.listen(application, self.settings.callers.port)
         await self.listen(self.operators.app(), self.settings.operators.port)
-        callers = callers_server.Server(self).application()
-        await self.listen(callers, self.settings.callers.port)
         self.supervise("readiness", self.watch_readiness)
         events.log(events.NODE_STARTED, incarnation=self.incarnation)
 
-    async def listen(self, app: web.Application, port: int) -> None:
+    async def listen(self, app: web.Application, port: int) -> web.AppRunner:
         """Serves an application on one port of the node's address."""
-        runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=WRITE_LIMIT,
+        )
         await runner.setup()
         self.runners.append(runner)
         site = web.TCPSite(runner, self.settings.node.address, port)
         await site.start()
+        return runner
 
     async def watch_readiness(self) -> None:
         """Logs each turn of the node's readiness."""
@@ -222,6 +236,26 @@
                 events.log(event, revision=self.configuration.revision)
             await asyncio.sleep(dispatching.TICK)
 
+    async def stop_listening(self) -> None:
+        """Takes no more connections of callers."""
+        for site in list(self.front.sites):
+            await site.stop()
+        # What has come in by now is taken as a request first.
+        await asyncio.sleep(0)
+        self.front.server.pre_shutdown()
+
+    async def end_connections(self, limit: float) -> None:
+        """Closes idle connections at once, others after their request.
+
+        Args:
+            limit: Seconds until a request is cut.
+        """
+        await self.front.server.shutdown(limit)
+
+    def in_progress(self) -> int:
+        """Counts the requests of callers and of peers that run here."""
+        return self.callers.open_requests + self.peers.serving
+
     async def close(self) -> None:
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -76,6 +76,7 @@
         self.heard: dict[str, Peer] = {}
         self.server: asyncio.Server | None = None
         self.accepted: set[asyncio.Task] = set()
+        self.serving = 0
         self.handle("heartbeat", thrift.Heartbeat, self.on_heartbeat)
 
     def handle(
@@ -246,6 +247,7 @@
     async def answer(self, envelope, address: str):
         """Makes the reply of one call."""
         handler = self.handlers.get(envelope.name)
+        self.serving += 1
         try:
             if handler is None:
                 raise exceptions.PeerRefused("no such method")
@@ -255,6 +257,8 @@
             return thrift.Envelope(
                 envelope.call, thrift.Kind.FAILURE, type(error).__name__, b""
             )
+        finally:
+            self.serving -= 1
         body = framing.encode(reply)
         return thrift.Envelope(
             envelope.call, thrift.Kind.REPLY, envelope.name, body
