Serve callers, operators and peers over TLS where settings say so

Cause: tokens and answers crossed the network in the clear. Callers and operators get a server certificate, peers need one of the peers' authority on both sides, beside the HMAC. Left out: reloading of certificates without a restart; TLS towards endpoints and the platform.

--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -18,6 +18,7 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold import tls
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.endpoints import connections
@@ -197,18 +198,34 @@
             self.supervise(f"tail-{stream}", tail.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
-        await self.listen(self.operators.app(), self.settings.operators.port)
+        await self.listen(
+            self.operators.app(),
+            self.settings.operators.port,
+            self.settings.operators.tls,
+        )
         callers = callers_server.Server(self).application()
-        await self.listen(callers, self.settings.callers.port)
+        await self.listen(
+            callers, self.settings.callers.port, self.settings.callers.tls
+        )
         self.supervise("readiness", self.watch_readiness)
         events.log(events.NODE_STARTED, incarnation=self.incarnation)
 
-    async def listen(self, app: web.Application, port: int) -> None:
+    async def listen(
+        self,
+        app: web.Application,
+        port: int,
+        section: settings_module.TLSSection | None,
+    ) -> None:
         """Serves an application on one port of the node's address."""
         runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
         await runner.setup()
         self.runners.append(runner)
-        site = web.TCPSite(runner, self.settings.node.address, port)
+        site = web.TCPSite(
+            runner,
+            self.settings.node.address,
+            port,
+            ssl_context=tls.server_context(section),
+        )
         await site.start()
 
     async def watch_readiness(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import itertools
 import secrets
+import ssl
 from typing import Any
 
 from gypsumfold import exceptions
@@ -44,7 +45,12 @@
 
     @classmethod
     async def connect(
-        cls, address: str, port: int, secret: bytes, timeout: float
+        cls,
+        address: str,
+        port: int,
+        secret: bytes,
+        timeout: float,
+        context: ssl.SSLContext | None = None,
     ) -> "Channel":
         """Connects to a peer.
 
@@ -53,7 +59,9 @@
         """
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(address, port)
+                reader, writer = await asyncio.open_connection(
+                    address, port, ssl=context
+                )
                 guard(writer)
                 nonce = await reader.readexactly(framing.NONCE_BYTES)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -10,6 +10,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
+from gypsumfold import tls
 from gypsumfold.peers import channels
 from gypsumfold.peers import framing
 
@@ -70,6 +71,7 @@
         self.address = settings.node.address
         self.describe = describe
         self.secret = settings.peers.secret.encode()
+        self.tls = tls.peer_context(settings.peers.tls)
         self.handlers: dict[str, _Handler] = {}
         self.links: dict[str, asyncio.Task] = {}
         self.channels: dict[str, channels.Channel] = {}
@@ -127,7 +129,7 @@
     async def connect(self, address: str, timeout: float) -> channels.Channel:
         """Opens a connection to a peer."""
         return await channels.Channel.connect(
-            address, self.settings.port, self.secret, timeout
+            address, self.settings.port, self.secret, timeout, self.tls
         )
 
     def sync(self, addresses: set[str]) -> None:
@@ -215,7 +217,10 @@
     async def serve(self) -> None:
         """Starts to listen for peers."""
         self.server = await asyncio.start_server(
-            self.accept, self.address, self.settings.port
+            self.accept,
+            self.address,
+            self.settings.port,
+            ssl=tls.server_context(self.settings.tls),
         )
 
     def accept(
