--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -51,8 +51,9 @@
         secret: bytes,
         timeout: float,
         context: ssl.SSLContext | None = None,
+        local: str | None = None,
     ) -> "Channel":
-        """Connects to a peer.
+        """Connects to a peer, from this node's address if it is given.
 
         Raises:
             exceptions.PeerUnreachable: It does not answer in time.
@@ -60,7 +61,10 @@
         try:
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(
-                    address, port, ssl=context
+                    address,
+                    port,
+                    ssl=context,
+                    local_addr=(local, 0) if local else None,
                 )
                 guard(writer)
                 nonce = await reader.readexactly(framing.NONCE_BYTES)
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -129,7 +129,12 @@
     async def connect(self, address: str, timeout: float) -> channels.Channel:
         """Opens a connection to a peer."""
         return await channels.Channel.connect(
-            address, self.settings.port, self.secret, timeout, self.tls
+            address,
+            self.settings.port,
+            self.secret,
+            timeout,
+            self.tls,
+            self.address,
         )
 
     def sync(self, addresses: set[str]) -> None:
