Prove the pure configuration and pull it from peers

Cause: an accepted change must hold on every node and never revert, though the log forgets, answers are lost and records arrive doubled or out of order. The stateful test runs two nodes against one log and compares each with the meaning of the log's prefix.

It also found a fault of the first try: a record repeated after its id was forgotten changed the outcome from accepted to rejected. Such records are now void, and the operator is told that nothing is known of earlier attempts.

--- a/packages/gypsumfold/src/gypsumfold/changes.py
+++ b/packages/gypsumfold/src/gypsumfold/changes.py
@@ -179,22 +179,29 @@
     return (parsed.int >> 80) / 1000
 
 
-def check_age(change_id: str, now: float) -> None:
-    """Refuses ids too old to be remembered or too far ahead.
+def is_void(change_id: str, now: float) -> bool:
+    """Tells whether a record has no effect and no outcome.
+
+    What became of an earlier record with an id that is too old may have
+    been forgotten, so nothing may be said of the id any more.
 
     Args:
-        change_id: A UUIDv7.
+        change_id: As the record has it.
         now: The log's time, in seconds since the epoch.
+    """
+    try:
+        return id_time(change_id) < now - ID_AGE
+    except exceptions.ChangeRejected:
+        return True
+
+
+def check_ahead(change_id: str, now: float) -> None:
+    """Refuses ids that would have to be remembered for too long.
 
     Raises:
-        exceptions.ChangeRejected: With the reason.
+        exceptions.ChangeRejected: The id's time is in the future.
     """
-    made = id_time(change_id)
-    if made < now - ID_AGE:
-        raise exceptions.ChangeRejected(
-            f"the change id is more than {ID_AGE:.0f} s old"
-        )
-    if made > now + ID_AHEAD:
+    if id_time(change_id) > now + ID_AHEAD:
         raise exceptions.ChangeRejected(
             f"the change id is more than {ID_AHEAD:.0f} s ahead of the log"
         )
--- a/packages/gypsumfold/src/gypsumfold/configuration.py
+++ b/packages/gypsumfold/src/gypsumfold/configuration.py
@@ -126,9 +126,11 @@
         """Accepts or rejects one change."""
         if change.change_id in self.outcomes:
             return
+        if changes.is_void(change.change_id, self.clock):
+            return
         draft = changes.Draft(self.objects, offset)
         try:
-            changes.check_age(change.change_id, self.clock)
+            changes.check_ahead(change.change_id, self.clock)
             draft.run(change)
         except exceptions.ChangeRejected as error:
             self.conclude(
@@ -155,12 +157,9 @@
         """Forgets outcomes whose change ids are now too old to be taken."""
         while self.outcomes:
             oldest = next(iter(self.outcomes))
-            try:
-                changes.check_age(oldest, self.clock)
-            except exceptions.ChangeRejected:
-                del self.outcomes[oldest]
-                continue
-            return
+            if not changes.is_void(oldest, self.clock):
+                return
+            del self.outcomes[oldest]
 
     def bridge(self) -> None:
         """Crosses a gap by the newest snapshot that reaches over it."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/freshness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/freshness.py
@@ -13,7 +13,8 @@
 CUT_OFF_AFTER = 4.0
 
 # Seconds after the first peer was heard until peers alone may vouch for the
-# configuration of a starting node: time for the others to be heard, too.
+# configuration of a starting node: time for the others to be heard, too, at
+# three of the default heartbeats.
 SETTLE = 1.5
 
 # Seconds that a node may be behind a peer. A pull takes a fraction of one;
@@ -69,6 +70,7 @@
         self.settled = False
         self.first_heard: float | None = None
         self.level = 0.0
+        self.vouched = 0.0
 
     def update(self, view: View, now: float) -> bool:
         """Takes a look and decides.
@@ -82,8 +84,7 @@
         """
         heard = [p for p in view.peers if now - p.heard <= CUT_OFF_AFTER]
         log_up = (
-            view.log_heard is not None
-            and now - view.log_heard <= CUT_OFF_AFTER
+            view.log_heard is not None and now - view.log_heard <= CUT_OFF_AFTER
         )
         if not heard:
             self.first_heard = None
@@ -98,6 +99,7 @@
         elif level:
             self.fresh = self.has_source(view, heard, log_up, now)
             self.settled = self.fresh
+            self.vouched = now
         return self.fresh
 
     def has_source(
@@ -114,7 +116,10 @@
         self, view: View, heard: list[PeerView], log_up: bool, now: float
     ) -> bool:
         """Whether a running node still hears of every change."""
+        # A peer that knows less cannot tell of changes made meanwhile; it
+        # has the settling time to pull what this node knows.
+        if log_up or any(p.revision >= view.revision for p in heard):
+            self.vouched = now
         if now - self.level > BEHIND_LIMIT:
             return False
-        # A peer that knows less cannot tell of changes made meanwhile.
-        return log_up or any(p.revision >= view.revision for p in heard)
+        return now - self.vouched <= SETTLE
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -28,6 +28,7 @@
 from gypsumfold.operators import server as operators_server
 from gypsumfold.peers import framing
 from gypsumfold.peers import links
+from gypsumfold.peers import replication
 from gypsumfold.platform import logs
 from gypsumfold.platform import records
 from gypsumfold.platform import vms
@@ -79,6 +80,14 @@
         self.publisher = publishing.Publisher(self.configuration, self.log)
         self.sources = queries.Sources(self.configuration)
         live.register(self, self.sources)
+        self.replication = replication.Replication(
+            settings,
+            self.configuration,
+            self.tails[records.CONFIG],
+            self.peers,
+            self.publisher,
+            self.incarnation,
+        )
         self.operators = operators_server.Server(
             settings.operators,
             self.configuration,
@@ -95,8 +104,7 @@
 
     def ready(self) -> bool:
         """Whether callers' requests are taken."""
-        tail = self.tails[records.CONFIG]
-        return tail.caught_up.is_set() and not self.stopping
+        return self.replication.fresh() and not self.stopping
 
     def describe(self):
         """Makes the heartbeat that tells peers of this node."""
@@ -105,7 +113,7 @@
             self.incarnation,
             self.settings.node.address,
             self.settings.node.data_centre,
-            self.configuration.revision,
+            self.replication.revision(),
             self.stopping,
         )
 
@@ -196,6 +204,8 @@
             self.supervise(f"tail-{stream}", tail.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        self.supervise("replication", self.replication.run)
+        self.supervise("snapshots", self.replication.run_snapshots)
         await self.listen(self.operators.app(), self.settings.operators.port)
         callers = callers_server.Server(self).application()
         await self.listen(callers, self.settings.callers.port)
--- a/packages/gypsumfold/src/gypsumfold/operators/publishing.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/publishing.py
@@ -21,6 +21,21 @@
 MARGIN = 1024
 
 
+def check_id(change_id: str) -> None:
+    """Refuses a change id of which the log would say nothing.
+
+    Raises:
+        exceptions.ChangeRejected: It is malformed or not of this hour.
+    """
+    now = time.time()
+    changes.check_ahead(change_id, now)
+    if changes.is_void(change_id, now):
+        raise exceptions.ChangeRejected(
+            f"the change id is more than {changes.ID_AGE:.0f} s old; what "
+            "became of an earlier attempt is no longer known"
+        )
+
+
 class Publisher:
     """Appends changes until their outcome is known from the log itself.
 
@@ -58,7 +73,7 @@
         known = self.configuration.outcome(change.change_id)
         if known:
             return known
-        changes.check_age(change.change_id, time.time())
+        check_id(change.change_id)
         if len(records.encode([change])) > records.BATCH_BYTES - MARGIN:
             raise exceptions.ChangeRejected(
                 f"the change is larger than {records.BATCH_BYTES} bytes; "
--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -100,9 +100,7 @@
         """Decides anew whether this node's configuration is fresh."""
         peers = []
         for peer in self.peers.known():
-            peers.append(
-                freshness_module.PeerView(peer.revision, peer.heard)
-            )
+            peers.append(freshness_module.PeerView(peer.revision, peer.heard))
         view = freshness_module.View(
             self.configuration.revision,
             self.log_read(),
