--- a/packages/gypsumfold/src/gypsumfold/operators/queries.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/queries.py
@@ -47,6 +47,9 @@
 class Sources:
     """All that ``show`` knows, by the name that operators write.
 
+    What is declared has a second name, ``declared_endpoints`` and so on,
+    which stays where something live takes the first one.
+
     >>> sources = Sources(configuration)
     >>> sources.register("nodes", Source(("address",), list_nodes))
     >>> sources.run(language.parse("show nodes;")[0])
@@ -58,6 +61,7 @@
         self.named: dict[str, Source] = {}
         for kind in objects.KINDS:
             self.named[f"{kind}s"] = self.declared(kind)
+            self.named[f"declared_{kind}s"] = self.declared(kind)
 
     def register(self, name: str, source: Source) -> None:
         """Adds something live; a name used before is replaced."""
