Run keyed calls by claims on the log, and send bodies after the 100 only

The thin path sent a call once and took any silence for undetermined or not-run by the kind of aiohttp's error alone, and knew no keys.

The service client hooks into the moment at which aiohttp, having read an interim response, writes the payload: until then nothing can have run, and there the deadline and the claim are asked a last time. aiohttp's expect100 was checked against scripted replicas: no byte of the body before the 100, a late 100 sends nothing, a final status instead of it neither. Found by it: a body of no bytes goes out as "Content-Length: 0", which is whole with its head, so that the 100 protects nothing; such a body is now chunked. aiohttp retries idempotent methods on closed pooled connections; POST is not one.

Keyed calls: claims batched on the log, read back, dispatched by the winner's node only; losers wait for the outcome and ask the owner; a refusal closes the key before it says not-run. /v1/keys: keys bound to one incarnation.

--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/bound.py
@@ -0,0 +1,216 @@
+"""Calls under a key that one incarnation of one node gave out.
+
+Answers a log outage: no claim can be made, but a caller still wants to
+repeat safely. The key names an incarnation; any node forwards to it, it
+alone may run the call, and it remembers in memory. When it has gone, every
+attempt under the key is undetermined.
+"""
+
+import asyncio
+import collections
+import itertools
+import time
+from typing import NamedTuple
+
+import itsdangerous
+
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.callers import dispatches
+from gypsumfold.callers import kept
+from gypsumfold.callers import keyed
+from gypsumfold.peers import framing
+
+thrift = framing.peers_thrift
+
+# Seconds for which a key may be used. Longer than a caller's retries (a few
+# deadlines of 60 s); short enough that the bounds below refuse few.
+LIFETIME = 600.0
+# Keys that one node keeps in memory, and those of one account. With answers
+# of 8 KiB at the most, 2,000 keys take 16 MB, a quarter of a node's memory
+# for control; no account may take it all.
+MOST_KEYS = 2000
+MOST_KEYS_OF_ACCOUNT = 500
+# Bytes of a body that can be forwarded: a call between nodes has 64 KiB.
+FORWARDED_BYTES = 48 * 1024
+# Bytes of an answer that can be sent back: a reply has 1 MiB.
+RETURNED_BYTES = 512 * 1024
+# Seconds that the reply may come after the call's own deadline.
+GRACE = 0.5
+
+
+class Key(NamedTuple):
+    """What a bound key says, signed.
+
+    Attributes:
+        incarnation: That alone may run the call.
+        address: IP number of its node.
+        number: Unique within the incarnation.
+        account: Whose key it is.
+    """
+
+    incarnation: str
+    address: str
+    number: int
+    account: str
+
+
+class Issued:
+    """A key that this incarnation gave out.
+
+    Attributes:
+        account: Whose key it is.
+        expires: Monotonic time.
+        digest: Over the call and its body; empty before its first use.
+        task: Runs the call; None before its first use.
+    """
+
+    def __init__(self, account: str, expires: float):
+        self.account = account
+        self.expires = expires
+        self.digest = ""
+        self.task: asyncio.Task[kept.Ending] | None = None
+
+
+class Bound:
+    """Gives bound keys out and serves calls under them.
+
+    >>> key = bound.issue("airline")
+    >>> ending = await bound.call(key, digest, order)
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.dispatches = dispatches.Dispatches(node)
+        self.signer = itsdangerous.URLSafeSerializer(
+            node.settings.peers.secret, salt="gypsumfold-bound-key"
+        )
+        self.issued: dict[int, Issued] = {}
+        self.accounts: collections.Counter[str] = collections.Counter()
+        self.numbers = itertools.count(1)
+
+    def issue(self, account: str) -> str:
+        """Makes a key.
+
+        Raises:
+            exceptions.Refused: Too many are in use.
+        """
+        self.expire()
+        full = len(self.issued) >= MOST_KEYS
+        if full or self.accounts[account] >= MOST_KEYS_OF_ACCOUNT:
+            oldest = next(iter(self.issued.values()))
+            raise exceptions.Refused(
+                "too many keys are in use",
+                outcomes.Outcome.NOT_RUN,
+                max(1.0, oldest.expires - time.monotonic()),
+            )
+        number = next(self.numbers)
+        expires = time.monotonic() + LIFETIME
+        self.issued[number] = Issued(account, expires)
+        self.accounts[account] += 1
+        address = self.node.settings.node.address
+        key = Key(self.node.incarnation, address, number, account)
+        return self.signer.dumps(list(key))
+
+    def expire(self) -> None:
+        """Forgets keys that may no longer be used."""
+        now = time.monotonic()
+        for number, issued in list(self.issued.items()):
+            if issued.expires > now:
+                return
+            if issued.task is not None and not issued.task.done():
+                continue
+            del self.issued[number]
+            self.accounts[issued.account] -= 1
+
+    def read(self, text: str, account: str) -> Key | None:
+        """Checks a key; None where it was not signed for this account."""
+        try:
+            key = Key(*self.signer.loads(text))
+        except (itsdangerous.BadData, TypeError):
+            return None
+        return key if key.account == account else None
+
+    async def call(
+        self, text: str, key: Key, digest: str, order: dispatches.Order
+    ) -> kept.Ending:
+        """Serves one request under a key that `read` accepted."""
+        if key.incarnation == self.node.incarnation:
+            return await self.run_here(key, digest, order)
+        return await self.forward(text, key, order)
+
+    async def run_here(
+        self, key: Key, digest: str, order: dispatches.Order
+    ) -> kept.Ending:
+        """Runs the call of a key, or waits for the attempt that does."""
+        self.expire()
+        issued = self.issued.get(key.number)
+        if issued is None:
+            return kept.Ending(
+                None,
+                exceptions.KeyExpired(
+                    "this key has expired; what ran under it is forgotten",
+                    outcomes.Outcome.UNDETERMINED,
+                ),
+            )
+        if not issued.digest:
+            issued.digest = digest
+            issued.task = asyncio.create_task(self.run(order))
+        if issued.digest != digest:
+            return kept.Ending(None, keyed.conflict())
+        # It goes on when its caller goes: the repeat will ask for its end.
+        ending = await asyncio.shield(issued.task)
+        issued.task = done(kept.trimmed(ending))
+        return ending
+
+    async def run(self, order: dispatches.Order) -> kept.Ending:
+        """Runs the one attempt; what it refuses cannot run any more."""
+        try:
+            return kept.Ending(await self.dispatches.run(order), None)
+        except exceptions.RequestError as error:
+            return kept.Ending(None, error)
+
+    async def forward(
+        self, text: str, key: Key, order: dispatches.Order
+    ) -> kept.Ending:
+        """Has the key's own incarnation serve the request."""
+        if len(order.body) > FORWARDED_BYTES:
+            return kept.Ending(None, too_large())
+        wanted = order.wanted
+        left = max(0.0, wanted.deadline - time.monotonic())
+        message = thrift.BoundCall(
+            wanted.account, wanted.service, order.call, text, order.body, left
+        )
+        try:
+            reply = await self.node.peers.call(
+                key.address,
+                "calls.bound",
+                message,
+                thrift.CallEnding,
+                left + GRACE,
+            )
+            return kept.from_thrift(reply)
+        except exceptions.PeerError as error:
+            return kept.Ending(
+                None,
+                exceptions.AnswerUndetermined(
+                    f"the node that gave this key does not answer: {error!r}",
+                    outcomes.Outcome.UNDETERMINED,
+                    keyed.RETRY_AFTER,
+                ),
+            )
+
+
+def done(ending: kept.Ending) -> asyncio.Future:
+    """Makes a future that already has its result."""
+    future = asyncio.get_running_loop().create_future()
+    future.set_result(ending)
+    return future
+
+
+def too_large() -> exceptions.RequestInvalid:
+    """Makes the error of a body that cannot be forwarded."""
+    return exceptions.RequestInvalid(
+        f"under a bound key, bodies have {FORWARDED_BYTES} bytes at the most",
+        outcomes.Outcome.UNDETERMINED,
+    )
--- a/packages/gypsumfold/src/gypsumfold/callers/calls.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/calls.py
@@ -1,25 +1,42 @@
-"""``/v1/services/{service}/{call}``: single calls of plain services."""
+"""``/v1/services/{service}/{call}`` and ``/v1/keys``: plain services."""
 
+import hashlib
 import time
 
 from aiohttp import web
+import msgspec
 
+from gypsumfold import claims
 from gypsumfold import exceptions
 from gypsumfold import objects
 from gypsumfold import outcomes
 from gypsumfold.callers import accounts
+from gypsumfold.callers import bound
+from gypsumfold.callers import dispatches
+from gypsumfold.callers import kept
+from gypsumfold.callers import keyed
 from gypsumfold.callers import progress
 from gypsumfold.decisions import types
+from gypsumfold.peers import framing
+
+thrift = framing.peers_thrift
+
+KEY_HEADER = "Idempotency-Key"
 
 
 class Calls:
     """Serves calls of plain services on one node.
 
     >>> app.router.add_post("/v1/services/{service}/{call}", calls.post)
+    >>> app.router.add_post("/v1/keys", calls.post_key)
     """
 
     def __init__(self, node):
         self.node = node
+        self.dispatches = dispatches.Dispatches(node)
+        self.keyed = keyed.Keyed(node)
+        self.bound = bound.Bound(node)
+        node.peers.handle("calls.bound", thrift.BoundCall, self.on_bound)
 
     async def post(self, request: web.Request) -> web.Response:
         """Serves one call.
@@ -29,43 +46,93 @@
         """
         service = request.match_info["service"]
         call = request.match_info["call"]
-        declared = self.node.configuration.get("service", service)
-        if declared is None or declared.protocol != "plain":
-            raise exceptions.NotFound(
-                f"no plain service is declared as {service}",
-                outcomes.Outcome.NOT_RUN,
-            )
         body = await request.read()
         state = request[progress.KEY]
-        wanted = self.describe(state.account, service, call)
-        state.request = wanted
-        grant = await self.node.dispatcher(service).admit(wanted)
-        watched = self.node.fleet.endpoints[grant.replica]
-        finish = types.Finish.CANCELLED
-        left = wanted.deadline - time.monotonic()
         try:
-            answer = await watched.client.call(call, body, wanted.id, left)
-            finish = types.Finish.DONE
-            state.answered()
-        except exceptions.EndpointNotStarted as error:
-            finish = types.Finish.NOT_STARTED
-            raise exceptions.Unavailable(
-                str(error), outcomes.Outcome.NOT_RUN, 1.0
-            ) from error
-        except exceptions.EndpointError as error:
-            finish = types.Finish.FAILED
-            raise exceptions.AnswerUndetermined(
-                str(error), outcomes.Outcome.UNDETERMINED
-            ) from error
-        finally:
-            grant.finish(finish)
+            self.check(service)
+        except exceptions.NotFound as error:
+            raise unclaimed(request, error) from error
+        order = self.order(state.account, service, call, body)
+        state.request = order.wanted
+        ending = await self.serve(order, request.headers.get(KEY_HEADER))
+        answer = ending.give()
+        state.answered()
         return web.Response(
             status=answer.status,
             body=answer.body,
             content_type=answer.content_type,
+            headers={outcomes.HEADER: ending.outcome},
+        )
+
+    async def post_key(self, request: web.Request) -> web.Response:
+        """Gives out a key that is bound to this node."""
+        key = self.bound.issue(request[progress.KEY].account)
+        body = {"key": key, "expires_in": bound.LIFETIME}
+        return web.Response(
+            status=201,
+            body=msgspec.json.encode(body),
+            content_type="application/json",
             headers={outcomes.HEADER: outcomes.Outcome.COMPLETE},
         )
 
+    async def serve(
+        self, order: dispatches.Order, key: str | None
+    ) -> kept.Ending:
+        """Serves one request in the way that its key asks for."""
+        if key is None:
+            return kept.Ending(await self.dispatches.run(order), None)
+        if order.wanted.repeatable:
+            try:
+                return kept.Ending(await self.dispatches.run(order), None)
+            except exceptions.RequestError as error:
+                return kept.Ending(None, keyed.doubted(error))
+        digest = digest_of(order)
+        canonical = claims.canonical(key)
+        if canonical:
+            return await self.keyed.call(canonical, digest, order)
+        issued = self.bound.read(key, order.wanted.account)
+        if issued is None:
+            return kept.Ending(None, invalid_key())
+        return await self.bound.call(key, issued, digest, order)
+
+    async def on_bound(self, message, address: str):
+        """Serves another node's request under a key of this one."""
+        key = self.bound.read(message.key, message.account)
+        if key is None or key.incarnation != self.node.incarnation:
+            raise exceptions.PeerRefused("another incarnation's key")
+        order = self.order(
+            message.account, message.service_name, message.call, message.body
+        )
+        deadline = min(order.wanted.deadline, time.monotonic() + message.limit)
+        wanted = order.wanted._replace(deadline=deadline)
+        order = order._replace(wanted=wanted)
+        ending = await self.bound.run_here(key, digest_of(order), order)
+        answer = ending.answer
+        if answer is not None and len(answer.body) > bound.RETURNED_BYTES:
+            ending = kept.trimmed(ending)
+        return kept.to_thrift(ending)
+
+    def check(self, service: str) -> None:
+        """Checks that a plain service is declared.
+
+        Raises:
+            exceptions.NotFound: It is not.
+        """
+        declared = self.node.configuration.get("service", service)
+        if declared is None or declared.protocol != "plain":
+            raise exceptions.NotFound(
+                f"no plain service is declared as {service}",
+                outcomes.Outcome.NOT_RUN,
+            )
+
+    def order(
+        self, account: str, service: str, call: str, body: bytes
+    ) -> dispatches.Order:
+        """Makes what is to be run out of a request."""
+        wanted = self.describe(account, service, call)
+        limit = wanted.deadline - wanted.arrival
+        return dispatches.Order(wanted, call, body, time.time() + limit)
+
     def describe(self, account: str, service: str, call: str) -> types.Request:
         """Makes what decisions need to know of the call."""
         fallback = objects.Kind(
@@ -94,3 +161,40 @@
             repeatable=kind.repeatable,
             service=service,
         )
+
+    async def close(self) -> None:
+        """Waits for keyed calls in progress."""
+        await self.keyed.close()
+
+
+def digest_of(order: dispatches.Order) -> str:
+    """Digests what identifies a call: its service, name and body."""
+    name = f"{order.wanted.service}\n{order.call}\n".encode()
+    return hashlib.sha256(name + order.body).hexdigest()
+
+
+def invalid_key() -> exceptions.RequestInvalid:
+    """Makes the error of a key under which no node runs anything."""
+    return exceptions.RequestInvalid(
+        "the idempotency key must be a UUIDv7 (RFC 9562) or come from "
+        "/v1/keys for this account",
+        outcomes.Outcome.NOT_RUN,
+    )
+
+
+def unclaimed(
+    request: web.Request, error: exceptions.RequestError
+) -> exceptions.RequestError:
+    """Takes the promise out of an error made before the key was looked at.
+
+    Args:
+        request: Of a caller.
+        error: That would be its answer.
+
+    Returns:
+        The error; with a key, another attempt may run on another node, so
+        its outcome is then undetermined.
+    """
+    if KEY_HEADER not in request.headers:
+        return error
+    return keyed.doubted(error)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/dispatches.py
@@ -0,0 +1,158 @@
+"""Runs one call of a plain service: admission, sending, trying again."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+from typing import NamedTuple
+
+from gypsumfold import dispatching
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.decisions import types
+from gypsumfold.endpoints import services
+
+# Seconds before a call goes to another replica, plus up to as much again at
+# random; doubled with each failure up to LONGEST_PAUSE. A replica that
+# refuses is seen as leaving or silent within a few polls (0.25 s each).
+PAUSE = 0.05
+LONGEST_PAUSE = 0.8
+# Seconds after which a repeat by the caller makes sense where every replica
+# failed: a few polls of the replicas.
+RETRY_AFTER = 1.0
+
+
+class Order(NamedTuple):
+    """One call of a caller.
+
+    Attributes:
+        wanted: What decisions need to know; its deadline holds.
+        call: Name of the call.
+        body: Sent as it is.
+        expires: Wall clock time of the deadline; unlike the monotonic one
+            it goes on while the VM itself is paused.
+    """
+
+    wanted: types.Request
+    call: str
+    body: bytes
+    expires: float
+
+    def in_time(self) -> bool:
+        """Whether the call may still begin."""
+        return time.monotonic() < self.wanted.deadline and (
+            time.time() < self.expires
+        )
+
+
+class Dispatches:
+    """Sends calls to replicas, once each unless they may be repeated.
+
+    >>> answer = await Dispatches(node).run(order)
+    """
+
+    def __init__(self, node):
+        self.node = node
+
+    async def run(
+        self, order: Order, permit: Callable[[], bool] = lambda: True
+    ) -> services.Answer:
+        """Makes a call, on another replica too as long as it may.
+
+        Args:
+            order: The call.
+            permit: Asked at the instant of each dispatch.
+
+        Returns:
+            The whole answer of one replica.
+
+        Raises:
+            exceptions.RequestError: With the outcome of this run of the
+                call; whether other attempts exist is for others to judge.
+        """
+        sent = False
+        failures = 0
+        while True:
+            grant = await self.admit(order, sent)
+            try:
+                return await self.attempt(grant, order, permit)
+            except exceptions.EndpointNotStarted as error:
+                failure = error
+                self.node.fleet.suspect(grant.replica)
+            except exceptions.EndpointError as error:
+                failure = error
+                sent = True
+                if not order.wanted.repeatable:
+                    raise undetermined(error) from error
+            failures += 1
+            avoid = order.wanted.avoid | {grant.replica}
+            order = order._replace(wanted=order.wanted._replace(avoid=avoid))
+            pause = min(LONGEST_PAUSE, PAUSE * 2**failures)
+            await asyncio.sleep(pause * (1 + random.random()) / 2)
+            if order.in_time() and permit():
+                continue
+            if sent:
+                raise undetermined(failure) from failure
+            raise exceptions.Unavailable(
+                f"no replica took the call: {failure}",
+                outcomes.Outcome.NOT_RUN,
+                RETRY_AFTER,
+            ) from failure
+
+    async def admit(self, order: Order, sent: bool) -> dispatching.Grant:
+        """Waits for permission to send to one replica.
+
+        Raises:
+            exceptions.RequestError: There is none; undetermined where an
+                earlier dispatch of the call was sent.
+        """
+        wanted = order.wanted._replace(id=self.node.new_id())
+        try:
+            return await self.node.dispatcher(wanted.service).admit(wanted)
+        except exceptions.RequestError as error:
+            if sent:
+                raise undetermined(error) from error
+            raise
+
+    async def attempt(
+        self,
+        grant: dispatching.Grant,
+        order: Order,
+        permit: Callable[[], bool],
+    ) -> services.Answer:
+        """Makes one dispatch.
+
+        Raises:
+            exceptions.EndpointError: The replica gave no answer.
+        """
+        wanted = grant.request
+        finish = types.Finish.CANCELLED
+        try:
+            watched = self.node.fleet.endpoints.get(grant.replica)
+            if watched is None:
+                raise exceptions.EndpointNotStarted("no longer declared")
+            left = max(0.0, wanted.deadline - time.monotonic())
+            answer = await watched.client.call(
+                order.call,
+                order.body,
+                wanted.id,
+                left,
+                lambda: order.in_time() and permit(),
+            )
+            finish = types.Finish.DONE
+            return answer
+        except exceptions.EndpointNotStarted:
+            finish = types.Finish.NOT_STARTED
+            raise
+        except exceptions.EndpointError:
+            finish = types.Finish.FAILED
+            raise
+        finally:
+            grant.finish(finish)
+
+
+def undetermined(error: Exception) -> exceptions.AnswerUndetermined:
+    """Makes the error of a call that may have run."""
+    return exceptions.AnswerUndetermined(
+        f"the call may have run: {error}", outcomes.Outcome.UNDETERMINED
+    )
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/kept.py
@@ -0,0 +1,141 @@
+"""How a call ended, as it is kept, sent between nodes and told to callers."""
+
+import hashlib
+from typing import NamedTuple
+
+from gypsumfold import claims
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.endpoints import services
+from gypsumfold.peers import framing
+
+thrift = framing.peers_thrift
+
+# Bytes of an answer that is kept whole for a repeat. A seat hold's or a tug
+# call's answer is a few hundred; at 512 records a batch of the log (256 KiB)
+# still takes thirty of the largest.
+KEPT_BYTES = 8 * 1024
+
+_ERRORS: dict[str, type[exceptions.RequestError]] = {}
+for _kind in exceptions.RequestError.__subclasses__():
+    _ERRORS[_kind.slug] = _kind
+
+
+class Ending(NamedTuple):
+    """The end of a call: its answer or its error.
+
+    Attributes:
+        answer: Of the service; None where there is none.
+        error: Why there is none; None where there is an answer.
+    """
+
+    answer: services.Answer | None
+    error: exceptions.RequestError | None
+
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What is known of the call."""
+        if self.error is not None:
+            return self.error.outcome
+        if self.answer.status >= 500:
+            return outcomes.Outcome.FAILED_AFTER_START
+        return outcomes.Outcome.COMPLETE
+
+    def give(self) -> services.Answer:
+        """Returns the answer or raises the error."""
+        if self.error is not None:
+            raise self.error
+        return self.answer
+
+
+def record(claim: claims.Claim, ending: Ending) -> claims.Outcome:
+    """Makes the record of a claimed call's end for the log."""
+    answer = ending.answer
+    if answer is None:
+        return claims.Outcome(*claim[:3], ending.outcome)
+    return claims.Outcome(
+        *claim[:3],
+        ending.outcome,
+        answer.status,
+        answer.content_type,
+        len(answer.body),
+        hashlib.sha256(answer.body).hexdigest(),
+        answer.body if len(answer.body) <= KEPT_BYTES else None,
+    )
+
+
+def recorded(outcome: claims.Outcome) -> Ending:
+    """Makes the end of a call out of its record."""
+    if outcome.status and outcome.body is not None:
+        return Ending(
+            services.Answer(outcome.status, outcome.content_type, outcome.body),
+            None,
+        )
+    if outcome.status:
+        return Ending(None, forgotten(outcome))
+    return Ending(
+        None,
+        exceptions.AnswerUndetermined(
+            "an earlier attempt may have run", outcomes.Outcome.UNDETERMINED
+        ),
+    )
+
+
+def forgotten(outcome: claims.Outcome) -> exceptions.AnswerFailed:
+    """Makes the error of a call that ran and whose answer is too large."""
+    return exceptions.AnswerFailed(
+        f"the call ran and was answered with status {outcome.status} and "
+        f"{outcome.size} bytes of SHA-256 {outcome.digest}, which are not kept",
+        outcomes.Outcome.FAILED_AFTER_START,
+    )
+
+
+def to_thrift(ending: Ending):
+    """Makes the message that carries an ending to another node."""
+    if ending.answer is not None:
+        return thrift.CallEnding(
+            status=ending.answer.status,
+            content_type=ending.answer.content_type,
+            body=ending.answer.body,
+        )
+    error = ending.error
+    return thrift.CallEnding(
+        status=0,
+        problem=error.slug,
+        detail=error.detail,
+        outcome=error.outcome,
+        retry_after=error.retry_after,
+    )
+
+
+def from_thrift(message) -> Ending:
+    """Makes an ending out of another node's message.
+
+    Raises:
+        exceptions.FrameInvalid: It makes no sense.
+    """
+    if message.status:
+        return Ending(
+            services.Answer(
+                message.status, message.content_type or "", message.body or b""
+            ),
+            None,
+        )
+    kind = _ERRORS.get(message.problem)
+    try:
+        outcome = outcomes.Outcome(message.outcome)
+    except ValueError as error:
+        raise exceptions.FrameInvalid("an unknown outcome") from error
+    if kind is None:
+        raise exceptions.FrameInvalid("an unknown problem")
+    return Ending(
+        None, kind(message.detail or "", outcome, message.retry_after)
+    )
+
+
+def trimmed(ending: Ending) -> Ending:
+    """Leaves a large answer out, as the log does."""
+    if ending.answer is None or len(ending.answer.body) <= KEPT_BYTES:
+        return ending
+    nobody = claims.Claim("", "", "", "")
+    return recorded(record(nobody, ending))
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/keyed.py
@@ -0,0 +1,385 @@
+"""Calls under a caller's idempotency key: claimed on the log, run once.
+
+`claims.Claims` decides; this module appends, reads back, asks other nodes
+and dispatches. The claim of a node stays the winning one until that node
+itself ends it, so that a pause at any point changes nothing but the time,
+which is checked again as the body goes out.
+"""
+
+import asyncio
+import itertools
+import time
+
+from gypsumfold import claims as claims_module
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.callers import dispatches
+from gypsumfold.callers import kept
+from gypsumfold.peers import framing
+from gypsumfold.platform import batches
+from gypsumfold.platform import records
+
+thrift = framing.peers_thrift
+
+# Seconds for one question to the node that holds a key, and between two.
+# A heartbeat is 0.5 s; a node that is silent for longer is frozen, cut off
+# or gone, and the caller is told so at once.
+ASK_LIMIT = 1.0
+ASK_INTERVAL = 1.0
+# Seconds after which a repeat under the same key makes sense.
+RETRY_AFTER = 1.0
+
+Place = tuple[str, str]
+
+
+class Attempt:
+    """One node's attempt at one key, on behalf of all who ask this node.
+
+    Attributes:
+        claim: What it claims.
+        order: What it would run.
+        claimed: Whether the claim may stand on the log.
+        read_back: Whether the claim's offset was read.
+        released: Whether it will never dispatch (again).
+        ending: How it ended; None before.
+        changed: Set when the log says something new of the key.
+        task: Runs it.
+    """
+
+    def __init__(self, claim: claims_module.Claim, order: dispatches.Order):
+        self.claim = claim
+        self.order = order
+        self.claimed = False
+        self.read_back = False
+        self.released = False
+        self.ending: kept.Ending | None = None
+        self.changed = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+    @property
+    def place(self) -> Place:
+        """The account and the key."""
+        return (self.claim.account, self.claim.key)
+
+    @property
+    def left(self) -> float:
+        """Seconds until the deadline."""
+        return max(0.0, self.order.wanted.deadline - time.monotonic())
+
+
+class Keyed:
+    """Serves keyed calls on one node.
+
+    >>> answer = await keyed.call(key, digest, order)
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.patience = node.settings.platform.timeout
+        self.claims = claims_module.Claims(node.settings.platform.retention)
+        self.batcher = batches.Batcher(node.log, records.CLAIMS)
+        self.dispatches = dispatches.Dispatches(node)
+        self.tail = node.tails[records.CLAIMS]
+        self.tail.subscribe(self.apply, self.claims.gap)
+        self.attempts: dict[Place, Attempt] = {}
+        self.sequence = itertools.count(1)
+        node.peers.handle("calls.ask", thrift.ClaimQuestion, self.on_ask)
+
+    def apply(self, entry: records.Entry) -> None:
+        """Takes an entry of the claims stream and wakes whom it concerns."""
+        self.claims.apply(entry)
+        for record in entry.records:
+            attempt = self.attempts.get((record.account, record.key))
+            if attempt is None:
+                continue
+            attempt.changed.set()
+            self.forget(attempt)
+
+    async def call(
+        self, key: str, digest: str, order: dispatches.Order
+    ) -> kept.Ending:
+        """Serves one request under a key.
+
+        Args:
+            key: Canonical.
+            digest: Over the call and its body.
+            order: What the request wants.
+
+        Returns:
+            How the call ended, by this attempt or another one.
+        """
+        place = (order.wanted.account, key)
+        attempt = self.attempts.get(place)
+        if attempt is None:
+            claim_id = f"{self.node.incarnation}/{next(self.sequence)}"
+            claim = claims_module.Claim(claim_id, *place, digest)
+            attempt = Attempt(claim, order)
+            self.attempts[place] = attempt
+            attempt.task = asyncio.create_task(self.run(attempt))
+        if attempt.claim.digest != digest:
+            return kept.Ending(None, conflict())
+        # It goes on when its caller goes: the repeat will ask for its end.
+        return await asyncio.shield(attempt.task)
+
+    async def run(self, attempt: Attempt) -> kept.Ending:
+        """Brings one attempt to its end."""
+        try:
+            ending = await self.advance(attempt)
+        except exceptions.RequestError as error:
+            ending = kept.Ending(None, error)
+        if attempt.claimed and not attempt.released:
+            self.release(attempt, closes=False)
+        attempt.ending = ending
+        self.forget(attempt)
+        return ending
+
+    async def advance(self, attempt: Attempt) -> kept.Ending:
+        """Takes one step after the other, as the claims allow."""
+        while attempt.order.in_time():
+            step = self.claims.step(attempt.claim, attempt.read_back)
+            if step == claims_module.Step.CLAIM:
+                await self.append(attempt)
+                continue
+            if step == claims_module.Step.DISPATCH:
+                return await self.dispatch(attempt)
+            if step == claims_module.Step.ANSWER:
+                return kept.recorded(self.claims.outcome(*attempt.place))
+            if step != claims_module.Step.WAIT:
+                raise ended(step)
+            ending = await self.wait(attempt)
+            if ending is not None:
+                return ending
+        return await self.refuse(
+            attempt,
+            exceptions.Unavailable(
+                "the deadline passed before the call could run",
+                outcomes.Outcome.NOT_RUN,
+                RETRY_AFTER,
+            ),
+        )
+
+    async def append(self, attempt: Attempt) -> None:
+        """Appends the claim and reads it back.
+
+        Raises:
+            exceptions.RequestError: It cannot be done now.
+        """
+        now = max(time.time(), self.claims.time)
+        age = self.claims.age(attempt.claim.key, now)
+        if age != claims_module.Age.VALID:
+            raise out_of_window(age)
+        if not (self.tail.caught_up.is_set() and self.tail.healthy):
+            raise unclaimed("the log cannot be read")
+        patience = min(self.patience, attempt.left)
+        try:
+            offset = await self.batcher.append(attempt.claim, patience)
+            attempt.claimed = True
+            async with asyncio.timeout(patience):
+                await self.tail.reached(offset)
+        except exceptions.LogUnavailable as error:
+            raise unclaimed("the log takes no claim") from error
+        except (exceptions.AppendUndetermined, TimeoutError) as error:
+            attempt.claimed = True
+            raise unclaimed("the claim was not read back") from error
+        attempt.read_back = True
+
+    def may_run(self, attempt: Attempt) -> bool:
+        """Whether the attempt may dispatch at this instant."""
+        step = self.claims.step(attempt.claim, attempt.read_back)
+        return step == claims_module.Step.DISPATCH and not attempt.released
+
+    async def dispatch(self, attempt: Attempt) -> kept.Ending:
+        """Runs the call: the claim is the winning one."""
+        try:
+            answer = await self.dispatches.run(
+                attempt.order, lambda: self.may_run(attempt)
+            )
+            ending = kept.Ending(answer, None)
+        except exceptions.RequestError as error:
+            if error.outcome == outcomes.Outcome.NOT_RUN:
+                return await self.refuse(attempt, error)
+            ending = kept.Ending(None, error)
+        attempt.released = True
+        self.post(kept.record(attempt.claim, ending))
+        return ending
+
+    async def refuse(
+        self, attempt: Attempt, error: exceptions.RequestError
+    ) -> kept.Ending:
+        """Ends an attempt that has not run and will not.
+
+        Returns:
+            The error as it is, once the key is closed on the log for all
+            attempts; else with an undetermined outcome.
+        """
+        if attempt.claimed:
+            self.release(attempt, closes=True)
+            await self.until_closed(attempt)
+        step = self.claims.step(attempt.claim, attempt.read_back)
+        if step == claims_module.Step.CLOSED:
+            return kept.Ending(None, error)
+        return kept.Ending(None, doubted(error))
+
+    async def until_closed(self, attempt: Attempt) -> None:
+        """Waits for the release to be read back, as long as a claim may."""
+        try:
+            async with asyncio.timeout(self.patience):
+                while attempt.claim.id in self.open_claims(attempt):
+                    attempt.changed.clear()
+                    await attempt.changed.wait()
+        except TimeoutError:
+            return
+
+    def open_claims(self, attempt: Attempt) -> list[str]:
+        """The claims of the attempt's key that still count."""
+        slot = self.claims.slots.get(attempt.place)
+        return [] if slot is None else slot.claims
+
+    def release(self, attempt: Attempt, closes: bool) -> None:
+        """Gives the claim up for good."""
+        attempt.released = True
+        self.post(claims_module.Release(*attempt.claim[:3], closes))
+
+    def post(self, record: tuple) -> None:
+        """Appends a record when the log takes it."""
+        try:
+            self.batcher.post(record)
+        except exceptions.LogUnavailable as error:
+            events.log(events.CLAIM_RECORD_LOST, reason=str(error))
+
+    async def wait(self, attempt: Attempt) -> kept.Ending | None:
+        """Waits for another node's attempt, and asks that node meanwhile.
+
+        Returns:
+            How it ended; None where the key's state should be looked at
+            again.
+
+        Raises:
+            exceptions.AnswerUndetermined: Nobody can tell.
+        """
+        attempt.changed.clear()
+        winner = self.claims.winner(*attempt.place)
+        state = await self.ask(winner, attempt)
+        if attempt.changed.is_set():
+            return None
+        if state is None or not state.known:
+            raise exceptions.AnswerUndetermined(
+                "another node holds this key and cannot be asked",
+                outcomes.Outcome.UNDETERMINED,
+                RETRY_AFTER,
+            )
+        if state.ending is not None:
+            return kept.from_thrift(state.ending)
+        try:
+            async with asyncio.timeout(min(ASK_INTERVAL, attempt.left)):
+                await attempt.changed.wait()
+        except TimeoutError:
+            return None
+        return None
+
+    async def ask(self, winner: str, attempt: Attempt):
+        """Asks the node that made a claim; None where it does not answer."""
+        incarnation = claims_module.incarnation_of(winner)
+        for peer in self.node.peers.known():
+            if peer.incarnation != incarnation:
+                continue
+            question = thrift.ClaimQuestion(winner, *attempt.place)
+            try:
+                return await self.node.peers.call(
+                    peer.address,
+                    "calls.ask",
+                    question,
+                    thrift.ClaimState,
+                    min(ASK_LIMIT, attempt.left),
+                )
+            except exceptions.PeerError:
+                return None
+        return None
+
+    async def on_ask(self, message, address: str):
+        """Serves another node's question."""
+        place = (message.account, message.key)
+        attempt = self.attempts.get(place)
+        if attempt is not None and attempt.claim.id == message.claim:
+            ending = attempt.ending
+            if ending is not None:
+                ending = kept.to_thrift(kept.trimmed(ending))
+            return thrift.ClaimState(known=True, ending=ending)
+        outcome = self.claims.outcome(*place)
+        if outcome is None or outcome.claim != message.claim:
+            return thrift.ClaimState(known=False)
+        ending = kept.to_thrift(kept.recorded(outcome))
+        return thrift.ClaimState(known=True, ending=ending)
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drops an ended attempt once the log tells its end to all."""
+        if attempt.ending is None:
+            return
+        step = self.claims.step(attempt.claim, attempt.read_back)
+        if step != claims_module.Step.DISPATCH:
+            self.attempts.pop(attempt.place, None)
+
+    async def close(self) -> None:
+        """Waits for attempts in progress and for their records."""
+        tasks = [a.task for a in self.attempts.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.batcher.flush(self.patience)
+
+
+def conflict() -> exceptions.KeyConflict:
+    """Makes the error of a key that belongs to another body."""
+    return exceptions.KeyConflict(
+        "this key was used before with another call or body; this one has "
+        "not run and cannot",
+        outcomes.Outcome.NOT_RUN,
+    )
+
+
+def ended(step: claims_module.Step) -> exceptions.RequestError:
+    """Makes the error of a key under which nothing more can run."""
+    if step == claims_module.Step.CONFLICT:
+        return conflict()
+    if step == claims_module.Step.CLOSED:
+        return exceptions.KeyClosed(
+            "the call under this key was refused before it ran and cannot "
+            "run any more; send it with a new key",
+            outcomes.Outcome.NOT_RUN,
+        )
+    return out_of_window(claims_module.Age.OLD)
+
+
+def out_of_window(age: claims_module.Age) -> exceptions.KeyExpired:
+    """Makes the error of a key whose own time is out of the window."""
+    words = "old" if age == claims_module.Age.OLD else "far in the future"
+    return exceptions.KeyExpired(
+        f"this key is too {words} to tell whether it has run",
+        outcomes.Outcome.UNDETERMINED,
+    )
+
+
+def unclaimed(reason: str) -> exceptions.Unavailable:
+    """Makes the error of a key that could not be claimed."""
+    return exceptions.Unavailable(
+        f"{reason}; repeat with the same key, or use a key from /v1/keys",
+        outcomes.Outcome.UNDETERMINED,
+        RETRY_AFTER,
+    )
+
+
+def doubted(error: exceptions.RequestError) -> exceptions.RequestError:
+    """Makes an error without the promise that nothing has run.
+
+    Args:
+        error: Of one attempt, which has not run.
+
+    Returns:
+        The same for a request of which other attempts may exist.
+    """
+    if error.outcome != outcomes.Outcome.NOT_RUN:
+        return error
+    return type(error)(
+        f"{error.detail}; another attempt under the same key may run",
+        outcomes.Outcome.UNDETERMINED,
+        error.retry_after,
+    )
--- a/packages/gypsumfold/src/gypsumfold/callers/server.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/server.py
@@ -38,9 +38,10 @@
             client_max_size=limit,
         )
         chat = completions.Completions(self.node)
-        services = calls.Calls(self.node)
+        services = self.node.calls
         app.router.add_post("/v1/chat/completions", chat.post)
         app.router.add_post("/v1/services/{service}/{call}", services.post)
+        app.router.add_post("/v1/keys", services.post_key)
         app.router.add_get("/v1/models", self.get_models)
         app.router.add_get("/ready", self.get_ready)
         app.router.add_get("/live", self.get_live)
@@ -97,9 +98,10 @@
         if request.path in OPEN_PATHS:
             return await handler(request)
         if not self.node.ready():
-            raise exceptions.Unavailable(
+            error = exceptions.Unavailable(
                 "this node is not ready", outcomes.Outcome.NOT_RUN, 1.0
             )
+            raise calls.unclaimed(request, error)
         account = accounts.account_of(self.node.configuration, request)
         request[progress.KEY].account = account
         return await handler(request)
--- a/packages/gypsumfold/src/gypsumfold/endpoints/services.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/services.py
@@ -1,9 +1,11 @@
 """The client of a plain service: health and single calls."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
+from aiohttp import payload
 import msgspec
 
 from gypsumfold import exceptions
@@ -31,6 +33,48 @@
     body: bytes
 
 
+class Body(payload.BytesPayload):
+    """The body of one call, which goes out after the 100 or never.
+
+    aiohttp writes the payload of a request with ``expect100`` once an
+    interim response has come (measured: features/services.feature). That
+    moment is the last one at which the call can still be held back.
+
+    Attributes:
+        end: Event loop time of the call's deadline.
+        patience: Limits the time until the 100, and from then on until the
+            deadline.
+        sent: Whether any of it may have left: from then on the call may run.
+        over: Whether it is too late to send it.
+
+    >>> body = Body(b"{}", permit=lambda: True, end=loop.time() + 2.0)
+    """
+
+    def __init__(self, content: bytes, permit: Callable[[], bool], end: float):
+        """Prepares the body.
+
+        Args:
+            content: Sent as it is.
+            permit: Asked at the instant of sending.
+            end: Event loop time of the call's deadline.
+        """
+        super().__init__(content)
+        self.permit = permit
+        self.end = end
+        self.patience: asyncio.Timeout | None = None
+        self.sent = False
+        self.over = False
+
+    async def write_with_length(self, writer, content_length) -> None:
+        """Sends the body, once; see the class."""
+        late = self.over or self.sent or self.patience.expired()
+        if late or not self.permit():
+            raise exceptions.EndpointNotStarted("no longer to be sent")
+        self.patience.reschedule(self.end)
+        self.sent = True
+        await super().write_with_length(writer, content_length)
+
+
 class ServiceClient:
     """Talks to one replica of a plain service.
 
@@ -69,7 +113,12 @@
             raise exceptions.EndpointError(repr(error)) from error
 
     async def call(
-        self, name: str, body: bytes, dispatch_id: str, limit: float
+        self,
+        name: str,
+        body: bytes,
+        dispatch_id: str,
+        limit: float,
+        permit: Callable[[], bool] = lambda: True,
     ) -> Answer:
         """Makes one call, once.
 
@@ -78,6 +127,8 @@
             body: Sent as it is.
             dispatch_id: Fresh for each dispatch.
             limit: Seconds for the whole call.
+            permit: Asked when the replica is ready for the body; if it says
+                no, the body is not sent.
 
         Returns:
             The answer, checked to be of this dispatch.
@@ -86,23 +137,86 @@
             exceptions.EndpointNotStarted: It cannot have run.
             exceptions.EndpointUndetermined: It may have run.
         """
+        end = asyncio.get_running_loop().time() + limit
+        sending = Body(body, permit, end)
+        try:
+            return await self.send(
+                self.sessions.pooled, name, sending, dispatch_id
+            )
+        except exceptions.EndpointNotStarted as error:
+            if not may_be_silent(error):
+                raise
+        # Only the pooled connection may have failed; a new one tells.
+        sending = Body(body, permit, end)
+        return await self.send(self.sessions.fresh, name, sending, dispatch_id)
+
+    async def send(
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        sending: Body,
+        dispatch_id: str,
+    ) -> Answer:
+        """Makes one try on one connection; see `call`."""
+        now = asyncio.get_running_loop().time()
+        limit = now + self.settings.connect_timeout
+        sending.patience = asyncio.timeout_at(min(limit, sending.end))
         try:
-            async with asyncio.timeout(limit):
-                async with self.sessions.pooled.post(
-                    f"{self.base}/calls/{name}",
-                    data=body,
-                    headers={DISPATCH_HEADER: dispatch_id},
-                    expect100=True,
-                ) as answer:
-                    content = await answer.read()
-                    echoed = answer.headers.get(DISPATCH_HEADER)
-                    if echoed != dispatch_id:
-                        answer.close()
-                        raise exceptions.EndpointUndetermined(
-                            "an answer to another dispatch"
-                        )
-                    return Answer(answer.status, answer.content_type, content)
-        except aiohttp.ClientConnectorError as error:
-            raise exceptions.EndpointNotStarted(str(error)) from error
+            async with sending.patience:
+                return await self.exchange(session, name, sending, dispatch_id)
         except (aiohttp.ClientError, TimeoutError) as error:
+            if not sending.sent:
+                raise exceptions.EndpointNotStarted(repr(error)) from error
             raise exceptions.EndpointUndetermined(repr(error)) from error
+        finally:
+            sending.over = True
+
+    async def exchange(
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        sending: Body,
+        dispatch_id: str,
+    ) -> Answer:
+        """Sends one call and reads its answer; see `call`."""
+        # A body of no bytes is chunked: its end is then a chunk of its own
+        # that waits for the 100, too. A redirect would send the call twice.
+        async with session.post(
+            f"{self.base}/calls/{name}",
+            data=sending,
+            headers={DISPATCH_HEADER: dispatch_id},
+            expect100=True,
+            chunked=None if sending.size else True,
+            allow_redirects=False,
+        ) as answer:
+            if not sending.sent:
+                answer.close()
+                raise unread(answer.status)
+            content = await answer.read()
+            if answer.headers.get(DISPATCH_HEADER) != dispatch_id:
+                answer.close()
+                raise exceptions.EndpointUndetermined(
+                    "an answer to another dispatch"
+                )
+            return Answer(answer.status, answer.content_type, content)
+
+
+def may_be_silent(error: exceptions.EndpointNotStarted) -> bool:
+    """Whether a connection failed that was open, before its 100 came."""
+    if isinstance(error.__cause__, aiohttp.ClientConnectorError):
+        return False
+    silences = (
+        TimeoutError,
+        aiohttp.ClientOSError,
+        aiohttp.ServerDisconnectedError,
+    )
+    return isinstance(error.__cause__, silences)
+
+
+def unread(status: int) -> exceptions.EndpointError:
+    """Makes the error of a final answer that came instead of the 100."""
+    if status < 400:
+        return exceptions.EndpointUndetermined(
+            f"status {status} before the body was sent"
+        )
+    return exceptions.EndpointNotStarted(f"refused with status {status}")
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -69,6 +69,13 @@
     "warning",
     "A broken stream went on from its last token.",
 )
+CLAIM_RECORD_LOST = define(
+    210,
+    "claim-record-lost",
+    "error",
+    "Too many records wait for the log; a repeat of a keyed call is told "
+    "that its end is undetermined.",
+)
 ENDPOINT_HEARD = define(
     300, "endpoint-heard", "info", "An endpoint answers its load poll."
 )
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -212,6 +212,13 @@
     slug = "key-conflict"
 
 
+class KeyClosed(RequestError):
+    """A call under this key was refused unrun; none can run any more."""
+
+    status = 409
+    slug = "key-closed"
+
+
 class KeyExpired(RequestError):
     """The idempotency key is older than what the log keeps."""
 
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -18,6 +18,7 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.endpoints import connections
@@ -60,7 +61,10 @@
         self.sessions = connections.sessions(settings)
         session = self.sessions.pooled
         self.log = logs.HTTPLog(settings.platform, session)
-        self.tails = {records.CONFIG: logs.Tail(self.log, records.CONFIG)}
+        self.tails = {
+            records.CONFIG: logs.Tail(self.log, records.CONFIG),
+            records.CLAIMS: logs.Tail(self.log, records.CLAIMS),
+        }
         self.configuration = configuration_module.Configuration()
         self.fleet = fleet_module.Fleet(
             settings, self.configuration, self.sessions
@@ -72,6 +76,7 @@
             self.peers,
             self.fleet,
         )
+        self.calls = calls.Calls(self)
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
         self.reporting = reporting.Reporting(
             self.incarnation, self.configuration, self.log
@@ -194,6 +199,7 @@
         await self.peers.serve()
         for stream, tail in self.tails.items():
             self.supervise(f"tail-{stream}", tail.run)
+        self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
         await self.listen(self.operators.app(), self.settings.operators.port)
@@ -225,6 +231,7 @@
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
             await runner.cleanup()
+        await self.calls.close()
         await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
--- a/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
+++ b/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
@@ -45,3 +45,40 @@
 }
 
 struct Nothing {}
+
+/** Asks the node that made a claim how its call stands. */
+struct ClaimQuestion {
+  1: required string claim;
+  2: required string account;
+  3: required string key;
+}
+
+/** How a call ended: an answer (a status) or a problem (no status). */
+struct CallEnding {
+  1: required i32 status;
+  2: optional string content_type;
+  3: optional binary body;
+  4: optional string problem;
+  5: optional string detail;
+  6: optional string outcome;
+  7: optional double retry_after;
+}
+
+/** What the node that made a claim knows of it. */
+struct ClaimState {
+  /** Whether the node knows the claim. */
+  1: required bool known;
+  /** Left out while the call runs. */
+  2: optional CallEnding ending;
+}
+
+/** A call under a key that is bound to the addressed incarnation. */
+struct BoundCall {
+  1: required string account;
+  2: required string service_name;
+  3: required string call;
+  4: required string key;
+  5: required binary body;
+  /** Seconds until its deadline. */
+  6: required double limit;
+}
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/platform/batches.py
@@ -0,0 +1,164 @@
+"""Appends the records of many requests to the log, a batch at a time.
+
+Answers the load of a burst of keyed calls: the log takes several hundred
+appends a second for the whole fleet. Without batching, each claim is one
+append, and six nodes are over that at a hundred calls a second each.
+"""
+
+import asyncio
+import collections
+import random
+import time
+
+from gypsumfold import exceptions
+from gypsumfold.platform import logs
+from gypsumfold.platform import records
+
+# Seconds from one append of a node to the next. A record that finds the
+# batcher idle goes at once; so this adds latency under load only. Six nodes
+# make at most 300 appends a second, within "several hundred" with room for
+# the other streams (bench/RESULTS-calls.md).
+INTERVAL = 0.02
+# Seconds after a refused append, plus up to as much again at random, so
+# that six nodes do not return in step.
+BACKOFF = 0.05
+# Bytes of JSON around a batch and around each record in it, at the most.
+FRAME_BYTES = 64
+# Most records of one batch, so that no burst holds the event loop for long.
+MOST_RECORDS = 512
+# Most records that wait; an outage must not fill the memory.
+MOST_WAITING = 20_000
+
+
+class Item:
+    """One record on its way to the log.
+
+    Attributes:
+        record: Of a registered type.
+        size: Bytes on the log.
+        future: Done with the offset.
+        flying: Whether an append with it is being made.
+        lost: Whether the answer to an append with it was lost.
+        withdrawn: Whether it is no longer to be appended.
+    """
+
+    def __init__(self, record: tuple):
+        self.record = record
+        self.size = len(records.encode([record])) + FRAME_BYTES
+        self.future: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.flying = False
+        self.lost = False
+        self.withdrawn = False
+
+
+class Batcher:
+    """Appends records to one stream, in order, many in one append.
+
+    A batch whose answer is lost is appended again; records must be such
+    that a doubled one changes nothing.
+
+    >>> batcher = Batcher(log, records.CLAIMS)
+    >>> offset = await batcher.append(claim, patience=1.0)
+    """
+
+    def __init__(
+        self,
+        log: logs.Log,
+        stream: str,
+        interval: float = INTERVAL,
+        most: int = MOST_RECORDS,
+    ):
+        self.log = log
+        self.stream = stream
+        self.interval = interval
+        self.most = most
+        self.waiting: collections.deque[Item] = collections.deque()
+        self.wake = asyncio.Event()
+
+    def post(self, record: tuple) -> Item:
+        """Appends a record as soon as the log takes it.
+
+        Raises:
+            exceptions.LogUnavailable: Too many wait already.
+        """
+        if len(self.waiting) >= MOST_WAITING:
+            raise exceptions.LogUnavailable("too many records wait")
+        item = Item(record)
+        self.waiting.append(item)
+        self.wake.set()
+        return item
+
+    async def append(self, record: tuple, patience: float) -> int:
+        """Appends a record within some seconds and returns its offset.
+
+        Raises:
+            exceptions.LogUnavailable: It was not appended and will not be.
+            exceptions.AppendUndetermined: It may have been appended.
+        """
+        item = self.post(record)
+        try:
+            return await asyncio.wait_for(asyncio.shield(item.future), patience)
+        except TimeoutError as error:
+            kind = exceptions.LogUnavailable
+            if item.flying or item.lost:
+                kind = exceptions.AppendUndetermined
+            raise kind("the log did not take it in time") from error
+        finally:
+            item.withdrawn = True
+
+    async def run(self) -> None:
+        """Appends for as long as the node runs."""
+        while True:
+            await self.wake.wait()
+            batch = self.next_batch()
+            if not batch:
+                self.wake.clear()
+                continue
+            due = time.monotonic() + self.interval
+            if not await self.send(batch):
+                await asyncio.sleep(BACKOFF * (1 + random.random()))
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+
+    def next_batch(self) -> list[Item]:
+        """Takes the records of the next append; they stay in the queue."""
+        kept = [item for item in self.waiting if not item.withdrawn]
+        self.waiting = collections.deque(kept)
+        batch = []
+        size = FRAME_BYTES
+        for item in kept[: self.most]:
+            size += item.size
+            if size > records.BATCH_BYTES and batch:
+                break
+            batch.append(item)
+        return batch
+
+    async def send(self, batch: list[Item]) -> bool:
+        """Makes one append and says whether it is known to be in effect."""
+        for item in batch:
+            item.flying = True
+        try:
+            offset = await self.log.append(
+                self.stream, [item.record for item in batch]
+            )
+        except exceptions.LogUnavailable:
+            return False
+        except exceptions.AppendUndetermined:
+            for item in batch:
+                item.lost = True
+            return False
+        finally:
+            for item in batch:
+                item.flying = False
+        for item in batch:
+            self.waiting.popleft()
+            if not item.future.done():
+                item.future.set_result(offset)
+        return True
+
+    async def flush(self, patience: float) -> None:
+        """Waits until nothing is left to append, some seconds at most."""
+        left = [i.future for i in self.waiting if not i.withdrawn]
+        if left:
+            await asyncio.wait(left, timeout=patience)
