--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -0,0 +1,210 @@
+"""What the stream ``control`` says, service by service.
+
+`Books` follows the stream's tail. A node that starts after the log dropped
+the stream's beginning takes a service's state from a lease record that a
+later one names as valid, and goes on from there.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gypsumfold.control import leases
+from gypsumfold.control import orders
+from gypsumfold.control import records
+from gypsumfold.platform import records as platform_records
+
+
+class Noted(NamedTuple):
+    """A record with its place on the log."""
+
+    offset: int
+    time: float
+    record: records.Record
+
+
+class Book:
+    """The lease and the orders of one service.
+
+    Attributes:
+        lease: See `leases.Lease`.
+        orders: See `orders.Orders`.
+        through: All offsets up to this one were read.
+        begun: Whether the state is known; not before an anchor was found
+            where the log has dropped the stream's beginning.
+
+    >>> book = Book("dispatch-lm", retention=86400.0, first=0, begun=True)
+    >>> book.apply(noted, now=1.0)
+    """
+
+    def __init__(
+        self, service: str, retention: float, first: int, begun: bool
+    ):
+        self.service = service
+        self.retention = retention
+        self.first = first
+        self.begun = begun
+        self.waiting: list[Noted] = []
+        self.lease = leases.Lease(retention)
+        self.orders = orders.Orders()
+        self.through = first - 1
+
+    def apply(self, noted: Noted, now: float) -> bool:
+        """Takes one record in and returns whether it counts."""
+        if self.begun:
+            return self.take(noted, now)
+        self.waiting.append(noted)
+        self.anchor(noted, now)
+        return False
+
+    def advance(self, offset: int, time: float) -> None:
+        """Notes that an entry was read, whatever it was about.
+
+        Candidates that grew older than the retention no longer matter: a
+        chain that old may be begun anew (`leases.Lease.follows`).
+        """
+        self.through = offset
+        if self.begun or not self.waiting:
+            return
+        while self.waiting:
+            if time - self.waiting[0].time <= self.retention:
+                return
+            self.waiting.pop(0)
+        self.begun = True
+
+    def anchor(self, noted: Noted, now: float) -> None:
+        """Begins at a lease record that this one proves to be valid."""
+        if not isinstance(noted.record, records.LeaseChanged):
+            return
+        for candidate in self.waiting[:-1]:
+            if candidate.offset != noted.record.previous:
+                continue
+            if not isinstance(candidate.record, records.LeaseChanged):
+                return
+            state = candidate.record.state
+            if state.through + 1 < self.first:
+                return
+            self.begin(state, now)
+            return
+
+    def begin(self, state: records.Snapshot, now: float) -> None:
+        """Loads a snapshot and applies what came after it."""
+        self.begun = True
+        self.lease.load(state, now)
+        self.orders.load(state)
+        for noted in self.waiting:
+            if noted.offset > state.through:
+                self.take(noted, now)
+        self.waiting = []
+
+    def take(self, noted: Noted, now: float) -> bool:
+        """Applies one record to a state that is known."""
+        record = noted.record
+        match record:
+            case records.LeaseChanged():
+                return self.lease.apply(
+                    record, noted.offset, noted.time, now
+                )
+            case records.HolderEnded():
+                self.lease.end(record.incarnation, now)
+            case records.Seizure():
+                self.lease.seize(
+                    record.incarnation, noted.offset, noted.time, now
+                )
+            case records.OrderIntended():
+                return self.orders.intend(record, noted.offset, self.lease)
+            case records.OrderFinished():
+                return self.orders.finish(record)
+            case records.EngineClosed():
+                return self.orders.close(record, noted.offset, self.lease)
+            case records.EngineOpened():
+                return self.orders.open(record, self.lease)
+            case records.OrderWished():
+                return self.orders.wish(record, noted.offset)
+            case records.WishDropped():
+                if not self.orders.held(record.token, self.lease):
+                    return False
+                self.orders.drop(record.engine, record.wish)
+        return True
+
+    def snapshot(self) -> records.Snapshot:
+        """The state as it goes into this node's lease records."""
+        wishes = {}
+        for engine, found in self.orders.wishes.items():
+            wishes[engine] = tuple(found)
+        return records.Snapshot(
+            self.through,
+            self.lease.last,
+            self.lease.time,
+            self.lease.holder,
+            self.lease.released,
+            tuple(self.lease.predecessors),
+            dict(self.orders.outstanding),
+            dict(self.orders.closed),
+            wishes,
+            dict(self.orders.pins),
+        )
+
+
+class Books:
+    """The books of all services, fed by the tail of the stream.
+
+    Attributes:
+        services: The book of each service that has one.
+        through: All offsets up to this one were read.
+        begun: Whether a service without records is known to have none.
+        listeners: Called with each record and whether it counts.
+
+    >>> books = Books(settings.platform.retention, loop.time)
+    >>> tail.subscribe(books.apply, books.gap)
+    >>> books.book("dispatch-lm").lease.holder
+    """
+
+    def __init__(self, retention: float, clock: Callable[[], float]):
+        self.retention = retention
+        self.clock = clock
+        self.first = 0
+        self.through = -1
+        self.begun = True
+        self.services: dict[str, Book] = {}
+        self.listeners: list[Callable[[Noted, bool], None]] = []
+
+    def book(self, service: str) -> Book:
+        """Gives a service's book, a new one where there is none."""
+        if service not in self.services:
+            self.services[service] = Book(
+                service, self.retention, self.first, self.begun
+            )
+            self.services[service].through = self.through
+        return self.services[service]
+
+    def apply(self, entry: platform_records.Entry) -> None:
+        """Takes one entry in; a subscriber of `logs.Tail`."""
+        now = self.clock()
+        self.through = entry.offset
+        for record in entry.records:
+            if not isinstance(record, records.KINDS):
+                continue
+            noted = Noted(entry.offset, entry.time, record)
+            valid = self.book(record.service).apply(noted, now)
+            for listener in self.listeners:
+                listener(noted, valid)
+        for book in self.services.values():
+            book.advance(entry.offset, entry.time)
+
+    def gap(self, wanted: int, first: int) -> None:
+        """Forgets everything: records between these offsets are lost."""
+        self.first = first
+        self.through = first - 1
+        self.begun = False
+        self.services = {}
+
+    def caught_up(self) -> None:
+        """Is called once the end of the stream was reached.
+
+        A service without a record so far has no lease: the log keeps each
+        record for the retention, so what it dropped has lapsed since.
+        """
+        self.begun = True
+        for book in self.services.values():
+            if not book.waiting:
+                book.begun = True
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/records.py
@@ -0,0 +1,270 @@
+"""What control keeps on the log: leases, closed engines, wishes and orders.
+
+All records stand on the stream ``control``; whether one counts is a pure
+function of the records before it (`control.leases`, `control.orders`).
+"""
+
+from typing import NamedTuple
+
+from gypsumfold.platform import records
+
+
+class Holder(NamedTuple):
+    """One tenure of a lease.
+
+    Attributes:
+        token: Offset of the grant.
+        incarnation: Of the node that holds it.
+        node: The node's name.
+        address: IP number of the node.
+        ended: Whether the log holds proof that the incarnation is gone.
+    """
+
+    token: int
+    incarnation: str
+    node: str
+    address: str
+    ended: bool = False
+
+
+class Order(NamedTuple):
+    """An order that was decided on and whose result is not known yet.
+
+    Attributes:
+        id: Unique; the engine answers a repeat as it did the first.
+        token: Offset of the intent: the fencing token sent along.
+        author: The incarnation that may send it, and nobody else.
+        verb: ``role``, ``load`` or ``unload``.
+        subject: The role or the model.
+        wish: Offset of the operators' wish behind it; -1 for none.
+        engine: Incarnation of the engine when it was decided on.
+        declared: The engine's declared role at that time.
+    """
+
+    id: str
+    token: int
+    author: str
+    verb: str
+    subject: str
+    wish: int
+    engine: str
+    declared: str
+
+
+class Wish(NamedTuple):
+    """An operator's order that still has to be carried out.
+
+    Attributes:
+        offset: Where it stands on the log; a later one goes first.
+        change_id: Of the operator's statement.
+        operator: Who asked for it.
+        verb: ``role``, ``load`` or ``unload``.
+        subject: The role or the model.
+    """
+
+    offset: int
+    change_id: str
+    operator: str
+    verb: str
+    subject: str
+
+
+class Pin(NamedTuple):
+    """A role that an operator's order set.
+
+    Attributes:
+        role: It goes before the declared role and the planner's.
+        declared: The declared role at that time; the pin ends when the
+            declaration names another.
+    """
+
+    role: str
+    declared: str
+
+
+class Snapshot(NamedTuple):
+    """The state of one service as its writer had read it.
+
+    It lets a node follow a stream whose beginning the log has dropped.
+
+    Attributes:
+        through: The writer had read all offsets up to this one.
+        last: Offset of the last valid lease record; -1 for none.
+        time: The log's time of that record.
+        holder: The last tenure; None if there was none.
+        released: Whether it has ended by a release.
+        predecessors: Earlier tenures whose holders may still send.
+        orders: Outstanding order by engine.
+        closed: Closed engines, with the offset of the closing.
+        wishes: Open wishes by engine, oldest first.
+        pins: Roles set by operators' orders, by engine.
+    """
+
+    through: int
+    last: int
+    time: float
+    holder: Holder | None
+    released: bool
+    predecessors: tuple[Holder, ...]
+    orders: dict[str, Order]
+    closed: dict[str, int]
+    wishes: dict[str, tuple[Wish, ...]]
+    pins: dict[str, Pin]
+
+
+CLAIM = "claim"
+RENEW = "renew"
+RELEASE = "release"
+
+
+@records.register("lease")
+class LeaseChanged(NamedTuple):
+    """A claim, a renewal or a release of a lease.
+
+    Attributes:
+        service: The service.
+        action: ``claim``, ``renew`` or ``release``.
+        incarnation: Of the writer.
+        node: Name of the writer.
+        address: IP number of the writer.
+        sequence: Counts the writer's lease records.
+        previous: Offset of the last valid lease record it had read; a
+            claim or renewal that names another one is void.
+        token: Offset of the grant; -1 in a claim.
+        state: What the writer knew.
+    """
+
+    service: str
+    action: str
+    incarnation: str
+    node: str
+    address: str
+    sequence: int
+    previous: int
+    token: int
+    state: Snapshot
+
+
+@records.register("holder-ended")
+class HolderEnded(NamedTuple):
+    """Proof that an incarnation is gone and will never send again.
+
+    Attributes:
+        service: The service whose lease it held.
+        incarnation: The one that is gone.
+        evidence: What shows it, for operators.
+    """
+
+    service: str
+    incarnation: str
+    evidence: str
+
+
+@records.register("seizure")
+class Seizure(NamedTuple):
+    """An operator vouches that an incarnation will never send again."""
+
+    service: str
+    incarnation: str
+    operator: str
+    change_id: str
+
+
+@records.register("engine-closed")
+class EngineClosed(NamedTuple):
+    """No node may dispatch to this engine; valid from the holder alone."""
+
+    service: str
+    engine: str
+    token: int
+
+
+@records.register("engine-opened")
+class EngineOpened(NamedTuple):
+    """Ends a closing; valid from the holder alone."""
+
+    service: str
+    engine: str
+    token: int
+
+
+@records.register("order-wished")
+class OrderWished(NamedTuple):
+    """An operator's order, to be carried out by the holder."""
+
+    service: str
+    engine: str
+    change_id: str
+    operator: str
+    verb: str
+    subject: str
+
+
+@records.register("order-intended")
+class OrderIntended(NamedTuple):
+    """The holder is about to send an order; its offset is the token.
+
+    Attributes:
+        service: The service.
+        engine: The endpoint's name.
+        lease: Token of the lease that it is sent under.
+        author: The holder's incarnation.
+        id: The order's id.
+        verb: ``role``, ``load`` or ``unload``.
+        subject: The role or the model.
+        wish: Offset of the wish behind it; -1 for none.
+        incarnation: The engine's, as just read.
+        declared: The engine's declared role.
+        supersedes: Id of the outstanding order whose place it takes; empty
+            for none. Only for engines that check tokens.
+    """
+
+    service: str
+    engine: str
+    lease: int
+    author: str
+    id: str
+    verb: str
+    subject: str
+    wish: int
+    incarnation: str
+    declared: str
+    supersedes: str = ""
+
+
+@records.register("order-finished")
+class OrderFinished(NamedTuple):
+    """The outstanding order is resolved: ``done``, ``refused`` or ``void``.
+
+    ``void`` says that it has not taken effect and never will.
+    """
+
+    service: str
+    engine: str
+    id: str
+    result: str
+
+
+@records.register("wish-dropped")
+class WishDropped(NamedTuple):
+    """A wish will not be carried out; valid from the holder alone."""
+
+    service: str
+    engine: str
+    token: int
+    wish: int
+    reason: str
+
+
+Record = (
+    LeaseChanged
+    | HolderEnded
+    | Seizure
+    | EngineClosed
+    | EngineOpened
+    | OrderWished
+    | OrderIntended
+    | OrderFinished
+    | WishDropped
+)
+KINDS = Record.__args__
