--- a/features/support/control_model.py
+++ b/features/support/control_model.py
@@ -150,9 +150,9 @@
                 node.tenure.confirm(
                     record.sequence, lease.holder.token, SETTINGS.duration
                 )
-        if isinstance(record, records.OrderFinished) and valid:
-            if record.result == "void":
-                self.void.add(record.id)
+        ended = isinstance(record, records.OrderFinished) and valid
+        if ended and record.result == "void":
+            self.void.add(record.id)
         if node.book.begun:
             state = node.book.snapshot()._replace(time=0.0)
             known = self.seen.setdefault(noted.offset, state)
@@ -324,7 +324,9 @@
         self.read(at, len(self.log))
         self.check(at, engine)
 
-    @stateful.rule(at=nodes_at, engine=engine_names, prove=strategies.booleans())
+    @stateful.rule(
+        at=nodes_at, engine=engine_names, prove=strategies.booleans()
+    )
     def take_over(self, at, engine, prove):
         """Waits for the lease to lapse, then claims, resolves and orders."""
         for reader in range(len(self.nodes)):
--- a/packages/gypsumfold/src/gypsumfold/control/books.py
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -36,9 +36,7 @@
     >>> book.apply(noted, now=1.0)
     """
 
-    def __init__(
-        self, service: str, retention: float, first: int, begun: bool
-    ):
+    def __init__(self, service: str, retention: float, first: int, begun: bool):
         self.service = service
         self.retention = retention
         self.first = first
@@ -101,9 +99,7 @@
         record = noted.record
         match record:
             case records.LeaseChanged():
-                return self.lease.apply(
-                    record, noted.offset, noted.time, now
-                )
+                return self.lease.apply(record, noted.offset, noted.time, now)
             case records.HolderEnded():
                 self.lease.end(record.incarnation, now)
             case records.Seizure():
--- a/packages/gypsumfold/src/gypsumfold/control/leases.py
+++ b/packages/gypsumfold/src/gypsumfold/control/leases.py
@@ -106,8 +106,10 @@
         time: float,
         now: float,
     ) -> bool:
-        """Ends a tenure. Its own holder alone writes this, when nothing that
-        it sent is on its way, so a late one counts for its token too.
+        """Ends a tenure.
+
+        Its own holder alone writes this, when nothing that it sent is on its
+        way; so a late one counts for its token too.
         """
         if self.held_by(record.incarnation, record.token):
             self.released = True
@@ -139,10 +141,10 @@
 
     def end(self, incarnation: str, now: float) -> None:
         """Notes that an incarnation is gone, in all its tenures."""
-        if self.holder is not None and not self.holder.ended:
-            if self.holder.incarnation == incarnation:
-                self.holder = self.holder._replace(ended=True)
-                self.ended[self.holder.token] = now
+        holder = self.holder
+        if holder is not None and holder.incarnation == incarnation:
+            self.holder = holder._replace(ended=True)
+            self.ended.setdefault(holder.token, now)
         for place, holder in enumerate(self.predecessors):
             if holder.ended or holder.incarnation != incarnation:
                 continue
@@ -153,10 +155,10 @@
         self, incarnation: str, offset: int, time: float, now: float
     ) -> None:
         """Ends an incarnation's tenures: an operator vouches for that."""
-        if self.holder is not None and not self.released:
-            if self.holder.incarnation == incarnation:
-                self.released = True
-                self.note(offset, time, now)
+        holder = self.holder
+        if holder is not None and self.held_by(incarnation, holder.token):
+            self.released = True
+            self.note(offset, time, now)
         kept = []
         for holder in self.predecessors:
             if holder.incarnation != incarnation:
--- a/packages/gypsumfold/src/gypsumfold/control/wishes.py
+++ b/packages/gypsumfold/src/gypsumfold/control/wishes.py
@@ -2,10 +2,10 @@
 
 Operators and the role planner meet here and nowhere else; the lease's holder
 alone asks. The rule: an operator's open wish goes first, the oldest verb
-before the others (a later wish with the same verb has already replaced the earlier,
-`orders.Orders.wish`); then the role that an operator's order set, until the
-declared role changes; then the planner's role, where the service's
-declaration lets it plan; then the declared role.
+before the others (a later wish with the same verb has already replaced the
+earlier, `orders.Orders.wish`); then the role that an operator's order set,
+until the declared role changes; then the planner's role, where the
+service's declaration lets it plan; then the declared role.
 """
 
 from typing import NamedTuple
