--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/admission.py
@@ -0,0 +1,94 @@
+"""Who is refused at once because the answer would come too late.
+
+Load pattern: more work than the fleet can do, as in overload or after an
+outage. Without it every request waits its turn, the queue grows until all
+answers are late, and the engines spend their time on answers that nobody
+waits for any more. A refusal says when to come back, spread out, so that the
+refused do not return together.
+"""
+
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+# Share by which an estimated wait may exceed what is left: estimates are
+# averages, and a request refused wrongly is lost for certain.
+TOLERANCE = 0.1
+# Bounds of the advice when to come back, in seconds: below the first a
+# repeat meets the same queue, beyond the second a peak has passed.
+LEAST_RETRY = 1.0
+MOST_RETRY = 30.0
+
+
+class Outlook(NamedTuple):
+    """What a waiting request can expect.
+
+    Attributes:
+        left: Seconds until its deadline.
+        ahead: Seconds of work that goes before it.
+        work: Seconds that it takes itself.
+        slots: Requests that this node has running at once; they end at this
+            rate times the work of one, so waiting work drains as fast.
+        queued: Requests in the queue.
+    """
+
+    left: float
+    ahead: float
+    work: float
+    slots: int
+    queued: int
+
+
+class Admission(Protocol):
+    """Whether a request that cannot be sent at once may wait."""
+
+    def feasible(self, outlook: Outlook) -> bool:
+        """Whether its answer can be whole before its deadline."""
+
+    def full(self, queued: int) -> bool:
+        """Whether too many wait."""
+
+    def retry_after(self, wait: float) -> float:
+        """Seconds after which a repeat makes sense."""
+
+
+class DeadlineAdmission:
+    """Refuses what cannot be answered in time, and beyond a bound.
+
+    >>> DeadlineAdmission(512, random.Random(1)).full(queued=513)
+    True
+    """
+
+    def __init__(self, most_waiting: int, rng: random.Random):
+        self.most_waiting = most_waiting
+        self.rng = rng
+
+    def feasible(self, outlook: Outlook) -> bool:
+        """Whether its answer can be whole before its deadline."""
+        wait = outlook.ahead / max(1, outlook.slots)
+        return wait + outlook.work <= outlook.left * (1 + TOLERANCE)
+
+    def full(self, queued: int) -> bool:
+        """Whether too many wait."""
+        return queued > self.most_waiting
+
+    def retry_after(self, wait: float) -> float:
+        """The wait, spread evenly over one to two times itself."""
+        base = min(MOST_RETRY, max(LEAST_RETRY, wait))
+        return base * (1.0 + self.rng.random())
+
+
+class EveryoneWaits:
+    """The baseline: all may wait, and all come back after a second."""
+
+    def feasible(self, outlook: Outlook) -> bool:
+        """Always."""
+        return True
+
+    def full(self, queued: int) -> bool:
+        """Never."""
+        return False
+
+    def retry_after(self, wait: float) -> float:
+        """A second."""
+        return LEAST_RETRY
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
@@ -0,0 +1,346 @@
+"""Whose request is next: urgency first, then fair shares by tokens.
+
+Load pattern: one account that sends far more than the others, through one
+node or all of them, or that calls everything urgent. Without it the share of
+an account is whatever it sends, and urgency is worth nothing as soon as one
+account claims it for everything.
+
+Start-time fair queueing (Goyal et al. 1996): each account has a tag that
+moves on by tokens over weight whenever one of its requests is sent; the
+lowest tag goes first. What an account uses through other nodes, known from
+the digest of the hottest accounts, counts as well. Urgency is honoured up to
+the account's fair share of all tokens; what it calls urgent beyond that
+waits among the others' ordinary work.
+"""
+
+import bisect
+import collections
+from collections.abc import Iterator
+import math
+from typing import NamedTuple
+from typing import Protocol
+
+from gypsumfold.decisions import types
+
+# Seconds over which an account's use is remembered; a few answers long, and
+# several digest rounds of half a second.
+MEMORY = 10.0
+# Requests of one account that are tried before the next account's, where the
+# first cannot be placed (for example a long one).
+DEPTH = 4
+# Urgent requests that are always honoured within `MEMORY`: a share cannot be
+# told from one or two of them.
+URGENT_FLOOR = 4
+# Seconds between two measurements of the fair share: short against `MEMORY`,
+# and 3,800 accounts are then looked at ten times a second, not per request.
+MEASURE = 0.1
+# Tokens a second below which an account without waiting work is forgotten.
+IDLE = 1e-3
+# Most that the use through other nodes may multiply the cost here: 16 nodes
+# with equal parts of one account's traffic.
+MOST_REMOTE = 16.0
+
+
+class Waiting(NamedTuple):
+    """A request in the queue.
+
+    Attributes:
+        request: It.
+        position: Where it stands in its account and urgency; lower first.
+        cost: Tokens it is expected to use.
+        work: Seconds it is expected to take.
+        since: When it was taken in.
+    """
+
+    request: types.Request
+    position: float
+    cost: float
+    work: float
+    since: float
+
+
+class Queue(Protocol):
+    """The waiting requests of one service on one node."""
+
+    waiting: dict[str, Waiting]
+
+    def push(self, item: Waiting, now: float) -> None:
+        """Takes a request in."""
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Takes a request out; None if it is not there."""
+
+    def ordered(self, now: float) -> Iterator[Waiting]:
+        """The next requests to try, best first."""
+
+    def charge(self, item: Waiting, now: float) -> None:
+        """Charges the account of a request that is sent now."""
+
+    def settle(self, request: types.Request, charged: float, used: float):
+        """Corrects a charge by what was used."""
+
+    def ahead(self, item: Waiting, now: float) -> float:
+        """Seconds of waiting work that goes before this request."""
+
+    def victim(self, now: float) -> Waiting | None:
+        """The request to give up first where there are too many."""
+
+    def remote(self, uses: list[tuple[str, float]]) -> None:
+        """Replaces what accounts use through other nodes, tokens a second."""
+
+    def weigh(self, weights: dict[str, float]) -> None:
+        """Replaces the declared weights of accounts; 1 if not named."""
+
+    def hottest(self, most: int, now: float) -> list[tuple[str, float]]:
+        """The accounts that use most here, for the digest to peers."""
+
+
+class Account:
+    """What is known of one account on this node.
+
+    >>> Account("north-air").rate(now=0.0)
+    0.0
+    """
+
+    def __init__(self, name: str):
+        self.name = name
+        self.weight = 1.0
+        self.tag = 0.0
+        self.items: list[tuple[int, float, str]] = []
+        self.used = 0.0
+        self.urgent = 0.0
+        self.updated = 0.0
+        self.remote = 0.0
+
+    def decay(self, now: float) -> None:
+        """Forgets what lies more than about `MEMORY` seconds back."""
+        factor = math.exp(-max(0.0, now - self.updated) / MEMORY)
+        self.used *= factor
+        self.urgent *= factor
+        self.updated = now
+
+    def rate(self, now: float) -> float:
+        """Tokens a second through this node."""
+        self.decay(now)
+        return self.used / MEMORY
+
+    def spread(self, now: float) -> float:
+        """Use through all nodes over use through this one."""
+        local = self.rate(now)
+        if self.remote <= 0 or local <= 0:
+            return 1.0
+        return min(MOST_REMOTE, 1.0 + self.remote / local)
+
+
+class FairQueue:
+    """Urgency first, then the account that is furthest behind its share.
+
+    >>> queue = FairQueue()
+    >>> queue.push(item, now=0.0)
+    >>> next(queue.ordered(now=0.0)) == item
+    True
+    """
+
+    def __init__(self):
+        self.waiting: dict[str, Waiting] = {}
+        self.accounts: dict[str, Account] = {}
+        self.clock = 0.0
+        self.share = math.inf
+        self.measured = -math.inf
+        self.next: list[tuple[int, str]] = []
+        self.weights: dict[str, float] = {}
+
+    def push(self, item: Waiting, now: float) -> None:
+        """Takes a request in."""
+        request = item.request
+        account = self.account(request.account)
+        if not account.items:
+            account.tag = max(account.tag, self.clock)
+        key = (request.urgency, item.position, request.id)
+        bisect.insort(account.items, key)
+        self.waiting[request.id] = item
+
+    def account(self, name: str) -> Account:
+        """The account, made on its first request."""
+        account = self.accounts.get(name)
+        if account is None:
+            account = self.accounts[name] = Account(name)
+            account.weight = self.weights.get(name, 1.0)
+        return account
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Takes a request out; None if it is not there."""
+        item = self.waiting.pop(request_id, None)
+        if item is None:
+            return None
+        request = item.request
+        key = (request.urgency, item.position, request.id)
+        self.accounts[request.account].items.remove(key)
+        return item
+
+    def ordered(self, now: float) -> Iterator[Waiting]:
+        """The next requests to try, best first."""
+        self.measure(now)
+        ranked = []
+        for account in self.backlogged():
+            for index, key in enumerate(account.items[:DEPTH]):
+                item = self.waiting[key[2]]
+                rank = self.rank(account, item, now)
+                order = (rank, account.tag, account.name, index)
+                ranked.append((order, item))
+        ranked.sort(key=lambda entry: entry[0])
+        for _, item in ranked:
+            yield item
+
+    def backlogged(self) -> list[Account]:
+        """The accounts with a request that waits."""
+        names = {item.request.account for item in self.waiting.values()}
+        return [self.accounts[name] for name in sorted(names)]
+
+    def measure(self, now: float) -> None:
+        """Works out what `rank` compares an account with.
+
+        These are the fair share of tokens a second per unit of weight, and
+        the two least urgent requests that are next in their accounts.
+        """
+        self.next = sorted(
+            (account.items[0][0], account.name) for account in self.backlogged()
+        )[-2:]
+        if 0 <= now - self.measured < MEASURE:
+            return
+        self.measured = now
+        total = weights = 0.0
+        for name, account in list(self.accounts.items()):
+            rate = account.rate(now) + account.remote
+            if rate < IDLE and not account.items:
+                del self.accounts[name]
+                continue
+            total += rate
+            weights += account.weight
+        self.share = total / weights if weights else math.inf
+
+    def rank(self, account: Account, item: Waiting, now: float) -> int:
+        """The urgency that a request is served with."""
+        urgency = item.request.urgency
+        others = self.ordinary(account)
+        if urgency >= others:
+            return urgency
+        spread = account.spread(now)
+        if account.urgent * spread <= URGENT_FLOOR * item.cost:
+            return urgency
+        if account.urgent / MEMORY * spread <= self.share * account.weight:
+            return urgency
+        return others
+
+    def ordinary(self, but: Account) -> int:
+        """The least urgent request that is next in another account."""
+        for urgency, name in reversed(self.next):
+            if name != but.name:
+                return urgency
+        return 0
+
+    def charge(self, item: Waiting, now: float) -> None:
+        """Charges the account of a request that is sent now."""
+        request = item.request
+        account = self.account(request.account)
+        self.clock = max(self.clock, account.tag)
+        cost = 0.0 if request.recovered else item.cost
+        account.decay(now)
+        account.used += cost
+        account.tag += cost * account.spread(now) / account.weight
+        if request.urgency < self.ordinary(account):
+            account.urgent += cost
+
+    def settle(self, request: types.Request, charged: float, used: float):
+        """Corrects a charge by what was used."""
+        account = self.accounts.get(request.account)
+        if account is None:
+            return
+        account.tag += (used - charged) / account.weight
+        account.used = max(0.0, account.used + used - charged)
+
+    def ahead(self, item: Waiting, now: float) -> float:
+        """Seconds of waiting work that goes before this request."""
+        self.measure(now)
+        mine = self.account(item.request.account)
+        rank = self.rank(mine, item, now)
+        own = item.work
+        equal: dict[str, float] = collections.defaultdict(float)
+        before = 0.0
+        for other in self.waiting.values():
+            account = self.accounts[other.request.account]
+            if other is item:
+                continue
+            if account is mine:
+                own += other.work * (_key(other) < _key(item))
+                continue
+            other_rank = self.rank(account, other, now)
+            if other_rank < rank:
+                before += other.work
+            elif other_rank == rank:
+                equal[account.name] += other.work / account.weight
+        for work in equal.values():
+            before += min(work, own / mine.weight)
+        return before + own - item.work
+
+    def victim(self, now: float) -> Waiting | None:
+        """The last request of the heaviest account in the lowest class."""
+        self.measure(now)
+        work: dict[str, float] = collections.Counter()
+        for item in self.waiting.values():
+            work[item.request.account] += item.cost
+        worst = None
+        worst_key = None
+        for item in self.waiting.values():
+            account = self.accounts[item.request.account]
+            rank = self.rank(account, item, now)
+            load = work[account.name] * account.spread(now) / account.weight
+            key = (rank, load, item.position, item.request.id)
+            if worst_key is None or key > worst_key:
+                worst, worst_key = item, key
+        return worst
+
+    def remote(self, uses: list[tuple[str, float]]) -> None:
+        """Replaces what accounts use through other nodes, tokens a second."""
+        for account in self.accounts.values():
+            account.remote = 0.0
+        for name, rate in uses:
+            self.account(name).remote += rate
+
+    def weigh(self, weights: dict[str, float]) -> None:
+        """Replaces the declared weights of accounts; 1 if not named."""
+        self.weights = weights
+        for account in self.accounts.values():
+            account.weight = weights.get(account.name, 1.0)
+
+    def hottest(self, most: int, now: float) -> list[tuple[str, float]]:
+        """The accounts that use most here, for the digest to peers."""
+        rates = []
+        for account in self.accounts.values():
+            rates.append((account.name, account.rate(now)))
+        rates.sort(key=lambda entry: -entry[1])
+        return rates[:most]
+
+
+def _key(item: Waiting) -> tuple[int, float, str]:
+    return (item.request.urgency, item.position, item.request.id)
+
+
+class FIFOQueue(FairQueue):
+    """The baseline: strictly by time of entry, whoever sends."""
+
+    def ordered(self, now: float) -> Iterator[Waiting]:
+        """In order of entry."""
+        yield from sorted(self.waiting.values(), key=lambda item: item.since)
+
+    def ahead(self, item: Waiting, now: float) -> float:
+        """All that entered before."""
+        total = 0.0
+        for other in self.waiting.values():
+            if other.since < item.since:
+                total += other.work
+        return total
+
+    def victim(self, now: float) -> Waiting | None:
+        """The last one."""
+        return max(self.waiting.values(), key=lambda item: item.since)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/limits.py
@@ -0,0 +1,199 @@
+"""How much work one replica may hold, by the urgency of the work.
+
+Load pattern: more work than the engines can run, long jobs among short
+ones. Without limits the work queues inside the engines, where it can no
+longer be refused, reordered or sent elsewhere, and urgent work waits behind
+it; without headroom a batch full of long answers makes it wait for one of
+them to end. Six nodes that each see the same free slots in the same report
+would fill them six times over, so each takes its share of them by demand.
+"""
+
+import math
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+from gypsumfold.decisions import loads
+from gypsumfold.decisions import types
+
+# Sequences sent ahead of a full batch, so that a slot that falls free is
+# filled without waiting for a round trip and the next report.
+AHEAD = 1
+# Share of a replica kept for urgency 0. One slot of a batch of eight: six
+# engines then hold six slots, against urgent work of a tenth of all.
+HEADROOM = 0.125
+# Share of a replica that long jobs may fill while short ones come too; half
+# leaves every short job a slot that turns over quickly.
+LONG_SHARE = 0.5
+# Share of the KV cache above which an engine would preempt sequences;
+# vLLM's default watermark leaves 1 % and a sequence grows while it runs.
+KV_FULL = 0.95
+# Own dispatches to a replica whose report is missing or stale: enough to
+# notice that it works, too few to flood it.
+UNKNOWN_LIMIT = 2
+# Plain services report no batch: start here and adapt (AIMD; Jacobson 1988).
+FIRST_LIMIT = 8.0
+LEAST_LIMIT = 1.0
+MOST_LIMIT = 1024.0
+DECREASE = 0.9
+# A plain call that takes this many times the usual fast one says that calls
+# queue at the service; below it is noise.
+SLOW = 2.0
+# Each sample moves the fast time up by this share, so that a service that
+# has become slower for good is not held down for ever.
+DRIFT = 0.01
+
+
+class Plain(NamedTuple):
+    """What was learnt of a replica of a plain service.
+
+    Attributes:
+        limit: Own calls it may hold.
+        fast: Seconds of a call that does not queue.
+    """
+
+    limit: float
+    fast: float
+
+
+class Limits(Protocol):
+    """Says whether one replica may take one more request."""
+
+    def capacity(self, replica: types.Replica, load: loads.Load) -> int:
+        """Requests that it may hold at once, of the most urgent kind."""
+
+    def room(
+        self,
+        replica: types.Replica,
+        load: loads.Load,
+        urgency: int,
+        long: bool,
+    ) -> bool:
+        """Whether it may take one more of this urgency and length."""
+
+    def divide(self, share: float) -> None:
+        """Sets this node's share of what all nodes send, above 0 to 1."""
+
+    def observe(
+        self, flight: loads.Flight, result: types.Result, own: int
+    ) -> None:
+        """Learns from the end of a dispatch.
+
+        Args:
+            flight: The dispatch.
+            result: Its end.
+            own: Own dispatches at the replica before it ended.
+        """
+
+
+class AdaptiveLimits:
+    """The batch of an engine; an adaptive limit for a plain service.
+
+    >>> limits = AdaptiveLimits(random.Random(1))
+    >>> limits.room(replica, load, urgency=0, long=False)
+    True
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.share = 1.0
+        self.plain: dict[str, Plain] = {}
+        self.draws: dict[str, tuple[float, float]] = {}
+
+    def divide(self, share: float) -> None:
+        """Sets this node's share of what all nodes send, above 0 to 1."""
+        self.share = share
+
+    def capacity(self, replica: types.Replica, load: loads.Load) -> int:
+        """Requests that it may hold at once, of the most urgent kind."""
+        report = replica.report
+        if report is None or report.batch <= 0:
+            learnt = self.plain.get(replica.name)
+            return int(learnt.limit if learnt else FIRST_LIMIT)
+        if not load.fresh:
+            return UNKNOWN_LIMIT
+        if report.kv_used >= KV_FULL:
+            return 0
+        return report.batch + AHEAD
+
+    def room(
+        self,
+        replica: types.Replica,
+        load: loads.Load,
+        urgency: int,
+        long: bool,
+    ) -> bool:
+        """Whether it may take one more of this urgency and length."""
+        capacity = self.capacity(replica, load)
+        plain = replica.report is None or replica.report.batch <= 0
+        held = load.own if plain else load.occupied
+        if held >= capacity:
+            return False
+        if long and load.long >= max(1, int(capacity * LONG_SHARE)):
+            return False
+        if urgency > 0 and capacity > 1:
+            capacity -= math.ceil(capacity * HEADROOM)
+        if held >= capacity:
+            return False
+        return plain or not load.fresh or self.mine(replica, load, capacity)
+
+    def mine(
+        self, replica: types.Replica, load: loads.Load, capacity: int
+    ) -> bool:
+        """Whether this node's share of the free slots has one left.
+
+        A share of less than a slot becomes one at random, once for each
+        report, so that the nodes' shares add up to what is free.
+        """
+        report = replica.report
+        taken, draw = self.draws.get(replica.name, (-math.inf, 0.0))
+        if taken != report.taken:
+            draw = self.rng.random()
+            self.draws[replica.name] = (report.taken, draw)
+        free = max(0, capacity - report.running - report.waiting)
+        return load.unseen < math.floor(self.share * free + draw) + load.gone
+
+    def observe(
+        self, flight: loads.Flight, result: types.Result, own: int
+    ) -> None:
+        """Learns from the end of a dispatch."""
+        if result.finish == types.Finish.CANCELLED:
+            return
+        old = self.plain.get(flight.replica, Plain(FIRST_LIMIT, math.inf))
+        if result.finish != types.Finish.DONE:
+            limit = max(LEAST_LIMIT, old.limit * DECREASE)
+            self.plain[flight.replica] = Plain(limit, old.fast)
+            return
+        fast = min(old.fast * (1 + DRIFT), result.seconds)
+        limit = old.limit
+        if result.seconds > SLOW * fast:
+            limit = max(LEAST_LIMIT, limit * DECREASE)
+        elif own >= limit / 2:
+            limit = min(MOST_LIMIT, limit + 1 / limit)
+        self.plain[flight.replica] = Plain(limit, fast)
+
+
+class NoLimits:
+    """The baseline: a replica may always take one more."""
+
+    def capacity(self, replica: types.Replica, load: loads.Load) -> int:
+        """More than anything here sends."""
+        return int(MOST_LIMIT)
+
+    def room(
+        self,
+        replica: types.Replica,
+        load: loads.Load,
+        urgency: int,
+        long: bool,
+    ) -> bool:
+        """Always."""
+        return True
+
+    def divide(self, share: float) -> None:
+        """Changes nothing."""
+
+    def observe(
+        self, flight: loads.Flight, result: types.Result, own: int
+    ) -> None:
+        """Learns nothing."""
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/loads.py
@@ -0,0 +1,155 @@
+"""What each replica is doing now: its report and own dispatches since.
+
+Load pattern: load reports that lag, so that a busy engine looks idle.
+Without it every request of the next second goes to the replica whose old
+report looks best, and the node floods it.
+"""
+
+import collections
+from typing import NamedTuple
+from typing import Protocol
+
+from gypsumfold.decisions import types
+
+# Seconds after which a report says nothing: eight polls at the default of
+# 0.25 s, the time after which an endpoint counts as silent too.
+STALE_AFTER = 2.0
+
+
+class Flight(NamedTuple):
+    """One own dispatch in progress.
+
+    Attributes:
+        request: What was dispatched.
+        replica: Where it went.
+        sent: When.
+        expected: Seconds it was expected to take.
+        cost: Tokens that its account was charged.
+    """
+
+    request: types.Request
+    replica: str
+    sent: float
+    expected: float
+    cost: float
+
+
+class Load(NamedTuple):
+    """What is believed of one replica now.
+
+    Attributes:
+        fresh: Whether the report is recent; if not, ``occupied`` counts own
+            dispatches alone and the rest is unknown.
+        occupied: Sequences running and waiting there.
+        prefill_tokens: Prompt tokens that still wait there.
+        own: Own dispatches in progress there.
+        unseen: Those of them that the report cannot contain.
+        gone: Own dispatches that the report contains and that have ended.
+        long: Own dispatches in progress there that are long.
+    """
+
+    fresh: bool
+    occupied: int
+    prefill_tokens: float
+    own: int
+    long: int
+    unseen: int = 0
+    gone: int = 0
+
+
+class Ended(NamedTuple):
+    """An own dispatch that ended; it may still be in the last report."""
+
+    sent: float
+    ended: float
+
+
+class Loads(Protocol):
+    """Keeps the dispatches in progress and says how loaded a replica is."""
+
+    flights: dict[str, Flight]
+
+    def sent(self, flight: Flight, long: bool) -> None:
+        """Notes a dispatch."""
+
+    def finished(self, request_id: str, now: float) -> Flight | None:
+        """Notes its end and returns it; None if it is not known."""
+
+    def view(self, replica: types.Replica, now: float) -> Load:
+        """What is believed of the replica."""
+
+
+class CorrectedLoads:
+    """Adds own dispatches since the report was taken on top of it.
+
+    >>> loads.sent(flight, long=False)
+    >>> loads.view(replica, now=1.0).occupied
+    1
+    """
+
+    def __init__(self):
+        self.flights: dict[str, Flight] = {}
+        self.at: dict[str, dict[str, bool]] = collections.defaultdict(dict)
+        self.ended: dict[str, collections.deque[Ended]] = {}
+
+    def sent(self, flight: Flight, long: bool) -> None:
+        """Notes a dispatch."""
+        self.flights[flight.request.id] = flight
+        self.at[flight.replica][flight.request.id] = long
+
+    def finished(self, request_id: str, now: float) -> Flight | None:
+        """Notes its end and returns it; None if it is not known."""
+        flight = self.flights.pop(request_id, None)
+        if flight is None:
+            return None
+        self.at[flight.replica].pop(request_id, None)
+        ended = self.ended.setdefault(flight.replica, collections.deque())
+        ended.append(Ended(flight.sent, now))
+        while ended and ended[0].ended < now - STALE_AFTER:
+            ended.popleft()
+        return flight
+
+    def view(self, replica: types.Replica, now: float) -> Load:
+        """What is believed of the replica."""
+        at = self.at.get(replica.name, {})
+        own = len(at)
+        long = sum(at.values())
+        report = replica.report
+        if report is None or now - report.taken > STALE_AFTER:
+            return Load(False, own, self.prompts(at, 0.0), own, long)
+        unseen = self.unseen(at, report.taken)
+        gone = self.gone(replica.name, report.taken)
+        occupied = max(own, report.running + report.waiting + unseen - gone)
+        prefill = report.prefill_tokens + self.prompts(at, report.taken)
+        return Load(True, occupied, prefill, own, long, unseen, gone)
+
+    def unseen(self, at: dict[str, bool], taken: float) -> int:
+        """Own dispatches that the report cannot contain."""
+        return sum(self.flights[name].sent > taken for name in at)
+
+    def gone(self, replica: str, taken: float) -> int:
+        """Own dispatches that the report contains and that have ended."""
+        ended = self.ended.get(replica, ())
+        return sum(end.sent <= taken < end.ended for end in ended)
+
+    def prompts(self, at: dict[str, bool], taken: float) -> float:
+        """Prompt tokens of own dispatches since ``taken``."""
+        total = 0.0
+        for name in at:
+            flight = self.flights[name]
+            if flight.sent > taken:
+                total += flight.request.prompt_tokens
+        return total
+
+
+class ReportedLoads(CorrectedLoads):
+    """The baseline: believes the last report, however old it is."""
+
+    def view(self, replica: types.Replica, now: float) -> Load:
+        """What the report says; an idle replica where there is none."""
+        own = len(self.at.get(replica.name, {}))
+        report = replica.report
+        if report is None:
+            return Load(True, 0, 0.0, own, 0)
+        occupied = report.running + report.waiting
+        return Load(True, occupied, report.prefill_tokens, own, 0)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/outliers.py
@@ -0,0 +1,139 @@
+"""Which replicas are slow or failing against their peers.
+
+Load pattern: one endpoint that is slow or fails while it still reports.
+Without it that endpoint gets its full share, and every caller sent there
+waits; a fast failure even attracts work, since it empties the endpoint.
+"""
+
+import random
+import statistics
+from typing import Protocol
+
+from gypsumfold.decisions import types
+
+# Times the peers' median before a replica counts as slow; batches of mixed
+# lengths differ by less than this (bench/, slow endpoint).
+SLOW = 2.0
+# The least share of work that a slow replica keeps, so that its recovery is
+# noticed.
+LEAST_WEIGHT = 0.1
+# Weight of one observation: five slow answers move it past `SLOW`.
+SMOOTHING = 0.25
+# Failures in a row before a replica gets probes alone; one or two happen
+# whenever a connection is cut.
+FAILURES = 3
+# Seconds until the first probe; doubled by every failed one.
+FIRST_PAUSE = 1.0
+LONGEST_PAUSE = 30.0
+# Share of the replicas that may be paused at once: when all look bad the
+# cause lies elsewhere, and sending nothing would make an outage of it.
+MOST_PAUSED = 0.5
+
+
+class Outliers(Protocol):
+    """Judges replicas by the ends of their dispatches."""
+
+    def observe(
+        self, replica: str, result: types.Result, expected: float, now: float
+    ) -> None:
+        """Learns from the end of a dispatch that should take so long."""
+
+    def overdue(self, replica: str, ratio: float) -> None:
+        """Notes how late the work there is: age over expected time."""
+
+    def weight(self, replica: str) -> float:
+        """Share of its usual work that it should get, above 0 up to 1."""
+
+    def allowed(self, replica: str, own: int, now: float) -> bool:
+        """Whether it may get work, or a probe, with so much there."""
+
+
+class PeerOutliers:
+    """Compares each replica with the median of all.
+
+    >>> PeerOutliers(random.Random(1)).weight("engine-1")
+    1.0
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.ratios: dict[str, float] = {}
+        self.late: dict[str, float] = {}
+        self.failures: dict[str, int] = {}
+        self.paused: dict[str, float] = {}
+
+    def observe(
+        self, replica: str, result: types.Result, expected: float, now: float
+    ) -> None:
+        """Learns from the end of a dispatch that should take so long."""
+        if result.finish == types.Finish.CANCELLED:
+            return
+        if result.finish != types.Finish.DONE:
+            self.failed(replica, now)
+            return
+        self.failures.pop(replica, None)
+        self.paused.pop(replica, None)
+        if expected <= 0:
+            return
+        ratio = result.seconds / expected
+        old = self.ratios.get(replica, ratio)
+        self.ratios[replica] = old + SMOOTHING * (ratio - old)
+
+    def failed(self, replica: str, now: float) -> None:
+        """Counts a failure and pauses the replica after a few."""
+        count = self.failures.get(replica, 0) + 1
+        self.failures[replica] = count
+        if count < FAILURES:
+            return
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (count - FAILURES))
+        self.paused[replica] = now + pause * self.rng.uniform(0.5, 1.0)
+
+    def overdue(self, replica: str, ratio: float) -> None:
+        """Notes how late the work there is: age over expected time."""
+        self.late[replica] = ratio
+
+    def weight(self, replica: str) -> float:
+        """Share of its usual work that it should get, above 0 up to 1."""
+        ratio = self.ratio(replica)
+        peers = [self.ratio(name) for name in self.ratios if name != replica]
+        if not peers:
+            return 1.0
+        median = max(1e-6, statistics.median(peers))
+        if ratio <= SLOW * median:
+            return 1.0
+        return max(LEAST_WEIGHT, median / ratio)
+
+    def ratio(self, replica: str) -> float:
+        """The worse of what ended and of what is overdue."""
+        late = self.late.get(replica, 0.0)
+        return max(self.ratios.get(replica, 0.0), late)
+
+    def allowed(self, replica: str, own: int, now: float) -> bool:
+        """Whether it may get work, or a probe, with so much there."""
+        until = self.paused.get(replica)
+        if until is None:
+            return True
+        seen = len(self.ratios.keys() | self.paused.keys())
+        if len(self.paused) > max(1.0, MOST_PAUSED * seen):
+            return True
+        return now >= until and own == 0
+
+
+class NoOutliers:
+    """The baseline: every replica is as good as the next."""
+
+    def observe(
+        self, replica: str, result: types.Result, expected: float, now: float
+    ) -> None:
+        """Learns nothing."""
+
+    def overdue(self, replica: str, ratio: float) -> None:
+        """Learns nothing."""
+
+    def weight(self, replica: str) -> float:
+        """Always its whole share."""
+        return 1.0
+
+    def allowed(self, replica: str, own: int, now: float) -> bool:
+        """Always."""
+        return True
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/placement.py
@@ -0,0 +1,154 @@
+"""Which of the replicas that have room takes a request.
+
+Load pattern: uneven engines and hot prompt prefixes, seen through reports
+that lag. Round robin ignores what a replica is doing; taking the one that
+looks least loaded sends all nodes to the same one until its next report.
+Two random choices avoid both (Mitzenmacher 2001). A prefix always goes to
+the same few replicas, which have it cached, but only while they are not much
+busier than the rest (consistent hashing with bounded loads, Mirrokni et al.
+2018); without the bound a hot prefix floods one engine.
+"""
+
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+import xxhash
+
+from gypsumfold.decisions import loads
+from gypsumfold.decisions import types
+
+# A replica takes work for its cached prefixes while its load is below this
+# multiple of the mean, and one more; 1.25 is the paper's figure.
+BOUND = 1.25
+# Load above which another data centre is looked at. The way there costs
+# half a millisecond; waiting for a slot costs seconds.
+NEAR_FULL = 0.75
+# Prompts below this gain less from a cached prefix than a second choice
+# gains: 64 tokens are 16 ms of prefill at 4,000 tokens a second.
+SHORT_PROMPT = 64
+
+
+class Candidate(NamedTuple):
+    """A replica that has room for the request.
+
+    Attributes:
+        replica: It.
+        load: What is believed of it.
+        capacity: Requests that it may hold.
+        weight: Share of its usual work that it should get.
+    """
+
+    replica: types.Replica
+    load: loads.Load
+    capacity: int
+    weight: float
+
+
+class Placement(Protocol):
+    """Chooses among replicas that have room."""
+
+    def choose(
+        self, request: types.Request, candidates: list[Candidate]
+    ) -> Candidate:
+        """Picks one of at least one candidate."""
+
+
+class TwoChoices:
+    """Prefix affinity with bounded load, else the better of two.
+
+    >>> TwoChoices("north-apron", random.Random(1)).choose(request, found)
+    Candidate(...)
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random):
+        self.data_centre = data_centre
+        self.rng = rng
+
+    def choose(
+        self, request: types.Request, candidates: list[Candidate]
+    ) -> Candidate:
+        """Picks one of at least one candidate."""
+        if request.prefix and request.prompt_tokens >= SHORT_PROMPT:
+            cached = self.affine(request, candidates)
+            if cached is not None:
+                return cached
+        pool = self.near(candidates)
+        if len(pool) > 2:
+            pool = self.rng.sample(pool, 2)
+        return min(pool, key=lambda one: cost(request, one))
+
+    def affine(
+        self, request: types.Request, candidates: list[Candidate]
+    ) -> Candidate | None:
+        """The first replica in the prefix's order within the bound."""
+        mean = sum(occupancy(one) for one in candidates) / len(candidates)
+        ranked = sorted(
+            candidates, key=lambda one: -rank(request.prefix, one.replica.name)
+        )
+        for one in ranked:
+            bound = BOUND * mean + 1.0 / max(1, one.capacity)
+            if occupancy(one) <= bound and one.weight >= 1.0:
+                return one
+        return None
+
+    def near(self, candidates: list[Candidate]) -> list[Candidate]:
+        """The own data centre's replicas while one is not nearly full."""
+        near = []
+        for one in candidates:
+            if one.replica.data_centre != self.data_centre:
+                continue
+            if occupancy(one) < NEAR_FULL and one.weight >= 1.0:
+                near.append(one)
+        return near or candidates
+
+
+def occupancy(candidate: Candidate) -> float:
+    """Load as a share of capacity; a stale report counts as full."""
+    if not candidate.load.fresh:
+        return 1.0
+    return candidate.load.occupied / max(1, candidate.capacity)
+
+
+def cost(request: types.Request, candidate: Candidate) -> float:
+    """Seconds the request would wait and be slowed down there, weighted."""
+    report = candidate.replica.report
+    crowd = occupancy(candidate)
+    if report is None or report.decode_rate <= 0:
+        return (crowd + 1.0 / max(1, candidate.capacity)) / candidate.weight
+    prompts = candidate.load.prefill_tokens + request.prompt_tokens
+    prefill = prompts / max(1.0, report.prefill_rate)
+    decode = request.output_tokens / report.decode_rate
+    return (prefill + (1.0 + crowd) * decode) / candidate.weight
+
+
+def rank(key: int, name: str) -> int:
+    """The weight of a name for a key in rendezvous hashing."""
+    return xxhash.xxh3_64_intdigest(f"{key}\n{name}".encode())
+
+
+class LeastReported:
+    """A baseline: whatever looks least loaded."""
+
+    def choose(
+        self, request: types.Request, candidates: list[Candidate]
+    ) -> Candidate:
+        """Picks the least loaded, by name where equal."""
+        return min(
+            candidates, key=lambda one: (one.load.occupied, one.replica.name)
+        )
+
+
+class InTurn:
+    """The plainest baseline: round robin."""
+
+    def __init__(self):
+        self.turn = 0
+
+    def choose(
+        self, request: types.Request, candidates: list[Candidate]
+    ) -> Candidate:
+        """Picks the next."""
+        self.turn += 1
+        ordered = sorted(candidates, key=lambda one: one.replica.name)
+        return ordered[self.turn % len(ordered)]
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/recovery.py
@@ -0,0 +1,61 @@
+"""Where work re-enters the queue after its engine failed.
+
+Load pattern: an engine crashes with a full batch while others queue. The
+rear of the queue makes such work wait twice; the head makes a crash of one
+engine everybody's delay. The three places are options B, D and E of AuCoRe
+(Tang et al., "Automatic and Coordinated Job Recovery for High Performance
+Computing"), measured on both sides in docs/MEASUREMENTS.md.
+"""
+
+from typing import Protocol
+
+from gypsumfold.decisions import types
+
+
+class Reentry(Protocol):
+    """Orders the waiting requests of one account and urgency."""
+
+    def position(self, request: types.Request, now: float) -> float:
+        """Lower goes first."""
+
+
+class Rear:
+    """As if it had come just now (option B).
+
+    >>> Rear().position(request, now=5.0)
+    5.0
+    """
+
+    def position(self, request: types.Request, now: float) -> float:
+        """The time of entry."""
+        return now
+
+
+class ByArrival:
+    """Where it would have stood had it never been sent (option D).
+
+    >>> ByArrival().position(request, now=5.0) == request.arrival
+    True
+    """
+
+    def position(self, request: types.Request, now: float) -> float:
+        """The time of its first arrival."""
+        return request.arrival
+
+
+class Head:
+    """Before all that waits (option E).
+
+    >>> Head().position(recovered, now=5.0) < 0
+    True
+    """
+
+    def position(self, request: types.Request, now: float) -> float:
+        """Recovered work goes first, the oldest of it before the rest."""
+        if request.recovered:
+            return request.arrival - HEAD_START
+        return request.arrival
+
+
+# Seconds; more than any clock here runs, so that recovered work sorts first.
+HEAD_START = 1e12
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retries.py
@@ -0,0 +1,109 @@
+"""Whether and when work is tried again, or twice at once.
+
+Load pattern: an outage or a slow fleet, in which every failed attempt is
+repeated. Without a budget retries multiply the load just when the fleet can
+bear least; without jitter they arrive together.
+"""
+
+import random
+from typing import Protocol
+
+from gypsumfold.decisions import types
+
+# Retries as a share of first attempts: in a full outage the load grows by a
+# tenth at the most (Google SRE Book, ch. 21).
+SHARE = 0.1
+# Retries that a quiet node may make at once.
+RESERVE = 10.0
+# Seconds before the first retry, doubled each time: the way between data
+# centres and an engine's restart differ by far more than two tries.
+FIRST_DELAY = 0.05
+LONGEST_DELAY = 2.0
+# Attempts of one request, the first included.
+MOST_ATTEMPTS = 3
+# Times the expected seconds to the first token after which an urgent
+# repeatable request is sent to a second replica: about its 99th percentile.
+HEDGE_AFTER = 4.0
+
+
+class Retries(Protocol):
+    """Decides on repeats inside the node."""
+
+    def first(self) -> None:
+        """Notes a first attempt."""
+
+    def delay(
+        self, request: types.Request, attempt: int, work: float, now: float
+    ) -> float | None:
+        """Seconds until the next attempt; None where there is to be none."""
+
+    def hedge(
+        self, request: types.Request, silent: float, expected: float
+    ) -> bool:
+        """Whether to send a second copy of a request that is silent."""
+
+
+class BudgetedRetries:
+    """Retries within a share of the traffic, jittered, before the deadline.
+
+    >>> BudgetedRetries(random.Random(1)).delay(request, 1, 0.5, now=0.0)
+    0.03
+    """
+
+    def __init__(self, rng: random.Random):
+        self.rng = rng
+        self.budget = RESERVE
+
+    def first(self) -> None:
+        """Notes a first attempt, which earns a share of a retry."""
+        self.budget = min(RESERVE, self.budget + SHARE)
+
+    def delay(
+        self, request: types.Request, attempt: int, work: float, now: float
+    ) -> float | None:
+        """Seconds until the next attempt; None where there is to be none.
+
+        Args:
+            request: What failed.
+            attempt: Attempts made so far.
+            work: Seconds that the next one will take.
+            now: The time.
+        """
+        if attempt >= MOST_ATTEMPTS or self.budget < 1:
+            return None
+        longest = min(LONGEST_DELAY, FIRST_DELAY * 2 ** (attempt - 1))
+        delay = self.rng.uniform(0, longest)
+        if now + delay + work > request.deadline:
+            return None
+        self.budget -= 1
+        return delay
+
+    def hedge(
+        self, request: types.Request, silent: float, expected: float
+    ) -> bool:
+        """Only urgent repeatable work, and within the same budget."""
+        if not request.repeatable or request.urgency > 0:
+            return False
+        if silent < HEDGE_AFTER * expected or self.budget < 1:
+            return False
+        self.budget -= 1
+        return True
+
+
+class AlwaysRetry:
+    """The baseline: again at once, up to the same number of attempts."""
+
+    def first(self) -> None:
+        """Keeps no budget."""
+
+    def delay(
+        self, request: types.Request, attempt: int, work: float, now: float
+    ) -> float | None:
+        """At once."""
+        return 0.0 if attempt < MOST_ATTEMPTS else None
+
+    def hedge(
+        self, request: types.Request, silent: float, expected: float
+    ) -> bool:
+        """Never."""
+        return False
--- a/packages/gypsumfold/src/gypsumfold/decisions/types.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/types.py
@@ -96,10 +96,18 @@
 
 
 class Dispatch(NamedTuple):
-    """Send this request to this replica now."""
+    """Send this request to this replica now.
+
+    Attributes:
+        request: The request.
+        replica: The replica that runs it.
+        prefill: The replica that processes its prompt first and hands the KV
+            cache over; empty where ``replica`` does all.
+    """
 
     request: Request
     replica: str
+    prefill: str = ""
 
 
 class Refuse(NamedTuple):
