--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -0,0 +1,289 @@
+"""The scheduler that the real path uses: all decisions of one service.
+
+It composes admission, fairness, placement, limits, outliers and recovery;
+each of them states the load pattern that it answers. Work waits here, where
+it can still be refused, reordered and sent elsewhere, and not in the
+engines.
+"""
+
+import random
+from typing import NamedTuple
+
+from gypsumfold.decisions import admission
+from gypsumfold.decisions import demands as demands_module
+from gypsumfold.decisions import estimates
+from gypsumfold.decisions import fairness
+from gypsumfold.decisions import limits
+from gypsumfold.decisions import loads
+from gypsumfold.decisions import outliers
+from gypsumfold.decisions import placement
+from gypsumfold.decisions import queues
+from gypsumfold.decisions import recovery
+from gypsumfold.decisions import selection
+from gypsumfold.decisions import types
+
+# Seconds for which work waits while no replica is open at all: a replica
+# that restarts or changes its role is often back by then.
+GRACE = 1.0
+# Waiting requests that are tried in one go; more only matter where the first
+# ones are for models that have no room.
+SCAN = 64
+# Reasons of refusals, for callers.
+OVER_LIMIT = "the account uses more tokens a second than it may"
+TOO_LATE = "the answer would come after its deadline"
+TOO_MANY = "too many requests wait"
+ALL_CLOSED = "no replica is open for this request"
+
+
+class Policy(NamedTuple):
+    """What the decisions of one service on one node depend on.
+
+    Attributes:
+        data_centre: Where this node stands.
+        most_waiting: Requests that may wait here at once. Each holds a
+            caller's connection of about 50 KB; 512 are 25 MB.
+    """
+
+    data_centre: str = ""
+    most_waiting: int = 512
+
+
+def parts(policy: Policy, rng: random.Random) -> selection.Parts:
+    """The parts that the real path uses."""
+    return selection.Parts(
+        queue=fairness.FairQueue(),
+        admission=admission.DeadlineAdmission(policy.most_waiting, rng),
+        placement=placement.TwoChoices(policy.data_centre, rng),
+        limits=limits.AdaptiveLimits(rng),
+        outliers=outliers.PeerOutliers(rng),
+        reentry=recovery.ByArrival(),
+        loads=loads.CorrectedLoads(),
+        estimator=estimates.LearntEstimator(),
+    )
+
+
+class PolicyScheduler:
+    """Admits, queues and places the requests of one service.
+
+    >>> scheduler = PolicyScheduler(Policy("north-apron"), random.Random(1))
+    >>> scheduler.update(replicas, now=0.0)
+    []
+    >>> scheduler.offer(request, now=0.0)
+    [Dispatch(...)]
+    """
+
+    def __init__(
+        self,
+        policy: Policy,
+        rng: random.Random,
+        composed: selection.Parts | None = None,
+    ):
+        self.policy = policy
+        self.parts = composed or parts(policy, rng)
+        self.selection = selection.Selection(self.parts)
+        self.meter = demands_module.Meter()
+        self.closed_since: float | None = None
+
+    def offer(self, request: types.Request, now: float) -> list[types.Action]:
+        """Takes a new request in and returns what to do now."""
+        item = self.item(request, now)
+        self.selection.lengths.add(item.work, now)
+        prompt = max(1, request.prompt_tokens)
+        self.meter.add(prompt, max(0.0, item.cost - prompt), now)
+        if self.parts.queue.over_limit(request.account, now):
+            retry_after = self.parts.admission.retry_after(fairness.MEMORY)
+            return [types.Refuse(request, OVER_LIMIT, retry_after)]
+        self.parts.queue.push(item, now)
+        actions = self.pump(now)
+        if request.id not in self.parts.queue.waiting:
+            return actions
+        return actions + self.keep(item, now)
+
+    def keep(self, item: queues.Waiting, now: float) -> list[types.Action]:
+        """Refuses a request that must wait, if it cannot be in time.
+
+        If too many wait then, one of them is given up for it.
+        """
+        outlook = self.outlook(item, now)
+        if not self.parts.admission.feasible(outlook):
+            wait = (outlook.ahead + item.work) / max(1, outlook.slots)
+            return [self.refuse(item, TOO_LATE, wait)]
+        if not self.parts.admission.full(len(self.parts.queue.waiting)):
+            return []
+        victim = self.parts.queue.victim(now)
+        return [self.refuse(victim, TOO_MANY, self.drain())]
+
+    def withdraw(self, request_id: str, now: float) -> list[types.Action]:
+        """Forgets a request that still waits: its caller has gone."""
+        self.parts.queue.remove(request_id)
+        return []
+
+    def finished(
+        self, request_id: str, result: types.Result, now: float
+    ) -> list[types.Action]:
+        """Notes the end of a dispatch and returns what to do now."""
+        flight = self.parts.loads.flights.get(request_id)
+        if flight is None:
+            return self.pump(now)
+        replica = self.selection.replicas.get(flight.replica)
+        report = replica.report if replica else None
+        own = self.own(flight.replica)
+        self.parts.loads.finished(request_id, now)
+        request = flight.request
+        self.parts.limits.observe(flight, result, own)
+        self.parts.outliers.observe(
+            flight.replica, result, flight.expected, now
+        )
+        self.parts.estimator.observe(request, report, result, now)
+        used = max(1.0, request.prompt_tokens + result.output_tokens)
+        if result.finish == types.Finish.NOT_STARTED:
+            used = 0.0
+        self.parts.queue.settle(request, flight.cost, used)
+        return self.pump(now)
+
+    def update(
+        self, replicas: list[types.Replica], now: float
+    ) -> list[types.Action]:
+        """Replaces what is known of the replicas."""
+        self.selection.replicas = {one.name: one for one in replicas}
+        if any(replica.open for replica in replicas):
+            self.closed_since = None
+        elif self.closed_since is None:
+            self.closed_since = now
+        return self.pump(now)
+
+    def tick(self, now: float) -> list[types.Action]:
+        """Refuses what is now too late and looks for overdue work."""
+        self.selection.look_for_overdue(now)
+        actions = []
+        for item in list(self.parts.queue.waiting.values()):
+            if self.late(item, now):
+                actions.append(self.refuse(item, TOO_LATE, self.drain()))
+                continue
+            if self.shut(now):
+                actions.append(self.refuse(item, ALL_CLOSED, GRACE))
+        return actions + self.pump(now)
+
+    def declare(self, shares: dict[str, types.Share]) -> None:
+        """Replaces what accounts are entitled to."""
+        self.parts.queue.declare(shares)
+
+    def hottest(self, most: int, now: float) -> list[types.Use]:
+        """The accounts that use most here, for the digest to its peers."""
+        return self.parts.queue.hottest(most, now)
+
+    def demand(self, now: float) -> types.Demand:
+        """What callers ask of this node, for the digest to its peers."""
+        return self.meter.read(len(self.parts.queue.waiting), now)
+
+    def peers(
+        self, demands: list[types.Demand], uses: list[types.Use], now: float
+    ) -> None:
+        """Takes in what the other nodes say in their digests.
+
+        Args:
+            demands: One for each other node.
+            uses: Their hottest accounts.
+            now: The time.
+        """
+        self.parts.queue.remote(uses)
+        share = demands_module.share(self.demand(now), demands)
+        self.parts.limits.divide(share)
+
+    def pump(self, now: float) -> list[types.Action]:
+        """Sends as much waiting work as there is room for."""
+        actions: list[types.Action] = []
+        while self.parts.queue.waiting:
+            action = self.next_action(now)
+            if action is None:
+                break
+            actions.append(action)
+        return actions
+
+    def next_action(self, now: float) -> types.Action | None:
+        """Sends or refuses the first waiting request that can be."""
+        for tried, turn in enumerate(self.parts.queue.ordered(now)):
+            if tried >= SCAN:
+                break
+            if self.late(turn.item, now):
+                return self.refuse(turn.item, TOO_LATE, self.drain())
+            candidates = self.selection.candidates(turn, now)
+            if candidates:
+                return self.send(turn.item, candidates, now)
+        return None
+
+    def send(
+        self,
+        item: queues.Waiting,
+        candidates: list[placement.Candidate],
+        now: float,
+    ) -> types.Dispatch:
+        """Takes a request out of the queue and sends it."""
+        request = item.request
+        replica = self.parts.placement.choose(request, candidates).replica
+        self.parts.queue.remove(request.id)
+        self.parts.queue.charge(item, now)
+        expected = self.work(request, replica.report, now)
+        cost = 0.0 if request.recovered else item.cost
+        self.parts.loads.sent(
+            loads.Flight(request, replica.name, now, expected, cost),
+            self.selection.lengths.long(item.work),
+        )
+        prefill = self.selection.prefill(request, replica, now)
+        return types.Dispatch(request, replica.name, prefill)
+
+    def item(self, request: types.Request, now: float) -> queues.Waiting:
+        """The request with its estimates, as it waits."""
+        report = self.selection.some_report(request)
+        return queues.Waiting(
+            request=request,
+            position=self.parts.reentry.position(request, now),
+            cost=self.parts.estimator.tokens(request),
+            work=self.work(request, report, now),
+            since=now,
+        )
+
+    def work(
+        self, request: types.Request, report: types.Report | None, now: float
+    ) -> float:
+        """Seconds that the request is expected to take."""
+        return self.parts.estimator.seconds(request, report, now)
+
+    def outlook(self, item: queues.Waiting, now: float) -> admission.Outlook:
+        """What a waiting request can expect."""
+        return admission.Outlook(
+            left=item.request.deadline - now,
+            ahead=self.parts.queue.ahead(item, now),
+            work=item.work,
+            slots=len(self.parts.loads.flights),
+        )
+
+    def late(self, item: queues.Waiting, now: float) -> bool:
+        """Whether it can no longer be in time though it were sent now."""
+        left = item.request.deadline - now
+        alone = admission.Outlook(left, ahead=0.0, work=item.work, slots=1)
+        return not self.parts.admission.feasible(alone)
+
+    def refuse(
+        self, item: queues.Waiting, reason: str, wait: float
+    ) -> types.Refuse:
+        """Takes a request out of the queue and gives it up."""
+        self.parts.queue.remove(item.request.id)
+        retry_after = self.parts.admission.retry_after(wait)
+        return types.Refuse(item.request, reason, retry_after)
+
+    def drain(self) -> float:
+        """Seconds until all that waits now will have been sent."""
+        work = sum(item.work for item in self.parts.queue.waiting.values())
+        return work / max(1, len(self.parts.loads.flights))
+
+    def shut(self, now: float) -> bool:
+        """Whether no replica has been open for longer than the grace."""
+        if self.closed_since is None:
+            return False
+        return now - self.closed_since >= GRACE
+
+    def own(self, replica: str) -> int:
+        """Own dispatches in progress at a replica."""
+        flights = self.parts.loads.flights.values()
+        return sum(flight.replica == replica for flight in flights)
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -10,6 +10,7 @@
 import uuid6
 
 from gypsumfold import configuration as configuration_module
+from gypsumfold import digests
 from gypsumfold import dispatching
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -22,6 +23,8 @@
 from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
+from gypsumfold.decisions import scheduling
+from gypsumfold.decisions import types
 from gypsumfold.endpoints import connections
 from gypsumfold.endpoints import fleet as fleet_module
 from gypsumfold.operators import live
@@ -80,6 +83,9 @@
         )
         self.calls = calls.Calls(self)
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
+        self.digests = digests.Digests(
+            settings.peers, self.incarnation, self.peers, self.dispatchers
+        )
         self.reporting = reporting.Reporting(
             self.incarnation, self.configuration, self.log
         )
@@ -163,11 +169,21 @@
             )
             self.dispatchers[name] = dispatcher
             self.supervise(f"dispatcher-{name}", dispatcher.run)
+        for dispatcher in self.dispatchers.values():
+            dispatcher.scheduler.declare(self.shares())
         self.fleet.sync()
 
+    def shares(self) -> dict[str, types.Share]:
+        """What accounts are entitled to."""
+        found = {}
+        for name, account in self.configuration.all("account").items():
+            found[name] = types.Share(account.weight, account.tokens_per_second)
+        return found
+
     def scheduler(self, service: str) -> scheduler_module.Scheduler:
         """Makes the scheduler of a service."""
-        return scheduler_module.RoundRobin()
+        policy = scheduling.Policy(self.settings.node.data_centre)
+        return scheduling.PolicyScheduler(policy, random.Random())
 
     def supervise(
         self, name: str, function: Callable[[], Awaitable[None]]
@@ -212,6 +228,7 @@
         self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
         self.supervise("snapshots", self.replication.run_snapshots)
         await self.listen(
