--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import itertools
 import secrets
+import ssl
 from typing import Any
 
 from gypsumfold import exceptions
@@ -49,6 +50,7 @@
         port: int,
         secret: bytes,
         timeout: float,
+        context: ssl.SSLContext | None = None,
         local: str | None = None,
     ) -> "Channel":
         """Connects to a peer, from this node's address if it is given.
@@ -59,7 +61,10 @@
         try:
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(
-                    address, port, local_addr=(local, 0) if local else None
+                    address,
+                    port,
+                    ssl=context,
+                    local_addr=(local, 0) if local else None,
                 )
                 guard(writer)
                 nonce = await reader.readexactly(framing.NONCE_BYTES)
