--- a/features/standins.feature
+++ b/features/standins.feature
@@ -51,3 +51,6 @@
     Given a stand-in plain service
     When it is asked to stop during a call of 1 second
     Then the call ends whole, and the process after it
+
+  Scenario: The demo shows the whole path and stops all that it started
+    Then the demo ends with exit code 0 and a table of what ran
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -4,11 +4,14 @@
 import http.client
 import json
 import socket
+import subprocess
+import sys
 import threading
 
 import behave
 from features.support import fleets
 from features.support import http as http_support
+import psutil
 
 from gypsumfold_standins import tokens
 
@@ -328,3 +331,15 @@
     assert context.answers[0].body == expected
     context.fleet.until(lambda: not context.plain.alive)
     assert context.plain.child.returncode == 0
+
+
+@behave.then("the demo ends with exit code 0 and a table of what ran")
+def step_demo(context):
+    command = [sys.executable, "-m", "gypsumfold_standins.demo"]
+    result = subprocess.run(command, capture_output=True, text=True)
+    assert result.returncode == 0, result
+    table = result.stdout.rpartition("process ")[2].splitlines()[1:]
+    assert len(table) == 9, result.stdout
+    for line in table:
+        assert line.endswith("exit code 0"), result.stdout
+        assert not psutil.pid_exists(int(line.split()[3])), line
