--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes; docs/MEASUREMENTS.md has the figures."""
