--- a/packages/gypsumfold/src/gypsumfold/operators/publishing.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/publishing.py
@@ -15,6 +15,9 @@
 # than two of the platform's time limits, so that a lost answer is repeated
 # at least once.
 LIMIT = 6.0
+# Seconds until then where every append was refused, so that nothing can have
+# been appended: room for a burst over the log's rate to pass.
+REFUSED_LIMIT = 1.5
 # Seconds between two appends of one change, plus up to as much at random.
 PAUSE = 0.2
 # Bytes of a batch beside the change itself: the log's JSON brackets.
@@ -81,6 +84,7 @@
             )
         loop = asyncio.get_running_loop()
         end = loop.time() + LIMIT
+        refused_end = loop.time() + REFUSED_LIMIT
         failure = None
         while loop.time() < end:
             try:
@@ -90,6 +94,8 @@
             except exceptions.LogUnavailable as error:
                 # An earlier append that may have landed counts for more.
                 failure = failure or error
+                if failure is error and loop.time() > refused_end:
+                    raise
             else:
                 return await self.read_back(change.change_id, end)
             pause = loop.time() + PAUSE * (1 + random.random())
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/client.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/client.py
@@ -99,13 +99,17 @@
     ) -> dict[str, Any]:
         """Posts to the nodes in turn until one gives a final answer."""
         failure: exceptions.CommandError | None = None
+        refused: set[str] = set()
         for node in self.connection.nodes * ROUNDS:
+            if node in refused:
+                continue
             try:
                 answer = await self.send("POST", node, path, body)
                 return final(answer)
             except exceptions.NotRun as error:
-                # An earlier try that may have worked counts for more.
-                failure = failure or error
+                failure = weightier(failure, error)
+                if isinstance(error, exceptions.LogDown):
+                    refused.add(node)
             except exceptions.Undetermined as error:
                 failure = error
                 if not repeatable:
@@ -139,6 +143,16 @@
             raise exceptions.Undetermined(f"{node}: {error!r}") from error
 
 
+def weightier(
+    first: exceptions.CommandError | None, second: exceptions.CommandError
+) -> exceptions.CommandError:
+    """Picks the failure that tells more of what may have happened."""
+    order = (exceptions.NotRun, exceptions.LogDown, exceptions.Undetermined)
+    if first is None or order.index(type(first)) <= order.index(type(second)):
+        return second
+    return first
+
+
 def decode(content: bytes) -> dict[str, Any]:
     """Decodes a node's answer.
 
@@ -167,7 +181,7 @@
     if answer.status == 409:
         raise exceptions.Rejected(reason, lines)
     if answer.status == 503:
-        raise exceptions.NotRun(reason)
+        raise exceptions.LogDown(reason)
     raise exceptions.Undetermined(reason)
 
 
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/exceptions.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/exceptions.py
@@ -37,6 +37,10 @@
     exit_code = 5
 
 
+class LogDown(NotRun):
+    """The node cannot append to the log; nothing was changed."""
+
+
 class Undetermined(CommandError):
     """The change may have taken effect; look before you repeat it."""
 
