--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -10,6 +10,7 @@
 import uuid6
 
 from gypsumfold import configuration as configuration_module
+from gypsumfold import digests
 from gypsumfold import dispatching
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -18,8 +19,12 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold import tls
+from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
 from gypsumfold.decisions import scheduler as scheduler_module
+from gypsumfold.decisions import scheduling
+from gypsumfold.decisions import types
 from gypsumfold.endpoints import connections
 from gypsumfold.endpoints import fleet as fleet_module
 from gypsumfold.operators import live
@@ -61,7 +66,10 @@
         self.sessions = connections.sessions(settings)
         session = self.sessions.pooled
         self.log = logs.HTTPLog(settings.platform, session)
-        self.tails = {records.CONFIG: logs.Tail(self.log, records.CONFIG)}
+        self.tails = {
+            records.CONFIG: logs.Tail(self.log, records.CONFIG),
+            records.CLAIMS: logs.Tail(self.log, records.CLAIMS),
+        }
         self.configuration = configuration_module.Configuration()
         self.fleet = fleet_module.Fleet(
             settings, self.configuration, self.sessions
@@ -73,7 +81,11 @@
             self.peers,
             self.fleet,
         )
+        self.calls = calls.Calls(self)
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
+        self.digests = digests.Digests(
+            settings.peers, self.incarnation, self.peers, self.dispatchers
+        )
         self.reporting = reporting.Reporting(
             self.incarnation, self.configuration, self.log
         )
@@ -157,11 +169,21 @@
             )
             self.dispatchers[name] = dispatcher
             self.supervise(f"dispatcher-{name}", dispatcher.run)
+        for dispatcher in self.dispatchers.values():
+            dispatcher.scheduler.declare(self.shares())
         self.fleet.sync()
 
+    def shares(self) -> dict[str, types.Share]:
+        """What accounts are entitled to."""
+        found = {}
+        for name, account in self.configuration.all("account").items():
+            found[name] = types.Share(account.weight, account.tokens_per_second)
+        return found
+
     def scheduler(self, service: str) -> scheduler_module.Scheduler:
         """Makes the scheduler of a service."""
-        return scheduler_module.RoundRobin()
+        policy = scheduling.Policy(self.settings.node.data_centre)
+        return scheduling.PolicyScheduler(policy, random.Random())
 
     def supervise(
         self, name: str, function: Callable[[], Awaitable[None]]
@@ -203,22 +225,40 @@
         await self.peers.serve()
         for stream, tail in self.tails.items():
             self.supervise(f"tail-{stream}", tail.run)
+        self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
         self.supervise("snapshots", self.replication.run_snapshots)
-        await self.listen(self.operators.app(), self.settings.operators.port)
+        await self.listen(
+            self.operators.app(),
+            self.settings.operators.port,
+            self.settings.operators.tls,
+        )
         callers = callers_server.Server(self).application()
-        await self.listen(callers, self.settings.callers.port)
+        await self.listen(
+            callers, self.settings.callers.port, self.settings.callers.tls
+        )
         self.supervise("readiness", self.watch_readiness)
         events.log(events.NODE_STARTED, incarnation=self.incarnation)
 
-    async def listen(self, app: web.Application, port: int) -> None:
+    async def listen(
+        self,
+        app: web.Application,
+        port: int,
+        section: settings_module.TLSSection | None,
+    ) -> None:
         """Serves an application on one port of the node's address."""
         runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
         await runner.setup()
         self.runners.append(runner)
-        site = web.TCPSite(runner, self.settings.node.address, port)
+        site = web.TCPSite(
+            runner,
+            self.settings.node.address,
+            port,
+            ssl_context=tls.server_context(section),
+        )
         await site.start()
 
     async def watch_readiness(self) -> None:
@@ -236,6 +276,7 @@
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
             await runner.cleanup()
+        await self.calls.close()
         await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
