--- /dev/null
+++ b/features/configuration_fleet.feature
@@ -0,0 +1,56 @@
+@promise-9
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: Two operators race through different nodes
+    Given a configured fleet of 3 nodes
+    When 2 operators alter the same kind at once, 10 times over
+    Then exactly one of each race wins and the other sees the difference
+    When 2 operators alter different kinds at once, 10 times over
+    Then all changes of the races win
+    And every configured node is level, and no revision ever went back
+
+  Scenario: The answer to an append is lost
+    Given a configured fleet of 3 nodes
+    When the log loses the answer to the next 2 changes
+    Then a change is accepted, stands on the log 3 times and counts once
+    And every configured node is level, and no revision ever went back
+
+  Scenario: The log goes down just after it took a change
+    Given a configured fleet of 3 nodes whose log can be cut off
+    When the log is cut off from all nodes but the first
+    And a change is accepted by the first node and the log goes down for all
+    Then every configured node is level, and no revision ever went back
+    And every configured node is still ready
+    When a new node starts while the log is down
+    Then it is ready with the last change, which it got from its peers
+
+  Scenario: A node that is cut off from the log and all peers is not ready
+    Given a configured fleet of 3 nodes whose log can be cut off
+    When the last node is cut off from the log and all of its peers freeze
+    Then the last node is not ready any more
+    When the peers go on and accept a change
+    Then the last node is not ready before it has that change
+    And every configured node is level, and no revision ever went back
+
+  Scenario: A node that starts without the log and without peers waits
+    Given a configured fleet of 2 nodes whose log can be cut off
+    When all nodes are killed and the log goes down for all
+    And the first node is started again
+    Then it does not become ready within seconds
+    When the log is there again
+    Then every configured node is level, and no revision ever went back
+
+  Scenario: All nodes are replaced while the log forgets
+    Given a configured fleet of 3 nodes on a log that keeps 4 seconds
+    When the log has forgotten the first change
+    And every configured node is restarted in turn
+    Then every configured node is level, and no revision ever went back
+    When the log has forgotten all that was there
+    And all configured nodes are killed and started again
+    Then every configured node is level, and no revision ever went back
+
+  Scenario: A node sleeps for longer than the log remembers
+    Given a configured fleet of 3 nodes on a log that keeps 4 seconds
+    When the last node sleeps until changes made meanwhile are forgotten
+    Then the last node is not ready before it has that change
+    And every configured node is level, and no revision ever went back
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -230,6 +230,7 @@
         self.supervise("membership", self.membership.run)
         self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
+        self.supervise("config-pulls", self.replication.run_pulls)
         self.supervise("snapshots", self.replication.run_snapshots)
         await self.listen(
             self.operators.app(),
--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -27,6 +27,9 @@
 # Seconds between two looks at what peers say; a tenth of the default
 # heartbeat, so that it adds little to the time until a pull.
 LOOK = 0.05
+# Seconds after which the last look counts no more: the process was paused,
+# and what it knew may be old.
+LOOK_LIMIT = 1.0
 # Seconds for one pull: a page of at most half a frame between neighbours.
 PULL_TIMEOUT = 2.0
 # Bytes of entries or of a snapshot in one reply; a single batch on the log
@@ -68,6 +71,7 @@
         self.publisher = publisher
         self.incarnation = incarnation
         self.freshness = freshness_module.Freshness()
+        self.looked = 0.0
         self.served: tuple[int, bytes] = (-1, b"")
         peers.handle("config.pull", thrift.ConfigPull, self.serve)
         configuration.watch(log_outcome)
@@ -75,6 +79,8 @@
 
     def fresh(self) -> bool:
         """Whether the node knows the configuration well enough to serve."""
+        if time.monotonic() - self.looked > LOOK_LIMIT:
+            return False
         return self.freshness.fresh
 
     def revision(self) -> int:
@@ -88,9 +94,14 @@
         return self.configuration.position >= self.tail.next - 1
 
     async def run(self) -> None:
-        """Looks at the peers and pulls, for as long as the node runs."""
+        """Follows the log and the peers for as long as the node runs."""
         while True:
             self.look()
+            await asyncio.sleep(LOOK)
+
+    async def run_pulls(self) -> None:
+        """Pulls from a peer whenever one is ahead."""
+        while True:
             sources = self.sources()
             if sources:
                 await self.try_pull(random.choice(sources))
@@ -107,7 +118,8 @@
             self.tail.heard or None,
             tuple(peers),
         )
-        self.freshness.update(view, time.monotonic())
+        self.looked = time.monotonic()
+        self.freshness.update(view, self.looked)
 
     def sources(self) -> list[str]:
         """Lists the peers that know what this node does not."""
