--- a/features/support/control_model.py
+++ b/features/support/control_model.py
@@ -145,11 +145,7 @@
         node.next = noted.offset + 1
         record = noted.record
         if isinstance(record, records.LeaseChanged) and valid:
-            lease = node.book.lease
-            if record.incarnation == node.incarnation and not lease.released:
-                node.tenure.confirm(
-                    record.sequence, lease.holder.token, SETTINGS.duration
-                )
+            node.tenure.read_back(record, node.book.lease, SETTINGS.duration)
         ended = isinstance(record, records.OrderFinished) and valid
         if ended and record.result == "void":
             self.void.add(record.id)
--- a/packages/gypsumfold/src/gypsumfold/control/books.py
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -99,6 +99,7 @@
         record = noted.record
         match record:
             case records.LeaseChanged():
+                self.forget(record, noted.time, now)
                 return self.lease.apply(record, noted.offset, noted.time, now)
             case records.HolderEnded():
                 self.lease.end(record.incarnation, now)
@@ -122,6 +123,32 @@
                 self.orders.drop(record.engine, record.wish)
         return True
 
+    def forget(
+        self, record: records.LeaseChanged, time: float, now: float
+    ) -> None:
+        """Drops what only nodes that run for longer than the log keeps know.
+
+        A claim may begin a new chain once the old one is older than the
+        retention. All nodes then go on from what its writer knew.
+        """
+        begins = record.action == records.CLAIM and record.previous == -1
+        if begins and self.lease.last != -1:
+            if self.lease.follows(-1, time):
+                self.lease.load(record.state, now)
+                self.orders.load(record.state)
+
+    def closed(self) -> dict[str, int]:
+        """Lists the closed engines, as far as they are known by now."""
+        if self.begun:
+            return self.orders.closed
+        found = {}
+        for noted in self.waiting:
+            if isinstance(noted.record, records.LeaseChanged):
+                found.update(noted.record.state.closed)
+            if isinstance(noted.record, records.EngineClosed):
+                found[noted.record.engine] = noted.offset
+        return found
+
     def snapshot(self) -> records.Snapshot:
         """The state as it goes into this node's lease records."""
         wishes = {}
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/closing.py
@@ -0,0 +1,140 @@
+"""Closes engines on every node before a planned change, and confirms that.
+
+Each node serves two calls: what it knows to be closed (asked by all, for
+their permissions) and the closing of one engine (asked by the holder).
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from gypsumfold import clocks
+from gypsumfold import exceptions
+from gypsumfold.control import permissions as permissions_module
+from gypsumfold.peers import framing
+from gypsumfold.peers import links
+from gypsumfold.platform import logs
+
+thrift = framing.peers_thrift
+
+# Rounds of asking within the time that a permission lasts: two may be lost.
+ROUNDS = 4
+
+
+class Closing(NamedTuple):
+    """One engine that is closed, and since when this node knows it."""
+
+    engine: str
+    offset: int
+    since: float
+
+
+class Closer:
+    """This node's part in closings, as holder and as one who dispatches.
+
+    >>> closer = Closer(permissions, tail, peers)
+    >>> await closer.quiet(closing)
+    True
+    """
+
+    def __init__(
+        self,
+        permissions: permissions_module.Permissions,
+        tail: logs.Tail,
+        peers: links.Peers,
+    ):
+        self.permissions = permissions
+        self.tail = tail
+        self.peers = peers
+        peers.handle("control.closed", thrift.Nothing, self.on_closed)
+        peers.handle("control.close", thrift.ClosedEngine, self.on_close)
+
+    @property
+    def interval(self) -> float:
+        """Seconds between two rounds, and the time limit of a call."""
+        return self.permissions.settings.permission / ROUNDS
+
+    async def on_closed(self, message, address: str):
+        """Says what is closed, as far as this node knows."""
+        closed = []
+        for engine, offset in self.permissions.closed().items():
+            closed.append(thrift.ClosedEngine(engine, offset))
+        return thrift.ClosedEngines(
+            self.tail.caught_up.is_set(),
+            self.permissions.books.through,
+            closed,
+        )
+
+    async def on_close(self, message, address: str):
+        """Closes an engine here and says what is still in progress."""
+        self.permissions.tell(message.engine, message.offset)
+        count = self.permissions.dispatching[message.engine]
+        return thrift.Dispatching(count)
+
+    async def run(self) -> None:
+        """Asks all peers for closings for as long as the node runs."""
+        while True:
+            self.permissions.nodes = 1 + len(self.peers.links)
+            for gone in set(self.permissions.contacts) - set(self.peers.links):
+                del self.permissions.contacts[gone]
+            asks = [self.ask(address) for address in self.peers.links]
+            await asyncio.gather(*asks)
+            await asyncio.sleep(self.interval)
+
+    async def ask(self, address: str) -> None:
+        """Asks one peer what is closed."""
+        asked = clocks.now()
+        try:
+            reply = await self.peers.call(
+                address,
+                "control.closed",
+                thrift.Nothing(),
+                thrift.ClosedEngines,
+                self.interval,
+            )
+        except exceptions.PeerError:
+            return
+        if not reply.caught_up:
+            return
+        closed = {each.engine: each.offset for each in reply.closed}
+        self.permissions.merge(address, asked, reply.through, closed)
+
+    async def quiet(self, closing: Closing) -> bool:
+        """Whether no node dispatches to a closed engine any more.
+
+        More than half of the nodes must have acknowledged it. The others'
+        permissions lapse: each comes from a question to the log that was
+        put before the closing stood there, or to a node before it
+        acknowledged.
+        """
+        asked = clocks.now()
+        addresses = list(self.peers.links)
+        asks = [self.close(address, closing) for address in addresses]
+        replies = await asyncio.gather(*asks)
+        running = self.permissions.dispatching[closing.engine]
+        acknowledged = 1
+        for reply in replies:
+            if reply is None:
+                continue
+            acknowledged += 1
+            running += reply
+        if running or 2 * acknowledged <= 1 + len(addresses):
+            return False
+        if acknowledged == 1 + len(addresses):
+            return True
+        settings = self.permissions.settings
+        lapsed = closing.since + settings.permission + settings.drift
+        return asked > lapsed
+
+    async def close(self, address: str, closing: Closing) -> int | None:
+        """Closes an engine on one peer; None if it did not answer."""
+        try:
+            reply = await self.peers.call(
+                address,
+                "control.close",
+                thrift.ClosedEngine(closing.engine, closing.offset),
+                thrift.Dispatching,
+                self.interval,
+            )
+        except exceptions.PeerError:
+            return None
+        return reply.count
--- a/packages/gypsumfold/src/gypsumfold/control/leases.py
+++ b/packages/gypsumfold/src/gypsumfold/control/leases.py
@@ -210,7 +210,7 @@
 
     >>> tenure = Tenure(identity)
     >>> sequence = tenure.sending(now=10.0)
-    >>> tenure.confirm(sequence, token=7, duration=6.0)
+    >>> tenure.read_back(claim, lease, duration=6.0)
     >>> tenure.valid(15.9)
     True
     """
@@ -228,15 +228,27 @@
         self.sent[self.sequence] = now
         return self.sequence
 
-    def confirm(self, sequence: int, token: int, duration: float) -> None:
-        """Notes that one's own record was read back as valid."""
-        if sequence not in self.sent:
+    def read_back(
+        self, record: records.LeaseChanged, lease: Lease, duration: float
+    ) -> None:
+        """Takes a valid lease record in, after `Lease.apply`.
+
+        Args:
+            record: Of this or another node.
+            lease: As the record left it.
+            duration: Seconds that a lease is valid.
+        """
+        mine = record.incarnation == self.identity.incarnation
+        if not mine or record.action == records.RELEASE:
+            return
+        if record.sequence not in self.sent:
             return
+        token = lease.holder.token
         if token != self.token:
             self.until = float("-inf")
         self.token = token
-        self.until = max(self.until, self.sent[sequence] + duration)
-        for older in [s for s in self.sent if s <= sequence]:
+        self.until = max(self.until, self.sent[record.sequence] + duration)
+        for older in [s for s in self.sent if s <= record.sequence]:
             del self.sent[older]
 
     def end(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/control/orders.py
+++ b/packages/gypsumfold/src/gypsumfold/control/orders.py
@@ -46,6 +46,7 @@
     """What is known about an outstanding order."""
 
     DONE = "done"
+    FAILED = "failed"
     VOID = "void"
     WAIT = "wait"
     SUPERSEDE = "supersede"
@@ -76,7 +77,9 @@
         What is known, and so what may follow.
     """
     if state.last_order == order.id:
-        return Resolution.DONE if state.last_done else Resolution.WAIT
+        if state.last_done:
+            return Resolution.DONE
+        return Resolution.WAIT if state.changing else Resolution.FAILED
     if state.incarnation != order.engine and order.engine:
         return Resolution.VOID
     if state.changing:
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/permissions.py
@@ -0,0 +1,121 @@
+"""Which engines this node may dispatch to; no network, no clock.
+
+A planned change closes an engine by a record on the log. So a node may
+dispatch only while it can be sure to know of every closing: its permission
+lasts some seconds from when it asked the log for the end of the stream. In
+an outage of the log it lasts as long from when it heard at least half of
+the nodes (itself among them); a closing takes effect only once more than
+half of the nodes have acknowledged it, and so one of them knows of it.
+"""
+
+import collections
+from collections.abc import Iterator
+import contextlib
+import math
+
+from gypsumfold import exceptions
+from gypsumfold import settings as settings_module
+from gypsumfold.control import books as books_module
+
+
+class Permissions:
+    """The permissions of one node, asked for at the instant of a dispatch.
+
+    Attributes:
+        told: Closings heard of from peers, with their offsets.
+        cleared: Up to which offset a peer says that an engine is open.
+        confirmed: When the log was last asked for what was then its end.
+        contacts: When each peer was asked that then answered.
+        nodes: Number of nodes, this one included.
+        dispatching: Dispatches in progress, by engine.
+
+    >>> permissions = Permissions(settings.control, books)
+    >>> permissions.confirmed = 10.0
+    >>> permissions.allows("lm-1", now=12.9)
+    True
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.ControlSection,
+        books: books_module.Books,
+    ):
+        self.settings = settings
+        self.books = books
+        self.told: dict[str, int] = {}
+        self.cleared: dict[str, int] = {}
+        self.confirmed = float("-inf")
+        self.contacts: dict[str, float] = {}
+        self.nodes = 1
+        self.dispatching = collections.Counter()
+
+    def closed(self) -> dict[str, int]:
+        """Lists the closed engines with the offsets of their closings."""
+        found = {}
+        for book in self.books.services.values():
+            found.update(book.closed())
+        for engine, offset in self.told.items():
+            if offset > self.books.through:
+                found[engine] = max(offset, found.get(engine, -1))
+        for engine, through in self.cleared.items():
+            if engine in found and through > found[engine]:
+                del found[engine]
+        return found
+
+    def tell(self, engine: str, offset: int) -> None:
+        """Notes a closing that a peer told of."""
+        self.told[engine] = max(offset, self.told.get(engine, -1))
+
+    def merge(
+        self, peer: str, asked: float, through: int, closed: dict[str, int]
+    ) -> None:
+        """Takes a peer's answer in.
+
+        Args:
+            peer: Its address.
+            asked: When it was asked.
+            through: It has read the log up to here.
+            closed: What it knows to be closed.
+        """
+        self.contacts[peer] = asked
+        for engine, offset in closed.items():
+            self.tell(engine, offset)
+        for engine, offset in self.closed().items():
+            if engine not in closed and through > offset:
+                self.cleared[engine] = through
+
+    def until(self) -> float:
+        """When this node's permissions lapse."""
+        return max(self.confirmed, self.heard()) + self.settings.permission
+
+    def heard(self) -> float:
+        """Since when at least half of the nodes were heard."""
+        needed = math.ceil(self.nodes / 2) - 1
+        if needed == 0:
+            return float("inf")
+        asked = sorted(self.contacts.values(), reverse=True)
+        return asked[needed - 1] if len(asked) >= needed else float("-inf")
+
+    def allows(self, engine: str, now: float) -> bool:
+        """Whether a dispatch to an engine may be written at this instant."""
+        return now < self.until() and engine not in self.closed()
+
+    def check(self, engine: str, now: float) -> None:
+        """Insists on the permission.
+
+        Raises:
+            exceptions.EndpointNotStarted: There is none.
+        """
+        if not self.allows(engine, now):
+            raise exceptions.EndpointNotStarted(
+                f"{engine} is closed for a planned change"
+            )
+
+    @contextlib.contextmanager
+    def dispatch(self, engine: str) -> Iterator[None]:
+        """Counts a dispatch for as long as it is in progress."""
+        self.dispatching[engine] += 1
+        try:
+            yield
+        finally:
+            self.dispatching[engine] -= 1
--- a/packages/gypsumfold/src/gypsumfold/control/records.py
+++ b/packages/gypsumfold/src/gypsumfold/control/records.py
@@ -234,9 +234,10 @@
 
 @records.register("order-finished")
 class OrderFinished(NamedTuple):
-    """The outstanding order is resolved: ``done``, ``refused`` or ``void``.
+    """The outstanding order is resolved.
 
-    ``void`` says that it has not taken effect and never will.
+    ``done``, ``failed`` (taken, not carried out), ``refused``, or ``void``:
+    it has not taken effect and never will, so that it may be given anew.
     """
 
     service: str
--- a/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
+++ b/packages/gypsumfold/src/gypsumfold/peers/peers.thrift
@@ -68,4 +68,24 @@
   4: required binary body;
 }
 
+/** A closed engine and the offset of its closing. */
+struct ClosedEngine {
+  1: required string engine;
+  2: required i64 offset;
+}
+
+/** What a node knows of closed engines, for others' permissions. */
+struct ClosedEngines {
+  /** Whether it has read the stream `control` to its end since it started. */
+  1: required bool caught_up;
+  /** It has read the stream up to this offset. */
+  2: required i64 through;
+  3: required list<ClosedEngine> closed;
+}
+
+/** Dispatches to an engine that are in progress on a node. */
+struct Dispatching {
+  1: required i32 count;
+}
+
 struct Nothing {}
--- a/packages/gypsumfold/src/gypsumfold/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/settings.py
@@ -142,6 +142,7 @@
             engine lasts unless confirmed.
         quarantine: Seconds after proof of a holder's end before an engine
             that checks no tokens gets orders of another.
+        changes: Engines of one service that are changed at a time.
     """
 
     duration: Seconds = 6.0
@@ -149,6 +150,7 @@
     drift: Seconds = 1.0
     permission: Seconds = 3.0
     quarantine: Seconds = 15.0
+    changes: Count = 1
 
 
 class ShutdownSection(Section):
