--- a/packages/gypsumfold/src/gypsumfold/control/books.py
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -117,10 +117,8 @@
                 return self.orders.open(record, self.lease)
             case records.OrderWished():
                 return self.orders.wish(record, noted.offset)
-            case records.WishDropped():
-                if not self.orders.held(record.token, self.lease):
-                    return False
-                self.orders.drop(record.engine, record.wish)
+            case records.WishMet():
+                return self.orders.meet(record, self.lease)
         return True
 
     def forget(
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/changing.py
@@ -0,0 +1,318 @@
+"""Carries out what operators and the planner want of a service's engines.
+
+Each step looks at the books and does the one next thing, so that it does
+not matter which step a crash, a lost answer or a takeover came after.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from gypsumfold import clocks
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import objects
+from gypsumfold import settings as settings_module
+from gypsumfold.control import closing
+from gypsumfold.control import leasing as leasing_module
+from gypsumfold.control import orders
+from gypsumfold.control import records
+from gypsumfold.control import sending
+from gypsumfold.control import wishes
+
+# Seconds between two looks at the engines.
+TICK = 0.1
+# Seconds until an order's answer is given up and the engine's state read
+# instead; a role change takes seconds.
+ANSWER_LIMIT = 10.0
+
+
+class Engine(NamedTuple):
+    """An engine that this service declares."""
+
+    name: str
+    declared: objects.Endpoint
+    role: str
+
+
+class Changes:
+    """The changes of one service's engines, while this node is the holder.
+
+    Attributes:
+        sends: Orders sent by this process: when their sending was given up,
+            infinite while it goes on, minus infinite if nothing was sent.
+        since: When this node first knew of a closing, by its offset.
+        blocked: Engines whose order only time or an operator can resolve.
+        planned: Gives the role planner's choice for an engine.
+
+    >>> changes = Changes(settings, leasing, closer, sender, engines, new_id)
+    >>> await changes.run()
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        leasing: leasing_module.Leasing,
+        closer: closing.Closer,
+        sender: sending.Sender,
+        engines: Callable[[], list[Engine]],
+        new_id: Callable[[], str],
+    ):
+        self.settings = settings
+        self.leasing = leasing
+        self.closer = closer
+        self.sender = sender
+        self.engines = engines
+        self.new_id = new_id
+        self.sends: dict[str, float] = {}
+        self.since: dict[int, float] = {}
+        self.blocked: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.planned: Callable[[str], str | None] = lambda engine: None
+        leasing.settled = self.settled
+
+    @property
+    def orders(self) -> orders.Orders:
+        """What the log says of the service's orders."""
+        return self.leasing.book.orders
+
+    def settled(self) -> bool:
+        """Whether nothing that this process sent can be on its way."""
+        limit = clocks.now() - self.settings.control.quarantine
+        return all(given_up < limit for given_up in self.sends.values())
+
+    def controls(self, engine: Engine) -> bool:
+        """Whether this node may give the engine orders at this instant."""
+        if not self.leasing.valid() or self.leasing.stopping:
+            return False
+        return engine.declared.checks_tokens or self.leasing.lease.undisputed(
+            clocks.now(), self.settings.control
+        )
+
+    async def run(self) -> None:
+        """Goes on for as long as the service is declared."""
+        while True:
+            await asyncio.sleep(TICK)
+            for engine in self.engines():
+                if not self.leasing.valid() or self.leasing.stopping:
+                    break
+                try:
+                    await self.step(engine)
+                except exceptions.EndpointError:
+                    # It does not answer; its next report comes in its time.
+                    continue
+
+    async def step(self, engine: Engine) -> None:
+        """Does the next thing for one engine."""
+        order = self.orders.outstanding.get(engine.name)
+        if order is not None:
+            await self.settle(engine, order)
+            return
+        self.blocked.discard(engine.name)
+        closed = engine.name in self.orders.closed
+        if not closed and not self.lacks(engine, engine.role):
+            return
+        if not self.controls(engine) or not self.room(engine):
+            return
+        state = await self.sender.state(engine.declared.address)
+        wanted = self.choose(engine, state)
+        if wanted is not None and wishes.met(wanted, state):
+            await self.meet(engine, wanted)
+            return
+        if wanted is None:
+            await self.open(engine)
+            return
+        if await self.idle(engine, wanted.verb):
+            await self.intend(engine, wanted, state, "")
+
+    def lacks(self, engine: Engine, role: str) -> bool:
+        """Whether there seems to be something to do, by the last report."""
+        if self.orders.wishes.get(engine.name):
+            return True
+        state = orders.EngineState(
+            "", role, frozenset(), 0, False, "", True, -1
+        )
+        return self.choose(engine, state) is not None
+
+    def choose(
+        self, engine: Engine, state: orders.EngineState
+    ) -> wishes.Next | None:
+        """Picks the next order for an engine."""
+        return wishes.choose(
+            self.orders.wishes.get(engine.name, []),
+            self.orders.pins.get(engine.name),
+            engine.declared,
+            self.planned(engine.name),
+            state,
+        )
+
+    def room(self, engine: Engine) -> bool:
+        """Whether this engine may be taken away besides the others.
+
+        This rations the weight store, too: each load is a change.
+        """
+        taken = {*self.orders.closed, *self.orders.outstanding}
+        taken -= {engine.name, *self.blocked}
+        return len(taken) < self.settings.control.changes
+
+    async def meet(self, engine: Engine, wanted: wishes.Next) -> None:
+        """Notes that a wish is fulfilled already."""
+        await self.leasing.journal.write(
+            records.WishMet(
+                self.leasing.service,
+                engine.name,
+                self.leasing.tenure.token,
+                wanted.wish,
+                engine.declared.role,
+            )
+        )
+
+    async def open(self, engine: Engine) -> None:
+        """Lets nodes dispatch to the engine again."""
+        if engine.name not in self.orders.closed:
+            return
+        await self.leasing.journal.write(
+            records.EngineOpened(
+                self.leasing.service, engine.name, self.leasing.tenure.token
+            )
+        )
+
+    async def idle(self, engine: Engine, verb: str) -> bool:
+        """Closes an engine; whether nothing runs and nothing can come."""
+        if verb == "load":
+            return True
+        offset = self.orders.closed.get(engine.name)
+        if offset is None:
+            await self.leasing.journal.write(
+                records.EngineClosed(
+                    self.leasing.service,
+                    engine.name,
+                    self.leasing.tenure.token,
+                )
+            )
+            return False
+        since = self.since.setdefault(offset, clocks.now())
+        quiet = await self.closer.quiet(
+            closing.Closing(engine.name, offset, since)
+        )
+        if not quiet:
+            return False
+        state = await self.sender.state(engine.declared.address)
+        return state.running == 0
+
+    async def intend(
+        self,
+        engine: Engine,
+        wanted: wishes.Next,
+        state: orders.EngineState,
+        supersedes: str,
+    ) -> None:
+        """Writes an order down; it is sent once it was read back."""
+        await self.leasing.journal.write(
+            records.OrderIntended(
+                self.leasing.service,
+                engine.name,
+                self.leasing.tenure.token,
+                self.leasing.identity.incarnation,
+                self.new_id(),
+                wanted.verb,
+                wanted.subject,
+                wanted.wish,
+                state.incarnation,
+                engine.declared.role,
+                supersedes,
+            )
+        )
+
+    async def settle(self, engine: Engine, order: records.Order) -> None:
+        """Sends an outstanding order, or finds out what became of it."""
+        mine = order.author == self.leasing.identity.incarnation
+        if mine and order.id not in self.sends:
+            self.sends[order.id] = float("inf")
+            task = asyncio.create_task(self.send(engine, order))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            return
+        if self.sends.get(order.id) == float("inf"):
+            return
+        now = clocks.now()
+        silent = self.leasing.lease.undisputed(now, self.settings.control)
+        if mine:
+            quarantine = self.settings.control.quarantine
+            silent = now > self.sends[order.id] + quarantine
+        state = await self.sender.state(engine.declared.address)
+        found = orders.resolve(
+            order, state, engine.declared.checks_tokens, silent
+        )
+        if found == orders.Resolution.WAIT:
+            self.blocked.add(engine.name)
+            return
+        if found == orders.Resolution.SUPERSEDE:
+            await self.supersede(engine, order, state)
+            return
+        await self.finish(engine, order, found.value)
+
+    async def supersede(
+        self, engine: Engine, order: records.Order, state: orders.EngineState
+    ) -> None:
+        """Gives an order anew, with a token that shuts the first one out."""
+        if not self.controls(engine):
+            return
+        if await self.idle(engine, order.verb):
+            wanted = wishes.Next(order.verb, order.subject, order.wish, "")
+            await self.intend(engine, wanted, state, order.id)
+
+    async def send(self, engine: Engine, order: records.Order) -> None:
+        """Sends an order once and notes what is known of it."""
+
+        def check() -> None:
+            if not self.may_send(engine, order):
+                self.sends[order.id] = float("-inf")
+                raise exceptions.LeaseLost(order.id)
+
+        events.log(
+            events.ORDER_SENT,
+            engine=engine.name,
+            order=order.id,
+            token=order.token,
+            verb=order.verb,
+            subject=order.subject,
+        )
+        answer = await self.sender.send(
+            engine.declared.address, order, check, ANSWER_LIMIT
+        )
+        if self.sends[order.id] == float("-inf"):
+            return
+        self.sends[order.id] = clocks.now()
+        if answer != sending.Answer.UNKNOWN:
+            self.sends[order.id] = float("-inf")
+            await self.finish(engine, order, answer.value)
+
+    def may_send(self, engine: Engine, order: records.Order) -> bool:
+        """Whether the order's bytes may be written at this instant."""
+        if self.orders.outstanding.get(engine.name) != order:
+            return False
+        return orders.may_send(
+            order,
+            self.leasing.tenure,
+            self.leasing.lease,
+            engine.declared.checks_tokens,
+            clocks.now(),
+            self.settings.control,
+        )
+
+    async def finish(
+        self, engine: Engine, order: records.Order, result: str
+    ) -> None:
+        """Writes an order's result down."""
+        events.log(
+            events.ORDER_ENDED,
+            engine=engine.name,
+            order=order.id,
+            result=result,
+        )
+        await self.leasing.journal.write(
+            records.OrderFinished(
+                self.leasing.service, engine.name, order.id, result
+            )
+        )
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/commands.py
@@ -0,0 +1,153 @@
+"""Operators' orders and seizures, and what they can be shown of control."""
+
+import uuid6
+
+from gypsumfold import clocks
+from gypsumfold import exceptions
+from gypsumfold.control import control as control_module
+from gypsumfold.control import records
+from gypsumfold.operators import queries
+from gypsumfold.operators import statements
+
+LEASE_COLUMNS = (
+    "service",
+    "node",
+    "incarnation",
+    "token",
+    "released",
+    "heard",
+    "in_doubt",
+)
+ORDER_COLUMNS = (
+    "engine",
+    "service",
+    "state",
+    "verb",
+    "subject",
+    "token",
+    "id",
+    "by",
+)
+
+
+class Commands:
+    """Writes operators' commands on the log, where the holder reads them.
+
+    >>> await Commands(control).run(statements.Seize("dispatch", old), "ann")
+    'seized'
+    """
+
+    def __init__(self, control: control_module.Control):
+        self.control = control
+
+    async def run(self, command: statements.Command, author: str) -> str:
+        """Runs one command; see `operators.server.Commands`."""
+        change_id = str(uuid6.uuid7())
+        if isinstance(command, statements.Seize):
+            record = records.Seizure(
+                command.service, command.incarnation, author, change_id
+            )
+            said = f"{command.incarnation} is taken to be gone"
+        else:
+            record = records.OrderWished(
+                self.service(command.endpoint),
+                command.endpoint,
+                change_id,
+                author,
+                command.verb,
+                command.argument,
+            )
+            said = f"accepted as {change_id}; see: show orders"
+        if not await self.control.journal.write(record):
+            raise exceptions.AppendUndetermined("the log did not answer")
+        return said
+
+    def service(self, endpoint: str) -> str:
+        """Finds the service of a declared engine.
+
+        Raises:
+            exceptions.CommandFailed: There is none.
+        """
+        configuration = self.control.node.configuration
+        declared = configuration.get("endpoint", endpoint)
+        if declared is None or declared.service not in self.control.services:
+            raise exceptions.CommandFailed(f"{endpoint} is no declared engine")
+        return declared.service
+
+
+def register(
+    control: control_module.Control, sources: queries.Sources
+) -> None:
+    """Adds the sources ``leases`` and ``orders``."""
+    sources.register(
+        "leases", queries.Source(LEASE_COLUMNS, lambda: lease_rows(control))
+    )
+    sources.register(
+        "orders", queries.Source(ORDER_COLUMNS, lambda: order_rows(control))
+    )
+
+
+def lease_rows(control: control_module.Control) -> list[tuple]:
+    """Lists the leases; ``heard`` is seconds since the last renewal."""
+    rows = []
+    for service, book in sorted(control.books.services.items()):
+        lease = book.lease
+        if lease.holder is None:
+            continue
+        doubted = [holder.incarnation for holder in lease.predecessors]
+        rows.append(
+            (
+                service,
+                lease.holder.node,
+                lease.holder.incarnation,
+                lease.holder.token,
+                lease.released,
+                round(clocks.now() - lease.heard, 3),
+                " ".join(doubted),
+            )
+        )
+    return rows
+
+
+def order_rows(control: control_module.Control) -> list[tuple]:
+    """Lists what is wished, outstanding, closed and finished."""
+    rows = []
+    for service, book in sorted(control.books.services.items()):
+        found = book.orders
+        for each in found.finished:
+            rows.append(row(each.engine, service, each.result, each.order))
+        for engine, order in found.outstanding.items():
+            rows.append(row(engine, service, "outstanding", order))
+        for engine, waiting in found.wishes.items():
+            for wish in waiting:
+                rows.append(
+                    (
+                        engine,
+                        service,
+                        "wished",
+                        wish.verb,
+                        wish.subject,
+                        wish.offset,
+                        wish.change_id,
+                        wish.operator,
+                    )
+                )
+        for engine, offset in found.closed.items():
+            rows.append((engine, service, "closed", "", "", offset, "", ""))
+    return rows
+
+
+def row(
+    engine: str, service: str, state: str, order: records.Order
+) -> tuple:
+    """Makes the row of one order."""
+    return (
+        engine,
+        service,
+        state,
+        order.verb,
+        order.subject,
+        order.token,
+        order.id,
+        order.author,
+    )
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/control.py
@@ -0,0 +1,153 @@
+"""Composes a node's part in control: leases, closings and orders."""
+
+import asyncio
+from typing import NamedTuple
+
+from gypsumfold import clocks
+from gypsumfold import settings as settings_module
+from gypsumfold.control import books as books_module
+from gypsumfold.control import changing
+from gypsumfold.control import closing
+from gypsumfold.control import evidence as evidence_module
+from gypsumfold.control import journal as journal_module
+from gypsumfold.control import leases
+from gypsumfold.control import leasing as leasing_module
+from gypsumfold.control import permissions as permissions_module
+from gypsumfold.control import sending
+from gypsumfold.endpoints import engines
+from gypsumfold.platform import logs
+from gypsumfold.platform import records
+
+# Reads of the stream within the time that a permission lasts: one may be
+# lost, and each may take as long as it waits.
+READS = 4
+# Seconds that a node which stops waits for its orders' answers.
+STOP_LIMIT = 2 * changing.ANSWER_LIMIT
+
+
+class Held(NamedTuple):
+    """What runs for one service."""
+
+    leasing: leasing_module.Leasing
+    changes: changing.Changes
+
+
+class Control:
+    """Control on one node.
+
+    Attributes:
+        permissions: Asked before each dispatch to an engine.
+        services: The services whose lease this node may hold.
+
+    >>> control = Control(node)
+    >>> control.reconfigure()
+    """
+
+    def __init__(self, node):
+        self.node = node
+        settings: settings_module.Settings = node.settings
+        self.settings = settings
+        self.identity = leases.Identity(
+            node.incarnation, settings.node.name, settings.node.address
+        )
+        self.books = books_module.Books(
+            settings.platform.retention, clocks.now
+        )
+        self.tail = logs.Tail(
+            node.log,
+            records.CONTROL,
+            wait=min(logs.READ_WAIT, settings.control.permission / READS),
+        )
+        self.permissions = permissions_module.Permissions(
+            settings.control, self.books
+        )
+        self.tail.subscribe(self.books.apply, self.gap)
+        self.tail.ends.append(self.at_end)
+        self.books.listeners.append(self.read)
+        self.journal = journal_module.Journal(
+            node.log, self.tail, settings.platform
+        )
+        self.closer = closing.Closer(self.permissions, self.tail, node.peers)
+        self.sender = sending.Sender(settings)
+        self.evidence = evidence_module.Evidence(
+            self.identity, node.peers, node.membership
+        )
+        self.services: dict[str, Held] = {}
+
+    def gap(self, wanted: int, first: int) -> None:
+        """Begins anew: the log has dropped what was to be read next."""
+        self.books.gap(wanted, first)
+        for held in self.services.values():
+            held.leasing.tenure.end()
+
+    def at_end(self, asked: float) -> None:
+        """Confirms all permissions: every closing was read."""
+        self.books.caught_up()
+        self.permissions.confirmed = asked
+
+    def read(self, noted: books_module.Noted, valid: bool) -> None:
+        """Passes a record on to its service."""
+        held = self.services.get(noted.record.service)
+        if held is not None:
+            held.leasing.read(noted, valid)
+
+    def reconfigure(self) -> None:
+        """Follows a change of configuration."""
+        declared = self.node.configuration.all("service")
+        for name in list(self.services):
+            if name in declared:
+                continue
+            for part in ("lease", "changes"):
+                self.node.tasks.pop(f"{part}-{name}").cancel()
+            del self.services[name]
+        for name, service in declared.items():
+            if name in self.services or service.protocol != "engine":
+                continue
+            self.services[name] = self.hold(name)
+
+    def hold(self, service: str) -> Held:
+        """Starts to seek the lease of a service."""
+        leasing = leasing_module.Leasing(
+            service,
+            self.settings.control,
+            self.identity,
+            self.books,
+            self.journal,
+        )
+        leasing.gone = self.evidence.gone
+        changes = changing.Changes(
+            self.settings,
+            leasing,
+            self.closer,
+            self.sender,
+            lambda: self.engines(service),
+            self.node.new_id,
+        )
+        self.node.supervise(f"lease-{service}", leasing.run)
+        self.node.supervise(f"changes-{service}", changes.run)
+        return Held(leasing, changes)
+
+    def engines(self, service: str) -> list[changing.Engine]:
+        """Lists the engines of a service that were heard of."""
+        found = []
+        for watched in self.node.fleet.endpoints.values():
+            if watched.declared.service != service:
+                continue
+            if isinstance(watched.load, engines.Load):
+                found.append(
+                    changing.Engine(
+                        watched.name, watched.declared, watched.load.role
+                    )
+                )
+        return found
+
+    async def release(self) -> None:
+        """Gives all leases up, at the end of a graceful shutdown."""
+        limit = clocks.now() + STOP_LIMIT
+        for held in self.services.values():
+            held.leasing.stopping = True
+        sends = [t for h in self.services.values() for t in h.changes.tasks]
+        if sends:
+            await asyncio.wait(sends, timeout=limit - clocks.now())
+        releases = [h.leasing.release() for h in self.services.values()]
+        await asyncio.gather(*releases)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/evidence.py
@@ -0,0 +1,65 @@
+"""What shows that an earlier holder's process is gone for good."""
+
+from gypsumfold import membership as membership_module
+from gypsumfold.control import leases
+from gypsumfold.control import records
+from gypsumfold.peers import links
+
+
+class Evidence:
+    """Looks for proof among peers and on the list of VMs.
+
+    A newer incarnation that serves peers at a node's address proves that
+    the older one has ended, since two cannot listen there. A VM that was on
+    the platform's list and is no more has gone; one that was never seen on
+    the lagging list proves nothing.
+
+    >>> Evidence(identity, peers, membership).gone(holder)
+    'entry-1-018f... answers at 10.0.0.1'
+    """
+
+    def __init__(
+        self,
+        identity: leases.Identity,
+        peers: links.Peers,
+        membership: membership_module.Membership,
+    ):
+        self.identity = identity
+        self.peers = peers
+        self.membership = membership
+        self.listed: set[tuple[str, str]] = set()
+
+    def watch(self) -> None:
+        """Remembers which VMs were on the list."""
+        if self.membership.latest is None:
+            return
+        for vm in self.membership.latest.vms:
+            self.listed.add((vm.name, vm.address))
+
+    def gone(self, holder: records.Holder) -> str:
+        """Says what shows that a holder is gone; empty if nothing does."""
+        self.watch()
+        known = [(self.identity.address, self.identity.incarnation)]
+        for peer in self.peers.heard.values():
+            known.append((peer.address, peer.incarnation))
+        for address, incarnation in known:
+            same = address == holder.address
+            if same and follows(incarnation, holder):
+                return f"{incarnation} answers at {address}"
+        place = (holder.node, holder.address)
+        if place not in self.listed:
+            return ""
+        for vm in self.membership.latest.vms:
+            if (vm.name, vm.address) == place:
+                return ""
+        return f"{holder.node} left the list of VMs"
+
+
+def follows(incarnation: str, holder: records.Holder) -> bool:
+    """Whether an incarnation of the same node started after the holder's.
+
+    An incarnation is the node's name and a UUIDv7 (RFC 9562), whose text
+    sorts by time.
+    """
+    name, _, _ = incarnation.rpartition("-")
+    return name == holder.node and incarnation > holder.incarnation
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/control/leasing.py
@@ -0,0 +1,171 @@
+"""Claims, renews and gives up the lease of one service."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from gypsumfold import clocks
+from gypsumfold import events
+from gypsumfold import settings as settings_module
+from gypsumfold.control import books as books_module
+from gypsumfold.control import journal as journal_module
+from gypsumfold.control import leases
+from gypsumfold.control import records
+
+# Seconds between two looks at the lease: a fraction of any renewal.
+TICK = 0.1
+
+
+class Leasing:
+    """This node's part in the lease of one service.
+
+    Attributes:
+        tenure: Until when this node may use the lease.
+        retire: Says whether nothing that this node sent can be on its way.
+
+    >>> leasing = Leasing("dispatch", settings, identity, books, journal)
+    >>> leasing.valid()
+    False
+    """
+
+    def __init__(
+        self,
+        service: str,
+        settings: settings_module.ControlSection,
+        identity: leases.Identity,
+        books: books_module.Books,
+        journal: journal_module.Journal,
+    ):
+        self.service = service
+        self.settings = settings
+        self.identity = identity
+        self.books = books
+        self.journal = journal
+        self.tenure = leases.Tenure(identity)
+        self.settled: Callable[[], bool] = lambda: True
+        self.gone: Callable[[records.Holder], str] = lambda holder: ""
+        self.renewed = float("-inf")
+        self.stopping = False
+
+    @property
+    def book(self) -> books_module.Book:
+        """The book of the service."""
+        return self.books.book(self.service)
+
+    @property
+    def lease(self) -> leases.Lease:
+        """What the log says of the lease."""
+        return self.book.lease
+
+    def held(self) -> bool:
+        """Whether the log says that this incarnation is the holder."""
+        holder = self.lease.holder
+        if holder is None:
+            return False
+        return self.lease.held_by(self.identity.incarnation, holder.token)
+
+    def valid(self) -> bool:
+        """Whether this node may act as the holder at this instant."""
+        holds = self.lease.held_by(
+            self.identity.incarnation, self.tenure.token
+        )
+        return holds and self.tenure.valid(clocks.now())
+
+    def read(self, noted: books_module.Noted, valid: bool) -> None:
+        """Takes one of the service's records in, after its book did."""
+        record = noted.record
+        if not valid or not isinstance(record, records.LeaseChanged):
+            return
+        before = self.tenure.token
+        self.tenure.read_back(record, self.lease, self.settings.duration)
+        if self.tenure.token != before:
+            events.log(
+                events.LEASE_GRANTED,
+                service=self.service,
+                token=self.tenure.token,
+            )
+
+    async def run(self) -> None:
+        """Keeps or seeks the lease for as long as the service is declared."""
+        while True:
+            await asyncio.sleep(TICK)
+            if not self.journal.tail.caught_up.is_set():
+                continue
+            if not self.book.begun:
+                continue
+            await self.keep()
+            await self.report()
+
+    async def keep(self) -> None:
+        """Renews what this node holds, or claims what nobody does."""
+        now = clocks.now()
+        if self.stopping:
+            return
+        if self.held():
+            if now >= self.renewed + self.settings.renewal:
+                self.renewed = now
+                await self.write(records.RENEW, self.lease.holder.token)
+            return
+        await self.retire()
+        if not self.lease.claimable(now, self.settings):
+            return
+        # Nodes whose wait ends together seldom claim together.
+        await asyncio.sleep(random.random() * self.settings.renewal / 4)
+        if self.lease.claimable(clocks.now(), self.settings):
+            self.renewed = clocks.now()
+            await self.write(records.CLAIM, -1)
+
+    async def retire(self) -> None:
+        """Releases an earlier tenure of this process that others doubt."""
+        for holder in self.lease.predecessors:
+            if holder.incarnation != self.identity.incarnation:
+                continue
+            if self.settled():
+                await self.write(records.RELEASE, holder.token)
+            return
+
+    async def report(self) -> None:
+        """Writes down that an earlier holder is gone, where that shows."""
+        if not self.valid():
+            return
+        for holder in list(self.lease.predecessors):
+            evidence = "" if holder.ended else self.gone(holder)
+            if evidence:
+                events.log(
+                    events.HOLDER_ENDED,
+                    service=self.service,
+                    holder=holder.incarnation,
+                    evidence=evidence,
+                )
+                await self.journal.write(
+                    records.HolderEnded(
+                        self.service, holder.incarnation, evidence
+                    )
+                )
+
+    async def write(self, action: str, token: int) -> None:
+        """Appends one lease record."""
+        sequence = self.tenure.sending(clocks.now())
+        await self.journal.write(
+            records.LeaseChanged(
+                self.service,
+                action,
+                self.identity.incarnation,
+                self.identity.node,
+                self.identity.address,
+                sequence,
+                self.lease.last,
+                token,
+                self.book.snapshot(),
+            )
+        )
+
+    async def release(self) -> None:
+        """Gives the lease up, if nothing that was sent is on its way."""
+        self.stopping = True
+        holder = self.lease.holder
+        if not self.held() or not self.settled():
+            return
+        self.tenure.end()
+        await self.write(records.RELEASE, holder.token)
+        events.log(events.LEASE_RELEASED, service=self.service)
--- a/packages/gypsumfold/src/gypsumfold/control/orders.py
+++ b/packages/gypsumfold/src/gypsumfold/control/orders.py
@@ -156,6 +156,19 @@
         if order.verb == "role" and order.wish >= 0:
             self.pins[engine] = records.Pin(order.subject, order.declared)
 
+    def meet(self, record: records.WishMet, lease: leases.Lease) -> bool:
+        """Takes in that nothing is to be done for a wish."""
+        if not self.held(record.token, lease):
+            return False
+        for wish in self.wishes.get(record.engine, []):
+            if wish.offset != record.wish or wish.verb != "role":
+                continue
+            self.pins[record.engine] = records.Pin(
+                wish.subject, record.declared
+            )
+        self.drop(record.engine, record.wish)
+        return True
+
     def close(
         self, record: records.EngineClosed, offset: int, lease: leases.Lease
     ) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/control/records.py
+++ b/packages/gypsumfold/src/gypsumfold/control/records.py
@@ -246,15 +246,23 @@
     result: str
 
 
-@records.register("wish-dropped")
-class WishDropped(NamedTuple):
-    """A wish will not be carried out; valid from the holder alone."""
+@records.register("wish-met")
+class WishMet(NamedTuple):
+    """The engine does already what is wished; valid from the holder alone.
+
+    Attributes:
+        service: The service.
+        engine: The endpoint's name.
+        token: Token of the holder's lease.
+        wish: Offset of the wish.
+        declared: The engine's declared role.
+    """
 
     service: str
     engine: str
     token: int
     wish: int
-    reason: str
+    declared: str
 
 
 Record = (
@@ -266,6 +274,6 @@
     | OrderWished
     | OrderIntended
     | OrderFinished
-    | WishDropped
+    | WishMet
 )
 KINDS = Record.__args__
--- a/packages/gypsumfold/src/gypsumfold/control/wishes.py
+++ b/packages/gypsumfold/src/gypsumfold/control/wishes.py
@@ -31,6 +31,14 @@
     origin: str
 
 
+def met(wanted: Next, state: orders.EngineState) -> bool:
+    """Whether an engine does already what an order would bring about."""
+    if wanted.verb == "role":
+        return wanted.subject == state.role
+    loaded = wanted.subject in state.models
+    return loaded if wanted.verb == "load" else not loaded
+
+
 def choose(
     wishes: list[records.Wish],
     pin: records.Pin | None,
--- a/packages/gypsumfold/src/gypsumfold/platform/logs.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/logs.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
@@ -144,21 +145,31 @@
         caught_up: Set once the end was reached for the first time.
         healthy: Whether the last read was answered.
         heard: Event loop time of the last answered read; 0 before it.
+        ends: Called when the stream's end was read, with the time
+            (`clocks.now`) at which it was asked for.
 
     >>> tail = Tail(log, records.CLAIMS)
     >>> tail.subscribe(claims.apply)
     >>> await tail.reached(offset)  # one's own append is read back
     """
 
-    def __init__(self, log: Log, stream: str, start: int = 0):
+    def __init__(
+        self,
+        log: Log,
+        stream: str,
+        start: int = 0,
+        wait: float = READ_WAIT,
+    ):
         self.log = log
         self.stream = stream
         self.next = start
+        self.wait = wait
         self.caught_up = asyncio.Event()
         self.healthy = False
         self.heard = 0.0
         self.subscribers: list[Callable[[records.Entry], Any]] = []
         self.gaps: list[Callable[[int, int], Any]] = []
+        self.ends: list[Callable[[float], Any]] = []
         self.moved = asyncio.Condition()
 
     def subscribe(
@@ -186,7 +197,8 @@
         """Reads for as long as the node runs."""
         while True:
             # A starting node asks at once whether it has reached the end.
-            wait = READ_WAIT if self.caught_up.is_set() else 0.0
+            wait = self.wait if self.caught_up.is_set() else 0.0
+            asked = clocks.now()
             try:
                 page = await self.log.read(self.stream, self.next, wait)
             except (
@@ -198,6 +210,10 @@
                 continue
             self.set_health(True, "")
             await self.deliver(page)
+            if self.next < page.end:
+                continue
+            for end in self.ends:
+                end(asked)
 
     async def deliver(self, page: Page) -> None:
         """Hands a page's entries out and wakes those who wait for them."""
