--- a/packages/gypsumfold/src/gypsumfold/control/books.py
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -130,10 +130,11 @@
         retention. All nodes then go on from what its writer knew.
         """
         begins = record.action == records.CLAIM and record.previous == -1
-        if begins and self.lease.last != -1:
-            if self.lease.follows(-1, time):
-                self.lease.load(record.state, now)
-                self.orders.load(record.state)
+        if not begins or self.lease.last == -1:
+            return
+        if self.lease.follows(-1, time):
+            self.lease.load(record.state, now)
+            self.orders.load(record.state)
 
     def closed(self) -> dict[str, int]:
         """Lists the closed engines, as far as they are known by now."""
--- a/packages/gypsumfold/src/gypsumfold/control/changing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/changing.py
@@ -72,7 +72,7 @@
         leasing.settled = self.settled
 
     @property
-    def orders(self) -> orders.Orders:
+    def known(self) -> orders.Orders:
         """What the log says of the service's orders."""
         return self.leasing.book.orders
 
@@ -104,12 +104,12 @@
 
     async def step(self, engine: Engine) -> None:
         """Does the next thing for one engine."""
-        order = self.orders.outstanding.get(engine.name)
+        order = self.known.outstanding.get(engine.name)
         if order is not None:
             await self.settle(engine, order)
             return
         self.blocked.discard(engine.name)
-        closed = engine.name in self.orders.closed
+        closed = engine.name in self.known.closed
         if not closed and not self.lacks(engine, engine.role):
             return
         if not self.controls(engine) or not self.room(engine):
@@ -127,7 +127,7 @@
 
     def lacks(self, engine: Engine, role: str) -> bool:
         """Whether there seems to be something to do, by the last report."""
-        if self.orders.wishes.get(engine.name):
+        if self.known.wishes.get(engine.name):
             return True
         state = orders.EngineState(
             "", role, frozenset(), 0, False, "", True, -1
@@ -139,8 +139,8 @@
     ) -> wishes.Next | None:
         """Picks the next order for an engine."""
         return wishes.choose(
-            self.orders.wishes.get(engine.name, []),
-            self.orders.pins.get(engine.name),
+            self.known.wishes.get(engine.name, []),
+            self.known.pins.get(engine.name),
             engine.declared,
             self.planned(engine.name),
             state,
@@ -151,7 +151,7 @@
 
         This rations the weight store, too: each load is a change.
         """
-        taken = {*self.orders.closed, *self.orders.outstanding}
+        taken = {*self.known.closed, *self.known.outstanding}
         taken -= {engine.name, *self.blocked}
         return len(taken) < self.settings.control.changes
 
@@ -169,7 +169,7 @@
 
     async def open(self, engine: Engine) -> None:
         """Lets nodes dispatch to the engine again."""
-        if engine.name not in self.orders.closed:
+        if engine.name not in self.known.closed:
             return
         await self.leasing.journal.write(
             records.EngineOpened(
@@ -181,7 +181,7 @@
         """Closes an engine; whether nothing runs and nothing can come."""
         if verb == "load":
             return True
-        offset = self.orders.closed.get(engine.name)
+        offset = self.known.closed.get(engine.name)
         if offset is None:
             await self.leasing.journal.write(
                 records.EngineClosed(
@@ -290,7 +290,7 @@
 
     def may_send(self, engine: Engine, order: records.Order) -> bool:
         """Whether the order's bytes may be written at this instant."""
-        if self.orders.outstanding.get(engine.name) != order:
+        if self.known.outstanding.get(engine.name) != order:
             return False
         return orders.may_send(
             order,
--- a/packages/gypsumfold/src/gypsumfold/control/commands.py
+++ b/packages/gypsumfold/src/gypsumfold/control/commands.py
@@ -75,9 +75,7 @@
         return declared.service
 
 
-def register(
-    control: control_module.Control, sources: queries.Sources
-) -> None:
+def register(control: control_module.Control, sources: queries.Sources) -> None:
     """Adds the sources ``leases`` and ``orders``."""
     sources.register(
         "leases", queries.Source(LEASE_COLUMNS, lambda: lease_rows(control))
@@ -137,9 +135,7 @@
     return rows
 
 
-def row(
-    engine: str, service: str, state: str, order: records.Order
-) -> tuple:
+def row(engine: str, service: str, state: str, order: records.Order) -> tuple:
     """Makes the row of one order."""
     return (
         engine,
--- a/packages/gypsumfold/src/gypsumfold/control/leasing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/leasing.py
@@ -66,9 +66,7 @@
 
     def valid(self) -> bool:
         """Whether this node may act as the holder at this instant."""
-        holds = self.lease.held_by(
-            self.identity.incarnation, self.tenure.token
-        )
+        holds = self.lease.held_by(self.identity.incarnation, self.tenure.token)
         return holds and self.tenure.valid(clocks.now())
 
     def read(self, noted: books_module.Noted, valid: bool) -> None:
--- a/packages/gypsumfold/src/gypsumfold/control/permissions.py
+++ b/packages/gypsumfold/src/gypsumfold/control/permissions.py
@@ -1,4 +1,4 @@
-"""Which engines this node may dispatch to; no network, no clock.
+"""Which engines this node may dispatch to; no network.
 
 A planned change closes an engine by a record on the log. So a node may
 dispatch only while it can be sure to know of every closing: its permission
@@ -13,11 +13,35 @@
 import contextlib
 import math
 
+from gypsumfold import clocks
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
 from gypsumfold.control import books as books_module
 
 
+class Permit:
+    """The permission for one engine; see `engines.Permit`.
+
+    >>> Permit(permissions, "lm-1").check()
+    """
+
+    def __init__(self, permissions: "Permissions", engine: str):
+        self.permissions = permissions
+        self.engine = engine
+
+    def allows(self) -> bool:
+        """Whether this node may dispatch there at this instant."""
+        return self.permissions.allows(self.engine, clocks.now())
+
+    def check(self) -> None:
+        """Insists on it; see `Permissions.check`."""
+        self.permissions.check(self.engine, clocks.now())
+
+    def dispatch(self) -> contextlib.AbstractContextManager[None]:
+        """Counts a dispatch; see `Permissions.dispatch`."""
+        return self.permissions.dispatch(self.engine)
+
+
 class Permissions:
     """The permissions of one node, asked for at the instant of a dispatch.
 
--- a/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 from typing import NamedTuple
+from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -82,6 +84,56 @@
     changing: bool = False
 
 
+class Permit(Protocol):
+    """Whether this node may dispatch to one engine."""
+
+    def allows(self) -> bool:
+        """Whether it may at this instant."""
+
+    def check(self) -> None:
+        """Insists on it.
+
+        Raises:
+            exceptions.EndpointNotStarted: It may not.
+        """
+
+    def dispatch(self) -> contextlib.AbstractContextManager[None]:
+        """Counts a dispatch for as long as it is in progress."""
+
+
+class Always:
+    """Where nothing is ever closed."""
+
+    def allows(self) -> bool:
+        """Always."""
+        return True
+
+    def check(self) -> None:
+        """Always passes."""
+
+    def dispatch(self) -> contextlib.AbstractContextManager[None]:
+        """Counts nothing."""
+        return contextlib.nullcontext()
+
+
+class _Body:
+    """A dispatch's bytes, given out if the permit holds as they are sent."""
+
+    def __init__(self, permit: Permit, content: bytes):
+        self.permit = permit
+        self.content = content
+        self.refused = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the bytes at once, or raises what the permit raises."""
+        try:
+            self.permit.check()
+        except exceptions.EndpointNotStarted:
+            self.refused = True
+            raise
+        yield self.content
+
+
 class EngineClient:
     """Talks to one engine.
 
@@ -97,6 +149,7 @@
         settings: settings_module.EndpointsSection,
     ):
         self.base = f"http://{address}/v1"
+        self.permit: Permit = Always()
         self.sessions = sessions
         self.settings = settings
 
@@ -145,16 +198,26 @@
             exceptions.EndpointNotStarted: It cannot have started.
             exceptions.StreamBroken: The stream ended or went wrong.
         """
-        body = msgspec.json.encode(dispatch)
+        self.permit.check()
+        content = msgspec.json.encode(dispatch)
+        body = _Body(self.permit, content)
         request = self.sessions.pooled.post(
             f"{self.base}/dispatches",
-            data=body,
-            headers={"Content-Type": "application/json"},
+            data=body.chunks(),
+            headers={
+                "Content-Type": "application/json",
+                "Content-Length": str(len(content)),
+            },
         )
-        async for item in self.follow(
-            request, dispatch.id, len(dispatch.prior)
-        ):
-            yield item
+        stream = self.follow(request, dispatch.id, len(dispatch.prior))
+        with self.permit.dispatch():
+            try:
+                async for item in stream:
+                    yield item
+            except exceptions.StreamBroken as error:
+                if not body.refused:
+                    raise
+                raise exceptions.EndpointNotStarted(str(error)) from error
 
     async def resume(
         self, dispatch_id: str, index: int
--- a/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
@@ -9,6 +9,7 @@
 from gypsumfold import exceptions
 from gypsumfold import objects
 from gypsumfold import settings as settings_module
+from gypsumfold.control import permissions
 from gypsumfold.decisions import types
 from gypsumfold.endpoints import connections
 from gypsumfold.endpoints import engines
@@ -25,7 +26,7 @@
         load: Its last report; None before the first.
         heard: Monotonic time of the last answer; minus infinity before it.
         vm_leaving: Whether the platform's list says that its VM leaves.
-        closed: Whether it is closed for a planned change.
+        permit: Whether this node may dispatch there at all.
     """
 
     def __init__(self, name: str, declared: objects.Endpoint, client: Any):
@@ -35,7 +36,7 @@
         self.load: engines.Load | services.Health | None = None
         self.heard = float("-inf")
         self.vm_leaving = False
-        self.closed = False
+        self.permit: engines.Permit = engines.Always()
         self.task: asyncio.Task | None = None
 
     def is_open(self, now: float, silent_after: float) -> bool:
@@ -47,7 +48,7 @@
         """
         if self.load is None or self.load.leaving or self.vm_leaving:
             return False
-        if self.closed or self.declared.drained:
+        if self.declared.drained or not self.permit.allows():
             return False
         return now - self.heard <= silent_after
 
@@ -69,6 +70,7 @@
         self.settings = settings.endpoints
         self.configuration = configuration
         self.sessions = sessions
+        self.permissions: permissions.Permissions | None = None
         self.endpoints: dict[str, Watched] = {}
 
     def sync(self) -> None:
@@ -100,6 +102,9 @@
             kind = engines.EngineClient
         client = kind(endpoint.address, self.sessions, self.settings)
         watched = Watched(name, endpoint, client)
+        if service.protocol == "engine" and self.permissions is not None:
+            watched.permit = permissions.Permit(self.permissions, name)
+            client.permit = watched.permit
         watched.task = asyncio.create_task(self.poll(watched))
         self.endpoints[name] = watched
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -99,6 +99,22 @@
 FRAME_REFUSED = define(
     502, "frame-refused", "warning", "A frame from a peer was not authentic."
 )
+LEASE_GRANTED = define(
+    600, "lease-granted", "info", "This node holds the lease of a service."
+)
+LEASE_RELEASED = define(
+    601, "lease-released", "info", "This node gave a lease up."
+)
+HOLDER_ENDED = define(
+    602,
+    "holder-ended",
+    "info",
+    "There is proof that an earlier holder of a lease is gone.",
+)
+ORDER_SENT = define(603, "order-sent", "info", "An order goes to an engine.")
+ORDER_ENDED = define(
+    604, "order-ended", "info", "It is known what became of an order."
+)
 CONFIG_APPLIED = define(
     700, "config-applied", "info", "A change of configuration is in force."
 )
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -22,6 +22,8 @@
 from gypsumfold import tls
 from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
+from gypsumfold.control import commands
+from gypsumfold.control import control
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.decisions import scheduling
 from gypsumfold.decisions import types
@@ -81,6 +83,9 @@
             self.peers,
             self.fleet,
         )
+        self.control = control.Control(self)
+        self.tails[records.CONTROL] = self.control.tail
+        self.fleet.permissions = self.control.permissions
         self.calls = calls.Calls(self)
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
         self.digests = digests.Digests(
@@ -92,6 +97,7 @@
         self.publisher = publishing.Publisher(self.configuration, self.log)
         self.sources = queries.Sources(self.configuration)
         live.register(self, self.sources)
+        commands.register(self.control, self.sources)
         self.replication = replication.Replication(
             settings,
             self.configuration,
@@ -106,6 +112,7 @@
             self.publisher,
             self.sources,
             self.state,
+            commands.Commands(self.control),
             report=self.reporting.report,
         )
         self.tails[records.CONFIG].subscribe(self.configuration.apply)
@@ -172,6 +179,7 @@
         for dispatcher in self.dispatchers.values():
             dispatcher.scheduler.declare(self.shares())
         self.fleet.sync()
+        self.control.reconfigure()
 
     def shares(self) -> dict[str, types.Share]:
         """What accounts are entitled to."""
@@ -228,6 +236,7 @@
         self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        self.supervise("closings", self.control.closer.run)
         self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
         self.supervise("snapshots", self.replication.run_snapshots)
@@ -277,6 +286,7 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.calls.close()
+        await self.control.release()
         await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
