--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -1,9 +1,12 @@
 """Steps on leases and orders through real processes."""
 
+import time
+
 import behave
 from features.support import deployments
 from features.support import fleets
 from features.support import http
+import psutil
 
 LEASE = {
     "duration": 1.5,
@@ -13,42 +16,113 @@
     "quarantine": 1.5,
 }
 NODES = ("entry-1", "entry-2", "entry-3")
+ENGINES = ("lm-1", "lm-2")
+SERVICE = deployments.ENGINES
+TAKEN = ("started", "done", "failed")
 
 
 def orders(context, engine):
+    """Lists all orders that came to an engine."""
     return context.fleet[engine].test("orders")
 
 
+def taken(context, engine):
+    """Lists the orders that an engine carried out."""
+    return [r for r in orders(context, engine) if r["verdict"] in TAKEN]
+
+
 def state(context, engine):
     return http.get(f"{context.fleet[engine].url}/v1/state").json()
 
 
 def show(context, source, node=None):
     """Reads one source of operators' queries as dictionaries."""
-    answer = context.fleet.operate(
-        "/v1/queries", {"text": f"show {source}"}, node
-    )
+    query = {"text": f"show {source}"}
+    answer = context.fleet.operate("/v1/queries", query, node)
     assert answer.status == 200, answer
     table = answer.json()
-    return [
-        dict(zip(table["columns"], row, strict=True)) for row in table["rows"]
-    ]
+    found = []
+    for row in table["rows"]:
+        found.append(dict(zip(table["columns"], row, strict=True)))
+    return found
 
 
-@behave.given('controlled engines "{kind}" and {count:d} nodes')
-def step_fleet(context, kind, count):
+def holder(context, node=None):
+    """Names the node that holds the engines' lease, as a node knows it."""
+    for lease in show(context, "leases", node):
+        if lease["service"] == SERVICE and not lease["released"]:
+            return lease["node"]
+    return ""
+
+
+def elsewhere(context):
+    """Gives a node that is neither dead, frozen nor the first holder."""
+    for name, node in context.fleet.nodes.items():
+        if name != context.holder and node.alive and not node.frozen:
+            return node
+    raise AssertionError("no other node")
+
+
+def order(context, engine, role, node=None):
+    context.fleet.apply(f'order endpoint "{engine}" role {role}', node)
+
+
+def start_engines(context, kind):
     fleet = context.fleet = fleets.Fleet("control")
     fleet.start_platform()
-    for name in ("lm-1", "lm-2"):
+    for name in ENGINES:
         fleet.start_engine(name, checks_tokens=kind == "checking", speed=5.0)
     fleet.start_service("ramp-1")
-    fleet.start_nodes(*NODES[:count], control=LEASE)
+
+
+def find_holder(context):
+    context.fleet.until(lambda: holder(context), message="no lease is held")
+    context.holder = holder(context)
+
+
+@behave.given('controlled engines "{kind}" and {count:d} nodes')
+def step_fleet(context, kind, count):
+    start_engines(context, kind)
+    context.fleet.start_nodes(*NODES[:count], control=LEASE)
+    deployments.declare(context.fleet)
+    find_holder(context)
+
+
+@behave.given('controlled engines "{kind}" whose holder freezes before sending')
+def step_pausing(context, kind):
+    start_engines(context, kind)
+    fleet = context.fleet
+    path = fleet.folder / "entry-1.toml"
+    sections = fleet.settings("entry-1", "north-apron", {"control": LEASE})
+    path.write_text(fleets.toml(sections))
+    fleet.add_vm("entry-1", "north-apron", "entry")
+    fleet.nodes["entry-1"] = fleet.start(
+        "entry-1",
+        "features.support.pausing_node",
+        ["run", str(path)],
+        fleets.CALLERS_PORT,
+    )
+    fleet["entry-1"].until_ready("/ready")
     deployments.declare(fleet)
+    find_holder(context)
+    assert context.holder == "entry-1"
+    fleet.start_nodes("entry-2", "entry-3", control=LEASE)
 
 
-def order(context, engine, role, node=None):
-    text = f'order endpoint "{engine}" role {role}'
-    context.fleet.apply(text, node)
+@behave.given('controlled engines "{kind}" behind proxies and {count:d} nodes')
+def step_proxied(context, kind, count):
+    start_engines(context, kind)
+    fleet = context.fleet
+    context.proxies = {name: fleet.proxy(fleet[name]) for name in ENGINES}
+    # The late bytes must come within the quarantine.
+    control = {**LEASE, "quarantine": 6.0}
+    fleet.start_nodes(*NODES[:count], control=control)
+    addresses = {
+        name.replace("-", "_"): proxy.address
+        for name, proxy in context.proxies.items()
+    }
+    deployments.declare(fleet, **addresses)
+    find_holder(context)
 
 
 @behave.when('an operator orders the role "{role}" of "{engine}"')
@@ -56,23 +130,216 @@
     order(context, engine, role)
 
 
-@behave.then('"{engine}" has the role "{role}" and took {count:d} order')
-def step_role(context, engine, role, count):
+@behave.when('an operator orders the role "{role}" of "{engine}" elsewhere')
+def step_order_elsewhere(context, role, engine):
+    order(context, engine, role, elsewhere(context))
+
+
+def stopped(process):
+    return psutil.Process(process.pid).status() == psutil.STATUS_STOPPED
+
+
+@behave.when("the holder has frozen and another node holds the lease")
+def step_frozen(context):
+    frozen = context.fleet[context.holder]
+    context.fleet.until(lambda: stopped(frozen), message=frozen.tail())
+    frozen.frozen = True
+    other = elsewhere(context)
+    rows = show(context, "leases", other)
+    context.incarnation = rows[0]["incarnation"]
     context.fleet.until(
-        lambda: state(context, engine)["role"] == role,
-        message=f"{state(context, engine)}",
+        lambda: holder(context, other) not in ("", context.holder),
+        message="the lease was not taken over",
     )
-    done = [r for r in orders(context, engine) if r["verdict"] == "done"]
-    assert len(done) == count, done
+
+
+@behave.when("the frozen holder wakes")
+def step_wake(context):
+    context.fleet[context.holder].thaw()
+
+
+@behave.when("there is a restart of the holder")
+def step_restart(context):
+    process = context.fleet[context.holder]
+    process.kill()
+    process.frozen = False
+    process.command[2] = "gypsumfold.main"
+    process.restart()
+
+
+@behave.when("there is the holder's VM leaving")
+def step_vm_gone(context):
+    context.fleet[context.holder].kill()
+    context.fleet[context.holder].frozen = False
+    del context.fleet.vms[context.holder]
+    context.fleet.publish_vms()
+
+
+@behave.when("there is an operator's seizure")
+def step_seize(context):
+    context.fleet[context.holder].kill()
+    context.fleet[context.holder].frozen = False
+    text = f'seize service "{SERVICE}" from "{context.incarnation}"'
+    context.fleet.apply(text, elsewhere(context))
+
+
+@behave.when("the holder's orders are held back on their way")
+def step_hold(context):
+    source = context.fleet[context.holder].host
+    context.proxies["lm-1"].hold(match="POST /v1/orders", source=source)
+
+
+@behave.when("the order is on its way and the holder is killed")
+def step_on_its_way(context):
+    proxy = context.proxies["lm-1"]
+    context.fleet.until(lambda: proxy.record()["held"])
+    context.fleet[context.holder].kill()
+
+
+@behave.when("the late bytes arrive")
+def step_release(context):
+    before = len(orders(context, "lm-1"))
+    source = context.fleet.host(context.holder)
+    context.proxies["lm-1"].release(source=source)
+    context.fleet.until(lambda: len(orders(context, "lm-1")) > before)
+
+
+@behave.when("the killed holder is started again")
+def step_restarted(context):
+    context.fleet[context.holder].restart()
+
+
+@behave.then('"{engine}" refuses its order as stale')
+def step_stale(context, engine):
+    def refused():
+        found = orders(context, engine)
+        return any(each["verdict"] == "stale-token" for each in found)
+
+    context.fleet.until(refused, message=f"{orders(context, engine)}")
+
+
+def until_role(context, engine, role):
+    def there():
+        now = state(context, engine)
+        return now["role"] == role and not now["changing"]
+
+    context.fleet.until(there, message=f"{engine} is no {role}")
+
+
+@behave.then('"{engine}" has the role "{role}" and took {count:d} order')
+@behave.then('"{engine}" has the role "{role}" and took {count:d} orders')
+def step_role(context, engine, role, count):
+    until_role(context, engine, role)
+    assert len(taken(context, engine)) == count, orders(context, engine)
 
 
 @behave.then("no engine took an order that was stale, overlapping or cutting")
 def step_clean(context):
-    for name, endpoint in context.fleet.endpoints.items():
-        if endpoint.protocol != "engine":
-            continue
-        for record in orders(context, name):
-            taken = record["verdict"] in ("started", "done", "failed")
+    for name in ENGINES:
+        for record in taken(context, name):
             assert not record["cut"], record
-            if taken:
-                assert not record["stale"] and not record["during"], record
+            assert not record["stale"] and not record["during"], record
+
+
+@behave.then("no order reaches an engine for {count:d} durations of the lease")
+def step_none(context, count):
+    before = [orders(context, name) for name in ENGINES]
+    time.sleep(count * LEASE["duration"])
+    assert [orders(context, name) for name in ENGINES] == before
+
+
+@behave.when('the answer of the next order to "{engine}" is lost')
+def step_lost_answer(context, engine):
+    context.fleet[engine].faults(lost_orders=1)
+
+
+@behave.then('"{engine}" is open again at every node')
+def step_open(context, engine):
+    deployments.until_open(context.fleet, engine)
+
+
+@behave.when('"{engine}" crashes in the middle of its next order')
+def step_crash(context, engine):
+    context.fleet[engine].faults(crash_in_order=True)
+
+
+@behave.when('"{engine}" has crashed and is started again')
+def step_crashed(context, engine):
+    context.fleet.until(lambda: not context.fleet[engine].alive)
+    context.fleet[engine].restart()
+    context.fleet[engine].until_ready("/v1/state")
+
+
+@behave.when(
+    'every node is asked for another role of "{engine}", {count:d} times over'
+)
+def step_contradict(context, engine, count):
+    roles = ("prefill", "decode", "mixed")
+    for turn in range(count):
+        for place, node in enumerate(context.fleet.nodes.values()):
+            order(context, engine, roles[(turn + place) % 3], node)
+
+
+@behave.then('"{engine}" comes to rest in the role that is last on the log')
+def step_last_role(context, engine):
+    def rests():
+        return not show(context, 'orders where state = "wished"')
+
+    context.fleet.until(rests, message=f"{show(context, 'orders')}")
+    # Turn 3 of the last node, as `step_contradict` gives them.
+    until_role(context, engine, "mixed")
+    deployments.until_open(context.fleet, engine)
+
+
+@behave.when(
+    'a long stream keeps "{engine}" from the role "{role}" it was ordered'
+)
+def step_long_stream(context, engine, role):
+    context.fleet[engine].faults(stuck=True)
+    body = {
+        "id": "long",
+        "model": deployments.MODEL,
+        "messages": deployments.messages("long"),
+        "prior": [],
+        "max_tokens": 5,
+        "priority": 0,
+        "prefill_from": "",
+    }
+    url = f"{context.fleet[engine].url}/v1/dispatches"
+    context.stream = http.open_request("POST", url, body)
+    context.engine = engine
+    context.before = len(context.fleet[engine].test("dispatches"))
+    if not hasattr(context, "wish_later"):
+        order(context, engine, role)
+        deployments.until_closed(context.fleet, engine, fleets.LIMIT)
+
+
+@behave.when("the long stream has ended")
+def step_stream_ends(context):
+    context.fleet[context.engine].faults(stuck=False)
+    connection, response = context.stream
+    for _ in http.events(response):
+        continue
+    connection.close()
+
+
+@behave.when("the log goes down")
+def step_log_down(context):
+    context.fleet["log"].faults(appends_down=True, reads_down=True)
+
+
+@behave.when("the log comes back")
+def step_log_up(context):
+    context.fleet["log"].faults(appends_down=False, reads_down=False)
+
+
+@behave.then("completions through every node are whole meanwhile")
+def step_flow(context):
+    for name, node in context.fleet.nodes.items():
+        found = deployments.complete(node, f"in an outage by {name}")
+        assert found.right and found.outcome == "complete", found
+
+
+@behave.when("the holder is stopped")
+def step_stop_holder(context):
+    assert context.fleet[context.holder].stop() == 0
--- a/packages/gypsumfold/src/gypsumfold/control/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/control/sending.py
@@ -69,7 +69,9 @@
     def session(self) -> aiohttp.ClientSession:
         """Makes a client whose connections serve one request each."""
         connector = aiohttp.TCPConnector(
-            force_close=True, socket_factory=self.socket
+            force_close=True,
+            socket_factory=self.socket,
+            local_addr=(self.settings.node.address, 0),
         )
         return aiohttp.ClientSession(connector=connector)
 
