--- a/features/planned_changes.feature
+++ b/features/planned_changes.feature
@@ -15,9 +15,11 @@
   @promise-2
   Scenario: A node that froze with an old permission does not dispatch
     Given controlled engines "checking" and 3 nodes
-    When a long stream keeps "lm-1" from the role "decode" it was ordered
-    And a node freezes before it and its permission lapses
+    When a long stream runs on "lm-1"
+    And a node freezes with a permission for "lm-1"
+    And the engine is closed and the frozen node's permission has lapsed
     And requests wait for the frozen node when it wakes
     Then "lm-1" got no dispatch after it was closed
-    And "lm-1" has the role "decode" and took 1 order
+    When the long stream has ended
+    Then "lm-1" has the role "decode" and took 1 order
     And no engine took an order that was stale, overlapping or cutting
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -3,54 +3,17 @@
 import time
 
 import behave
+from features.support import control_fleet
 from features.support import deployments
 from features.support import fleets
 from features.support import http
 import psutil
 
-LEASE = {
-    "duration": 1.5,
-    "renewal": 0.3,
-    "drift": 0.3,
-    "permission": 1.0,
-    "quarantine": 1.5,
-}
-NODES = ("entry-1", "entry-2", "entry-3")
-ENGINES = ("lm-1", "lm-2")
-SERVICE = deployments.ENGINES
-TAKEN = ("started", "done", "failed")
-
-
-def orders(context, engine):
-    """Lists all orders that came to an engine."""
-    return context.fleet[engine].test("orders")
-
-
-def taken(context, engine):
-    """Lists the orders that an engine carried out."""
-    return [r for r in orders(context, engine) if r["verdict"] in TAKEN]
-
-
-def state(context, engine):
-    return http.get(f"{context.fleet[engine].url}/v1/state").json()
-
-
-def show(context, source, node=None):
-    """Reads one source of operators' queries as dictionaries."""
-    query = {"text": f"show {source}"}
-    answer = context.fleet.operate("/v1/queries", query, node)
-    assert answer.status == 200, answer
-    table = answer.json()
-    found = []
-    for row in table["rows"]:
-        found.append(dict(zip(table["columns"], row, strict=True)))
-    return found
-
 
 def holder(context, node=None):
     """Names the node that holds the engines' lease, as a node knows it."""
-    for lease in show(context, "leases", node):
-        if lease["service"] == SERVICE and not lease["released"]:
+    for lease in control_fleet.show(context, "leases", node):
+        if lease["service"] == control_fleet.SERVICE and not lease["released"]:
             return lease["node"]
     return ""
 
@@ -63,14 +26,10 @@
     raise AssertionError("no other node")
 
 
-def order(context, engine, role, node=None):
-    context.fleet.apply(f'order endpoint "{engine}" role {role}', node)
-
-
 def start_engines(context, kind):
     fleet = context.fleet = fleets.Fleet("control")
     fleet.start_platform()
-    for name in ENGINES:
+    for name in control_fleet.ENGINES:
         fleet.start_engine(name, checks_tokens=kind == "checking", speed=5.0)
     fleet.start_service("ramp-1")
 
@@ -83,7 +42,9 @@
 @behave.given('controlled engines "{kind}" and {count:d} nodes')
 def step_fleet(context, kind, count):
     start_engines(context, kind)
-    context.fleet.start_nodes(*NODES[:count], control=LEASE)
+    context.fleet.start_nodes(
+        *control_fleet.NODES[:count], control=control_fleet.LEASE
+    )
     deployments.declare(context.fleet)
     find_holder(context)
 
@@ -93,7 +54,9 @@
     start_engines(context, kind)
     fleet = context.fleet
     path = fleet.folder / "entry-1.toml"
-    sections = fleet.settings("entry-1", "north-apron", {"control": LEASE})
+    sections = fleet.settings(
+        "entry-1", "north-apron", {"control": control_fleet.LEASE}
+    )
     path.write_text(fleets.toml(sections))
     fleet.add_vm("entry-1", "north-apron", "entry")
     fleet.nodes["entry-1"] = fleet.start(
@@ -106,17 +69,19 @@
     deployments.declare(fleet)
     find_holder(context)
     assert context.holder == "entry-1"
-    fleet.start_nodes("entry-2", "entry-3", control=LEASE)
+    fleet.start_nodes("entry-2", "entry-3", control=control_fleet.LEASE)
 
 
 @behave.given('controlled engines "{kind}" behind proxies and {count:d} nodes')
 def step_proxied(context, kind, count):
     start_engines(context, kind)
     fleet = context.fleet
-    context.proxies = {name: fleet.proxy(fleet[name]) for name in ENGINES}
+    context.proxies = {
+        name: fleet.proxy(fleet[name]) for name in control_fleet.ENGINES
+    }
     # The late bytes must come within the quarantine.
-    control = {**LEASE, "quarantine": 6.0}
-    fleet.start_nodes(*NODES[:count], control=control)
+    control = {**control_fleet.LEASE, "quarantine": 6.0}
+    fleet.start_nodes(*control_fleet.NODES[:count], control=control)
     addresses = {
         name.replace("-", "_"): proxy.address
         for name, proxy in context.proxies.items()
@@ -127,12 +92,12 @@
 
 @behave.when('an operator orders the role "{role}" of "{engine}"')
 def step_order(context, role, engine):
-    order(context, engine, role)
+    control_fleet.order(context, engine, role)
 
 
 @behave.when('an operator orders the role "{role}" of "{engine}" elsewhere')
 def step_order_elsewhere(context, role, engine):
-    order(context, engine, role, elsewhere(context))
+    control_fleet.order(context, engine, role, elsewhere(context))
 
 
 def stopped(process):
@@ -145,7 +110,7 @@
     context.fleet.until(lambda: stopped(frozen), message=frozen.tail())
     frozen.frozen = True
     other = elsewhere(context)
-    rows = show(context, "leases", other)
+    rows = control_fleet.show(context, "leases", other)
     context.incarnation = rows[0]["incarnation"]
     context.fleet.until(
         lambda: holder(context, other) not in ("", context.holder),
@@ -179,7 +144,9 @@
 def step_seize(context):
     context.fleet[context.holder].kill()
     context.fleet[context.holder].frozen = False
-    text = f'seize service "{SERVICE}" from "{context.incarnation}"'
+    text = (
+        f'seize service "{control_fleet.SERVICE}" from "{context.incarnation}"'
+    )
     context.fleet.apply(text, elsewhere(context))
 
 
@@ -198,10 +165,12 @@
 
 @behave.when("the late bytes arrive")
 def step_release(context):
-    before = len(orders(context, "lm-1"))
+    before = len(control_fleet.orders(context, "lm-1"))
     source = context.fleet.host(context.holder)
     context.proxies["lm-1"].release(source=source)
-    context.fleet.until(lambda: len(orders(context, "lm-1")) > before)
+    context.fleet.until(
+        lambda: len(control_fleet.orders(context, "lm-1")) > before
+    )
 
 
 @behave.when("the killed holder is started again")
@@ -212,40 +181,40 @@
 @behave.then('"{engine}" refuses its order as stale')
 def step_stale(context, engine):
     def refused():
-        found = orders(context, engine)
+        found = control_fleet.orders(context, engine)
         return any(each["verdict"] == "stale-token" for each in found)
 
-    context.fleet.until(refused, message=f"{orders(context, engine)}")
-
-
-def until_role(context, engine, role):
-    def there():
-        now = state(context, engine)
-        return now["role"] == role and not now["changing"]
-
-    context.fleet.until(there, message=f"{engine} is no {role}")
+    context.fleet.until(
+        refused, message=f"{control_fleet.orders(context, engine)}"
+    )
 
 
 @behave.then('"{engine}" has the role "{role}" and took {count:d} order')
 @behave.then('"{engine}" has the role "{role}" and took {count:d} orders')
 def step_role(context, engine, role, count):
-    until_role(context, engine, role)
-    assert len(taken(context, engine)) == count, orders(context, engine)
+    control_fleet.until_role(context, engine, role)
+    assert len(control_fleet.taken(context, engine)) == count, (
+        control_fleet.orders(context, engine)
+    )
 
 
 @behave.then("no engine took an order that was stale, overlapping or cutting")
 def step_clean(context):
-    for name in ENGINES:
-        for record in taken(context, name):
+    for name in control_fleet.ENGINES:
+        for record in control_fleet.taken(context, name):
             assert not record["cut"], record
             assert not record["stale"] and not record["during"], record
 
 
 @behave.then("no order reaches an engine for {count:d} durations of the lease")
 def step_none(context, count):
-    before = [orders(context, name) for name in ENGINES]
-    time.sleep(count * LEASE["duration"])
-    assert [orders(context, name) for name in ENGINES] == before
+    before = [
+        control_fleet.orders(context, name) for name in control_fleet.ENGINES
+    ]
+    time.sleep(count * control_fleet.LEASE["duration"])
+    assert [
+        control_fleet.orders(context, name) for name in control_fleet.ENGINES
+    ] == before
 
 
 @behave.when('the answer of the next order to "{engine}" is lost')
@@ -277,24 +246,26 @@
     roles = ("prefill", "decode", "mixed")
     for turn in range(count):
         for place, node in enumerate(context.fleet.nodes.values()):
-            order(context, engine, roles[(turn + place) % 3], node)
+            control_fleet.order(
+                context, engine, roles[(turn + place) % 3], node
+            )
 
 
 @behave.then('"{engine}" comes to rest in the role that is last on the log')
 def step_last_role(context, engine):
     def rests():
-        return not show(context, 'orders where state = "wished"')
+        return not control_fleet.show(context, 'orders where state = "wished"')
 
-    context.fleet.until(rests, message=f"{show(context, 'orders')}")
+    context.fleet.until(
+        rests, message=f"{control_fleet.show(context, 'orders')}"
+    )
     # Turn 3 of the last node, as `step_contradict` gives them.
-    until_role(context, engine, "mixed")
+    control_fleet.until_role(context, engine, "mixed")
     deployments.until_open(context.fleet, engine)
 
 
-@behave.when(
-    'a long stream keeps "{engine}" from the role "{role}" it was ordered'
-)
-def step_long_stream(context, engine, role):
+@behave.when('a long stream runs on "{engine}"')
+def step_long_stream(context, engine):
     context.fleet[engine].faults(stuck=True)
     body = {
         "id": "long",
@@ -309,9 +280,15 @@
     context.stream = http.open_request("POST", url, body)
     context.engine = engine
     context.before = len(context.fleet[engine].test("dispatches"))
-    if not hasattr(context, "wish_later"):
-        order(context, engine, role)
-        deployments.until_closed(context.fleet, engine, fleets.LIMIT)
+
+
+@behave.when(
+    'a long stream keeps "{engine}" from the role "{role}" it was ordered'
+)
+def step_kept(context, engine, role):
+    step_long_stream(context, engine)
+    control_fleet.order(context, engine, role)
+    deployments.until_closed(context.fleet, engine, fleets.LIMIT)
 
 
 @behave.when("the long stream has ended")
