--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; docs/MEASUREMENTS.md has the command of each figure."""
--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,75 @@
+"""Where the work of a crashed engine re-enters: rear, arrival or head.
+
+A trial in process on the small engines of features/support (no processes):
+``python -m bench.recovery``. Prints, for each rule, the median and the range
+over the seeds of the share on time, of recovered and of regular requests.
+"""
+
+import random
+import statistics
+
+import click
+from features.support import patterns
+from features.support import variants
+
+from gypsumfold.decisions import recovery
+from gypsumfold.decisions import scheduling
+
+RULES = {
+    "rear": recovery.Rear,
+    "arrival": recovery.ByArrival,
+    "head": recovery.Head,
+}
+# Requests a second at about nine tenths of the six engines' capacity.
+RATE = 15.0
+CRASHES = (("engine-1", 8.0), ("engine-2", 14.0), ("engine-3", 20.0))
+
+
+def play(rule: recovery.Reentry, seed: int) -> tuple[float, float]:
+    """Plays three crashes and returns both shares on time."""
+
+    def make(rng: random.Random) -> scheduling.PolicyScheduler:
+        parts = scheduling.parts(variants.POLICY, rng)
+        parts = parts._replace(reentry=rule)
+        return scheduling.PolicyScheduler(variants.POLICY, rng, parts)
+
+    rng = random.Random(seed)
+    served = patterns.fleet(make)
+    recovered: set[str] = set()
+
+    def crash(name: str, now: float) -> None:
+        for one in served.engines[name].queue:
+            recovered.add(one.request.id)
+        served.crash(name, now)
+
+    changes = []
+    for name, at in CRASHES:
+        changes.append((at, lambda name=name, at=at: crash(name, at)))
+    calls = patterns.stream(rng, "call", RATE, 0, 28, patience=8.0)
+    answers = served.run(calls, 38, changes)
+    shares = []
+    for wanted in (True, False):
+        found = []
+        for answer in answers:
+            if (answer.request.id in recovered) is wanted:
+                found.append(answer.on_time())
+        shares.append(sum(found) / len(found))
+    return shares[0], shares[1]
+
+
+@click.command()
+@click.option("--seeds", default=10)
+def main(seeds: int) -> None:
+    """Measure the three rules."""
+    for name, rule in RULES.items():
+        results = [play(rule(), seed) for seed in range(1, seeds + 1)]
+        for which, label in enumerate(("recovered", "regular")):
+            found = [result[which] for result in results]
+            click.echo(
+                f"{name:8} {label:10} median {statistics.median(found):.3f}"
+                f" range {min(found):.3f} to {max(found):.3f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/swings.py
@@ -0,0 +1,70 @@
+"""How long the present mix of prompt and output tokens will stay.
+
+Load pattern: a mix that swings within minutes. A role change pays only if
+the mix stays for longer than the change costs, so the planner must know how
+long mixes have stayed until now.
+"""
+
+import math
+
+from gypsumfold.decisions import types
+
+# Seconds that a mix is expected to stay before any swing was seen: "within
+# minutes" in the users' words, taken at its shortest.
+FIRST_STAY = 60.0
+# Weight of the last stay; about the last three count.
+SMOOTHING = 0.3
+# Factor by which the ratio of prompt to output tokens must move away from
+# where the present stay began before that counts as a swing.
+FACTOR = 2.0
+
+
+class Swings:
+    """Follows the ratio of prompt to output tokens.
+
+    Attributes:
+        began: When the present stay began.
+        stay: Seconds that a stay lasts on average.
+        before: The demand in the stay before; None before the first swing.
+
+    >>> swings = Swings(now=0.0)
+    >>> swings.note(types.Demand(4000.0, 100.0, 0), now=1.0)
+    >>> swings.stay
+    60.0
+    """
+
+    def __init__(self, now: float):
+        self.began = now
+        self.stay = FIRST_STAY
+        self.ratio: float | None = None
+        self.seen = 0
+        self.before: types.Demand | None = None
+        self.present: types.Demand | None = None
+
+    def note(self, demand: types.Demand, now: float) -> None:
+        """Takes the present demand in."""
+        if demand.prompt_tokens <= 0 or demand.output_tokens <= 0:
+            return
+        ratio = math.log(demand.prompt_tokens / demand.output_tokens)
+        if self.ratio is None:
+            self.ratio = ratio
+            return
+        if abs(ratio - self.ratio) < math.log(FACTOR):
+            self.present = demand
+            return
+        self.before = self.present
+        lasted = now - self.began
+        if self.seen:
+            self.stay += SMOOTHING * (lasted - self.stay)
+        self.seen += 1
+        self.ratio = ratio
+        self.began = now
+
+    def expected(self, now: float) -> float:
+        """Seconds that the present mix will stay from now on.
+
+        What is left of the average stay; a stay that outlasts the average
+        is expected to go on for half as long as it has lasted.
+        """
+        lasted = now - self.began
+        return max(self.stay - lasted, lasted / 2)
