--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -20,12 +20,12 @@
     "arrival": recovery.ByArrival,
     "head": recovery.Head,
 }
-# Requests a second at about nine tenths of the six engines' capacity.
-RATE = 15.0
+# Seconds that a crashed engine is away.
+AWAY = 4.0
 CRASHES = (("engine-1", 8.0), ("engine-2", 14.0), ("engine-3", 20.0))
 
 
-def play(rule: recovery.Reentry, seed: int) -> tuple[float, float]:
+def play(rule: recovery.Reentry, seed: int, rate: float) -> tuple[float, float]:
     """Plays three crashes and returns both shares on time."""
 
     def make(rng: random.Random) -> scheduling.PolicyScheduler:
@@ -40,12 +40,15 @@
     def crash(name: str, now: float) -> None:
         for one in served.engines[name].queue:
             recovered.add(one.request.id)
+        served.engines[name].open = False
         served.crash(name, now)
 
     changes = []
     for name, at in CRASHES:
         changes.append((at, lambda name=name, at=at: crash(name, at)))
-    calls = patterns.stream(rng, "call", RATE, 0, 28, patience=8.0)
+        back = served.engines[name]
+        changes.append((at + AWAY, lambda back=back: reopen(back)))
+    calls = patterns.stream(rng, "call", rate, 0, 28, patience=6.0)
     answers = served.run(calls, 38, changes)
     shares = []
     for wanted in (True, False):
@@ -57,12 +60,18 @@
     return shares[0], shares[1]
 
 
+def reopen(engine) -> None:
+    """Lets an engine take work again."""
+    engine.open = True
+
+
 @click.command()
 @click.option("--seeds", default=10)
-def main(seeds: int) -> None:
+@click.option("--rate", default=16.0, help="Of 17 that the engines can do.")
+def main(seeds: int, rate: float) -> None:
     """Measure the three rules."""
     for name, rule in RULES.items():
-        results = [play(rule(), seed) for seed in range(1, seeds + 1)]
+        results = [play(rule(), seed, rate) for seed in range(1, seeds + 1)]
         for which, label in enumerate(("recovered", "regular")):
             found = [result[which] for result in results]
             click.echo(
