--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -31,7 +31,7 @@
 OBJECTS_PER_CHANGE = 400
 # Settings as a deployment has them; the tests' own are shorter.
 USUAL = {
-    "peers": {"heartbeat": 0.5},
+    "peers": {"heartbeat": 1.0},
     "platform": {"timeout": 2.0, "poll": 1.0},
     "endpoints": {
         "poll": 0.25,
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -296,7 +296,7 @@
                 was = is_ready
                 event = events.NODE_READY if was else events.NODE_NOT_READY
                 events.log(event, revision=self.configuration.revision)
-            await asyncio.sleep(dispatching.TICK)
+            await asyncio.sleep(dispatching.IDLE_TICK)
 
     async def stop_listening(self) -> None:
         """Takes no more connections of callers."""
--- a/packages/gypsumfold/src/gypsumfold/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/settings.py
@@ -88,7 +88,7 @@
     port: Port = 8082
     secret: Annotated[str, msgspec.Meta(min_length=16)]
     seeds: tuple[str, ...] = ()
-    heartbeat: Seconds = 0.5
+    heartbeat: Seconds = 1.0
     fanout: Count = 3
     tls: TLSSection | None = None
 
