--- a/packages/gypsumfold/src/gypsumfold/control/records.py
+++ b/packages/gypsumfold/src/gypsumfold/control/records.py
@@ -234,9 +234,10 @@
 
 @records.register("order-finished")
 class OrderFinished(NamedTuple):
-    """The outstanding order is resolved: ``done``, ``refused`` or ``void``.
+    """The outstanding order is resolved.
 
-    ``void`` says that it has not taken effect and never will.
+    ``done``, ``failed`` (taken, not carried out), ``refused``, or ``void``:
+    it has not taken effect and never will, so that it may be given anew.
     """
 
     service: str
@@ -245,15 +246,23 @@
     result: str
 
 
-@records.register("wish-dropped")
-class WishDropped(NamedTuple):
-    """A wish will not be carried out; valid from the holder alone."""
+@records.register("wish-met")
+class WishMet(NamedTuple):
+    """The engine does already what is wished; valid from the holder alone.
+
+    Attributes:
+        service: The service.
+        engine: The endpoint's name.
+        token: Token of the holder's lease.
+        wish: Offset of the wish.
+        declared: The engine's declared role.
+    """
 
     service: str
     engine: str
     token: int
     wish: int
-    reason: str
+    declared: str
 
 
 Record = (
@@ -265,6 +274,6 @@
     | OrderWished
     | OrderIntended
     | OrderFinished
-    | WishDropped
+    | WishMet
 )
 KINDS = Record.__args__
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -60,6 +60,18 @@
 TASK_FAILED = define(
     105, "task-failed", "error", "A task ended by a failure and starts again."
 )
+NODE_DRAINING = define(
+    106,
+    "node-draining",
+    "info",
+    "The node listens no more; requests in progress go on to their end.",
+)
+NODE_GAVE_UP = define(
+    107,
+    "node-gave-up",
+    "error",
+    "Requests still ran at the shutdown's limit and were cut.",
+)
 REQUEST_ENDED = define(
     200, "request-ended", "info", "A request got its final answer."
 )
@@ -99,6 +111,22 @@
 FRAME_REFUSED = define(
     502, "frame-refused", "warning", "A frame from a peer was not authentic."
 )
+LEASE_GRANTED = define(
+    600, "lease-granted", "info", "This node holds the lease of a service."
+)
+LEASE_RELEASED = define(
+    601, "lease-released", "info", "This node gave a lease up."
+)
+HOLDER_ENDED = define(
+    602,
+    "holder-ended",
+    "info",
+    "There is proof that an earlier holder of a lease is gone.",
+)
+ORDER_SENT = define(603, "order-sent", "info", "An order goes to an engine.")
+ORDER_ENDED = define(
+    604, "order-ended", "info", "It is known what became of an order."
+)
 CONFIG_APPLIED = define(
     700, "config-applied", "info", "A change of configuration is in force."
 )
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -19,9 +19,12 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold import shutdown
 from gypsumfold import tls
 from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
+from gypsumfold.control import commands
+from gypsumfold.control import control
 from gypsumfold.decisions import scheduler as scheduler_module
 from gypsumfold.decisions import scheduling
 from gypsumfold.decisions import types
@@ -41,6 +44,8 @@
 # Seconds until a task that failed is started again, plus up to as much at
 # random.
 RESTART = 0.5
+# Seconds that the last bytes of an answer may take when the node ends.
+WRITE_LIMIT = 5.0
 
 
 class Node:
@@ -60,8 +65,11 @@
         self.numbers = itertools.count(1)
         self.stop = asyncio.Event()
         self.stopping = False
+        self.shutdown = shutdown.Shutdown(settings.shutdown)
         self.tasks: dict[str, asyncio.Task] = {}
         self.runners: list[web.AppRunner] = []
+        self.callers = callers_server.Server(self)
+        self.front: web.AppRunner | None = None
         self.metrics = metrics.Metrics(settings.metrics)
         self.sessions = connections.sessions(settings)
         session = self.sessions.pooled
@@ -81,6 +89,9 @@
             self.peers,
             self.fleet,
         )
+        self.control = control.Control(self)
+        self.tails[records.CONTROL] = self.control.tail
+        self.fleet.permissions = self.control.permissions
         self.calls = calls.Calls(self)
         self.dispatchers: dict[str, dispatching.Dispatcher] = {}
         self.digests = digests.Digests(
@@ -92,6 +103,7 @@
         self.publisher = publishing.Publisher(self.configuration, self.log)
         self.sources = queries.Sources(self.configuration)
         live.register(self, self.sources)
+        commands.register(self.control, self.sources)
         self.replication = replication.Replication(
             settings,
             self.configuration,
@@ -106,6 +118,7 @@
             self.publisher,
             self.sources,
             self.state,
+            commands.Commands(self.control),
             report=self.reporting.report,
         )
         self.tails[records.CONFIG].subscribe(self.configuration.apply)
@@ -117,7 +130,14 @@
 
     def ready(self) -> bool:
         """Whether callers' requests are taken."""
-        return self.replication.fresh() and not self.stopping
+        return self.serving() and not self.stopping
+
+    def serving(self) -> bool:
+        """Whether requests are served: also those that come in a shutdown.
+
+        The balancer goes on sending for its notice time.
+        """
+        return self.replication.fresh()
 
     def describe(self):
         """Makes the heartbeat that tells peers of this node."""
@@ -172,6 +192,7 @@
         for dispatcher in self.dispatchers.values():
             dispatcher.scheduler.declare(self.shares())
         self.fleet.sync()
+        self.control.reconfigure()
 
     def shares(self) -> dict[str, types.Share]:
         """What accounts are entitled to."""
@@ -214,11 +235,7 @@
         """Runs the node until `stop` is set."""
         await self.start()
         await self.stop.wait()
-        events.log(events.NODE_STOPPING)
-        self.stopping = True
-        await asyncio.sleep(self.settings.shutdown.notice)
-        await self.close()
-        events.log(events.NODE_STOPPED)
+        await self.shutdown.run(self)
 
     async def start(self) -> None:
         """Listens to peers, operators and callers and starts all tasks."""
@@ -228,19 +245,21 @@
         self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
+        self.supervise("closings", self.control.closer.run)
         self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
         self.supervise("config-pulls", self.replication.run_pulls)
         self.supervise("snapshots", self.replication.run_snapshots)
+        self.front = await self.listen(
+            self.callers.application(),
+            self.settings.callers.port,
+            self.settings.callers.tls,
+        )
         await self.listen(
             self.operators.app(),
             self.settings.operators.port,
             self.settings.operators.tls,
         )
-        callers = callers_server.Server(self).application()
-        await self.listen(
-            callers, self.settings.callers.port, self.settings.callers.tls
-        )
         self.supervise("readiness", self.watch_readiness)
         events.log(events.NODE_STARTED, incarnation=self.incarnation)
 
@@ -249,9 +268,14 @@
         app: web.Application,
         port: int,
         section: settings_module.TLSSection | None,
-    ) -> None:
+    ) -> web.AppRunner:
         """Serves an application on one port of the node's address."""
-        runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=WRITE_LIMIT,
+        )
         await runner.setup()
         self.runners.append(runner)
         site = web.TCPSite(
@@ -261,6 +285,7 @@
             ssl_context=tls.server_context(section),
         )
         await site.start()
+        return runner
 
     async def watch_readiness(self) -> None:
         """Logs each turn of the node's readiness."""
@@ -273,11 +298,32 @@
                 events.log(event, revision=self.configuration.revision)
             await asyncio.sleep(dispatching.TICK)
 
+    async def stop_listening(self) -> None:
+        """Takes no more connections of callers."""
+        for site in list(self.front.sites):
+            await site.stop()
+        # What has come in by now is taken as a request first.
+        await asyncio.sleep(0)
+        self.front.server.pre_shutdown()
+
+    async def end_connections(self, limit: float) -> None:
+        """Closes idle connections at once, others after their request.
+
+        Args:
+            limit: Seconds until a request is cut.
+        """
+        await self.front.server.shutdown(limit)
+
+    def in_progress(self) -> int:
+        """Counts the requests of callers and of peers that run here."""
+        return self.callers.open_requests + self.peers.serving
+
     async def close(self) -> None:
         """Ends all tasks and connections, callers' requests first."""
         for runner in self.runners:
             await runner.cleanup()
         await self.calls.close()
+        await self.control.release()
         await self.reporting.flush()
         tasks = list(self.tasks.values())
         for task in tasks:
--- a/packages/gypsumfold/src/gypsumfold/peers/links.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/links.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
@@ -32,8 +33,8 @@
         revision: Its configuration; -1 for none.
         stopping: Whether it is in its graceful shutdown.
         heard: Monotonic time at which it was last heard.
-        answered: Monotonic time at which the last heartbeat was sent to it
-            that it answered. What is read after this process was paused may
+        answered: When the last heartbeat was sent to it that it answered,
+            by `clocks.now`. What is read after this process was paused may
             be old; an answer cannot be older than its question.
     """
 
@@ -82,6 +83,7 @@
         self.heard: dict[str, Peer] = {}
         self.server: asyncio.Server | None = None
         self.accepted: set[asyncio.Task] = set()
+        self.serving = 0
         self.handle("heartbeat", thrift.Heartbeat, self.on_heartbeat)
 
     def handle(
@@ -188,7 +190,7 @@
         known = False
         try:
             while True:
-                sent = time.monotonic()
+                sent = clocks.now()
                 reply = await channel.call(
                     "heartbeat",
                     self.describe(),
@@ -267,6 +269,7 @@
     async def answer(self, envelope, address: str):
         """Makes the reply of one call."""
         handler = self.handlers.get(envelope.name)
+        self.serving += 1
         try:
             if handler is None:
                 raise exceptions.PeerRefused("no such method")
@@ -276,6 +279,8 @@
             return thrift.Envelope(
                 envelope.call, thrift.Kind.FAILURE, type(error).__name__, b""
             )
+        finally:
+            self.serving -= 1
         body = framing.encode(reply)
         return thrift.Envelope(
             envelope.call, thrift.Kind.REPLY, envelope.name, body
--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -10,6 +10,7 @@
 import time
 
 from gypsumfold import changes
+from gypsumfold import clocks
 from gypsumfold import configuration as configuration_module
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -79,7 +80,7 @@
 
     def fresh(self) -> bool:
         """Whether the node knows the configuration well enough to serve."""
-        if time.monotonic() - self.looked > LOOK_LIMIT:
+        if clocks.now() - self.looked > LOOK_LIMIT:
             return False
         return self.freshness.fresh
 
@@ -120,7 +121,7 @@
             self.tail.heard or None,
             tuple(peers),
         )
-        self.looked = time.monotonic()
+        self.looked = clocks.now()
         self.freshness.update(view, self.looked)
 
     def sources(self) -> list[str]:
@@ -228,10 +229,7 @@
     def rank(self) -> int:
         """Counts the peers that come before this node in publishing."""
         before = 0
-        now = time.monotonic()
         for peer in self.peers.known():
-            if now - peer.heard > freshness_module.CUT_OFF_AFTER:
-                continue
             if peer.incarnation < self.incarnation:
                 before += 1
         return before
