--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -41,3 +41,8 @@
   @promise-9
   Scenario: A node knows when its configuration is not fresh
     Then a node is fresh only as the log and its peers allow
+
+  @promise-9
+  Scenario: An answer that is read late counts from when it was asked for
+    Then a tail that was paused has heard the log when it asked
+    And a heartbeat that a peer sent by itself vouches for nothing
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,5 +1,6 @@
 """Steps on the pure configuration: its log, snapshots and freshness."""
 
+import asyncio
 import itertools
 import random
 import uuid
@@ -8,12 +9,17 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 
 from gypsumfold import changes
+from gypsumfold import clocks
 from gypsumfold import configuration as configuration_module
+from gypsumfold import settings as settings_module
 from gypsumfold import snapshots
 from gypsumfold.decisions import freshness as freshness_module
 from gypsumfold.operators import language
+from gypsumfold.peers import links
+from gypsumfold.platform import logs
 from gypsumfold.platform import records
 
 START = 1_800_000_000.0
@@ -359,3 +365,48 @@
     if log_up and view.log_read:
         return
     assert any(p.revision >= 0 for p in peers), view
+
+
+class PausedLog:
+    """A log whose answer is read after a pause of the process."""
+
+    asked = 0.0
+
+    async def read(self, stream, start, wait):
+        if self.asked:
+            await asyncio.Event().wait()
+        self.asked = clocks.now()
+        while clocks.now() < self.asked + 0.05:
+            continue
+        return logs.Page(0, 0, ())
+
+
+@behave.then("a tail that was paused has heard the log when it asked")
+def step_paused_tail(context):
+    async def run():
+        log = PausedLog()
+        tail = logs.Tail(log, records.CONFIG)
+        task = asyncio.create_task(tail.run())
+        await tail.caught_up.wait()
+        task.cancel()
+        assert tail.heard <= log.asked, (tail.heard, log.asked)
+
+    asyncio.run(run())
+
+
+@behave.then("a heartbeat that a peer sent by itself vouches for nothing")
+def step_unasked(context):
+    node = {"name": "a", "data_centre": "n", "address": "127.0.0.1"}
+    platform = {"log": "", "vms": ""}
+    settings = msgspec.convert(
+        {"node": node, "peers": {"secret": "x" * 16}, "platform": platform},
+        settings_module.Settings,
+    )
+    peers = links.Peers(settings, lambda: None)
+    beat = links.thrift.Heartbeat("b", "b-1", "127.0.0.2", "n", 5, False)
+    asyncio.run(peers.on_heartbeat(beat, "127.0.0.2"))
+    (peer,) = peers.known()
+    assert peer.answered == 0.0, peer
+    peers.note(beat, answered=7.0)
+    (peer,) = peers.known()
+    assert peer.answered == 7.0, peer
