--- a/packages/gypsumfold/src/gypsumfold/platform/logs.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/logs.py
@@ -144,7 +144,9 @@
         next: The offset that is read next.
         caught_up: Set once the end was reached for the first time.
         healthy: Whether the last read was answered.
-        heard: Event loop time of the last answered read; 0 before it.
+        heard: When the last answered read was sent, by `clocks.now`; 0
+            before it.
+        end: One above the highest offset that the last answer named.
         ends: Called when the stream's end was read, with the time
             (`clocks.now`) at which it was asked for.
 
@@ -167,6 +169,7 @@
         self.caught_up = asyncio.Event()
         self.healthy = False
         self.heard = 0.0
+        self.end = 0
         self.subscribers: list[Callable[[records.Entry], Any]] = []
         self.gaps: list[Callable[[int, int], Any]] = []
         self.ends: list[Callable[[float], Any]] = []
@@ -208,6 +211,9 @@
                 self.set_health(False, repr(error))
                 await asyncio.sleep(READ_RETRY * (1 + random.random()))
                 continue
+            # An answer that was read after a pause of this process may be
+            # old, but not older than its question.
+            self.heard = asked
             self.set_health(True, "")
             await self.deliver(page)
             if self.next < page.end:
@@ -217,6 +223,7 @@
 
     async def deliver(self, page: Page) -> None:
         """Hands a page's entries out and wakes those who wait for them."""
+        self.end = page.end
         if page.first > self.next:
             for gap in self.gaps:
                 gap(self.next, page.first)
@@ -235,8 +242,6 @@
 
     def set_health(self, healthy: bool, reason: str) -> None:
         """Notes whether the log answers, with an event at each turn."""
-        if healthy:
-            self.heard = asyncio.get_running_loop().time()
         if healthy == self.healthy:
             return
         self.healthy = healthy
