--- /dev/null
+++ b/features/calls.feature
@@ -0,0 +1,77 @@
+Feature: A call that may not be repeated runs at most once
+
+  @promise-6
+  Scenario: A repeat through another node gets the recorded answer
+    Given a fleet for keyed calls
+    When a keyed call through entry-1 is answered and entry-1 is killed
+    Then its repeat through entry-2 gets the same answer
+    And a node that starts afterwards gives the same answer
+    And the call ran once
+
+  @promise-5 @promise-6
+  Scenario: Calls of one key at the same time run once
+    Given a fleet for keyed calls
+    When 5 keyed calls are made 12 times each through all nodes at once
+    Then all of their answers are exact and each call ran once
+
+  @promise-5 @promise-6
+  Scenario Outline: A node is <fault> between any two steps of a keyed call
+    Given a fleet for keyed calls
+    When entry-1 is <fault> at each step of a keyed call and it is repeated
+    Then no keyed call ran twice and none ran that was said not to have
+    And the repeats have ended as they should when a node is <fault>
+
+    Examples:
+      | fault                    |
+      | killed                   |
+      | frozen                   |
+      | frozen past the deadline |
+      | cut off                  |
+      | delayed                  |
+
+  @promise-5 @promise-6
+  Scenario: The answer is lost after the call ran
+    Given a fleet for keyed calls
+    When the service loses the answers of calls with and without a key
+    Then the callers are told "undetermined" and so is each repeat
+    And the call ran once
+
+  @promise-5 @promise-6
+  Scenario: A key is refused when it does not fit
+    Given a fleet for keyed calls
+    When a key is used with another body, too old, too new and malformed
+    Then the other body and the malformed key are told "not-run"
+    And the old and the new key are told "undetermined"
+    And only the first body ran
+
+  @promise-5 @promise-6
+  Scenario: A refused key is closed for every attempt
+    Given a fleet for keyed calls
+    When a keyed call is refused because the service is leaving
+    Then it is told "not-run" with a time to return
+    And its repeat through each node is told "not-run" and runs nothing
+    And a call with a new key runs when the service is back
+
+  @promise-6
+  Scenario: The log loses answers after appends took effect
+    Given a fleet for keyed calls
+    When the log loses the answers to the next 3 claims
+    Then a keyed call is answered and its claim stands on the log twice
+    And the call ran once
+
+  @promise-5 @promise-6
+  Scenario: The log is down
+    Given a fleet for keyed calls
+    When the log is down
+    Then a call without a key is answered
+    And a call with a caller's key is told "undetermined" and runs nothing
+    And a call with a bound key is answered once through every node
+    And a bound key with another body is told "not-run"
+    And a bound key is told "undetermined" once its node was restarted
+
+  @promise-5
+  Scenario: A call goes to another replica while nothing can have run
+    Given a fleet for keyed calls
+    When the service withholds the 100 from some calls
+    Then calls without a key are answered by the other replica
+    And the call ran once
--- a/packages/gypsumfold/src/gypsumfold/callers/keyed.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/keyed.py
@@ -27,6 +27,9 @@
 # or gone, and the caller is told so at once.
 ASK_LIMIT = 1.0
 ASK_INTERVAL = 1.0
+# Seconds without an answer from the log until keyed calls are refused at
+# once; a reset connection alone is replaced within half a second.
+LOG_SILENCE = 2.0
 # Seconds after which a repeat under the same key makes sense.
 RETRY_AFTER = 1.0
 
@@ -169,7 +172,7 @@
         age = self.claims.age(attempt.claim.key, now)
         if age != claims_module.Age.VALID:
             raise out_of_window(age)
-        if not (self.tail.caught_up.is_set() and self.tail.healthy):
+        if not self.readable():
             raise unclaimed("the log cannot be read")
         patience = min(self.patience, attempt.left)
         try:
@@ -184,6 +187,12 @@
             raise unclaimed("the claim was not read back") from error
         attempt.read_back = True
 
+    def readable(self) -> bool:
+        """Whether the window was read and the log is not known to be down."""
+        silence = asyncio.get_running_loop().time() - self.tail.heard
+        up = self.tail.healthy or silence < LOG_SILENCE
+        return up and self.tail.caught_up.is_set()
+
     def may_run(self, attempt: Attempt) -> bool:
         """Whether the attempt may dispatch at this instant."""
         step = self.claims.step(attempt.claim, attempt.read_back)
