--- a/features/calls.feature
+++ b/features/calls.feature
@@ -75,3 +75,33 @@
     When the service withholds the 100 from some calls
     Then calls without a key are answered by the other replica
     And the call ran once
+
+  @promise-5 @promise-6
+  Scenario: An attempt that slept through a refusal does not run
+    Given a fleet for keyed calls whose log may take 10 seconds
+    When entry-1 freezes before its claim and entry-2 refuses the call
+    Then entry-2 has told "not-run"
+    And entry-1 wakes to a service that is back and tells "not-run"
+    And nothing of the call ran
+
+  @promise-5 @promise-6
+  Scenario: An overload's refusals are true
+    Given a fleet for keyed calls
+    When 160 keyed calls of two seconds come at once with a deadline of 3
+    Then no keyed call ran twice and none ran that was said not to have
+    And some were answered and some were told "not-run"
+
+  @promise-6
+  Scenario: The log forgets a key
+    Given a fleet for keyed calls whose log keeps 3 seconds
+    When a keyed call is answered and the log has forgotten it
+    Then its repeat through every node is told "undetermined"
+    And a node that started afterwards tells it "undetermined"
+    And the call ran once
+
+  @promise-6
+  Scenario: Open connections to the services go silent
+    Given a fleet for keyed calls
+    When all open connections from the nodes to the services go silent
+    Then a call through each node is answered with and without a key
+    And the call ran once
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -65,6 +65,15 @@
 
 @behave.given("a fleet for keyed calls")
 def step_fleet(context):
+    start_fleet(context)
+
+
+@behave.given("a fleet for keyed calls whose log may take {seconds:d} seconds")
+def step_fleet_patient(context, seconds):
+    start_fleet(context, timeout=float(seconds))
+
+
+def start_fleet(context, **platform: float) -> None:
     fleet = context.fleet = fleets.Fleet("calls")
     context.told = []
     fleet.start_platform()
@@ -76,10 +85,10 @@
     context.services = proxies
     for name in NODES:
         fleet.add_vm(name, "north-apron", "entry")
-    platform = {"log": context.log.url}
-    fleet.start_node("entry-1", wait=False, platform=platform)
-    fleet.start_node("entry-2", wait=False)
-    fleet.start_node("entry-3", wait=False)
+    proxied = {**platform, "log": context.log.url}
+    fleet.start_node("entry-1", wait=False, platform=proxied)
+    fleet.start_node("entry-2", wait=False, platform=platform)
+    fleet.start_node("entry-3", wait=False, platform=platform)
     for name in NODES:
         fleet[name].until_ready("/ready")
     deployments.declare(
@@ -511,3 +520,137 @@
     for number in range(6):
         assert complete(call(context, "entry-1", f"withheld {number}"))
     assert context.fleet["ramp-1"].test("faults")["withheld"] == 0
+
+
+@behave.when("entry-1 freezes before its claim and entry-2 refuses the call")
+def step_sleeper(context):
+    node = context.fleet["entry-1"]
+    context.key = new_key()
+    context.body = "slept through"
+    place = places(context)["appending the claim"]
+    place.hold()
+    context.pool = concurrent.futures.ThreadPoolExecutor(1)
+    ask = (call, context, "entry-1", context.body, context.key)
+    context.first = context.pool.submit(*ask)
+    context.fleet.until(place.reached, 20.0, "no claim is held")
+    node.freeze()
+    all_leave(context, True)
+    context.fleet.apply(
+        'alter kind "tug" set deadline = 1;', context.fleet["entry-2"]
+    )
+    context.second = call(context, "entry-2", *ask[3:])
+    all_leave(context, False)
+    # The proxy lets the claim go to the log, which was held on its way.
+    place.let_go()
+    until_recorded_from(context, "entry-1", context.key)
+    node.thaw()
+
+
+def until_recorded_from(context, node: str, key: str) -> None:
+    def found() -> bool:
+        claims = claim_records(context, "claim")
+        return any(c[0].startswith(node) and key in c for c in claims)
+
+    context.fleet.until(found, message=f"no claim of {node}")
+
+
+@behave.then('entry-2 has told "{word}"')
+def step_second_told(context, word):
+    assert outcome(context.second) == word, context.second
+
+
+@behave.then('entry-1 wakes to a service that is back and tells "{word}"')
+def step_sleeper_told(context, word):
+    found = context.first.result()
+    context.pool.shutdown()
+    assert outcome(found) == word, found
+
+
+@behave.then("nothing of the call ran")
+def step_nothing_ran(context):
+    assert executions(context, context.body) == 0
+
+
+@behave.when(
+    "{count:d} keyed calls of two seconds come at once with a deadline of 3"
+)
+def step_overload(context, count):
+    context.fleet.apply('alter kind "tug" set deadline = 3;')
+    # One replica: a first wave is answered, a second begins too late.
+    context.fleet["ramp-2"].faults(leaving=True)
+    context.fleet["ramp-1"].faults(seconds=2.0)
+    deployments.until_closed(context.fleet, "ramp-2", 20.0)
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        for number in range(count):
+            ask = (NODES[number % 3], f"overload {number}", new_key())
+            pool.submit(call, context, *ask)
+    # What the service has begun ends, whatever its caller was told.
+    for name in ("ramp-1", "ramp-2"):
+        context.fleet.until(
+            lambda name=name: (
+                not http.get(f"{context.fleet[name].url}/health").json()[
+                    "running"
+                ]
+            )
+        )
+
+
+@behave.then('some were answered and some were told "{word}"')
+def step_overload_told(context, word):
+    words = {said for _, said in context.told}
+    assert {"complete", word} <= words, words
+
+
+@behave.given("a fleet for keyed calls whose log keeps {seconds:d} seconds")
+def step_fleet_forgetting(context, seconds):
+    start_fleet(context, retention=float(seconds))
+    context.fleet["log"].faults(retention=float(seconds))
+    context.seconds = seconds
+
+
+@behave.when("a keyed call is answered and the log has forgotten it")
+def step_forgotten(context):
+    context.key = new_key()
+    assert complete(call(context, "entry-2", "forgotten", context.key))
+    until_recorded(context, "claim-outcome", context.key)
+
+    def forgotten() -> bool:
+        # Each claim moves the log's clock as the nodes see it.
+        call(context, "entry-1", f"later {time.monotonic()}", new_key())
+        claims = claim_records(context, "claim")
+        return not any(context.key in claim for claim in claims)
+
+    context.fleet.until(forgotten)
+
+
+@behave.then('its repeat through every node is told "{word}"')
+def step_forgotten_told(context, word):
+    for node in NODES:
+        found = call(context, node, "forgotten", context.key)
+        assert outcome(found) == word, found
+
+
+@behave.then('a node that started afterwards tells it "{word}"')
+def step_forgotten_later(context, word):
+    node = context.fleet["entry-3"]
+    node.kill()
+    node.restart()
+    node.until_ready("/ready")
+    found = call(context, "entry-3", "forgotten", context.key)
+    assert outcome(found) == word, found
+
+
+@behave.when("all open connections from the nodes to the services go silent")
+def step_silent(context):
+    for number in range(6):
+        for node in NODES:
+            assert complete(call(context, node, f"warm {node} {number}"))
+    for proxy in context.services:
+        proxy.silence()
+
+
+@behave.then("a call through each node is answered with and without a key")
+def step_not_silent(context):
+    for node in NODES:
+        assert complete(call(context, node, f"silent {node}"))
+        assert complete(call(context, node, f"keyed {node}", new_key()))
