Wait for a busy engine instead of cancelling its queue

Cause: a stream that gave nothing for the idle limit was resumed twice and then cancelled and sent elsewhere, also when its engine was well and only busy with others. Under overload that throws away the place in the engine's queue and adds to the load.

Silence is now a failure type of its own (StreamSilent). After it the engine is probed on a fresh connection; if its report has moved on or any of its streams has given something meanwhile, the stream is resumed again, up to the request's deadline.

--- a/packages/gypsumfold/src/gypsumfold/callers/answers.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/answers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import time
 from typing import NamedTuple
 
 from gypsumfold import dispatching
@@ -186,10 +187,14 @@
         """Goes on with a broken stream on the engine that has it.
 
         The engine is probed on a fresh connection first, since the silence
-        of one connection says nothing about it.
+        of one connection says nothing about it. An engine that is busy with
+        others is waited for: to cancel and send the work elsewhere would
+        only add to the load.
         """
-        await client.probe()
-        for left in reversed(range(RESUMES)):
+        report = await client.probe()
+        left = RESUMES
+        while True:
+            since = time.monotonic()
             stream = client.resume(dispatch.id, len(self.tokens))
             try:
                 async for part in self.take(stream, grant, dispatch):
@@ -197,7 +202,15 @@
                 return
             except exceptions.EndpointNotStarted as error:
                 raise exceptions.EndpointFailed(str(error)) from error
+            except exceptions.StreamSilent:
+                before, report = report, await client.probe()
+                if client.heard > since or report.moved_on(before):
+                    continue
+                left -= 1
+                if not left:
+                    raise
             except exceptions.StreamBroken:
+                left -= 1
                 if not left:
                     raise
 
--- a/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import time
 from typing import NamedTuple
 
 import aiohttp
@@ -81,10 +82,23 @@
     cache_sequence: int = 0
     changing: bool = False
 
+    def moved_on(self, earlier: "Load") -> bool:
+        """Whether the engine has done something since an earlier report."""
+        figures = (self.running, self.waiting, self.prefill_tokens)
+        before = (earlier.running, earlier.waiting, earlier.prefill_tokens)
+        return (*figures, self.kv_used, self.cache_sequence) != (
+            *before,
+            earlier.kv_used,
+            earlier.cache_sequence,
+        )
+
 
 class EngineClient:
     """Talks to one engine.
 
+    Attributes:
+        heard: Monotonic time at which any stream last gave something.
+
     >>> client = EngineClient("10.0.1.1:9000", sessions, settings.endpoints)
     >>> async for item in client.start(dispatch):
     ...     print(item)
@@ -99,6 +113,7 @@
         self.base = f"http://{address}/v1"
         self.sessions = sessions
         self.settings = settings
+        self.heard = float("-inf")
 
     async def load(self) -> Load:
         """Asks for the load report.
@@ -197,7 +212,9 @@
                 response = await request
         except aiohttp.ClientConnectorError as error:
             raise exceptions.EndpointNotStarted(str(error)) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except TimeoutError as error:
+            raise exceptions.StreamSilent(repr(error)) from error
+        except aiohttp.ClientError as error:
             raise exceptions.StreamBroken(repr(error)) from error
         whole = False
         try:
@@ -230,10 +247,13 @@
             try:
                 async with asyncio.timeout(self.settings.idle_timeout):
                     data = await response.content.readany()
-            except (aiohttp.ClientError, TimeoutError) as error:
+            except TimeoutError as error:
+                raise exceptions.StreamSilent(repr(error)) from error
+            except aiohttp.ClientError as error:
                 raise exceptions.StreamBroken(repr(error)) from error
             if not data:
                 return
+            self.heard = time.monotonic()
             for event in parser.feed(data):
                 yield event
 
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -93,6 +93,10 @@
     """A stream ended, went silent or carried events of another dispatch."""
 
 
+class StreamSilent(StreamBroken):
+    """A stream gave nothing for the idle limit; its engine may be well."""
+
+
 class OrderRefused(EndpointError):
     """An engine refused an order, for example for an old fencing token."""
 
