--- a/packages/gypsumfold-standins/src/gypsumfold_standins/batcher.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/batcher.py
@@ -35,7 +35,7 @@
         self.prefill_from: str = dispatch.get("prefill_from", "")
         self.seed = tokens.seed(self.model, self.messages)
         self.count, self.finish = tokens.length(
-            self.seed, dispatch["max_tokens"]
+            self.seed, self.messages, dispatch["max_tokens"]
         )
         self.prompt = tokens.prompt_tokens(self.model, self.messages)
         self.left = self.prompt + len(self.prior)
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/tokens.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/tokens.py
@@ -1,5 +1,6 @@
 """The exact answers of the stand-ins, as pure functions of the request."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -19,6 +20,9 @@
     "sa", "te", "vi", "wo", "zu", "é", "ñ", "ß", "漢", "…",
 )  # fmt: skip
 
+# How a prompt asks for a length.
+WORDS = re.compile(r"\((\d+) words\)$")
+
 Messages = list[dict[str, Any]]
 
 
@@ -36,15 +40,21 @@
     return f"{first}{second} "
 
 
-def natural_length(start: int) -> int:
-    """Gives the tokens after which an answer stops by itself."""
+def natural_length(start: int, messages: Messages) -> int:
+    """Gives the tokens after which an answer stops by itself.
+
+    A prompt that ends in, say, "(400 words)" is answered with 400 tokens.
+    """
+    wanted = WORDS.search(str(messages[-1].get("content", "")))
+    if wanted:
+        return max(int(wanted[1]), 1)
     digest = xxhash.xxh64_intdigest(f"{start}:length".encode())
     return SHORTEST + digest % LENGTHS
 
 
-def length(start: int, max_tokens: int) -> tuple[int, str]:
+def length(start: int, messages: Messages, max_tokens: int) -> tuple[int, str]:
     """Gives an answer's length in tokens and its finish reason."""
-    natural = natural_length(start)
+    natural = natural_length(start, messages)
     if natural <= max_tokens:
         return natural, "stop"
     return max_tokens, "length"
@@ -62,7 +72,7 @@
         The tokens; the answer is their concatenation.
     """
     start = seed(model, messages)
-    count, _ = length(start, max_tokens)
+    count, _ = length(start, messages, max_tokens)
     return [token(start, index) for index in range(count)]
 
 
