--- a/features/authority_rules.feature
+++ b/features/authority_rules.feature
@@ -4,6 +4,10 @@
   Scenario: No interleaving gives an engine conflicting orders
     Then 400 random interleavings of three nodes keep every order in turn
 
+  @promise-2
+  Scenario: No interleaving lets a node dispatch to an engine that is quiet
+    Then 400 random interleavings of a closing leave no permission behind
+
   @promise-1
   Scenario: An operator's order goes before the planner's and the declaration
     Given the control stream of one service with a holder
--- a/features/steps/control_rules_steps.py
+++ b/features/steps/control_rules_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 from features.support import control_model
+from features.support import permission_model
 
 from gypsumfold import objects
 from gypsumfold.control import books
@@ -12,6 +13,7 @@
 ENGINE = "lm-1"
 # Steps of one interleaving: enough for a takeover after a takeover.
 STEPS = 40
+CLOSING_STEPS = 20
 
 
 @behave.then(
@@ -21,6 +23,13 @@
     control_model.run(count, STEPS)
 
 
+@behave.then(
+    "{count:d} random interleavings of a closing leave no permission behind"
+)
+def step_closings(context, count):
+    permission_model.run(count, CLOSING_STEPS)
+
+
 def take(context, record):
     """Appends one record and lets the book read it."""
     noted = books.Noted(context.offset, 0.0, record)
--- a/packages/gypsumfold/src/gypsumfold/control/changing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/changing.py
@@ -41,7 +41,6 @@
     Attributes:
         sends: Orders sent by this process: when their sending was given up,
             infinite while it goes on, minus infinite if nothing was sent.
-        since: When this node first knew of a closing, by its offset.
         blocked: Engines whose order only time or an operator can resolve.
         planned: Gives the role planner's choice for an engine.
 
@@ -65,7 +64,6 @@
         self.engines = engines
         self.new_id = new_id
         self.sends: dict[str, float] = {}
-        self.since: dict[int, float] = {}
         self.blocked: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.planned: Callable[[str], str | None] = lambda engine: None
@@ -169,6 +167,7 @@
 
     async def open(self, engine: Engine) -> None:
         """Lets nodes dispatch to the engine again."""
+        self.closer.forget(engine.name)
         if engine.name not in self.known.closed:
             return
         await self.leasing.journal.write(
@@ -191,10 +190,7 @@
                 )
             )
             return False
-        since = self.since.setdefault(offset, clocks.now())
-        quiet = await self.closer.quiet(
-            closing.Closing(engine.name, offset, since)
-        )
+        quiet = await self.closer.quiet(closing.Closing(engine.name, offset))
         if not quiet:
             return False
         state = await self.sender.state(engine.declared.address)
--- a/packages/gypsumfold/src/gypsumfold/control/closing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/closing.py
@@ -21,18 +21,20 @@
 
 
 class Closing(NamedTuple):
-    """One engine that is closed, and since when this node knows it."""
+    """One closing: the engine and its offset on the log."""
 
     engine: str
     offset: int
-    since: float
 
 
 class Closer:
     """This node's part in closings, as holder and as one who dispatches.
 
+    Attributes:
+        majorities: Since when more than half of the nodes know of a closing.
+
     >>> closer = Closer(permissions, tail, peers)
-    >>> await closer.quiet(closing)
+    >>> await closer.quiet(Closing("lm-1", 17))
     True
     """
 
@@ -45,6 +47,7 @@
         self.permissions = permissions
         self.tail = tail
         self.peers = peers
+        self.majorities: dict[Closing, float] = {}
         peers.handle("control.closed", thrift.Nothing, self.on_closed)
         peers.handle("control.close", thrift.ClosedEngine, self.on_close)
 
@@ -99,15 +102,10 @@
         self.permissions.merge(address, asked, reply.through, closed)
 
     async def quiet(self, closing: Closing) -> bool:
-        """Whether no node dispatches to a closed engine any more.
-
-        More than half of the nodes must have acknowledged it. The others'
-        permissions lapse: each comes from a question to the log that was
-        put before the closing stood there, or to a node before it
-        acknowledged.
-        """
+        """Whether no node dispatches to a closed engine any more."""
         asked = clocks.now()
         addresses = list(self.peers.links)
+        nodes = 1 + len(addresses)
         asks = [self.close(address, closing) for address in addresses]
         replies = await asyncio.gather(*asks)
         running = self.permissions.dispatching[closing.engine]
@@ -117,13 +115,17 @@
                 continue
             acknowledged += 1
             running += reply
-        if running or 2 * acknowledged <= 1 + len(addresses):
-            return False
-        if acknowledged == 1 + len(addresses):
-            return True
-        settings = self.permissions.settings
-        lapsed = closing.since + settings.permission + settings.drift
-        return asked > lapsed
+        if 2 * acknowledged > nodes:
+            self.majorities.setdefault(closing, clocks.now())
+        since = self.majorities.get(closing, asked)
+        return running == 0 and permissions_module.lapsed(
+            acknowledged, nodes, asked - since, self.permissions.settings
+        )
+
+    def forget(self, engine: str) -> None:
+        """Forgets an engine's closings: it is open again."""
+        for closing in [c for c in self.majorities if c.engine == engine]:
+            del self.majorities[closing]
 
     async def close(self, address: str, closing: Closing) -> int | None:
         """Closes an engine on one peer; None if it did not answer."""
--- a/packages/gypsumfold/src/gypsumfold/control/permissions.py
+++ b/packages/gypsumfold/src/gypsumfold/control/permissions.py
@@ -143,3 +143,31 @@
             yield
         finally:
             self.dispatching[engine] -= 1
+
+
+def lapsed(
+    acknowledged: int,
+    nodes: int,
+    waited: float,
+    settings: settings_module.ControlSection,
+) -> bool:
+    """Whether no node has a permission for a closed engine any more.
+
+    More than half of the nodes must have acknowledged the closing. The
+    others' permissions lapse in time: each comes from a question that was
+    put to the log before the closing stood there, or to a node before it
+    acknowledged.
+
+    Args:
+        acknowledged: Nodes that know of the closing, the holder among them.
+        nodes: All nodes.
+        waited: Seconds for which more than half have acknowledged it. Not
+            those since the closing: a node that cannot read the log may
+            have asked another just before that one acknowledged.
+        settings: Durations.
+    """
+    if 2 * acknowledged <= nodes:
+        return False
+    if acknowledged == nodes:
+        return True
+    return waited > settings.permission + settings.drift
