--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -19,6 +19,7 @@
 from gypsumfold import outcomes
 from gypsumfold import reporting
 from gypsumfold import settings as settings_module
+from gypsumfold import shutdown
 from gypsumfold import tls
 from gypsumfold.callers import calls
 from gypsumfold.callers import server as callers_server
@@ -43,6 +44,8 @@
 # Seconds until a task that failed is started again, plus up to as much at
 # random.
 RESTART = 0.5
+# Seconds that the last bytes of an answer may take when the node ends.
+WRITE_LIMIT = 5.0
 
 
 class Node:
@@ -62,8 +65,11 @@
         self.numbers = itertools.count(1)
         self.stop = asyncio.Event()
         self.stopping = False
+        self.shutdown = shutdown.Shutdown(settings.shutdown)
         self.tasks: dict[str, asyncio.Task] = {}
         self.runners: list[web.AppRunner] = []
+        self.callers = callers_server.Server(self)
+        self.front: web.AppRunner | None = None
         self.metrics = metrics.Metrics(settings.metrics)
         self.sessions = connections.sessions(settings)
         session = self.sessions.pooled
@@ -124,7 +130,14 @@
 
     def ready(self) -> bool:
         """Whether callers' requests are taken."""
-        return self.replication.fresh() and not self.stopping
+        return self.serving() and not self.stopping
+
+    def serving(self) -> bool:
+        """Whether requests are served: also those that come in a shutdown.
+
+        The balancer goes on sending for its notice time.
+        """
+        return self.replication.fresh()
 
     def describe(self):
         """Makes the heartbeat that tells peers of this node."""
@@ -222,11 +235,7 @@
         """Runs the node until `stop` is set."""
         await self.start()
         await self.stop.wait()
-        events.log(events.NODE_STOPPING)
-        self.stopping = True
-        await asyncio.sleep(self.settings.shutdown.notice)
-        await self.close()
-        events.log(events.NODE_STOPPED)
+        await self.shutdown.run(self)
 
     async def start(self) -> None:
         """Listens to peers, operators and callers and starts all tasks."""
@@ -239,16 +248,18 @@
         self.supervise("closings", self.control.closer.run)
         self.supervise("digests", self.digests.run)
         self.supervise("replication", self.replication.run)
+        self.supervise("config-pulls", self.replication.run_pulls)
         self.supervise("snapshots", self.replication.run_snapshots)
+        self.front = await self.listen(
+            self.callers.application(),
+            self.settings.callers.port,
+            self.settings.callers.tls,
+        )
         await self.listen(
             self.operators.app(),
             self.settings.operators.port,
             self.settings.operators.tls,
         )
-        callers = callers_server.Server(self).application()
-        await self.listen(
-            callers, self.settings.callers.port, self.settings.callers.tls
-        )
         self.supervise("readiness", self.watch_readiness)
         events.log(events.NODE_STARTED, incarnation=self.incarnation)
 
@@ -257,9 +268,14 @@
         app: web.Application,
         port: int,
         section: settings_module.TLSSection | None,
-    ) -> None:
+    ) -> web.AppRunner:
         """Serves an application on one port of the node's address."""
-        runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=WRITE_LIMIT,
+        )
         await runner.setup()
         self.runners.append(runner)
         site = web.TCPSite(
@@ -269,6 +285,7 @@
             ssl_context=tls.server_context(section),
         )
         await site.start()
+        return runner
 
     async def watch_readiness(self) -> None:
         """Logs each turn of the node's readiness."""
@@ -279,7 +296,27 @@
                 was = is_ready
                 event = events.NODE_READY if was else events.NODE_NOT_READY
                 events.log(event, revision=self.configuration.revision)
-            await asyncio.sleep(dispatching.TICK)
+            await asyncio.sleep(dispatching.IDLE_TICK)
+
+    async def stop_listening(self) -> None:
+        """Takes no more connections of callers."""
+        for site in list(self.front.sites):
+            await site.stop()
+        # What has come in by now is taken as a request first.
+        await asyncio.sleep(0)
+        self.front.server.pre_shutdown()
+
+    async def end_connections(self, limit: float) -> None:
+        """Closes idle connections at once, others after their request.
+
+        Args:
+            limit: Seconds until a request is cut.
+        """
+        await self.front.server.shutdown(limit)
+
+    def in_progress(self) -> int:
+        """Counts the requests of callers and of peers that run here."""
+        return self.callers.open_requests + self.peers.serving
 
     async def close(self) -> None:
         """Ends all tasks and connections, callers' requests first."""
