--- a/packages/gypsumfold/src/gypsumfold/decisions/admission.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/admission.py
@@ -16,6 +16,9 @@
 # half of the answers just too late, 0.2 a fifth, 0.35 a tenth; 0.5 refused
 # more callers of ordinary use (features/support/patterns.py).
 MARGIN = 0.35
+# From this urgency on the whole margin is added; none for urgency 0, of
+# which every answer that can still be in time is worth the work.
+WHOLE_MARGIN = 2
 # Bounds of the advice when to come back, in seconds: below the first a
 # repeat meets the same queue, beyond the second a peak has passed.
 LEAST_RETRY = 1.0
@@ -31,12 +34,14 @@
         work: Seconds that it takes itself.
         slots: Requests that this node has running at once; they end at this
             rate times the work of one, so waiting work drains as fast.
+        urgency: 0 is the most urgent.
     """
 
     left: float
     ahead: float
     work: float
     slots: int
+    urgency: int = WHOLE_MARGIN
 
 
 class Admission(Protocol):
@@ -66,7 +71,8 @@
     def feasible(self, outlook: Outlook) -> bool:
         """Whether its answer can be whole before its deadline."""
         wait = outlook.ahead / max(1, outlook.slots)
-        return (wait + outlook.work) * (1 + MARGIN) <= outlook.left
+        margin = MARGIN * min(1.0, outlook.urgency / WHOLE_MARGIN)
+        return (wait + outlook.work) * (1 + margin) <= outlook.left
 
     def full(self, queued: int) -> bool:
         """Whether too many wait."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/estimates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/estimates.py
@@ -27,10 +27,15 @@
     Attributes:
         output_share: Output tokens as a share of the limit.
         seconds: From dispatch to the end.
+        slowdown: Times the nominal time, which a loaded engine takes. By
+            kind, since engines serve the urgent first.
+        observed: When the last one ended.
     """
 
     output_share: float
     seconds: float
+    slowdown: float = 1.0
+    observed: float = -math.inf
 
 
 class Estimator(Protocol):
@@ -55,7 +60,7 @@
 
 
 class LearntEstimator:
-    """Learns the answer's length by kind and the slowdown by service.
+    """Learns the answer's length and the slowdown by kind.
 
     >>> LearntEstimator().seconds(request, report, now=0.0)
     1.25
@@ -63,8 +68,6 @@
 
     def __init__(self):
         self.kinds: dict[str, Kind] = {}
-        self.slowdown = 1.0
-        self.observed = -math.inf
 
     def seconds(
         self, request: types.Request, report: types.Report | None, now: float
@@ -74,7 +77,7 @@
         if report is None or report.decode_rate <= 0:
             return kind.seconds if kind else 0.0
         output = self.output_tokens(request)
-        return nominal(request, report, output) * self.current(now)
+        return nominal(request, report, output) * current(kind, now)
 
     def tokens(self, request: types.Request) -> float:
         """Prompt and expected output tokens; 1 for a plain call."""
@@ -86,11 +89,6 @@
         share = kind.output_share if kind else FIRST_OUTPUT_SHARE
         return request.output_tokens * share
 
-    def current(self, now: float) -> float:
-        """The slowdown, forgotten by half every `HALF_LIFE` seconds."""
-        idle = max(0.0, now - self.observed)
-        return 1.0 + (self.slowdown - 1.0) * 0.5 ** (idle / HALF_LIFE)
-
     def observe(
         self,
         request: types.Request,
@@ -103,17 +101,24 @@
             return
         share = result.output_tokens / max(1, request.output_tokens)
         old = self.kinds.get(request.kind, Kind(share, result.seconds))
+        slowdown = current(old, now)
+        if report is not None and report.decode_rate > 0:
+            expected = nominal(request, report, result.output_tokens)
+            slowdown = blend(slowdown, max(1.0, result.seconds / expected))
         self.kinds[request.kind] = Kind(
-            blend(old.output_share, share), blend(old.seconds, result.seconds)
+            blend(old.output_share, share),
+            blend(old.seconds, result.seconds),
+            slowdown,
+            now,
         )
-        if report is None or report.decode_rate <= 0:
-            return
-        expected = nominal(request, report, result.output_tokens)
-        if expected <= 0:
-            return
-        ratio = max(1.0, result.seconds / expected)
-        self.slowdown = blend(self.current(now), ratio)
-        self.observed = now
+
+
+def current(kind: Kind | None, now: float) -> float:
+    """The slowdown, forgotten by half every `HALF_LIFE` seconds."""
+    if kind is None:
+        return 1.0
+    idle = max(0.0, now - kind.observed)
+    return 1.0 + (kind.slowdown - 1.0) * 0.5 ** (idle / HALF_LIFE)
 
 
 def nominal(
@@ -121,7 +126,8 @@
 ) -> float:
     """Seconds that an engine with nothing else to do would take."""
     prefill = request.prompt_tokens / max(1.0, report.prefill_rate)
-    return prefill + output_tokens / max(1.0, report.decode_rate)
+    decode = max(1.0, output_tokens) / max(1.0, report.decode_rate)
+    return prefill + decode
 
 
 def blend(old: float, new: float) -> float:
--- a/packages/gypsumfold/src/gypsumfold/decisions/limits.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/limits.py
@@ -28,6 +28,9 @@
 # Share of the KV cache above which an engine would preempt sequences;
 # vLLM's default watermark leaves 1 % and a sequence grows while it runs.
 KV_FULL = 0.95
+# Seconds of prompts that may wait inside an engine for its next steps; beyond
+# the report's age and a step or two, more only makes later urgent work wait.
+PREFILL_AHEAD = 0.3
 # Own dispatches to a replica whose report is missing or stale: enough to
 # notice that it works, too few to flood it.
 UNKNOWN_LIMIT = 2
@@ -143,7 +146,23 @@
             capacity = max(1, int(capacity * LONG_SHARE))
         if held >= capacity:
             return False
-        return plain or not load.fresh or self.mine(replica, load, capacity)
+        if plain or not load.fresh:
+            return True
+        if urgency > 0 and not self.prefill_room(replica, load):
+            return False
+        return self.mine(replica, load, capacity)
+
+    def prefill_room(self, replica: types.Replica, load: loads.Load) -> bool:
+        """Whether few enough prompts wait inside the engine.
+
+        It has worked on them since the report was taken; of what it can
+        take by now this node sends its share.
+        """
+        report = replica.report
+        seconds = PREFILL_AHEAD + load.age
+        free = seconds * report.prefill_rate - report.prefill_tokens
+        unseen = load.prefill_tokens - report.prefill_tokens
+        return unseen <= max(0.0, self.share * free) and free > 0
 
     def mine(
         self, replica: types.Replica, load: loads.Load, capacity: int
--- a/packages/gypsumfold/src/gypsumfold/decisions/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/loads.py
@@ -47,6 +47,7 @@
         own: Own dispatches in progress there.
         unseen: Those of them that the report cannot contain.
         gone: Own dispatches that the report contains and that have ended.
+        age: Seconds since the report was taken.
         long: Own dispatches in progress there that are long.
     """
 
@@ -57,6 +58,7 @@
     long: int
     unseen: int = 0
     gone: int = 0
+    age: float = 0.0
 
 
 class Ended(NamedTuple):
@@ -123,7 +125,8 @@
         gone = self.gone(replica.name, report.taken)
         occupied = max(own, report.running + report.waiting + unseen - gone)
         prefill = report.prefill_tokens + self.prompts(at, report.taken)
-        return Load(True, occupied, prefill, own, long, unseen, gone)
+        age = now - report.taken
+        return Load(True, occupied, prefill, own, long, unseen, gone, age)
 
     def unseen(self, at: dict[str, bool], taken: float) -> int:
         """Own dispatches that the report cannot contain."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -261,6 +261,7 @@
             ahead=self.parts.queue.ahead(item, now),
             work=item.work,
             slots=self.slots(item),
+            urgency=item.request.urgency,
         )
 
     def slots(self, item: queues.Waiting) -> int:
@@ -276,7 +277,8 @@
     def late(self, item: queues.Waiting, now: float) -> bool:
         """Whether it can no longer be in time though it were sent now."""
         left = item.request.deadline - now
-        alone = admission.Outlook(left, ahead=0.0, work=item.work, slots=1)
+        urgency = item.request.urgency
+        alone = admission.Outlook(left, 0.0, item.work, 1, urgency)
         return not self.parts.admission.feasible(alone)
 
     def refuse(
