--- a/packages/gypsumfold/src/gypsumfold/decisions/limits.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/limits.py
@@ -30,7 +30,7 @@
 KV_FULL = 0.95
 # Seconds of prompts that may wait inside an engine for its next steps; beyond
 # the report's age and a step or two, more only makes later urgent work wait.
-PREFILL_AHEAD = 0.3
+PREFILL_AHEAD = 0.6
 # Own dispatches to a replica whose report is missing or stale: enough to
 # notice that it works, too few to flood it.
 UNKNOWN_LIMIT = 2
