--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; docs/MEASUREMENTS.md has the command of each figure."""
+"""Measurements with real processes; docs/MEASUREMENTS.md has the figures."""
