--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/backlog.py
@@ -0,0 +1,81 @@
+"""How much waiting work goes before each request under fair queueing."""
+
+import collections
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from gypsumfold.decisions import queues
+
+
+class Ranked(NamedTuple):
+    """A waiting request as it will be served.
+
+    Attributes:
+        item: It.
+        rank: The urgency that it is served with.
+        account: Who sent it.
+        weight: Its account's weight.
+    """
+
+    item: queues.Waiting
+    rank: int
+    account: str
+    weight: float
+
+
+class Backlog:
+    """Sums waiting work up, once for all that wait.
+
+    An account is served no faster than its share: of each other account at
+    most as much goes before a request as its own account has before it. Long
+    requests let short ones pass.
+
+    >>> dict(Backlog(ranked).aheads())
+    {'call-1': 0.0, 'call-2': 1.5}
+    """
+
+    def __init__(self, ranked: list[Ranked]):
+        """Sums up.
+
+        Args:
+            ranked: All that wait, in order within each account.
+        """
+        self.ranked = ranked
+        self.short: dict[int, collections.Counter] = {}
+        self.all: dict[int, collections.Counter] = {}
+        for one in ranked:
+            self.count(self.all, one)
+            if not one.item.long:
+                self.count(self.short, one)
+
+    def count(
+        self, totals: dict[int, collections.Counter], one: Ranked
+    ) -> None:
+        """Adds one request to the work of its account and rank."""
+        work = totals.setdefault(one.rank, collections.Counter())
+        work[one.account] += one.item.work / one.weight
+
+    def aheads(self) -> Iterator[tuple[queues.Waiting, float]]:
+        """Yields each request with the seconds of work before it."""
+        own: dict[tuple[str, bool], float] = collections.defaultdict(float)
+        for one in self.ranked:
+            before = own[one.account, False]
+            if one.item.long:
+                before += own[one.account, True]
+            yield one.item, before + self.others(one, before)
+            own[one.account, one.item.long] += one.item.work
+
+    def others(self, one: Ranked, before: float) -> float:
+        """Seconds of other accounts' work that go before a request."""
+        totals = self.all if one.item.long else self.short
+        share = (before + one.item.work) / one.weight
+        total = 0.0
+        for rank, work in totals.items():
+            if rank > one.rank:
+                continue
+            for account, seconds in work.items():
+                if account == one.account:
+                    continue
+                bound = seconds if rank < one.rank else min(seconds, share)
+                total += bound
+        return total
--- a/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterator
 import math
 
+from gypsumfold.decisions import backlog
 from gypsumfold.decisions import queues
 from gypsumfold.decisions import types
 
@@ -219,30 +220,22 @@
         account.tag += (used - charged) / account.weight
         account.used = max(0.0, account.used + used - charged)
 
-    def ahead(self, item: queues.Waiting, now: float) -> float:
-        """Seconds of waiting work that goes before this request."""
+    def aheads(self, now: float) -> Iterator[tuple[queues.Waiting, float]]:
+        """Yields each request with the seconds of work that go before it."""
         self.measure(now)
-        mine = self.account(item.request.account)
-        rank = self.rank(mine, item, now)
-        own = item.work
-        equal: dict[str, float] = collections.defaultdict(float)
-        before = 0.0
-        for other in self.waiting.values():
-            account = self.accounts[other.request.account]
-            if other is item or (other.long and not item.long):
-                # Long ones are held back and let short ones pass.
-                continue
-            if account is mine:
-                own += other.work * (_key(other) < _key(item))
-                continue
-            other_rank = self.rank(account, other, now)
-            if other_rank < rank:
-                before += other.work
-            elif other_rank == rank:
-                equal[account.name] += other.work / account.weight
-        for work in equal.values():
-            before += min(work, own / mine.weight)
-        return before + own - item.work
+        ranked = []
+        for account in self.backlogged():
+            for key in account.items:
+                item = self.waiting[key[2]]
+                rank = self.rank(account, item, now)
+                ranked.append(
+                    backlog.Ranked(item, rank, account.name, account.weight)
+                )
+        yield from backlog.Backlog(ranked).aheads()
+
+    def refresh(self, item: queues.Waiting) -> None:
+        """Replaces the estimates of a request that waits."""
+        self.waiting[item.request.id] = item
 
     def victim(self, now: float) -> queues.Waiting | None:
         """The last request of the heaviest account in the lowest class."""
@@ -293,10 +286,6 @@
         return uses[:most]
 
 
-def _key(item: queues.Waiting) -> tuple[int, float, str]:
-    return (item.request.urgency, item.position, item.request.id)
-
-
 class FIFOQueue(FairQueue):
     """The baseline: strictly by time of entry, whoever sends."""
 
@@ -305,13 +294,12 @@
         for item in sorted(self.waiting.values(), key=lambda one: one.since):
             yield queues.Turn(item, item.request.urgency)
 
-    def ahead(self, item: queues.Waiting, now: float) -> float:
-        """All that entered before."""
+    def aheads(self, now: float) -> Iterator[tuple[queues.Waiting, float]]:
+        """All that entered before goes before."""
         total = 0.0
-        for other in self.waiting.values():
-            if other.since < item.since and other.long <= item.long:
-                total += other.work
-        return total
+        for turn in self.ordered(now, long_room=True):
+            yield turn.item, total
+            total += turn.item.work
 
     def victim(self, now: float) -> queues.Waiting | None:
         """The last one."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/queues.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/queues.py
@@ -69,8 +69,11 @@
     def settle(self, request: types.Request, charged: float, used: float):
         """Corrects a charge by what was used."""
 
-    def ahead(self, item: Waiting, now: float) -> float:
-        """Seconds of waiting work that goes before this request."""
+    def aheads(self, now: float) -> Iterator[tuple[Waiting, float]]:
+        """Yields each request with the seconds of work that go before it."""
+
+    def refresh(self, item: Waiting) -> None:
+        """Replaces the estimates of a request that waits."""
 
     def victim(self, now: float) -> Waiting | None:
         """The request to give up first where there are too many."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -28,6 +28,8 @@
 # Waiting requests that are tried in one go; more only matter where the first
 # ones are for models that have no room.
 SCAN = 64
+# Seconds between two reviews of all that wait; reports come as often.
+REVIEW = 0.25
 # Reasons of refusals, for callers.
 OVER_LIMIT = "the account uses more tokens a second than it may"
 TOO_LATE = "the answer would come after its deadline"
@@ -83,6 +85,7 @@
         self.selection = selection.Selection(self.parts)
         self.meter = demands_module.Meter()
         self.closed_since: float | None = None
+        self.reviewed = float("-inf")
 
     def offer(self, request: types.Request, now: float) -> list[types.Action]:
         """Takes a new request in and returns what to do now."""
@@ -106,15 +109,53 @@
 
         If too many wait then, one of them is given up for it.
         """
-        outlook = self.outlook(item, now)
-        if not self.parts.admission.feasible(outlook):
-            wait = (outlook.ahead + item.work) / max(1, outlook.slots)
-            return [self.refuse(item, TOO_LATE, wait)]
-        if not self.parts.admission.full(len(self.parts.queue.waiting)):
-            return []
+        ahead = 0.0
+        for other, before in self.parts.queue.aheads(now):
+            if other is item:
+                ahead = before
+        refused = self.judge(item, ahead, item.request.urgency, now)
+        if refused or not self.parts.admission.full(
+            len(self.parts.queue.waiting)
+        ):
+            return refused
         victim = self.parts.queue.victim(now)
         return [self.refuse(victim, TOO_MANY, self.drain())]
 
+    def judge(
+        self, item: queues.Waiting, ahead: float, urgency: int, now: float
+    ) -> list[types.Action]:
+        """Refuses a waiting request that cannot be in time.
+
+        Args:
+            item: It.
+            ahead: Seconds of work that go before it.
+            urgency: To judge it by; 0 leaves no margin.
+            now: The time.
+        """
+        outlook = self.outlook(item, ahead, now)._replace(urgency=urgency)
+        if self.parts.admission.feasible(outlook):
+            return []
+        wait = (ahead + item.work) / max(1, outlook.slots)
+        return [self.refuse(item, TOO_LATE, wait)]
+
+    def review(self, now: float) -> list[types.Action]:
+        """Judges all that wait again, by what is known by now.
+
+        In a burst the engines slow down after the first ones were let in.
+        Without a margin, since a passing state must not be made final.
+        """
+        if now - self.reviewed < REVIEW:
+            return []
+        self.reviewed = now
+        for item in list(self.parts.queue.waiting.values()):
+            report = self.selection.some_report(item.request)
+            work = self.work(item.request, report, now)
+            self.parts.queue.refresh(item._replace(work=work))
+        actions = []
+        for item, ahead in list(self.parts.queue.aheads(now)):
+            actions += self.judge(item, ahead, 0, now)
+        return actions
+
     def withdraw(self, request_id: str, now: float) -> list[types.Action]:
         """Forgets a request that still waits: its caller has gone."""
         self.parts.queue.remove(request_id)
@@ -157,7 +198,7 @@
     def tick(self, now: float) -> list[types.Action]:
         """Refuses what is now too late and looks for overdue work."""
         self.selection.look_for_overdue(now)
-        actions = []
+        actions = self.review(now)
         for item in list(self.parts.queue.waiting.values()):
             if self.late(item, now):
                 actions.append(self.refuse(item, TOO_LATE, self.drain()))
@@ -254,11 +295,13 @@
         """Seconds that the request is expected to take."""
         return self.parts.estimator.seconds(request, report, now)
 
-    def outlook(self, item: queues.Waiting, now: float) -> admission.Outlook:
+    def outlook(
+        self, item: queues.Waiting, ahead: float, now: float
+    ) -> admission.Outlook:
         """What a waiting request can expect."""
         return admission.Outlook(
             left=item.request.deadline - now,
-            ahead=self.parts.queue.ahead(item, now),
+            ahead=ahead,
             work=item.work,
             slots=self.slots(item),
             urgency=item.request.urgency,
