--- a/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
@@ -31,6 +31,8 @@
 # Urgent requests that are always honoured within `MEMORY`: a share cannot be
 # told from one or two of them.
 URGENT_FLOOR = 2
+# The urgency of a service's requests where all are alike.
+ORDINARY = 9
 # What an account without a declaration is entitled to.
 EQUAL = types.Share()
 # Seconds between two measurements of the fair share: short against `MEMORY`,
@@ -96,6 +98,7 @@
         self.share = math.inf
         self.measured = -math.inf
         self.least_urgent = 0
+        self.most_urgent = 9
         self.next: list[tuple[int, str]] = []
         self.shares: dict[str, types.Share] = {}
 
@@ -109,6 +112,7 @@
         bisect.insort(account.items, key)
         self.waiting[request.id] = item
         self.least_urgent = max(self.least_urgent, request.urgency)
+        self.most_urgent = min(self.most_urgent, request.urgency)
 
     def account(self, name: str) -> Account:
         """The account, made on its first request."""
@@ -139,7 +143,7 @@
                 ranked.append((order, item))
         ranked.sort(key=lambda entry: entry[0])
         for order, item in ranked:
-            yield queues.Turn(item, order[0])
+            yield queues.Turn(item, self.relative(order[0]))
 
     def first(self, account: Account, long_room: bool) -> list[queues.Waiting]:
         """The first requests of an account that may be sent."""
@@ -233,6 +237,15 @@
                 )
         yield from backlog.Backlog(ranked).aheads()
 
+    def relative(self, urgency: int) -> int:
+        """The urgency against the service's most urgent kind, which is 0.
+
+        Where all are of one urgency, none is urgent.
+        """
+        if self.least_urgent <= self.most_urgent:
+            return ORDINARY
+        return urgency - self.most_urgent
+
     def refresh(self, item: queues.Waiting) -> None:
         """Replaces the estimates of a request that waits."""
         self.waiting[item.request.id] = item
@@ -292,7 +305,7 @@
     def ordered(self, now: float, long_room: bool) -> Iterator[queues.Turn]:
         """In order of entry."""
         for item in sorted(self.waiting.values(), key=lambda one: one.since):
-            yield queues.Turn(item, item.request.urgency)
+            yield queues.Turn(item, self.relative(item.request.urgency))
 
     def aheads(self, now: float) -> Iterator[tuple[queues.Waiting, float]]:
         """All that entered before goes before."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/queues.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/queues.py
@@ -35,8 +35,9 @@
 
     Attributes:
         item: It.
-        urgency: The urgency to serve it with; less than what it asks for
-            where its account has used up its share.
+        urgency: The urgency to serve it with, against the service's most
+            urgent kind, which is 0; less than what it asks for where its
+            account has used up its share.
     """
 
     item: Waiting
@@ -72,6 +73,9 @@
     def aheads(self, now: float) -> Iterator[tuple[Waiting, float]]:
         """Yields each request with the seconds of work that go before it."""
 
+    def relative(self, urgency: int) -> int:
+        """The urgency against the service's most urgent kind, which is 0."""
+
     def refresh(self, item: Waiting) -> None:
         """Replaces the estimates of a request that waits."""
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -113,7 +113,8 @@
         for other, before in self.parts.queue.aheads(now):
             if other is item:
                 ahead = before
-        refused = self.judge(item, ahead, item.request.urgency, now)
+        urgency = self.parts.queue.relative(item.request.urgency)
+        refused = self.judge(item, ahead, urgency, now)
         if refused or not self.parts.admission.full(
             len(self.parts.queue.waiting)
         ):
@@ -304,7 +305,7 @@
             ahead=ahead,
             work=item.work,
             slots=self.slots(item),
-            urgency=item.request.urgency,
+            urgency=self.parts.queue.relative(item.request.urgency),
         )
 
     def slots(self, item: queues.Waiting) -> int:
@@ -320,7 +321,7 @@
     def late(self, item: queues.Waiting, now: float) -> bool:
         """Whether it can no longer be in time though it were sent now."""
         left = item.request.deadline - now
-        urgency = item.request.urgency
+        urgency = self.parts.queue.relative(item.request.urgency)
         alone = admission.Outlook(left, 0.0, item.work, 1, urgency)
         return not self.parts.admission.feasible(alone)
 
