--- a/features/steps/burn_steps.py
+++ b/features/steps/burn_steps.py
@@ -1,9 +1,12 @@
 """Steps on the burn report."""
 
+import os
+import subprocess
+import sys
+
 import behave
 from features.support import deployments
 from features.support import fleets
-from features.support import http
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -11,7 +14,6 @@
 from gypsumfold import burn
 from gypsumfold import objects
 from gypsumfold.platform import records
-from gypsumfoldctl import burns
 
 FUZZ = hypothesis.settings(
     derandomize=True, database=None, max_examples=200, deadline=None
@@ -148,18 +150,30 @@
 )
 def step_report(context, good, bad):
     node = context.fleet["entry-2"]
-    url = f"http://{node.host}:{fleets.OPERATORS_PORT}/v1/reports/burn"
-    token = f"Bearer {fleets.OPERATOR_TOKEN}"
-    answer = http.get(url, headers={"Authorization": token})
-    assert answer.status == 200, answer
-    context.report = msgspec.json.decode(answer.body, type=burn.Report)
-    (objective,) = context.report.objectives
-    assert (objective.good, objective.bad) == (good, bad), objective
+    context.nodes = f"{node.host}:{fleets.OPERATORS_PORT}"
+    found = report_by_command(context.nodes, "json")
+    (objective,) = msgspec.json.decode(found)["objectives"]
+    assert (objective["good"], objective["bad"]) == (good, bad), objective
+    assert "briefings" in report_by_command(context.nodes, "text")
+
+
+def report_by_command(nodes, form):
+    """Runs gypsumfoldctl as an operator does."""
+    environment = {**os.environ, "GYPSUMFOLD_TOKEN": fleets.OPERATOR_TOKEN}
+    command = [sys.executable, "-m", "gypsumfoldctl.main", "--node", nodes]
+    found = subprocess.run(
+        [*command, "report", "burn", "--format", form],
+        env=environment,
+        capture_output=True,
+        text=True,
+    )
+    assert found.returncode == 0, found
+    return found.stdout
 
 
 @behave.then("gypsumfold's page of it needs no other file")
 def step_page(context):
-    page = burns.html(context.report)
+    page = report_by_command(context.nodes, "html")
     assert "<svg" in page and "briefings" in page
     for reference in ("src=", 'href="http', "@import", "url(http"):
         assert reference not in page, reference
--- a/packages/gypsumfold/src/gypsumfold/operators/server.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/server.py
@@ -216,7 +216,7 @@
 
     async def show_burn(self, request: web.Request) -> web.Response:
         """Answers ``GET /v1/reports/burn``."""
-        return respond(await self.report())
+        return respond({"report": await self.report()})
 
 
 def decode(body: bytes, body_type: type):
@@ -231,7 +231,7 @@
         raise exceptions.StatementError(f"the body: {error}") from error
 
 
-def respond(body: dict | tuple) -> web.Response:
+def respond(body: dict) -> web.Response:
     """Makes a JSON response."""
     return web.Response(
         body=msgspec.json.encode(body), content_type="application/json"
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/burns.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/burns.py
@@ -167,3 +167,6 @@
     # The XML prologue does not belong into an HTML page.
     svg = written.getvalue()
     return svg[svg.index("<svg") :]
+
+
+FORMATS = {"text": text, "json": json, "html": html}
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/client.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/client.py
@@ -8,6 +8,7 @@
 import msgspec
 import uuid6
 
+from gypsumfold import burn
 from gypsumfold import changes
 from gypsumfoldctl import exceptions
 
@@ -88,23 +89,39 @@
             "change_id": str(uuid6.uuid7()),
             "preconditions": preconditions,
         }
-        return await self.post("/v1/statements", body, repeatable)
+        return await self.ask("POST", "/v1/statements", body, repeatable)
 
     async def query(self, text: str) -> dict[str, Any]:
         """Runs a ``show`` statement."""
-        return await self.post("/v1/queries", {"text": text}, True)
+        return await self.ask("POST", "/v1/queries", {"text": text}, True)
 
-    async def post(
-        self, path: str, body: dict[str, Any], repeatable: bool
+    async def burn(self) -> burn.Report:
+        """Reads the burn report.
+
+        Raises:
+            exceptions.Undetermined: The answer is none of this version.
+        """
+        found = await self.ask("GET", "/v1/reports/burn", None, True)
+        try:
+            return msgspec.convert(found.get("report"), burn.Report)
+        except msgspec.ValidationError as error:
+            raise exceptions.Undetermined(str(error)) from error
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        repeatable: bool,
     ) -> dict[str, Any]:
-        """Posts to the nodes in turn until one gives a final answer."""
+        """Asks the nodes in turn until one gives a final answer."""
         failure: exceptions.CommandError | None = None
         refused: set[str] = set()
         for node in self.connection.nodes * ROUNDS:
             if node in refused:
                 continue
             try:
-                answer = await self.send("POST", node, path, body)
+                answer = await self.send(method, node, path, body)
                 return final(answer)
             except exceptions.NotRun as error:
                 failure = weightier(failure, error)
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 from typing import Any
+from typing import TextIO
 
 import click
 from click import shell_completion
@@ -16,6 +17,7 @@
 from gypsumfold import objects
 from gypsumfold.operators import language
 from gypsumfold.operators import statements
+from gypsumfoldctl import burns
 from gypsumfoldctl import client as client_module
 from gypsumfoldctl import exceptions
 from gypsumfoldctl import output
@@ -285,6 +287,41 @@
     finish(work())
 
 
+@main.group()
+def report() -> None:
+    """Reports on what the nodes have served."""
+
+
+@report.command("burn", epilog=EXIT_CODES)
+@click.option(
+    "--format",
+    "form",
+    type=click.Choice(sorted(burns.FORMATS)),
+    default="text",
+    show_default=True,
+    help="Text, JSON, or a page that needs no other file.",
+)
+@click.option(
+    "--output",
+    "target",
+    type=click.File("w", lazy=True),
+    default="-",
+    help="Where to write; standard output where nothing is given.",
+)
+@click.pass_obj
+def report_burn(
+    connection: client_module.Connection, form: str, target: TextIO
+) -> None:
+    """Report how fast error budgets are spent (multi-window burn rates)."""
+
+    async def work() -> None:
+        async with client_module.Client(connection) as client:
+            found = await client.burn()
+        click.echo(burns.FORMATS[form](found), file=target)
+
+    finish(work())
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
