--- a/features/steps/combined_steps.py
+++ b/features/steps/combined_steps.py
@@ -20,14 +20,15 @@
     for place, name in enumerate(mixture.ENGINES):
         fleet.start_engine(name, centres[place], checks_tokens=place > 0)
     for place, name in enumerate(mixture.PLAIN):
-        fleet.start_service(name, centres[place], seconds=0.02)
+        fleet.start_service(name, centres[place], seconds=mixture.SERVICE)
     context.proxies = {
-        name: fleet.proxy(fleet[name]) for name in (*mixture.ENGINES, "log")
+        name: fleet.proxy(fleet[name])
+        for name in (*mixture.ENGINES, *mixture.PLAIN, "log")
     }
     log = {"platform": {"log": context.proxies["log"].url}}
     fleet.start_nodes(*mixture.NODES, **log)
     addresses = {}
-    for name in mixture.ENGINES:
+    for name in (*mixture.ENGINES, *mixture.PLAIN):
         addresses[name.replace("-", "_")] = context.proxies[name].address
     deployments.declare(fleet, **addresses)
 
--- a/features/support/mixture.py
+++ b/features/support/mixture.py
@@ -24,6 +24,11 @@
 LASTS = 2.0
 # Seconds between a fault's end and the next one's begin.
 BETWEEN = 0.5
+# Seconds of one call at a plain service: some are always in progress.
+SERVICE = 0.2
+# Seconds after which a caller turns to another node, as one at a frozen
+# node does.
+PATIENCE = 1.0
 # Tries of a caller with an idempotency key, each through another node.
 TRIES = 6
 
@@ -108,21 +113,35 @@
 
     def call(self, content: str, rng: random.Random) -> None:
         """Makes one call without a key, and never again."""
-        answer = deployments.call(self.node(rng), content)
-        self.note(content, False, [answer])
+        self.note(content, False, [self.send(content, rng)])
 
     def call_by_key(self, content: str, rng: random.Random) -> None:
         """Makes one call with a key, again until its end is known."""
         key = {"Idempotency-Key": str(uuid6.uuid7())}
         answers = []
         for _ in range(TRIES):
-            answers.append(deployments.call(self.node(rng), content, **key))
+            answers.append(self.send(content, rng, **key))
             last = outcome_of(answers[-1])
             if last not in ("", "undetermined"):
                 break
             self.ended.wait(0.3)
         self.note(content, True, answers)
 
+    def send(
+        self, content: str, rng: random.Random, **extra: str
+    ) -> http.Answer | None:
+        """Sends one call to some node; None where no answer came in time."""
+        path = f"/v1/services/{deployments.PLAIN}/{deployments.CALL}"
+        try:
+            return http.post(
+                self.node(rng).url + path,
+                content.encode(),
+                headers=deployments.headers(**extra),
+                timeout=PATIENCE,
+            )
+        except http.Gone:
+            return None
+
     def note(
         self, content: str, keyed: bool, answers: list[http.Answer | None]
     ) -> None:
@@ -162,6 +181,8 @@
             self.freeze_node,
             self.cut_peer,
             self.silence_engine,
+            self.cut_service,
+            self.silence_service,
             self.stop_log,
             self.lose_appends,
             self.crash_engine,
@@ -219,6 +240,20 @@
         self.proxies[engine].silence()
         return lambda: None
 
+    def cut_service(self) -> Callable[[], None]:
+        """Cuts a plain service off from all nodes, calls in progress too."""
+        service = self.random.choice(PLAIN)
+        self.told(f"cut {service}")
+        self.proxies[service].cut()
+        return self.proxies[service].heal
+
+    def silence_service(self) -> Callable[[], None]:
+        """Makes the open connections to a plain service silent for good."""
+        service = self.random.choice(PLAIN)
+        self.told(f"silence {service}")
+        self.proxies[service].silence()
+        return lambda: None
+
     def silence_log(self) -> Callable[[], None]:
         """Makes the open connections to the log silent for good."""
         self.told("silence the log")
