--- a/features/steps/combined_steps.py
+++ b/features/steps/combined_steps.py
@@ -3,6 +3,7 @@
 import behave
 from features.support import deployments
 from features.support import fleets
+from features.support import http
 from features.support import mixture
 import xxhash
 
@@ -116,7 +117,10 @@
             least = line["revision"]
 
     def level():
-        states = [fleet.state(fleet[name]) for name in mixture.NODES]
+        try:
+            states = [fleet.state(fleet[name]) for name in mixture.NODES]
+        except http.Gone:
+            return False
         ready = all(state["ready"] for state in states)
         return ready and len({state["revision"] for state in states}) == 1
 
