--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -10,6 +10,7 @@
 import time
 
 from gypsumfold import changes
+from gypsumfold import clocks
 from gypsumfold import configuration as configuration_module
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -79,7 +80,7 @@
 
     def fresh(self) -> bool:
         """Whether the node knows the configuration well enough to serve."""
-        if time.monotonic() - self.looked > LOOK_LIMIT:
+        if clocks.now() - self.looked > LOOK_LIMIT:
             return False
         return self.freshness.fresh
 
@@ -91,7 +92,7 @@
         """Whether all up to the log's end, as last read, took its place."""
         if not self.tail.caught_up.is_set():
             return False
-        return self.configuration.position >= self.tail.next - 1
+        return self.configuration.position >= self.tail.end - 1
 
     async def run(self) -> None:
         """Follows the log and the peers for as long as the node runs."""
@@ -111,14 +112,16 @@
         """Decides anew whether this node's configuration is fresh."""
         peers = []
         for peer in self.peers.known():
-            peers.append(freshness_module.PeerView(peer.revision, peer.heard))
+            peers.append(
+                freshness_module.PeerView(peer.revision, peer.answered)
+            )
         view = freshness_module.View(
             self.configuration.revision,
             self.log_read(),
             self.tail.heard or None,
             tuple(peers),
         )
-        self.looked = time.monotonic()
+        self.looked = clocks.now()
         self.freshness.update(view, self.looked)
 
     def sources(self) -> list[str]:
@@ -226,10 +229,7 @@
     def rank(self) -> int:
         """Counts the peers that come before this node in publishing."""
         before = 0
-        now = time.monotonic()
         for peer in self.peers.known():
-            if now - peer.heard > freshness_module.CUT_OFF_AFTER:
-                continue
             if peer.incarnation < self.incarnation:
                 before += 1
         return before
