--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -90,6 +90,7 @@
             self.fleet,
         )
         self.control = control.Control(self)
+        self.shutdown.register("control", self.control.release)
         self.tails[records.CONTROL] = self.control.tail
         self.fleet.permissions = self.control.permissions
         self.calls = calls.Calls(self)
