Give each order's record a verdict from its arrival on

Cause: the stand-in recorded an order before it decided on it, so that a test that read the records in between found no verdict.

--- a/packages/gypsumfold-standins/src/gypsumfold_standins/orders.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/orders.py
@@ -78,6 +78,7 @@
         """Notes an order's arrival."""
         record = dict(order)
         record["arrival"] = time.time()
+        record["verdict"] = "arrived"
         record["stale"] = order["token"] < self.highest_token
         record["during"] = self.changing["id"] if self.changing else ""
         record["cut"] = []
