--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -8,15 +8,9 @@
 import statistics
 import time
 
+from features.support import filling
 from features.support import fleets
-from features.support import http
 from features.support import processes
-import uuid6
-
-from gypsumfold import changes
-from gypsumfold import configuration as configuration_module
-from gypsumfold.operators import language
-from gypsumfold.platform import records
 
 NODES = 6
 CHANGES = 200
@@ -24,8 +18,9 @@
 KEPT = (0, 1000, 5000, 10000)
 STARTS = 5
 # Numbers of events.
-STARTED, READY, APPLIED = 100, 101, 700
-BASE = 'create service "web" set protocol = "plain";'
+STARTED, READY, APPLIED, PUBLISHED = 100, 101, 700, 704
+# Seconds of retention: snapshots come soon, or not during a run.
+SOON, LATE = 20.0, 1e6
 
 
 def moment(line: dict) -> float:
@@ -61,7 +56,7 @@
         nodes = fleet.start_nodes(
             *names, platform={"log": proxy.url}, peers={"heartbeat": 0.5}
         )
-        fleet.apply(BASE)
+        fleet.apply(filling.FIRST)
         if cut:
             for node in nodes[1:]:
                 proxy.partition(source=node.host)
@@ -89,45 +84,36 @@
     return all(fleet.state(node)["revision"] >= revision for node in nodes)
 
 
-def fill(fleet: fleets.Fleet, count: int) -> None:
-    """Puts valid changes on the config stream, without a node."""
-    fleet["log"].faults(rate=1e9)
-    url = f"{fleet['log'].url}/streams/{records.CONFIG}/records"
-    configuration = configuration_module.Configuration()
-    for number in range(count):
-        text = BASE
-        if number:
-            text = f'alter service "web" set change_weight = {number};'
-        operations = changes.operations(language.parse(text))
-        declared = configuration.declared("service", "web")
-        revision = declared.revision if declared else -1
-        condition = changes.Precondition("service", "web", revision)
-        change = changes.Change(
-            str(uuid6.uuid7()), "bench", operations, (condition,)
-        )
-        answer = http.post(url, records.encode([change]))
-        offset = answer.json()["offset"]
-        configuration.apply(records.Entry(offset, time.time(), (change,)))
-
+def starts(count: int, snapshot: bool) -> list[float]:
+    """Measures seconds from listening to ready.
 
-def starts(count: int) -> list[float]:
-    """Measures seconds from listening to ready, for some records kept."""
+    Args:
+        count: Records that the log keeps.
+        snapshot: Whether a snapshot follows them.
+    """
     fleet = fleets.Fleet("bench-starts")
     try:
         fleet.start_platform()
-        fill(fleet, count)
-        node = fleet.start_node("entry-1")
-        for _ in range(STARTS - 1):
+        filling.fill(fleet, count)
+        # Snapshots are due after a quarter of what the node takes for the
+        # log's retention.
+        retention = SOON if snapshot else LATE
+        node = fleet.start_node("entry-1", platform={"retention": retention})
+        if snapshot:
+            fleet.until(lambda: node.events(PUBLISHED))
+        for number in range(STARTS):
+            fleet.until(lambda n=number: len(node.events(READY)) > n)
             node.kill()
             node.restart()
             node.until_ready("/ready")
-        fleet.until(lambda: len(node.events(READY)) == STARTS)
+        fleet.until(lambda: len(node.events(READY)) == STARTS + 1)
         found = []
         for begun, ready in zip(
             node.events(STARTED), node.events(READY), strict=True
         ):
             found.append(moment(ready) - moment(begun))
-        return found
+        # The first start made the snapshot.
+        return found[1:]
     finally:
         fleet.close()
 
@@ -143,12 +129,16 @@
         row = [statistics.median(found), percentile(found, 0.99), max(found)]
         print(f"| {name} | {' | '.join(f'{v:.0f}' for v in row)} |", flush=True)
     print(f"\n{STARTS} starts of one node each, without peers\n")
-    print("| records kept | median ms to ready | highest ms |")
-    print("|---|---|---|")
+    print("| records kept | snapshot | median ms to ready | highest ms |")
+    print("|---|---|---|---|")
     for count in KEPT:
-        found = [1000 * seconds for seconds in starts(count)]
-        middle = statistics.median(found)
-        print(f"| {count} | {middle:.0f} | {max(found):.0f} |", flush=True)
+        for snapshot in (False, True):
+            if snapshot and not count:
+                continue
+            found = [1000 * seconds for seconds in starts(count, snapshot)]
+            row = [statistics.median(found), max(found)]
+            after = "after them" if snapshot else "none"
+            print(f"| {count} | {after} | {row[0]:.0f} | {row[1]:.0f} |")
 
 
 if __name__ == "__main__":
--- a/features/configuration_fleet.feature
+++ b/features/configuration_fleet.feature
@@ -56,3 +56,8 @@
     When the last node sleeps until changes made meanwhile are forgotten
     Then the last node is not ready before it has that change
     And every configured node is level, and no revision ever went back
+
+  Scenario: A starting node reads from the newest snapshot
+    Given a log with 2500 changes and a node that has published a snapshot
+    When the node that reads from the log alone is started again
+    Then it has the last of the changes, having applied fewer than 1200
--- a/features/steps/configuration_fleet_steps.py
+++ b/features/steps/configuration_fleet_steps.py
@@ -4,12 +4,14 @@
 import time
 
 import behave
+from features.support import filling
 from features.support import fleets
 from features.support import http
 import uuid6
 
-# Numbers of events: a node starts, a change and a snapshot are in force.
-STARTED, APPLIED, RESTORED = 100, 700, 702
+# Numbers of events: a node starts, a change or a snapshot is in force, a
+# snapshot is on the log.
+STARTED, APPLIED, RESTORED, PUBLISHED = 100, 700, 702, 704
 # Seconds for which something must not happen; longer than a node needs to
 # notice what it should not rely on.
 WATCH = 4.0
@@ -364,3 +366,35 @@
     time.sleep(1.0)
     for other in context.members[:-1]:
         other.thaw()
+
+
+@behave.given(
+    "a log with {count:d} changes and a node that has published a snapshot"
+)
+def step_filled(context, count):
+    fleet = context.fleet = fleets.Fleet("config-filled")
+    fleet.start_platform()
+    filling.fill(fleet, count)
+    # The node only looks as if the log forgot, and so publishes soon.
+    node = fleet.start_node("entry-1", platform={"retention": 20.0})
+    fleet.until(lambda: node.events(PUBLISHED))
+    context.count = count
+
+
+@behave.when("the node that reads from the log alone is started again")
+def step_filled_again(context):
+    node = context.fleet["entry-1"]
+    node.kill()
+    context.before = len(node.events(APPLIED))
+    node.restart()
+    node.until_ready("/ready")
+
+
+@behave.then(
+    "it has the last of the changes, having applied fewer than {most:d}"
+)
+def step_few_applied(context, most):
+    node = context.fleet["entry-1"]
+    assert context.fleet.state(node)["revision"] == context.count - 1
+    applied = len(node.events(APPLIED)) - context.before
+    assert applied < most, applied
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -157,6 +157,12 @@
     "warning",
     "A snapshot of the configuration could not be put on the log.",
 )
+SNAPSHOT_NOT_SOUGHT = define(
+    706,
+    "snapshot-not-sought",
+    "warning",
+    "The log could not be searched for a snapshot; it is read from the start.",
+)
 
 
 def configure(node: str, stream=sys.stderr) -> None:
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -240,8 +240,10 @@
     async def start(self) -> None:
         """Listens to peers, operators and callers and starts all tasks."""
         await self.peers.serve()
-        for stream, tail in self.tails.items():
-            self.supervise(f"tail-{stream}", tail.run)
+        runs = {stream: tail.run for stream, tail in self.tails.items()}
+        runs[records.CONFIG] = self.replication.run_tail
+        for stream, run in runs.items():
+            self.supervise(f"tail-{stream}", run)
         self.supervise("claims", self.calls.keyed.batcher.run)
         self.supervise("reporting", self.reporting.run)
         self.supervise("membership", self.membership.run)
--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -36,6 +36,11 @@
 # Bytes of entries or of a snapshot in one reply; a single batch on the log
 # has at most 256 KiB, and both together fit `framing.REPLY_LIMIT`.
 PAGE_BYTES = 512 * 1024
+# Entries of one page of the log (docs/PROTOCOLS.md).
+LOG_PAGE = 512
+# Pages that a starting node reads backwards from the log's end in search of
+# a snapshot. One is due after `snapshots.REPUBLISH_ENTRIES`, two pages.
+SEEK_PAGES = 4
 # Share of the log's retention between two looks whether a snapshot is due.
 SNAPSHOT_LOOK = 0.02
 # Seconds between these looks at the most.
@@ -100,6 +105,38 @@
             self.look()
             await asyncio.sleep(LOOK)
 
+    async def run_tail(self) -> None:
+        """Follows the log, from its newest snapshot on if there is one."""
+        if self.configuration.position < 0:
+            try:
+                await self.seek()
+            except exceptions.PlatformError as error:
+                events.log(events.SNAPSHOT_NOT_SOUGHT, reason=repr(error))
+        await self.tail.run()
+
+    async def seek(self) -> None:
+        """Reads the log backwards until a snapshot bridges the rest.
+
+        If none does, the tail reads from the first record, and what was
+        read here takes its place when it is reached.
+
+        Raises:
+            exceptions.PlatformError: The log cannot be read.
+        """
+        log = self.publisher.log
+        page = await log.read(records.CONFIG, self.tail.next, 0.0)
+        start = page.end
+        for _ in range(SEEK_PAGES):
+            start -= LOG_PAGE
+            if start <= page.first + LOG_PAGE:
+                return
+            found = await log.read(records.CONFIG, start, 0.0)
+            for entry in found.entries:
+                self.configuration.apply(entry)
+            if self.configuration.position >= start:
+                self.tail.next = self.configuration.position + 1
+                return
+
     async def run_pulls(self) -> None:
         """Pulls from a peer whenever one is ahead."""
         while True:
