--- a/packages/gypsumfold/src/gypsumfold/changes.py
+++ b/packages/gypsumfold/src/gypsumfold/changes.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-import ipaddress
 import re
 from typing import Any
 from typing import NamedTuple
@@ -15,6 +14,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold import objects
+from gypsumfold import rules
 from gypsumfold.operators import language
 from gypsumfold.operators import statements
 from gypsumfold.platform import records
@@ -29,38 +29,8 @@
 # Names stand in URLs, headers and metrics, so they hold no blanks.
 NAME = re.compile(r"[!-~]{1,200}")
 
-# The field of each kind that names an object of another kind.
-REFERENCES = {
-    "model": "service",
-    "version": "model",
-    "adapter": "model",
-    "endpoint": "service",
-    "kind": "service",
-    "objective": "service",
-}
-# The field of each kind that no two objects may share: one engine behind two
-# names could get conflicting orders, one token must name one account.
-UNIQUE = {"endpoint": "address", "account": "token_sha256"}
-# What stands between the model's name and the rest in these kinds' names.
-SEPARATORS = {"version": "@", "adapter": ":"}
-
-
-class Declared(NamedTuple):
-    """One object in force.
-
-    Attributes:
-        kind: Its kind, a key of `objects.KINDS`.
-        name: Its name, unique within the kind.
-        value: What is declared.
-        revision: Offset of the change that last touched it.
-        author: The operator who made that change.
-    """
-
-    kind: str
-    name: str
-    value: objects.Object
-    revision: int
-    author: str = ""
+Declared = rules.Declared
+Objects = rules.Objects
 
 
 class Operation(NamedTuple):
@@ -122,9 +92,6 @@
     difference: tuple[str, ...] = ()
 
 
-Objects = dict[str, dict[str, Declared]]
-
-
 def operations(
     changes: Iterable[statements.Change],
 ) -> tuple[Operation, ...]:
@@ -233,7 +200,7 @@
         self.check_preconditions(change)
         for operation in change.operations:
             self.run_operation(operation, change.author)
-        check_objects(self.objects, self.touched)
+        rules.check(self.objects, self.touched)
 
     def check_preconditions(self, change: Change) -> None:
         """Compares the revisions that the author saw with those in force."""
@@ -296,92 +263,6 @@
         raise exceptions.ChangeRejected(f'{kind} "{name}": {error}') from error
 
 
-def check_objects(found: Objects, touched: set[str]) -> None:
-    """Checks what the objects of the touched kinds say of one another.
-
-    Raises:
-        exceptions.ChangeRejected: An object refers to one that is not
-            there, or two share what only one may have.
-    """
-    for kind, field in REFERENCES.items():
-        if kind not in touched and field not in touched:
-            continue
-        for declared in found[kind].values():
-            target = getattr(declared.value, field)
-            if target not in found[field]:
-                raise exceptions.ChangeRejected(
-                    f'{kind} "{declared.name}" needs {field} "{target}"'
-                )
-    for kind in sorted(touched):
-        check_unique(kind, found[kind])
-        check_names(kind, found[kind])
-        check_defaults(kind, found[kind])
-
-
-def check_unique(kind: str, found: dict[str, Declared]) -> None:
-    """Refuses two objects that share an address or a token."""
-    field = UNIQUE.get(kind)
-    if not field:
-        return
-    owners: dict[str, str] = {}
-    for name, declared in found.items():
-        value = getattr(declared.value, field)
-        if field == "address":
-            value = normalized(value, name)
-        if value in owners:
-            raise exceptions.ChangeRejected(
-                f'{kind} "{name}" has the {field} of "{owners[value]}"'
-            )
-        owners[value] = name
-
-
-def normalized(address: str, name: str) -> str:
-    """Spells an address in the one way that can be compared.
-
-    Raises:
-        exceptions.ChangeRejected: It is no IP number and port.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ip = ipaddress.ip_address(host.strip("[]"))
-    except ValueError as error:
-        raise exceptions.ChangeRejected(
-            f'endpoint "{name}": {error}'
-        ) from error
-    if not 1 <= int(port) <= 65535:
-        raise exceptions.ChangeRejected(f'endpoint "{name}": {port} is no port')
-    return f"{ip} {int(port)}"
-
-
-def check_names(kind: str, found: dict[str, Declared]) -> None:
-    """Checks that versions and adapters are named after their model."""
-    separator = SEPARATORS.get(kind)
-    if not separator:
-        return
-    for name, declared in found.items():
-        head = f"{declared.value.model}{separator}"
-        if not name.startswith(head) or name == head:
-            raise exceptions.ChangeRejected(
-                f'{kind} "{name}" must be named "{head}..."'
-            )
-
-
-def check_defaults(kind: str, found: dict[str, Declared]) -> None:
-    """Refuses two defaults of one service or model."""
-    if kind not in ("version", "kind"):
-        return
-    owners: dict[str, str] = {}
-    for name, declared in found.items():
-        if not declared.value.default:
-            continue
-        parent = getattr(declared.value, REFERENCES[kind])
-        if parent in owners:
-            raise exceptions.ChangeRejected(
-                f'{kind} "{name}" and "{owners[parent]}" are both defaults'
-            )
-        owners[parent] = name
-
-
 def difference(found: Objects, change: Change) -> tuple[str, ...]:
     """Lists what is in force against what a change asked for.
 
--- a/packages/gypsumfold/src/gypsumfold/operators/publishing.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/publishing.py
@@ -24,12 +24,19 @@
 MARGIN = 1024
 
 
-def check_id(change_id: str) -> None:
-    """Refuses a change id of which the log would say nothing.
+def check(change: changes.Change) -> None:
+    """Refuses a change of which the log would say nothing.
 
     Raises:
-        exceptions.ChangeRejected: It is malformed or not of this hour.
+        exceptions.ChangeRejected: It is too large, or its id is malformed
+            or not of this hour.
     """
+    change_id = change.change_id
+    if len(records.encode([change])) > records.BATCH_BYTES - MARGIN:
+        raise exceptions.ChangeRejected(
+            f"the change is larger than {records.BATCH_BYTES} bytes; "
+            "apply it in several"
+        )
     now = time.time()
     changes.check_ahead(change_id, now)
     if changes.is_void(change_id, now):
@@ -76,12 +83,7 @@
         known = self.configuration.outcome(change.change_id)
         if known:
             return known
-        check_id(change.change_id)
-        if len(records.encode([change])) > records.BATCH_BYTES - MARGIN:
-            raise exceptions.ChangeRejected(
-                f"the change is larger than {records.BATCH_BYTES} bytes; "
-                "apply it in several"
-            )
+        check(change)
         loop = asyncio.get_running_loop()
         end = loop.time() + LIMIT
         refused_end = loop.time() + REFUSED_LIMIT
