--- a/packages/gypsumfold/src/gypsumfold/callers/bound.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/bound.py
@@ -18,7 +18,7 @@
 from gypsumfold import outcomes
 from gypsumfold.callers import dispatches
 from gypsumfold.callers import kept
-from gypsumfold.callers import keyed
+from gypsumfold.callers import refusals
 from gypsumfold.peers import framing
 
 thrift = framing.peers_thrift
@@ -69,7 +69,7 @@
         self.account = account
         self.expires = expires
         self.digest = ""
-        self.task: asyncio.Task[kept.Ending] | None = None
+        self.task: asyncio.Future[kept.Ending] | None = None
 
 
 class Bound:
@@ -157,7 +157,7 @@
             issued.digest = digest
             issued.task = asyncio.create_task(self.run(order))
         if issued.digest != digest:
-            return kept.Ending(None, keyed.conflict())
+            return kept.Ending(None, refusals.conflict())
         # It goes on when its caller goes: the repeat will ask for its end.
         ending = await asyncio.shield(issued.task)
         issued.task = done(kept.trimmed(ending))
@@ -196,7 +196,7 @@
                 exceptions.AnswerUndetermined(
                     f"the node that gave this key does not answer: {error!r}",
                     outcomes.Outcome.UNDETERMINED,
-                    keyed.RETRY_AFTER,
+                    refusals.RETRY_AFTER,
                 ),
             )
 
--- a/packages/gypsumfold/src/gypsumfold/callers/calls.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/calls.py
@@ -16,6 +16,7 @@
 from gypsumfold.callers import kept
 from gypsumfold.callers import keyed
 from gypsumfold.callers import progress
+from gypsumfold.callers import refusals
 from gypsumfold.decisions import types
 from gypsumfold.peers import framing
 
@@ -85,7 +86,7 @@
             try:
                 return kept.Ending(await self.dispatches.run(order), None)
             except exceptions.RequestError as error:
-                return kept.Ending(None, keyed.doubted(error))
+                return kept.Ending(None, refusals.doubted(error))
         digest = digest_of(order)
         canonical = claims.canonical(key)
         if canonical:
@@ -197,4 +198,4 @@
     """
     if KEY_HEADER not in request.headers:
         return error
-    return keyed.doubted(error)
+    return refusals.doubted(error)
--- a/packages/gypsumfold/src/gypsumfold/callers/keyed.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/keyed.py
@@ -16,6 +16,7 @@
 from gypsumfold import outcomes
 from gypsumfold.callers import dispatches
 from gypsumfold.callers import kept
+from gypsumfold.callers import refusals
 from gypsumfold.peers import framing
 from gypsumfold.platform import batches
 from gypsumfold.platform import records
@@ -30,8 +31,6 @@
 # Seconds without an answer from the log until keyed calls are refused at
 # once; a reset connection alone is replaced within half a second.
 LOG_SILENCE = 2.0
-# Seconds after which a repeat under the same key makes sense.
-RETRY_AFTER = 1.0
 
 Place = tuple[str, str]
 
@@ -121,7 +120,7 @@
             self.attempts[place] = attempt
             attempt.task = asyncio.create_task(self.run(attempt))
         if attempt.claim.digest != digest:
-            return kept.Ending(None, conflict())
+            return kept.Ending(None, refusals.conflict())
         # It goes on when its caller goes: the repeat will ask for its end.
         return await asyncio.shield(attempt.task)
 
@@ -149,7 +148,7 @@
             if step == claims_module.Step.ANSWER:
                 return kept.recorded(self.claims.outcome(*attempt.place))
             if step != claims_module.Step.WAIT:
-                raise ended(step)
+                raise refusals.ended(step)
             ending = await self.wait(attempt)
             if ending is not None:
                 return ending
@@ -158,7 +157,7 @@
             exceptions.Unavailable(
                 "the deadline passed before the call could run",
                 outcomes.Outcome.NOT_RUN,
-                RETRY_AFTER,
+                refusals.RETRY_AFTER,
             ),
         )
 
@@ -171,9 +170,9 @@
         now = max(time.time(), self.claims.time)
         age = self.claims.age(attempt.claim.key, now)
         if age != claims_module.Age.VALID:
-            raise out_of_window(age)
+            raise refusals.out_of_window(age)
         if not self.readable():
-            raise unclaimed("the log cannot be read")
+            raise refusals.unclaimed("the log cannot be read")
         patience = min(self.patience, attempt.left)
         try:
             offset = await self.batcher.append(attempt.claim, patience)
@@ -181,10 +180,10 @@
             async with asyncio.timeout(patience):
                 await self.tail.reached(offset)
         except exceptions.LogUnavailable as error:
-            raise unclaimed("the log takes no claim") from error
+            raise refusals.unclaimed("the log takes no claim") from error
         except (exceptions.AppendUndetermined, TimeoutError) as error:
             attempt.claimed = True
-            raise unclaimed("the claim was not read back") from error
+            raise refusals.unclaimed("the claim was not read back") from error
         attempt.read_back = True
 
     def readable(self) -> bool:
@@ -228,7 +227,7 @@
         step = self.claims.step(attempt.claim, attempt.read_back)
         if step == claims_module.Step.CLOSED:
             return kept.Ending(None, error)
-        return kept.Ending(None, doubted(error))
+        return kept.Ending(None, refusals.doubted(error))
 
     async def until_closed(self, attempt: Attempt) -> None:
         """Waits for the release to be read back, as long as a claim may."""
@@ -273,13 +272,12 @@
         if attempt.changed.is_set():
             return None
         if state is None or not state.known:
-            raise exceptions.AnswerUndetermined(
-                "another node holds this key and cannot be asked",
-                outcomes.Outcome.UNDETERMINED,
-                RETRY_AFTER,
-            )
+            raise refusals.unreachable()
         if state.ending is not None:
-            return kept.from_thrift(state.ending)
+            try:
+                return kept.from_thrift(state.ending)
+            except exceptions.FrameInvalid as error:
+                raise refusals.unreachable() from error
         try:
             async with asyncio.timeout(min(ASK_INTERVAL, attempt.left)):
                 await attempt.changed.wait()
@@ -334,61 +332,3 @@
         tasks = [a.task for a in self.attempts.values()]
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.batcher.flush(self.patience)
-
-
-def conflict() -> exceptions.KeyConflict:
-    """Makes the error of a key that belongs to another body."""
-    return exceptions.KeyConflict(
-        "this key was used before with another call or body; this one has "
-        "not run and cannot",
-        outcomes.Outcome.NOT_RUN,
-    )
-
-
-def ended(step: claims_module.Step) -> exceptions.RequestError:
-    """Makes the error of a key under which nothing more can run."""
-    if step == claims_module.Step.CONFLICT:
-        return conflict()
-    if step == claims_module.Step.CLOSED:
-        return exceptions.KeyClosed(
-            "the call under this key was refused before it ran and cannot "
-            "run any more; send it with a new key",
-            outcomes.Outcome.NOT_RUN,
-        )
-    return out_of_window(claims_module.Age.OLD)
-
-
-def out_of_window(age: claims_module.Age) -> exceptions.KeyExpired:
-    """Makes the error of a key whose own time is out of the window."""
-    words = "old" if age == claims_module.Age.OLD else "far in the future"
-    return exceptions.KeyExpired(
-        f"this key is too {words} to tell whether it has run",
-        outcomes.Outcome.UNDETERMINED,
-    )
-
-
-def unclaimed(reason: str) -> exceptions.Unavailable:
-    """Makes the error of a key that could not be claimed."""
-    return exceptions.Unavailable(
-        f"{reason}; repeat with the same key, or use a key from /v1/keys",
-        outcomes.Outcome.UNDETERMINED,
-        RETRY_AFTER,
-    )
-
-
-def doubted(error: exceptions.RequestError) -> exceptions.RequestError:
-    """Makes an error without the promise that nothing has run.
-
-    Args:
-        error: Of one attempt, which has not run.
-
-    Returns:
-        The same for a request of which other attempts may exist.
-    """
-    if error.outcome != outcomes.Outcome.NOT_RUN:
-        return error
-    return type(error)(
-        f"{error.detail}; another attempt under the same key may run",
-        outcomes.Outcome.UNDETERMINED,
-        error.retry_after,
-    )
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/callers/refusals.py
@@ -0,0 +1,75 @@
+"""The errors of calls under a key, each with what it may promise."""
+
+from gypsumfold import claims
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+
+# Seconds after which a repeat under the same key makes sense.
+RETRY_AFTER = 1.0
+
+
+def conflict() -> exceptions.KeyConflict:
+    """Makes the error of a key that belongs to another body."""
+    return exceptions.KeyConflict(
+        "this key was used before with another call or body; this one has "
+        "not run and cannot",
+        outcomes.Outcome.NOT_RUN,
+    )
+
+
+def ended(step: claims.Step) -> exceptions.RequestError:
+    """Makes the error of a key under which nothing more can run."""
+    if step == claims.Step.CONFLICT:
+        return conflict()
+    if step == claims.Step.CLOSED:
+        return exceptions.KeyClosed(
+            "the call under this key was refused before it ran and cannot "
+            "run any more; send it with a new key",
+            outcomes.Outcome.NOT_RUN,
+        )
+    return out_of_window(claims.Age.OLD)
+
+
+def out_of_window(age: claims.Age) -> exceptions.KeyExpired:
+    """Makes the error of a key whose own time is out of the window."""
+    words = "old" if age == claims.Age.OLD else "far in the future"
+    return exceptions.KeyExpired(
+        f"this key is too {words} to tell whether it has run",
+        outcomes.Outcome.UNDETERMINED,
+    )
+
+
+def unreachable() -> exceptions.AnswerUndetermined:
+    """Makes the error of a key whose holder cannot be asked."""
+    return exceptions.AnswerUndetermined(
+        "another node holds this key and cannot be asked",
+        outcomes.Outcome.UNDETERMINED,
+        RETRY_AFTER,
+    )
+
+
+def unclaimed(reason: str) -> exceptions.Unavailable:
+    """Makes the error of a key that could not be claimed."""
+    return exceptions.Unavailable(
+        f"{reason}; repeat with the same key, or use a key from /v1/keys",
+        outcomes.Outcome.UNDETERMINED,
+        RETRY_AFTER,
+    )
+
+
+def doubted(error: exceptions.RequestError) -> exceptions.RequestError:
+    """Makes an error without the promise that nothing has run.
+
+    Args:
+        error: Of one attempt, which has not run.
+
+    Returns:
+        The same for a request of which other attempts may exist.
+    """
+    if error.outcome != outcomes.Outcome.NOT_RUN:
+        return error
+    return type(error)(
+        f"{error.detail}; another attempt under the same key may run",
+        outcomes.Outcome.UNDETERMINED,
+        error.retry_after,
+    )
