--- a/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
@@ -122,7 +122,8 @@
                 lambda: self.silent or self.faults.partitioned
             )
             if not chunk:
-                with contextlib.suppress(OSError):
+                # uvloop: RuntimeError where the other direction closed it.
+                with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
             if not await look(chunk):
