Let the fault proxy cut a connection that it has cut before

Cause: "entry-1 is cut off at each step" failed in two runs of three with a 500 of the proxy stand-in: reset() of a connection whose transport is closed but whose held request still waits raises ValueError ("negative file descriptor") in uvloop's pseudo socket. Ruled out: the node; its record and the service's were right in all runs.

--- a/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
@@ -63,7 +63,7 @@
         """Ends both sides with a reset."""
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
-            if sock is None:
+            if sock is None or sock.fileno() < 0:
                 continue
             with contextlib.suppress(OSError):
                 linger = struct.pack("ii", 1, 0)
@@ -129,6 +129,8 @@
             if not await look(chunk):
                 return
             await self.pace(len(chunk))
+            if writer.transport.is_closing():
+                return
             self.forward.bytes += len(chunk)
             writer.write(chunk)
             await writer.drain()
