--- a/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/proxy.py
@@ -63,7 +63,7 @@
         """Ends both sides with a reset."""
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
-            if sock is None:
+            if sock is None or sock.fileno() < 0:
                 continue
             with contextlib.suppress(OSError):
                 linger = struct.pack("ii", 1, 0)
@@ -122,12 +122,15 @@
                 lambda: self.silent or self.faults.partitioned
             )
             if not chunk:
-                with contextlib.suppress(OSError):
+                # uvloop: RuntimeError where the other direction closed it.
+                with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
             if not await look(chunk):
                 return
             await self.pace(len(chunk))
+            if writer.transport.is_closing():
+                return
             self.forward.bytes += len(chunk)
             writer.write(chunk)
             await writer.drain()
