--- a/features/authority.feature
+++ b/features/authority.feature
@@ -101,6 +101,15 @@
       | checking |
       | ignoring |
 
+  @promise-1
+  Scenario: An engine that refuses is not ordered again and again
+    Given controlled engines "checking" and 3 nodes
+    When "lm-1" refuses all orders
+    And an operator orders the role "decode" of "lm-1"
+    Then "lm-1" gets 5 orders at the most in 3 durations of the lease
+    When "lm-1" refuses no more
+    Then "lm-1" has the role "decode" and took 1 order
+
   @promise-1
   Scenario: An engine that crashes in mid-change is ordered anew
     Given controlled engines "ignoring" and 3 nodes
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -265,6 +265,27 @@
     context.fleet[engine].faults(order_delay=seconds)
 
 
+@behave.when('"{engine}" refuses all orders')
+def step_refuses(context, engine):
+    context.fleet[engine].faults(refuse_orders=True)
+
+
+@behave.when('"{engine}" refuses no more')
+def step_refuses_no_more(context, engine):
+    context.fleet[engine].faults(refuse_orders=False)
+
+
+@behave.then(
+    '"{engine}" gets {most:d} orders at the most in {count:d} durations'
+    " of the lease"
+)
+def step_few(context, engine, most, count):
+    context.fleet.until(lambda: control_fleet.orders(context, engine))
+    time.sleep(count * control_fleet.LEASE["duration"])
+    found = control_fleet.orders(context, engine)
+    assert len(found) <= most, len(found)
+
+
 @behave.when('"{engine}" crashes in the middle of its next order')
 def step_crash(context, engine):
     context.fleet[engine].faults(crash_in_order=True)
--- a/features/support/control_model.py
+++ b/features/support/control_model.py
@@ -5,88 +5,21 @@
 start again in mid-stream; orders' bytes arrive late; the log forgets.
 """
 
-from typing import NamedTuple
-
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
-from gypsumfold import settings as settings_module
+from features.support import control_parts
 from gypsumfold.control import books
-from gypsumfold.control import leases
 from gypsumfold.control import orders
 from gypsumfold.control import records
 
-SERVICE = "dispatch-lm"
-SETTINGS = settings_module.ControlSection()
-RETENTION = 30.0
-# Bytes of a connection whose process has gone arrive by then at the latest.
-USER_TIMEOUT = SETTINGS.quarantine - 5.0
-CHECKS = {"checking": True, "ignoring": False}
-# Rates of the nodes' clocks; within what the drift margin allows for.
-RATES = (1.0, 1.05, 0.96)
-
-
-class Sent(NamedTuple):
-    """An order's bytes on their way."""
-
-    engine: str
-    order: records.Order
-    until: float
-
-
-class Engine:
-    """An engine: carries orders out at once."""
-
-    def __init__(self, name):
-        self.name = name
-        self.accepted = []
-        self.last = ""
-
-    def take(self, order):
-        tokens = [token for token, _ in self.accepted]
-        if CHECKS[self.name] and tokens and order.token < max(tokens):
-            return
-        self.accepted.append((order.token, order.id))
-        self.last = order.id
-
-    def state(self):
-        highest = max((token for token, _ in self.accepted), default=-1)
-        return orders.EngineState(
-            "e1", "mixed", frozenset(), 0, False, self.last, True, highest
-        )
-
-
-class Node:
-    """One node: its books, its place in the stream and its checked sends."""
-
-    def __init__(self, number, generation, first, now):
-        self.rate = RATES[number]
-        self.address = f"10.0.0.{number}"
-        self.incarnation = f"n{number}-{generation}"
-        self.identity = leases.Identity(
-            self.incarnation, f"n{number}", self.address
-        )
-        self.now = now * self.rate
-        self.books = books.Books(RETENTION, lambda: self.now)
-        self.next = 0
-        self.tenure = leases.Tenure(self.identity)
-        self.checked = []
-        self.gave_up = {}
-        if first:
-            self.books.gap(0, first)
-            self.next = first
-
-    @property
-    def book(self):
-        return self.books.book(SERVICE)
-
 
 class Interleavings(stateful.RuleBasedStateMachine):
     """Rules are single steps of nodes, log, network and engines."""
 
     nodes_at = strategies.integers(0, 2)
-    engine_names = strategies.sampled_from(sorted(CHECKS))
+    engine_names = strategies.sampled_from(sorted(control_parts.CHECKS))
 
     def __init__(self):
         super().__init__()
@@ -95,9 +28,11 @@
         self.first = 0
         self.flying = []
         self.sent = []
-        self.engines = {name: Engine(name) for name in CHECKS}
+        self.engines = {
+            name: control_parts.Engine(name) for name in control_parts.CHECKS
+        }
         self.generation = 0
-        self.nodes = [Node(n, 0, 0, 0.0) for n in range(3)]
+        self.nodes = [control_parts.Node(n, 0, 0, 0.0) for n in range(3)]
         self.gone = []
         self.seen = {}
         self.void = set()
@@ -109,7 +44,7 @@
         lease = node.book.lease
         token = -1 if action == records.CLAIM else lease.holder.token
         return records.LeaseChanged(
-            SERVICE,
+            control_parts.SERVICE,
             action,
             node.incarnation,
             node.identity.node,
@@ -145,7 +80,9 @@
         node.next = noted.offset + 1
         record = noted.record
         if isinstance(record, records.LeaseChanged) and valid:
-            node.tenure.read_back(record, node.book.lease, SETTINGS.duration)
+            node.tenure.read_back(
+                record, node.book.lease, control_parts.SETTINGS.duration
+            )
         ended = isinstance(record, records.OrderFinished) and valid
         if ended and record.result == "void":
             self.void.add(record.id)
@@ -163,7 +100,7 @@
         if lease.held_by(node.incarnation, node.tenure.token):
             self.flying.append(self.lease_record(node, records.RENEW))
             return
-        if lease.claimable(node.now, SETTINGS):
+        if lease.claimable(node.now, control_parts.SETTINGS):
             self.flying.append(self.lease_record(node, records.CLAIM))
 
     @stateful.rule(at=nodes_at)
@@ -195,8 +132,8 @@
         outstanding = node.book.orders.outstanding.get(engine)
         if not node.tenure.valid(node.now):
             return
-        if not CHECKS[engine] and not node.book.lease.undisputed(
-            node.now, SETTINGS
+        if not control_parts.CHECKS[engine] and not node.book.lease.undisputed(
+            node.now, control_parts.SETTINGS
         ):
             return
         replaced = ""
@@ -207,7 +144,7 @@
         self.generation += 1
         self.flying.append(
             records.OrderIntended(
-                SERVICE,
+                control_parts.SERVICE,
                 engine,
                 node.tenure.token,
                 node.incarnation,
@@ -227,18 +164,25 @@
         if order.author == node.incarnation:
             silent = (
                 given_up is not None
-                and node.now > given_up + SETTINGS.quarantine
+                and node.now > given_up + control_parts.SETTINGS.quarantine
             )
             if given_up is None:
                 return False
         else:
-            silent = node.book.lease.undisputed(node.now, SETTINGS)
+            silent = node.book.lease.undisputed(
+                node.now, control_parts.SETTINGS
+            )
         result = orders.resolve(
-            order, self.engines[engine].state(), CHECKS[engine], silent
+            order,
+            self.engines[engine].state(),
+            control_parts.CHECKS[engine],
+            silent,
         )
         if result in (orders.Resolution.DONE, orders.Resolution.VOID):
             self.flying.append(
-                records.OrderFinished(SERVICE, engine, order.id, result.value)
+                records.OrderFinished(
+                    control_parts.SERVICE, engine, order.id, result.value
+                )
             )
         return result == orders.Resolution.SUPERSEDE
 
@@ -253,9 +197,9 @@
             order,
             node.tenure,
             node.book.lease,
-            CHECKS[engine],
+            control_parts.CHECKS[engine],
             node.now,
-            SETTINGS,
+            control_parts.SETTINGS,
         ):
             node.checked.append((engine, order))
             node.gave_up[order.id] = float("inf")
@@ -268,7 +212,11 @@
             return
         engine, order = node.checked.pop(0)
         node.gave_up[order.id] = node.now
-        self.sent.append(Sent(engine, order, self.time + USER_TIMEOUT))
+        self.sent.append(
+            control_parts.Sent(
+                engine, order, self.time + control_parts.USER_TIMEOUT
+            )
+        )
 
     @stateful.rule(which=strategies.integers(0, 50), lost=strategies.booleans())
     def arrive(self, which, lost):
@@ -292,14 +240,18 @@
         old = self.nodes[at]
         self.gone.append(old.incarnation)
         self.generation += 1
-        self.nodes[at] = Node(at, self.generation, self.first, self.time)
+        self.nodes[at] = control_parts.Node(
+            at, self.generation, self.first, self.time
+        )
 
     @stateful.rule(which=strategies.integers(0, 50))
     def prove(self, which):
         if self.gone:
             incarnation = self.gone[which % len(self.gone)]
             self.flying.append(
-                records.HolderEnded(SERVICE, incarnation, "restarted")
+                records.HolderEnded(
+                    control_parts.SERVICE, incarnation, "restarted"
+                )
             )
 
     @stateful.rule(at=nodes_at)
@@ -362,10 +314,25 @@
         while len(self.flying) > before:
             self.append(self.flying.pop(before))
 
+    @stateful.rule(at=nodes_at)
+    def clear(self, at):
+        """The holder drops those whose quarantine is over."""
+        node = self.nodes[at]
+        lease = node.book.lease
+        if not node.tenure.valid(node.now):
+            return
+        for holder in lease.predecessors:
+            if lease.harmless(holder, node.now, control_parts.SETTINGS):
+                self.flying.append(
+                    records.HolderCleared(
+                        control_parts.SERVICE, node.tenure.token, holder.token
+                    )
+                )
+
     @stateful.rule()
     def forget(self):
         while self.first < len(self.log):
-            if self.time - self.log[self.first].time <= RETENTION:
+            if self.time - self.log[self.first].time <= control_parts.RETENTION:
                 return
             self.first += 1
 
--- a/packages/gypsumfold/src/gypsumfold/control/books.py
+++ b/packages/gypsumfold/src/gypsumfold/control/books.py
@@ -103,6 +103,10 @@
                 return self.lease.apply(record, noted.offset, noted.time, now)
             case records.HolderEnded():
                 self.lease.end(record.incarnation, now)
+            case records.HolderCleared():
+                if not self.orders.held(record.token, self.lease):
+                    return False
+                self.lease.clear(record.cleared)
             case records.Seizure():
                 self.lease.seize(
                     record.incarnation, noted.offset, noted.time, now
--- a/packages/gypsumfold/src/gypsumfold/control/changing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/changing.py
@@ -25,6 +25,11 @@
 # Seconds until an order's answer is given up and the engine's state read
 # instead; a role change takes seconds.
 ANSWER_LIMIT = 10.0
+# Seconds between an engine's first order and the next while none succeeds,
+# doubled each time up to the most: a failing engine is not to fill the log,
+# which takes several hundred appends a second from all services together.
+FIRST_RETRY = 0.5
+LAST_RETRY = 60.0
 
 
 class Engine(NamedTuple):
@@ -65,6 +70,8 @@
         self.new_id = new_id
         self.sends: dict[str, float] = {}
         self.blocked: set[str] = set()
+        self.tries: dict[str, int] = {}
+        self.again: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
         self.planned: Callable[[str], str | None] = lambda engine: None
         leasing.settled = self.settled
@@ -91,6 +98,7 @@
         """Goes on for as long as the service is declared."""
         while True:
             await asyncio.sleep(TICK)
+            self.prune()
             for engine in self.engines():
                 if not self.leasing.valid() or self.leasing.stopping:
                     break
@@ -100,6 +108,14 @@
                     # It does not answer; its next report comes in its time.
                     continue
 
+    def prune(self) -> None:
+        """Forgets sent orders that are resolved and cannot be on their way."""
+        open_ids = {order.id for order in self.known.outstanding.values()}
+        limit = clocks.now() - self.settings.control.quarantine
+        for order_id, given_up in list(self.sends.items()):
+            if order_id not in open_ids and given_up < limit:
+                del self.sends[order_id]
+
     async def step(self, engine: Engine) -> None:
         """Does the next thing for one engine."""
         order = self.known.outstanding.get(engine.name)
@@ -117,7 +133,7 @@
         if wanted is not None and wishes.met(wanted, state):
             await self.meet(engine, wanted)
             return
-        if wanted is None:
+        if wanted is None or not self.due(engine):
             await self.open(engine)
             return
         if await self.idle(engine, wanted.verb):
@@ -144,6 +160,17 @@
             state,
         )
 
+    def due(self, engine: Engine) -> bool:
+        """Whether enough time has passed since a try that failed."""
+        return clocks.now() >= self.again.get(engine.name, float("-inf"))
+
+    def count(self, engine: Engine) -> None:
+        """Counts one try and works out when the next is due."""
+        tries = self.tries.get(engine.name, 0)
+        wait = min(FIRST_RETRY * 2**tries, LAST_RETRY)
+        self.tries[engine.name] = tries + 1
+        self.again[engine.name] = clocks.now() + wait
+
     def room(self, engine: Engine) -> bool:
         """Whether this engine may be taken away besides the others.
 
@@ -204,6 +231,7 @@
         supersedes: str,
     ) -> None:
         """Writes an order down; it is sent once it was read back."""
+        self.count(engine)
         await self.leasing.journal.write(
             records.OrderIntended(
                 self.leasing.service,
@@ -252,7 +280,7 @@
         self, engine: Engine, order: records.Order, state: orders.EngineState
     ) -> None:
         """Gives an order anew, with a token that shuts the first one out."""
-        if not self.controls(engine):
+        if not self.controls(engine) or not self.due(engine):
             return
         if await self.idle(engine, order.verb):
             wanted = wishes.Next(order.verb, order.subject, order.wish, "")
@@ -301,6 +329,9 @@
         self, engine: Engine, order: records.Order, result: str
     ) -> None:
         """Writes an order's result down."""
+        if result == orders.Resolution.DONE:
+            self.tries.pop(engine.name, None)
+            self.again.pop(engine.name, None)
         events.log(
             events.ORDER_ENDED,
             engine=engine.name,
--- a/packages/gypsumfold/src/gypsumfold/control/leases.py
+++ b/packages/gypsumfold/src/gypsumfold/control/leases.py
@@ -182,12 +182,27 @@
         than its connections can go on sending (TCP_USER_TIMEOUT, RFC 5482).
         """
         for holder in self.predecessors:
-            if not holder.ended:
-                return False
-            if now <= self.ended[holder.token] + settings.quarantine:
+            if not self.harmless(holder, now, settings):
                 return False
         return True
 
+    def harmless(
+        self,
+        holder: records.Holder,
+        now: float,
+        settings: settings_module.ControlSection,
+    ) -> bool:
+        """Whether an earlier holder is gone and its quarantine over."""
+        if not holder.ended:
+            return False
+        return now > self.ended[holder.token] + settings.quarantine
+
+    def clear(self, token: int) -> None:
+        """Forgets an earlier tenure: its quarantine is over."""
+        kept = [h for h in self.predecessors if h.token != token]
+        self.predecessors = kept
+        self.ended.pop(token, None)
+
     def load(self, state: records.Snapshot, now: float) -> None:
         """Starts from what another node had read."""
         self.last = state.last
--- a/packages/gypsumfold/src/gypsumfold/control/leasing.py
+++ b/packages/gypsumfold/src/gypsumfold/control/leasing.py
@@ -126,7 +126,15 @@
         """Writes down that an earlier holder is gone, where that shows."""
         if not self.valid():
             return
+        now = clocks.now()
         for holder in list(self.lease.predecessors):
+            if self.lease.harmless(holder, now, self.settings):
+                await self.journal.write(
+                    records.HolderCleared(
+                        self.service, self.tenure.token, holder.token
+                    )
+                )
+                continue
             evidence = "" if holder.ended else self.gone(holder)
             if evidence:
                 events.log(
--- a/packages/gypsumfold/src/gypsumfold/control/records.py
+++ b/packages/gypsumfold/src/gypsumfold/control/records.py
@@ -160,6 +160,21 @@
     evidence: str
 
 
+@records.register("holder-cleared")
+class HolderCleared(NamedTuple):
+    """The quarantine after an earlier holder's end is over.
+
+    Attributes:
+        service: The service.
+        token: Token of the holder, which waited and which alone says so.
+        cleared: Token of the earlier tenure.
+    """
+
+    service: str
+    token: int
+    cleared: int
+
+
 @records.register("seizure")
 class Seizure(NamedTuple):
     """An operator vouches that an incarnation will never send again."""
@@ -268,6 +283,7 @@
 Record = (
     LeaseChanged
     | HolderEnded
+    | HolderCleared
     | Seizure
     | EngineClosed
     | EngineOpened
