--- a/features/authority.feature
+++ b/features/authority.feature
@@ -67,8 +67,8 @@
     When the holder's orders are held back on their way
     And an operator orders the role "decode" of "lm-1"
     And the order is on its way and the holder is killed
+    And the killed holder is started again and its end is proved
     And the late bytes arrive
-    And the killed holder is started again
     And an operator orders the role "prefill" of "lm-1" elsewhere
     Then "lm-1" has the role "prefill" and took 2 orders
     And no engine took an order that was stale, overlapping or cutting
--- a/features/steps/control_rules_steps.py
+++ b/features/steps/control_rules_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 from features.support import control_model
+from features.support import interleavings
 from features.support import permission_model
 
 from gypsumfold import objects
@@ -20,14 +21,14 @@
     "{count:d} random interleavings of three nodes keep every order in turn"
 )
 def step_interleavings(context, count):
-    control_model.run(count, STEPS)
+    interleavings.run(control_model.Interleavings, count, STEPS)
 
 
 @behave.then(
     "{count:d} random interleavings of a closing leave no permission behind"
 )
 def step_closings(context, count):
-    permission_model.run(count, CLOSING_STEPS)
+    interleavings.run(permission_model.Closings, count, CLOSING_STEPS)
 
 
 def take(context, record):
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -183,6 +183,11 @@
     context.fleet[context.holder].kill()
 
 
+# The event's number, and seconds from it to the late bytes.
+HOLDER_ENDED = 602
+BETWEEN = 1.5
+
+
 @behave.when("the late bytes arrive")
 def step_release(context):
     before = len(control_fleet.orders(context, "lm-1"))
@@ -193,10 +198,18 @@
     )
 
 
-@behave.when("the killed holder is started again")
+@behave.when("the killed holder is started again and its end is proved")
 def step_restarted(context):
     context.fleet[context.holder].restart()
 
+    def proved():
+        nodes = context.fleet.nodes.values()
+        return any(node.events(HOLDER_ENDED) for node in nodes)
+
+    context.fleet.until(proved)
+    # Far less than the quarantine, and far more than an order takes.
+    time.sleep(BETWEEN)
+
 
 @behave.then('"{engine}" refuses its order as stale')
 def step_stale(context, engine):
--- a/features/support/control_model.py
+++ b/features/support/control_model.py
@@ -5,7 +5,6 @@
 start again in mid-stream; orders' bytes arrive late; the log forgets.
 """
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -340,18 +339,3 @@
     def at_most_one_may_use_the_lease(self):
         able = [n.incarnation for n in self.nodes if n.tenure.valid(n.now)]
         assert len(able) <= 1, able
-
-
-def run(examples: int, steps: int) -> None:
-    """Runs the machine with a fixed sequence of examples."""
-    stateful.run_state_machine_as_test(
-        Interleavings,
-        settings=hypothesis.settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
--- a/features/support/permission_model.py
+++ b/features/support/permission_model.py
@@ -4,7 +4,6 @@
 come late.
 """
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -159,18 +158,3 @@
             return
         for number, node in enumerate(self.nodes):
             assert not node.permissions.allows(ENGINE, node.now), number
-
-
-def run(examples: int, steps: int) -> None:
-    """Runs the machine with a fixed sequence of examples."""
-    stateful.run_state_machine_as_test(
-        Closings,
-        settings=hypothesis.settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
