--- a/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/fairness.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterator
 import math
 
+from gypsumfold.decisions import backlog
 from gypsumfold.decisions import queues
 from gypsumfold.decisions import types
 
@@ -30,6 +31,8 @@
 # Urgent requests that are always honoured within `MEMORY`: a share cannot be
 # told from one or two of them.
 URGENT_FLOOR = 2
+# The urgency of a service's requests where all are alike.
+ORDINARY = 9
 # What an account without a declaration is entitled to.
 EQUAL = types.Share()
 # Seconds between two measurements of the fair share: short against `MEMORY`,
@@ -95,6 +98,7 @@
         self.share = math.inf
         self.measured = -math.inf
         self.least_urgent = 0
+        self.most_urgent = 9
         self.next: list[tuple[int, str]] = []
         self.shares: dict[str, types.Share] = {}
 
@@ -108,6 +112,7 @@
         bisect.insort(account.items, key)
         self.waiting[request.id] = item
         self.least_urgent = max(self.least_urgent, request.urgency)
+        self.most_urgent = min(self.most_urgent, request.urgency)
 
     def account(self, name: str) -> Account:
         """The account, made on its first request."""
@@ -138,7 +143,7 @@
                 ranked.append((order, item))
         ranked.sort(key=lambda entry: entry[0])
         for order, item in ranked:
-            yield queues.Turn(item, order[0])
+            yield queues.Turn(item, self.relative(order[0]))
 
     def first(self, account: Account, long_room: bool) -> list[queues.Waiting]:
         """The first requests of an account that may be sent."""
@@ -219,30 +224,31 @@
         account.tag += (used - charged) / account.weight
         account.used = max(0.0, account.used + used - charged)
 
-    def ahead(self, item: queues.Waiting, now: float) -> float:
-        """Seconds of waiting work that goes before this request."""
+    def aheads(self, now: float) -> Iterator[tuple[queues.Waiting, float]]:
+        """Yields each request with the seconds of work that go before it."""
         self.measure(now)
-        mine = self.account(item.request.account)
-        rank = self.rank(mine, item, now)
-        own = item.work
-        equal: dict[str, float] = collections.defaultdict(float)
-        before = 0.0
-        for other in self.waiting.values():
-            account = self.accounts[other.request.account]
-            if other is item or (other.long and not item.long):
-                # Long ones are held back and let short ones pass.
-                continue
-            if account is mine:
-                own += other.work * (_key(other) < _key(item))
-                continue
-            other_rank = self.rank(account, other, now)
-            if other_rank < rank:
-                before += other.work
-            elif other_rank == rank:
-                equal[account.name] += other.work / account.weight
-        for work in equal.values():
-            before += min(work, own / mine.weight)
-        return before + own - item.work
+        ranked = []
+        for account in self.backlogged():
+            for key in account.items:
+                item = self.waiting[key[2]]
+                rank = self.rank(account, item, now)
+                ranked.append(
+                    backlog.Ranked(item, rank, account.name, account.weight)
+                )
+        yield from backlog.Backlog(ranked).aheads()
+
+    def relative(self, urgency: int) -> int:
+        """The urgency against the service's most urgent kind, which is 0.
+
+        Where all are of one urgency, none is urgent.
+        """
+        if self.least_urgent <= self.most_urgent:
+            return ORDINARY
+        return urgency - self.most_urgent
+
+    def refresh(self, item: queues.Waiting) -> None:
+        """Replaces the estimates of a request that waits."""
+        self.waiting[item.request.id] = item
 
     def victim(self, now: float) -> queues.Waiting | None:
         """The last request of the heaviest account in the lowest class."""
@@ -293,25 +299,20 @@
         return uses[:most]
 
 
-def _key(item: queues.Waiting) -> tuple[int, float, str]:
-    return (item.request.urgency, item.position, item.request.id)
-
-
 class FIFOQueue(FairQueue):
     """The baseline: strictly by time of entry, whoever sends."""
 
     def ordered(self, now: float, long_room: bool) -> Iterator[queues.Turn]:
         """In order of entry."""
         for item in sorted(self.waiting.values(), key=lambda one: one.since):
-            yield queues.Turn(item, item.request.urgency)
+            yield queues.Turn(item, self.relative(item.request.urgency))
 
-    def ahead(self, item: queues.Waiting, now: float) -> float:
-        """All that entered before."""
+    def aheads(self, now: float) -> Iterator[tuple[queues.Waiting, float]]:
+        """All that entered before goes before."""
         total = 0.0
-        for other in self.waiting.values():
-            if other.since < item.since and other.long <= item.long:
-                total += other.work
-        return total
+        for turn in self.ordered(now, long_room=True):
+            yield turn.item, total
+            total += turn.item.work
 
     def victim(self, now: float) -> queues.Waiting | None:
         """The last one."""
