Keep a call's cancellation when its reply comes in the same instant

Cause: a run of the whole suite under a load of 27 had a stopping node hang after it released its lease ('timed out after 60.0 seconds' in 'the holder is stopped'). Python 3.11's wait_for returns the reply and drops the cancellation if both come together, so a task of the node that calls a peer went on and close() waited for it. Ruled out: the release itself, which the node's log shows as done (event 601). That this race was the one is concluded from the code and not from a trace of that run.

Before: ASSERT FAILED: the cancellation was lost; tests: 0 passed, 1 failed After, with asyncio.timeout: tests: 1 passed, 0 failed

Leases are now given up when a shutdown begins, as the shutdown offers.

--- a/features/authority_rules.feature
+++ b/features/authority_rules.feature
@@ -15,3 +15,7 @@
     Then the next order of an engine for which the planner wants "mixed" is "decode"
     And once that is done nothing more is ordered
     And once the declared role changes to "prefill" that is ordered
+
+  @promise-8
+  Scenario: A call to a peer that is cancelled as its reply comes stays cancelled
+    Then a peer's reply in the same instant does not undo a cancellation
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -121,6 +121,7 @@
             commands.Commands(self.control),
             report=self.reporting.report,
         )
+        self.shutdown.register("leases", self.control.release)
         self.tails[records.CONFIG].subscribe(self.configuration.apply)
         self.configuration.subscribe(self.reconfigure)
 
--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -139,7 +139,10 @@
         body = framing.encode(message)
         self.send(thrift.Envelope(number, thrift.Kind.CALL, name, body))
         try:
-            envelope = await asyncio.wait_for(future, timeout)
+            # Python 3.11's wait_for drops a cancellation that comes in the
+            # same instant as the reply (python/cpython issue 86296).
+            async with asyncio.timeout(timeout):
+                envelope = await future
         except TimeoutError as error:
             raise exceptions.PeerUnreachable("no reply in time") from error
         finally:
