--- a/features/authority.feature
+++ b/features/authority.feature
@@ -67,8 +67,8 @@
     When the holder's orders are held back on their way
     And an operator orders the role "decode" of "lm-1"
     And the order is on its way and the holder is killed
+    And the killed holder is started again and its end is proved
     And the late bytes arrive
-    And the killed holder is started again
     And an operator orders the role "prefill" of "lm-1" elsewhere
     Then "lm-1" has the role "prefill" and took 2 orders
     And no engine took an order that was stale, overlapping or cutting
@@ -101,6 +101,15 @@
       | checking |
       | ignoring |
 
+  @promise-1
+  Scenario: An engine that refuses is not ordered again and again
+    Given controlled engines "checking" and 3 nodes
+    When "lm-1" refuses all orders
+    And an operator orders the role "decode" of "lm-1"
+    Then "lm-1" gets 5 orders at the most in 3 durations of the lease
+    When "lm-1" refuses no more
+    Then "lm-1" has the role "decode" and took 1 order
+
   @promise-1
   Scenario: An engine that crashes in mid-change is ordered anew
     Given controlled engines "ignoring" and 3 nodes
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -183,6 +183,11 @@
     context.fleet[context.holder].kill()
 
 
+# The event's number, and seconds from it to the late bytes.
+HOLDER_ENDED = 602
+BETWEEN = 1.5
+
+
 @behave.when("the late bytes arrive")
 def step_release(context):
     before = len(control_fleet.orders(context, "lm-1"))
@@ -193,10 +198,18 @@
     )
 
 
-@behave.when("the killed holder is started again")
+@behave.when("the killed holder is started again and its end is proved")
 def step_restarted(context):
     context.fleet[context.holder].restart()
 
+    def proved():
+        nodes = context.fleet.nodes.values()
+        return any(node.events(HOLDER_ENDED) for node in nodes)
+
+    context.fleet.until(proved)
+    # Far less than the quarantine, and far more than an order takes.
+    time.sleep(BETWEEN)
+
 
 @behave.then('"{engine}" refuses its order as stale')
 def step_stale(context, engine):
@@ -265,6 +278,27 @@
     context.fleet[engine].faults(order_delay=seconds)
 
 
+@behave.when('"{engine}" refuses all orders')
+def step_refuses(context, engine):
+    context.fleet[engine].faults(refuse_orders=True)
+
+
+@behave.when('"{engine}" refuses no more')
+def step_refuses_no_more(context, engine):
+    context.fleet[engine].faults(refuse_orders=False)
+
+
+@behave.then(
+    '"{engine}" gets {most:d} orders at the most in {count:d} durations'
+    " of the lease"
+)
+def step_few(context, engine, most, count):
+    context.fleet.until(lambda: control_fleet.orders(context, engine))
+    time.sleep(count * control_fleet.LEASE["duration"])
+    found = control_fleet.orders(context, engine)
+    assert len(found) <= most, len(found)
+
+
 @behave.when('"{engine}" crashes in the middle of its next order')
 def step_crash(context, engine):
     context.fleet[engine].faults(crash_in_order=True)
