Try: hold waiting work against the measured drain rate

A node sends little in two seconds, so the rate wavers, and its low points refuse honest accounts for good.

--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -11,6 +11,7 @@
 
 from gypsumfold.decisions import admission
 from gypsumfold.decisions import demands as demands_module
+from gypsumfold.decisions import drains
 from gypsumfold.decisions import estimates
 from gypsumfold.decisions import fairness
 from gypsumfold.decisions import limits
@@ -86,6 +87,7 @@
         self.meter = demands_module.Meter()
         self.closed_since: float | None = None
         self.reviewed = float("-inf")
+        self.drained = drains.Drain()
 
     def offer(self, request: types.Request, now: float) -> list[types.Action]:
         """Takes a new request in and returns what to do now."""
@@ -242,6 +244,10 @@
             if action is None:
                 break
             actions.append(action)
+        if self.parts.queue.waiting:
+            self.drained.busy(now)
+        else:
+            self.drained.idle()
         return actions
 
     def next_action(self, now: float) -> types.Action | None:
@@ -268,6 +274,7 @@
         request = item.request
         self.parts.queue.remove(request.id)
         self.parts.queue.charge(item, now)
+        self.drained.sent(item.work, now)
         expected = self.work(request, replica.report, now)
         cost = 0.0 if request.recovered else item.cost
         flight = loads.Flight(
@@ -304,19 +311,21 @@
             left=item.request.deadline - now,
             ahead=ahead,
             work=item.work,
-            slots=self.slots(item),
+            slots=self.slots(item, now),
             urgency=self.parts.queue.relative(item.request.urgency),
         )
 
-    def slots(self, item: queues.Waiting) -> int:
+    def slots(self, item: queues.Waiting, now: float) -> float:
         """Own dispatches whose ends make room for this request.
 
-        A short one gains nothing from a long one that ends much later.
+        A short one gains nothing from a long one that ends much later. Once
+        work has waited for some time, no more than what was sent by then.
         """
         count = 0
         for flight in self.parts.loads.flights.values():
             count += item.long or not flight.long
-        return count
+        rate = self.drained.rate(now)
+        return count if rate is None else min(count, rate)
 
     def late(self, item: queues.Waiting, now: float) -> bool:
         """Whether it can no longer be in time though it were sent now."""
