--- a/packages/gypsumfold/src/gypsumfold/decisions/admission.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/admission.py
@@ -16,9 +16,6 @@
 # half of the answers just too late, 0.2 a fifth, 0.35 a tenth; 0.5 refused
 # more callers of ordinary use (features/support/patterns.py).
 MARGIN = 0.35
-# Least rate of draining that is reckoned with; a node with nothing in progress
-# can still be given a slot.
-LEAST_SLOTS = 1.0
 # From this urgency on the whole margin is added; none for urgency 0, of
 # which every answer that can still be in time is worth the work.
 WHOLE_MARGIN = 2
@@ -43,7 +40,7 @@
     left: float
     ahead: float
     work: float
-    slots: float
+    slots: int
     urgency: int = WHOLE_MARGIN
 
 
@@ -73,7 +70,7 @@
 
     def feasible(self, outlook: Outlook) -> bool:
         """Whether its answer can be whole before its deadline."""
-        wait = outlook.ahead / max(LEAST_SLOTS, outlook.slots)
+        wait = outlook.ahead / max(1, outlook.slots)
         margin = MARGIN * min(1.0, outlook.urgency / WHOLE_MARGIN)
         return (wait + outlook.work) * (1 + margin) <= outlook.left
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/scheduling.py
@@ -11,7 +11,6 @@
 
 from gypsumfold.decisions import admission
 from gypsumfold.decisions import demands as demands_module
-from gypsumfold.decisions import drains
 from gypsumfold.decisions import estimates
 from gypsumfold.decisions import fairness
 from gypsumfold.decisions import limits
@@ -87,7 +86,6 @@
         self.meter = demands_module.Meter()
         self.closed_since: float | None = None
         self.reviewed = float("-inf")
-        self.drained = drains.Drain()
 
     def offer(self, request: types.Request, now: float) -> list[types.Action]:
         """Takes a new request in and returns what to do now."""
@@ -244,10 +242,6 @@
             if action is None:
                 break
             actions.append(action)
-        if self.parts.queue.waiting:
-            self.drained.busy(now)
-        else:
-            self.drained.idle()
         return actions
 
     def next_action(self, now: float) -> types.Action | None:
@@ -274,7 +268,6 @@
         request = item.request
         self.parts.queue.remove(request.id)
         self.parts.queue.charge(item, now)
-        self.drained.sent(item.work, now)
         expected = self.work(request, replica.report, now)
         cost = 0.0 if request.recovered else item.cost
         flight = loads.Flight(
@@ -311,21 +304,19 @@
             left=item.request.deadline - now,
             ahead=ahead,
             work=item.work,
-            slots=self.slots(item, now),
+            slots=self.slots(item),
             urgency=self.parts.queue.relative(item.request.urgency),
         )
 
-    def slots(self, item: queues.Waiting, now: float) -> float:
+    def slots(self, item: queues.Waiting) -> int:
         """Own dispatches whose ends make room for this request.
 
-        A short one gains nothing from a long one that ends much later. Once
-        work has waited for some time, no more than what was sent by then.
+        A short one gains nothing from a long one that ends much later.
         """
         count = 0
         for flight in self.parts.loads.flights.values():
             count += item.long or not flight.long
-        rate = self.drained.rate(now)
-        return count if rate is None else min(count, rate)
+        return count
 
     def late(self, item: queues.Waiting, now: float) -> bool:
         """Whether it can no longer be in time though it were sent now."""
