--- a/packages/gypsumfold/src/gypsumfold/control/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/control/planning.py
@@ -12,10 +12,6 @@
 from gypsumfold.endpoints import engines
 from gypsumfold.endpoints import fleet as fleet_module
 
-ROLE_PLANNED = events.define(
-    800, "role-planned", "info", "The planner wants an engine in another role."
-)
-
 # Seconds between two looks; demand is measured over two.
 TICK = 1.0
 # Seconds that a change and the draining before it take: measured with the
@@ -97,7 +93,7 @@
             return
         self.choices[change.engine] = change.role
         events.log(
-            ROLE_PLANNED,
+            events.ROLE_PLANNED,
             engine=change.engine,
             role=change.role,
             gain=round(change.gain, 1),
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -157,6 +157,9 @@
     "warning",
     "A snapshot of the configuration could not be put on the log.",
 )
+ROLE_PLANNED = define(
+    800, "role-planned", "info", "The planner wants an engine in another role."
+)
 
 
 def configure(node: str, stream=sys.stderr) -> None:
