Prove that the lease's holder orders the planner's role changes

Two slow mixed engines and more prompt tokens than both can process: one engine is ordered into the prefill role.

A request that may not be repeated is not begun on a prefill engine, since a failure there would send it to a second engine.

--- a/features/decisions_path.feature
+++ b/features/decisions_path.feature
@@ -18,3 +18,8 @@
     And the account may use 20 tokens a second
     When the caller sends 12 requests one after the other
     Then some are whole and the rest refused as not run, with when to come back
+
+  Scenario: The lease's holder orders a role change where the mix pays for it
+    Given a planning node before two slow mixed engines
+    When callers keep asking for more prompt tokens than both can process
+    Then one engine alone is ordered into the prefill role
--- a/features/steps/decisions_path_steps.py
+++ b/features/steps/decisions_path_steps.py
@@ -1,5 +1,8 @@
 """Steps on the decisions, through real processes."""
 
+import threading
+import time
+
 import behave
 from features.support import deployments
 from features.support import fleets
@@ -85,3 +88,51 @@
     for one in refused:
         assert one.outcome == "not-run", one
         assert int(one.headers["retry-after"]) >= 1, one
+
+
+@behave.given("a planning node before two slow mixed engines")
+def step_planning(context):
+    fleet = context.fleet = fleets.Fleet("planning", seed=1)
+    fleet.start_platform()
+    for name in ("lm-1", "lm-2"):
+        fleet.start_engine(name, speed=0.2)
+    context.node = fleet.start_node("entry-1")
+    deployments.declare(fleet)
+    fleet.apply(
+        f'alter service "{deployments.ENGINES}"'
+        " set planner = true, change_weight = 0.0;"
+    )
+
+
+@behave.when("callers keep asking for more prompt tokens than both can process")
+def step_ask_much(context):
+    fleet = context.fleet
+
+    def ordered():
+        orders = []
+        for name in ("lm-1", "lm-2"):
+            orders += http.get(f"{fleet[name].url}/_test/orders").json()
+        return orders
+
+    def ask(number):
+        content = f"{number} " + PROMPT * 6
+        deployments.complete(context.node, content, max_tokens=12)
+
+    callers = []
+    limit = time.monotonic() + fleets.LIMIT
+    while not ordered() and time.monotonic() < limit:
+        caller = threading.Thread(target=ask, args=(len(callers),))
+        caller.start()
+        callers.append(caller)
+        time.sleep(0.4)
+    context.orders = ordered()
+    fleet["entry-1"].kill()
+    for caller in callers:
+        caller.join()
+
+
+@behave.then("one engine alone is ordered into the prefill role")
+def step_ordered(context):
+    (order,) = context.orders
+    assert order["verb"] == "role", order
+    assert order["arguments"]["role"] == "prefill", order
--- a/packages/gypsumfold/src/gypsumfold/callers/answers.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/answers.py
@@ -192,10 +192,11 @@
         """Has the prompt processed by another engine, if one is granted.
 
         That engine gives one token; the KV cache then moves from engine to
-        engine. If it fails, the engine that decodes does all.
+        engine. If it fails, the engine that decodes does all; so a request
+        that may not be repeated is not begun here.
         """
         watched = self.fleet.endpoints.get(grant.prefill)
-        if watched is None or self.tokens:
+        if watched is None or self.tokens or not self.request.repeatable:
             return
         short = msgspec.structs.replace(dispatch, max_tokens=1)
         try:
