--- a/packages/gypsumfold/src/gypsumfold/callers/answers.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/answers.py
@@ -4,8 +4,12 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import itertools
+import time
 from typing import NamedTuple
 
+import msgspec
+
 from gypsumfold import dispatching
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -18,9 +22,8 @@
 # Tries to go on with a broken stream on the engine that has it. The second
 # is on a fresh connection even if the first was given a pooled one.
 RESUMES = 2
-# Engines that one request may be sent to. Three failures in a row say more
-# about the request or the fleet than about an engine.
-ENGINES = 3
+# The finish reason of an answer that its limit has cut.
+CUT = "length"
 # Seconds after which a repeat makes sense when engines have failed: about
 # what a crashed engine needs to be noticed by all nodes.
 RETRY_AFTER = 2.0
@@ -80,7 +83,7 @@
             exceptions.RequestError: The answer cannot be completed.
         """
         request = self.request
-        for _ in range(ENGINES):
+        for attempts in itertools.count(1):
             grant = await self.admit(request)
             finish = types.Finish.CANCELLED
             try:
@@ -97,6 +100,8 @@
                 self.give_up_if_not_repeatable(error)
             finally:
                 grant.finish(finish)
+            if not await self.dispatcher.retry(request, attempts):
+                break
             avoid = request.avoid | {grant.replica}
             request = request._replace(recovered=True, avoid=avoid)
             events.log(
@@ -164,6 +169,10 @@
         before = self.started
         self.started = True
         try:
+            async for part in self.prefill(grant, dispatch):
+                yield part
+            if self.finish is not None:
+                return
             first = client.start(dispatch)
             async for part in self.take(first, grant, dispatch):
                 yield part
@@ -177,6 +186,33 @@
             if self.started and self.finish is None:
                 abandon(client, dispatch.id)
 
+    async def prefill(
+        self, grant: dispatching.Grant, dispatch: engines.Dispatch
+    ) -> AsyncIterator[Part]:
+        """Has the prompt processed by another engine, if one is granted.
+
+        That engine gives one token; the KV cache then moves from engine to
+        engine. If it fails, the engine that decodes does all; so a request
+        that may not be repeated is not begun here.
+        """
+        watched = self.fleet.endpoints.get(grant.prefill)
+        if watched is None or self.tokens or not self.request.repeatable:
+            return
+        short = msgspec.structs.replace(dispatch, max_tokens=1)
+        try:
+            async for part in self.take(
+                watched.client.start(short), grant, short
+            ):
+                yield part
+        except exceptions.EndpointError:
+            self.finish = None
+            dispatch.prior = list(self.tokens)
+            return
+        if self.finish.reason == CUT and self.request.output_tokens > 1:
+            self.finish = None
+        dispatch.prior = list(self.tokens)
+        dispatch.prefill_from = watched.declared.address
+
     async def resume(
         self,
         client: engines.EngineClient,
@@ -186,10 +222,14 @@
         """Goes on with a broken stream on the engine that has it.
 
         The engine is probed on a fresh connection first, since the silence
-        of one connection says nothing about it.
+        of one connection says nothing about it. An engine that is busy with
+        others is waited for: to cancel and send the work elsewhere would
+        only add to the load.
         """
-        await client.probe()
-        for left in reversed(range(RESUMES)):
+        report = await client.probe()
+        left = RESUMES
+        while True:
+            since = time.monotonic()
             stream = client.resume(dispatch.id, len(self.tokens))
             try:
                 async for part in self.take(stream, grant, dispatch):
@@ -197,7 +237,15 @@
                 return
             except exceptions.EndpointNotStarted as error:
                 raise exceptions.EndpointFailed(str(error)) from error
+            except exceptions.StreamSilent:
+                before, report = report, await client.probe()
+                if client.heard > since or report.moved_on(before):
+                    continue
+                left -= 1
+                if not left:
+                    raise
             except exceptions.StreamBroken:
+                left -= 1
                 if not left:
                     raise
 
