--- a/packages/gypsumfold/src/gypsumfold/peers/channels.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/channels.py
@@ -139,7 +139,10 @@
         body = framing.encode(message)
         self.send(thrift.Envelope(number, thrift.Kind.CALL, name, body))
         try:
-            envelope = await asyncio.wait_for(future, timeout)
+            # Not wait_for: Python 3.11's loses a cancellation that meets the
+            # reply, and the task goes on.
+            async with asyncio.timeout(timeout):
+                envelope = await future
         except TimeoutError as error:
             raise exceptions.PeerUnreachable("no reply in time") from error
         finally:
