--- a/packages/gypsumfold/src/gypsumfold/decisions/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/loads.py
@@ -76,6 +76,9 @@
     def sent(self, flight: Flight) -> None:
         """Notes a dispatch."""
 
+    def prompted(self, replica: str, tokens: int, now: float) -> None:
+        """Notes a prompt that an engine processes for another one."""
+
     def finished(self, request_id: str, now: float) -> Flight | None:
         """Notes its end and returns it; None if it is not known."""
 
@@ -95,12 +98,20 @@
         self.flights: dict[str, Flight] = {}
         self.at: dict[str, dict[str, bool]] = collections.defaultdict(dict)
         self.ended: dict[str, collections.deque[Ended]] = {}
+        self.prompted_at: dict[str, collections.deque[tuple[float, int]]] = {}
 
     def sent(self, flight: Flight) -> None:
         """Notes a dispatch."""
         self.flights[flight.request.id] = flight
         self.at[flight.replica][flight.request.id] = flight.long
 
+    def prompted(self, replica: str, tokens: int, now: float) -> None:
+        """Notes a prompt that an engine processes for another one."""
+        sent = self.prompted_at.setdefault(replica, collections.deque())
+        sent.append((now, tokens))
+        while sent[0][0] < now - STALE_AFTER:
+            sent.popleft()
+
     def finished(self, request_id: str, now: float) -> Flight | None:
         """Notes its end and returns it; None if it is not known."""
         flight = self.flights.pop(request_id, None)
@@ -125,6 +136,8 @@
         gone = self.gone(replica.name, report.taken)
         occupied = max(own, report.running + report.waiting + unseen - gone)
         prefill = report.prefill_tokens + self.prompts(at, report.taken)
+        for sent, tokens in self.prompted_at.get(replica.name, ()):
+            prefill += tokens * (sent > report.taken)
         age = now - report.taken
         return Load(True, occupied, prefill, own, long, unseen, gone, age)
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/selection.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/selection.py
@@ -149,21 +149,36 @@
     def prefill(
         self, request: types.Request, chosen: types.Replica, now: float
     ) -> str:
-        """The engine that processes the prompt for a decode engine."""
-        if chosen.role != types.Role.DECODE:
-            return ""
-        best = ""
+        """The engine that processes the prompt for the chosen one, if any.
+
+        For a decode engine the prefill engine with the least to do; for a
+        mixed one only if that has less to do than the chosen one itself.
+        """
         least = math.inf
+        if chosen.role == types.Role.MIXED:
+            least = self.backlog(chosen, now)
+        best = ""
         for replica in self.replicas.values():
             if not replica.open or replica.role != types.Role.PREFILL:
                 continue
-            if request.model not in replica.models:
+            if request.model not in replica.models or replica == chosen:
                 continue
-            load = self.parts.loads.view(replica, now)
-            if load.prefill_tokens < least:
-                best, least = replica.name, load.prefill_tokens
+            backlog = self.backlog(replica, now)
+            if backlog < least:
+                best, least = replica.name, backlog
+        if best:
+            self.parts.loads.prompted(best, request.prompt_tokens, now)
         return best
 
+    def backlog(self, replica: types.Replica, now: float) -> float:
+        """Seconds of prompts that wait at an engine; infinite if unknown."""
+        if replica.report is None:
+            return math.inf
+        load = self.parts.loads.view(replica, now)
+        if not load.fresh:
+            return math.inf
+        return load.prefill_tokens / max(1.0, replica.report.prefill_rate)
+
     def some_report(self, request: types.Request) -> types.Report | None:
         """Any report of a replica that could serve the request."""
         for replica in self.fitting(request):
