--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -163,6 +163,9 @@
     "warning",
     "The log could not be searched for a snapshot; it is read from the start.",
 )
+ROLE_PLANNED = define(
+    800, "role-planned", "info", "The planner wants an engine in another role."
+)
 
 
 def configure(node: str, stream=sys.stderr) -> None:
