Skip records on the log that nobody can read

Before: the new scenario fails, a change is not read back (504). After: passes; the entry counts as empty on all nodes alike and is logged as event 402. Two more uses of wait_for, which in Python 3.11 may lose a cancellation, are replaced.

--- a/features/path.feature
+++ b/features/path.feature
@@ -7,3 +7,10 @@
     And a plain call through each node is answered and ran once
     And each node lists the declared model
     And a caller without a token gets a problem document with "not-run"
+
+  Scenario: Records that nobody can read stall no node
+    Given a path of 2 nodes, 1 engines and 1 plain service
+    When records that nobody can read are put on every stream of the log
+    Then a change of configuration comes into force at each node
+    And a plain call through each node is answered and ran once
+    And each node logged event 402 for each of those streams
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -71,3 +71,33 @@
     found = http.get(f"{node.url}/v1/models")
     assert found.status == 401, found
     assert found.json()["outcome"] == word, found
+
+
+STREAMS = ("config", "control", "claims")
+
+
+@behave.when("records that nobody can read are put on every stream of the log")
+def step_unreadable(context):
+    log = context.fleet["log"]
+    for stream in STREAMS:
+        for body in (b"no JSON", b'[["change", 7]]', b'{"claim": 1}'):
+            answer = http.post(f"{log.url}/streams/{stream}/records", body)
+            assert answer.status == 200, answer
+
+
+@behave.then("a change of configuration comes into force at each node")
+def step_in_force(context):
+    fleet = context.fleet
+    answer = fleet.apply('alter kind "briefing" set deadline = 41;')
+    revision = answer.json()["revision"]
+    for node in fleet.nodes.values():
+        fleet.until(lambda node=node: fleet.state(node)["revision"] == revision)
+
+
+@behave.then("each node logged event {number:d} for each of those streams")
+def step_logged(context, number):
+    def streams(node):
+        return {line["stream"] for line in node.events(number)}
+
+    for node in context.fleet.nodes.values():
+        context.fleet.until(lambda node=node: streams(node) == set(STREAMS))
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -103,6 +103,9 @@
 LOG_DOWN = define(
     400, "log-down", "warning", "The log cannot be read; requests go on."
 )
+RECORD_SKIPPED = define(
+    402, "record-skipped", "error", "A record on the log cannot be read."
+)
 LOG_UP = define(401, "log-up", "info", "The log can be read again.")
 PEER_CONNECTED = define(500, "peer-connected", "info", "A peer answers.")
 PEER_LOST = define(
--- a/packages/gypsumfold/src/gypsumfold/operators/publishing.py
+++ b/packages/gypsumfold/src/gypsumfold/operators/publishing.py
@@ -126,7 +126,9 @@
             # Several may wait, so nobody relies on the event staying set.
             self.moved.clear()
             try:
-                await asyncio.wait_for(self.moved.wait(), left)
+                # Not wait_for: Python 3.11's may lose a cancellation.
+                async with asyncio.timeout(left):
+                    await self.moved.wait()
             except TimeoutError:
                 continue
 
--- a/packages/gypsumfold/src/gypsumfold/platform/batches.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/batches.py
@@ -99,7 +99,9 @@
         """
         item = self.post(record)
         try:
-            return await asyncio.wait_for(asyncio.shield(item.future), patience)
+            # Not wait_for: Python 3.11's may lose a cancellation.
+            async with asyncio.timeout(patience):
+                return await asyncio.shield(item.future)
         except TimeoutError as error:
             kind = exceptions.LogUnavailable
             if item.flying or item.lost:
--- a/packages/gypsumfold/src/gypsumfold/platform/logs.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/logs.py
@@ -130,13 +130,29 @@
             raise exceptions.LogUnavailable(repr(error)) from error
         except msgspec.DecodeError as error:
             raise exceptions.LogUnavailable(str(error)) from error
-        entries = []
-        for wire in page.entries:
-            decoded = records.decode(wire.body.encode())
-            entries.append(records.Entry(wire.offset, wire.time, decoded))
+        entries = [entry_of(stream, wire) for wire in page.entries]
         return Page(page.first, page.end, tuple(entries))
 
 
+def entry_of(stream: str, wire: _WireEntry) -> records.Entry:
+    """Decodes an entry; one that cannot be read counts as empty.
+
+    All nodes skip it alike. To wait for it instead would stall the stream
+    on every node for as long as the log keeps it.
+    """
+    try:
+        decoded = records.decode(wire.body.encode())
+    except exceptions.RecordInvalid as error:
+        events.log(
+            events.RECORD_SKIPPED,
+            stream=stream,
+            offset=wire.offset,
+            reason=str(error),
+        )
+        decoded = ()
+    return records.Entry(wire.offset, wire.time, decoded)
+
+
 class Tail:
     """Follows one stream and hands each entry to its subscribers, in order.
 
@@ -204,10 +220,7 @@
             asked = clocks.now()
             try:
                 page = await self.log.read(self.stream, self.next, wait)
-            except (
-                exceptions.LogUnavailable,
-                exceptions.RecordInvalid,
-            ) as error:
+            except exceptions.LogUnavailable as error:
                 self.set_health(False, repr(error))
                 await asyncio.sleep(READ_RETRY * (1 + random.random()))
                 continue
