--- a/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
@@ -122,6 +122,7 @@
         """Polls one endpoint for as long as it is declared."""
         silent = False
         while True:
+            asked = time.monotonic()
             try:
                 load = await watched.client.load()
             except exceptions.EndpointError:
@@ -134,7 +135,7 @@
             if silent or watched.load is None:
                 events.log(events.ENDPOINT_HEARD, endpoint=watched.name)
             silent = False
-            self.note(watched, load)
+            self.note(watched, load, asked)
             await asyncio.sleep(self.pause(watched))
 
     def pause(self, watched: Watched) -> float:
@@ -149,14 +150,21 @@
             self.endpoints[name].used = time.monotonic()
 
     def note(
-        self, watched: Watched, load: engines.Load | services.Health
+        self,
+        watched: Watched,
+        load: engines.Load | services.Health,
+        asked: float,
     ) -> None:
-        """Takes a report in."""
+        """Takes a report in.
+
+        It counts as heard when it was asked for: a process that wakes from
+        a pause may read an answer as old as the pause.
+        """
         was_leaving = watched.load is not None and watched.load.leaving
         if load.leaving and not was_leaving:
             events.log(events.ENDPOINT_LEAVING, endpoint=watched.name)
         watched.load = load
-        watched.heard = time.monotonic()
+        watched.heard = asked
 
     def suspect(self, name: str) -> None:
         """Gives an endpoint no work until it is heard of again.
