--- a/packages/gypsumfold/src/gypsumfold/callers/answers.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/answers.py
@@ -18,6 +18,7 @@
 from gypsumfold.decisions import types
 from gypsumfold.endpoints import engines
 from gypsumfold.endpoints import fleet as fleet_module
+from gypsumfold.endpoints import tokens
 
 # Tries to go on with a broken stream on the engine that has it. The second
 # is on a fresh connection even if the first was given a pooled one.
@@ -73,7 +74,7 @@
         self.messages = messages
         self.new_id = new_id
         self.tokens: list[str] = []
-        self.finish: engines.Finish | None = None
+        self.finish: tokens.Finish | None = None
         self.started = False
 
     async def parts(self) -> AsyncIterator[Part]:
@@ -133,7 +134,7 @@
             try:
                 async with contextlib.aclosing(stream) as items:
                     async for item in items:
-                        if isinstance(item, engines.Finish):
+                        if isinstance(item, tokens.Finish):
                             self.finish = item
                             continue
                         index = item.index + 1
@@ -262,14 +263,14 @@
 
     async def take(
         self,
-        stream: AsyncIterator[engines.Token | engines.Finish],
+        stream: AsyncIterator[tokens.Item],
         grant: dispatching.Grant,
         dispatch: engines.Dispatch,
     ) -> AsyncIterator[Part]:
         """Counts the tokens of one stream in and notes its finish."""
         async with contextlib.aclosing(stream) as items:
             async for item in items:
-                if isinstance(item, engines.Finish):
+                if isinstance(item, tokens.Finish):
                     self.finish = item
                     continue
                 grant.token()
--- a/packages/gypsumfold/src/gypsumfold/callers/completions.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/completions.py
@@ -21,8 +21,8 @@
 from gypsumfold.callers import progress
 from gypsumfold.callers import resumption
 from gypsumfold.decisions import types
-from gypsumfold.endpoints import engines
 from gypsumfold.endpoints import sse
+from gypsumfold.endpoints import tokens
 
 # Tokens of an answer where the caller names no limit.
 DEFAULT_MAX_TOKENS = 256
@@ -233,11 +233,11 @@
         event = sse.ServerEvent(data, id=f"{self.prefix}.{part.index}")
         await self.response.write(sse.render(event))
 
-    async def finish(self, finish: engines.Finish) -> None:
+    async def finish(self, finish: tokens.Finish) -> None:
         """Sends the finish, the outcome and the end marker."""
         await self.start()
         data = self.chunk({}, finish)
-        done = sse.render(sse.ServerEvent(engines.DONE))
+        done = sse.render(sse.ServerEvent(tokens.DONE))
         await self.response.write(sse.render(sse.ServerEvent(data)) + done)
 
     async def error(self, error: exceptions.RequestError) -> None:
@@ -254,7 +254,7 @@
             with contextlib.suppress(ConnectionError):
                 await self.response.write_eof()
 
-    def chunk(self, delta: dict, finish: engines.Finish | None) -> str:
+    def chunk(self, delta: dict, finish: tokens.Finish | None) -> str:
         """Makes one chunk's JSON."""
         document = {
             "id": self.answer.request.id,
--- a/packages/gypsumfold/src/gypsumfold/control/permissions.py
+++ b/packages/gypsumfold/src/gypsumfold/control/permissions.py
@@ -20,7 +20,7 @@
 
 
 class Permit:
-    """The permission for one engine; see `engines.Permit`.
+    """The permission for one engine; see `permits.Permit`.
 
     >>> Permit(permissions, "lm-1").check()
     """
--- a/packages/gypsumfold/src/gypsumfold/endpoints/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/connections.py
@@ -1,10 +1,14 @@
 """Connections to endpoints that do not stay silent unnoticed."""
 
+import asyncio
 import socket
 from typing import NamedTuple
+from typing import TypeVar
 
 import aiohttp
+import msgspec
 
+from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
 
 # Keepalive probes: first after 2 s of silence, then each second, three of
@@ -102,3 +106,38 @@
         aiohttp.ClientSession(connector=pooled, timeout=timeout),
         aiohttp.ClientSession(connector=fresh, timeout=timeout),
     )
+
+
+Report = TypeVar("Report")
+
+
+async def fetch(
+    session: aiohttp.ClientSession,
+    url: str,
+    report: type[Report],
+    limit: float,
+) -> Report:
+    """Asks an endpoint for a small report about itself.
+
+    Args:
+        session: Pooled or fresh.
+        url: Of the report.
+        report: The type of its JSON.
+        limit: Seconds for all of it.
+
+    Returns:
+        The report.
+
+    Raises:
+        exceptions.EndpointError: It does not answer in time, or not so.
+    """
+    try:
+        async with asyncio.timeout(limit), session.get(url) as answer:
+            content = await answer.read()
+        return msgspec.json.decode(content, type=report)
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        msgspec.DecodeError,
+    ) as error:
+        raise exceptions.EndpointError(repr(error)) from error
--- a/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/engines.py
@@ -2,10 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import contextlib
 import time
-from typing import NamedTuple
-from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -13,10 +10,10 @@
 from gypsumfold import exceptions
 from gypsumfold import settings as settings_module
 from gypsumfold.endpoints import connections
+from gypsumfold.endpoints import permits
 from gypsumfold.endpoints import sse
+from gypsumfold.endpoints import tokens
 
-# The last event's data in a stream, by the chat-completions convention.
-DONE = "[DONE]"
 # Statuses with which an engine says that it has not started the dispatch.
 NOT_STARTED_STATUSES = (404, 429, 503)
 
@@ -47,28 +44,6 @@
     prefill_from: str = ""
 
 
-class Token(NamedTuple):
-    """One token of an answer and its place in it, from 0."""
-
-    index: int
-    text: str
-
-
-class Finish(NamedTuple):
-    """The end of an answer, checked against the tokens that came."""
-
-    reason: str
-    tokens: int
-
-
-class _WireEvent(msgspec.Struct):
-    id: str
-    index: int = -1
-    token: str | None = None
-    finish_reason: str | None = None
-    tokens: int = -1
-
-
 class Load(msgspec.Struct):
     """An engine's load report; it lags, and ``taken`` says by how much."""
 
@@ -98,56 +73,6 @@
         )
 
 
-class Permit(Protocol):
-    """Whether this node may dispatch to one engine."""
-
-    def allows(self) -> bool:
-        """Whether it may at this instant."""
-
-    def check(self) -> None:
-        """Insists on it.
-
-        Raises:
-            exceptions.EndpointNotStarted: It may not.
-        """
-
-    def dispatch(self) -> contextlib.AbstractContextManager[None]:
-        """Counts a dispatch for as long as it is in progress."""
-
-
-class Always:
-    """Where nothing is ever closed."""
-
-    def allows(self) -> bool:
-        """Always."""
-        return True
-
-    def check(self) -> None:
-        """Always passes."""
-
-    def dispatch(self) -> contextlib.AbstractContextManager[None]:
-        """Counts nothing."""
-        return contextlib.nullcontext()
-
-
-class _Body:
-    """A dispatch's bytes, given out if the permit holds as they are sent."""
-
-    def __init__(self, permit: Permit, content: bytes):
-        self.permit = permit
-        self.content = content
-        self.refused = False
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the bytes at once, or raises what the permit raises."""
-        try:
-            self.permit.check()
-        except exceptions.EndpointNotStarted:
-            self.refused = True
-            raise
-        yield self.content
-
-
 class EngineClient:
     """Talks to one engine.
 
@@ -166,7 +91,7 @@
         settings: settings_module.EndpointsSection,
     ):
         self.base = f"http://{address}/v1"
-        self.permit: Permit = Always()
+        self.permit: permits.Permit = permits.Always()
         self.sessions = sessions
         self.settings = settings
         self.heard = float("-inf")
@@ -192,21 +117,11 @@
 
     async def fetch_load(self, session: aiohttp.ClientSession) -> Load:
         """Asks for the load report; see `load`."""
-        limit = aiohttp.ClientTimeout(total=self.settings.connect_timeout)
-        try:
-            async with session.get(
-                f"{self.base}/load", timeout=limit
-            ) as answer:
-                content = await answer.read()
-            return msgspec.json.decode(content, type=Load)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ) as error:
-            raise exceptions.EndpointError(repr(error)) from error
-
-    async def start(self, dispatch: Dispatch) -> AsyncIterator[Token | Finish]:
+        limit = self.settings.connect_timeout
+        url = f"{self.base}/load"
+        return await connections.fetch(session, url, Load, limit)
+
+    async def start(self, dispatch: Dispatch) -> AsyncIterator[tokens.Item]:
         """Starts a dispatch and yields its tokens, then its finish.
 
         Args:
@@ -218,7 +133,7 @@
         """
         self.permit.check()
         content = msgspec.json.encode(dispatch)
-        body = _Body(self.permit, content)
+        body = permits.Body(self.permit, content)
         request = self.sessions.pooled.post(
             f"{self.base}/dispatches",
             data=body.chunks(),
@@ -239,7 +154,7 @@
 
     async def resume(
         self, dispatch_id: str, index: int
-    ) -> AsyncIterator[Token | Finish]:
+    ) -> AsyncIterator[tokens.Item]:
         """Goes on with a stream that was started before.
 
         Args:
@@ -271,7 +186,7 @@
 
     async def follow(
         self, request, dispatch_id: str, index: int
-    ) -> AsyncIterator[Token | Finish]:
+    ) -> AsyncIterator[tokens.Item]:
         """Reads one stream, checking each event; see `start`."""
         try:
             async with asyncio.timeout(self.settings.idle_timeout):
@@ -288,7 +203,7 @@
                 raise exceptions.EndpointNotStarted(f"status {response.status}")
             if response.status != 200:
                 raise exceptions.EndpointFailed(f"status {response.status}")
-            check = _Check(dispatch_id, index)
+            check = tokens.Check(dispatch_id, index)
             async for event in self.events(response):
                 item = check.item(event)
                 if item is None:
@@ -335,41 +250,3 @@
         response.close()
         return
     response.release()
-
-
-class _Check:
-    """Checks each event of a stream against what must come next."""
-
-    def __init__(self, dispatch_id: str, index: int):
-        self.dispatch_id = dispatch_id
-        self.index = index
-        self.finished = False
-        self.done = False
-
-    def item(self, event: sse.ServerEvent) -> Token | Finish | None:
-        """Returns what the event says; None at the end marker."""
-        if event.data == DONE:
-            self.done = True
-            return None
-        try:
-            wire = msgspec.json.decode(event.data, type=_WireEvent)
-        except msgspec.DecodeError as error:
-            raise exceptions.StreamBroken(str(error)) from error
-        if wire.id != self.dispatch_id:
-            raise exceptions.StreamBroken("an event of another dispatch")
-        if self.finished:
-            raise exceptions.StreamBroken("an event after the finish")
-        if wire.finish_reason is not None:
-            if wire.tokens != self.index:
-                raise exceptions.StreamBroken("the token count differs")
-            self.finished = True
-            return Finish(wire.finish_reason, wire.tokens)
-        if wire.index != self.index or wire.token is None:
-            raise exceptions.StreamBroken("an event out of order")
-        self.index += 1
-        return Token(wire.index, wire.token)
-
-    def ended(self) -> None:
-        """Raises unless finish and end marker both came."""
-        if not self.finished or not self.done:
-            raise exceptions.StreamBroken("the stream is truncated")
--- a/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/fleet.py
@@ -13,6 +13,7 @@
 from gypsumfold.decisions import types
 from gypsumfold.endpoints import connections
 from gypsumfold.endpoints import engines
+from gypsumfold.endpoints import permits
 from gypsumfold.endpoints import services
 
 # Seconds after its last dispatch for which a node polls an endpoint often:
@@ -46,7 +47,7 @@
         self.heard = float("-inf")
         self.used = float("-inf")
         self.vm_leaving = False
-        self.permit: engines.Permit = engines.Always()
+        self.permit: permits.Permit = permits.Always()
         self.task: asyncio.Task | None = None
 
     def is_open(self, now: float, silent_after: float) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/endpoints/services.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/services.py
@@ -98,19 +98,10 @@
         Raises:
             exceptions.EndpointError: It does not answer, or not so.
         """
-        limit = aiohttp.ClientTimeout(total=self.settings.connect_timeout)
-        try:
-            async with self.sessions.pooled.get(
-                f"{self.base}/health", timeout=limit
-            ) as answer:
-                content = await answer.read()
-            return msgspec.json.decode(content, type=Health)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ) as error:
-            raise exceptions.EndpointError(repr(error)) from error
+        limit = self.settings.connect_timeout
+        url = f"{self.base}/health"
+        pooled = self.sessions.pooled
+        return await connections.fetch(pooled, url, Health, limit)
 
     async def call(
         self,
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/tokens.py
@@ -0,0 +1,75 @@
+"""The tokens of one stream, each event checked against what must come."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from gypsumfold import exceptions
+from gypsumfold.endpoints import sse
+
+# The last event's data in a stream, by the chat-completions convention.
+DONE = "[DONE]"
+
+
+class Token(NamedTuple):
+    """One token of an answer and its place in it, from 0."""
+
+    index: int
+    text: str
+
+
+class Finish(NamedTuple):
+    """The end of an answer, checked against the tokens that came."""
+
+    reason: str
+    tokens: int
+
+
+# What a stream gives: tokens in order, then its finish.
+Item = Token | Finish
+
+
+class _WireEvent(msgspec.Struct):
+    id: str
+    index: int = -1
+    token: str | None = None
+    finish_reason: str | None = None
+    tokens: int = -1
+
+
+class Check:
+    """Checks each event of a stream against what must come next."""
+
+    def __init__(self, dispatch_id: str, index: int):
+        self.dispatch_id = dispatch_id
+        self.index = index
+        self.finished = False
+        self.done = False
+
+    def item(self, event: sse.ServerEvent) -> Item | None:
+        """Returns what the event says; None at the end marker."""
+        if event.data == DONE:
+            self.done = True
+            return None
+        try:
+            wire = msgspec.json.decode(event.data, type=_WireEvent)
+        except msgspec.DecodeError as error:
+            raise exceptions.StreamBroken(str(error)) from error
+        if wire.id != self.dispatch_id:
+            raise exceptions.StreamBroken("an event of another dispatch")
+        if self.finished:
+            raise exceptions.StreamBroken("an event after the finish")
+        if wire.finish_reason is not None:
+            if wire.tokens != self.index:
+                raise exceptions.StreamBroken("the token count differs")
+            self.finished = True
+            return Finish(wire.finish_reason, wire.tokens)
+        if wire.index != self.index or wire.token is None:
+            raise exceptions.StreamBroken("an event out of order")
+        self.index += 1
+        return Token(wire.index, wire.token)
+
+    def ended(self) -> None:
+        """Raises unless finish and end marker both came."""
+        if not self.finished or not self.done:
+            raise exceptions.StreamBroken("the stream is truncated")
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -102,9 +102,6 @@
             self.incarnation, self.configuration, self.log
         )
         self.publisher = publishing.Publisher(self.configuration, self.log)
-        self.sources = queries.Sources(self.configuration)
-        live.register(self, self.sources)
-        commands.register(self.control, self.sources)
         self.replication = replication.Replication(
             settings,
             self.configuration,
@@ -113,18 +110,24 @@
             self.publisher,
             self.incarnation,
         )
-        self.operators = operators_server.Server(
-            settings.operators,
+        self.operators = self.operators_interface()
+        self.tails[records.CONFIG].subscribe(self.configuration.apply)
+        self.configuration.subscribe(self.reconfigure)
+
+    def operators_interface(self) -> operators_server.Server:
+        """Makes the operators' interface with all that it can show."""
+        sources = queries.Sources(self.configuration)
+        live.register(self, sources)
+        commands.register(self.control, sources)
+        return operators_server.Server(
+            self.settings.operators,
             self.configuration,
             self.publisher,
-            self.sources,
+            sources,
             self.state,
             commands.Commands(self.control),
             report=self.reporting.report,
         )
-        self.shutdown.register("leases", self.control.release)
-        self.tails[records.CONFIG].subscribe(self.configuration.apply)
-        self.configuration.subscribe(self.reconfigure)
 
     def new_id(self) -> str:
         """Makes an id that no other dispatch or record has."""
