--- a/features/answers.feature
+++ b/features/answers.feature
@@ -49,3 +49,16 @@
     Given answers from 2 engines through 1 node
     When a caller sends "forged.7" as its last event's id
     Then it gets status 400 and the outcome "not-run"
+
+  @promise-5
+  Scenario Outline: A completion that is said not to have run has not
+    Given answers from 2 slow engines through 2 nodes
+    And <trouble>
+    When 60 callers ask for streamed answers of kind "<kind>" at once
+    Then some answers say "not-run" and no engine has a dispatch of those
+
+    Examples:
+      | trouble                                    | kind     |
+      | briefings are worth nothing after a second | briefing |
+      | both engines refuse all dispatches         | briefing |
+      | one engine refuses, the other is frozen    | briefing |
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -9,6 +9,8 @@
 from features.support import fleets
 from features.support import http
 
+from gypsumfold_standins import tokens
+
 MAX_TOKENS = 40
 
 
@@ -217,3 +219,40 @@
     found = context.response
     assert found.status == status, found.status
     assert found.getheader("Gypsumfold-Outcome") == word
+
+
+@behave.given("briefings are worth nothing after a second")
+def step_short(context):
+    context.fleet.apply('alter kind "briefing" set deadline = 1;')
+
+
+@behave.given("both engines refuse all dispatches")
+def step_refuse(context):
+    context.fleet.apply('alter kind "briefing" set deadline = 3;')
+    for engine in engines_of(context.fleet):
+        engine.faults(refused=10000)
+
+
+@behave.given("one engine refuses, the other is frozen")
+def step_refuse_and_freeze(context):
+    context.fleet.apply('alter kind "briefing" set deadline = 3;')
+    first, second = engines_of(context.fleet)
+    first.faults(refused=10000)
+    second.freeze()
+
+
+@behave.then('some answers say "{word}" and no engine has a dispatch of those')
+def step_none_ran(context, word):
+    for engine in engines_of(context.fleet):
+        if engine.frozen:
+            engine.thaw()
+    # What was sent to a frozen engine arrives before this request.
+    ran = {record["seed"] for record in dispatches(context.fleet)}
+    said = 0
+    for number, found in enumerate(context.answers):
+        if found.outcome != word:
+            continue
+        said += 1
+        prompt = deployments.messages(f"caller {number} asks")
+        assert tokens.seed(deployments.MODEL, prompt) not in ran, found
+    assert said, [found.outcome for found in context.answers]
