--- a/packages/gypsumfold/src/gypsumfold/callers/completions.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/completions.py
@@ -184,6 +184,9 @@
                 raise
             request[progress.KEY].outcome = error.outcome
             await writer.error(error)
+        except ConnectionResetError:
+            # The caller went while its stream was written.
+            request[progress.KEY].cancelled = True
         finally:
             await writer.close()
         return response
