Give requests that outlast a shutdown their final answer

Handlers are cancelled with a mark and turn that into a final answer: 'undetermined' or 'failed-after-start', with Retry-After.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -26,6 +26,7 @@
     Given the engine is stuck
     When node "entry-2" is told to stop, with requests in progress
     Then node "entry-2" logs that it gave a request up
+    And each request given up got a final answer with a time to return
     And node "entry-2" ends by itself with exit code 0
 
   Scenario: Each node in turn is replaced under load, seen by callers
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -190,6 +190,20 @@
     context.fleet.until(lambda: node.events(107))
 
 
+@behave.then("each request given up got a final answer with a time to return")
+def step_final(context):
+    assert any(caller.kind == "stream" for caller in context.callers)
+    for caller in context.callers:
+        caller.join()
+        if caller.right:
+            continue
+        found = caller.seen
+        assert found is not None and found.status in (502, 504), found
+        said = found.headers.get("gypsumfold-outcome")
+        assert said in ("undetermined", "failed-after-start"), found
+        assert "retry-after" in found.headers, found
+
+
 def load_nodes(context, number: int, over: threading.Event) -> None:
     """Sends one request after another to nodes that the balancer trusts."""
     turn = number
--- a/packages/gypsumfold/src/gypsumfold/callers/completions.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/completions.py
@@ -184,6 +184,13 @@
                 raise
             request[progress.KEY].outcome = error.outcome
             await writer.error(error)
+        except asyncio.CancelledError:
+            if not (request[progress.KEY].given_up and response.prepared):
+                raise
+            asyncio.current_task().uncancel()
+            error = answer.failure("this node stops", RETRY_AFTER)
+            request[progress.KEY].outcome = error.outcome
+            await writer.error(error)
         except ConnectionResetError:
             # The caller went while its stream was written.
             request[progress.KEY].cancelled = True
--- a/packages/gypsumfold/src/gypsumfold/callers/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/progress.py
@@ -17,6 +17,8 @@
         first: Seconds from its arrival to the first token or the answer of
             a plain call; None before it.
         outcome: What its final answer says.
+        cancelled: Whether its caller went before its end.
+        given_up: Whether the node ends it in a shutdown.
 
     >>> request[progress.KEY].answered()
     """
@@ -28,6 +30,7 @@
         self.outcome = outcomes.Outcome.UNDETERMINED
         self.started = time.monotonic()
         self.cancelled = False
+        self.given_up = False
 
     def answered(self) -> None:
         """Notes that the first part of an answer is there."""
--- a/packages/gypsumfold/src/gypsumfold/callers/server.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/server.py
@@ -16,6 +16,8 @@
 from gypsumfold.callers import problems
 from gypsumfold.callers import progress
 
+# Seconds after which a caller may ask another node for what this one gave up.
+RETRY_AFTER = 1.0
 # Paths that need no account: they are the balancer's.
 OPEN_PATHS = ("/ready", "/live")
 
@@ -28,7 +30,18 @@
 
     def __init__(self, node):
         self.node = node
-        self.open_requests = 0
+        self.running: dict[asyncio.Task, progress.Progress] = {}
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are in progress."""
+        return len(self.running)
+
+    def give_up(self) -> None:
+        """Ends all requests in progress, each with a final answer."""
+        for task, state in self.running.items():
+            state.given_up = True
+            task.cancel()
 
     def application(self) -> web.Application:
         """Builds the application with all routes."""
@@ -63,7 +76,8 @@
             return await handler(request)
         state = progress.Progress()
         request[progress.KEY] = state
-        self.open_requests += 1
+        task = asyncio.current_task()
+        self.running[task] = state
         try:
             response = await handler(request)
             state.outcome = response.headers.get(outcomes.HEADER, state.outcome)
@@ -79,10 +93,15 @@
             state.outcome = problem.outcome
             return problems.response(problem)
         except asyncio.CancelledError:
-            state.cancelled = True
-            raise
+            if not state.given_up:
+                state.cancelled = True
+                raise
+            task.uncancel()
+            problem = given_up()
+            state.outcome = problem.outcome
+            return problems.response(problem)
         finally:
-            self.open_requests -= 1
+            del self.running[task]
             self.ended(request.path, state)
 
     def ended(self, path: str, state: progress.Progress) -> None:
@@ -132,3 +151,15 @@
     async def get_live(self, request: web.Request) -> web.Response:
         """Tells the platform that the process answers."""
         return web.json_response({"live": True})
+
+
+def given_up() -> exceptions.RequestError:
+    """Makes the final answer of a request that outlasts a shutdown.
+
+    Whether an endpoint goes on with it cannot be said.
+    """
+    return exceptions.AnswerUndetermined(
+        "this node stops and the request took longer than its limit",
+        outcomes.Outcome.UNDETERMINED,
+        RETRY_AFTER,
+    )
--- a/packages/gypsumfold/src/gypsumfold/shutdown.py
+++ b/packages/gypsumfold/src/gypsumfold/shutdown.py
@@ -5,7 +5,8 @@
    served, and each answer closes its connection.
 2. After the balancer's notice time the node listens no more; idle
    connections are closed.
-3. Requests in progress, of callers and of peers, end whole.
+3. Requests in progress, of callers and of peers, end whole. Callers whose
+   requests outlast the limit get a final answer that says so.
 4. The rest of the node is taken down.
 """
 
@@ -20,7 +21,8 @@
 # Seconds that one release may take. With the log down it cannot succeed; the
 # lease then lapses by itself.
 RELEASE_LIMIT = 5.0
-# Seconds beyond the limit for the last bytes of an answer that is whole.
+# Seconds beyond the limit for the last bytes of an answer, also of the final
+# answer to a request that was given up.
 LAST_BYTES = 5.0
 # Seconds between two looks at the requests in progress.
 LOOK = 0.02
@@ -80,10 +82,18 @@
         closing = asyncio.create_task(
             node.end_connections(self.settings.limit + LAST_BYTES)
         )
+        await self.until_idle(node, limit)
+        if node.in_progress():
+            events.log(events.NODE_GAVE_UP, requests=node.in_progress())
+            node.callers.give_up()
+            await self.until_idle(node, limit + LAST_BYTES)
+        if node.in_progress():
+            closing.cancel()
+        await asyncio.wait([closing])
+
+    async def until_idle(self, node, limit: float) -> None:
+        """Waits until no request is in progress, up to a monotonic time."""
         while node.in_progress():
             if time.monotonic() > limit:
-                events.log(events.NODE_GAVE_UP, requests=node.in_progress())
-                closing.cancel()
-                break
+                return
             await asyncio.sleep(LOOK)
-        await asyncio.wait([closing])
