Bound the time of bodies, and give callers typed errors for both limits

Cause: settings.callers.read_timeout was declared and used nowhere, so a caller could keep a request open for ever; and a body over the limit was an 'invalid-request' with aiohttp's words. Before: the scenario fails at the body's slug, a slow body is never answered.

--- a/packages/gypsumfold/src/gypsumfold/callers/calls.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/calls.py
@@ -11,6 +11,7 @@
 from gypsumfold import objects
 from gypsumfold import outcomes
 from gypsumfold.callers import accounts
+from gypsumfold.callers import bodies
 from gypsumfold.callers import bound
 from gypsumfold.callers import dispatches
 from gypsumfold.callers import kept
@@ -47,11 +48,11 @@
         """
         service = request.match_info["service"]
         call = request.match_info["call"]
-        body = await request.read()
         state = request[progress.KEY]
         try:
+            body = await bodies.read(request, self.node.settings.callers)
             self.check(service)
-        except exceptions.NotFound as error:
+        except (exceptions.NotFound, exceptions.RequestInvalid) as error:
             raise unclaimed(request, error) from error
         order = self.order(state.account, service, call, body)
         state.request = order.wanted
--- a/packages/gypsumfold/src/gypsumfold/callers/completions.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/completions.py
@@ -16,6 +16,7 @@
 from gypsumfold import outcomes
 from gypsumfold.callers import accounts
 from gypsumfold.callers import answers
+from gypsumfold.callers import bodies
 from gypsumfold.callers import models
 from gypsumfold.callers import problems
 from gypsumfold.callers import progress
@@ -65,7 +66,8 @@
             exceptions.RequestError: There is no answer to give.
         """
         state = request[progress.KEY]
-        body = read_body(await request.read())
+        content = await bodies.read(request, self.node.settings.callers)
+        body = read_body(content)
         service, model = models.resolve(self.node.configuration, body.model)
         wanted = self.describe(request, service, model, body)
         state.request = wanted
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -195,6 +195,20 @@
     slug = "invalid-request"
 
 
+class BodyTooLarge(RequestInvalid):
+    """The request's body has more bytes than are taken."""
+
+    status = 413
+    slug = "body-too-large"
+
+
+class BodyTooSlow(RequestInvalid):
+    """The request's body did not come in time."""
+
+    status = 408
+    slug = "body-too-slow"
+
+
 class Unauthorized(RequestError):
     """No account has this bearer token."""
 
