--- a/features/combined.feature
+++ b/features/combined.feature
@@ -1,8 +1,8 @@
 @combined @promise-1 @promise-3 @promise-4 @promise-5 @promise-6 @promise-9
 Feature: Everything holds while faults of all kinds come together
 
-  Scenario Outline: Two rounds of mixed faults with seed <seed>
-    Given a combined fleet of 4 nodes, 3 engines and 2 plain services
+  Scenario Outline: Two rounds of mixed faults at <deployment>, seed <seed>
+    Given a combined fleet in the shape of "<deployment>"
     When callers and operators use it while faults come by seed <seed>
     Then every whole answer was exact and its caller's own
     And every call that was said not to have run has not
@@ -11,6 +11,6 @@
     And no node's revision went back, and all nodes agree in the end
 
     Examples:
-      | seed |
-      | 1    |
-      | 2    |
+      | deployment  | seed |
+      | ramp-towage | 1    |
+      | bimah       | 2    |
--- a/features/steps/combined_steps.py
+++ b/features/steps/combined_steps.py
@@ -13,30 +13,40 @@
 STARTED = 100
 
 
-@behave.given("a combined fleet of 4 nodes, 3 engines and 2 plain services")
-def step_fleet(context):
+# Data centres, and plain services: as many as each deployment has. Engines
+# are three of its six, to keep the scenario short.
+SHAPES = {
+    "ramp-towage": (("north-apron", "cargo-ramp", "south-pen"), 3),
+    "bimah": (("brum-a", "brum-b", "notts", "leic"), 4),
+}
+
+
+@behave.given('a combined fleet in the shape of "{deployment}"')
+def step_fleet(context, deployment):
     fleet = context.fleet = fleets.Fleet("combined")
     fleet.start_platform()
-    centres = ("north-apron", "cargo-ramp", "south-pen")
+    centres, count = SHAPES[deployment]
     for place, name in enumerate(mixture.ENGINES):
         fleet.start_engine(name, centres[place], checks_tokens=place > 0)
-    for place, name in enumerate(mixture.PLAIN):
-        fleet.start_service(name, centres[place], seconds=mixture.SERVICE)
-    context.proxies = {
-        name: fleet.proxy(fleet[name])
-        for name in (*mixture.ENGINES, *mixture.PLAIN, "log")
-    }
+    context.plain = [f"plain-{number}" for number in range(count)]
+    for place, name in enumerate(context.plain):
+        centre = centres[place % len(centres)]
+        fleet.start_service(name, centre, seconds=mixture.SERVICE)
+    names = (*mixture.ENGINES, *context.plain, "log")
+    context.proxies = {name: fleet.proxy(fleet[name]) for name in names}
     log = {"platform": {"log": context.proxies["log"].url}}
     fleet.start_nodes(*mixture.NODES, **log)
     addresses = {}
-    for name in (*mixture.ENGINES, *mixture.PLAIN):
+    for name in fleet.endpoints:
         addresses[name.replace("-", "_")] = context.proxies[name].address
     deployments.declare(fleet, **addresses)
 
 
 @behave.when("callers and operators use it while faults come by seed {seed:d}")
 def step_run(context, seed):
-    context.mixture = mixture.Mixture(context.fleet, context.proxies, seed)
+    context.mixture = mixture.Mixture(
+        context.fleet, context.proxies, context.plain, seed
+    )
     context.mixture.run()
     for proxy in context.proxies.values():
         proxy.heal()
@@ -62,7 +72,7 @@
 def executions(context):
     """Counts how often each body ran, at all replicas together."""
     counts = {}
-    for name in mixture.PLAIN:
+    for name in context.plain:
         bodies = context.fleet[name].test("counts")["bodies"]
         for body, count in bodies.items():
             counts[body] = counts.get(body, 0) + count
--- a/features/support/mixture.py
+++ b/features/support/mixture.py
@@ -18,7 +18,6 @@
 
 NODES = ("entry-0", "entry-1", "entry-2", "entry-3")
 ENGINES = ("lm-0", "lm-1", "lm-2")
-PLAIN = ("ramp-0", "ramp-1")
 MAX_TOKENS = 30
 # Seconds that a fault lasts: longer than a lease in these settings.
 LASTS = 2.0
@@ -52,15 +51,22 @@
 class Mixture:
     """Runs callers against a fleet while faults come and go.
 
-    >>> mixture = Mixture(fleet, proxies, seed=1)
+    >>> mixture = Mixture(fleet, proxies, plain, seed=1)
     >>> mixture.run()
     >>> mixture.calls
     [Call(...)]
     """
 
-    def __init__(self, fleet: fleets.Fleet, proxies: dict, seed: int):
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        proxies: dict,
+        plain: list[str],
+        seed: int,
+    ):
         self.fleet = fleet
         self.proxies = proxies
+        self.plain = plain
         self.random = random.Random(seed)
         self.seed = seed
         self.ended = threading.Event()
@@ -242,14 +248,14 @@
 
     def cut_service(self) -> Callable[[], None]:
         """Cuts a plain service off from all nodes, calls in progress too."""
-        service = self.random.choice(PLAIN)
+        service = self.random.choice(self.plain)
         self.told(f"cut {service}")
         self.proxies[service].cut()
         return self.proxies[service].heal
 
     def silence_service(self) -> Callable[[], None]:
         """Makes the open connections to a plain service silent for good."""
-        service = self.random.choice(PLAIN)
+        service = self.random.choice(self.plain)
         self.told(f"silence {service}")
         self.proxies[service].silence()
         return lambda: None
