--- a/examples/bimah/declarations.gf
+++ b/examples/bimah/declarations.gf
@@ -6,7 +6,9 @@
 
 -- Each role change takes an engine away just before a service, so it must
 -- gain a minute of one engine's work beyond its own cost.
-create service "gabbai" set protocol = "engine", planner = true,
+-- The planner is off: through real processes it served less than static roles
+-- so far (docs/MEASUREMENTS.md). The weight counts once it is on.
+create service "gabbai" set protocol = "engine", planner = false,
   change_weight = 60.0;
 create service "pews" set protocol = "plain";
 
--- a/examples/ramp-towage/declarations.gf
+++ b/examples/ramp-towage/declarations.gf
@@ -6,7 +6,9 @@
 
 -- Goodput weighs more than quiet engines, so a role change need not gain
 -- much beyond its own cost.
-create service "dispatch" set protocol = "engine", planner = true,
+-- The planner is off: through real processes it served less than static roles
+-- so far (docs/MEASUREMENTS.md). The weight counts once it is on.
+create service "dispatch" set protocol = "engine", planner = false,
   change_weight = 2.0;
 create service "ramp" set protocol = "plain";
 
