Notice silent engines, hold requests for a new one, copy from any holder

Silence on all streams for 0.4 s now leads to a probe, an unanswered one to a new role plan 0.75 s after the loss; the new role is told by datagram; requests are held while they can still be served; beginnings are copied from whoever is believed to have them, also from engines that leave.

--- a/packages/gypsumfold/src/gypsumfold/decisions/chains.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/chains.py
@@ -51,6 +51,13 @@
     return links(chain[:-1], model)[-1]
 
 
+def own_key(chain: Chain, model: str) -> int:
+    """Names a whole prompt; 0 for one without parts."""
+    if not chain:
+        return 0
+    return links(chain, model)[-1]
+
+
 class Caches:
     """What the engines are believed to keep of the prompts sent to them.
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -27,6 +27,8 @@
 # others out of its memory. A prompt that shares little goes to the shortest
 # queue.
 HOME_WEIGHT = 1.0
+# Tokens below which copying takes longer than reading: 400 are 10 ms.
+LEAST_COPY = 400
 # Seconds that copying cached parts takes beside their bytes.
 COPY_OVERHEAD = 0.008
 
@@ -37,12 +39,32 @@
     Attributes:
         name: Its instance.
         address: IP:PORT.
-        memory: Tokens that it can keep.
     """
 
     name: str
     address: str
-    memory: int
+
+
+class Prompt(NamedTuple):
+    """A prompt that is to be read.
+
+    Attributes:
+        chain: Its parts.
+        model: The model asked for.
+        tokens: Its length.
+    """
+
+    chain: chains.Chain
+    model: str
+    tokens: int
+
+
+class Holder(NamedTuple):
+    """An engine that has a prompt's beginning, and how much of it."""
+
+    name: str
+    address: str
+    tokens: int
 
 
 class Choice(NamedTuple):
@@ -78,7 +100,7 @@
     """Chooses by home, wait and what is believed to be cached.
 
     >>> homes = Homes()
-    >>> homes.choose(chain, "m", 17_000, engines, 0.0, now=0.0)
+    >>> homes.choose(prompt, engines, engines, 0.0, now=0.0)
     Choice(...)
     """
 
@@ -94,20 +116,19 @@
 
     def choose(
         self,
-        chain: chains.Chain,
-        model: str,
-        prompt_tokens: int,
+        prompt: Prompt,
         engines: list[Engine],
+        holders: list[Engine],
         copy_rate: float,
         now: float,
     ) -> Choice | None:
         """Picks the engine that has the prompt read first.
 
         Args:
-            chain: The prompt's parts.
-            model: The model asked for.
-            prompt_tokens: The prompt's length.
+            prompt: The prompt.
             engines: Those that could read it.
+            holders: Those whose cached parts could be copied; also engines
+                that leave.
             copy_rate: Tokens a second over a link; 0 where parts cannot be
                 copied.
             now: The time.
@@ -115,15 +136,15 @@
         Returns:
             None where there is no engine.
         """
-        key = chains.shared_key(chain, model)
+        chain, model = prompt.chain, prompt.model
+        key = chains.shared_key(chain, model) or chains.own_key(chain, model)
         shared = sum(part.tokens for part in chain[:-1])
-        ranked = order(key or hash(chain), engines)
+        holder = self.holder(prompt, holders)
+        ranked = order(key, engines)
         best = None
         best_cost = math.inf
         for place, engine in enumerate(ranked[:CONSIDERED]):
-            choice = self.weigh(
-                engine, ranked[0], chain, model, prompt_tokens, copy_rate, now
-            )
+            choice = self.weigh(engine, holder, prompt, copy_rate, now)
             cost = choice.total
             if place > 0:
                 rate = self.pace(ranked[0].name).rate
@@ -135,29 +156,40 @@
     def weigh(
         self,
         engine: Engine,
-        home: Engine,
-        chain: chains.Chain,
-        model: str,
-        prompt_tokens: int,
+        holder: Holder,
+        prompt: Prompt,
         copy_rate: float,
         now: float,
     ) -> Choice:
         """Works out how long a prompt takes at one engine."""
-        cached = self.caches.cached(engine.name, chain, model)
+        cached = self.caches.cached(engine.name, prompt.chain, prompt.model)
         peer = ""
         copying = 0.0
-        if engine is not home and copy_rate > 0:
-            shared = self.caches.cached(home.name, chain, model)
-            if shared > cached:
-                peer = home.address
-                copying = COPY_OVERHEAD + (shared - cached) / copy_rate
-                cached = shared
-        tokens = max(0, prompt_tokens - cached)
+        gained = holder.tokens - cached
+        if (
+            copy_rate > 0
+            and gained >= LEAST_COPY
+            and holder.name != engine.name
+        ):
+            peer = holder.address
+            copying = COPY_OVERHEAD + gained / copy_rate
+            cached = holder.tokens
+        tokens = max(0, prompt.tokens - cached)
         pace = self.pace(engine.name)
         reading = pace.expected(tokens)
         total = pace.delay(now) + copying + reading
         return Choice(engine.name, peer, tokens, reading, total)
 
+    def holder(self, prompt: Prompt, holders: list[Engine]) -> Holder:
+        """The engine that is believed to have most of a prompt's beginning."""
+        best = Holder("", "", 0)
+        shared = prompt.chain[:-1]
+        for engine in holders:
+            tokens = self.caches.cached(engine.name, shared, prompt.model)
+            if tokens > best.tokens:
+                best = Holder(engine.name, engine.address, tokens)
+        return best
+
     def sent(
         self, choice: Choice, chain: chains.Chain, model: str, memory: int
     ) -> None:
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/outages.py
@@ -0,0 +1,51 @@
+"""What becomes of requests while no engine generates.
+
+Load pattern: the only engine that generates is lost, and another one takes
+seconds to change its role. Sent on, the prompts are read for nothing;
+refused, callers come back before the engine does and are refused again. So a
+request is held if the engine is expected back in time for it, and refused at
+once if not.
+"""
+
+from typing import NamedTuple
+
+# Seconds from the loss of an engine to the order that replaces it: noticing
+# that it is silent, and the holder of authority's next look.
+NOTICED = 1.0
+# Seconds that the rest of a request takes once an engine is back: the prompt
+# and the first tokens, behind those that were held as well.
+SERVICE = 0.5
+# Most of the time left that Retry-After may ask a caller to wait; callers
+# disregard more.
+SHARE = 1 / 3
+
+
+class Verdict(NamedTuple):
+    """What to do with a request.
+
+    Attributes:
+        hold: Whether it waits for an engine.
+        retry_after: Seconds after which its caller may come back, if not.
+    """
+
+    hold: bool
+    retry_after: float
+
+
+def judge(
+    since: float, change: float, waits: float, left: float, now: float
+) -> Verdict:
+    """Says whether a request waits for an engine to come back.
+
+    Args:
+        since: When there was an engine last.
+        change: Seconds for which a change of role takes an engine away.
+        waits: Seconds for which the caller waits for a first event.
+        left: Seconds until the request's deadline.
+        now: The time.
+    """
+    back = max(0.0, since + NOTICED + change - now)
+    retry_after = min(max(back, 0.2), max(0.0, left * SHARE))
+    overdue = now > since + 2 * (NOTICED + change)
+    hold = back + SERVICE < waits and not overdue
+    return Verdict(hold, retry_after)
--- a/packages/gypsumfold/src/gypsumfold/decisions/routes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/routes.py
@@ -40,6 +40,8 @@
         attempts: Most replicas that may run one request.
         targets: The services that it is split over.
         resumable: Whether a stream may go on elsewhere after an event.
+        patience: Seconds without an event after which callers leave a
+            stream, also before its first; 0 where they wait for the limit.
     """
 
     name: str
@@ -52,12 +54,24 @@
     attempts: int
     targets: tuple[Target, ...]
     resumable: bool = False
+    patience: float = 0.0
 
     @property
     def repeatable(self) -> bool:
         """Whether a request may run again from its start."""
         return self.kind == Kind.IDEMPOTENT
 
+    def waits(self, left: float, age: float) -> float:
+        """Seconds for which the caller still waits for a first event.
+
+        Args:
+            left: Seconds until its deadline.
+            age: Seconds since it asked.
+        """
+        if self.patience <= 0:
+            return left
+        return min(left, self.patience - age)
+
     def service(self, request_id: str) -> str:
         """Picks a service by weight, the same one for the same request."""
         total = sum(target.weight for target in self.targets)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/silence.py
@@ -0,0 +1,68 @@
+"""Which replicas have gone silent while they owe answers.
+
+Load pattern: an engine that goes dark with dozens of streams on it. Its
+entry stays for seconds, its connections are not reset, and everything sent
+there waits until its deadline. A running engine gives a sign of life several
+times a second on some stream, so that silence on all of them says more than
+any health check.
+"""
+
+# Seconds without a byte on any connection with a request, after which a
+# replica is asked for a sign of life. Engines send an event of each stream
+# every 40 to 120 ms; a single request that waits for room is silent longer.
+LIMIT = 0.4
+# Seconds by which a look may be late before it says more about this node,
+# which was suspended, than about the replicas.
+LATE = 0.3
+
+
+class Silence:
+    """Watches the last sign of life of each replica that owes an answer.
+
+    >>> silence = Silence()
+    >>> silence.started("engine-1", now=0.0)
+    >>> silence.look(now=0.2), silence.look(now=0.45)
+    ([], ['engine-1'])
+    """
+
+    def __init__(self):
+        self.owing: dict[str, int] = {}
+        self.since: dict[str, float] = {}
+        self.looked: float | None = None
+
+    def started(self, replica: str, now: float) -> None:
+        """Notes a request that is sent."""
+        self.owing[replica] = self.owing.get(replica, 0) + 1
+        self.since.setdefault(replica, now)
+
+    def heard(self, replica: str, now: float) -> None:
+        """Notes bytes from a replica."""
+        if replica in self.since:
+            self.since[replica] = now
+
+    def ended(self, replica: str) -> None:
+        """Notes the end of a request."""
+        left = self.owing.get(replica, 0) - 1
+        if left > 0:
+            self.owing[replica] = left
+            return
+        self.owing.pop(replica, None)
+        self.since.pop(replica, None)
+
+    def look(self, now: float) -> list[str]:
+        """The replicas that are silent for too long.
+
+        After a time in which this node itself stood still all count as
+        heard of.
+        """
+        late = self.looked is not None and now - self.looked > LATE
+        self.looked = now
+        if late:
+            for replica in self.since:
+                self.since[replica] = now
+            return []
+        found = []
+        for replica, since in self.since.items():
+            if now - since > LIMIT:
+                found.append(replica)
+        return found
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -113,6 +113,12 @@
     222, "attempt-failed", "warning", "A replica did not answer as it should."
 )
 CALL_REPEATED = define(223, "call-repeated", "info", "A request is sent again.")
+CALL_HELD = define(
+    225,
+    "call-held",
+    "info",
+    "No engine generates; the request waits for one.",
+)
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
@@ -134,11 +140,14 @@
 REPLICA_GONE = define(
     311, "replica-gone", "info", "A replica's registration is gone."
 )
-REPLICA_PAUSED = define(
+REPLICA_SILENT = define(
     312,
-    "replica-paused",
+    "replica-silent",
     "warning",
-    "A replica failed or was silent; it gets no work for a while.",
+    "A replica sends nothing though it owes answers; it gets no work.",
+)
+REPLICA_HEARD = define(
+    313, "replica-heard", "info", "A silent replica gives a sign of life."
 )
 STORE_LOST = define(
     410, "store-lost", "warning", "The store does not answer; all goes on."
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -6,9 +6,11 @@
 
 import math
 import random
+import time
 
 from gypsumfold import events
 from gypsumfold.decisions import health
+from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import types
 
@@ -18,6 +20,10 @@
 # Seconds for which an entry that went just after an outage of the store is
 # kept: those that lapsed in it are back within two seconds of its return.
 LAPSE_GRACE = 2.0
+# Seconds after this node learnt that an engine leaves for which it is still
+# used where no other generates: it serves on for two seconds, and a change
+# of role takes three.
+LEAVING_USE = 0.9
 
 
 class Directory:
@@ -32,9 +38,14 @@
     def __init__(self, rng: random.Random):
         self.rng = rng
         self.replicas: dict[str, types.Replica] = {}
-        self.outstanding: dict[str, int] = {}
         self.paused: dict[str, float] = {}
         self.lapsing: dict[str, float] = {}
+        self.changing: dict[str, float] = {}
+        self.leaving: dict[str, float] = {}
+        self.suspects: set[str] = set()
+        self.confirmed: dict[str, tuple[decision_types.Role, float]] = {}
+        self.silence = silence_module.Silence()
+        self.generating: dict[str, float] = {}
         self.health = health.Health(rng)
         self.gone = []
 
@@ -43,6 +54,10 @@
         old = self.replicas.get(replica.instance)
         self.replicas[replica.instance] = replica
         self.lapsing.pop(replica.instance, None)
+        if replica.draining:
+            self.leaving.setdefault(replica.instance, time.monotonic())
+        if old is not None and old.role != replica.role:
+            self.changing.pop(replica.instance, None)
         if old is not None and old._replace(orders=0) == replica._replace(
             orders=0
         ):
@@ -66,6 +81,10 @@
         replica = self.replicas.pop(instance)
         self.lapsing.pop(instance, None)
         self.paused.pop(instance, None)
+        self.changing.pop(instance, None)
+        self.leaving.pop(instance, None)
+        self.confirmed.pop(instance, None)
+        self.suspects.discard(instance)
         self.health.forget(instance)
         events.log(
             events.REPLICA_GONE,
@@ -90,39 +109,142 @@
                 found.append(replica)
         return found
 
+    def working(self, service: str) -> list[types.Replica]:
+        """The replicas of a service that are not leaving and not silent."""
+        found = []
+        for replica in self.known(service):
+            if replica.instance not in self.suspects:
+                found.append(replica)
+        return found
+
     def ready(
         self,
         service: str,
         now: float,
-        role: decision_types.Role | None = None,
         avoid: frozenset[str] = frozenset(),
     ) -> list[types.Replica]:
-        """The replicas of a service that may get work now.
+        """The replicas of a plain service that may get work now.
 
-        Those that refused or failed a moment ago are left out while there
-        are others.
+        Those that refused, failed or fell silent a moment ago are left out
+        while there are others.
 
         Args:
             service: The service.
             now: The time.
-            role: Only engines of this role.
             avoid: Instances that failed this request before.
         """
         fine = []
         doubtful = []
         for replica in self.known(service):
-            if role is not None and replica.role != role:
-                continue
             if replica.instance in avoid:
                 continue
-            if self.paused.get(replica.instance, -math.inf) > now:
+            if self.fine(replica.instance, now):
+                fine.append(replica)
+            else:
                 doubtful.append(replica)
+        return fine or doubtful
+
+    def fine(self, instance: str, now: float) -> bool:
+        """Whether nothing speaks against sending work to a replica."""
+        if instance in self.suspects:
+            return False
+        if self.paused.get(instance, -math.inf) > now:
+            return False
+        return self.health.allowed(instance, now)
+
+    def engines(
+        self,
+        service: str,
+        reads: bool,
+        now: float,
+        avoid: frozenset[str] = frozenset(),
+    ) -> list[types.Replica]:
+        """The engines that read prompts, or those that generate.
+
+        Silent ones and those that change their role are left out, also
+        where there is no other.
+
+        Args:
+            service: The service.
+            reads: Whether engines that read prompts are wanted.
+            now: The time.
+            avoid: Instances that failed this request before.
+        """
+        fine = []
+        doubtful = []
+        for replica in self.working(service):
+            if self.reads(replica, now) != reads:
+                continue
+            if replica.instance in avoid:
                 continue
-            if not self.health.allowed(replica.instance, now):
+            if self.changing.get(replica.instance, -math.inf) > now:
+                continue
+            if self.fine(replica.instance, now):
+                fine.append(replica)
+            else:
                 doubtful.append(replica)
+        found = fine or doubtful
+        if not found and not reads:
+            found = self.just_leaving(service, now)
+        if found and not reads:
+            self.generating[service] = now
+        return found
+
+    def reads(self, replica: types.Replica, now: float) -> bool:
+        """Whether an engine reads prompts for others."""
+        return self.role(replica, now) == decision_types.Role.PREFILL
+
+    def just_leaving(self, service: str, now: float) -> list[types.Replica]:
+        """Engines that generate and began to leave only a moment ago."""
+        found = []
+        for instance, since in self.leaving.items():
+            replica = self.replicas[instance]
+            if replica.service != service or now - since > LEAVING_USE:
                 continue
-            fine.append(replica)
-        return fine or doubtful
+            if self.reads(replica, now):
+                continue
+            if instance not in self.suspects:
+                found.append(replica)
+        return found
+
+    def close(self, instance: str, until: float) -> None:
+        """Sends an engine nothing more while it changes its role."""
+        self.changing[instance] = until
+
+    def heard(self, instance: str, now: float) -> None:
+        """Notes a sign of life."""
+        self.silence.heard(instance, now)
+        if instance in self.suspects:
+            self.suspects.discard(instance)
+            events.log(events.REPLICA_HEARD, instance=instance)
+
+    def suspect(self, instance: str, now: float) -> None:
+        """Sends nothing more to a replica that gives no sign of life."""
+        if instance in self.suspects or instance not in self.replicas:
+            return
+        self.suspects.add(instance)
+        events.log(
+            events.REPLICA_SILENT,
+            instance=instance,
+            seconds=round(now - self.silence.since.get(instance, now), 3),
+            requests=self.silence.owing.get(instance, 0),
+        )
+
+    def confirm(
+        self, instance: str, role: decision_types.Role, until: float
+    ) -> None:
+        """Believes an engine's role before its entry shows it."""
+        self.confirmed[instance] = (role, until)
+        self.changing.pop(instance, None)
+
+    def role(
+        self, replica: types.Replica, now: float
+    ) -> decision_types.Role | None:
+        """What an engine does, by what is known best."""
+        role, until = self.confirmed.get(replica.instance, (None, 0.0))
+        if role is not None and now < until:
+            return role
+        return replica.role
 
     def least_busy(
         self, replicas: list[types.Replica], data_centre: str = ""
@@ -135,7 +257,7 @@
         best = None
         best_key = None
         for replica in replicas:
-            busy = self.outstanding.get(replica.instance, 0)
+            busy = self.silence.owing.get(replica.instance, 0)
             key = (
                 busy / max(1, replica.slots),
                 replica.data_centre != data_centre,
@@ -149,14 +271,10 @@
         """Sends a replica nothing more for a moment."""
         self.paused[instance] = now + REFUSAL_PAUSE
 
-    def started(self, instance: str) -> None:
+    def started(self, instance: str, now: float) -> None:
         """Counts a request that is sent to a replica."""
-        self.outstanding[instance] = self.outstanding.get(instance, 0) + 1
+        self.silence.started(instance, now)
 
     def ended(self, instance: str) -> None:
         """Counts the end of such a request."""
-        left = self.outstanding.get(instance, 0) - 1
-        if left > 0:
-            self.outstanding[instance] = left
-        else:
-            self.outstanding.pop(instance, None)
+        self.silence.ended(instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -39,6 +39,10 @@
 RESTART = 0.2
 # Seconds between two looks at the settings file, log lines and gauges.
 HOUSEKEEPING = 1.0
+# Seconds between two looks for silent replicas.
+SILENCE_LOOK = 0.1
+# Seconds that a replica has to give a sign of life; a report takes 3 ms.
+PROBE = 0.25
 # Seconds for which a stopping node listens on: the balancer asks once a
 # second and takes a node out after two answers.
 NOTICE = 3.2
@@ -102,13 +106,18 @@
             settings, self.store, self.store_state, self.member
         )
         self.gossip = gossip_module.Gossip(
-            settings, self.store, self.homes, self.leadership
+            settings,
+            self.store,
+            self.homes,
+            self.leadership,
+            self.directory,
         )
         self.planner = planning.Planner(
             self.leadership,
             self.directory,
             self.configurations,
             self.endpoints,
+            self.gossip,
         )
         self.watches = {
             "configuration": watching.Watch(
@@ -163,6 +172,7 @@
         self.supervise("leadership", self.leadership.run)
         self.supervise("planner", self.planner.run)
         self.supervise("housekeeping", self.housekeeping)
+        self.supervise("silence", self.watch_silence)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
         if self.settings.metrics.port:
@@ -203,6 +213,34 @@
                 events.log(events.TASK_FAILED, task=name, error=repr(error))
             await asyncio.sleep(RESTART * (1 + random.random()))
 
+    async def watch_silence(self) -> None:
+        """Asks silent replicas for a sign of life, and suspects the dead."""
+        while True:
+            await asyncio.sleep(SILENCE_LOOK)
+            silent = self.directory.silence.look(time.monotonic())
+            asked = self.directory.suspects.union(silent)
+            if not asked:
+                continue
+            async with asyncio.TaskGroup() as group:
+                for instance in asked:
+                    group.create_task(self.probe(instance))
+
+    async def probe(self, instance: str) -> None:
+        """Asks one replica for a sign of life; any answer is one."""
+        replica = self.directory.replicas.get(instance)
+        if replica is None:
+            self.directory.suspects.discard(instance)
+            return
+        try:
+            async with asyncio.timeout(PROBE):
+                await self.endpoints.state(replica)
+        except (exceptions.EndpointRefused, exceptions.RecordInvalid):
+            self.directory.heard(instance, time.monotonic())
+        except (exceptions.EndpointError, TimeoutError):
+            self.directory.suspect(instance, time.monotonic())
+        else:
+            self.directory.heard(instance, time.monotonic())
+
     async def housekeeping(self) -> None:
         """Looks after the settings file, log lines and gauges."""
         reported = 0
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -14,8 +14,8 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import outages
 from gypsumfold.decisions import routes
-from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import replies
@@ -28,10 +28,24 @@
 # least that it is given: a burst of long prompts queues for about as long.
 PROMPT_PATIENCE = 4.0
 LEAST_PATIENCE = 1.0
+# Seconds between two looks for an engine that generates.
+LOOK = 0.03
 # Seconds after which a caller may come back where there is no room.
 RETRY_AFTER = 0.5
 
 
+class Ear:
+    """Notes each sign of life of one engine."""
+
+    def __init__(self, directory: directory_module.Directory, instance: str):
+        self.directory = directory
+        self.instance = instance
+
+    def heard(self) -> None:
+        """Bytes came."""
+        self.directory.heard(self.instance, time.monotonic())
+
+
 class Generations:
     """Places prompts and streams, and passes the events on.
 
@@ -112,9 +126,12 @@
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
             exceptions.AnswerBroken: An engine may have begun.
         """
+        await self.engine_back(route, service, progress)
+        choice = self.place(service, progress)
         handle = None
-        if progress.call.prompt_tokens:
-            handle = await self.prefill(route, service, progress)
+        if choice is not None:
+            reader = self.directory.replicas[choice.engine]
+            handle = await self.read(reader, choice, route, service, progress)
         taken = False
         try:
             decoder = self.decoder(service, handle, progress)
@@ -127,6 +144,79 @@
             if handle is not None and not taken:
                 self.drop(handle)
 
+    async def engine_back(
+        self,
+        route: routes.Route,
+        service: types.Service,
+        progress: progress_module.Progress,
+    ) -> None:
+        """Waits until an engine generates, if it is expected in time.
+
+        Raises:
+            exceptions.Unavailable: It is not.
+        """
+        held = False
+        while True:
+            now = time.monotonic()
+            if self.directory.engines(service.name, False, now):
+                return
+            since = self.directory.generating.setdefault(service.name, now)
+            age = now - progress.call.arrival
+            verdict = outages.judge(
+                since,
+                service.switch_time,
+                route.waits(progress.left(), age),
+                progress.left(),
+                now,
+            )
+            if not verdict.hold:
+                if progress.may_have_run:
+                    raise exceptions.AnswerBroken("no engine generates")
+                raise exceptions.Unavailable(
+                    "no engine generates",
+                    outcomes.Outcome.NOT_RUN,
+                    verdict.retry_after,
+                )
+            if not held:
+                held = True
+                events.log(
+                    events.CALL_HELD,
+                    request=progress.call.id,
+                    since=round(now - since, 3),
+                    left=round(progress.left(), 3),
+                )
+            await asyncio.sleep(LOOK)
+
+    def place(
+        self, service: types.Service, progress: progress_module.Progress
+    ) -> homes_module.Choice | None:
+        """Picks the engine that reads the prompt; None for any."""
+        call = progress.call
+        if not call.prompt_tokens:
+            return None
+        rate = 0.0
+        if service.token_bytes:
+            rate = service.link_rate / service.token_bytes
+        return self.homes.choose(
+            homes_module.Prompt(call.chain, call.model, call.prompt_tokens),
+            self.readers(service, progress.avoid),
+            self.holders(service),
+            rate,
+            time.monotonic(),
+        )
+
+    def holders(self, service: types.Service) -> list[homes_module.Engine]:
+        """The engines that may have parts of prompts, also leaving ones."""
+        found = []
+        for replica in self.directory.replicas.values():
+            if replica.service != service.name or replica.role is None:
+                continue
+            if replica.instance not in self.directory.suspects:
+                found.append(
+                    homes_module.Engine(replica.instance, replica.address)
+                )
+        return found
+
     def decoder(
         self,
         service: types.Service,
@@ -138,12 +228,7 @@
         near = ""
         if handle is not None and handle.engine in self.directory.replicas:
             near = self.directory.replicas[handle.engine].data_centre
-        found = []
-        for replica in self.directory.ready(
-            service.name, now, avoid=progress.avoid
-        ):
-            if replica.role != decision_types.Role.PREFILL:
-                found.append(replica)
+        found = self.directory.engines(service.name, False, now, progress.avoid)
         return self.directory.least_busy(found, near)
 
     def readers(
@@ -151,63 +236,11 @@
     ) -> list[homes_module.Engine]:
         """The engines that read prompts."""
         found = []
-        for replica in self.directory.ready(
-            service.name,
-            time.monotonic(),
-            decision_types.Role.PREFILL,
-            avoid,
-        ):
-            found.append(
-                homes_module.Engine(
-                    replica.instance, replica.address, service.cache_tokens
-                )
-            )
+        now = time.monotonic()
+        for replica in self.directory.engines(service.name, True, now, avoid):
+            found.append(homes_module.Engine(replica.instance, replica.address))
         return found
 
-    async def prefill(
-        self,
-        route: routes.Route,
-        service: types.Service,
-        progress: progress_module.Progress,
-    ) -> types.Handle | None:
-        """Has the prompt read at its home or near it.
-
-        Returns:
-            None where no engine reads prompts; the one that makes the
-            tokens then has to.
-
-        Raises:
-            exceptions.EndpointNotStarted: Several engines would not or could
-                not.
-        """
-        call = progress.call
-        rate = 0.0
-        if service.token_bytes:
-            rate = service.link_rate / service.token_bytes
-        for attempt in range(MOST_ATTEMPTS):
-            choice = self.homes.choose(
-                call.chain,
-                call.model,
-                call.prompt_tokens,
-                self.readers(service, progress.avoid),
-                rate,
-                time.monotonic(),
-            )
-            if choice is None:
-                return None
-            if attempt and not self.budget.allow(
-                service.name, time.monotonic()
-            ):
-                break
-            replica = self.directory.replicas[choice.engine]
-            try:
-                return await self.read(
-                    replica, choice, route, service, progress
-                )
-            except exceptions.EndpointError as error:
-                progress.failed(replica, str(error))
-        raise exceptions.EndpointNotStarted("no engine reads the prompt")
-
     async def read(
         self,
         replica: types.Replica,
@@ -219,7 +252,7 @@
         """Has one engine read the prompt.
 
         Raises:
-            exceptions.EndpointError: It did not.
+            exceptions.EndpointNotStarted: It did not; nothing has run.
         """
         call = progress.call
         events.log(
@@ -250,16 +283,21 @@
             self.directory.health.failed(
                 replica.instance, True, time.monotonic()
             )
-            raise exceptions.AnswerBroken("the engine is silent") from error
-        except exceptions.EndpointRefused:
+            progress.failed(replica, "the engine is silent")
+            raise exceptions.EndpointNotStarted(
+                "the engine is silent"
+            ) from error
+        except exceptions.EndpointRefused as error:
             self.directory.pause(replica.instance, time.monotonic())
+            progress.failed(replica, str(error))
             raise
         except exceptions.EndpointError as error:
             silent = isinstance(error, exceptions.EndpointNotStarted)
             self.directory.health.failed(
                 replica.instance, silent, time.monotonic()
             )
-            raise
+            progress.failed(replica, str(error))
+            raise exceptions.EndpointNotStarted(str(error)) from error
         finally:
             if not done:
                 self.homes.dropped(choice)
@@ -320,8 +358,12 @@
             handle=handle,
             last_event=stream.last_event,
         )
-        self.directory.started(replica.instance)
-        progress.sent(replica, route=route.name, resumed=stream.last_event)
+        self.directory.started(replica.instance, time.monotonic())
+        progress.sent(
+            replica,
+            route=route.name,
+            resumed=stream.last_event,
+        )
         try:
             answer = await self.endpoints.send(
                 replica, progress.call, instructions
@@ -333,7 +375,9 @@
                     raise exceptions.EndpointRefused(
                         f"the engine answered {answer.status}"
                     )
-                await stream.pass_on(answer, progress)
+                await stream.pass_on(
+                    answer, progress, Ear(self.directory, replica.instance)
+                )
             finally:
                 answer.close()
         except exceptions.EndpointNotStarted as error:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -15,6 +15,8 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.platform import names
@@ -60,12 +62,18 @@
         number: Increases with each one.
         loads: Seconds of prompts by engine that are still to be read.
         placed: Prompts sent since the last one.
+        closed: Engines that were ordered to change their role, and for how
+            many seconds from now they get no work.
+        roles: New roles that engines have, and for how many seconds that is
+            to be believed.
     """
 
     member: str
     number: int
     loads: dict[str, float]
     placed: list[Placed]
+    closed: dict[str, float] = {}
+    roles: dict[str, tuple[str, float]] = {}
 
 
 class Entry(msgspec.Struct):
@@ -87,7 +95,9 @@
         store: store_module.Store,
         homes: homes_module.Homes,
         leadership: leadership_module.Leadership,
+        directory: directory_module.Directory,
     ):
+        self.directory = directory
         self.address = settings.peers.address
         self.store = store
         self.homes = homes
@@ -99,6 +109,8 @@
         self.number = 0
         self.changed = asyncio.Event()
         self.placed: list[Placed] = []
+        self.closings: dict[str, float] = {}
+        self.roles: dict[str, tuple[decision_types.Role, float]] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
@@ -180,13 +192,54 @@
             pause = max(INTERVAL, len(self.peers) / MOST_DATAGRAMS)
             await asyncio.sleep(pause)
 
+    def closed(self, engine: str, seconds: float) -> None:
+        """Notes that an engine gets no work for a while."""
+        self.closings[engine] = time.monotonic() + seconds
+        self.changed.set()
+
+    def changed_role(
+        self, engine: str, role: decision_types.Role, seconds: float
+    ) -> None:
+        """Notes that an engine has its new role."""
+        self.roles[engine] = (role, time.monotonic() + seconds)
+        self.changed.set()
+
+    def roles_left(self) -> dict[str, tuple[str, float]]:
+        """The new roles that are still news, with their seconds left."""
+        now = time.monotonic()
+        found = {}
+        for engine, (role, until) in list(self.roles.items()):
+            if until <= now:
+                del self.roles[engine]
+                continue
+            found[engine] = (role.value, round(until - now, 3))
+        return found
+
+    def closings_left(self) -> dict[str, float]:
+        """Seconds left of each closing."""
+        now = time.monotonic()
+        for engine, until in list(self.closings.items()):
+            if until <= now or engine not in self.directory.changing:
+                del self.closings[engine]
+        return {
+            engine: round(until - now, 3)
+            for engine, until in self.closings.items()
+        }
+
     def send(self) -> None:
         """Sends what changed to every peer."""
         self.number += 1
         placed, self.placed = self.placed, []
         loads = self.homes.own_loads()
         while True:
-            message = Message(self.member, self.number, loads, placed)
+            message = Message(
+                self.member,
+                self.number,
+                loads,
+                placed,
+                self.closings_left(),
+                self.roles_left(),
+            )
             data = self.encoder.encode(message)
             if len(data) <= MOST_BYTES or not placed:
                 break
@@ -212,10 +265,30 @@
         self.heard[message.member] = now
         # A node that started after the entries were read is known by this.
         self.peers.setdefault(message.member, address[:2])
-        self.homes.remote(message.member, message.loads, now + SILENT)
+        loads = {}
+        for engine, seconds in message.loads.items():
+            if engine in self.directory.replicas:
+                loads[engine] = seconds
+        self.homes.remote(message.member, loads, now + SILENT)
+        for engine, seconds in message.closed.items():
+            if engine in self.directory.replicas:
+                self.directory.close(engine, now + seconds)
+        for engine, (role, seconds) in message.roles.items():
+            self.believe(engine, role, now + seconds)
         for placed in message.placed:
             self.homes.read_links(placed.engine, placed.links, placed.tokens)
 
+    def believe(self, engine: str, role: str, until: float) -> None:
+        """Takes an engine's new role in as a peer says it."""
+        if engine not in self.directory.replicas:
+            return
+        try:
+            found = decision_types.Role(role)
+        except ValueError as error:
+            events.log(events.FRAME_REFUSED, reason=str(error))
+            return
+        self.directory.confirm(engine, found, until)
+
     def error_received(self, error: Exception) -> None:
         """Nothing depends on a datagram; a dead peer's entry goes later."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -121,7 +121,7 @@
         limit = progress.left()
         if route.repeatable and progress.runs + 1 < route.attempts:
             limit = min(limit, PATIENCE * route.objective)
-        self.directory.started(replica.instance)
+        self.directory.started(replica.instance, time.monotonic())
         progress.sent(replica, route=route.name)
         try:
             async with asyncio.timeout(limit):
@@ -168,6 +168,7 @@
             answer.close()
         checked(answer)
         now = time.monotonic()
+        self.directory.heard(replica.instance, now)
         if answer.status < 500:
             self.directory.health.succeeded(replica.instance, now)
         else:
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -9,15 +9,26 @@
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import gossip as gossip_module
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
 
-# Seconds between two looks at the engines.
-INTERVAL = 0.5
+# Seconds between two looks at the engines; a look costs no call.
+INTERVAL = 0.15
 # Seconds beyond an engine's declared time for a change until its entry must
 # show the new role; an order without an answer may be carried out that late.
 PATIENCE = 8.0
+# Seconds beyond an engine's declared time for a change for which it gets no
+# work unless its entry shows the new role; entries come once a second.
+CLOSED = 1.5
+# Seconds between telling the other nodes and the order.
+HEADS_UP = 0.05
+# Seconds between two questions whether a change of role is done; the entry
+# in the store shows it up to two seconds later.
+ASK = 0.15
+# Seconds for which that is believed before the entry shows it.
+BELIEVED = 5.0
 # Seconds for one call to an engine.
 CALL_LIMIT = 1.0
 
@@ -32,7 +43,9 @@
 class Planner:
     """Gives orders while this node may.
 
-    >>> planner = Planner(leadership, directory, configurations, endpoints)
+    >>> planner = Planner(
+    ...     leadership, directory, configurations, endpoints, gossip
+    ... )
     >>> await planner.run()
     """
 
@@ -42,12 +55,15 @@
         directory: directory_module.Directory,
         configurations: watching.Configurations,
         endpoints: types.Endpoints,
+        gossip: gossip_module.Gossip,
     ):
+        self.gossip = gossip
         self.leadership = leadership
         self.directory = directory
         self.configurations = configurations
         self.endpoints = endpoints
         self.pending: dict[str, Pending] = {}
+        self.tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Looks again and again for as long as the node runs."""
@@ -73,7 +89,10 @@
         """Forgets orders whose effect shows, or will not any more."""
         for instance, pending in list(self.pending.items()):
             replica = self.directory.replicas.get(instance)
-            if replica is None or replica.role == pending.role:
+            if (
+                replica is None
+                or self.directory.role(replica, now) == pending.role
+            ):
                 del self.pending[instance]
                 continue
             if now > pending.until:
@@ -82,11 +101,12 @@
     async def plan(self, service: types.Service) -> None:
         """Orders what the plan of one service asks for."""
         views = []
-        for replica in self.directory.known(service.name):
+        for replica in self.directory.working(service.name):
             if replica.role is None:
                 continue
             pending = self.pending.get(replica.instance)
-            role = pending.role if pending else replica.role
+            role = self.directory.role(replica, time.monotonic())
+            role = pending.role if pending else role
             views.append(
                 stages.EngineView(replica.instance, replica.data_centre, role)
             )
@@ -106,6 +126,12 @@
         now = time.monotonic()
         until = now + service.switch_time + PATIENCE
         self.pending[change.engine] = Pending(change.role, until)
+        # The other nodes learn of it by the next datagram and send nothing
+        # there that the engine would have to refuse.
+        closed = now + service.switch_time + CLOSED
+        self.directory.close(change.engine, closed)
+        self.gossip.closed(change.engine, service.switch_time + CLOSED)
+        await asyncio.sleep(HEADS_UP)
         try:
             async with asyncio.timeout(CALL_LIMIT):
                 state = await self.endpoints.state(replica)
@@ -123,6 +149,7 @@
                     after=state.orders,
                 )
                 await self.endpoints.order(replica, order)
+            self.follow(replica, change.role, service.switch_time)
         except (
             exceptions.EndpointError,
             exceptions.RecordInvalid,
@@ -134,3 +161,46 @@
                 role=change.role,
                 reason=repr(error),
             )
+
+    def follow(
+        self,
+        replica: types.Replica,
+        role: decision_types.Role,
+        switch_time: float,
+    ) -> None:
+        """Watches an engine until it has its new role, beside all else."""
+        task = asyncio.create_task(self.watch(replica, role, switch_time))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def watch(
+        self,
+        replica: types.Replica,
+        role: decision_types.Role,
+        switch_time: float,
+    ) -> None:
+        """Asks an engine until it has its new role, and tells the others."""
+        await asyncio.sleep(max(0.0, switch_time - ASK))
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            await asyncio.sleep(ASK)
+            try:
+                async with asyncio.timeout(CALL_LIMIT):
+                    state = await self.endpoints.state(replica)
+            except (
+                exceptions.EndpointError,
+                exceptions.RecordInvalid,
+                TimeoutError,
+            ) as error:
+                events.log(
+                    events.ATTEMPT_FAILED,
+                    instance=replica.instance,
+                    reason=repr(error),
+                )
+                continue
+            if state.role != role or state.busy:
+                continue
+            until = time.monotonic() + BELIEVED
+            self.directory.confirm(replica.instance, role, until)
+            self.gossip.changed_role(replica.instance, role, BELIEVED)
+            return
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -1,5 +1,7 @@
 """Passes a replica's stream on to the caller, across replicas if need be."""
 
+from typing import Protocol
+
 from gypsumfold import exceptions
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import progress as progress_module
@@ -12,6 +14,13 @@
 MOST_PENDING = 1024 * 1024
 
 
+class Ear(Protocol):
+    """Is told of a replica's signs of life."""
+
+    def heard(self) -> None:
+        """Bytes came."""
+
+
 class Stream:
     """One answer to the caller, made of one or more replicas' streams.
 
@@ -32,10 +41,18 @@
         self.pending = b""
 
     async def pass_on(
-        self, answer: types.Answer, progress: progress_module.Progress
+        self,
+        answer: types.Answer,
+        progress: progress_module.Progress,
+        ear: Ear,
     ) -> None:
         """Passes one replica's answer on to its end.
 
+        Args:
+            answer: The answer.
+            progress: Of the request.
+            ear: Is told of each piece.
+
         Raises:
             exceptions.AnswerBroken: It broke off or is no proper answer.
         """
@@ -44,7 +61,9 @@
             return
         plain_calls.checked(answer)
         self.pending = b""
+        ear.heard()
         async for data in answer.chunks():
+            ear.heard()
             await self.write(data, answer, progress)
         if self.pending:
             await self.reply.write(self.pending)
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -32,6 +32,8 @@
     service: str = ""
     split: list[TargetRecord] | None = None
     resumable: bool = False
+    # The longest pause between events that is still on time.
+    pause_ms: float = msgspec.field(name="gapAimMs", default=0.0)
 
 
 class EngineRecord(msgspec.Struct):
@@ -214,6 +216,17 @@
         attempts=record.attempts,
         targets=tuple(targets),
         resumable=record.resumable,
+        patience=_patience(record),
+    )
+
+
+def _patience(record: RouteRecord) -> float:
+    if names.KINDS[record.kind] != routes.Kind.STREAMING:
+        return 0.0
+    return max(
+        names.PATIENCE,
+        names.PATIENCE_OBJECTIVES * record.objective_ms / 1000,
+        names.PATIENCE_PAUSES * record.pause_ms / 1000,
     )
 
 
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -91,3 +91,9 @@
 }
 ROLE_WORDS = {role: word for word, role in ROLES.items()}
 DRAINING = "draining"
+
+# Seconds without an event after which callers leave a stream: the longest of
+# these, with the objective and the declared pause times these factors.
+PATIENCE = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
