--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -27,6 +27,9 @@
 # others out of its memory. A prompt that shares little goes to the shortest
 # queue.
 HOME_WEIGHT = 1.0
+# Share of its reading for which a late prompt holds up others: it goes behind
+# them, but they wait for the piece of it that is being read.
+LATE_LOAD = 0.2
 # Tokens below which copying takes longer than reading: 400 are 10 ms.
 LEAST_COPY = 400
 # Seconds that copying cached parts takes beside their bytes.
@@ -77,6 +80,7 @@
         tokens: Those that are left to be read.
         reading: Seconds that reading them takes.
         total: Seconds until they are read, with the wait.
+        load: Seconds for which it holds up prompts that come later.
     """
 
     engine: str
@@ -84,6 +88,7 @@
     tokens: int
     reading: float
     total: float
+    load: float
 
 
 class Listener(Protocol):
@@ -178,7 +183,7 @@
         pace = self.pace(engine.name)
         reading = pace.expected(tokens)
         total = pace.delay(now) + copying + reading
-        return Choice(engine.name, peer, tokens, reading, total)
+        return Choice(engine.name, peer, tokens, reading, total, reading)
 
     def holder(self, prompt: Prompt, holders: list[Engine]) -> Holder:
         """The engine that is believed to have most of a prompt's beginning."""
@@ -191,27 +196,50 @@
         return best
 
     def sent(
-        self, choice: Choice, chain: chains.Chain, model: str, memory: int
-    ) -> None:
-        """Notes that a prompt goes to an engine, which will then have it."""
+        self,
+        choice: Choice,
+        chain: chains.Chain,
+        model: str,
+        memory: int,
+        late: bool,
+    ) -> Choice:
+        """Notes that a prompt goes to an engine, which will then have it.
+
+        Args:
+            choice: Where it goes.
+            chain: Its parts.
+            model: The model asked for.
+            memory: Tokens that the engine's memory holds.
+            late: Whether others go before it, so that they hardly wait for
+                it.
+
+        Returns:
+            The choice with the load that it counts for, for `done` or
+            `dropped`.
+        """
         self.memory = memory
+        if late:
+            choice = choice._replace(load=choice.reading * LATE_LOAD)
         found = chains.links(chain, model)
         tokens = [part.tokens for part in chain]
         self.caches.add_links(choice.engine, found, tokens, memory)
-        self.pace(choice.engine).sent(choice.reading)
+        self.pace(choice.engine).sent(choice.load)
         if self.listener is not None:
             self.listener.sent(choice.engine, found, tokens)
+        return choice
 
     def done(self, choice: Choice, seconds: float, now: float) -> None:
         """Learns from a prompt that was read."""
         pace = self.pace(choice.engine)
-        pace.done(choice.tokens, choice.reading, seconds, now)
+        pace.dropped(choice.load)
+        if choice.load == choice.reading:
+            pace.done(choice.tokens, choice.reading, seconds, now)
         if self.listener is not None:
             self.listener.done()
 
     def dropped(self, choice: Choice) -> None:
         """Notes that a prompt is not read where it was sent."""
-        self.pace(choice.engine).dropped(choice.reading)
+        self.pace(choice.engine).dropped(choice.load)
         if self.listener is not None:
             self.listener.done()
 
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
@@ -0,0 +1,59 @@
+"""What becomes of requests that cannot be in time any more.
+
+Load pattern: a burst or an outage leaves more prompts than the engines read
+within their objectives. Served in order of arrival all of them are late, the
+fresh ones too. So a request that will miss its objective goes behind all that
+can keep theirs, and one whose caller will have left is refused at once.
+"""
+
+from typing import NamedTuple
+
+# Seconds from a read prompt to the first event at the caller: handing the KV
+# cache over and the first step (45 ms, median of a quiet minute).
+FIRST_EVENT = 0.06
+# Urgency of the most urgent late request: behind every request that is on
+# time and behind those of which nothing is said (5).
+LATE = 6
+# The least urgent that engines know.
+LAST = 9
+# Share of the time a caller still waits that the expected one must leave:
+# expectations of 0.1 s and more are right within a third for most.
+MARGIN = 0.9
+
+
+class Rank(NamedTuple):
+    """How a request goes on.
+
+    Attributes:
+        urgency: For the engine; 0 is the most urgent.
+        late: Whether it will miss its objective.
+        hopeless: Whether its caller will have left before its first event.
+    """
+
+    urgency: int
+    late: bool
+    hopeless: bool
+
+
+def rank(
+    urgency: int,
+    age: float,
+    expected: float,
+    objective: float,
+    waits: float,
+) -> Rank:
+    """Ranks a request by when its first event is expected.
+
+    Args:
+        urgency: The route's.
+        age: Seconds since it came.
+        expected: Seconds until its prompt is read.
+        objective: Seconds from its coming within which it is worth most.
+        waits: Seconds for which its caller still waits.
+    """
+    remaining = expected + FIRST_EVENT
+    late = age + remaining > objective
+    hopeless = remaining > MARGIN * waits
+    if late:
+        urgency = min(LAST, LATE + urgency)
+    return Rank(min(LAST, urgency), late, hopeless)
--- a/packages/gypsumfold/src/gypsumfold/decisions/paces.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/paces.py
@@ -71,7 +71,6 @@
             seconds: From sending it to its end.
             now: The time.
         """
-        self.dropped(expected)
         excess = max(0.0, seconds - expected)
         self.wait = (1 - WEIGHT) * self.delay_seen(now) + WEIGHT * excess
         self.seen = now
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -14,6 +14,7 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import lateness
 from gypsumfold.decisions import outages
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
@@ -130,8 +131,7 @@
         choice = self.place(service, progress)
         handle = None
         if choice is not None:
-            reader = self.directory.replicas[choice.engine]
-            handle = await self.read(reader, choice, route, service, progress)
+            handle = await self.read(choice, route, service, progress)
         taken = False
         try:
             decoder = self.decoder(service, handle, progress)
@@ -241,19 +241,41 @@
             found.append(homes_module.Engine(replica.instance, replica.address))
         return found
 
+    def rank(
+        self,
+        route: routes.Route,
+        expected: float,
+        progress: progress_module.Progress,
+    ) -> lateness.Rank:
+        """Ranks a request by when its first event is expected."""
+        age = time.monotonic() - progress.call.arrival
+        waits = route.waits(progress.left(), age)
+        return lateness.rank(
+            route.urgency, age, expected, route.objective, waits
+        )
+
     async def read(
         self,
-        replica: types.Replica,
         choice: homes_module.Choice,
         route: routes.Route,
         service: types.Service,
         progress: progress_module.Progress,
     ) -> types.Handle:
-        """Has one engine read the prompt.
+        """Has the chosen engine read the prompt.
 
         Raises:
             exceptions.EndpointNotStarted: It did not; nothing has run.
+            exceptions.Unavailable: It would take longer than the caller
+                waits.
         """
+        replica = self.directory.replicas[choice.engine]
+        rank = self.rank(route, choice.total, progress)
+        if rank.hopeless and not progress.may_have_run:
+            raise exceptions.Unavailable(
+                "the engines have too much to read",
+                outcomes.Outcome.NOT_RUN,
+                min(choice.total, max(0.0, progress.left() / 3)),
+            )
         call = progress.call
         events.log(
             events.PROMPT_PLACED,
@@ -262,16 +284,19 @@
             tokens=choice.tokens,
             expected=round(choice.total, 3),
             copied_from=choice.peer,
+            urgency=rank.urgency,
             left=round(progress.left(), 3),
         )
         instructions = types.Instructions(
             progress.left(),
-            urgency=route.urgency,
+            urgency=rank.urgency,
             prefill=True,
             cache_peer=choice.peer,
         )
         sent = time.monotonic()
-        self.homes.sent(choice, call.chain, call.model, service.cache_tokens)
+        choice = self.homes.sent(
+            choice, call.chain, call.model, service.cache_tokens, rank.late
+        )
         done = False
         try:
             handle = await self.patiently(
@@ -354,7 +379,7 @@
         """
         instructions = types.Instructions(
             progress.left(),
-            urgency=route.urgency,
+            urgency=self.rank(route, 0.0, progress).urgency,
             handle=handle,
             last_event=stream.last_event,
         )
