--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -17,6 +17,7 @@
 
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import paces
+from gypsumfold.decisions import shares
 
 # Engines in a beginning's order that are weighed: all of a small fleet, and
 # of a large one enough that one of them is free (with 70 engines the chance
@@ -112,6 +113,7 @@
     def __init__(self):
         self.caches = chains.Caches()
         self.paces: dict[str, paces.Pace] = {}
+        self.waiting = shares.Shares()
         self.memory = 0
         self.listener: Listener | None = None
 
@@ -119,6 +121,11 @@
         """What is known of an engine's speed."""
         return self.paces.setdefault(engine, paces.Pace())
 
+    def delay(self, engine: str, now: float) -> float:
+        """Seconds that a prompt is expected to wait at an engine."""
+        seen = self.pace(engine).delay_seen(now)
+        return max(seen, self.waiting.total(engine, now))
+
     def choose(
         self,
         prompt: Prompt,
@@ -143,7 +150,7 @@
         """
         chain, model = prompt.chain, prompt.model
         key = chains.shared_key(chain, model) or chains.own_key(chain, model)
-        shared = sum(part.tokens for part in chain[:-1])
+        shared_tokens = sum(part.tokens for part in chain[:-1])
         holder = self.holder(prompt, holders)
         ranked = order(key, engines)
         best = None
@@ -153,7 +160,7 @@
             cost = choice.total
             if place > 0:
                 rate = self.pace(ranked[0].name).rate
-                cost += HOME_WEIGHT * shared / rate
+                cost += HOME_WEIGHT * shared_tokens / rate
             if cost < best_cost:
                 best, best_cost = choice, cost
         return best
@@ -182,7 +189,7 @@
         tokens = max(0, prompt.tokens - cached)
         pace = self.pace(engine.name)
         reading = pace.expected(tokens)
-        total = pace.delay(now) + copying + reading
+        total = self.delay(engine.name, now) + copying + reading
         return Choice(engine.name, peer, tokens, reading, total, reading)
 
     def holder(self, prompt: Prompt, holders: list[Engine]) -> Holder:
@@ -223,48 +230,29 @@
         found = chains.links(chain, model)
         tokens = [part.tokens for part in chain]
         self.caches.add_links(choice.engine, found, tokens, memory)
-        self.pace(choice.engine).sent(choice.load)
+        self.waiting.add(choice.engine, choice.load)
         if self.listener is not None:
             self.listener.sent(choice.engine, found, tokens)
         return choice
 
     def done(self, choice: Choice, seconds: float, now: float) -> None:
         """Learns from a prompt that was read."""
-        pace = self.pace(choice.engine)
-        pace.dropped(choice.load)
+        self.waiting.remove(choice.engine, choice.load)
         if choice.load == choice.reading:
+            pace = self.pace(choice.engine)
             pace.done(choice.tokens, choice.reading, seconds, now)
-        if self.listener is not None:
-            self.listener.done()
+        self.tell()
 
     def dropped(self, choice: Choice) -> None:
         """Notes that a prompt is not read where it was sent."""
-        self.pace(choice.engine).dropped(choice.load)
+        self.waiting.remove(choice.engine, choice.load)
+        self.tell()
+
+    def tell(self) -> None:
+        """Lets the other nodes know that loads have changed."""
         if self.listener is not None:
             self.listener.done()
 
-    def own_loads(self) -> dict[str, float]:
-        """Seconds of this node's prompts that each engine has to read."""
-        found = {}
-        for engine, pace in self.paces.items():
-            if pace.outstanding > 0:
-                found[engine] = round(pace.outstanding, 4)
-        return found
-
-    def remote(self, node: str, loads: dict[str, float], until: float) -> None:
-        """Replaces what another node has at the engines.
-
-        Args:
-            node: The other node.
-            loads: Seconds of its prompts by engine.
-            until: When this no longer counts.
-        """
-        for engine, pace in self.paces.items():
-            if engine not in loads:
-                pace.remote.pop(node, None)
-        for engine, seconds in loads.items():
-            self.pace(engine).remote[node] = (seconds, until)
-
     def read_links(
         self, engine: str, found: list[int], tokens: list[int]
     ) -> None:
@@ -276,6 +264,7 @@
         """Drops an engine that is gone."""
         self.caches.forget(engine)
         self.paces.pop(engine, None)
+        self.waiting.forget(engine)
 
 
 def order(key: int, engines: list[Engine]) -> list[Engine]:
--- a/packages/gypsumfold/src/gypsumfold/decisions/paces.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/paces.py
@@ -41,25 +41,11 @@
         self.rate = FIRST_RATE
         self.wait = 0.0
         self.seen = 0.0
-        self.outstanding = 0.0
-        self.remote: dict[str, tuple[float, float]] = {}
 
     def expected(self, tokens: int) -> float:
         """Seconds to read so many tokens on an idle engine."""
         return FIRST_OVERHEAD + tokens / self.rate
 
-    def delay(self, now: float) -> float:
-        """Seconds that a prompt is expected to wait before it is read."""
-        total = self.outstanding
-        for seconds, until in self.remote.values():
-            if now < until:
-                total += seconds
-        return max(self.delay_seen(now), total)
-
-    def sent(self, seconds: float) -> None:
-        """Notes a prompt that goes to the engine."""
-        self.outstanding += seconds
-
     def done(
         self, tokens: int, expected: float, seconds: float, now: float
     ) -> None:
@@ -67,7 +53,7 @@
 
         Args:
             tokens: Those that the engine had to read.
-            expected: What `sent` was told.
+            expected: Seconds that reading them was to take.
             seconds: From sending it to its end.
             now: The time.
         """
@@ -86,7 +72,3 @@
         """The waits that were observed, with age."""
         age = max(0.0, now - self.seen)
         return self.wait * math.pow(0.5, age / HALF_LIFE)
-
-    def dropped(self, expected: float) -> None:
-        """Takes a prompt out that did not come to its end there."""
-        self.outstanding = max(0.0, self.outstanding - expected)
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -10,6 +10,7 @@
 
 from gypsumfold import events
 from gypsumfold.decisions import health
+from gypsumfold.decisions import shares
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import types
@@ -17,6 +18,8 @@
 # Seconds that an engine which refused a request as not run gets no other: it
 # is full or changes its role.
 REFUSAL_PAUSE = 0.25
+# Share of an engine's memory by which one elsewhere has to be emptier.
+ELSEWHERE = 0.1
 # Seconds for which an entry that went just after an outage of the store is
 # kept: those that lapsed in it are back within two seconds of its return.
 LAPSE_GRACE = 2.0
@@ -45,6 +48,7 @@
         self.suspects: set[str] = set()
         self.confirmed: dict[str, tuple[decision_types.Role, float]] = {}
         self.silence = silence_module.Silence()
+        self.streams = shares.Shares()
         self.generating: dict[str, float] = {}
         self.health = health.Health(rng)
         self.gone = []
@@ -84,6 +88,7 @@
         self.changing.pop(instance, None)
         self.leaving.pop(instance, None)
         self.confirmed.pop(instance, None)
+        self.streams.forget(instance)
         self.suspects.discard(instance)
         self.health.forget(instance)
         events.log(
@@ -267,6 +272,26 @@
                 best, best_key = replica, key
         return best
 
+    def emptiest(
+        self, engines: list[types.Replica], data_centre: str, memory: int
+    ) -> types.Replica | None:
+        """The generating engine with the most memory left, by all nodes.
+
+        One of the given data centre goes before others that are a tenth
+        emptier: a KV cache takes twice as long from one to another.
+        """
+        now = time.monotonic()
+        best = None
+        best_key = math.inf
+        for engine in engines:
+            key = self.streams.total(engine.instance, now) / max(1, memory)
+            if engine.data_centre != data_centre:
+                key += ELSEWHERE
+            key += self.rng.random() * 1e-3
+            if key < best_key:
+                best, best_key = engine, key
+        return best
+
     def pause(self, instance: str, now: float) -> None:
         """Sends a replica nothing more for a moment."""
         self.paused[instance] = now + REFUSAL_PAUSE
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -48,8 +48,6 @@
 NOTICE = 3.2
 # Seconds before the kill at which a stopping node gives its last answers.
 LAST = 0.7
-# Seconds between two looks at the requests in progress.
-LOOK = 0.05
 
 
 class Gateway:
@@ -118,6 +116,7 @@
             self.configurations,
             self.endpoints,
             self.gossip,
+            self.homes,
         )
         self.watches = {
             "configuration": watching.Watch(
@@ -288,8 +287,7 @@
         await asyncio.sleep(min(NOTICE, grace / 2))
         await self.server.stop_listening()
         end = started + grace - LAST
-        while self.server.open_requests and time.monotonic() < end:
-            await asyncio.sleep(LOOK)
+        await self.server.idle(max(0.0, end - time.monotonic()))
         if self.server.open_requests:
             events.log(events.NODE_GAVE_UP, requests=self.server.open_requests)
         for task in self.tasks.values():
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -28,7 +28,11 @@
 # Times the expected seconds after which a prompt is read elsewhere, and the
 # least that it is given: a burst of long prompts queues for about as long.
 PROMPT_PATIENCE = 4.0
-LEAST_PATIENCE = 1.0
+LEAST_PATIENCE = 3.0
+# Seconds between two looks whether an engine gives no sign of life.
+SUSPECT_LOOK = 0.1
+# Seconds for freeing a KV cache; it lapses by itself after a few.
+FREE_LIMIT = 1.0
 # Seconds between two looks for an engine that generates.
 LOOK = 0.03
 # Seconds after which a caller may come back where there is no room.
@@ -229,7 +233,7 @@
         if handle is not None and handle.engine in self.directory.replicas:
             near = self.directory.replicas[handle.engine].data_centre
         found = self.directory.engines(service.name, False, now, progress.avoid)
-        return self.directory.least_busy(found, near)
+        return self.directory.emptiest(found, near, service.cache_tokens)
 
     def readers(
         self, service: types.Service, avoid: frozenset[str]
@@ -327,6 +331,7 @@
             if not done:
                 self.homes.dropped(choice)
         now = time.monotonic()
+        self.directory.heard(choice.engine, now)
         self.homes.done(choice, now - sent, now)
         self.directory.health.succeeded(replica.instance, time.monotonic())
         return handle
@@ -345,18 +350,22 @@
         """
         patience = max(LEAST_PATIENCE, PROMPT_PATIENCE * choice.reading)
         started = time.monotonic()
+        self.directory.started(choice.engine, started)
         task = asyncio.ensure_future(prefill)
         try:
             while True:
                 heard = self.directory.health.heard.get(choice.engine, started)
                 until = max(started, heard) + patience
                 left = until - time.monotonic()
-                if left <= 0:
+                if left <= 0 or choice.engine in self.directory.suspects:
                     raise TimeoutError
-                done, _ = await asyncio.wait([task], timeout=left)
+                done, _ = await asyncio.wait(
+                    [task], timeout=min(left, SUSPECT_LOOK)
+                )
                 if done:
                     return task.result()
         finally:
+            self.directory.ended(choice.engine)
             task.cancel()
 
     async def run(
@@ -383,7 +392,10 @@
             handle=handle,
             last_event=stream.last_event,
         )
+        size = progress.call.prompt_tokens + progress.call.output_tokens
         self.directory.started(replica.instance, time.monotonic())
+        self.directory.streams.add(replica.instance, size)
+        self.homes.tell()
         progress.sent(
             replica,
             route=route.name,
@@ -417,6 +429,8 @@
             raise
         finally:
             self.directory.ended(replica.instance)
+            self.directory.streams.remove(replica.instance, size)
+            self.homes.tell()
         self.directory.health.succeeded(replica.instance, time.monotonic())
         return True
 
@@ -432,7 +446,7 @@
     async def free(self, replica: types.Replica, handle: types.Handle) -> None:
         """Frees a KV cache; it lapses by itself where that fails."""
         try:
-            async with asyncio.timeout(LEAST_PATIENCE):
+            async with asyncio.timeout(FREE_LIMIT):
                 await self.endpoints.drop(replica, handle)
         except (exceptions.EndpointError, TimeoutError) as error:
             events.log(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -60,7 +60,8 @@
     Attributes:
         member: Who sends it.
         number: Increases with each one.
-        loads: Seconds of prompts by engine that are still to be read.
+        prompts: Seconds of prompts by engine that are still to be read.
+        streams: Tokens of running streams by engine.
         placed: Prompts sent since the last one.
         closed: Engines that were ordered to change their role, and for how
             many seconds from now they get no work.
@@ -70,7 +71,8 @@
 
     member: str
     number: int
-    loads: dict[str, float]
+    prompts: dict[str, float]
+    streams: dict[str, float]
     placed: list[Placed]
     closed: dict[str, float] = {}
     roles: dict[str, tuple[str, float]] = {}
@@ -176,7 +178,7 @@
         self.changed.set()
 
     def done(self) -> None:
-        """Notes that an engine has read a prompt of this node."""
+        """Notes that this node has less at an engine."""
         self.changed.set()
 
     async def run(self) -> None:
@@ -230,12 +232,14 @@
         """Sends what changed to every peer."""
         self.number += 1
         placed, self.placed = self.placed, []
-        loads = self.homes.own_loads()
+        prompts = rounded(self.homes.waiting.own)
+        streams = rounded(self.directory.streams.own)
         while True:
             message = Message(
                 self.member,
                 self.number,
-                loads,
+                prompts,
+                streams,
                 placed,
                 self.closings_left(),
                 self.roles_left(),
@@ -265,11 +269,9 @@
         self.heard[message.member] = now
         # A node that started after the entries were read is known by this.
         self.peers.setdefault(message.member, address[:2])
-        loads = {}
-        for engine, seconds in message.loads.items():
-            if engine in self.directory.replicas:
-                loads[engine] = seconds
-        self.homes.remote(message.member, loads, now + SILENT)
+        until = now + SILENT
+        self.homes.waiting.remote(message.member, message.prompts, until)
+        self.directory.streams.remote(message.member, message.streams, until)
         for engine, seconds in message.closed.items():
             if engine in self.directory.replicas:
                 self.directory.close(engine, now + seconds)
@@ -306,3 +308,8 @@
                 await self.store.put(names.NODES_TOPIC, member, b"")
             except exceptions.PlatformError as error:
                 self.leadership.state.failed(str(error), now)
+
+
+def rounded(amounts: dict[str, float]) -> dict[str, float]:
+    """Shortens amounts for the wire."""
+    return {engine: round(amount, 4) for engine, amount in amounts.items()}
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -6,6 +6,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
@@ -44,7 +45,7 @@
     """Gives orders while this node may.
 
     >>> planner = Planner(
-    ...     leadership, directory, configurations, endpoints, gossip
+    ...     leadership, directory, configurations, endpoints, gossip, homes
     ... )
     >>> await planner.run()
     """
@@ -56,13 +57,16 @@
         configurations: watching.Configurations,
         endpoints: types.Endpoints,
         gossip: gossip_module.Gossip,
+        homes: homes_module.Homes,
     ):
         self.gossip = gossip
+        self.homes = homes
         self.leadership = leadership
         self.directory = directory
         self.configurations = configurations
         self.endpoints = endpoints
         self.pending: dict[str, Pending] = {}
+        self.splits: dict[str, stages.Split] = {}
         self.tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -76,6 +80,7 @@
         now = time.monotonic()
         if self.leadership.token(now) is None:
             self.pending.clear()
+            self.splits.clear()
             return
         self.settle(now)
         configuration = self.configurations.current
@@ -110,12 +115,24 @@
             views.append(
                 stages.EngineView(replica.instance, replica.data_centre, role)
             )
+        now = time.monotonic()
+        split = self.splits.setdefault(service.name, stages.Split())
+        planned = split.plan(views, self.load(service, now), now)
         async with asyncio.TaskGroup() as group:
-            for change in stages.plan(views):
+            for change in planned:
                 if change.engine in self.pending:
                     continue
                 group.create_task(self.order(service, change))
 
+    def load(self, service: types.Service, now: float) -> stages.Load:
+        """What all nodes have at a service's engines."""
+        prompts = 0.0
+        streams = 0.0
+        for replica in self.directory.known(service.name):
+            prompts += self.homes.waiting.total(replica.instance, now)
+            streams += self.directory.streams.total(replica.instance, now)
+        return stages.Load(prompts, streams, service.cache_tokens)
+
     async def order(
         self, service: types.Service, change: stages.Change
     ) -> None:
@@ -147,6 +164,8 @@
                     role=change.role,
                     token=token,
                     after=state.orders,
+                    prompts=round(self.splits[service.name].prompts, 3),
+                    streams=int(self.splits[service.name].streams),
                 )
                 await self.endpoints.order(replica, order)
             self.follow(replica, change.role, service.switch_time)
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -1,6 +1,7 @@
 """HTTP for callers: reads requests whole and sends answers as they come."""
 
 import asyncio
+import contextlib
 import time
 
 from aiohttp import web
@@ -44,6 +45,7 @@
         self.configurations = configurations
         self.open_requests = 0
         self.stopping = False
+        self.ended = asyncio.Event()
         self.runner: web.ServerRunner | None = None
 
     async def start(self, address: str) -> None:
@@ -88,6 +90,7 @@
             return await self.refuse(reply, failure, call_id)
         finally:
             self.open_requests -= 1
+            self.ended.set()
         return reply.response
 
     async def read(
@@ -156,6 +159,14 @@
         await asyncio.sleep(0)
         self.runner.server.pre_shutdown()
 
+    async def idle(self, limit: float) -> None:
+        """Waits until no request is in progress, for a limit in seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit):
+                while self.open_requests:
+                    self.ended.clear()
+                    await self.ended.wait()
+
     async def close(self) -> None:
         """Ends what is left."""
         if self.runner is not None:
