--- a/packages/gypsumfold/src/gypsumfold/decisions/budgets.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/budgets.py
@@ -24,9 +24,9 @@
     slack: float
 
 
-# The share of the budget that nodes use: callers' own repeats are counted
-# as requests in another window than the one they fill.
-USED = 0.8
+# The share of the budget that nodes use; the rest covers requests that are
+# counted in another window than their repeats.
+USED = 0.85
 # Nodes that share the slack until it is known how many there are; 24 nodes
 # with 52 spare repeats have two each.
 UNKNOWN_NODES = 24
@@ -52,7 +52,12 @@
         seen.append(now)
 
     def allow(self, service: str, now: float) -> bool:
-        """Takes one repeat out of the budget, if there is one left."""
+        """Takes one repeat out of the budget, if there is one left.
+
+        Args:
+            service: Where the repeat goes.
+            now: The time.
+        """
         start = now - self.policy.window
         requests = trimmed(self.requests.get(service), start)
         repeats = self.repeats.setdefault(service, collections.deque())
--- a/packages/gypsumfold/src/gypsumfold/decisions/chains.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/chains.py
@@ -58,6 +58,11 @@
     return links(chain, model)[-1]
 
 
+def part_key(part_id: str) -> int:
+    """Names a part by itself, where its chain is not known."""
+    return xxhash.xxh3_64_intdigest(b"part\n" + part_id.encode())
+
+
 class Caches:
     """What the engines are believed to keep of the prompts sent to them.
 
@@ -110,6 +115,15 @@
             used -= size
         self.used[engine] = used
 
+    def add_parts(self, engine: str, parts: list[Part], capacity: int) -> None:
+        """Notes what an engine says that it keeps, by parts.
+
+        It keeps a part only with all that go before it in its prompt.
+        """
+        found = [part_key(part.id) for part in parts]
+        tokens = [part.tokens for part in parts]
+        self.add_links(engine, found, tokens, capacity)
+
     def cached(self, engine: str, chain: Chain, model: str) -> int:
         """Counts the prompt tokens that an engine need not read."""
         kept = self.kept.get(engine)
@@ -117,7 +131,7 @@
             return 0
         total = 0
         for part, link in zip(chain, links(chain, model), strict=True):
-            if link not in kept:
+            if link not in kept and part_key(part.id) not in kept:
                 break
             total += part.tokens
         return total
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -17,6 +17,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import counters as counters_module
 from gypsumfold.gateway import directory as directory_module
@@ -110,6 +111,9 @@
             self.leadership,
             self.directory,
         )
+        self.cache_lists = cache_lists.CacheLists(
+            self.directory, self.configurations, self.endpoints, self.homes
+        )
         self.planner = planning.Planner(
             self.leadership,
             self.directory,
@@ -172,6 +176,8 @@
         self.supervise("planner", self.planner.run)
         self.supervise("housekeeping", self.housekeeping)
         self.supervise("silence", self.watch_silence)
+        if not self.settings.node.first_start:
+            self.supervise("cache-lists", self.cache_lists.run)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
         if self.settings.metrics.port:
@@ -251,6 +257,7 @@
                 self.reload.clear()
                 self.reload_settings()
             self.directory.expire(time.monotonic())
+            self.budget.nodes = self.gossip.nodes()
             self.counters.open_requests.set(self.server.open_requests)
             self.lines.flush()
             if self.lines.dropped > reported:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -132,10 +132,13 @@
             exceptions.AnswerBroken: An engine may have begun.
         """
         await self.engine_back(route, service, progress)
-        choice = self.place(service, progress)
         handle = None
+        choice = None
+        if not progress.read_at:
+            choice = self.place(service, progress)
         if choice is not None:
             handle = await self.read(choice, route, service, progress)
+            progress.read_at = handle.address
         taken = False
         try:
             decoder = self.decoder(service, handle, progress)
@@ -390,6 +393,9 @@
             progress.left(),
             urgency=self.rank(route, 0.0, progress).urgency,
             handle=handle,
+            # Once read, a prompt is copied and not read a second time: a
+            # repeat is one call and not two.
+            cache_peer="" if handle else progress.read_at,
             last_event=stream.last_event,
         )
         size = progress.call.prompt_tokens + progress.call.output_tokens
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -294,6 +294,15 @@
     def error_received(self, error: Exception) -> None:
         """Nothing depends on a datagram; a dead peer's entry goes later."""
 
+    def nodes(self) -> int:
+        """Counts the nodes that were heard of lately, this one included."""
+        start = time.monotonic() - DEAD / 2
+        count = 1
+        for member in self.peers:
+            if self.heard.get(member, 0.0) > start:
+                count += 1
+        return count
+
     async def tidy(self) -> None:
         """Forgets silent peers; the holder of authority removes entries."""
         now = time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -172,6 +172,7 @@
         if answer.status < 500:
             self.directory.health.succeeded(replica.instance, now)
         else:
+            progress.avoid |= {replica.instance}
             self.directory.health.failed(replica.instance, False, now)
         return answer.status, answer.reason, answer.fields, body
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -14,7 +14,8 @@
         begun: Whether bytes of an answer went to the caller.
         runs: Replicas that may have run it.
         avoid: Instances that failed it.
-        last_event: Of the stream's events that the caller has whole.
+        read_at: Address of the engine that has read the prompt; empty
+            before that.
     """
 
     def __init__(self, call: types.Call):
@@ -23,8 +24,7 @@
         self.begun = False
         self.runs = 0
         self.avoid: frozenset[str] = frozenset()
-        self.last_event = ""
-        self.refused = False
+        self.read_at = ""
 
     def left(self) -> float:
         """Seconds until the deadline."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -13,10 +13,13 @@
     Attributes:
         name: Unique among the nodes.
         data_centre: Where its VM stands.
+        first_start: Whether the whole system starts for the first time, so
+            that no engine has read a prompt yet.
     """
 
     name: str
     data_centre: str
+    first_start: bool = False
 
 
 class CallersSection(settings_module.Section):
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -224,5 +224,8 @@
     async def state(self, replica: Replica) -> State:
         """Asks an engine for its state."""
 
+    async def cache_list(self, replica: Replica) -> list[chains.Part]:
+        """Asks an engine which parts of prompts it keeps."""
+
     async def order(self, replica: Replica, order: Order) -> bool:
         """Gives an order; False if it holds already."""
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gypsumfold import exceptions
+from gypsumfold.decisions import chains
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
@@ -174,6 +175,22 @@
     return convert(value, HandleRecord).handle
 
 
+class CacheListRecord(msgspec.Struct):
+    """What an engine keeps: rows of nothing, part, tokens, model."""
+
+    held: list[tuple[str, str, int, str]]
+
+
+def cache_list(value: bytes) -> list[chains.Part]:
+    """Decodes the parts of prompts that an engine keeps.
+
+    Raises:
+        exceptions.RecordInvalid: It cannot be read.
+    """
+    record = convert(value, CacheListRecord)
+    return [chains.Part(row[1], row[2]) for row in record.held]
+
+
 def order(wanted: types.Order) -> bytes:
     """Encodes an order to an engine."""
     return json.dumps(
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -67,6 +67,7 @@
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 HANDLE_PATH = "/v1/kv-handle/"
+CACHE_LIST_PATH = "/v1/kv-list"
 
 # Calls to the store and the topics and keys in it.
 APPEND_PATH = "/v1/log-append"
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -6,6 +6,7 @@
 import h11
 
 from gypsumfold import exceptions
+from gypsumfold.decisions import chains
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import types
 from gypsumfold.platform import decoding
@@ -114,6 +115,18 @@
             raise exceptions.EndpointRefused(f"a report ended with {status}")
         return decoding.state(body)
 
+    async def cache_list(self, replica: types.Replica) -> list[chains.Part]:
+        """Asks an engine which parts of prompts it keeps.
+
+        Raises:
+            exceptions.EndpointError: It does not say.
+            exceptions.RecordInvalid: Its answer cannot be read.
+        """
+        status, body = await self.ask(replica, "GET", names.CACHE_LIST_PATH)
+        if status != 200:
+            raise exceptions.EndpointRefused(f"a list ended with {status}")
+        return decoding.cache_list(body)
+
     async def order(self, replica: types.Replica, order: types.Order) -> bool:
         """Gives an order; False if it holds already.
 
