--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -46,7 +46,7 @@
 PROBE = 0.25
 # Seconds for which a stopping node listens on: the balancer asks once a
 # second and takes a node out after two answers.
-NOTICE = 3.2
+NOTICE = 2.9
 # Seconds before the kill at which a stopping node gives its last answers.
 LAST = 0.7
 
@@ -258,7 +258,7 @@
                 self.reload_settings()
             self.directory.expire(time.monotonic())
             self.budget.nodes = self.gossip.nodes()
-            self.counters.open_requests.set(self.server.open_requests)
+            self.counters.open_requests.set(len(self.server.busy))
             self.lines.flush()
             if self.lines.dropped > reported:
                 events.log(
@@ -288,15 +288,13 @@
         """
         started = time.monotonic()
         grace = self.settings.shutdown.grace_s
-        events.log(events.NODE_STOPPING, requests=self.server.open_requests)
+        events.log(events.NODE_STOPPING, requests=len(self.server.busy))
         self.server.stopping = True
         await asyncio.gather(self.leadership.leave(), self.gossip.withdraw())
         await asyncio.sleep(min(NOTICE, grace / 2))
         await self.server.stop_listening()
         end = started + grace - LAST
-        await self.server.idle(max(0.0, end - time.monotonic()))
-        if self.server.open_requests:
-            events.log(events.NODE_GAVE_UP, requests=self.server.open_requests)
+        await self.server.until_idle(end - time.monotonic())
         for task in self.tasks.values():
             task.cancel()
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -5,6 +5,7 @@
 import time
 
 from aiohttp import web
+from aiohttp import web_protocol
 import msgspec
 import multidict
 
@@ -31,7 +32,7 @@
     """Serves callers on one address.
 
     Attributes:
-        open_requests: Requests in progress.
+        busy: Connections with a request in progress.
         stopping: Whether each answer closes its connection.
 
     >>> server = Server(handler, configurations)
@@ -43,9 +44,9 @@
     ):
         self.handler = handler
         self.configurations = configurations
-        self.open_requests = 0
-        self.stopping = False
+        self.busy: set[web_protocol.RequestHandler] = set()
         self.ended = asyncio.Event()
+        self.stopping = False
         self.runner: web.ServerRunner | None = None
 
     async def start(self, address: str) -> None:
@@ -63,7 +64,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         arrival = time.monotonic()
-        self.open_requests += 1
+        self.busy.add(request.protocol)
         reply = HTTPReply(request, self)
         call_id = ingress.call_id(tuple(request.raw_headers))
         try:
@@ -89,7 +90,7 @@
             )
             return await self.refuse(reply, failure, call_id)
         finally:
-            self.open_requests -= 1
+            self.busy.discard(request.protocol)
             self.ended.set()
         return reply.response
 
@@ -153,19 +154,31 @@
         return reply.response
 
     async def stop_listening(self) -> None:
-        """Takes no more connections and closes the idle ones."""
+        """Takes no more connections and closes the idle ones.
+
+        The HTTP library drops what comes on an idle connection from then on
+        but does not close it; others it closes after their answer.
+        """
         for site in list(self.runner.sites):
             await site.stop()
+        # What has come in by now is taken as a request first.
+        await asyncio.sleep(0)
         await asyncio.sleep(0)
-        self.runner.server.pre_shutdown()
+        server = self.runner.server
+        server.pre_shutdown()
+        for connection in list(server.connections):
+            if connection not in self.busy:
+                connection.force_close()
 
-    async def idle(self, limit: float) -> None:
+    async def until_idle(self, limit: float) -> None:
         """Waits until no request is in progress, for a limit in seconds."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit):
-                while self.open_requests:
+                while self.busy:
                     self.ended.clear()
                     await self.ended.wait()
+        if self.busy:
+            events.log(events.NODE_GAVE_UP, requests=len(self.busy))
 
     async def close(self) -> None:
         """Ends what is left."""
