--- /dev/null
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -0,0 +1,274 @@
+"""Stand-in of a replica on the platform: a model engine or a plain service.
+
+An answer's body says which replica made it, for which attempt and how often
+that attempt has run there, so that callers' answers can be checked byte for
+byte against the replica's own records.
+"""
+
+import asyncio
+import hashlib
+from typing import Any
+import uuid
+
+from aiohttp import web
+import click
+import msgspec
+
+from gypsumfold_standins import serving
+
+# Bytes that belong to no request.
+STRAY = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: stray\r\nResponse-Seal: stray\r\n"
+    b"Content-Length: 5\r\n\r\nstray"
+)
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Switches for tests.
+
+    Attributes:
+        seconds: How long a prompt or a plain call takes.
+        event_seconds: Seconds between two events of a stream.
+        events: Events of a stream.
+        refused: Next requests that are refused as not run.
+        reset: Next requests that run and whose connection is reset.
+        crossed: Next answers that name another attempt.
+        stray: Next answers that are followed by a second one.
+        unsealed: Next successes without the replica's seal.
+        failing: Next requests that run and end with 500.
+        broken: Next streams that break off in the middle of their third
+            event.
+        silent: Nothing is answered any more.
+        orders_lost: Next orders carried out whose answer is dropped.
+    """
+
+    seconds: float = 0.02
+    event_seconds: float = 0.02
+    events: int = 5
+    refused: int = 0
+    reset: int = 0
+    crossed: int = 0
+    stray: int = 0
+    unsealed: int = 0
+    failing: int = 0
+    broken: int = 0
+    silent: bool = False
+    orders_lost: int = 0
+
+    def takes(self, name: str) -> bool:
+        """Counts a fault down and says whether it strikes now."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+class Replica:
+    """The replica's state and its handlers."""
+
+    def __init__(self, faults: Faults, stage: str, switch: float):
+        self.faults = faults
+        self.stage = stage
+        self.switch = switch
+        self.instance = f"i-{uuid.uuid4().hex[:10]}"
+        self.busy = False
+        self.handles: set[str] = set()
+        self.runs: list[dict[str, Any]] = []
+        self.prompts: list[dict[str, Any]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.left: list[str] = []
+        self.arrivals = 0
+        self.accepted = 0
+        self.highest = 0
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Takes any request of a caller."""
+        if self.faults.silent:
+            await serving.while_true(lambda: self.faults.silent)
+            return serving.drop(request)
+        self.arrivals += 1
+        body = await request.read()
+        wanted = request.headers.get("Expect-Instance", self.instance)
+        if wanted != self.instance:
+            return web.Response(
+                status=421, headers={"Instance-Id": self.instance}
+            )
+        if self.faults.takes("refused") or self.busy:
+            return web.Response(status=503, headers={"Not-Run": "1"})
+        attempt = request.headers.get("Attempt-Id", "")
+        if request.headers.get("Stage") == "prefill":
+            return await self.prefill(request, attempt)
+        handle = request.headers.get("Kv-Source", "")
+        self.runs.append(
+            {
+                "attempt": attempt,
+                "method": request.method,
+                "target": request.raw_path,
+                "headers": dict(request.headers),
+                "body": hashlib.sha256(body).hexdigest(),
+                "handle": handle,
+            }
+        )
+        try:
+            return await self.run(request, attempt)
+        except (asyncio.CancelledError, ConnectionError):
+            self.left.append(attempt)
+            raise
+
+    async def prefill(
+        self, request: web.Request, attempt: str
+    ) -> web.StreamResponse:
+        """Reads a prompt and keeps its cache."""
+        if self.stage != "prefill":
+            return web.Response(status=421)
+        await asyncio.sleep(self.faults.seconds)
+        handle = uuid.uuid4().hex[:12]
+        self.handles.add(handle)
+        self.prompts.append(
+            {"attempt": attempt, "headers": dict(request.headers)}
+        )
+        answer = serving.answer({"handle": handle, "tokens": 1, "version": 1})
+        answer.headers["Attempt-Id"] = attempt
+        return answer
+
+    async def run(
+        self, request: web.Request, attempt: str
+    ) -> web.StreamResponse:
+        """Runs a request, with the faults that a test asked for."""
+        if self.faults.takes("reset"):
+            return serving.drop(request)
+        headers = {"Attempt-Id": attempt, "Response-Seal": self.seal(attempt)}
+        if self.faults.takes("crossed"):
+            headers["Attempt-Id"] = "another"
+        if self.faults.takes("unsealed"):
+            del headers["Response-Seal"]
+        if self.faults.takes("failing"):
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if request.headers.get("Accept") == "text/event-stream":
+            return await self.stream(request, headers)
+        await asyncio.sleep(self.faults.seconds)
+        response = web.Response(
+            headers=headers, body=self.seal(attempt).encode()
+        )
+        if self.faults.takes("stray"):
+            await response.prepare(request)
+            await response.write_eof()
+            request.transport.write(STRAY)
+        return response
+
+    async def stream(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Streams events, from the one after Last-Event-Id on."""
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        breaks = self.faults.takes("broken")
+        for number in range(first, self.faults.events + 1):
+            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            if breaks and number == first + 2:
+                await response.write(event[:9])
+                request.transport.abort()
+                return response
+            await response.write(event)
+            await asyncio.sleep(self.faults.event_seconds)
+        await response.write_eof()
+        return response
+
+    def seal(self, attempt: str) -> str:
+        """Vouches for an answer: who made it and for which attempt."""
+        return f"{self.instance}.{attempt}"
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Tells the replica's state."""
+        if self.faults.silent:
+            await serving.while_true(lambda: self.faults.silent)
+            return serving.drop(request)
+        return serving.answer(
+            {
+                "stage": self.stage,
+                "busy": self.busy,
+                "seq": self.accepted,
+                "queued": 0,
+                "running": 0,
+            }
+        )
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Takes an order to change the role."""
+        body = msgspec.json.decode(await request.read())
+        self.orders.append(body)
+        if body["fence"] < self.highest:
+            return web.Response(status=412)
+        self.highest = body["fence"]
+        if self.busy or body.get("expected", self.accepted) != self.accepted:
+            return web.Response(status=409)
+        if body["stage"] == self.stage:
+            return web.Response(status=200)
+        self.accepted += 1
+        self.busy = True
+        task = asyncio.create_task(self.change(body["stage"]))
+        self.change_task = task
+        if self.faults.takes("orders_lost"):
+            return serving.drop(request)
+        return web.Response(status=202)
+
+    async def change(self, stage: str) -> None:
+        """Carries an order out."""
+        await asyncio.sleep(self.switch)
+        self.stage = stage
+        self.busy = False
+
+    async def drop_handle(self, request: web.Request) -> web.Response:
+        """Frees a KV cache."""
+        self.handles.discard(request.match_info["id"])
+        return web.Response()
+
+    async def cache_list(self, request: web.Request) -> web.Response:
+        """Lists what is cached: nothing."""
+        return serving.answer({"epoch": 1, "nextToken": 0, "held": []})
+
+    async def record(self, request: web.Request) -> web.Response:
+        """Tells tests what arrived and what was done."""
+        return serving.answer(
+            {
+                "instance": self.instance,
+                "stage": self.stage,
+                "runs": self.runs,
+                "prompts": self.prompts,
+                "orders": self.orders,
+                "left": self.left,
+                "arrivals": self.arrivals,
+                "handles": sorted(self.handles),
+            }
+        )
+
+
+def application(replica: Replica) -> web.Application:
+    """Makes the replica's application."""
+    app = serving.new_application()
+    app.router.add_get("/v1/report", replica.report)
+    app.router.add_get("/v1/kv-list", replica.cache_list)
+    app.router.add_post("/v1/order", replica.order)
+    app.router.add_delete("/v1/kv-handle/{id}", replica.drop_handle)
+    app.router.add_get("/_test/record", replica.record)
+    serving.add_faults(app, replica.faults)
+    app.router.add_route("*", "/{path:.*}", replica.handle)
+    return app
+
+
+@click.command()
+@serving.ADDRESS
+@serving.PORT
+@click.option("--stage", default="", help="prefill, decode or nothing.")
+@click.option("--switch", default=0.5, help="Seconds for a change of role.")
+def main(address: str, port: int, stage: str, switch: float) -> None:
+    """Serve a replica of a service."""
+    replica = Replica(Faults(), stage, switch)
+    serving.run(serving.serve(application(replica), address, port))
+
+
+if __name__ == "__main__":
+    main()
