--- a/packages/gypsumfold/src/gypsumfold/decisions/stages.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/stages.py
@@ -45,11 +45,13 @@
         name: Its instance.
         data_centre: Where it stands.
         role: What it does, or is about to do where it changes.
+        waiting: Seconds of prompts that it has to read first.
     """
 
     name: str
     data_centre: str
     role: types.Role
+    waiting: float = 0.0
 
 
 class Load(NamedTuple):
@@ -87,13 +89,18 @@
         self.seen: float | None = None
         self.busy = -math.inf
         self.changed = -math.inf
+        self.target: int | None = None
         self.wish = 0
         self.wished = -math.inf
 
     def plan(
         self, engines: list[EngineView], load: Load, now: float
     ) -> list[Change]:
-        """Says which engines are to change, as few as possible."""
+        """Says which engines are to change, as few as possible.
+
+        Engines that come and go move the split away from its target; that
+        is made good at once. The target itself follows the load slowly.
+        """
         self.observe(load, now)
         if len(engines) < 2:
             return []
@@ -101,20 +108,29 @@
         for engine in engines:
             if engine.role != types.Role.PREFILL:
                 current += 1
-        wanted = self.wanted(len(engines), current, load.memory, now)
+        if now - self.busy > IDLE:
+            self.target = initial(len(engines))
+        elif self.target is None:
+            self.target = current
+        self.follow(len(engines), load.memory, now)
+        self.target = max(1, min(self.target, len(engines) - 1))
+        return changes(engines, self.target)
+
+    def follow(self, engines: int, memory: int, now: float) -> None:
+        """Moves the target once a load has asked for that long enough."""
+        wanted = self.wanted(engines, memory)
         if wanted != self.wish:
             self.wish = wanted
             self.wished = now
-        if wanted == current:
-            return []
-        urgent = current < 1 or now - self.busy > IDLE
-        if now - self.wished < LASTING and not urgent:
-            return []
+        if wanted == self.target or now - self.wished < LASTING:
+            return
+        if now - self.changed < SETTLE:
+            return
+        self.target = wanted
         self.changed = now
-        return changes(engines, wanted)
 
     def observe(self, load: Load, now: float) -> None:
-        """Takes the load in."""
+        """Takes the load in, smoothed."""
         if load.prompts > 0 or load.streams > 0:
             self.busy = now
         passed = now - self.seen if self.seen is not None else math.inf
@@ -123,30 +139,22 @@
         self.prompts += weight * (load.prompts - self.prompts)
         self.streams += weight * (load.streams - self.streams)
 
-    def wanted(
-        self, engines: int, current: int, memory: int, now: float
-    ) -> int:
-        """How many engines are to generate."""
-        if current < 1:
-            return 1
-        if current >= engines:
-            return initial(engines)
-        if now - self.busy > IDLE:
-            return initial(engines)
-        if now - self.changed < SETTLE or memory <= 0:
+    def wanted(self, engines: int, memory: int) -> int:
+        """How many engines the load wants to generate."""
+        current = self.target
+        if memory <= 0:
             return current
         needed = self.streams / memory
-        readers = engines - current
         step = max(1, engines // 10)
+        enough = max(1, math.ceil(needed / AIM))
         if needed > FULL * current:
-            wanted = min(current + step, math.ceil(needed / AIM))
+            wanted = min(current + step, enough)
             left = engines - wanted
             if left >= 1 and self.prompts / left < SPARE:
                 return wanted
-        if self.prompts / readers > PRESSED and current > 1:
-            wanted = max(1, current - step)
-            if needed < AIM * wanted:
-                return wanted
+        readers = max(1, engines - current)
+        if self.prompts / readers > PRESSED and enough < current:
+            return enough
         return current
 
 
@@ -174,13 +182,25 @@
         decoders.remove(leaving)
         found.append(Change(leaving.name, types.Role.PREFILL))
     while len(decoders) < wanted and readers:
-        joining = min(readers, key=lambda one: crowd(one, decoders))
+        joining = min(readers, key=lambda one: joins(one, decoders))
         readers.remove(joining)
         decoders.append(joining)
         found.append(Change(joining.name, types.Role.DECODE))
     return found
 
 
+def joins(
+    engine: EngineView, decoders: list[EngineView]
+) -> tuple[float, int, str]:
+    """Sorts engines by which is to generate next.
+
+    Where none generates the one with the least to read goes first, since it
+    changes its role only after that.
+    """
+    waiting = 0.0 if decoders else round(engine.waiting, 1)
+    return waiting, *crowd(engine, decoders)
+
+
 def crowd(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
     """Sorts engines by how many decoders share their data centre."""
     near = 0
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -30,15 +30,25 @@
 ASK = 0.15
 # Seconds for which that is believed before the entry shows it.
 BELIEVED = 5.0
+# Seconds until an engine that could not be ordered is looked at again.
+RETRY = 0.5
 # Seconds for one call to an engine.
 CALL_LIMIT = 1.0
 
 
 class Pending(NamedTuple):
-    """An order whose effect has not shown yet."""
+    """An order whose effect has not shown yet.
+
+    Attributes:
+        role: What the engine is to do.
+        until: When the effect must have shown.
+        certain: Whether the engine has accepted it; if not, it may carry it
+            out seconds later, or never.
+    """
 
     role: decision_types.Role
     until: float
+    certain: bool = True
 
 
 class Planner:
@@ -106,16 +116,21 @@
     async def plan(self, service: types.Service) -> None:
         """Orders what the plan of one service asks for."""
         views = []
+        now = time.monotonic()
         for replica in self.directory.working(service.name):
             if replica.role is None:
                 continue
             pending = self.pending.get(replica.instance)
-            role = self.directory.role(replica, time.monotonic())
+            if pending is not None and not pending.certain:
+                continue
+            role = self.directory.role(replica, now)
             role = pending.role if pending else role
+            waiting = self.homes.waiting.total(replica.instance, now)
             views.append(
-                stages.EngineView(replica.instance, replica.data_centre, role)
+                stages.EngineView(
+                    replica.instance, replica.data_centre, role, waiting
+                )
             )
-        now = time.monotonic()
         split = self.splits.setdefault(service.name, stages.Split())
         planned = split.plan(views, self.load(service, now), now)
         async with asyncio.TaskGroup() as group:
@@ -154,6 +169,10 @@
                 state = await self.endpoints.state(replica)
                 token = self.leadership.token(time.monotonic())
                 if token is None or state.busy or state.role == change.role:
+                    # Looked at again once its entry or another order tells.
+                    self.pending[change.engine] = Pending(
+                        change.role, now + RETRY
+                    )
                     return
                 order = types.Order(
                     change.role, self.leadership.member, token, state.orders
@@ -174,6 +193,7 @@
             exceptions.RecordInvalid,
             TimeoutError,
         ) as error:
+            self.pending[change.engine] = Pending(change.role, until, False)
             events.log(
                 events.ROLE_ORDER_FAILED,
                 instance=change.engine,
--- a/packages/gypsumfold/src/gypsumfold/main.py
+++ b/packages/gypsumfold/src/gypsumfold/main.py
@@ -12,6 +12,7 @@
 from gypsumfold import exceptions
 from gypsumfold import node as node_module
 from gypsumfold import settings as settings_module
+from gypsumfold.gateway import main as gateway_main
 
 # Exit code of a settings file that cannot be used (sysexits EX_CONFIG).
 EXIT_SETTINGS = 78
@@ -31,6 +32,9 @@
     click.echo(f"{file}: settings of node {settings.node.name} are valid")
 
 
+main.add_command(gateway_main.main, "gateway")
+
+
 @main.command("run")
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
 def run(file: pathlib.Path) -> None:
