Resume a stream at the same engine where there is no other

Cause: a scenario failed once: the planner changed the second generating engine's role while the first one's stream broke, the first one was avoided, and the resumable stream was cut. The scenario now keeps the gateways from giving orders, and a new one shows the fault itself: it failed before and passes after.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -72,6 +72,11 @@
     Then the caller gets all events of one engine in order
     And the stream ran on two engines
 
+  Scenario: A stream that may be resumed goes on at the same engine where there is no other
+    Given the next stream breaks off in the middle of an event
+    When a caller asks "/swaps/1" for a stream with the prompt "aa:4000,bb:300"
+    Then the caller gets all events of one engine in order
+
   Scenario: A stream that may not be resumed looks broken to its caller
     Given the next stream breaks off in the middle of an event
     When a caller asks "/briefs/1" for a stream with the prompt "aa:4000,bb:300"
@@ -109,6 +114,7 @@
     When 12 callers in turn post to "/seats/7"
     Then each of them got the sealed answer to its own attempt
     And every attempt has run once in all
+    And every run was meant for the replica that ran it
 
   Scenario: An older configuration never replaces a newer one
     When a route "/added/" comes in a newer version and is missing in an older one after it
@@ -126,10 +132,10 @@
     Then it answers 503 and is not ready
 
   Scenario: A stop answers what was taken and closes idle connections
-    Given each plain call takes 1 second
-    When the gateway is told to stop while a call runs and a connection is idle
-    Then the call is answered whole
-    And the idle connection is closed before the process ends
+    Given a stream takes 4.5 seconds
+    When the gateway is told to stop while a stream runs and a connection is idle
+    Then the caller gets all events of one engine in order
+    And the idle connection was closed while the stream still ran
 
   Scenario: The settings file is read again on SIGHUP, and a wrong one changes nothing
     When the settings file is spoilt and SIGHUP comes
--- a/features/steps/authority_gateways_steps.py
+++ b/features/steps/authority_gateways_steps.py
@@ -3,7 +3,7 @@
 import threading
 
 import behave
-from features.steps import gateway_steps
+from features.support import gateway_calls as callers
 from features.support import gateways
 from features.support import http
 
@@ -16,10 +16,10 @@
 def step_six(context):
     context.fleet = gateways.GatewayFleet()
     context.fleet.start_store()
+    wanted = [("app-1", "app", "")]
     for number, name in enumerate(ENGINES):
-        stage = "prefill" if number < 2 else "decode"
-        context.fleet.start_replica(name, "lm", stage)
-    context.fleet.start_replica("app-1", "app")
+        wanted.append((name, "lm", "prefill" if number < 2 else "decode"))
+    context.fleet.start_replicas(wanted)
 
 
 @behave.given("each engine loses the answer to its next order")
@@ -120,19 +120,18 @@
 
 def ask_beside(context):
     """Asks for streams in turn, beside the scenario, and keeps the ends."""
-    context.ends = []
+    ends = context.ends = []
+    base = context.gateway.url
 
     def ask() -> None:
         for number in range(12):
             sent = gateways.headers(4.0, f"aa:4000,b{number:x}:300", True)
             try:
-                answer = http.request(
-                    "POST", context.gateway.url + "/briefs/1", b"p", sent
-                )
+                answer = http.request("POST", base + "/briefs/1", b"p", sent)
             except http.Gone:
-                context.ends.append((0, {}))
+                ends.append((0, {}))
                 continue
-            context.ends.append((answer.status, answer.headers))
+            ends.append((answer.status, answer.headers))
 
     context.thread = threading.Thread(target=ask, daemon=True)
     context.thread.start()
@@ -178,7 +177,7 @@
 def step_all_served(context):
     for name in ("edge-1", "edge-2"):
         context.gateway = context.fleet[name]
-        answer = gateway_steps.call(context, "POST", "/seats/7", b"hold")
-        gateway_steps.sealed(context.sent, answer)
-        gateway_steps.stream(context, "/briefs/1", "aa:4000,bb:300")
-        gateway_steps.step_events(context)
+        answer = callers.call(context, "POST", "/seats/7", b"hold")
+        callers.sealed(context.sent, answer)
+        callers.stream(context, "/briefs/1", "aa:4000,bb:300")
+        assert len(context.events) == 5 and not context.cut, context.events
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -12,6 +12,7 @@
 from features.support import fleets
 from features.support import http
 from features.support import processes
+from gypsumfold.gateway import leadership
 from gypsumfold.platform import names
 
 FRONT_PORT = 8090
@@ -126,15 +127,27 @@
             {"PYTHONUNBUFFERED": "1"},
         )
         self.processes[name] = process
-        process.until_ready("/_test/record")
         return process
 
     def start_store(self) -> None:
         """Starts the store and writes the first configuration."""
-        self.start_standin("store", "platform_store", [])
+        process = self.start_standin("store", "platform_store", [])
+        process.until_ready("/_test/record")
         self.configure()
         self.heartbeats.start()
 
+    def take_authority(self) -> None:
+        """Joins the gateways' group first, so that none gives orders."""
+        body = {
+            "group": leadership.GROUP,
+            "member": "a-test",
+            "topics": [leadership.TOPIC],
+            "ttlMs": 600_000,
+            "generation": 0,
+        }
+        answer = http.post(self["store"].url + names.JOIN_PATH, body)
+        assert answer.status == 200, answer
+
     def write(self, topic: str, key: str, value: Any) -> None:
         """Writes a record as operators and replicas do; None drops it."""
         body = b"" if value is None else json.dumps(value).encode()
@@ -165,10 +178,17 @@
         self, name: str, service: str, stage: str = ""
     ) -> processes.Process:
         """Starts a replica and registers it."""
-        options = ["--stage", stage] if stage else []
-        process = self.start_standin(name, "platform_replica", options)
-        self.register(name, service)
-        return process
+        self.start_replicas([(name, service, stage)])
+        return self[name]
+
+    def start_replicas(self, wanted: list[tuple[str, str, str]]) -> None:
+        """Starts replicas side by side: names, services and stages."""
+        for name, _, stage in wanted:
+            options = ["--stage", stage] if stage else []
+            self.start_standin(name, "platform_replica", options)
+        for name, service, _ in wanted:
+            self[name].until_ready("/_test/record")
+            self.register(name, service)
 
     def register(self, name: str, service: str, **changes) -> None:
         """Puts a replica's entry into the store, and keeps it there."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 import time
 
 from gypsumfold import events
@@ -14,29 +13,19 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
-from gypsumfold.decisions import lateness
 from gypsumfold.decisions import outages
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import prompts
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
 
 # Attempts at reading a prompt or making tokens, refused ones included.
 MOST_ATTEMPTS = 4
-# Times the expected seconds after which a prompt is read elsewhere, and the
-# least that it is given: a burst of long prompts queues for about as long.
-PROMPT_PATIENCE = 4.0
-LEAST_PATIENCE = 3.0
-# Seconds between two looks whether an engine gives no sign of life.
-SUSPECT_LOOK = 0.1
-# Seconds for freeing a KV cache; it lapses by itself after a few.
-FREE_LIMIT = 1.0
 # Seconds between two looks for an engine that generates.
 LOOK = 0.03
-# Seconds after which a caller may come back where there is no room.
-RETRY_AFTER = 0.5
 
 
 class Ear:
@@ -68,7 +57,7 @@
         self.endpoints = endpoints
         self.budget = budget
         self.homes = homes
-        self.tasks: set[asyncio.Task] = set()
+        self.prompts = prompts.Prompts(directory, endpoints, homes)
 
     async def serve(
         self,
@@ -102,21 +91,7 @@
                     break
         if progress.begun:
             raise exceptions.AnswerBroken("no engine could go on")
-        raise self.failure(progress)
-
-    def failure(
-        self, progress: progress_module.Progress
-    ) -> exceptions.RequestError:
-        """Makes the final answer of a request that has none."""
-        if progress.may_have_run:
-            return exceptions.AnswerFailed(
-                "an engine broke off", outcomes.Outcome.UNDETERMINED
-            )
-        return exceptions.Unavailable(
-            "no engine has room",
-            outcomes.Outcome.NOT_RUN,
-            min(RETRY_AFTER, max(0.0, progress.left() / 3)),
-        )
+        raise progress.failure()
 
     async def attempt(
         self,
@@ -135,9 +110,9 @@
         handle = None
         choice = None
         if not progress.read_at:
-            choice = self.place(service, progress)
+            choice = self.prompts.place(service, progress)
         if choice is not None:
-            handle = await self.read(choice, route, service, progress)
+            handle = await self.prompts.read(choice, route, service, progress)
             progress.read_at = handle.address
         taken = False
         try:
@@ -149,7 +124,7 @@
             )
         finally:
             if handle is not None and not taken:
-                self.drop(handle)
+                self.prompts.drop(handle)
 
     async def engine_back(
         self,
@@ -194,36 +169,6 @@
                 )
             await asyncio.sleep(LOOK)
 
-    def place(
-        self, service: types.Service, progress: progress_module.Progress
-    ) -> homes_module.Choice | None:
-        """Picks the engine that reads the prompt; None for any."""
-        call = progress.call
-        if not call.prompt_tokens:
-            return None
-        rate = 0.0
-        if service.token_bytes:
-            rate = service.link_rate / service.token_bytes
-        return self.homes.choose(
-            homes_module.Prompt(call.chain, call.model, call.prompt_tokens),
-            self.readers(service, progress.avoid),
-            self.holders(service),
-            rate,
-            time.monotonic(),
-        )
-
-    def holders(self, service: types.Service) -> list[homes_module.Engine]:
-        """The engines that may have parts of prompts, also leaving ones."""
-        found = []
-        for replica in self.directory.replicas.values():
-            if replica.service != service.name or replica.role is None:
-                continue
-            if replica.instance not in self.directory.suspects:
-                found.append(
-                    homes_module.Engine(replica.instance, replica.address)
-                )
-        return found
-
     def decoder(
         self,
         service: types.Service,
@@ -236,141 +181,10 @@
         if handle is not None and handle.engine in self.directory.replicas:
             near = self.directory.replicas[handle.engine].data_centre
         found = self.directory.engines(service.name, False, now, progress.avoid)
+        # One broken stream does not make the only engine useless.
+        found = found or self.directory.engines(service.name, False, now)
         return self.directory.emptiest(found, near, service.cache_tokens)
 
-    def readers(
-        self, service: types.Service, avoid: frozenset[str]
-    ) -> list[homes_module.Engine]:
-        """The engines that read prompts."""
-        found = []
-        now = time.monotonic()
-        for replica in self.directory.engines(service.name, True, now, avoid):
-            found.append(homes_module.Engine(replica.instance, replica.address))
-        return found
-
-    def rank(
-        self,
-        route: routes.Route,
-        expected: float,
-        progress: progress_module.Progress,
-    ) -> lateness.Rank:
-        """Ranks a request by when its first event is expected."""
-        age = time.monotonic() - progress.call.arrival
-        waits = route.waits(progress.left(), age)
-        return lateness.rank(
-            route.urgency, age, expected, route.objective, waits
-        )
-
-    async def read(
-        self,
-        choice: homes_module.Choice,
-        route: routes.Route,
-        service: types.Service,
-        progress: progress_module.Progress,
-    ) -> types.Handle:
-        """Has the chosen engine read the prompt.
-
-        Raises:
-            exceptions.EndpointNotStarted: It did not; nothing has run.
-            exceptions.Unavailable: It would take longer than the caller
-                waits.
-        """
-        replica = self.directory.replicas[choice.engine]
-        rank = self.rank(route, choice.total, progress)
-        if rank.hopeless and not progress.may_have_run:
-            raise exceptions.Unavailable(
-                "the engines have too much to read",
-                outcomes.Outcome.NOT_RUN,
-                min(choice.total, max(0.0, progress.left() / 3)),
-            )
-        call = progress.call
-        events.log(
-            events.PROMPT_PLACED,
-            request=call.id,
-            instance=choice.engine,
-            tokens=choice.tokens,
-            expected=round(choice.total, 3),
-            copied_from=choice.peer,
-            urgency=rank.urgency,
-            left=round(progress.left(), 3),
-        )
-        instructions = types.Instructions(
-            progress.left(),
-            urgency=rank.urgency,
-            prefill=True,
-            cache_peer=choice.peer,
-        )
-        sent = time.monotonic()
-        choice = self.homes.sent(
-            choice, call.chain, call.model, service.cache_tokens, rank.late
-        )
-        done = False
-        try:
-            handle = await self.patiently(
-                self.endpoints.prefill(replica, call, instructions),
-                choice,
-            )
-            done = True
-        except TimeoutError as error:
-            self.directory.health.failed(
-                replica.instance, True, time.monotonic()
-            )
-            progress.failed(replica, "the engine is silent")
-            raise exceptions.EndpointNotStarted(
-                "the engine is silent"
-            ) from error
-        except exceptions.EndpointRefused as error:
-            self.directory.pause(replica.instance, time.monotonic())
-            progress.failed(replica, str(error))
-            raise
-        except exceptions.EndpointError as error:
-            silent = isinstance(error, exceptions.EndpointNotStarted)
-            self.directory.health.failed(
-                replica.instance, silent, time.monotonic()
-            )
-            progress.failed(replica, str(error))
-            raise exceptions.EndpointNotStarted(str(error)) from error
-        finally:
-            if not done:
-                self.homes.dropped(choice)
-        now = time.monotonic()
-        self.directory.heard(choice.engine, now)
-        self.homes.done(choice, now - sent, now)
-        self.directory.health.succeeded(replica.instance, time.monotonic())
-        return handle
-
-    async def patiently(
-        self, prefill: Coroutine, choice: homes_module.Choice
-    ) -> types.Handle:
-        """Waits for a prompt to be read while its engine reads any.
-
-        A queue is no reason to read the prompt a second time elsewhere; an
-        engine that finishes none is.
-
-        Raises:
-            TimeoutError: The engine has finished nothing for too long.
-            exceptions.EndpointError: It failed.
-        """
-        patience = max(LEAST_PATIENCE, PROMPT_PATIENCE * choice.reading)
-        started = time.monotonic()
-        self.directory.started(choice.engine, started)
-        task = asyncio.ensure_future(prefill)
-        try:
-            while True:
-                heard = self.directory.health.heard.get(choice.engine, started)
-                until = max(started, heard) + patience
-                left = until - time.monotonic()
-                if left <= 0 or choice.engine in self.directory.suspects:
-                    raise TimeoutError
-                done, _ = await asyncio.wait(
-                    [task], timeout=min(left, SUSPECT_LOOK)
-                )
-                if done:
-                    return task.result()
-        finally:
-            self.directory.ended(choice.engine)
-            task.cancel()
-
     async def run(
         self,
         replica: types.Replica,
@@ -391,11 +205,11 @@
         """
         instructions = types.Instructions(
             progress.left(),
-            urgency=self.rank(route, 0.0, progress).urgency,
+            urgency=progress.rank(route, 0.0).urgency,
             handle=handle,
             # Once read, a prompt is copied and not read a second time: a
             # repeat is one call and not two.
-            cache_peer="" if handle else progress.read_at,
+            cache_peer="" if handle else self.prompts.peer(progress.read_at),
             last_event=stream.last_event,
         )
         size = progress.call.prompt_tokens + progress.call.output_tokens
@@ -408,21 +222,7 @@
             resumed=stream.last_event,
         )
         try:
-            answer = await self.endpoints.send(
-                replica, progress.call, instructions
-            )
-            try:
-                if answer.not_run:
-                    self.directory.pause(replica.instance, time.monotonic())
-                    await answer.read()
-                    raise exceptions.EndpointRefused(
-                        f"the engine answered {answer.status}"
-                    )
-                await stream.pass_on(
-                    answer, progress, Ear(self.directory, replica.instance)
-                )
-            finally:
-                answer.close()
+            await self.exchange(replica, instructions, stream, progress)
         except exceptions.EndpointNotStarted as error:
             progress.did_not_run(replica)
             progress.failed(replica, str(error))
@@ -440,24 +240,28 @@
         self.directory.health.succeeded(replica.instance, time.monotonic())
         return True
 
-    def drop(self, handle: types.Handle) -> None:
-        """Frees a KV cache that nobody will take, beside the request."""
-        replica = self.directory.replicas.get(handle.engine)
-        if replica is None:
-            return
-        task = asyncio.create_task(self.free(replica, handle))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+    async def exchange(
+        self,
+        replica: types.Replica,
+        instructions: types.Instructions,
+        stream: streams.Stream,
+        progress: progress_module.Progress,
+    ) -> None:
+        """One exchange with an engine that generates.
 
-    async def free(self, replica: types.Replica, handle: types.Handle) -> None:
-        """Frees a KV cache; it lapses by itself where that fails."""
+        Raises:
+            exceptions.EndpointNotStarted: It ran nothing.
+            exceptions.AnswerBroken: It broke off.
+        """
+        answer = await self.endpoints.send(replica, progress.call, instructions)
         try:
-            async with asyncio.timeout(FREE_LIMIT):
-                await self.endpoints.drop(replica, handle)
-        except (exceptions.EndpointError, TimeoutError) as error:
-            events.log(
-                events.ATTEMPT_FAILED,
-                instance=replica.instance,
-                handle=handle.id,
-                reason=repr(error),
-            )
+            if answer.not_run:
+                self.directory.pause(replica.instance, time.monotonic())
+                await answer.read()
+                raise exceptions.EndpointRefused(
+                    f"the engine answered {answer.status}"
+                )
+            ear = Ear(self.directory, replica.instance)
+            await stream.pass_on(answer, progress, ear)
+        finally:
+            answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -4,7 +4,6 @@
 import time
 
 from gypsumfold import exceptions
-from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
@@ -17,8 +16,6 @@
 PATIENCE = 2.0
 # Attempts, the refused ones included; each costs the site's budget.
 MOST_ATTEMPTS = 4
-# Seconds after which a caller may come back to a service without room.
-RETRY_AFTER = 0.5
 
 
 class PlainCalls:
@@ -75,7 +72,7 @@
         if answered is not None:
             await reply.whole(*answered)
             return
-        raise self.failure(progress)
+        raise progress.failure()
 
     def choose(
         self, service: str, progress: progress_module.Progress
@@ -92,20 +89,6 @@
         """Whether a call that may have run may run once more."""
         return route.repeatable and progress.runs < route.attempts
 
-    def failure(
-        self, progress: progress_module.Progress
-    ) -> exceptions.RequestError:
-        """Makes the final answer of a call that no replica answered."""
-        if progress.may_have_run:
-            return exceptions.AnswerFailed(
-                "a replica broke off", outcomes.Outcome.UNDETERMINED
-            )
-        return exceptions.Unavailable(
-            "no replica has room",
-            outcomes.Outcome.NOT_RUN,
-            min(RETRY_AFTER, max(0.0, progress.left() / 3)),
-        )
-
     async def attempt(
         self,
         replica: types.Replica,
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -3,8 +3,15 @@
 import time
 
 from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.decisions import lateness
+from gypsumfold.decisions import routes
 from gypsumfold.gateway import types
 
+# Seconds after which a caller may come back where there is no room.
+RETRY_AFTER = 0.5
+
 
 class Progress:
     """Counts what was tried, so that the final answer can be true.
@@ -30,6 +37,31 @@
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
 
+    def rank(self, route: routes.Route, expected: float) -> lateness.Rank:
+        """Ranks the request by when its first event is expected.
+
+        Args:
+            route: Its route.
+            expected: Seconds until its prompt is read.
+        """
+        age = time.monotonic() - self.call.arrival
+        waits = route.waits(self.left(), age)
+        return lateness.rank(
+            route.urgency, age, expected, route.objective, waits
+        )
+
+    def failure(self) -> exceptions.RequestError:
+        """Makes the final answer where no replica gave one."""
+        if self.may_have_run:
+            return exceptions.AnswerFailed(
+                "a replica broke off", outcomes.Outcome.UNDETERMINED
+            )
+        return exceptions.Unavailable(
+            "no replica has room",
+            outcomes.Outcome.NOT_RUN,
+            min(RETRY_AFTER, max(0.0, self.left() / 3)),
+        )
+
     def sent(self, replica: types.Replica, **inputs) -> None:
         """Notes that the request goes to a replica that may run it."""
         self.may_have_run = True
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -0,0 +1,232 @@
+"""Has prompts read: at which engine, for how long, and what if it fails."""
+
+import asyncio
+from collections.abc import Coroutine
+import time
+
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import routes
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import types
+
+# Times the expected seconds after which a prompt is read elsewhere, and the
+# least that it is given: a burst of long prompts queues for about as long.
+PROMPT_PATIENCE = 4.0
+LEAST_PATIENCE = 3.0
+# Seconds between two looks whether an engine gives no sign of life.
+SUSPECT_LOOK = 0.1
+# Seconds for freeing a KV cache; it lapses by itself after a few.
+FREE_LIMIT = 1.0
+
+
+class Prompts:
+    """Places prompts and waits until they are read.
+
+    >>> choice = prompts.place(service, progress)
+    >>> handle = await prompts.read(choice, route, service, progress)
+    """
+
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        endpoints: types.Endpoints,
+        homes: homes_module.Homes,
+    ):
+        self.directory = directory
+        self.endpoints = endpoints
+        self.homes = homes
+        self.tasks: set[asyncio.Task] = set()
+
+    def place(
+        self, service: types.Service, progress: progress_module.Progress
+    ) -> homes_module.Choice | None:
+        """Picks the engine that reads the prompt; None for any."""
+        call = progress.call
+        if not call.prompt_tokens:
+            return None
+        rate = 0.0
+        if service.token_bytes:
+            rate = service.link_rate / service.token_bytes
+        return self.homes.choose(
+            homes_module.Prompt(call.chain, call.model, call.prompt_tokens),
+            self.readers(service, progress.avoid),
+            self.holders(service),
+            rate,
+            time.monotonic(),
+        )
+
+    def holders(self, service: types.Service) -> list[homes_module.Engine]:
+        """The engines that may have parts of prompts, also leaving ones."""
+        found = []
+        for replica in self.directory.replicas.values():
+            if replica.service != service.name or replica.role is None:
+                continue
+            if replica.instance not in self.directory.suspects:
+                found.append(
+                    homes_module.Engine(replica.instance, replica.address)
+                )
+        return found
+
+    def readers(
+        self, service: types.Service, avoid: frozenset[str]
+    ) -> list[homes_module.Engine]:
+        """The engines that read prompts."""
+        found = []
+        now = time.monotonic()
+        for replica in self.directory.engines(service.name, True, now, avoid):
+            found.append(homes_module.Engine(replica.instance, replica.address))
+        return found
+
+    def peer(self, address: str) -> str:
+        """An engine's address, if it can be copied from; else nothing."""
+        for replica in self.directory.replicas.values():
+            if replica.address != address:
+                continue
+            if replica.instance not in self.directory.suspects:
+                return address
+        return ""
+
+    async def read(
+        self,
+        choice: homes_module.Choice,
+        route: routes.Route,
+        service: types.Service,
+        progress: progress_module.Progress,
+    ) -> types.Handle:
+        """Has the chosen engine read the prompt.
+
+        Raises:
+            exceptions.EndpointNotStarted: It did not; nothing has run.
+            exceptions.Unavailable: It would take longer than the caller
+                waits.
+        """
+        replica = self.directory.replicas[choice.engine]
+        rank = progress.rank(route, choice.total)
+        if rank.hopeless and not progress.may_have_run:
+            raise exceptions.Unavailable(
+                "the engines have too much to read",
+                outcomes.Outcome.NOT_RUN,
+                min(choice.total, max(0.0, progress.left() / 3)),
+            )
+        call = progress.call
+        events.log(
+            events.PROMPT_PLACED,
+            request=call.id,
+            instance=choice.engine,
+            tokens=choice.tokens,
+            expected=round(choice.total, 3),
+            copied_from=choice.peer,
+            urgency=rank.urgency,
+            left=round(progress.left(), 3),
+        )
+        instructions = types.Instructions(
+            progress.left(),
+            urgency=rank.urgency,
+            prefill=True,
+            cache_peer=choice.peer,
+        )
+        sent = time.monotonic()
+        choice = self.homes.sent(
+            choice, call.chain, call.model, service.cache_tokens, rank.late
+        )
+        try:
+            handle = await self.exchange(replica, choice, instructions, call)
+        except exceptions.EndpointNotStarted as error:
+            self.homes.dropped(choice)
+            progress.failed(replica, str(error))
+            raise
+        except asyncio.CancelledError:
+            self.homes.dropped(choice)
+            raise
+        now = time.monotonic()
+        self.directory.heard(choice.engine, now)
+        self.directory.health.succeeded(choice.engine, now)
+        self.homes.done(choice, now - sent, now)
+        return handle
+
+    async def exchange(
+        self,
+        replica: types.Replica,
+        choice: homes_module.Choice,
+        instructions: types.Instructions,
+        call: types.Call,
+    ) -> types.Handle:
+        """Has one engine read a prompt, and judges the engine by it.
+
+        Raises:
+            exceptions.EndpointNotStarted: It did not; nothing has run.
+        """
+        prefill = self.endpoints.prefill(replica, call, instructions)
+        health = self.directory.health
+        try:
+            return await self.patiently(prefill, choice)
+        except TimeoutError as error:
+            health.failed(replica.instance, True, time.monotonic())
+            raise exceptions.EndpointNotStarted(
+                "the engine is silent"
+            ) from error
+        except exceptions.EndpointRefused:
+            self.directory.pause(replica.instance, time.monotonic())
+            raise
+        except exceptions.EndpointError as error:
+            silent = isinstance(error, exceptions.EndpointNotStarted)
+            health.failed(replica.instance, silent, time.monotonic())
+            raise exceptions.EndpointNotStarted(str(error)) from error
+
+    async def patiently(
+        self, prefill: Coroutine, choice: homes_module.Choice
+    ) -> types.Handle:
+        """Waits for a prompt to be read while its engine reads any.
+
+        A queue is no reason to read the prompt a second time elsewhere; an
+        engine that finishes none is.
+
+        Raises:
+            TimeoutError: The engine has finished nothing for too long.
+            exceptions.EndpointError: It failed.
+        """
+        patience = max(LEAST_PATIENCE, PROMPT_PATIENCE * choice.reading)
+        started = time.monotonic()
+        self.directory.started(choice.engine, started)
+        task = asyncio.ensure_future(prefill)
+        try:
+            while True:
+                heard = self.directory.health.heard.get(choice.engine, started)
+                until = max(started, heard) + patience
+                left = until - time.monotonic()
+                if left <= 0 or choice.engine in self.directory.suspects:
+                    raise TimeoutError
+                done, _ = await asyncio.wait(
+                    [task], timeout=min(left, SUSPECT_LOOK)
+                )
+                if done:
+                    return task.result()
+        finally:
+            self.directory.ended(choice.engine)
+            task.cancel()
+
+    def drop(self, handle: types.Handle) -> None:
+        """Frees a KV cache that nobody will take, beside the request."""
+        replica = self.directory.replicas.get(handle.engine)
+        if replica is None:
+            return
+        task = asyncio.create_task(self.free(replica, handle))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def free(self, replica: types.Replica, handle: types.Handle) -> None:
+        """Frees a KV cache; it lapses by itself where that fails."""
+        try:
+            async with asyncio.timeout(FREE_LIMIT):
+                await self.endpoints.drop(replica, handle)
+        except (exceptions.EndpointError, TimeoutError) as error:
+            events.log(
+                events.ATTEMPT_FAILED,
+                instance=replica.instance,
+                handle=handle.id,
+                reason=repr(error),
+            )
