--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -28,7 +28,7 @@
 LOOK = 0.03
 
 
-class Ear:
+class EngineListener:
     """Notes each sign of life of one engine."""
 
     def __init__(self, directory: directory_module.Directory, instance: str):
@@ -261,7 +261,7 @@
                 raise exceptions.EndpointRefused(
                     f"the engine answered {answer.status}"
                 )
-            ear = Ear(self.directory, replica.instance)
-            await stream.pass_on(answer, progress, ear)
+            listener = EngineListener(self.directory, replica.instance)
+            await stream.pass_on(answer, progress, listener)
         finally:
             answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -107,21 +107,18 @@
     ) -> None:
         """Serves until the deadline; then the final answer is due."""
         declared = configuration.services.get(service)
+        declared = declared or types.Service(service, 0)
+        generates = declared.cache_tokens > 0
+        if route.kind == routes.Kind.STREAMING:
+            generates = True
         try:
             async with asyncio.timeout(progress.left()):
-                if declared is not None and declared.cache_tokens:
+                if generates:
                     await self.generations.serve(
                         route, declared, reply, progress
                     )
-                elif route.kind == routes.Kind.STREAMING:
-                    declared = declared or types.Service(service, 0)
-                    await self.generations.serve(
-                        route, declared, reply, progress
-                    )
-                else:
-                    await self.plain_calls.serve(
-                        route, service, reply, progress
-                    )
+                    return
+                await self.plain_calls.serve(route, service, reply, progress)
         except TimeoutError as error:
             if progress.begun:
                 raise exceptions.AnswerBroken("the deadline") from error
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -14,7 +14,7 @@
 MOST_PENDING = 1024 * 1024
 
 
-class Ear(Protocol):
+class Listener(Protocol):
     """Is told of a replica's signs of life."""
 
     def heard(self) -> None:
@@ -44,14 +44,14 @@
         self,
         answer: types.Answer,
         progress: progress_module.Progress,
-        ear: Ear,
+        listener: Listener,
     ) -> None:
         """Passes one replica's answer on to its end.
 
         Args:
             answer: The answer.
             progress: Of the request.
-            ear: Is told of each piece.
+            listener: Is told of each piece.
 
         Raises:
             exceptions.AnswerBroken: It broke off or is no proper answer.
@@ -61,9 +61,9 @@
             return
         plain_calls.checked(answer)
         self.pending = b""
-        ear.heard()
+        listener.heard()
         async for data in answer.chunks():
-            ear.heard()
+            listener.heard()
             await self.write(data, answer, progress)
         if self.pending:
             await self.reply.write(self.pending)
