Let the deadline alone end the last attempt of a plain call

Cause: read in the code, not seen: the attempt's own limit and the request's deadline fall on the same millisecond, and the one that rounds down first decides between 502 and 504.

--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -101,9 +101,11 @@
             exceptions.EndpointNotStarted: The replica ran nothing of it.
             exceptions.AnswerBroken: It may have run.
         """
-        limit = progress.left()
+        # The last attempt has all the time that is left; whoever set the
+        # deadline ends it.
+        limit = None
         if route.repeatable and progress.runs + 1 < route.attempts:
-            limit = min(limit, PATIENCE * route.objective)
+            limit = PATIENCE * route.objective
         self.directory.started(replica.instance, time.monotonic())
         progress.sent(replica, route=route.name)
         try:
