Count late prompts before a late one, streams by slots, and read the store less

Late prompts. Nodes now tell each other the seconds of late prompts by engine and urgency, and a late one that will not be read in time is refused at once with the time to come back.

The split of engines knew streams by their tokens of memory only. A stream's share is now the larger of that of the memory and that of the slots, and an engine that is overfull is relieved though prompts wait.

Tried and left: streams wait at the node until an engine that generates has room, at 0.95, 1.05 and 1.2 of it.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -16,6 +16,13 @@
     Then late ones behind reads more on time in each seed
     And whoever is refused is told at once
 
+  Scenario: Late prompts behind many others are told at once to come back
+    Given a steady load of 12 prompts a second and 160 new long ones within a second
+    When late prompts go behind, without and with a count of those before them
+    Then with the count at most a third as many starve until their callers leave
+    And no fewer are read on time
+    And whoever is refused is told at once
+
   Scenario: The split of engines waits while everything is cold
     Given a split of six engines of which one generates
     When 5 seconds pass with 4.0 seconds of prompts and streams of 0.9 memories
@@ -26,6 +33,20 @@
     When 2 seconds pass with 0.8 seconds of prompts and streams of 0.9 memories
     Then 2 engines generate
 
+  Scenario: Another engine generates though prompts wait where streams are more than it takes
+    Given a split of six engines of which one generates
+    When 3 seconds pass with 4.0 seconds of prompts and streams of 1.3 memories
+    Then 2 engines generate
+
+  Scenario: Short streams fill the slots of an engine before its memory
+    Given an engine with 64 slots and memory for 440000 tokens
+    Then 64 streams of 1600 tokens fill it, and so do 24 of 18400
+
+  Scenario: Nodes read registrations as often as they must and together not too often
+    Given replicas that must get no work 2 seconds after they leave
+    Then 6 nodes read every 0.6 seconds and 58 nodes every 1.0 seconds
+    And with 3 seconds 58 nodes read every 1.5 seconds
+
   Scenario: An engine goes back to prompts when they press and streams are few
     Given a split of six engines of which two generate
     When 8 seconds pass with 4.0 seconds of prompts and streams of 0.2 memories
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -5,13 +5,13 @@
 
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import outages
+from gypsumfold.decisions import polling
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import silence
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types
 
 SEEDS = (1, 2, 3, 4, 5)
-MEMORY = 440_000
 # Seconds between two looks of the planner.
 LOOK = 0.15
 
@@ -89,6 +89,35 @@
         context.plays.append(played)
 
 
+@behave.when(
+    "late prompts go behind, without and with a count of those before them"
+)
+def step_play_counts(context):
+    context.plays = []
+    context.starved = []
+    context.shares = {}
+    for seed, asks in context.loads.items():
+        without, first = play(prompt_load.Policy(counted=False), asks, seed)
+        counted, second = play(prompt_load.Policy(), asks, seed)
+        context.starved.append((first.starved, second.starved))
+        context.shares[seed] = (without, counted)
+        context.plays.append(second)
+
+
+@behave.then(
+    "with the count at most a third as many starve until their callers leave"
+)
+def step_starved(context):
+    for without, counted in context.starved:
+        assert without > 0 and 3 * counted <= without, context.starved
+
+
+@behave.then("no fewer are read on time")
+def step_no_fewer(context):
+    for without, counted in context.shares.values():
+        assert counted >= without - 0.005, context.shares
+
+
 @behave.then("late ones behind reads more on time in each seed")
 def step_more(context):
     for without, ranked in context.shares.values():
@@ -131,7 +160,7 @@
         views = []
         for name, role in context.roles.items():
             views.append(stages.EngineView(name, "dc", role))
-        load = stages.Load(prompts, memories * MEMORY, MEMORY)
+        load = stages.Load(prompts, memories)
         for change in context.split.plan(views, load, context.now):
             context.roles[change.engine] = change.role
             context.changes += 1
@@ -307,3 +336,42 @@
         if route.service(f"request-{number}") == "one":
             heavier += 1
     assert low <= heavier / count <= high, heavier
+
+
+@behave.given("an engine with {slots:d} slots and memory for {memory:d} tokens")
+def step_engine(context, slots, memory):
+    context.slots = slots
+    context.memory = memory
+
+
+@behave.then(
+    "{first:d} streams of {short:d} tokens fill it, and so do {second:d} of "
+    "{long:d}"
+)
+def step_fill(context, first, short, second, long):
+    for count, tokens in ((first, short), (second, long)):
+        share = stages.stream_share(tokens, context.memory, context.slots)
+        assert 0.98 < count * share < 1.02, (count, tokens, share)
+
+
+@behave.given(
+    "replicas that must get no work {bound:d} seconds after they leave"
+)
+def step_leaving_bound(context, bound):
+    context.bound = bound
+
+
+@behave.then(
+    "{few:d} nodes read every {short:f} seconds and {many:d} nodes every "
+    "{long:f} seconds"
+)
+def step_pauses(context, few, short, many, long):
+    assert polling.pause(few, context.bound) == short
+    assert polling.pause(many, context.bound) == long
+
+
+@behave.then(
+    "with {bound:d} seconds {many:d} nodes read every {long:f} seconds"
+)
+def step_pause(context, bound, many, long):
+    assert polling.pause(many, bound) == long
--- a/features/support/prompt_load.py
+++ b/features/support/prompt_load.py
@@ -48,11 +48,13 @@
         homes: Beginnings have homes; else the shortest queue is taken.
         told: Nodes tell each other of their prompts.
         ranked: Late requests go behind, hopeless ones are refused.
+        counted: Late requests know of the late ones before them.
     """
 
     homes: bool = True
     told: bool = True
     ranked: bool = True
+    counted: bool = True
 
 
 class Engine:
@@ -110,6 +112,7 @@
         self.now = 0.0
         self.seconds: dict[int, float] = {}
         self.refused: dict[int, float] = {}
+        self.starved = 0
         for number, node in enumerate(self.nodes):
             node.memory = MEMORY
             if policy.told:
@@ -124,14 +127,23 @@
     def tell(self, node: int, placed) -> None:
         """Lets the other nodes know a moment later."""
         own = dict(self.nodes[node].waiting.own)
-        self.later(self.now + TOLD_AFTER, self.learn, node, own, placed)
-
-    def learn(self, sender: int, own: dict[str, float], placed) -> None:
+        late = dict(self.nodes[node].late.own)
+        at = self.now + TOLD_AFTER
+        self.later(at, self.learn, node, own, late, placed)
+
+    def learn(
+        self,
+        sender: int,
+        own: dict[str, float],
+        late: dict[str, float],
+        placed,
+    ) -> None:
         """Takes in what a node told."""
         for number, node in enumerate(self.nodes):
             if number == sender:
                 continue
             node.waiting.remote(str(sender), dict(own), self.now + 3.0)
+            node.late.remote(str(sender), dict(late), self.now + 3.0)
             if placed is not None:
                 node.read_links(*placed)
 
@@ -153,7 +165,7 @@
         node = self.random.randrange(len(self.nodes))
         homes = self.nodes[node]
         tokens = sum(part.tokens for part in ask.chain)
-        prompt = homes_module.Prompt(ask.chain, "m", tokens)
+        prompt = homes_module.Prompt(ask.chain, "m", tokens, ask.urgency)
         if self.policy.homes:
             choice = homes.choose(
                 prompt, self.candidates, self.candidates, COPY_RATE, self.now
@@ -163,12 +175,18 @@
         rank = lateness.Rank(ask.urgency, False, False)
         if self.policy.ranked:
             rank = lateness.rank(
-                ask.urgency, 0.0, choice.total, ask.objective, ask.patience
+                ask.urgency,
+                0.0,
+                choice.total,
+                ask.objective,
+                ask.patience,
+                choice.behind if self.policy.counted else 0.0,
             )
         if rank.hopeless:
             self.refused[number] = self.now - ask.at
             return
-        choice = homes.sent(choice, ask.chain, "m", MEMORY, rank.late)
+        urgency = ask.urgency if rank.late else None
+        choice = homes.sent(choice, ask.chain, "m", MEMORY, urgency)
         engine = self.engines[choice.engine]
         job = Job(ask, node, choice, self.now)
         heapq.heappush(engine.queue, (rank.urgency, number, job))
@@ -195,6 +213,7 @@
             homes = self.nodes[job.node]
             if self.now - job.ask.at > job.ask.patience:
                 homes.dropped(job.choice)
+                self.starved += 1
                 continue
             chain = job.ask.chain
             cached = engine.caches.cached("own", chain, "m")
--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -56,11 +56,13 @@
         chain: Its parts.
         model: The model asked for.
         tokens: Its length.
+        urgency: Its route's; 0 is the most urgent.
     """
 
     chain: chains.Chain
     model: str
     tokens: int
+    urgency: int = 0
 
 
 class Holder(NamedTuple):
@@ -82,6 +84,8 @@
         reading: Seconds that reading them takes.
         total: Seconds until they are read, with the wait.
         load: Seconds for which it holds up prompts that come later.
+        behind: Seconds of late prompts before it, if it is late itself.
+        late: Where it counts among late prompts; empty if it is on time.
     """
 
     engine: str
@@ -90,6 +94,8 @@
     reading: float
     total: float
     load: float
+    behind: float = 0.0
+    late: str = ""
 
 
 class Listener(Protocol):
@@ -114,6 +120,7 @@
         self.caches = chains.Caches()
         self.paces: dict[str, paces.Pace] = {}
         self.waiting = shares.Shares()
+        self.late = shares.Shares()
         self.memory = 0
         self.listener: Listener | None = None
 
@@ -190,7 +197,17 @@
         pace = self.pace(engine.name)
         reading = pace.expected(tokens)
         total = self.delay(engine.name, now) + copying + reading
-        return Choice(engine.name, peer, tokens, reading, total, reading)
+        behind = self.behind(engine.name, prompt.urgency, now)
+        return Choice(
+            engine.name, peer, tokens, reading, total, reading, behind
+        )
+
+    def behind(self, engine: str, urgency: int, now: float) -> float:
+        """Seconds of late prompts that go before a late one."""
+        found = 0.0
+        for other in range(urgency + 1):
+            found += self.late.total(late_key(engine, other), now)
+        return found
 
     def holder(self, prompt: Prompt, holders: list[Engine]) -> Holder:
         """The engine that is believed to have most of a prompt's beginning."""
@@ -208,7 +225,7 @@
         chain: chains.Chain,
         model: str,
         memory: int,
-        late: bool,
+        urgency: int | None,
     ) -> Choice:
         """Notes that a prompt goes to an engine, which will then have it.
 
@@ -217,16 +234,18 @@
             chain: Its parts.
             model: The model asked for.
             memory: Tokens that the engine's memory holds.
-            late: Whether others go before it, so that they hardly wait for
-                it.
+            urgency: The route's, if the prompt is late: others go before it
+                and hardly wait for it. None if it is on time.
 
         Returns:
             The choice with the load that it counts for, for `done` or
             `dropped`.
         """
         self.memory = memory
-        if late:
+        if urgency is not None:
             choice = choice._replace(load=choice.reading * LATE_LOAD)
+            choice = choice._replace(late=late_key(choice.engine, urgency))
+            self.late.add(choice.late, choice.reading)
         found = chains.links(chain, model)
         tokens = [part.tokens for part in chain]
         self.caches.add_links(choice.engine, found, tokens, memory)
@@ -237,17 +256,23 @@
 
     def done(self, choice: Choice, seconds: float, now: float) -> None:
         """Learns from a prompt that was read."""
-        self.waiting.remove(choice.engine, choice.load)
-        if choice.load == choice.reading:
+        self.remove(choice)
+        if not choice.late:
             pace = self.pace(choice.engine)
             pace.done(choice.tokens, choice.reading, seconds, now)
         self.tell()
 
     def dropped(self, choice: Choice) -> None:
         """Notes that a prompt is not read where it was sent."""
-        self.waiting.remove(choice.engine, choice.load)
+        self.remove(choice)
         self.tell()
 
+    def remove(self, choice: Choice) -> None:
+        """Takes a prompt out of what waits."""
+        self.waiting.remove(choice.engine, choice.load)
+        if choice.late:
+            self.late.remove(choice.late, choice.reading)
+
     def tell(self) -> None:
         """Lets the other nodes know that loads have changed."""
         if self.listener is not None:
@@ -265,6 +290,14 @@
         self.caches.forget(engine)
         self.paces.pop(engine, None)
         self.waiting.forget(engine)
+        for key in list(self.late.own):
+            if key.startswith(f"{engine}/"):
+                self.late.forget(key)
+
+
+def late_key(engine: str, urgency: int) -> str:
+    """Names an engine's late prompts of one urgency."""
+    return f"{engine}/{urgency}"
 
 
 def order(key: int, engines: list[Engine]) -> list[Engine]:
--- a/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
@@ -3,7 +3,10 @@
 Load pattern: a burst or an outage leaves more prompts than the engines read
 within their objectives. Served in order of arrival all of them are late, the
 fresh ones too. So a request that will miss its objective goes behind all that
-can keep theirs, and one whose caller will have left is refused at once.
+can keep theirs, and one whose caller will have left is refused at once: of
+1,064 long prompts and their like that nobody served on bad days most waited
+behind others until their callers left, and could have come back to a shorter
+queue instead.
 """
 
 from typing import NamedTuple
@@ -16,6 +19,10 @@
 LATE = 6
 # The least urgent that engines know.
 LAST = 9
+# Times its expected seconds that a late request takes, since those that come
+# after it go before it as long as they can be in time: engines that are a
+# third busy with these take half as long again.
+OVERTAKEN = 1.5
 # Share of the time a caller still waits that the expected one must leave:
 # expectations of 0.1 s and more are right within a third for most.
 MARGIN = 0.9
@@ -41,6 +48,7 @@
     expected: float,
     objective: float,
     waits: float,
+    behind: float = 0.0,
 ) -> Rank:
     """Ranks a request by when its first event is expected.
 
@@ -50,9 +58,12 @@
         expected: Seconds until its prompt is read.
         objective: Seconds from its coming within which it is worth most.
         waits: Seconds for which its caller still waits.
+        behind: Seconds of late prompts that wait before it if it is late.
     """
     remaining = expected + FIRST_EVENT
     late = age + remaining > objective
+    if late:
+        remaining = OVERTAKEN * (expected + behind) + FIRST_EVENT
     hopeless = remaining > MARGIN * waits
     if late:
         urgency = min(LAST, LATE + urgency)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/polling.py
@@ -0,0 +1,27 @@
+"""How often nodes read what changes all the time.
+
+Load pattern: replicas that all write about once a second, so that every read
+finds something, and a store that all nodes share. Read by each node as often
+as a handful of nodes may, 73 nodes made 2.2 calls a second each, and most of
+them brought nothing that a node needed to know.
+"""
+
+# Calls a second of all nodes together, as long as each reads often enough.
+SITE_RATE = 10.0
+# Seconds between two reads of a node at the least: a replica that goes is
+# passed over that much sooner, and six nodes stay at the rate of the site.
+SHORTEST = 0.6
+# Share of the time within which a leaving replica must get no more work; the
+# rest is for the store's answer, a repeat of the call and requests under way.
+SHARE = 0.5
+
+
+def pause(nodes: int, bound: float) -> float:
+    """Seconds between two reads of one node.
+
+    Args:
+        nodes: The nodes that read.
+        bound: Seconds after which what was written must be known.
+    """
+    longest = SHARE * bound
+    return min(longest, max(SHORTEST, nodes / SITE_RATE))
--- a/packages/gypsumfold/src/gypsumfold/decisions/stages.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/stages.py
@@ -15,12 +15,16 @@
 # Engines of a service for each one that generates, before there is any
 # traffic: nothing is cached then.
 ENGINES_PER_DECODER = 6
-# Share of the generating engines' memory that streams may take before
-# another engine is to generate: a full memory evicts streams midway.
-FULL = 0.55
+# Share of the generating engines that streams may fill before another engine
+# is to generate: a full memory evicts streams midway.
+FULL = 0.6
+# Share from which another engine is to generate though prompts wait: behind a
+# full engine they wait as well, and with 0.9 to 1.2 of one taken the streams
+# of a mean answer of 120 tokens lasted 2 to 3 s instead of 0.6 s.
+OVERFULL = 0.9
 # Share to which more engines are to bring it, and below which one fewer
 # would still be enough.
-AIM = 0.45
+AIM = 0.5
 # Seconds of prompts that wait at each reading engine, on average: below the
 # first one an engine can be spared, above the second one is missing.
 SPARE = 0.35
@@ -31,9 +35,10 @@
 # Seconds for which a load must ask for the same split: swings of a second are
 # not followed, since a change takes an engine away for three.
 LASTING = 1.2
-# Seconds between two changes: an engine's change takes three, and its effect
-# shows after that.
-SETTLE = 5.0
+# Seconds between two changes: an engine's change takes three, and the streams
+# that waited meanwhile are gone some seconds after that; with five a second
+# engine was given away as well, for streams that had waited for the first.
+SETTLE = 8.0
 # Seconds without any traffic after which the split is that of a start.
 IDLE = 5.0
 
@@ -59,13 +64,11 @@
 
     Attributes:
         prompts: Seconds of prompts that wait to be read, over all engines.
-        streams: Tokens of prompts and answers of all streams that run.
-        memory: Tokens that one engine's memory holds.
+        streams: Engines that all streams that run would fill.
     """
 
     prompts: float
     streams: float
-    memory: int
 
 
 class Change(NamedTuple):
@@ -79,7 +82,7 @@
     """Follows the load of one service and says which engines change.
 
     >>> split = Split()
-    >>> split.plan(engines, Load(0.0, 0.0, 440_000), now=0.0)
+    >>> split.plan(engines, Load(0.0, 0.0), now=0.0)
     [Change(...)]
     """
 
@@ -112,13 +115,13 @@
             self.target = initial(len(engines))
         elif self.target is None:
             self.target = current
-        self.follow(len(engines), load.memory, now)
+        self.follow(len(engines), now)
         self.target = max(1, min(self.target, len(engines) - 1))
         return changes(engines, self.target)
 
-    def follow(self, engines: int, memory: int, now: float) -> None:
+    def follow(self, engines: int, now: float) -> None:
         """Moves the target once a load has asked for that long enough."""
-        wanted = self.wanted(engines, memory)
+        wanted = self.wanted(engines)
         if wanted != self.wish:
             self.wish = wanted
             self.wished = now
@@ -139,18 +142,17 @@
         self.prompts += weight * (load.prompts - self.prompts)
         self.streams += weight * (load.streams - self.streams)
 
-    def wanted(self, engines: int, memory: int) -> int:
+    def wanted(self, engines: int) -> int:
         """How many engines the load wants to generate."""
         current = self.target
-        if memory <= 0:
-            return current
-        needed = self.streams / memory
+        needed = self.streams
         step = max(1, engines // 10)
         enough = max(1, math.ceil(needed / AIM))
         if needed > FULL * current:
             wanted = min(current + step, enough)
             left = engines - wanted
-            if left >= 1 and self.prompts / left < SPARE:
+            overfull = needed > OVERFULL * current
+            if left >= 1 and (overfull or self.prompts / left < SPARE):
                 return wanted
         readers = max(1, engines - current)
         if self.prompts / readers > PRESSED and enough < current:
@@ -158,6 +160,20 @@
         return current
 
 
+def stream_share(tokens: int, memory: int, slots: int) -> float:
+    """The share of an engine that a stream takes: of its memory or slots.
+
+    An engine whose slots are full makes tokens at its highest rate; with
+    more streams each only waits longer.
+
+    Args:
+        tokens: Of its prompt and answer.
+        memory: Tokens that the engine's memory holds.
+        slots: Streams that it runs at once.
+    """
+    return max(tokens / max(1, memory), 1 / max(1, slots))
+
+
 def initial(engines: int) -> int:
     """How many of so many engines generate before there is traffic."""
     return max(1, round(engines / ENGINES_PER_DECODER))
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -119,6 +119,12 @@
     "info",
     "No engine generates; the request waits for one.",
 )
+CALL_HOPELESS = define(
+    226,
+    "call-hopeless",
+    "info",
+    "The caller would leave before its prompt is read; it is told at once.",
+)
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -19,7 +19,7 @@
 # Seconds that an engine which refused a request as not run gets no other: it
 # is full or changes its role.
 REFUSAL_PAUSE = 0.25
-# Share of an engine's memory by which one elsewhere has to be emptier.
+# Share of an engine by which one elsewhere has to be emptier.
 ELSEWHERE = 0.1
 # Seconds for which an entry that went just after an outage of the store is
 # kept: those that lapsed in it are back within two seconds of its return.
@@ -254,9 +254,7 @@
             now: The time.
         """
         refused = isinstance(error, exceptions.EndpointRefused)
-        silent = isinstance(
-            error, exceptions.EndpointNotStarted | TimeoutError
-        )
+        silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
         broken = isinstance(error, exceptions.AnswerBroken)
         if broken or isinstance(error, exceptions.EndpointUnreachable):
@@ -306,9 +304,9 @@
         return best
 
     def emptiest(
-        self, engines: list[types.Replica], data_centre: str, memory: int
+        self, engines: list[types.Replica], data_centre: str
     ) -> types.Replica | None:
-        """The generating engine with the most memory left, by all nodes.
+        """The generating engine with the most room left, by all nodes.
 
         One of the given data centre goes before others that are a tenth
         emptier: a KV cache takes twice as long from one to another.
@@ -317,7 +315,7 @@
         best = None
         best_key = math.inf
         for engine in engines:
-            key = self.streams.total(engine.instance, now) / max(1, memory)
+            key = self.streams.total(engine.instance, now)
             if engine.data_centre != data_centre:
                 key += ELSEWHERE
             key += self.rng.random() * 1e-3
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -17,6 +17,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import polling
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import counters as counters_module
@@ -128,14 +129,15 @@
                 self.store_state,
                 names.CONFIGURATION_TOPIC,
                 self.configurations,
-                0.0,
+                lambda: 0.0,
             ),
             "registrations": watching.Watch(
                 self.store,
                 self.store_state,
                 names.REGISTRATIONS_TOPIC,
                 watching.Registrations(self.directory, self.store_state),
-                watching.REGISTRATIONS_PAUSE,
+                self.registrations_pause,
+                watching.REGISTRATIONS_WAIT,
             ),
         }
         self.watches["nodes"] = watching.Watch(
@@ -143,7 +145,7 @@
             self.store_state,
             names.NODES_TOPIC,
             self.gossip,
-            watching.REREAD,
+            lambda: watching.REREAD,
         )
         self.directory.gone.append(self.forget)
         self.runners: list[web.ServerRunner] = []
@@ -153,6 +155,12 @@
         self.pool.forget(replica.address, replica.instance)
         self.homes.forget(replica.instance)
 
+    def registrations_pause(self) -> float:
+        """Seconds until the registrations are read again."""
+        return polling.pause(
+            self.gossip.nodes(), self.settings.replicas.leaving_ms / 1000
+        )
+
     def ready(self) -> bool:
         """Whether the balancer is to send connections here."""
         if self.stop.is_set() or self.configurations.current is None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -15,6 +15,7 @@
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import outages
 from gypsumfold.decisions import routes
+from gypsumfold.decisions import stages
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
@@ -110,7 +111,7 @@
         handle = None
         choice = None
         if not progress.read_at:
-            choice = self.prompts.place(service, progress)
+            choice = self.prompts.place(route, service, progress)
         if choice is not None:
             handle = await self.prompts.read(choice, route, service, progress)
             progress.read_at = handle.address
@@ -183,7 +184,7 @@
         found = self.directory.engines(service.name, False, now, progress.avoid)
         # One broken stream does not make the only engine useless.
         found = found or self.directory.engines(service.name, False, now)
-        return self.directory.emptiest(found, near, service.cache_tokens)
+        return self.directory.emptiest(found, near)
 
     async def run(
         self,
@@ -212,9 +213,9 @@
             cache_peer="" if handle else self.prompts.peer(progress.read_at),
             last_event=stream.last_event,
         )
-        size = progress.call.prompt_tokens + progress.call.output_tokens
+        share = stream_share(replica, service, progress.call)
         self.directory.started(replica.instance, time.monotonic())
-        self.directory.streams.add(replica.instance, size)
+        self.directory.streams.add(replica.instance, share)
         self.homes.tell()
         progress.sent(
             replica,
@@ -227,9 +228,7 @@
             progress.did_not_run(replica)
             progress.failed(replica, str(error))
             if not isinstance(error, exceptions.EndpointRefused):
-                self.directory.failed(
-                    replica.instance, error, time.monotonic()
-                )
+                self.directory.failed(replica.instance, error, time.monotonic())
             raise
         except exceptions.AnswerBroken as error:
             progress.failed(replica, str(error))
@@ -237,7 +236,7 @@
             raise
         finally:
             self.directory.ended(replica.instance)
-            self.directory.streams.remove(replica.instance, size)
+            self.directory.streams.remove(replica.instance, share)
             self.homes.tell()
         self.directory.health.succeeded(replica.instance, time.monotonic())
         return True
@@ -267,3 +266,11 @@
             await stream.pass_on(answer, progress, listener)
         finally:
             answer.close()
+
+
+def stream_share(
+    replica: types.Replica, service: types.Service, call: types.Call
+) -> float:
+    """The share of an engine that a stream takes."""
+    tokens = call.prompt_tokens + call.output_tokens
+    return stages.stream_share(tokens, service.cache_tokens, replica.slots)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -67,6 +67,8 @@
             many seconds from now they get no work.
         roles: New roles that engines have, and for how many seconds that is
             to be believed.
+        late: Seconds of late prompts that are still to be read, by engine and
+            urgency.
     """
 
     member: str
@@ -76,6 +78,7 @@
     placed: list[Placed]
     closed: dict[str, float] = {}
     roles: dict[str, tuple[str, float]] = {}
+    late: dict[str, float] = {}
 
 
 class Entry(msgspec.Struct):
@@ -243,6 +246,7 @@
                 placed,
                 self.closings_left(),
                 self.roles_left(),
+                rounded(self.homes.late.own),
             )
             data = self.encoder.encode(message)
             if len(data) <= MOST_BYTES or not placed:
@@ -271,6 +275,7 @@
         self.peers.setdefault(message.member, address[:2])
         until = now + SILENT
         self.homes.waiting.remote(message.member, message.prompts, until)
+        self.homes.late.remote(message.member, message.late, until)
         self.directory.streams.remote(message.member, message.streams, until)
         for engine, seconds in message.closed.items():
             if engine in self.directory.replicas:
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -146,7 +146,7 @@
         for replica in self.directory.known(service.name):
             prompts += self.homes.waiting.total(replica.instance, now)
             streams += self.directory.streams.total(replica.instance, now)
-        return stages.Load(prompts, streams, service.cache_tokens)
+        return stages.Load(prompts, streams)
 
     async def order(
         self, service: types.Service, change: stages.Change
@@ -184,7 +184,7 @@
                     token=token,
                     after=state.orders,
                     prompts=round(self.splits[service.name].prompts, 3),
-                    streams=int(self.splits[service.name].streams),
+                    streams=round(self.splits[service.name].streams, 3),
                 )
                 await self.endpoints.order(replica, order)
             self.follow(replica, change.role, service.switch_time)
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -37,17 +37,20 @@
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
 
-    def rank(self, route: routes.Route, expected: float) -> lateness.Rank:
+    def rank(
+        self, route: routes.Route, expected: float, behind: float = 0.0
+    ) -> lateness.Rank:
         """Ranks the request by when its first event is expected.
 
         Args:
             route: Its route.
             expected: Seconds until its prompt is read.
+            behind: Seconds of late prompts before it if it is late.
         """
         age = time.monotonic() - self.call.arrival
         waits = route.waits(self.left(), age)
         return lateness.rank(
-            route.urgency, age, expected, route.objective, waits
+            route.urgency, age, expected, route.objective, waits, behind
         )
 
     def failure(self) -> exceptions.RequestError:
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -42,7 +42,10 @@
         self.tasks: set[asyncio.Task] = set()
 
     def place(
-        self, service: types.Service, progress: progress_module.Progress
+        self,
+        route: routes.Route,
+        service: types.Service,
+        progress: progress_module.Progress,
     ) -> homes_module.Choice | None:
         """Picks the engine that reads the prompt; None for any."""
         call = progress.call
@@ -52,7 +55,9 @@
         if service.token_bytes:
             rate = service.link_rate / service.token_bytes
         return self.homes.choose(
-            homes_module.Prompt(call.chain, call.model, call.prompt_tokens),
+            homes_module.Prompt(
+                call.chain, call.model, call.prompt_tokens, route.urgency
+            ),
             self.readers(service, progress.avoid),
             self.holders(service),
             rate,
@@ -105,14 +110,25 @@
                 waits.
         """
         replica = self.directory.replicas[choice.engine]
-        rank = progress.rank(route, choice.total)
+        rank = progress.rank(route, choice.total, choice.behind)
+        call = progress.call
         if rank.hopeless and not progress.may_have_run:
+            events.log(
+                events.CALL_HOPELESS,
+                request=call.id,
+                instance=choice.engine,
+                expected=round(choice.total, 3),
+                behind=round(choice.behind, 3),
+                left=round(progress.left(), 3),
+            )
             raise exceptions.Unavailable(
                 "the engines have too much to read",
                 outcomes.Outcome.NOT_RUN,
-                min(choice.total, max(0.0, progress.left() / 3)),
+                min(
+                    choice.total + choice.behind,
+                    max(0.0, progress.left() / 3),
+                ),
             )
-        call = progress.call
         events.log(
             events.PROMPT_PLACED,
             request=call.id,
@@ -131,7 +147,11 @@
         )
         sent = time.monotonic()
         choice = self.homes.sent(
-            choice, call.chain, call.model, service.cache_tokens, rank.late
+            choice,
+            call.chain,
+            call.model,
+            service.cache_tokens,
+            route.urgency if rank.late else None,
         )
         try:
             handle = await self.exchange(replica, choice, instructions, call)
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -56,6 +56,16 @@
     address: str
 
 
+class ReplicasSection(settings_module.Section):
+    """The replicas of all services.
+
+    Attributes:
+        leaving_ms: Time after which a replica that leaves must get no work.
+    """
+
+    leaving_ms: float = 2000.0
+
+
 class RetriesSection(settings_module.Section):
     """The site's budget of repeats.
 
@@ -109,6 +119,7 @@
     callers: CallersSection
     store: StoreSection
     peers: PeersSection
+    replicas: ReplicasSection = ReplicasSection()
     retries: RetriesSection = RetriesSection()
     orders: OrdersSection = OrdersSection()
     shutdown: ShutdownSection = ShutdownSection()
--- a/packages/gypsumfold/src/gypsumfold/gateway/watching.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/watching.py
@@ -15,14 +15,14 @@
 from gypsumfold.platform import store as store_module
 
 # Seconds that a read waits for a record. A connection that went silent is
-# noticed after this and the store client's margin, 2.3 s in all.
-LONGEST_WAIT = 1.5
-# Seconds between two reads of the registrations. Each replica writes about
-# once a second, so that every read finds something; a replica that leaves
-# must get no work 2 s later.
-REGISTRATIONS_PAUSE = 0.6
+# noticed after this and the store client's margin, 3.8 s in all: a change must
+# be in force 2 s after a node has been in touch with the store for 3 s.
+LONGEST_WAIT = 3.0
+# Seconds that a read of the registrations waits: replicas write all the time,
+# so that silence means trouble with the store.
+REGISTRATIONS_WAIT = 1.0
 # Seconds until all keys are read again, in case a record was missed.
-REREAD = 8.0
+REREAD = 20.0
 # Seconds before the next try after a failure, and as much again at random.
 RETRY = 0.15
 
@@ -76,7 +76,7 @@
 class Watch:
     """Follows one keyed topic; goes on from the newest after any doubt.
 
-    >>> watch = Watch(store, state, names.CONFIGURATION_TOPIC, consumer, 0.0)
+    >>> watch = Watch(store, state, topic, consumer, lambda: 0.0)
     >>> await watch.run()
     """
 
@@ -86,13 +86,15 @@
         state: StoreState,
         topic: str,
         consumer: Consumer,
-        pause: float,
+        pause: Callable[[], float],
+        wait: float = LONGEST_WAIT,
     ):
         self.store = store
         self.state = state
         self.topic = topic
         self.consumer = consumer
         self.pause = pause
+        self.wait = wait
         self.read = False
 
     async def run(self) -> None:
@@ -114,8 +116,8 @@
         self.consumer.replace(page.records)
         self.read = True
         while time.monotonic() - started < REREAD:
-            await asyncio.sleep(self.pause)
-            page = await self.store.read(self.topic, page.end, LONGEST_WAIT)
+            await asyncio.sleep(self.pause())
+            page = await self.store.read(self.topic, page.end, self.wait)
             self.state.answered(time.monotonic())
             self.consumer.update(page.records)
 
