Soak gateways with overlapping faults by a seed

Real processes (store, six replicas, three gateways, a proxy) with links that are delayed, reset, cut to one gateway and silenced, gateways paused, stopped and killed, engines that crash, a store that is busy, silent or loses answers, and configurations that change, in series that overlap. Six callers keep their connections until a process is gone. Checked from callers' and replicas' records: whole answers with the seal of their own attempt, streams with every event once, at most one run, nothing run behind 503 and the like, tokens and holders of orders, configurations that never go back, and that all gateways serve again.

--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -12,6 +12,7 @@
 from features.support import fleets
 from features.support import http
 from features.support import processes
+from features.support import proxies
 from gypsumfold.gateway import leadership
 from gypsumfold.platform import names
 
@@ -84,6 +85,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gateways-"))
         self.processes: dict[str, processes.Process] = {}
         self.entries: dict[str, dict[str, Any]] = {}
+        self.proxies: dict[str, proxies.Proxy] = {}
         self.version = 0
         self.routes = [PLAIN, LOOKUP, BRIEF, SWAP]
         self.failed = False
@@ -199,13 +201,32 @@
             self[name].until_ready("/_test/record")
             self.register(name, service)
 
+    def proxy(self, name: str) -> proxies.Proxy:
+        """Puts a fault proxy before a process; gateways use its address."""
+        if "proxy" not in self.processes:
+            proxy = self.start_standin("proxy", "proxy", [])
+            proxy.until_ready("/_test/forwards")
+        control = self["proxy"].url
+        listen = f"{fleets.new_host()}:{self[name].port}"
+        forward = {"listen": listen, "target": self[name].address}
+        answer = http.post(f"{control}/_test/forwards", forward)
+        assert answer.status == 200, answer
+        self.proxies[name] = proxies.Proxy(control, listen)
+        return self.proxies[name]
+
+    def address(self, name: str) -> str:
+        """Where gateways reach a process."""
+        if name in self.proxies:
+            return self.proxies[name].address
+        return self[name].address
+
     def register(self, name: str, service: str, **changes) -> None:
         """Puts a replica's entry into the store, and keeps it there."""
         record = self[name].test("record")
         entry = {
             "instance": record["instance"],
             "service": service,
-            "addr": self[name].address,
+            "addr": self.address(name),
             "zone": "north-apron",
             "slots": 6,
             "state": "ready",
@@ -250,7 +271,7 @@
                 "front": f"{host}:{FRONT_PORT}",
                 "ready": f"{host}:{READY_PORT}",
             },
-            "store": {"address": self["store"].address},
+            "store": {"address": self.address("store")},
             "peers": {"address": f"{host}:{PEER_PORT}"},
             "retries": {"share": 0.2, "window_s": 10, "slack": 52},
             "orders": {"lease_ms": 1500},
--- /dev/null
+++ b/features/support/soak.py
@@ -0,0 +1,449 @@
+"""A randomized soak of gateways: real processes, faults from outside them.
+
+Faults come in series and overlap: connections that are delayed, reset, cut
+or silenced by a loopback proxy; processes that are stopped, paused, killed
+and started again by signals; a store that is busy, silent, loses answers or
+its history. Callers keep their connections until a process is gone. What must
+always hold is checked from callers' and replicas' records alone. The order
+of faults follows from a seed; how the processes interleave does not.
+"""
+
+from collections.abc import Callable
+import contextlib
+import http.client
+import pathlib
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from features.support import gateways
+from features.support import processes
+from gypsumfold.platform import names
+
+GATEWAYS = ("edge-1", "edge-2", "edge-3")
+PLAINS = ("app-1", "app-2")
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+CALLERS = 6
+# Seconds that a caller waits for an answer: a frozen gateway gives none.
+WAIT = 4.0
+# Seconds that a fault lasts, and between the beginnings of two: most overlap.
+LASTS = (0.5, 3.5)
+BETWEEN = (0.2, 1.5)
+# Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
+# times that leaves a loaded machine room, and the wait is on the condition.
+CALM = 36.0
+# Promises that nothing has run or will.
+NOT_RUN = (408, 421, 429, 503)
+EVENTS = 5
+
+
+class Ask(NamedTuple):
+    """One request and how it ended for its caller.
+
+    Attributes:
+        attempt: Its id.
+        gateway: Which gateway took it.
+        path: Its route's prefix.
+        status: HTTP status; 0 where no answer came.
+        whole: Whether the answer ended as complete.
+        sealed: Whether a replica vouches for it, for this attempt.
+        body: What came.
+    """
+
+    attempt: str
+    gateway: str
+    path: str
+    status: int
+    whole: bool
+    sealed: bool
+    body: bytes
+
+
+class Fault(NamedTuple):
+    """One fault that was injected, for the report."""
+
+    at: float
+    what: str
+    where: str
+    seconds: float
+
+
+class Soak:
+    """Runs callers against a fleet while faults come and go by a seed.
+
+    >>> soak = Soak(fleet, seed=1, seconds=20.0)
+    >>> soak.run()
+    >>> soak.broken()
+    []
+    """
+
+    def __init__(self, fleet: gateways.GatewayFleet, seed: int, seconds: float):
+        self.fleet = fleet
+        self.seed = seed
+        self.seconds = seconds
+        self.random = random.Random(seed)
+        self.asks: list[Ask] = []
+        self.faults: list[Fault] = []
+        self.runs: dict[str, int] = {}
+        self.orders: dict[str, list[dict]] = {}
+        self.counted: set[tuple[str, str]] = set()
+        self.ended = threading.Event()
+        self.lock = threading.Lock()
+        self.recovered = True
+        self.starts = dict.fromkeys(GATEWAYS, 1)
+        self.started = 0.0
+
+    def prepare(self) -> None:
+        """Starts the fleet, each replica and the store behind a proxy."""
+        self.fleet.start_store()
+        wanted = [(name, "app", "") for name in PLAINS]
+        for number, name in enumerate(ENGINES):
+            wanted.append((name, "lm", "decode" if number < 1 else "prefill"))
+        for name, _, stage in wanted:
+            options = ["--stage", stage] if stage else []
+            self.fleet.start_standin(name, "platform_replica", options)
+        self.fleet.proxy("store")
+        for name, service, _ in wanted:
+            self.fleet[name].until_ready("/_test/record")
+            self.fleet.proxy(name)
+            self.fleet.register(name, service)
+        for name in GATEWAYS:
+            self.fleet.start_gateway(name)
+
+    def run(self) -> None:
+        """Plays faults and calls, then lets all calm down and serve again."""
+        self.prepare()
+        self.started = time.monotonic()
+        threads = []
+        for number in range(CALLERS):
+            rng = random.Random(self.seed * 1000 + number)
+            threads.append(threading.Thread(target=self.call, args=(rng,)))
+        for thread in threads:
+            thread.start()
+        pending: list[tuple[float, Callable[[], None]]] = []
+        end = self.started + self.seconds
+        while time.monotonic() < end:
+            pending.append(self.strike())
+            time.sleep(self.random.uniform(*BETWEEN))
+            pending = self.heal(pending, time.monotonic())
+        self.heal(pending, float("inf"))
+        self.calm()
+        self.ended.set()
+        for thread in threads:
+            thread.join()
+        self.collect()
+
+    def heal(self, pending, now: float):
+        """Ends the faults that are over; returns the others."""
+        left = []
+        for until, undo in pending:
+            if until > now:
+                left.append((until, undo))
+                continue
+            undo()
+        return left
+
+    def strike(self) -> tuple[float, Callable[[], None]]:
+        """Injects one fault; returns when and how it ends."""
+        kinds = (
+            self.slow_link,
+            self.cut_link,
+            self.partition,
+            self.silence,
+            self.store_fault,
+            self.pause,
+            self.kill,
+            self.stop,
+            self.crash_engine,
+            self.configure,
+        )
+        seconds = self.random.uniform(*LASTS)
+        kind = self.random.choice(kinds)
+        where, undo = kind()
+        at = time.monotonic() - self.started
+        self.faults.append(Fault(at, kind.__name__, where, seconds))
+        return time.monotonic() + seconds, undo
+
+    def link(self) -> str:
+        """Picks what is behind a proxy."""
+        return self.random.choice(("store", *PLAINS, *ENGINES))
+
+    def slow_link(self):
+        """Delays every chunk of one link."""
+        name = self.link()
+        self.fleet.proxies[name].delay(self.random.uniform(0.02, 0.4))
+        return name, self.fleet.proxies[name].heal
+
+    def cut_link(self):
+        """Resets the connections of one link and refuses new ones."""
+        name = self.link()
+        self.fleet.proxies[name].cut()
+        return name, self.fleet.proxies[name].heal
+
+    def partition(self):
+        """Lets nothing pass between one link and one gateway."""
+        name = self.link()
+        source = self.fleet[self.random.choice(GATEWAYS)].host
+        self.fleet.proxies[name].partition(source)
+        return name, self.fleet.proxies[name].heal
+
+    def silence(self):
+        """Makes open connections of one link silent for good."""
+        name = self.link()
+        self.fleet.proxies[name].silence()
+        return name, lambda: None
+
+    def store_fault(self):
+        """Makes the store busy, silent, or lose answers or its history."""
+        changes = self.random.choice(
+            ({"busy": True}, {"silent": True}, {"lost": 3})
+        )
+        self.fleet["store"].faults(**changes)
+
+        def undo() -> None:
+            self.fleet["store"].faults(busy=False, silent=False, lost=0)
+
+        return f"store {changes}", undo
+
+    def pause(self):
+        """Pauses a gateway and lets it go on."""
+        process = self.fleet[self.random.choice(GATEWAYS)]
+        if process.alive and not process.frozen:
+            process.freeze()
+
+        def undo() -> None:
+            if process.frozen and process.alive:
+                process.thaw()
+
+        return process.name, undo
+
+    def kill(self):
+        """Kills a gateway; it is started again."""
+        return self.end_gateway(lambda process: process.kill())
+
+    def stop(self):
+        """Stops a gateway gracefully; it is started again."""
+        return self.end_gateway(lambda process: process.terminate())
+
+    def end_gateway(self, end):
+        """Ends a gateway in some way; it is started again."""
+        process = self.fleet[self.random.choice(GATEWAYS)]
+        if not process.alive or process.frozen:
+            return f"{process.name} (not there)", lambda: None
+        end(process)
+        ended = process.child
+
+        def undo() -> None:
+            # Paused on its way out, or started again for another fault.
+            if process.frozen or process.child is not ended:
+                return
+            ended.wait()
+            self.restart(process)
+
+        return process.name, undo
+
+    def restart(self, process: processes.Process) -> None:
+        """Starts a gateway again."""
+        process.restart()
+        self.starts[process.name] += 1
+
+    def crash_engine(self):
+        """Kills an engine; a new one comes at its address."""
+        name = self.random.choice(ENGINES)
+        if name not in self.fleet.entries or not self.fleet[name].alive:
+            return name, lambda: None
+        self.count(name)
+        entry = self.fleet.entries[name]
+        self.fleet.crash(name)
+
+        def undo() -> None:
+            self.fleet[name].restart()
+            self.fleet[name].until_ready("/_test/record")
+            key = entry["instance"]
+            self.fleet.write(names.REGISTRATIONS_TOPIC, key, None)
+            self.fleet.register(name, "lm")
+
+        return name, undo
+
+    def configure(self):
+        """Writes a newer configuration."""
+        return f"version {self.fleet.configure()}", lambda: None
+
+    def calm(self) -> None:
+        """Waits until every gateway serves every kind of request again."""
+        for name in GATEWAYS:
+            process = self.fleet[name]
+            if process.frozen:
+                process.thaw()
+        rng = random.Random(self.seed)
+        limit = time.monotonic() + CALM
+        wanted = {(name, path) for name in GATEWAYS for path in PATHS}
+        while wanted and time.monotonic() < limit:
+            for name, path in sorted(wanted):
+                if not self.fleet[name].alive:
+                    self.restart(self.fleet[name])
+                with contextlib.closing(Caller(self.fleet, rng)) as caller:
+                    ask = caller.ask(name, path)
+                if ask.status == 200 and ask.whole:
+                    wanted.discard((name, path))
+        self.recovered = not wanted
+
+    def call(self, rng: random.Random) -> None:
+        """Asks for one thing after the other, on kept connections."""
+        caller = Caller(self.fleet, rng)
+        while not self.ended.is_set():
+            ask = caller.ask(rng.choice(GATEWAYS), rng.choice(PATHS))
+            with self.lock:
+                self.asks.append(ask)
+        caller.close()
+
+    def count(self, name: str) -> None:
+        """Adds what a replica has run and was ordered, before it ends."""
+        record = self.fleet[name].test("record")
+        key = (name, record["instance"])
+        assert key not in self.counted, key
+        self.counted.add(key)
+        for run in record["runs"]:
+            attempt = run["attempt"]
+            self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        self.orders[record["instance"]] = record["orders"]
+
+    def collect(self) -> None:
+        """Reads the records of all replicas that are left."""
+        for name in (*PLAINS, *ENGINES):
+            self.count(name)
+
+    def broken(self) -> list[str]:
+        """Lists each promise that was broken, with the request or engine."""
+        found = []
+        for ask in self.asks:
+            found += self.judge(ask)
+        for instance, orders in self.orders.items():
+            tokens = [order["fence"] for order in orders]
+            if tokens != sorted(tokens):
+                found.append(f"{instance}: lower token after higher: {tokens}")
+            holders: dict[int, str] = {}
+            for order in orders:
+                first = holders.setdefault(order["fence"], order["holder"])
+                if first != order["holder"]:
+                    found.append(f"{instance}: two holders of one token")
+        for name in GATEWAYS:
+            found += self.regressed(name)
+        if not self.recovered:
+            found.append("a gateway does not serve again")
+        return found
+
+    def judge(self, ask: Ask) -> list[str]:
+        """Judges one request by its answer and by what ran."""
+        found = []
+        runs = self.runs.get(ask.attempt, 0)
+        if ask.path not in REPEATABLE and runs > 1:
+            found.append(f"{ask}: ran {runs} times")
+        if ask.status in NOT_RUN and ask.path not in REPEATABLE and runs:
+            found.append(f"{ask}: said not to have run, ran {runs} times")
+        if ask.status == 200 and ask.whole and not ask.sealed:
+            found.append(f"{ask}: a success that nobody vouches for")
+        complete = ask.status == 200 and ask.whole
+        if complete and "stream" in ask.path and not in_order(ask.body):
+            found.append(f"{ask}: not all events in order")
+        return found
+
+    def regressed(self, name: str) -> list[str]:
+        """Checks that no process of a gateway went back in configuration.
+
+        The first one of a process has none before it.
+        """
+        version = 0
+        firsts = 0
+        found = []
+        for line in self.fleet[name].events(710):
+            if line["before"] is None:
+                firsts += 1
+                version = 0
+            if line["version"] <= version:
+                found.append(f"{name}: {version} then {line['version']}")
+            version = line["version"]
+        if firsts > self.starts[name]:
+            found.append(f"{name}: {firsts} firsts in {self.starts[name]} runs")
+        return found
+
+
+# What callers ask for; "stream" marks routes that answer with events.
+HOLD, LOOK_UP = "/seats/1", "/lookups/1"
+BRIEF, SWAP = "/briefs/stream", "/swaps/stream"
+PATHS = (HOLD, LOOK_UP, BRIEF, SWAP)
+REPEATABLE = (LOOK_UP, SWAP)
+
+
+class Caller:
+    """A caller that keeps one connection to each gateway while it lasts."""
+
+    def __init__(self, fleet: gateways.GatewayFleet, rng: random.Random):
+        self.fleet = fleet
+        self.random = rng
+        self.kept: dict[str, http.client.HTTPConnection] = {}
+
+    def ask(self, gateway: str, path: str) -> Ask:
+        """Sends one request and reads what comes of it."""
+        stream = "stream" in path
+        number = self.random.randrange(40)
+        chain = f"aa:4000,{number:x}:300" if stream else ""
+        sent = gateways.headers(WAIT, chain, stream)
+        attempt = sent[names.ATTEMPT]
+        method, body = ("GET", None) if path == LOOK_UP else ("POST", b"x")
+        status, whole, sealed, data = 0, False, False, b""
+        connection = self.kept.pop(gateway, None) or self.connect(gateway)
+        try:
+            connection.request(method, path, body, sent)
+            response = connection.getresponse()
+            status = response.status
+            seal = response.headers.get(names.SEAL, "")
+            sealed = seal.endswith(f".{attempt}")
+            data = response.read()
+            whole = True
+            if not response.will_close:
+                self.kept[gateway] = connection
+        except http.client.IncompleteRead as error:
+            data = error.partial
+        except (OSError, http.client.HTTPException):
+            pass
+        if gateway not in self.kept:
+            connection.close()
+        return Ask(attempt, gateway, path, status, whole, sealed, data)
+
+    def connect(self, gateway: str) -> http.client.HTTPConnection:
+        """Opens a connection, which fails with its first request if ever."""
+        process = self.fleet[gateway]
+        return http.client.HTTPConnection(
+            process.host, gateways.FRONT_PORT, timeout=WAIT + 1.0
+        )
+
+    def close(self) -> None:
+        """Closes the kept connections."""
+        for connection in self.kept.values():
+            connection.close()
+
+
+def in_order(body: bytes) -> bool:
+    """Whether a stream has all of its events, once each and in order."""
+    found = []
+    for line in body.splitlines():
+        if line.startswith(b"id: "):
+            found.append(int(line[4:]))
+    return found == list(range(1, EVENTS + 1))
+
+
+def timeline(soak: Soak, path: pathlib.Path) -> None:
+    """Writes the faults and the ends of requests for a person to read."""
+    ends: dict[int, int] = {}
+    for ask in soak.asks:
+        ends[ask.status] = ends.get(ask.status, 0) + 1
+    lines = [f"seed {soak.seed}: {len(soak.asks)} requests, by status {ends}"]
+    for fault in soak.faults:
+        lines.append(
+            f"{fault.at:7.2f} s  {fault.what:13} {fault.where}"
+            f" for {fault.seconds:.2f} s"
+        )
+    lines += soak.broken() or ["no promise was broken"]
+    path.write_text("\n".join(lines) + "\n")
