--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -30,6 +30,9 @@
 # Seconds that a fault lasts, and between the beginnings of two: most overlap.
 LASTS = (0.5, 3.5)
 BETWEEN = (0.2, 1.5)
+# What replicas do to answers, as their stand-in names it; "reset" and
+# "crossed" come after the request has run.
+SPOILED = ("reset", "crossed", "stray", "unsealed", "refused", "broken")
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
 CALM = 36.0
@@ -136,6 +139,8 @@
             self.kill,
             self.stop,
             self.crash_engine,
+            self.spoil_answers,
+            self.spoil_answers,
             self.configure,
         )
         seconds = self.random.uniform(*LASTS)
@@ -186,6 +191,15 @@
 
         return f"store {changes}", undo
 
+    def spoil_answers(self):
+        """Has a replica lose, cross, refuse or break its next answers."""
+        name = self.random.choice((*PLAINS, *ENGINES))
+        kind = self.random.choice(SPOILED)
+        if not self.fleet[name].alive:
+            return f"{name} (not there)", lambda: None
+        self.fleet[name].faults(**{kind: 3})
+        return f"{name} {kind}", lambda: None
+
     def pause(self):
         """Pauses a gateway and lets it go on."""
         process = self.fleet[self.random.choice(GATEWAYS)]
