--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -74,14 +74,17 @@
         service = route.service(call.id)
         self.budget.requested(service, time.monotonic())
         outcome = "cancelled"
+        reason = ""
         try:
             await self.within(configuration, route, service, reply, progress)
             outcome = "complete"
         except exceptions.RequestError as error:
             outcome = error.outcome
+            reason = error.detail
             raise
-        except exceptions.AnswerBroken:
+        except exceptions.AnswerBroken as error:
             outcome = "broken"
+            reason = str(error)
             raise
         finally:
             seconds = time.monotonic() - call.arrival
@@ -93,6 +96,7 @@
                 service=service,
                 version=configuration.version,
                 outcome=outcome,
+                reason=reason,
                 seconds=round(seconds, 4),
                 runs=progress.runs,
             )
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
@@ -20,6 +20,8 @@
 from gypsumfoldctl import burns
 from gypsumfoldctl import client as client_module
 from gypsumfoldctl import exceptions
+from gypsumfoldctl import explaining
+from gypsumfoldctl import journeys
 from gypsumfoldctl import output
 from gypsumfoldctl import planning
 
@@ -322,6 +324,40 @@
     finish(work())
 
 
+@main.command(epilog=EXIT_CODES)
+@click.argument("logs", type=click.File("r", errors="replace"), default="-")
+@FORMAT
+@click.option(
+    "--window",
+    type=click.FloatRange(min=0.1),
+    default=explaining.WINDOW,
+    show_default=True,
+    help="Seconds of one row of the course.",
+)
+@click.option(
+    "--plot",
+    type=click.Path(dir_okay=False, writable=True, path_type=pathlib.Path),
+    help="Also draw the course as a PNG file.",
+)
+def explain(
+    logs: TextIO, form: str, window: float, plot: pathlib.Path | None
+) -> None:
+    """Say from the LOGS of gateways what became of requests, and why.
+
+    LOGS holds the lines of one node or of several in the order of time; what
+    a collector has put before the JSON object of a line is skipped. No node
+    is asked.
+    """
+    found = journeys.read(logs)
+    if found.unread:
+        click.echo(f"{found.unread} lines could not be read", err=True)
+    for table in (explaining.causes(found), explaining.course(found, window)):
+        click.echo(output.render(table.columns, table.rows, form))
+        click.echo()
+    if plot is not None:
+        explaining.plot(found, plot)
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
