Count a prompt for as long as it keeps its engine busy

Cause: what waits at an engine was summed in seconds of latency, 30 ms beside the tokens for each prompt. 27 prompts of 290 tokens counted as 1 s where engines read them in a few steps, so callers with 2 s left were refused.

--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -86,6 +86,7 @@
         load: Seconds for which it holds up prompts that come later.
         behind: Seconds of late prompts before it, if it is late itself.
         late: Where it counts among late prompts; empty if it is on time.
+        late_load: Seconds for which it holds up late prompts behind it.
     """
 
     engine: str
@@ -96,6 +97,7 @@
     load: float
     behind: float = 0.0
     late: str = ""
+    late_load: float = 0.0
 
 
 class Listener(Protocol):
@@ -198,9 +200,8 @@
         reading = pace.expected(tokens)
         total = self.delay(engine.name, now) + copying + reading
         behind = self.behind(engine.name, prompt.urgency, now)
-        return Choice(
-            engine.name, peer, tokens, reading, total, reading, behind
-        )
+        load = pace.occupied(tokens)
+        return Choice(engine.name, peer, tokens, reading, total, load, behind)
 
     def behind(self, engine: str, urgency: int, now: float) -> float:
         """Seconds of late prompts that go before a late one."""
@@ -243,9 +244,12 @@
         """
         self.memory = memory
         if urgency is not None:
-            choice = choice._replace(load=choice.reading * LATE_LOAD)
-            choice = choice._replace(late=late_key(choice.engine, urgency))
-            self.late.add(choice.late, choice.reading)
+            choice = choice._replace(
+                load=choice.load * LATE_LOAD,
+                late=late_key(choice.engine, urgency),
+                late_load=choice.load,
+            )
+            self.late.add(choice.late, choice.late_load)
         found = chains.links(chain, model)
         tokens = [part.tokens for part in chain]
         self.caches.add_links(choice.engine, found, tokens, memory)
@@ -271,7 +275,7 @@
         """Takes a prompt out of what waits."""
         self.waiting.remove(choice.engine, choice.load)
         if choice.late:
-            self.late.remove(choice.late, choice.reading)
+            self.late.remove(choice.late, choice.late_load)
 
     def tell(self) -> None:
         """Lets the other nodes know that loads have changed."""
