Let late prompts that hold nobody up keep their place

Cause: a late image tag, 6 ms of reading, went behind every dossier on time, 60 to 300 ms each, and stayed late for as long as any came: the more urgent kind was served less.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -23,6 +23,18 @@
     And no fewer are read on time
     And whoever is refused is told at once
 
+  Scenario: Short prompts are not refused for a queue that engines read in one step
+    Given 100 short prompts a second, and 500 more for 2 seconds
+    When a prompt counts for as long as its answer takes, and for as long as it keeps its engine busy
+    Then at least 20 are refused the first way, and none the second way
+
+  Scenario: Late short prompts do not wait for long ones of a less urgent kind
+    Given 200 short prompts a second, and 250 more for 2 seconds
+    And 18 long prompts a second beside them
+    When late ones go behind all, and small late ones keep their place
+    Then the second way reads more short ones on time in each seed
+    And short ones are served no less than long ones in each seed
+
   Scenario: The split of engines waits while everything is cold
     Given a split of six engines of which one generates
     When 5 seconds pass with 4.0 seconds of prompts and streams of 0.9 memories
@@ -63,6 +75,27 @@
     When 8 seconds pass with 4.0 seconds of prompts and streams of 0.2 memories
     Then 1 engine generates
 
+  Scenario: A reader is not given away at the height of a burst
+    Given a split of 5 engines of which 2 generate, in a mix that both can serve
+    When 4 seconds pass at the height of a burst with 2.2 seconds of prompts, streams of 2.8 memories and a demand of 4.5 readers
+    Then 2 engines generate
+
+  Scenario: A reader that was given away comes back while prompts are refused
+    Given a split of 5 engines of which 3 generate, in a mix that both can serve
+    When most prompts are refused for 10 seconds
+    Then 2 engines generate
+
+  Scenario: A change that another node has ordered is not undone by its successor
+    Given a split of six engines of which one generates
+    When another node takes over while its engine's change is under way
+    Then 2 engines generate
+    And no change was made
+
+  Scenario: Engines that come back generating are not all taken away at once
+    Given a split of six engines of which one generates
+    When two engines that read crash and come back generating
+    Then one of them is ordered to read, and none while it changes
+
   Scenario: A mix that turns over every second is not followed
     Given a split of six engines of which one generates
     When the mix turns over every second for 40 seconds
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -12,6 +12,9 @@
 from gypsumfold.decisions import silence
 
 SEEDS = (1, 2, 3, 4, 5)
+# Seconds for which a prompt keeps an engine busy beside its tokens: engines
+# read several short ones in one step.
+STEP = 0.002
 
 
 def play(policy, asks, seed):
@@ -116,6 +119,86 @@
         assert counted >= without - 0.005, context.shares
 
 
+@behave.given(
+    "{rate:d} short prompts a second, and {more:d} more for {seconds:d} seconds"
+)
+def step_short(context, rate, more, seconds):
+    context.loads = {}
+    for seed in SEEDS:
+        asks = prompt_load.short_prompts(0, 4.0 + seconds, rate, seed)
+        asks += prompt_load.short_prompts(2, seconds, more, seed + 50)
+        context.loads[seed] = sorted(asks)
+
+
+@behave.given("{rate:d} long prompts a second beside them")
+def step_long_beside(context, rate):
+    for seed, asks in context.loads.items():
+        asks += prompt_load.long_prompts(0, 8, rate, seed + 99)
+        asks.sort()
+
+
+@behave.when(
+    "a prompt counts for as long as its answer takes, and for as long as it "
+    "keeps its engine busy"
+)
+def step_play_loads(context):
+    play_both(context, prompt_load.Policy(latency=True), prompt_load.Policy())
+
+
+@behave.when("late ones go behind all, and small late ones keep their place")
+def step_play_kept(context):
+    behind = prompt_load.Policy(kept=False, layered=False)
+    play_both(context, behind, prompt_load.Policy())
+
+
+def play_both(context, before, after):
+    """Plays each load with two policies to engines that read in steps."""
+    context.pairs = []
+    for seed, asks in context.loads.items():
+        pair = []
+        for policy in (before, after):
+            played = prompt_load.Play(policy, 6, 5, seed, STEP)
+            played.run(asks)
+            pair.append(played)
+        context.pairs.append((asks, *pair))
+
+
+@behave.then(
+    "at least {most:d} are refused the first way, and none the second way"
+)
+def step_none_refused(context, most):
+    for _, before, after in context.pairs:
+        assert len(before.refused) >= most, len(before.refused)
+        assert not after.refused, after.refused
+
+
+def share(asks, played, urgency, limit=None):
+    """The share of one kind that was read, within a limit if given."""
+    asked = 0
+    good = 0
+    for number, ask in enumerate(asks):
+        if ask.urgency != urgency:
+            continue
+        asked += 1
+        seconds = played.seconds.get(number, 1e9)
+        if seconds <= (limit or ask.patience):
+            good += 1
+    return good / asked
+
+
+@behave.then("the second way reads more short ones on time in each seed")
+def step_short_on_time(context):
+    for asks, before, after in context.pairs:
+        shares = [share(asks, one, 0, 0.25) for one in (before, after)]
+        assert shares[1] > shares[0] + 0.1, shares
+
+
+@behave.then("short ones are served no less than long ones in each seed")
+def step_short_served(context):
+    for asks, _, after in context.pairs:
+        assert share(asks, after, 0) >= share(asks, after, 1)
+
+
 @behave.then("late ones behind reads more on time in each seed")
 def step_more(context):
     for without, ranked in context.shares.values():
--- a/features/steps/gateway_split_steps.py
+++ b/features/steps/gateway_split_steps.py
@@ -19,10 +19,10 @@
     start_split(context, 2)
 
 
-def start_split(context, decoders):
-    """Makes six engines and a planner that has seen traffic before."""
+def start_split(context, decoders, count=6):
+    """Makes engines and a planner that has seen traffic before."""
     context.roles = {}
-    for number in range(6):
+    for number in range(count):
         role = types.Role.DECODE if number < decoders else types.Role.PREFILL
         context.roles[f"engine-{number}"] = role
     context.split = stages.Split()
@@ -31,14 +31,17 @@
     pass_time(context, 1.0, 0.5, 0.3)
 
 
-def pass_time(context, seconds, prompts, memories):
+def pass_time(context, seconds, prompts, memories, demand=0.0, changing=""):
     """Lets the planner look at a load again and again."""
     end = context.now + seconds
     while context.now < end:
         views = []
         for name, role in context.roles.items():
-            views.append(stages.EngineView(name, "dc", role))
-        load = stages.Load(prompts, memories)
+            view = stages.EngineView(
+                name, "dc", role, changing=name == changing
+            )
+            views.append(view)
+        load = stages.Load(prompts, memories, demand)
         for change in context.split.plan(views, load, context.now):
             context.roles[change.engine] = change.role
             context.changes += 1
@@ -130,3 +133,72 @@
 def step_replaced(context, count):
     lose(context, count, 2.0)
     assert context.changes > 0, context.changes
+
+
+@behave.when("another node takes over while its engine's change is under way")
+def step_take_over(context):
+    """The new holder sees the old roles until the change shows."""
+    context.split = stages.Split()
+    changing = next(
+        name
+        for name, role in context.roles.items()
+        if role == types.Role.PREFILL
+    )
+    pass_time(context, 2.0, 0.5, 0.7, changing=changing)
+    context.roles[changing] = types.Role.DECODE
+    pass_time(context, 2.0, 0.5, 0.7)
+
+
+@behave.when("most prompts are refused for {seconds:d} seconds")
+def step_refused(context, seconds):
+    """What waits is little, what comes is more than the readers take."""
+    pass_time(context, seconds, 0.4, 1.4, demand=3.0)
+
+
+@behave.when(
+    "{seconds:d} seconds pass at the height of a burst with {prompts:f} "
+    "seconds of prompts, streams of {memories:f} memories and a demand of "
+    "{demand:f} readers"
+)
+def step_burst_height(context, seconds, prompts, memories, demand):
+    pass_time(context, seconds, prompts, memories, demand=demand)
+
+
+@behave.given(
+    "a split of {count:d} engines of which {decoders:d} generate, in a mix "
+    "that both can serve"
+)
+def step_mixed_split(context, count, decoders):
+    start_split(context, decoders, count)
+
+
+@behave.when("two engines that read crash and come back generating")
+def step_come_back(context):
+    """The split is off its target, and prompts need the engines soon."""
+    readers = [
+        name
+        for name, role in context.roles.items()
+        if role == types.Role.PREFILL
+    ]
+    for name in readers[:2]:
+        del context.roles[name]
+    pass_time(context, 0.6, 2.0, 0.8, demand=3.0)
+    context.changes = 0
+    for name in readers[:2]:
+        context.roles[name] = types.Role.DECODE
+    context.found = []
+    for changing in ("", readers[0]):
+        views = [
+            stages.EngineView(name, "dc", role, changing=name == changing)
+            for name, role in context.roles.items()
+        ]
+        load = stages.Load(2.0, 0.8, 3.0)
+        context.found.append(context.split.plan(views, load, context.now))
+        context.now += LOOK
+
+
+@behave.then("one of them is ordered to read, and none while it changes")
+def step_one_ordered(context):
+    first, second = context.found
+    assert [change.role for change in first] == [types.Role.PREFILL], first
+    assert second == [], second
--- a/features/support/prompt_load.py
+++ b/features/support/prompt_load.py
@@ -19,6 +19,8 @@
 OVERHEAD = 0.03
 MEMORY = 440_000
 COPY_RATE = 2_500_000.0
+# The urgency that counts all that waits at an engine as before a prompt.
+LEAST_URGENT = 3
 # Seconds until a datagram is in force at the other nodes.
 TOLD_AFTER = 0.03
 
@@ -49,12 +51,19 @@
         told: Nodes tell each other of their prompts.
         ranked: Late requests go behind, hopeless ones are refused.
         counted: Late requests know of the late ones before them.
+        latency: A prompt counts for as long as its answer takes, not for as
+            long as it keeps its engine busy.
+        kept: Late prompts that hold nobody up keep their place.
+        layered: A prompt waits for those that go before it, not for all.
     """
 
     homes: bool = True
     told: bool = True
     ranked: bool = True
     counted: bool = True
+    latency: bool = False
+    kept: bool = True
+    layered: bool = True
 
 
 class Engine:
@@ -98,8 +107,26 @@
     0.93
     """
 
-    def __init__(self, policy: Policy, nodes: int, engines: int, seed: int):
+    def __init__(
+        self,
+        policy: Policy,
+        nodes: int,
+        engines: int,
+        seed: int,
+        step: float = OVERHEAD,
+    ):
+        """Makes nodes and engines.
+
+        Args:
+            policy: Which decisions the nodes take.
+            nodes: How many there are.
+            engines: How many read prompts.
+            seed: Of the nodes that requests come to.
+            step: Seconds for which a prompt keeps its engine busy beside its
+                tokens; its answer comes after `OVERHEAD`.
+        """
         self.policy = policy
+        self.step = step
         self.random = random.Random(seed)
         self.names = [f"engine-{number}" for number in range(engines)]
         self.engines = {name: Engine() for name in self.names}
@@ -165,14 +192,17 @@
         node = self.random.randrange(len(self.nodes))
         homes = self.nodes[node]
         tokens = sum(part.tokens for part in ask.chain)
-        prompt = homes_module.Prompt(ask.chain, "m", tokens, ask.urgency)
+        urgency = ask.urgency if self.policy.layered else LEAST_URGENT
+        prompt = homes_module.Prompt(ask.chain, "m", tokens, urgency)
         if self.policy.homes:
             choice = homes.choose(
                 prompt, self.candidates, self.candidates, COPY_RATE, self.now
             )
         else:
             choice = self.shortest(homes, prompt)
-        rank = lateness.Rank(ask.urgency, False, False)
+        if self.policy.latency:
+            choice = choice._replace(load=choice.reading)
+        rank = lateness.Rank(ask.urgency, False, False, False)
         if self.policy.ranked:
             rank = lateness.rank(
                 ask.urgency,
@@ -181,11 +211,12 @@
                 ask.objective,
                 ask.patience,
                 choice.behind if self.policy.counted else 0.0,
+                choice.load if self.policy.kept else ask.objective,
             )
         if rank.hopeless:
             self.refused[number] = self.now - ask.at
             return
-        urgency = ask.urgency if rank.late else None
+        urgency = ask.urgency if rank.deferred else None
         choice = homes.sent(choice, ask.chain, "m", MEMORY, urgency)
         engine = self.engines[choice.engine]
         job = Job(ask, node, choice, self.now)
@@ -221,16 +252,20 @@
                 peer = self.engines[job.choice.peer].caches
                 cached = max(cached, peer.cached("own", chain[:-1], "m"))
             tokens = sum(part.tokens for part in chain) - cached
-            engine.free_at = self.now + OVERHEAD + tokens / RATE
+            engine.free_at = self.now + self.step + tokens / RATE
             self.later(engine.free_at, self.finish, engine, number, job)
             return
 
     def finish(self, engine: Engine, number: int, job: Job) -> None:
-        """An engine has read a prompt."""
+        """An engine has read a prompt; its answer takes a while longer."""
         engine.caches.add("own", job.ask.chain, "m", MEMORY)
+        self.later(self.now + OVERHEAD - self.step, self.answer, number, job)
+        self.start(engine)
+
+    def answer(self, number: int, job: Job) -> None:
+        """A node hears that a prompt was read."""
         self.seconds[number] = self.now - job.ask.at
         self.nodes[job.node].done(job.choice, self.now - job.sent, self.now)
-        self.start(engine)
 
 
 def load(seconds: float, rate: float, beginnings: int, seed: int) -> list[Ask]:
@@ -261,3 +296,27 @@
         at = start + rng.random()
         asks.append(Ask(at, (shared, own), 2, 0.8, 3.2))
     return asks
+
+
+def short_prompts(start: float, seconds: float, rate: float, seed: int):
+    """Short prompts of the most urgent kind, all new."""
+    rng = random.Random(seed)
+    asks = []
+    at = start
+    while at < start + seconds:
+        at += rng.expovariate(rate)
+        own = chains.Part(f"short{len(asks)}-{start}", rng.randint(150, 430))
+        asks.append(Ask(at, (own,), 0, 0.25, 2.0))
+    return asks
+
+
+def long_prompts(start: float, seconds: float, rate: float, seed: int):
+    """Long prompts of a less urgent kind, all new."""
+    rng = random.Random(seed)
+    asks = []
+    at = start
+    while at < start + seconds:
+        at += rng.expovariate(rate)
+        own = chains.Part(f"long{len(asks)}-{start}", rng.randint(2000, 8000))
+        asks.append(Ask(at, (own,), 1, 0.5, 2.0))
+    return asks
--- a/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
@@ -14,9 +14,17 @@
 # Seconds from a read prompt to the first event at the caller: handing the KV
 # cache over and the first step (45 ms, median of a quiet minute).
 FIRST_EVENT = 0.06
-# Urgency of the most urgent late request: behind every request that is on
+# Urgency of the most urgent deferred request: behind every request that is on
 # time and behind those of which nothing is said (5).
 LATE = 6
+# Share of its objective for which a late request may hold up others and yet
+# keep its place before less urgent ones, behind fresh ones of its own urgency.
+# Behind all of them, prompts of 6 ms waited 0.4 s for prompts of 60 to 300 ms
+# for as long as 300 a second came, and were served less than these.
+SMALL = 0.1
+# Levels of urgency that engines know for each one of routes: one for requests
+# on time, one for small late ones.
+LEVELS = 2
 # The least urgent that engines know.
 LAST = 9
 # Times its expected seconds that a late request takes, since those that come
@@ -34,11 +42,13 @@
     Attributes:
         urgency: For the engine; 0 is the most urgent.
         late: Whether it will miss its objective.
+        deferred: Whether it goes behind all that is on time.
         hopeless: Whether its caller will have left before its first event.
     """
 
     urgency: int
     late: bool
+    deferred: bool
     hopeless: bool
 
 
@@ -49,6 +59,7 @@
     objective: float,
     waits: float,
     behind: float = 0.0,
+    load: float = 0.0,
 ) -> Rank:
     """Ranks a request by when its first event is expected.
 
@@ -58,13 +69,19 @@
         expected: Seconds until its prompt is read.
         objective: Seconds from its coming within which it is worth most.
         waits: Seconds for which its caller still waits.
-        behind: Seconds of late prompts that wait before it if it is late.
+        behind: Seconds of deferred prompts that wait before it if it is
+            deferred.
+        load: Seconds for which it holds up others.
     """
     remaining = expected + FIRST_EVENT
     late = age + remaining > objective
+    deferred = late and load > SMALL * objective
     if late:
-        remaining = OVERTAKEN * (expected + behind) + FIRST_EVENT
+        before = behind if deferred else 0.0
+        remaining = OVERTAKEN * (expected + before) + FIRST_EVENT
     hopeless = remaining > MARGIN * waits
-    if late:
-        urgency = min(LAST, LATE + urgency)
-    return Rank(min(LAST, urgency), late, hopeless)
+    if deferred:
+        level = min(LAST, LATE + urgency)
+    else:
+        level = min(LATE - 1, LEVELS * urgency + int(late))
+    return Rank(level, late, deferred, hopeless)
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -40,19 +40,24 @@
         return self.call.deadline - time.monotonic()
 
     def rank(
-        self, route: routes.Route, expected: float, behind: float = 0.0
+        self,
+        route: routes.Route,
+        expected: float,
+        behind: float = 0.0,
+        load: float = 0.0,
     ) -> lateness.Rank:
         """Ranks the request by when its first event is expected.
 
         Args:
             route: Its route.
             expected: Seconds until its prompt is read.
-            behind: Seconds of late prompts before it if it is late.
+            behind: Seconds of deferred prompts before it if it is deferred.
+            load: Seconds for which it holds up others.
         """
         age = time.monotonic() - self.call.arrival
         waits = route.waits(self.left(), age)
         return lateness.rank(
-            route.urgency, age, expected, route.objective, waits, behind
+            route.urgency, age, expected, route.objective, waits, behind, load
         )
 
     def failure(self) -> exceptions.RequestError:
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -110,11 +110,12 @@
                 waits.
         """
         replica = self.directory.replicas[choice.engine]
-        rank = progress.rank(route, choice.total, choice.behind)
+        rank = progress.rank(route, choice.total, choice.behind, choice.load)
         call = progress.call
         self.homes.demand.add(service.name, choice.load, time.monotonic())
         if rank.hopeless and not progress.may_have_run:
-            raise hopeless(choice, progress)
+            behind = choice.behind if rank.deferred else 0.0
+            raise hopeless(choice, progress, behind)
         events.log(
             events.PROMPT_PLACED,
             request=call.id,
@@ -137,7 +138,7 @@
             call.chain,
             call.model,
             service.cache_tokens,
-            route.urgency if rank.late else None,
+            route.urgency if rank.deferred else None,
         )
         try:
             handle = await self.exchange(replica, choice, instructions, call)
@@ -240,11 +241,18 @@
 
 
 def hopeless(
-    choice: homes_module.Choice, progress: progress_module.Progress
+    choice: homes_module.Choice,
+    progress: progress_module.Progress,
+    behind: float,
 ) -> exceptions.Unavailable:
     """Makes the answer to a caller that would leave before its prompt is read.
 
     It may come back once what waits now has been read.
+
+    Args:
+        choice: Where it would have been read first.
+        progress: Of its request.
+        behind: Seconds of deferred prompts before it.
     """
     left = progress.left()
     events.log(
@@ -252,11 +260,11 @@
         request=progress.call.id,
         instance=choice.engine,
         expected=round(choice.total, 3),
-        behind=round(choice.behind, 3),
+        behind=round(behind, 3),
         left=round(left, 3),
     )
     return exceptions.Unavailable(
         "the engines have too much to read",
         outcomes.Outcome.NOT_RUN,
-        min(choice.total + choice.behind, max(0.0, left / 3)),
+        min(choice.total + behind, max(0.0, left / 3)),
     )
