Let a prompt wait for those before it, not for all

Cause: the wait of an urgent short prompt was taken to be that of all prompts at an engine, also of long ones that it overtakes, so it was called late or hopeless where it had 30 ms to wait. Waits are kept by urgency.

--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -32,6 +32,12 @@
 # Share of its reading for which a late prompt holds up others: it goes behind
 # them, but they wait for the piece of it that is being read.
 LATE_LOAD = 0.2
+# Urgencies that are told apart from 0 on; the least urgent count together.
+LEAST_URGENT = 3
+# Seconds for which a prompt that is being read holds up a more urgent one:
+# engines read in pieces of 1,024 to 2,048 tokens, at 38 to 64 in a ms. Counted
+# whole, long prompts made short ones that overtake them look late.
+PIECE = 0.032
 # Tokens below which copying takes longer than reading: 400 are 10 ms.
 LEAST_COPY = 400
 # Seconds that copying cached parts takes beside their bytes.
@@ -88,6 +94,7 @@
         behind: Seconds of late prompts before it, if it is late itself.
         late: Where it counts among late prompts; empty if it is on time.
         late_load: Seconds for which it holds up late prompts behind it.
+        urgency: With which it counts among what waits.
     """
 
     engine: str
@@ -99,6 +106,7 @@
     behind: float = 0.0
     late: str = ""
     late_load: float = 0.0
+    urgency: int = 0
 
 
 class Listener(Protocol):
@@ -132,10 +140,31 @@
         """What is known of an engine's speed."""
         return self.paces.setdefault(engine, paces.Pace())
 
-    def delay(self, engine: str, now: float) -> float:
-        """Seconds that a prompt is expected to wait at an engine."""
-        seen = self.pace(engine).delay_seen(now)
-        return max(seen, self.waiting.total(engine, now))
+    def delay(
+        self, engine: str, now: float, urgency: int = LEAST_URGENT
+    ) -> float:
+        """Seconds that a prompt is expected to wait at an engine.
+
+        Those that are less urgent hold it up by the piece being read only.
+        """
+        urgency = min(urgency, LEAST_URGENT)
+        seen = self.pace(engine).delay_seen(now, urgency)
+        before = 0.0
+        after = 0.0
+        for other in range(LEAST_URGENT + 1):
+            amount = self.waiting.total(urgency_key(engine, other), now)
+            if other <= urgency:
+                before += amount
+            else:
+                after += amount
+        return max(seen, before + min(after, PIECE))
+
+    def queued(self, engine: str, now: float) -> float:
+        """Seconds of prompts of any urgency that wait at an engine."""
+        found = 0.0
+        for urgency in range(LEAST_URGENT + 1):
+            found += self.waiting.total(urgency_key(engine, urgency), now)
+        return found
 
     def choose(
         self,
@@ -200,16 +229,26 @@
         tokens = max(0, prompt.tokens - cached)
         pace = self.pace(engine.name)
         reading = pace.expected(tokens)
-        total = self.delay(engine.name, now) + copying + reading
+        delay = self.delay(engine.name, now, prompt.urgency)
+        total = delay + copying + reading
         behind = self.behind(engine.name, prompt.urgency, now)
         load = pace.occupied(tokens)
-        return Choice(engine.name, peer, tokens, reading, total, load, behind)
+        return Choice(
+            engine.name,
+            peer,
+            tokens,
+            reading,
+            total,
+            load,
+            behind,
+            urgency=min(prompt.urgency, LEAST_URGENT),
+        )
 
     def behind(self, engine: str, urgency: int, now: float) -> float:
         """Seconds of late prompts that go before a late one."""
         found = 0.0
-        for other in range(urgency + 1):
-            found += self.late.total(late_key(engine, other), now)
+        for other in range(min(urgency, LEAST_URGENT) + 1):
+            found += self.late.total(urgency_key(engine, other), now)
         return found
 
     def holder(self, prompt: Prompt, holders: list[Engine]) -> Holder:
@@ -248,14 +287,17 @@
         if urgency is not None:
             choice = choice._replace(
                 load=choice.load * LATE_LOAD,
-                late=late_key(choice.engine, urgency),
+                late=urgency_key(choice.engine, urgency),
+                # It holds up all a little, the most urgent too.
+                urgency=0,
                 late_load=choice.load,
             )
             self.late.add(choice.late, choice.late_load)
         found = chains.links(chain, model)
         tokens = [part.tokens for part in chain]
         self.caches.add_links(choice.engine, found, tokens, memory)
-        self.waiting.add(choice.engine, choice.load)
+        key = urgency_key(choice.engine, choice.urgency)
+        self.waiting.add(key, choice.load)
         if self.listener is not None:
             self.listener.sent(choice.engine, found, tokens)
         return choice
@@ -265,7 +307,9 @@
         self.remove(choice)
         if not choice.late:
             pace = self.pace(choice.engine)
-            pace.done(choice.tokens, choice.reading, seconds, now)
+            pace.done(
+                choice.tokens, choice.reading, seconds, now, choice.urgency
+            )
         self.tell()
 
     def dropped(self, choice: Choice) -> None:
@@ -275,7 +319,8 @@
 
     def remove(self, choice: Choice) -> None:
         """Takes a prompt out of what waits."""
-        self.waiting.remove(choice.engine, choice.load)
+        key = urgency_key(choice.engine, choice.urgency)
+        self.waiting.remove(key, choice.load)
         if choice.late:
             self.late.remove(choice.late, choice.late_load)
 
@@ -295,15 +340,14 @@
         """Drops an engine that is gone."""
         self.caches.forget(engine)
         self.paces.pop(engine, None)
-        self.waiting.forget(engine)
-        for key in list(self.late.own):
-            if key.startswith(f"{engine}/"):
-                self.late.forget(key)
+        for urgency in range(LEAST_URGENT + 1):
+            self.waiting.forget(urgency_key(engine, urgency))
+            self.late.forget(urgency_key(engine, urgency))
 
 
-def late_key(engine: str, urgency: int) -> str:
-    """Names an engine's late prompts of one urgency."""
-    return f"{engine}/{urgency}"
+def urgency_key(engine: str, urgency: int) -> str:
+    """Names an engine's prompts of one urgency."""
+    return f"{engine}/{min(urgency, LEAST_URGENT)}"
 
 
 def order(key: int, engines: list[Engine]) -> list[Engine]:
--- a/packages/gypsumfold/src/gypsumfold/decisions/paces.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/paces.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 # Prompt tokens a second that an engine is taken to read before any prompt
 # was seen: two accelerators with a large mixture-of-experts model.
@@ -35,6 +36,13 @@
 WEIGHT = 0.5
 
 
+class Wait(NamedTuple):
+    """Seconds that prompts waited, and when that was seen last."""
+
+    seconds: float
+    at: float
+
+
 class Pace:
     """What one engine's prompts took.
 
@@ -45,8 +53,7 @@
 
     def __init__(self):
         self.rate = FIRST_RATE
-        self.wait = 0.0
-        self.seen = 0.0
+        self.waits: dict[int, Wait] = {}
 
     def expected(self, tokens: int) -> float:
         """Seconds to read so many tokens on an idle engine."""
@@ -57,7 +64,12 @@
         return STEP_TIME + tokens / self.rate
 
     def done(
-        self, tokens: int, expected: float, seconds: float, now: float
+        self,
+        tokens: int,
+        expected: float,
+        seconds: float,
+        now: float,
+        urgency: int = 0,
     ) -> None:
         """Learns from a prompt that was read.
 
@@ -66,10 +78,12 @@
             expected: Seconds that reading them was to take.
             seconds: From sending it to its end.
             now: The time.
+            urgency: Of its route: the urgent wait for less.
         """
         excess = max(0.0, seconds - expected)
-        self.wait = (1 - WEIGHT) * self.delay_seen(now) + WEIGHT * excess
-        self.seen = now
+        seen = self.delay_seen(now, urgency)
+        wait = (1 - WEIGHT) * seen + WEIGHT * excess
+        self.waits[urgency] = Wait(wait, now)
         if tokens < LEAST_TOKENS or seconds <= FIRST_OVERHEAD:
             return
         rate = tokens / (seconds - FIRST_OVERHEAD)
@@ -78,7 +92,10 @@
         else:
             self.rate *= 1 - STEP * FAST_SHARE
 
-    def delay_seen(self, now: float) -> float:
-        """The waits that were observed, with age."""
-        age = max(0.0, now - self.seen)
-        return self.wait * math.pow(0.5, age / HALF_LIFE)
+    def delay_seen(self, now: float, urgency: int = 0) -> float:
+        """The waits that prompts of one urgency had, with age."""
+        wait = self.waits.get(urgency)
+        if wait is None:
+            return 0.0
+        age = max(0.0, now - wait.at)
+        return wait.seconds * math.pow(0.5, age / HALF_LIFE)
--- a/packages/gypsumfold/src/gypsumfold/decisions/shares.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/shares.py
@@ -5,6 +5,11 @@
 that is fresh.
 """
 
+import math
+
+# Amounts below which nothing is left: what adding and taking away leaves over.
+LEAST = 1e-9
+
 
 class Shares:
     """Amounts by engine, this node's own and those of the others.
@@ -19,6 +24,10 @@
     def __init__(self):
         self.own: dict[str, float] = {}
         self.others: dict[str, tuple[dict[str, float], float]] = {}
+        # What the others have together, so that asking costs the same however
+        # many nodes there are.
+        self.sums: dict[str, float] = {}
+        self.next_end = math.inf
 
     def add(self, engine: str, amount: float) -> None:
         """Adds to this node's own amount."""
@@ -27,7 +36,7 @@
     def remove(self, engine: str, amount: float) -> None:
         """Takes from this node's own amount."""
         left = self.own.get(engine, 0.0) - amount
-        if left > 1e-9:
+        if left > LEAST:
             self.own[engine] = left
         else:
             self.own.pop(engine, None)
@@ -36,20 +45,39 @@
         self, node: str, amounts: dict[str, float], until: float
     ) -> None:
         """Replaces what another node has, until it no longer counts."""
+        self.drop(node)
         self.others[node] = (amounts, until)
+        self.next_end = min(self.next_end, until)
+        for engine, amount in amounts.items():
+            self.sums[engine] = self.sums.get(engine, 0.0) + amount
 
     def total(self, engine: str, now: float) -> float:
         """What all nodes have at an engine."""
-        found = self.own.get(engine, 0.0)
-        for node, (amounts, until) in list(self.others.items()):
+        if now >= self.next_end:
+            self.expire(now)
+        return self.own.get(engine, 0.0) + self.sums.get(engine, 0.0)
+
+    def expire(self, now: float) -> None:
+        """Drops what no longer counts."""
+        for node, (_, until) in list(self.others.items()):
             if now >= until:
-                del self.others[node]
-                continue
-            found += amounts.get(engine, 0.0)
-        return found
+                self.drop(node)
+        ends = [until for _, until in self.others.values()]
+        self.next_end = min(ends, default=math.inf)
+
+    def drop(self, node: str) -> None:
+        """Drops what one node has."""
+        amounts, _ = self.others.pop(node, ({}, 0.0))
+        for engine, amount in amounts.items():
+            left = self.sums.get(engine, 0.0) - amount
+            if left > LEAST:
+                self.sums[engine] = left
+            else:
+                self.sums.pop(engine, None)
 
     def forget(self, engine: str) -> None:
         """Drops an engine that is gone."""
         self.own.pop(engine, None)
+        self.sums.pop(engine, None)
         for amounts, _ in self.others.values():
             amounts.pop(engine, None)
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -126,7 +126,7 @@
                 continue
             role = self.directory.role(replica, now)
             role = pending.role if pending else role
-            waiting = self.homes.waiting.total(replica.instance, now)
+            waiting = self.homes.queued(replica.instance, now)
             views.append(
                 stages.EngineView(
                     replica.instance, replica.data_centre, role, waiting
@@ -145,7 +145,7 @@
         prompts = 0.0
         streams = 0.0
         for replica in self.directory.known(service.name):
-            prompts += self.homes.waiting.total(replica.instance, now)
+            prompts += self.homes.queued(replica.instance, now)
             streams += self.directory.streams.total(replica.instance, now)
         demand = self.homes.demand.total(service.name, now)
         return stages.Load(prompts, streams, demand)
