Take a later start under the same id for a new replica; fuzz what is decoded

A replica may start again under its id. All that was believed of it (cached parts, role, closing, orders, streams, health, kept caches, connections) ends with an entry, report or list of a later start, and late words of the earlier one are dropped, those of peers too. An entry of another writer names no replica, is logged once and harms no other. Fuzzing found, each mended and kept as an example: lists nested 2,000 deep raise RecursionError (one registration stopped the reader of all), counts of 5,000 digits in a request's headers raise ValueError (the connection was cut unanswered), a port of 99999 in a node's entry would fail every datagram to the peers after it (read, not seen), an amount that is no number would stay in all sums (read, not seen).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -115,6 +115,27 @@
       | marked as leaving  |
       | removed            |
 
+  Scenario: An engine that starts again under its id holds nothing of before
+    Given a caller's prompt "aa:8000,bb:300" was read at "/briefs/1"
+    When the engine that read it starts again under its id and the gateway knows
+    And a caller asks "/briefs/1" for a stream with the prompt "aa:8000,cc:300"
+    Then the caller gets all events of one engine in order
+    And the gateway had all 8300 tokens of its prompt read
+
+  Scenario: A late entry of an engine's earlier start says nothing of it
+    Given a caller's prompt "aa:8000,bb:300" was read at "/briefs/1"
+    And the engine that read it starts again under its id and the gateway knows
+    When a late entry of its earlier start says that it leaves, and more entries come
+    And a caller asks "/briefs/1" for a stream with the prompt "aa:8000,cc:300"
+    Then the caller gets all events of one engine in order
+    And the same engine read its prompt
+
+  Scenario: Entries that name no replica harm no other
+    When entries come that nobody could use, between good ones
+    And 12 callers in turn post to "/seats/7"
+    Then each of them got the sealed answer to its own attempt
+    And each unusable entry was logged once
+
   Scenario: An address that belongs to another replica by now runs nothing there
     Given "app-1" is registered under the address of "app-2"
     When 12 callers in turn post to "/seats/7"
--- /dev/null
+++ b/features/restarts.feature
@@ -0,0 +1,43 @@
+Feature: A replica that starts again under its old id holds nothing of before
+
+  Background:
+    Given a node that knows an engine started at 1000
+    And much is believed of that engine
+
+  Scenario Outline: All that was believed ends with <word> of a later start
+    When <word> of a start at 2000 comes
+    Then nothing of before is believed of the engine
+    And the engine is used
+
+    Examples:
+      | word     |
+      | an entry |
+      | a report |
+
+  Scenario Outline: <word> of the earlier start that comes late is dropped
+    When an entry of a start at 2000 comes
+    And <word> of a start at 1000 says that the engine reads and leaves
+    Then the engine is used
+    And nothing of before is believed of the engine
+
+    Examples:
+      | word             |
+      | an entry         |
+      | a report         |
+      | a peer's message |
+      | a list of caches |
+
+  Scenario: The same start said again ends nothing
+    When an entry of a start at 1000 comes
+    Then much is still believed of the engine
+
+  Scenario: A kept prompt is read again where its engine has started again
+    Given a request whose prompt the engine has read
+    When an entry of a start at 2000 comes
+    Then the request's prompt is to be read again
+
+  Scenario: A late entry of before is dropped although the replica was gone
+    When an entry of a start at 2000 comes
+    And the engine's entry goes
+    And an entry of a start at 1000 comes
+    Then the engine is not known
--- /dev/null
+++ b/features/steps/fuzzing_steps.py
@@ -0,0 +1,193 @@
+"""Steps that decode made-up messages from outside."""
+
+import json
+import math
+import pathlib
+import tempfile
+
+import behave
+from features.support import made_up
+import hypothesis
+
+from gypsumfold import exceptions
+from gypsumfold.decisions import homes as homes_module
+from gypsumfold.gateway import gossip as gossip_module
+from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import watching
+from gypsumfold.platform import decoding
+from gypsumfold.platform import ingress
+from gypsumfold.platform import store as store_module
+
+# Examples of each kind; 300 take about a second.
+EXAMPLES = 300
+SETTINGS = hypothesis.settings(
+    max_examples=EXAMPLES,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def replica_of(value):
+    """Decodes a registration."""
+    found = decoding.replica("i-1", value)
+    assert isinstance(found.slots, int) and found.slots >= 1, found
+    assert isinstance(found.born, int) and found.service, found
+
+
+def entry_of(value):
+    """Takes the entry of a node in."""
+    gossip = made_up.gossip()
+    gossip.update([store_module.Record("edge-2", value)])
+    if not gossip.peers:
+        raise exceptions.RecordInvalid("no peer")
+    for address in gossip.peers.values():
+        assert 0 < address[1] < 65536, address
+
+
+DECODERS = {
+    "registrations": (made_up.REGISTRATION, replica_of),
+    "configurations": (made_up.CONFIGURATION, decoding.configuration),
+    "reports of engines": (made_up.REPORT, decoding.state),
+    "lists of caches": (made_up.CACHE_LIST, decoding.cache_list),
+    "handles of caches": (made_up.HANDLE, decoding.handle),
+    "entries of nodes": (made_up.NODE, entry_of),
+}
+
+
+@behave.when("made-up {kind} are decoded")
+def step_decode(context, kind):
+    if kind == "headers of requests":
+        decode_all(context, made_up.headers(), decode_headers)
+        return
+    valid, decoder = DECODERS[kind]
+    decode_all(context, made_up.messages(valid), decoder)
+
+
+def decode_all(context, strategy, decoder):
+    """Decodes made-up values; keeps how many were taken and refused."""
+    ends = {"decoded": 0, "refused": 0}
+
+    @SETTINGS
+    @hypothesis.given(strategy)
+    def decode(value):
+        try:
+            decoder(value)
+        except (
+            exceptions.RecordInvalid,
+            exceptions.RequestInvalid,
+            exceptions.SettingsError,
+        ):
+            ends["refused"] += 1
+            return
+        ends["decoded"] += 1
+
+    decode()
+    context.ends = ends
+
+
+def decode_headers(fields):
+    """Decodes a request's headers and uses what they hold."""
+    call = ingress.decode("POST", "/a/1", fields, b"", 1.0)
+    assert call.deadline >= 1.0
+    homes = homes_module.Homes()
+    engine = homes_module.Engine("engine-1", "10.0.0.1:1")
+    prompt = homes_module.Prompt(call.chain, call.model, call.prompt_tokens)
+    homes.choose(prompt, [engine], [engine], 1e6, 0.0)
+
+
+@behave.then("each is decoded or refused")
+def step_ends(context):
+    assert sum(context.ends.values()) >= EXAMPLES / 2, context.ends
+    assert context.ends["refused"], context.ends
+    assert context.ends["decoded"], context.ends
+
+
+@behave.when("made-up datagrams reach a node")
+def step_datagrams(context):
+    context.gossip = made_up.gossip()
+    context.ends = {"decoded": 0, "refused": 0}
+
+    @SETTINGS
+    @hypothesis.given(made_up.datagrams())
+    def receive(data):
+        before = len(context.gossip.heard)
+        context.gossip.datagram_received(data, ("10.0.0.9", 1))
+        heard = len(context.gossip.heard) > before
+        context.ends["decoded" if heard else "refused"] += 1
+        sums = context.gossip.homes.waiting.sums
+        assert all(map(math.isfinite, sums.values())), sums
+
+    receive()
+
+
+@behave.then("the node still takes a peer's datagram in")
+def step_still(context):
+    message = gossip_module.Message("edge-good", 1, {"i-1/0": 0.5}, {}, [])
+    data = context.gossip.encoder.encode(message)
+    context.gossip.datagram_received(data, ("10.0.0.2", 8092))
+    assert "edge-good" in context.gossip.peers
+
+
+@behave.when("made-up settings are read")
+def step_settings(context):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="settings-"))
+    path = folder / "gateway.toml"
+
+    def load(data):
+        path.write_bytes(data)
+        settings_module.load(path)
+
+    decode_all(context, made_up.settings_files(), load)
+
+
+FAULTS = {
+    "no service": {"service": None},
+    "a number as name": {"service": 7},
+    "an unknown state": {"state": "resting"},
+    "an unknown role": {"stage": "thinking"},
+    "slots as text": {"slots": "24"},
+    "no address": {"addr": "somewhere"},
+    "a start as text": {"born": "1764726000000"},
+}
+
+
+@behave.given("a directory that follows registrations")
+def step_directory(context):
+    gossip = made_up.gossip()
+    context.directory = gossip.directory
+    context.registrations = watching.Registrations(
+        context.directory, watching.StoreState()
+    )
+
+
+@behave.when("a registration with {fault} comes between two good ones")
+def step_bad_entry(context, fault):
+    bad = b"\xff\x00{" if fault == "bytes" else changed(FAULTS[fault])
+    good = json.dumps(made_up.REGISTRATION).encode()
+    context.records = [
+        store_module.Record("i-1", good),
+        store_module.Record("i-bad", bad),
+        store_module.Record("i-2", good),
+    ]
+    for _ in range(3):
+        context.registrations.replace(context.records)
+        context.registrations.update(context.records)
+
+
+def changed(changes):
+    """A registration with some fields changed, or left out for None."""
+    entry = {**made_up.REGISTRATION, **changes}
+    entry = {name: value for name, value in entry.items() if value is not None}
+    return json.dumps(entry).encode()
+
+
+@behave.then("the two good ones are known and the other one is not")
+def step_good_known(context):
+    assert sorted(context.directory.replicas) == ["i-1", "i-2"]
+
+
+@behave.then("it was counted once, however often it was read")
+def step_counted(context):
+    assert context.registrations.unreadable == 1
--- /dev/null
+++ b/features/steps/restarts_steps.py
@@ -0,0 +1,207 @@
+"""Steps on replicas that start again under the id that they had."""
+
+import asyncio
+import json
+import math
+import time
+from unittest import mock
+
+import behave
+from features.support import made_up
+
+from gypsumfold.decisions import chains
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import cache_lists
+from gypsumfold.gateway import gossip as gossip_module
+from gypsumfold.gateway import planning
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import prompts
+from gypsumfold.gateway import signs_of_life
+from gypsumfold.gateway import types
+from gypsumfold.gateway import watching
+from gypsumfold.platform import store as store_module
+
+ENGINE = "i-1"
+CHAIN = (chains.Part("shared", 13_000), chains.Part("own", 800))
+MEMORY = 400_000
+
+
+def entry(born, **changes):
+    """The engine's entry in the store."""
+    value = {**made_up.REGISTRATION, "born": born, **changes}
+    return store_module.Record(ENGINE, json.dumps(value).encode())
+
+
+@behave.given("a node that knows an engine started at {born:d}")
+def step_node(context, born):
+    context.gossip = made_up.gossip()
+    context.directory = context.gossip.directory
+    context.homes = context.gossip.homes
+    context.endpoints = mock.AsyncMock()
+    context.planner = planning.Planner(
+        mock.Mock(),
+        context.directory,
+        mock.Mock(),
+        context.endpoints,
+        context.gossip,
+        context.homes,
+    )
+    context.directory.gone.append(
+        lambda replica: context.homes.forget(replica.instance)
+    )
+    context.registrations = watching.Registrations(
+        context.directory, watching.StoreState()
+    )
+    context.registrations.update([entry(born)])
+
+
+@behave.given("much is believed of that engine")
+def step_believed(context):
+    now = time.monotonic()
+    directory = context.directory
+    directory.confirm(ENGINE, decision_types.Role.PREFILL, now + 60)
+    directory.close(ENGINE, now + 60)
+    directory.pause(ENGINE, now, 60)
+    directory.health.failed(ENGINE, True, now)
+    directory.health.failed(ENGINE, True, now)
+    directory.streams.add(ENGINE, 0.5)
+    directory.started(ENGINE, now - 1)
+    directory.suspect(ENGINE, now)
+    context.homes.caches.add(ENGINE, CHAIN, "m", MEMORY)
+    context.planner.pending[ENGINE] = planning.Pending(
+        decision_types.Role.PREFILL, now + 60
+    )
+    context.gossip.changed_role(ENGINE, decision_types.Role.PREFILL, 60)
+
+
+def beliefs(context):
+    """What is believed of the engine beyond its entry."""
+    now = time.monotonic()
+    directory = context.directory
+    found = {
+        "role": ENGINE in directory.confirmed,
+        "closed": directory.changing.get(ENGINE, -math.inf) > now,
+        "paused": directory.paused.get(ENGINE, -math.inf) > now,
+        "failing": not directory.health.allowed(ENGINE, now),
+        "streams": directory.streams.total(ENGINE, now) > 0,
+        "silent": ENGINE in directory.suspects,
+        "owing": ENGINE in directory.silence.since,
+        "leaving": ENGINE in directory.leaving,
+        "cached": context.homes.caches.cached(ENGINE, CHAIN, "m") > 0,
+        "ordered": ENGINE in context.planner.pending,
+        "told": ENGINE in context.gossip.roles,
+    }
+    return {name for name, believed in found.items() if believed}
+
+
+@behave.when("an entry of a start at {born:d} comes")
+def step_entry(context, born):
+    context.registrations.update([entry(born)])
+
+
+@behave.when("a report of a start at {born:d} comes")
+def step_report(context, born):
+    report(context, born, decision_types.Role.DECODE)
+
+
+def report(context, born, role):
+    """Has the engine asked for a sign of life."""
+    context.endpoints.state.return_value = types.State(
+        role, False, 0, 0, 0, born
+    )
+    signs = signs_of_life.SignsOfLife(context.directory, context.endpoints)
+    asyncio.run(signs.ask(ENGINE))
+
+
+@behave.when(
+    "an entry of a start at {born:d} says that the engine reads and leaves"
+)
+def step_late_entry(context, born):
+    late = entry(born, stage="prefill", state="draining")
+    context.registrations.update([late])
+
+
+@behave.when(
+    "a report of a start at {born:d} says that the engine reads and leaves"
+)
+def step_late_report(context, born):
+    report(context, born, decision_types.Role.PREFILL)
+
+
+@behave.when(
+    "a peer's message of a start at {born:d} says that the engine reads and "
+    "leaves"
+)
+def step_late_message(context, born):
+    message = gossip_module.Message(
+        "edge-2",
+        1,
+        {},
+        {},
+        [],
+        closed={ENGINE: 60.0},
+        roles={ENGINE: ("prefill", 60.0)},
+        births={ENGINE: born},
+    )
+    data = context.gossip.encoder.encode(message)
+    context.gossip.datagram_received(data, ("10.0.0.2", 8092))
+
+
+@behave.when(
+    "a list of caches of a start at {born:d} says that the engine reads and "
+    "leaves"
+)
+def step_late_list(context, born):
+    context.endpoints.cache_list.return_value = types.CacheList(
+        [chains.Part(part.id, part.tokens) for part in CHAIN], born
+    )
+    lists = cache_lists.CacheLists(
+        context.directory, mock.Mock(), context.endpoints, context.homes
+    )
+    service = types.Service("lm", 0, cache_tokens=MEMORY)
+    asyncio.run(lists.ask(context.directory.replicas[ENGINE], service))
+
+
+@behave.when("the engine's entry goes")
+def step_goes(context):
+    context.registrations.update([store_module.Record(ENGINE, b"")])
+
+
+@behave.given("a request whose prompt the engine has read")
+def step_read(context):
+    call = types.Call("a", "POST", "/", "h", (), None, 0.0, 9e9)
+    context.progress = progress_module.Progress(call)
+    context.progress.handle = types.Handle(ENGINE, "10.0.0.7:8080", "h", 1000)
+    context.progress.read_at = "10.0.0.7:8080"
+
+
+@behave.then("the request's prompt is to be read again")
+def step_read_again(context):
+    placing = prompts.Prompts(
+        context.directory, context.endpoints, context.homes
+    )
+    placing.check_kept(context.progress)
+    assert context.progress.handle is None
+    assert not context.progress.read_at
+
+
+@behave.then("nothing of before is believed of the engine")
+def step_nothing(context):
+    assert beliefs(context) == set(), beliefs(context)
+
+
+@behave.then("much is still believed of the engine")
+def step_still(context):
+    assert len(beliefs(context)) == 10, beliefs(context)
+
+
+@behave.then("the engine is used")
+def step_used(context):
+    now = time.monotonic()
+    found = context.directory.engines("lm", False, now)
+    assert [one.instance for one in found] == [ENGINE], found
+
+
+@behave.then("the engine is not known")
+def step_unknown(context):
+    assert ENGINE not in context.directory.replicas
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -231,6 +231,7 @@
             "slots": 6,
             "state": "ready",
             "stage": record["stage"],
+            "born": record["born"],
             **changes,
         }
         self.entries[name] = entry
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import hashlib
+import time
 from typing import Any
 import uuid
 
@@ -72,6 +73,7 @@
         self.stage = stage
         self.switch = switch
         self.instance = f"i-{uuid.uuid4().hex[:10]}"
+        self.born = int(time.time() * 1000)
         self.busy = False
         self.handles: set[str] = set()
         self.runs: list[dict[str, Any]] = []
@@ -211,6 +213,7 @@
                 "seq": self.accepted,
                 "queued": 0,
                 "running": 0,
+                "born": self.born,
             }
         )
 
@@ -246,13 +249,24 @@
 
     async def cache_list(self, request: web.Request) -> web.Response:
         """Lists what is cached: nothing."""
-        return serving.answer({"epoch": 1, "nextToken": 0, "held": []})
+        return serving.answer(
+            {"epoch": 1, "nextToken": 0, "held": [], "born": self.born}
+        )
+
+    async def restart(self, request: web.Request) -> web.Response:
+        """Starts again under the same id; it holds and knows nothing."""
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.handles.clear()
+        self.accepted = 0
+        self.highest = 0
+        return serving.answer({"born": self.born})
 
     async def record(self, request: web.Request) -> web.Response:
         """Tells tests what arrived and what was done."""
         return serving.answer(
             {
                 "instance": self.instance,
+                "born": self.born,
                 "stage": self.stage,
                 "runs": self.runs,
                 "prompts": self.prompts,
@@ -274,6 +288,7 @@
     app.router.add_post("/v1/order", replica.order)
     app.router.add_delete("/v1/kv-handle/{id}", replica.drop_handle)
     app.router.add_get("/_test/record", replica.record)
+    app.router.add_post("/_test/restart", replica.restart)
     serving.add_faults(app, replica.faults)
     app.router.add_route("*", "/{path:.*}", replica.handle)
     return app
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/births.py
@@ -0,0 +1,58 @@
+"""Which of the things said of a replica are of its newest start.
+
+Load pattern: a replica that starts again under the instance that it had,
+while entries and reports of its earlier start are still on their way. Taken
+for the same one, it is believed to hold prompts that it has lost, and a late
+word of before brings an old role back.
+"""
+
+import collections
+
+# Instances whose start is remembered after they are gone; a late word comes
+# within seconds, in which no fleet replaces as many.
+MOST = 4096
+
+
+class Births:
+    """The newest start of each replica that says when it was.
+
+    >>> births = Births()
+    >>> births.newest("engine-1", 2000), births.newest("engine-1", 1000)
+    (True, False)
+    """
+
+    def __init__(self):
+        self.starts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+
+    def newest(self, replica: str, born: int) -> bool:
+        """Takes a start in; says whether none later is known.
+
+        Args:
+            replica: Its instance.
+            born: Unix milliseconds; 0 if it does not say.
+        """
+        known = self.starts.get(replica, 0)
+        if born <= 0:
+            return True
+        if born < known:
+            return False
+        self.starts[replica] = born
+        self.starts.move_to_end(replica)
+        if len(self.starts) > MOST:
+            self.starts.popitem(last=False)
+        return True
+
+    def of(self, replicas: list[str]) -> dict[str, int]:
+        """The known starts of some replicas."""
+        found = {}
+        for replica in replicas:
+            if replica in self.starts:
+                found[replica] = self.starts[replica]
+        return found
+
+
+def later(born: int, known: int) -> bool:
+    """Whether a start is surely later than the one that is known."""
+    return 0 < known < born
--- a/packages/gypsumfold/src/gypsumfold/decisions/silence.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/silence.py
@@ -49,6 +49,10 @@
         self.owing.pop(replica, None)
         self.since.pop(replica, None)
 
+    def forget(self, replica: str) -> None:
+        """Drops a replica that is gone; what it owed ends without it."""
+        self.since.pop(replica, None)
+
     def look(self, now: float) -> list[str]:
         """The replicas that are silent for too long.
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -146,6 +146,12 @@
 REPLICA_GONE = define(
     311, "replica-gone", "info", "A replica's registration is gone."
 )
+REPLICA_RESTARTED = define(
+    314,
+    "replica-restarted",
+    "info",
+    "A replica has started again under its old id; it holds nothing.",
+)
 REPLICA_SILENT = define(
     312,
     "replica-silent",
--- a/packages/gypsumfold/src/gypsumfold/gateway/cache_lists.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/cache_lists.py
@@ -67,7 +67,7 @@
         """Asks one engine; without its answer it counts as empty."""
         try:
             async with asyncio.timeout(LIMIT):
-                parts = await self.endpoints.cache_list(replica)
+                found = await self.endpoints.cache_list(replica)
         except (
             exceptions.EndpointError,
             exceptions.RecordInvalid,
@@ -79,7 +79,9 @@
                 reason=repr(error),
             )
             return
+        if not self.directory.births.newest(replica.instance, found.born):
+            return
         self.homes.memory = service.cache_tokens
         self.homes.caches.add_parts(
-            replica.instance, parts, service.cache_tokens
+            replica.instance, found.parts, service.cache_tokens
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -10,6 +10,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import births as births_module
 from gypsumfold.decisions import health
 from gypsumfold.decisions import shares
 from gypsumfold.decisions import silence as silence_module
@@ -64,10 +65,16 @@
         self.generating: dict[str, float] = {}
         self.health = health.Health(rng)
         self.gone = []
+        self.births = births_module.Births()
 
     def put(self, replica: types.Replica) -> None:
-        """Takes a registration in."""
+        """Takes a registration in; a late one of an earlier start is none."""
+        if not self.births.newest(replica.instance, replica.born):
+            return
         old = self.replicas.get(replica.instance)
+        if old is not None and births_module.later(replica.born, old.born):
+            self.restarted(old, replica.born)
+            old = None
         self.replicas[replica.instance] = replica
         self.lapsing.pop(replica.instance, None)
         if replica.draining:
@@ -88,6 +95,34 @@
             role=replica.role,
         )
 
+    def said(self, instance: str, state: types.State) -> bool:
+        """Takes in when a replica says that it has started.
+
+        Returns:
+            Whether what it says beside is of its newest start.
+        """
+        if not self.births.newest(instance, state.born):
+            return False
+        replica = self.replicas.get(instance)
+        if replica is None or not births_module.later(state.born, replica.born):
+            return True
+        self.restarted(replica, state.born)
+        self.replicas[instance] = replica._replace(
+            born=state.born, role=state.role, orders=state.orders
+        )
+        return True
+
+    def restarted(self, replica: types.Replica, born: int) -> None:
+        """Forgets all that was believed of a replica's earlier start."""
+        events.log(
+            events.REPLICA_RESTARTED,
+            instance=replica.instance,
+            service=replica.service,
+            before=replica.born,
+            born=born,
+        )
+        self.forget(replica)
+
     def drop(self, instance: str, grace: float, now: float) -> None:
         """Drops a replica whose entry went, at once or after a grace."""
         if instance not in self.replicas:
@@ -95,7 +130,19 @@
         if grace > 0:
             self.lapsing.setdefault(instance, now + grace)
             return
-        replica = self.replicas.pop(instance)
+        replica = self.replicas[instance]
+        events.log(
+            events.REPLICA_GONE,
+            instance=instance,
+            service=replica.service,
+            address=replica.address,
+        )
+        self.forget(replica)
+
+    def forget(self, replica: types.Replica) -> None:
+        """Drops a replica and all that is believed of it."""
+        instance = replica.instance
+        del self.replicas[instance]
         self.lapsing.pop(instance, None)
         self.paused.pop(instance, None)
         self.changing.pop(instance, None)
@@ -106,12 +153,7 @@
         self.doubts.discard(instance)
         self.looks.pop(instance, None)
         self.health.forget(instance)
-        events.log(
-            events.REPLICA_GONE,
-            instance=instance,
-            service=replica.service,
-            address=replica.address,
-        )
+        self.silence.forget(instance)
         for listener in self.gone:
             listener(replica)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -129,6 +129,7 @@
             exceptions.AnswerBroken: An engine may have begun.
         """
         await self.engine_back(route, service, progress)
+        self.prompts.check_kept(progress)
         choice = None
         if not progress.read_at:
             choice = self.prompts.place(route, service, progress)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -20,6 +22,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import types
 from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
@@ -33,6 +36,8 @@
 MOST_BYTES = 1400
 # Prompts named in one datagram; of more the newest are named.
 MOST_PLACED = 24
+# What decoding raises for bytes that hold no message, or too deep a one.
+UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 # Seconds after which what a silent peer said no longer counts.
 SILENT = 3.0
 # Seconds between two full datagrams where nothing changes.
@@ -41,6 +46,10 @@
 DEAD = 30.0
 
 
+# An amount that a peer may say; one that is no number would stay in all sums.
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+
+
 class Placed(msgspec.Struct, array_like=True):
     """A prompt that was sent to an engine.
 
@@ -73,18 +82,21 @@
             urgency.
         demand: Engines that the prompts which come would keep busy, by
             service.
+        births: Starts of the engines of which something is said; a later
+            start makes it void.
     """
 
     member: str
     number: int
-    prompts: dict[str, float]
-    streams: dict[str, float]
+    prompts: dict[str, Amount]
+    streams: dict[str, Amount]
     placed: list[Placed]
-    closed: dict[str, float] = {}
-    roles: dict[str, tuple[str, float]] = {}
-    late: dict[str, float] = {}
+    closed: dict[str, Amount] = {}
+    roles: dict[str, tuple[str, Amount]] = {}
+    late: dict[str, Amount] = {}
     unreachable: list[str] = []
-    demand: dict[str, float] = {}
+    demand: dict[str, Amount] = {}
+    births: dict[str, int] = {}
 
 
 class Entry(msgspec.Struct):
@@ -129,6 +141,7 @@
         self.decoder = msgspec.msgpack.Decoder(Message)
         homes.listener = self
         directory.unreached.append(self.not_reached)
+        directory.gone.append(self.forget)
 
     def replace(self, records: list[store_module.Record]) -> None:
         """Takes in all nodes' entries in the store."""
@@ -145,9 +158,8 @@
                 continue
             try:
                 entry = msgspec.json.decode(record.value, type=Entry)
-                host, _, port = entry.address.rpartition(":")
-                self.peers[record.key] = (host, int(port))
-            except (msgspec.DecodeError, ValueError) as error:
+                self.peers[record.key] = socket_address(entry.address)
+            except (*UNREADABLE, ValueError) as error:
                 events.log(
                     events.RECORD_SKIPPED, key=record.key, reason=str(error)
                 )
@@ -195,6 +207,11 @@
             self.unreachable.append(instance)
         self.changed.set()
 
+    def forget(self, replica: types.Replica) -> None:
+        """Says no more of an engine that is gone or has started again."""
+        self.closings.pop(replica.instance, None)
+        self.roles.pop(replica.instance, None)
+
     def done(self) -> None:
         """Notes that this node has less at an engine."""
         self.changed.set()
@@ -263,6 +280,8 @@
         placed, self.placed = self.placed, []
         prompts = rounded(self.homes.waiting.own)
         streams = rounded(self.directory.streams.own)
+        closings = self.closings_left()
+        roles = self.roles_left()
         while True:
             message = Message(
                 self.member,
@@ -270,11 +289,12 @@
                 prompts,
                 streams,
                 placed,
-                self.closings_left(),
-                self.roles_left(),
+                closings,
+                roles,
                 rounded(self.homes.late.own),
                 self.unreachable,
                 rounded(self.homes.demand.own(time.monotonic())),
+                self.directory.births.of([*closings, *roles]),
             )
             data = self.encoder.encode(message)
             if len(data) <= MOST_BYTES or not placed:
@@ -290,7 +310,7 @@
             return
         try:
             message = self.decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             events.log(events.FRAME_REFUSED, reason=str(error))
             return
         if message.member == self.member:
@@ -308,20 +328,26 @@
         self.homes.demand.remote(message.member, message.demand, until)
         self.directory.streams.remote(message.member, message.streams, until)
         for engine, seconds in message.closed.items():
-            if engine in self.directory.replicas:
+            if self.of_newest_start(engine, message):
                 self.directory.close(engine, now + seconds)
         for engine, (role, seconds) in message.roles.items():
-            self.believe(engine, role, now + seconds)
+            if self.of_newest_start(engine, message):
+                self.believe(engine, role, now + seconds)
         for instance in message.unreachable:
             if instance not in self.directory.suspects:
                 self.directory.doubt(instance)
         for placed in message.placed:
             self.homes.read_links(placed.engine, placed.links, placed.tokens)
 
+    def of_newest_start(self, engine: str, message: Message) -> bool:
+        """Whether a peer speaks of the engine that this node knows."""
+        if engine not in self.directory.replicas:
+            return False
+        born = message.births.get(engine, 0)
+        return self.directory.births.newest(engine, born)
+
     def believe(self, engine: str, role: str, until: float) -> None:
         """Takes an engine's new role in as a peer says it."""
-        if engine not in self.directory.replicas:
-            return
         try:
             found = decision_types.Role(role)
         except ValueError as error:
@@ -357,6 +383,21 @@
                 self.leadership.state.failed(str(error), now)
 
 
+def socket_address(text: str) -> tuple[str, int]:
+    """Reads IP:PORT.
+
+    Sending to anything else fails for all peers that come after it.
+
+    Raises:
+        ValueError: It is none.
+    """
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"no port: {port}")
+    return host, int(port)
+
+
 def rounded(amounts: dict[str, float]) -> dict[str, float]:
     """Shortens amounts for the wire."""
     return {engine: round(amount, 4) for engine, amount in amounts.items()}
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -6,6 +6,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import births
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types as decision_types
@@ -79,6 +80,11 @@
         self.pending: dict[str, Pending] = {}
         self.splits: dict[str, stages.Split] = {}
         self.tasks: set[asyncio.Task] = set()
+        directory.gone.append(self.forget)
+
+    def forget(self, replica: types.Replica) -> None:
+        """Drops an order to an engine that is gone or has started again."""
+        self.pending.pop(replica.instance, None)
 
     async def run(self) -> None:
         """Looks again and again for as long as the node runs."""
@@ -167,8 +173,10 @@
         try:
             async with asyncio.timeout(CALL_LIMIT):
                 state = await self.endpoints.state(replica)
+                current = self.directory.said(change.engine, state)
                 token = self.leadership.token(time.monotonic())
-                if token is None or state.busy or state.role == change.role:
+                done = state.busy or state.role == change.role
+                if token is None or done or not current:
                     # Looked at again once its entry or another order tells.
                     self.pending[change.engine] = Pending(
                         change.role, now + RETRY
@@ -256,6 +264,10 @@
                     reason=repr(error),
                 )
                 continue
+            if births.later(state.born, replica.born):
+                # It has started again and knows of no order.
+                self.directory.said(replica.instance, state)
+                return
             if state.role != role or state.busy:
                 # It lets running streams end first, for 7 s and more.
                 self.close(replica.instance, CLOSED)
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -7,6 +7,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import outcomes
+from gypsumfold.decisions import births
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
@@ -214,6 +215,17 @@
             self.directory.ended(choice.engine)
             task.cancel()
 
+    def check_kept(self, progress: progress_module.Progress) -> None:
+        """Has a prompt read again whose engine has started again since."""
+        handle = progress.handle
+        if handle is None:
+            return
+        replica = self.directory.replicas.get(handle.engine)
+        if replica is None or not births.later(replica.born, handle.born):
+            return
+        progress.handle = None
+        progress.read_at = ""
+
     def drop(self, progress: progress_module.Progress) -> None:
         """Frees a KV cache that nobody will take, beside the request."""
         handle, progress.handle = progress.handle, None
--- a/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
@@ -43,7 +43,7 @@
             return
         try:
             async with asyncio.timeout(LIMIT):
-                await self.endpoints.state(replica)
+                state = await self.endpoints.state(replica)
         except exceptions.EndpointMistaken:
             self.directory.suspect(instance, time.monotonic())
         except (exceptions.EndpointRefused, exceptions.RecordInvalid):
@@ -51,4 +51,5 @@
         except (exceptions.EndpointError, TimeoutError):
             self.directory.suspect(instance, time.monotonic())
         else:
+            self.directory.said(instance, state)
             self.directory.heard(instance, time.monotonic())
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -56,6 +56,8 @@
         draining: Whether it is leaving.
         role: What an engine does; None for plain services.
         orders: Orders that it has accepted, as it last said.
+        born: Unix milliseconds of its start; a later one under the same
+            instance holds and knows nothing of before. 0 if it does not say.
     """
 
     instance: str
@@ -66,6 +68,7 @@
     draining: bool
     role: types.Role | None = None
     orders: int = 0
+    born: int = 0
 
 
 class Service(NamedTuple):
@@ -122,11 +125,19 @@
 
 
 class Handle(NamedTuple):
-    """A KV cache that an engine keeps for another one to take."""
+    """A KV cache that an engine keeps for another one to take.
+
+    Attributes:
+        engine: Its instance.
+        address: IP:PORT.
+        id: Names the cache there.
+        born: The start of the engine that keeps it.
+    """
 
     engine: str
     address: str
     id: str
+    born: int = 0
 
 
 class Instructions(NamedTuple):
@@ -187,6 +198,7 @@
     orders: int
     queued: int
     running: int
+    born: int = 0
 
 
 class Order(NamedTuple):
@@ -205,6 +217,13 @@
     after: int
 
 
+class CacheList(NamedTuple):
+    """The parts of prompts that an engine keeps, and when it was started."""
+
+    parts: list[chains.Part]
+    born: int = 0
+
+
 class Endpoints(Protocol):
     """Calls to replicas."""
 
@@ -224,7 +243,7 @@
     async def state(self, replica: Replica) -> State:
         """Asks an engine for its state."""
 
-    async def cache_list(self, replica: Replica) -> list[chains.Part]:
+    async def cache_list(self, replica: Replica) -> CacheList:
         """Asks an engine which parts of prompts it keeps."""
 
     async def order(self, replica: Replica, order: Order) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/gateway/watching.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/watching.py
@@ -24,6 +24,9 @@
 REGISTRATIONS_WAIT = 1.0
 # Seconds until all keys are read again, in case a record was missed.
 REREAD = 20.0
+# Entries that are remembered as logged already; more in one fleet are logged
+# again.
+MOST_SKIPPED = 256
 
 
 class StoreState:
@@ -169,13 +172,20 @@
 
 
 class Registrations:
-    """Keeps the directory of replicas as the store has it."""
+    """Keeps the directory of replicas as the store has it.
+
+    Attributes:
+        skipped: The last entry under each key that could not be used.
+        unreadable: How many such entries were seen.
+    """
 
     def __init__(
         self, directory: directory_module.Directory, state: StoreState
     ):
         self.directory = directory
         self.state = state
+        self.skipped: dict[str, bytes] = {}
+        self.unreadable = 0
 
     def replace(self, records: list[store_module.Record]) -> None:
         """Takes in the newest record of every key."""
@@ -194,13 +204,21 @@
             try:
                 replica = decoding.replica(record.key, record.value)
             except exceptions.RecordInvalid as error:
-                events.log(
-                    events.RECORD_SKIPPED, key=record.key, reason=str(error)
-                )
+                self.skip(record, str(error))
                 continue
             self.directory.put(replica)
         self.directory.expire(time.monotonic())
 
+    def skip(self, record: store_module.Record, reason: str) -> None:
+        """Counts an entry that names no replica; logs the same one once."""
+        if self.skipped.get(record.key) == record.value:
+            return
+        if len(self.skipped) >= MOST_SKIPPED:
+            self.skipped.clear()
+        self.skipped[record.key] = record.value
+        self.unreadable += 1
+        events.log(events.RECORD_SKIPPED, key=record.key, reason=reason)
+
     def drop(self, instance: str) -> None:
         """Drops a replica, at once unless the store was just away."""
         now = time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -1,6 +1,7 @@
 """Decodes what operators and replicas write into the store."""
 
 import json
+import re
 from typing import Any
 
 import msgspec
@@ -11,6 +12,12 @@
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
 
+# What decoding raises for bytes that hold no such value; for lists in lists
+# beyond 1,000 levels it is the last one.
+UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+# IP:PORT of a replica.
+ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}")
+
 
 class TargetRecord(msgspec.Struct):
     """One service of a split route."""
@@ -77,10 +84,12 @@
 
     service: str
     address: str = msgspec.field(name="addr")
-    data_centre: str = msgspec.field(name="zone", default="")
-    slots: int = 1
-    state: str = "ready"
+    data_centre: str = msgspec.field(name="zone")
+    slots: int
+    state: str
     stage: str = ""
+    # Unix milliseconds of its start; some replicas do not say.
+    born: int | None = None
     # Orders accepted where there is a stage; else a mere counter.
     orders: int = msgspec.field(name="seq", default=0)
 
@@ -121,7 +130,8 @@
     Raises:
         exceptions.RecordInvalid: It cannot be read.
     """
-    record = convert(value, ReplicaRecord)
+    record = convert(value, ReplicaRecord, strict=True)
+    _check_replica(record)
     return types.Replica(
         instance=instance,
         service=record.service,
@@ -131,9 +141,26 @@
         draining=record.state == names.DRAINING,
         role=names.ROLES.get(record.stage),
         orders=record.orders,
+        born=record.born or 0,
     )
 
 
+def _check_replica(record: ReplicaRecord) -> None:
+    """Refuses a registration that no replica would write.
+
+    Raises:
+        exceptions.RecordInvalid: It names no replica that could be used.
+    """
+    if record.state not in names.STATES:
+        raise exceptions.RecordInvalid(f"an unknown state: {record.state!r}")
+    if record.stage and record.stage not in names.ROLES:
+        raise exceptions.RecordInvalid(f"an unknown role: {record.stage!r}")
+    if record.slots < 1 or record.orders < 0:
+        raise exceptions.RecordInvalid("a count is negative")
+    if not ADDRESS.fullmatch(record.address):
+        raise exceptions.RecordInvalid(f"no address: {record.address!r}")
+
+
 class StateRecord(msgspec.Struct):
     """An engine's state as it reports it."""
 
@@ -142,6 +169,7 @@
     orders: int = msgspec.field(name="seq", default=0)
     queued: int = 0
     running: int = 0
+    born: int | None = None
 
 
 class HandleRecord(msgspec.Struct):
@@ -156,13 +184,16 @@
     Raises:
         exceptions.RecordInvalid: It cannot be read.
     """
-    record = convert(value, StateRecord)
+    record = convert(value, StateRecord, strict=True)
+    if record.stage and record.stage not in names.ROLES:
+        raise exceptions.RecordInvalid(f"an unknown role: {record.stage!r}")
     return types.State(
         names.ROLES.get(record.stage),
         record.busy,
         record.orders,
         record.queued,
         record.running,
+        record.born or 0,
     )
 
 
@@ -179,16 +210,18 @@
     """What an engine keeps: rows of nothing, part, tokens, model."""
 
     held: list[tuple[str, str, int, str]]
+    born: int | None = None
 
 
-def cache_list(value: bytes) -> list[chains.Part]:
+def cache_list(value: bytes) -> types.CacheList:
     """Decodes the parts of prompts that an engine keeps.
 
     Raises:
         exceptions.RecordInvalid: It cannot be read.
     """
     record = convert(value, CacheListRecord)
-    return [chains.Part(row[1], row[2]) for row in record.held]
+    parts = [chains.Part(row[1], row[2]) for row in record.held]
+    return types.CacheList(parts, record.born or 0)
 
 
 def order(wanted: types.Order) -> bytes:
@@ -204,15 +237,20 @@
     ).encode()
 
 
-def convert(value: bytes, kind: type[Any]) -> Any:
+def convert(value: bytes, kind: type[Any], strict: bool = False) -> Any:
     """Decodes JSON into one of the records here.
 
+    Args:
+        value: The JSON text.
+        kind: The type of the record.
+        strict: Whether a number in quotes is no number.
+
     Raises:
         exceptions.RecordInvalid: It cannot be read.
     """
     try:
-        return msgspec.json.decode(value, type=kind, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return msgspec.json.decode(value, type=kind, strict=strict)
+    except UNREADABLE as error:
         raise exceptions.RecordInvalid(str(error)) from error
 
 
--- a/packages/gypsumfold/src/gypsumfold/platform/ingress.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/ingress.py
@@ -8,6 +8,8 @@
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
 
+# Digits of a count of tokens; contexts of models hold some millions.
+MOST_DIGITS = 9
 # Seconds for a request whose caller names no time; longer than any route's.
 NO_LIMIT = 3600.0
 
@@ -83,6 +85,15 @@
     return found.get(name.lower().encode(), b"").decode("latin-1").strip()
 
 
+def is_count(value: str) -> bool:
+    """Whether a text is a number of tokens that anybody could mean.
+
+    Python refuses to convert more than 4,300 digits, and a float holds no
+    more than 308.
+    """
+    return value.isdecimal() and len(value) <= MOST_DIGITS
+
+
 def numbers(value: str) -> list[int]:
     """Reads comma-separated counts.
 
@@ -94,7 +105,7 @@
     found = []
     for part in value.split(","):
         part = part.strip()
-        if not part.isdecimal():
+        if not is_count(part):
             raise exceptions.RequestInvalid(
                 f"{names.TOKEN_COUNTS} is not a list of counts",
                 outcomes.Outcome.NOT_RUN,
@@ -134,7 +145,7 @@
     parts = []
     for entry in value.split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if not part_id or not tokens.isdecimal():
+        if not part_id or not is_count(tokens):
             raise exceptions.RequestInvalid(
                 f"{names.CHAIN} is not a list of ID:TOKENS",
                 outcomes.Outcome.NOT_RUN,
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -6,7 +6,6 @@
 import h11
 
 from gypsumfold import exceptions
-from gypsumfold.decisions import chains
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import types
 from gypsumfold.platform import decoding
@@ -95,7 +94,9 @@
             handle = decoding.handle(body)
         except exceptions.RecordInvalid as error:
             raise exceptions.AnswerBroken(str(error)) from error
-        return types.Handle(replica.instance, replica.address, handle)
+        return types.Handle(
+            replica.instance, replica.address, handle, replica.born
+        )
 
     async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
         """Frees a KV cache that nobody will take.
@@ -120,7 +121,7 @@
             raise exceptions.EndpointRefused(f"a report ended with {status}")
         return decoding.state(body)
 
-    async def cache_list(self, replica: types.Replica) -> list[chains.Part]:
+    async def cache_list(self, replica: types.Replica) -> types.CacheList:
         """Asks an engine which parts of prompts it keeps.
 
         Raises:
