Read what peers say in a module of its own; count unusable registrations

Entries that name no replica show on the metrics address. No change of behaviour besides a line for datagrams that are too large, which were dropped without one.

--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -11,7 +11,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import homes as homes_module
-from gypsumfold.gateway import gossip as gossip_module
+from gypsumfold.gateway import messages
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import watching
 from gypsumfold.platform import decoding
@@ -124,7 +124,7 @@
 
 @behave.then("the node still takes a peer's datagram in")
 def step_still(context):
-    message = gossip_module.Message("edge-good", 1, {"i-1/0": 0.5}, {}, [])
+    message = messages.Message("edge-good", 1, {"i-1/0": 0.5}, {}, [])
     data = context.gossip.encoder.encode(message)
     context.gossip.datagram_received(data, ("10.0.0.2", 8092))
     assert "edge-good" in context.gossip.peers
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -12,7 +12,7 @@
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import cache_lists
-from gypsumfold.gateway import gossip as gossip_module
+from gypsumfold.gateway import messages
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
@@ -133,7 +133,7 @@
     "leaves"
 )
 def step_late_message(context, born):
-    message = gossip_module.Message(
+    message = messages.Message(
         "edge-2",
         1,
         {},
--- a/features/support/prompt_load.py
+++ b/features/support/prompt_load.py
@@ -300,23 +300,30 @@
 
 def short_prompts(start: float, seconds: float, rate: float, seed: int):
     """Short prompts of the most urgent kind, all new."""
-    rng = random.Random(seed)
-    asks = []
-    at = start
-    while at < start + seconds:
-        at += rng.expovariate(rate)
-        own = chains.Part(f"short{len(asks)}-{start}", rng.randint(150, 430))
-        asks.append(Ask(at, (own,), 0, 0.25, 2.0))
-    return asks
+    pattern = Ask(start, (), 0, 0.25, 2.0)
+    return new_prompts(pattern, (150, 430), seconds, rate, seed)
 
 
 def long_prompts(start: float, seconds: float, rate: float, seed: int):
     """Long prompts of a less urgent kind, all new."""
+    pattern = Ask(start, (), 1, 0.5, 2.0)
+    return new_prompts(pattern, (2000, 8000), seconds, rate, seed)
+
+
+def new_prompts(
+    pattern: Ask,
+    tokens: tuple[int, int],
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> list[Ask]:
+    """Prompts that share nothing, from the time of a pattern on."""
     rng = random.Random(seed)
     asks = []
-    at = start
-    while at < start + seconds:
+    at = pattern.at
+    while at < pattern.at + seconds:
         at += rng.expovariate(rate)
-        own = chains.Part(f"long{len(asks)}-{start}", rng.randint(2000, 8000))
-        asks.append(Ask(at, (own,), 1, 0.5, 2.0))
+        name = f"{pattern.urgency}-{pattern.at}-{len(asks)}"
+        own = chains.Part(name, rng.randint(*tokens))
+        asks.append(pattern._replace(at=at, chain=(own,)))
     return asks
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -35,6 +35,11 @@
             "Requests in progress.",
             registry=self.registry,
         )
+        self.unusable = prometheus_client.Gauge(
+            "gypsumfold_unusable_registrations",
+            "Entries of replicas since the start that named none to use.",
+            registry=self.registry,
+        )
 
     def ended(self, route: str, outcome: str, seconds: float) -> None:
         """Counts one final answer."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -123,6 +123,9 @@
         self.signs_of_life = signs_of_life.SignsOfLife(
             self.directory, self.endpoints
         )
+        self.registrations = watching.Registrations(
+            self.directory, self.store_state
+        )
         self.watches = self.make_watches()
         self.directory.gone.append(self.forget)
         self.runners: list[web.ServerRunner] = []
@@ -141,7 +144,7 @@
                 self.store,
                 self.store_state,
                 names.REGISTRATIONS_TOPIC,
-                watching.Registrations(self.directory, self.store_state),
+                self.registrations,
                 self.registrations_pause,
                 watching.REGISTRATIONS_WAIT,
             ),
@@ -243,6 +246,7 @@
             self.directory.expire(time.monotonic())
             self.budget.nodes = self.gossip.nodes()
             self.counters.open_requests.set(len(self.server.busy))
+            self.counters.unusable.set(self.registrations.unreadable)
             self.lines.flush()
             if self.lines.dropped > reported:
                 events.log(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gossip.py
@@ -9,9 +9,7 @@
 
 import asyncio
 import contextlib
-import ipaddress
 import time
-from typing import Annotated
 
 import msgspec
 
@@ -21,6 +19,7 @@
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import messages
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
@@ -32,12 +31,8 @@
 # Datagrams a second that one node sends at most; with more than four peers
 # the interval grows. Each costs sender and receiver about 30 us.
 MOST_DATAGRAMS = 150
-# Bytes of a datagram: what fits into one packet.
-MOST_BYTES = 1400
 # Prompts named in one datagram; of more the newest are named.
 MOST_PLACED = 24
-# What decoding raises for bytes that hold no message, or too deep a one.
-UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 # Seconds after which what a silent peer said no longer counts.
 SILENT = 3.0
 # Seconds between two full datagrams where nothing changes.
@@ -46,65 +41,6 @@
 DEAD = 30.0
 
 
-# An amount that a peer may say; one that is no number would stay in all sums.
-Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
-
-
-class Placed(msgspec.Struct, array_like=True):
-    """A prompt that was sent to an engine.
-
-    Attributes:
-        engine: Its instance.
-        links: Hashes of the prompt up to each part.
-        tokens: Length of each part.
-    """
-
-    engine: str
-    links: list[int]
-    tokens: list[int]
-
-
-class Message(msgspec.Struct, array_like=True):
-    """One datagram.
-
-    Attributes:
-        member: Who sends it.
-        number: Increases with each one.
-        prompts: Seconds of prompts by engine that are still to be read.
-        streams: Tokens of running streams by engine.
-        placed: Prompts sent since the last one.
-        closed: Engines that were ordered to change their role, and for how
-            many seconds from now they get no work.
-        roles: New roles that engines have, and for how many seconds that is
-            to be believed.
-        unreachable: Replicas to which no connection could be opened.
-        late: Seconds of late prompts that are still to be read, by engine and
-            urgency.
-        demand: Engines that the prompts which come would keep busy, by
-            service.
-        births: Starts of the engines of which something is said; a later
-            start makes it void.
-    """
-
-    member: str
-    number: int
-    prompts: dict[str, Amount]
-    streams: dict[str, Amount]
-    placed: list[Placed]
-    closed: dict[str, Amount] = {}
-    roles: dict[str, tuple[str, Amount]] = {}
-    late: dict[str, Amount] = {}
-    unreachable: list[str] = []
-    demand: dict[str, Amount] = {}
-    births: dict[str, int] = {}
-
-
-class Entry(msgspec.Struct):
-    """A node's record in the store."""
-
-    address: str
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Sends this node's placements to its peers and takes theirs in.
 
@@ -132,13 +68,12 @@
         self.number = 0
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
-        self.placed: list[Placed] = []
+        self.placed: list[messages.Placed] = []
         self.unreachable: list[str] = []
         self.closings: dict[str, float] = {}
         self.roles: dict[str, tuple[decision_types.Role, float]] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Message)
         homes.listener = self
         directory.unreached.append(self.not_reached)
         directory.gone.append(self.forget)
@@ -157,13 +92,13 @@
                 self.peers.pop(record.key, None)
                 continue
             try:
-                entry = msgspec.json.decode(record.value, type=Entry)
-                self.peers[record.key] = socket_address(entry.address)
-            except (*UNREADABLE, ValueError) as error:
+                address = messages.entry_address(record.value)
+            except exceptions.RecordInvalid as error:
                 events.log(
                     events.RECORD_SKIPPED, key=record.key, reason=str(error)
                 )
                 continue
+            self.peers[record.key] = address
             self.heard.setdefault(record.key, time.monotonic())
 
     async def start(self) -> None:
@@ -176,7 +111,7 @@
 
     async def announce(self) -> None:
         """Enters this node in the store; returns when it is there."""
-        entry = Entry(self.address)
+        entry = messages.Entry(self.address)
         while True:
             try:
                 await self.store.put(
@@ -197,7 +132,7 @@
 
     def sent(self, engine: str, links: list[int], tokens: list[int]) -> None:
         """Notes that this node sent a prompt to an engine."""
-        self.placed.append(Placed(engine, links, tokens))
+        self.placed.append(messages.Placed(engine, links, tokens))
         del self.placed[:-MOST_PLACED]
         self.changed.set()
 
@@ -283,7 +218,7 @@
         closings = self.closings_left()
         roles = self.roles_left()
         while True:
-            message = Message(
+            message = messages.Message(
                 self.member,
                 self.number,
                 prompts,
@@ -297,7 +232,7 @@
                 self.directory.births.of([*closings, *roles]),
             )
             data = self.encoder.encode(message)
-            if len(data) <= MOST_BYTES or not placed:
+            if len(data) <= messages.MOST_BYTES or not placed:
                 break
             placed = placed[len(placed) // 2 + 1 :]
         self.unreachable = []
@@ -306,11 +241,9 @@
 
     def datagram_received(self, data: bytes, address) -> None:
         """Takes a peer's datagram in; older than the last one is dropped."""
-        if len(data) > MOST_BYTES:
-            return
         try:
-            message = self.decoder.decode(data)
-        except UNREADABLE as error:
+            message = messages.message(data)
+        except exceptions.RecordInvalid as error:
             events.log(events.FRAME_REFUSED, reason=str(error))
             return
         if message.member == self.member:
@@ -339,7 +272,7 @@
         for placed in message.placed:
             self.homes.read_links(placed.engine, placed.links, placed.tokens)
 
-    def of_newest_start(self, engine: str, message: Message) -> bool:
+    def of_newest_start(self, engine: str, message: messages.Message) -> bool:
         """Whether a peer speaks of the engine that this node knows."""
         if engine not in self.directory.replicas:
             return False
@@ -383,21 +316,6 @@
                 self.leadership.state.failed(str(error), now)
 
 
-def socket_address(text: str) -> tuple[str, int]:
-    """Reads IP:PORT.
-
-    Sending to anything else fails for all peers that come after it.
-
-    Raises:
-        ValueError: It is none.
-    """
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host)
-    if not 0 < int(port) < 65536:
-        raise ValueError(f"no port: {port}")
-    return host, int(port)
-
-
 def rounded(amounts: dict[str, float]) -> dict[str, float]:
     """Shortens amounts for the wire."""
     return {engine: round(amount, 4) for engine, amount in amounts.items()}
