--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -141,7 +141,9 @@
         times["idle"] = (idle.recv(1), time.monotonic())
 
     def read_stream() -> None:
-        callers.stream(context, "/briefs/1", "aa:4000,bb:300")
+        # Longer than the stop may take: the stop must not cut the stream, and
+        # the caller's own deadline is not to do it either.
+        callers.stream(context, "/briefs/1", "aa:4000,bb:300", wait=8.0)
         times["stream"] = time.monotonic()
 
     threads = []
--- a/features/support/gateway_calls.py
+++ b/features/support/gateway_calls.py
@@ -71,9 +71,9 @@
         sealed(context.sent, answer)
 
 
-def stream(context, path, chain):
+def stream(context, path, chain, wait=5.0):
     """Asks for one stream; keeps its events and how it ended."""
-    context.sent = gateways.headers(5.0, chain, stream=True)
+    context.sent = gateways.headers(wait, chain, stream=True)
     context.cut = False
     connection, response = http.open_request(
         "POST", context.gateway.url + path, b"prompt", context.sent
