Show relays, doubts and calls to the store in what explain tells

explain prints expected and real waits of prompts at the ninetieth percentile, changes of relay, doubts and calls to the store for each window.

--- a/packages/gypsumfoldctl/src/gypsumfoldctl/explaining.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/explaining.py
@@ -26,10 +26,15 @@
     "left",
     "expected",
     "reading",
+    "expected90",
+    "reading90",
     "generating",
     "readers",
     "generators",
     "orders",
+    "relays",
+    "doubts",
+    "calls",
 )
 
 
@@ -93,7 +98,8 @@
     for number in range(max(windows) + 1):
         start = first + number * window
         row = [round(number * window, 3), *counts(windows[number])]
-        rows.append(row + engines(run, start, start + window))
+        row += engines(run, start, start + window)
+        rows.append(row + peers(run, start, start + window))
     return Table(list(COURSE), rows)
 
 
@@ -105,6 +111,7 @@
         outcomes[known] for known in ("complete", "not-run", "cancelled")
     )
     expected = [one.expected for one in found if one.reading() is not None]
+    reading = [one.reading() for one in found]
     return [
         len(found),
         outcomes["complete"],
@@ -113,7 +120,9 @@
         failed,
         outcomes["cancelled"],
         mean(expected),
-        mean([one.reading() for one in found]),
+        mean(reading),
+        high(expected),
+        high(reading),
         mean([one.generating() for one in found]),
     ]
 
@@ -129,12 +138,34 @@
     return [readers, generators, orders]
 
 
+def peers(run: journeys.Run, start: float, end: float) -> list:
+    """The columns of a row that are about what nodes tell each other.
+
+    How often a node chose another relay, how often one doubted what it was
+    told, and calls to the store in the lines of that time, each of which
+    speaks for some seconds before it.
+    """
+    found = [0, 0, 0]
+    for at, place, count in run.told:
+        if start <= at < end:
+            found[place] += count
+    return found
+
+
 def mean(values: list[float | None]) -> float | None:
     """The mean of what is known; None where nothing is."""
     known = [value for value in values if value is not None]
     return round(statistics.fmean(known), 3) if known else None
 
 
+def high(values: list[float | None]) -> float | None:
+    """What nine of ten of the known values do not exceed."""
+    known = sorted(value for value in values if value is not None)
+    if not known:
+        return None
+    return round(known[math.ceil(0.9 * len(known)) - 1], 3)
+
+
 def plot(run: journeys.Run, path: pathlib.Path) -> None:
     """Draws the course of a run as a PNG file."""
     # Imported here: it takes half a second, which the table does not need.
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/journeys.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/journeys.py
@@ -31,6 +31,15 @@
     behind: float = 0.0
     role: str | None = None
     draining: bool = False
+    read: int = 0
+    newest: int = 0
+    write: int = 0
+    join: int = 0
+    leave: int = 0
+
+
+# Sorts of what is logged about relays and the store.
+RELAYS, DOUBTS, CALLS = range(3)
 
 
 class Journey(msgspec.Struct):
@@ -99,12 +108,15 @@
         journeys: In the order in which they ended.
         splits: In the order in which any node learnt of them.
         orders: When an engine was ordered to change its role.
+        told: When something about relays and the store was logged, of which
+            sort (`RELAYS`, `DOUBTS`, `CALLS`), and how many.
         unread: Lines that held no readable record.
     """
 
     journeys: list[Journey]
     splits: list[Split]
     orders: list[float]
+    told: list[tuple[float, int, int]]
     unread: int
 
 
@@ -125,6 +137,7 @@
         self.roles: dict[str, str] = {}
         self.splits: list[Split] = []
         self.orders: list[float] = []
+        self.told: list[tuple[float, int, int]] = []
         self.unread = 0
 
     def take(self, text: str) -> None:
@@ -168,6 +181,16 @@
         if line.number == events.ROLE_ORDERED.number:
             self.orders.append(at)
             return
+        if line.number == events.RELAY_CHOSEN.number:
+            self.told.append((at, RELAYS, 1))
+            return
+        if line.number == events.KNOWLEDGE_DOUBTED.number:
+            self.told.append((at, DOUBTS, 1))
+            return
+        if line.number == events.STORE_CALLED.number:
+            calls = line.read + line.newest + line.write + line.join
+            self.told.append((at, CALLS, calls + line.leave))
+            return
         if line.number == events.REPLICA_CHANGED.number:
             if not line.role or line.draining:
                 self.roles.pop(line.instance, None)
@@ -190,7 +213,9 @@
             else:
                 self.belief(line, at)
         self.lines.clear()
-        return Run(self.journeys, self.splits, self.orders, self.unread)
+        return Run(
+            self.journeys, self.splits, self.orders, self.told, self.unread
+        )
 
 
 def read(lines: Iterable[str]) -> Run:
