Have prompts read where they were before, whether connected or not

Cause: the preference for engines with an open connection sends short prompts away from their homes, where their shared parts are read again.

--- a/packages/gypsumfold/src/gypsumfold/decisions/homes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/homes.py
@@ -41,11 +41,6 @@
 PIECE = 0.032
 # Tokens below which copying takes longer than reading: 400 are 10 ms.
 LEAST_COPY = 400
-# Seconds by which an engine to which no connection is open must be quicker: a
-# new one takes two ways there and back between data centres, the engine's
-# handshake (4 ms in all) and the node's processor (1 ms), and takes one of
-# the connections that the engine accepts from all nodes together.
-CONNECTING = 0.015
 # Seconds that copying cached parts takes beside their bytes.
 COPY_OVERHEAD = 0.008
 
@@ -56,12 +51,10 @@
     Attributes:
         name: Its instance.
         address: IP:PORT.
-        connected: Whether a connection to it is open.
     """
 
     name: str
     address: str
-    connected: bool = True
 
 
 class Prompt(NamedTuple):
@@ -208,11 +201,9 @@
         ranked = order(key, engines)
         best = None
         best_cost = math.inf
-        for place, engine in enumerate(self.considered(ranked, shared_tokens)):
+        for place, engine in enumerate(ranked[:CONSIDERED]):
             choice = self.weigh(engine, holder, prompt, copy_rate, now)
             cost = choice.total
-            if not engine.connected:
-                cost += CONNECTING
             if place > 0:
                 rate = self.pace(ranked[0].name).rate
                 cost += HOME_WEIGHT * shared_tokens / rate
@@ -220,26 +211,6 @@
                 best, best_cost = choice, cost
         return best
 
-    def considered(
-        self, ranked: list[Engine], shared_tokens: int
-    ) -> list[Engine]:
-        """The engines that are weighed, the prompt's home first.
-
-        A prompt that shares little may as well be read where a connection is
-        open.
-        """
-        found = ranked[:CONSIDERED]
-        if not found:
-            return found
-        if shared_tokens > CONNECTING * self.pace(ranked[0].name).rate:
-            return found
-        for engine in ranked[CONSIDERED:]:
-            if len(found) >= 2 * CONSIDERED:
-                break
-            if engine.connected:
-                found.append(engine)
-        return found
-
     def weigh(
         self,
         engine: Engine,
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -84,13 +84,7 @@
         found = []
         now = time.monotonic()
         for replica in self.directory.engines(service.name, True, now, avoid):
-            found.append(
-                homes_module.Engine(
-                    replica.instance,
-                    replica.address,
-                    self.endpoints.connected(replica),
-                )
-            )
+            found.append(homes_module.Engine(replica.instance, replica.address))
         return found
 
     def peer(self, address: str) -> str:
