--- a/features/relays.feature
+++ b/features/relays.feature
@@ -110,6 +110,11 @@
     When they tell each other for 10 seconds, each time 5 ms on the way
     Then each knows that what it knows is at least 9.9 seconds old
 
+  Scenario: A relay that failed to read goes by the newest records, whatever others tell it
+    Given a relay to which the store answers that it has forgotten what it asks for
+    When another relay that knows the same tells it so all the while
+    Then it asks for the newest records before it has asked 4 times for others
+
   Scenario: Only frames under a shared key are taken, and keys change without a stop
     Given a node with the keys "new, old"
     Then it takes frames sealed with "new" and with "old"
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -40,7 +40,7 @@
 def entry_of(value):
     """Takes the entry of a node in."""
     gossip = made_up.gossip()
-    gossip.update([store_module.Record("edge-2", value)])
+    gossip.entries.update([store_module.Record("edge-2", value)])
     if not gossip.members.known:
         raise exceptions.RecordInvalid("no peer")
     for member in gossip.members.known.values():
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -1,5 +1,6 @@
 """Steps with hundreds of gateways' peer parts under virtual time."""
 
+import asyncio
 import random
 from unittest import mock
 
@@ -7,6 +8,7 @@
 from features.support import made_up
 from features.support import relay_site
 
+from gypsumfold import clocks
 from gypsumfold.decisions import following
 from gypsumfold.decisions import members
 from gypsumfold.decisions import registry
@@ -16,6 +18,7 @@
 from gypsumfold.gateway.peers import frames
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import seals
+from gypsumfold.platform import store
 
 LOSS = 0.025
 ENGINE = "i-0000000a"
@@ -386,6 +389,53 @@
         assert found >= age, found
 
 
+class ForgetfulStore:
+    """A store that has the newest records and forgets all others."""
+
+    def __init__(self):
+        self.newest_calls = 0
+        self.read_calls = 0
+
+    async def newest(self, topic):
+        self.newest_calls += 1
+        return store.Page([], 10)
+
+    async def read(self, topic, start, wait):
+        self.read_calls += 1
+        raise store.HistoryLost("forgotten")
+
+
+@behave.given(
+    "a relay to which the store answers that it has forgotten what it asks for"
+)
+def step_forgetful(context):
+    context.store = ForgetfulStore()
+    context.watch = watching.Watch(
+        context.store, watching.StoreState(), "", mock.Mock(), lambda: 0.0
+    )
+
+
+@behave.when("another relay that knows the same tells it so all the while")
+def step_told_so(context):
+    async def tell():
+        task = asyncio.create_task(context.watch.run())
+        while context.store.newest_calls < 2 and context.store.read_calls < 4:
+            await asyncio.sleep(0.01)
+            context.watch.trust(10, clocks.now())
+        task.cancel()
+
+    asyncio.run(tell())
+
+
+@behave.then(
+    "it asks for the newest records before it has asked {calls:d} times for "
+    "others"
+)
+def step_newest(context, calls):
+    assert context.store.newest_calls >= 2, context.store.newest_calls
+    assert context.store.read_calls < calls, context.store.read_calls
+
+
 @behave.given('a node with the keys "{keys}"')
 def step_keys(context, keys):
     context.gossip = made_up.gossip(*keys.split(", "))
--- a/features/support/made_up.py
+++ b/features/support/made_up.py
@@ -278,5 +278,5 @@
     made = gossip_module.Gossip(
         settings, mock.Mock(), homes_module.Homes(), leadership, directory
     )
-    made.transport = mock.Mock()
+    made.sender.transport = mock.Mock()
     return made
--- a/features/support/relay_site.py
+++ b/features/support/relay_site.py
@@ -76,7 +76,7 @@
             directory_module.Directory(random.Random(place)),
         )
         self.gossip.clock = lambda: site.now
-        self.gossip.transport = Transport(site.network, self.address)
+        self.gossip.sender.transport = Transport(site.network, self.address)
         self.reported = -1.0
         self.frozen = False
 
@@ -134,12 +134,12 @@
         """Has nodes read the entries in the store, dead ones' too."""
         for name in names or list(self.nodes):
             gossip = self.nodes[name].gossip
-            gossip.entered = True
+            gossip.entries.read = True
             for entered, _ in self.entries.values():
                 if entered.name != name:
                     own = entered.gossip.members.own
                     gossip.members.add(own, self.now)
-            if len(gossip.members.known) >= gossip.mesh:
+            if len(gossip.members.known) >= gossip.entries.mesh:
                 gossip.leave_mesh()
 
     def kill(self, *names: str) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -153,7 +153,7 @@
             self.gossip.reads,
             self.questions,
         )
-        self.gossip.knowledge = self.knowledge
+        self.gossip.summaries.knowledge = self.knowledge
         self.answers.sources[questions.REGISTRATIONS] = (
             self.knowledge.registered
         )
@@ -186,7 +186,7 @@
                 self.store,
                 self.store_state,
                 names.NODES_TOPIC,
-                self.gossip,
+                self.gossip.entries,
                 lambda: watching.REREAD,
             ),
         }
@@ -235,7 +235,7 @@
     async def start(self) -> None:
         """Starts all tasks and listens."""
         await self.gossip.start()
-        self.supervise("announcement", self.gossip.announce)
+        self.supervise("announcement", self.gossip.entries.announce)
         self.supervise("gossip", self.gossip.run)
         self.supervise("relay", self.gossip.relay)
         for name, watch in self.watches.items():
@@ -354,7 +354,9 @@
         grace = self.settings.shutdown.grace_s
         events.log(events.NODE_STOPPING, requests=len(self.server.busy))
         self.server.stopping = True
-        await asyncio.gather(self.leadership.leave(), self.gossip.withdraw())
+        await asyncio.gather(
+            self.leadership.leave(), self.gossip.entries.withdraw()
+        )
         await asyncio.sleep(min(NOTICE, grace / 2))
         await self.server.stop_listening()
         end = started + grace - LAST
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/beliefs.py
@@ -0,0 +1,53 @@
+"""Takes what other nodes tell of engines into what this one believes."""
+
+from gypsumfold import events
+from gypsumfold.decisions import homes as homes_module
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway.peers import messages
+
+
+class Beliefs:
+    """What this node believes of engines by the news of others.
+
+    >>> beliefs = Beliefs(homes, directory)
+    >>> beliefs.hear(news, now=0.0)
+    """
+
+    def __init__(
+        self,
+        homes: homes_module.Homes,
+        directory: directory_module.Directory,
+    ):
+        self.homes = homes
+        self.directory = directory
+
+    def hear(self, news: messages.News, now: float) -> None:
+        """Takes in what happened elsewhere."""
+        for engine, seconds in news.closed.items():
+            if self.of_newest_start(engine, news):
+                self.directory.close(engine, now + seconds)
+        for engine, (role, seconds) in news.roles.items():
+            if self.of_newest_start(engine, news):
+                self.believe(engine, role, now + seconds)
+        for instance in news.unreachable:
+            if instance not in self.directory.suspects:
+                self.directory.doubt(instance)
+        for placed in news.placed:
+            self.homes.read_links(placed.engine, placed.links, placed.tokens)
+
+    def of_newest_start(self, engine: str, news: messages.News) -> bool:
+        """Whether a peer speaks of the engine that this node knows."""
+        if engine not in self.directory.replicas:
+            return False
+        born = news.births.get(engine, 0)
+        return self.directory.births.newest(engine, born)
+
+    def believe(self, engine: str, role: str, until: float) -> None:
+        """Takes an engine's new role in as a peer says it."""
+        try:
+            found = decision_types.Role(role)
+        except ValueError as error:
+            events.log(events.FRAME_REFUSED, reason=str(error))
+            return
+        self.directory.confirm(engine, found, until)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -15,9 +15,6 @@
 import contextlib
 import math
 import time
-from typing import Protocol
-
-import msgspec
 
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -29,13 +26,15 @@
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
-from gypsumfold.gateway.peers import frames
+from gypsumfold.gateway.peers import beliefs as beliefs_module
+from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import loads as loads_module
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import outbox as outbox_module
 from gypsumfold.gateway.peers import relaying as relaying_module
 from gypsumfold.gateway.peers import seals
-from gypsumfold.platform import names
+from gypsumfold.gateway.peers import sending
+from gypsumfold.gateway.peers import summaries as summaries_module
 from gypsumfold.platform import store as store_module
 
 # Seconds between two datagrams to the same peer at the least: a prompt takes
@@ -49,27 +48,11 @@
 TICK = 0.1
 # Seconds between two full datagrams where nothing changes.
 REFRESH = 1.0
-# Seconds of silence after which a peer's entry is removed from the store.
-DEAD = 30.0
-# Nodes that a relay introduces to those which report to it.
-INTRODUCED = 3
 # Seconds that a report takes to be in its relay's sums: the way there, and
 # the wait for a processor that is in use.
 UNDER_WAY = 0.015
 
 
-class Knowledge(Protocol):
-    """What this node knows from the store."""
-
-    def tell(self, between: bool) -> messages.Knowledge | None:
-        """What nodes are told that follow this one, or other relays."""
-
-    def told(
-        self, knowledge: messages.Knowledge, address: tuple[str, int]
-    ) -> None:
-        """Takes in what a relay knows, and where it answers questions."""
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Sends this node's placements to its peers and takes theirs in.
 
@@ -104,67 +87,43 @@
         self.relaying = relaying_module.Relaying(self.members)
         self.loads = loads_module.Loads(homes, directory)
         self.outbox = outbox_module.Outbox()
-        self.knowledge: Knowledge | None = None
         self.sealer = seals.Sealer(settings.peers.keys)
-        self.mesh = settings.peers.mesh
+        self.sender = sending.Sender(self.members, self.sealer)
         self.clock = time.monotonic
+        self.entries = entries_module.Entries(
+            store,
+            leadership,
+            self.members,
+            settings.peers.mesh,
+            lambda: self.clock(),
+        )
+        self.entries.many = self.leave_mesh
+        self.entries.drop = self.drop
+        self.summaries = summaries_module.Summaries(
+            self.relaying, self.loads, self.sender, directory
+        )
+        self.beliefs = beliefs_module.Beliefs(homes, directory)
         self.meshed = True
         self.chosen = False
-        self.entered = False
         self.again = False
         self.choice = relays_module.Choice(None, None, [])
         self.numbers: dict[str, int] = {}
-        self.number = 0
-        self.ticks = 0
         self.reported: list[tuple[float, messages.Amounts]] = []
         self.site = loads_module.listener()
-        self.for_nodes = loads_module.teller()
-        self.for_relays = loads_module.teller()
         self.counted = (1, 0.0)
         self.noticed = -math.inf
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
-        self.transport: asyncio.DatagramTransport | None = None
         homes.listener = self
         directory.unreached.append(self.not_reached)
         directory.gone.append(self.forget)
 
-    def replace(self, records: list[store_module.Record]) -> None:
-        """Takes in all nodes' entries in the store."""
-        self.entered = True
-        present = {record.key for record in records if record.value}
-        lately = self.clock() - relaying_module.SUBSCRIBED
-        for member in self.members.silent(lately):
-            if member.node not in present:
-                self.drop(member.name)
-        self.update(records)
-
-    def update(self, records: list[store_module.Record]) -> None:
-        """Takes in entries that came since."""
-        now = self.clock()
-        for record in records:
-            if record.key == self.members.own.node:
-                continue
-            if not record.value:
-                self.drop(self.members.nodes.get(record.key, ""))
-                continue
-            try:
-                entry = messages.entry(record.value)
-            except exceptions.RecordInvalid as error:
-                events.log(
-                    events.RECORD_SKIPPED, key=record.key, reason=str(error)
-                )
-                continue
-            member = members_module.Member(
-                entry.member or record.key,
-                record.key,
-                entry.data_centre,
-                messages.socket_address(entry.address),
-                entry.power,
-            )
-            self.members.add(member, now)
-        if len(self.members.known) >= self.mesh:
-            self.leave_mesh()
+    def removes(self, member: members_module.Member) -> bool:
+        """Whether this node removes the entry of one that was silent."""
+        if self.meshed:
+            return self.leadership.token(self.clock()) is not None
+        own = self.members.own.data_centre
+        return member.data_centre == own and self.relays.settled(self.clock())
 
     def drop(self, name: str) -> None:
         """Forgets a node that has left or is gone."""
@@ -177,34 +136,10 @@
         """Opens the socket."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
+        self.sender.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, int(port))
         )
 
-    async def announce(self) -> None:
-        """Enters this node in the store; returns when it is there."""
-        own = self.members.own
-        entry = messages.Entry(
-            self.address, own.name, own.data_centre, own.power
-        )
-        while True:
-            try:
-                await self.store.put(
-                    names.NODES_TOPIC, own.node, msgspec.json.encode(entry)
-                )
-                return
-            except exceptions.PlatformError as error:
-                self.leadership.state.failed(str(error), self.clock())
-            await asyncio.sleep(INTERVAL * 10)
-
-    async def withdraw(self) -> None:
-        """Removes this node's entry, for a shutdown."""
-        try:
-            await self.store.put(names.NODES_TOPIC, self.members.own.node, b"")
-        except exceptions.PlatformError as error:
-            # Another node removes it later.
-            self.leadership.state.failed(str(error), self.clock())
-
     def sent(self, engine: str, links: list[int], tokens: list[int]) -> None:
         """Notes that this node sent a prompt to an engine."""
         self.outbox.place(messages.Placed(engine, links, tokens))
@@ -258,7 +193,7 @@
                 async with asyncio.timeout(REFRESH):
                     await self.changed.wait()
             except TimeoutError:
-                await self.tidy()
+                await self.entries.tidy(self.removes)
             self.again = self.changed.is_set()
             self.changed.clear()
             if self.meshed:
@@ -353,25 +288,12 @@
         news: messages.News,
         now: float,
     ) -> None:
-        """Sends one report; what does not fit of the prompts is left out."""
-        if not receivers:
+        """Sends a report, and notes who is asked for an answer by it."""
+        self.sender.report(receivers, wants, self.loads.own(now), news)
+        if wants < messages.WANTS_SIGNS:
             return
-        self.number += 1
-        report = messages.Report(
-            self.contact(), self.number, wants, self.loads.own(now), news
-        )
-        data = frames.fitting(report, self.sealer)
         for member in receivers:
-            if wants >= messages.WANTS_SIGNS:
-                self.relays.asked(member.name, now)
-            self.transport.sendto(data, member.address)
-
-    def contact(self) -> messages.Contact:
-        """This node as others rank it."""
-        own = self.members.own
-        return messages.Contact(
-            own.name, own.node, own.data_centre, power=own.power
-        )
+            self.relays.asked(member.name, now)
 
     def choose(self, now: float) -> None:
         """Looks for the relay again, and changes over to another one."""
@@ -411,104 +333,13 @@
 
     def tell(self, now: float) -> None:
         """Tells those who report here, and other relays, what is new."""
-        self.ticks += 1
         relays = self.choice.relay is None
         if relays:
             self.pass_on(self.news(now), now)
         due = self.relaying.due(now)
-        if due.everything or due.signs:
-            self.tell_nodes(due, now)
+        self.summaries.tell_nodes(due, self.nodes(), now)
         if relays and self.relays.settled(now):
-            self.tell_relays(now)
-
-    def tell_nodes(self, due: relaying_module.Due, now: float) -> None:
-        """Tells the nodes of this data centre."""
-        knowledge = self.knowledge.tell(False) if self.knowledge else None
-        introduced = []
-        if due.signs or self.ticks % round(REFRESH / TICK) == 0:
-            introduced = self.introduced()
-        if due.signs:
-            sign = self.summary(
-                False, messages.Sums(), messages.News(), knowledge, introduced
-            )
-            self.send_summary(sign, [one.member for one in due.signs])
-        if due.everything:
-            self.relaying.for_nodes.keep_closed(self.directory.changing)
-            summary = self.summary(
-                False,
-                self.for_nodes.changed(self.loads.site(now)),
-                self.relaying.for_nodes.take(now),
-                knowledge,
-                introduced,
-            )
-            self.send_summary(summary, [one.member for one in due.everything])
-
-    def tell_relays(self, now: float) -> None:
-        """Tells the relays of the other data centres."""
-        targets = self.relaying.targets(now)
-        if not targets:
-            return
-        self.relaying.for_relays.keep_closed(self.directory.changing)
-        sums = self.relaying.sums(self.loads.own(now))
-        summary = self.summary(
-            True,
-            self.for_relays.changed(sums),
-            self.relaying.for_relays.take(now),
-            # A relay that is cut off from the store hears of it by this.
-            self.knowledge.tell(True) if self.knowledge else None,
-        )
-        self.send_summary(summary, targets)
-
-    def summary(
-        self,
-        between: bool,
-        sums: messages.Sums,
-        news: messages.News,
-        knowledge: messages.Knowledge | None = None,
-        introduced: list[messages.Contact] | None = None,
-    ) -> messages.Summary:
-        """Makes what a relay tells."""
-        nodes = 1 + len(self.relaying.subscribers)
-        return messages.Summary(
-            self.contact(),
-            self.number,
-            nodes if between else self.nodes(),
-            between,
-            sums,
-            news,
-            knowledge,
-            introduced or [],
-        )
-
-    def introduced(self) -> list[messages.Contact]:
-        """The nodes that rank highest in this data centre."""
-        ranked = self.members.ranked(self.members.own.data_centre)
-        found = []
-        for member in ranked[:INTRODUCED]:
-            host, port = member.address
-            found.append(
-                messages.Contact(
-                    member.name,
-                    member.node,
-                    member.data_centre,
-                    f"{host}:{port}",
-                    member.power,
-                )
-            )
-        return found
-
-    def send_summary(
-        self,
-        summary: messages.Summary,
-        receivers: list[members_module.Member],
-    ) -> None:
-        """Sends a summary in as many datagrams as it takes."""
-        for part in frames.parts(summary, self.sealer):
-            self.number += 1
-            part.number = self.number
-            data = frames.encoded(part, self.sealer)
-            for member in receivers:
-                self.transport.sendto(data, member.address)
+            self.summaries.tell_relays(now)
 
     def datagram_received(self, data: bytes, address) -> None:
         """Takes a peer's datagram in; older than the last one is dropped."""
@@ -553,15 +384,16 @@
                 self.loads.told(member.name, report.amounts, until)
             else:
                 self.relaying.greet(member, now)
-            self.hear_news(report.news, now)
+            self.beliefs.hear(report.news, now)
             return
         self.leave_mesh()
         if self.relaying.report(member, report, now):
             # It waits for an answer to know that somebody relays.
-            self.tell_nodes(self.relaying.due(now), now)
+            due = self.relaying.due(now)
+            self.summaries.tell_nodes(due, self.nodes(), now)
         if self.choice.relay is None:
             self.loads.told(member.name, report.amounts, until)
-        self.hear_news(report.news, now)
+        self.beliefs.hear(report.news, now)
         if report.wants == messages.WANTS_ALL:
             self.pass_on(report.news, now)
 
@@ -573,8 +405,9 @@
     ) -> None:
         """Takes in what a relay tells."""
         self.leave_mesh()
-        if summary.knowledge is not None and self.knowledge is not None:
-            self.knowledge.told(summary.knowledge, member.address)
+        knowledge = self.summaries.knowledge
+        if summary.knowledge is not None and knowledge is not None:
+            knowledge.told(summary.knowledge, member.address)
         if summary.between:
             self.hear_between(member, summary, now)
             return
@@ -594,7 +427,7 @@
             own = self.reported[0][1]
         others = loads_module.without(self.site.amounts(now), own)
         self.loads.told(relay.data_centre, others, now + loads_module.SILENT)
-        self.hear_news(summary.news, now)
+        self.beliefs.hear(summary.news, now)
 
     def hear_between(
         self,
@@ -613,7 +446,7 @@
         if best is not None and best.member.name == member.name:
             until = now + loads_module.SILENT
             self.loads.told(data_centre, best.listener.amounts(now), until)
-            self.hear_news(summary.news, now)
+            self.beliefs.hear(summary.news, now)
             if self.relaying.for_nodes.add(summary.news, now):
                 self.urgent.set()
 
@@ -640,36 +473,6 @@
             )
             self.members.add(member, now)
 
-    def hear_news(self, news: messages.News, now: float) -> None:
-        """Takes in what happened elsewhere."""
-        for engine, seconds in news.closed.items():
-            if self.of_newest_start(engine, news):
-                self.directory.close(engine, now + seconds)
-        for engine, (role, seconds) in news.roles.items():
-            if self.of_newest_start(engine, news):
-                self.believe(engine, role, now + seconds)
-        for instance in news.unreachable:
-            if instance not in self.directory.suspects:
-                self.directory.doubt(instance)
-        for placed in news.placed:
-            self.homes.read_links(placed.engine, placed.links, placed.tokens)
-
-    def of_newest_start(self, engine: str, news: messages.News) -> bool:
-        """Whether a peer speaks of the engine that this node knows."""
-        if engine not in self.directory.replicas:
-            return False
-        born = news.births.get(engine, 0)
-        return self.directory.births.newest(engine, born)
-
-    def believe(self, engine: str, role: str, until: float) -> None:
-        """Takes an engine's new role in as a peer says it."""
-        try:
-            found = decision_types.Role(role)
-        except ValueError as error:
-            events.log(events.FRAME_REFUSED, reason=str(error))
-            return
-        self.directory.confirm(engine, found, until)
-
     def error_received(self, error: Exception) -> None:
         """Nothing depends on a datagram; a dead peer's entry goes later."""
 
@@ -688,7 +491,7 @@
         One that starts knows that once it has read who else takes part, and
         none that ranks higher has still to answer.
         """
-        return self.entered and self.reads() and not self.choice.asked
+        return self.entries.read and self.reads() and not self.choice.asked
 
     def readers(self) -> int:
         """How many nodes read the store for all."""
@@ -699,7 +502,7 @@
     def may_lead(self) -> bool:
         """Whether this node offers to give orders to engines."""
         if self.meshed:
-            return self.entered
+            return self.entries.read
         return self.relays.settled(self.clock())
 
     def nodes(self) -> int:
@@ -709,7 +512,7 @@
             if self.choice.relay is None:
                 self.count(self.relaying.nodes(), now)
             return self.counted[0]
-        start = now - DEAD / 2
+        start = now - entries_module.DEAD / 2
         count = 1
         for member in self.members.known:
             if self.members.heard.get(member, 0.0) > start:
@@ -724,24 +527,5 @@
         count each node would take a larger share of the retry budget.
         """
         most, since = self.counted
-        if nodes >= most or now - since > DEAD / 2:
+        if nodes >= most or now - since > entries_module.DEAD / 2:
             self.counted = (nodes, now)
-
-    async def tidy(self) -> None:
-        """Forgets silent peers; their entries are removed by one node."""
-        now = self.clock()
-        own = self.members.own.data_centre
-        for member in self.members.silent(now - DEAD):
-            if self.meshed:
-                removes = self.leadership.token(now) is not None
-            else:
-                removes = self.relays.settled(now)
-                if not removes or member.data_centre != own:
-                    continue
-            self.drop(member.name)
-            if not removes:
-                continue
-            try:
-                await self.store.put(names.NODES_TOPIC, member.node, b"")
-            except exceptions.PlatformError as error:
-                self.leadership.state.failed(str(error), now)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -0,0 +1,81 @@
+"""Sends reports and summaries as datagrams."""
+
+import asyncio
+
+from gypsumfold.decisions import members as members_module
+from gypsumfold.gateway.peers import frames
+from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import seals
+
+# Nodes that a relay introduces to those which report to it.
+INTRODUCED = 3
+
+
+class Sender:
+    """Numbers, seals and sends what this node says.
+
+    >>> sender = Sender(members, sealer)
+    >>> sender.transport = transport
+    >>> sender.report([relay], messages.WANTS_ALL, amounts, news)
+    """
+
+    def __init__(self, members: members_module.Members, sealer: seals.Sealer):
+        self.members = members
+        self.sealer = sealer
+        self.number = 0
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def report(
+        self,
+        receivers: list[members_module.Member],
+        wants: int,
+        amounts: messages.Amounts,
+        news: messages.News,
+    ) -> None:
+        """Sends one report; what does not fit of the prompts is left out."""
+        if not receivers:
+            return
+        self.number += 1
+        report = messages.Report(
+            self.contact(), self.number, wants, amounts, news
+        )
+        data = frames.fitting(report, self.sealer)
+        for member in receivers:
+            self.transport.sendto(data, member.address)
+
+    def summary(
+        self,
+        summary: messages.Summary,
+        receivers: list[members_module.Member],
+    ) -> None:
+        """Sends a summary in as many datagrams as it takes."""
+        for part in frames.parts(summary, self.sealer):
+            self.number += 1
+            part.number = self.number
+            data = frames.encoded(part, self.sealer)
+            for member in receivers:
+                self.transport.sendto(data, member.address)
+
+    def contact(self) -> messages.Contact:
+        """This node as others rank it."""
+        own = self.members.own
+        return messages.Contact(
+            own.name, own.node, own.data_centre, power=own.power
+        )
+
+    def introduced(self) -> list[messages.Contact]:
+        """The nodes that rank highest in this data centre."""
+        ranked = self.members.ranked(self.members.own.data_centre)
+        found = []
+        for member in ranked[:INTRODUCED]:
+            host, port = member.address
+            found.append(
+                messages.Contact(
+                    member.name,
+                    member.node,
+                    member.data_centre,
+                    f"{host}:{port}",
+                    member.power,
+                )
+            )
+        return found
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
@@ -0,0 +1,114 @@
+"""What a relay tells the nodes of its data centre and other relays."""
+
+from typing import Protocol
+
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway.peers import loads as loads_module
+from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import relaying as relaying_module
+from gypsumfold.gateway.peers import sending
+
+# Summaries after which the best ranked nodes are introduced again: once a
+# second.
+INTRODUCING = 10
+
+
+class Knowledge(Protocol):
+    """What this node knows from the store."""
+
+    def tell(self, between: bool) -> messages.Knowledge | None:
+        """What nodes are told that follow this one, or other relays."""
+
+    def told(
+        self, knowledge: messages.Knowledge, address: tuple[str, int]
+    ) -> None:
+        """Takes in what a relay knows, and where it answers questions."""
+
+
+class Summaries:
+    """Makes summaries of what is new, and sends them.
+
+    Attributes:
+        knowledge: What this node knows from the store.
+
+    >>> summaries = Summaries(relaying, loads, sender, directory)
+    >>> summaries.tell_nodes(relaying.due(0.0), nodes=195, now=0.0)
+    """
+
+    def __init__(
+        self,
+        relaying: relaying_module.Relaying,
+        loads: loads_module.Loads,
+        sender: sending.Sender,
+        directory: directory_module.Directory,
+    ):
+        self.relaying = relaying
+        self.loads = loads
+        self.sender = sender
+        self.directory = directory
+        self.knowledge: Knowledge | None = None
+        self.for_nodes = loads_module.teller()
+        self.for_relays = loads_module.teller()
+        self.count = 0
+
+    def tell_nodes(
+        self, due: relaying_module.Due, nodes: int, now: float
+    ) -> None:
+        """Tells the nodes of this data centre that report here.
+
+        Args:
+            due: Who is to be told what.
+            nodes: How many there are on the site.
+            now: The time.
+        """
+        if not due.everything and not due.signs:
+            return
+        self.count += 1
+        introduced = []
+        if due.signs or self.count % INTRODUCING == 0:
+            introduced = self.sender.introduced()
+        knowledge = self.knowledge.tell(False) if self.knowledge else None
+        if due.signs:
+            sign = messages.Summary(
+                self.sender.contact(),
+                self.sender.number,
+                nodes,
+                False,
+                messages.Sums(),
+                messages.News(),
+                knowledge,
+                introduced,
+            )
+            self.sender.summary(sign, [one.member for one in due.signs])
+        if due.everything:
+            self.relaying.for_nodes.keep_closed(self.directory.changing)
+            summary = messages.Summary(
+                self.sender.contact(),
+                self.sender.number,
+                nodes,
+                False,
+                self.for_nodes.changed(self.loads.site(now)),
+                self.relaying.for_nodes.take(now),
+                knowledge,
+                introduced,
+            )
+            self.sender.summary(summary, [one.member for one in due.everything])
+
+    def tell_relays(self, now: float) -> None:
+        """Tells the relays of the other data centres."""
+        targets = self.relaying.targets(now)
+        if not targets:
+            return
+        self.relaying.for_relays.keep_closed(self.directory.changing)
+        sums = self.relaying.sums(self.loads.own(now))
+        summary = messages.Summary(
+            self.sender.contact(),
+            self.sender.number,
+            1 + len(self.relaying.subscribers),
+            True,
+            self.for_relays.changed(sums),
+            self.relaying.for_relays.take(now),
+            # A relay that is cut off from the store hears of it by this.
+            self.knowledge.tell(True) if self.knowledge else None,
+        )
+        self.sender.summary(summary, targets)
