--- a/features/relays.feature
+++ b/features/relays.feature
@@ -84,6 +84,15 @@
     And each node counts 235 nodes
     And what a node sends is known to all others
 
+  Scenario: Dead nodes are forgotten, and those that are only not heard are not
+    Given 48 gateways in 3 data centres that have run for 3 seconds
+    And the first two nodes of each data centre are killed
+    When 40 seconds pass
+    Then the entries of the dead are gone, and each node still knows 41 others or more
+    When the first two nodes of each data centre are killed
+    Then no node follows a dead one after 1.5 seconds
+    And each data centre has one relay after 3 seconds
+
   Scenario: A handful of nodes grows past the mesh
     Given 12 gateways in 3 data centres that have run for 3 seconds
     When 9 more start
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -185,6 +185,22 @@
     context.site.kill(*first_two(context.site))
 
 
+@behave.when("{seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.site.run(seconds)
+
+
+@behave.then(
+    "the entries of the dead are gone, and each node still knows {least:d} "
+    "others or more"
+)
+def step_known_still(context, least):
+    site = context.site
+    assert set(site.entries) == set(site.nodes), site.entries.keys()
+    for node in site.nodes.values():
+        assert len(node.gossip.members.known) >= least, node.name
+
+
 @behave.then("no node follows a dead one after {seconds:g} seconds")
 def step_alive(context, seconds):
     context.site.run(seconds)
--- a/features/support/relay_site.py
+++ b/features/support/relay_site.py
@@ -70,9 +70,12 @@
         self.homes = homes_module.Homes()
         self.gossip = gossip_module.Gossip(
             settings,
-            mock.Mock(),
+            mock.Mock(put=site.remove_entry),
             self.homes,
-            mock.Mock(member=f"{self.name}-{start:016x}"),
+            mock.Mock(
+                member=f"{self.name}-{start:016x}",
+                token=lambda now: None,
+            ),
             directory_module.Directory(random.Random(place)),
         )
         self.gossip.clock = lambda: site.now
@@ -93,6 +96,8 @@
             gossip.again = changed
             gossip.changed.clear()
             self.reported = now
+            if not changed:
+                finish(gossip.tidy())
             gossip.report(now)
 
     def waiting(self, engine: str, now: float) -> float:
@@ -100,6 +105,15 @@
         return self.homes.waiting.total(f"{engine}/0", now)
 
 
+def finish(coroutine) -> None:
+    """Runs a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("it waits")
+
+
 class Site:
     """Gateways in some data centres.
 
@@ -142,6 +156,11 @@
             if len(gossip.members.known) >= gossip.entries.mesh:
                 gossip.leave_mesh()
 
+    async def remove_entry(self, topic: str, name: str, value: bytes) -> None:
+        """Takes a node's entry out of the store."""
+        assert not value, (topic, name, value)
+        self.entries.pop(name, None)
+
     def kill(self, *names: str) -> None:
         """Ends gateways at once; their entries stay."""
         for name in names:
--- a/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
@@ -24,6 +24,9 @@
 # Seconds for which the relay is asked for a newer configuration before the
 # store is.
 FETCHING = 0.3
+# Seconds between two questions for all registrations: where the answer does
+# not settle the difference, the store is read.
+ASKING = 1.0
 # Seconds of age beyond which it does not matter how old something is; the
 # field of the message has a limit.
 MOST_AGE = 1e5
@@ -58,6 +61,7 @@
         self.questions = questions
         self.ahead: tuple[str, int] | None = None
         self.different: tuple[str, int] | None = None
+        self.next_question = -math.inf
         self.told_version = 0
         self.behind_since = math.inf
         self.news = asyncio.Event()
@@ -152,7 +156,8 @@
             watch.trust(knowledge.end, now - knowledge.age)
         elif knowledge.end >= watch.position:
             watch.following.differs(now)
-            if watch.following.differing(now):
+            if watch.following.differing(now) and now >= self.next_question:
+                self.next_question = now + ASKING
                 self.different = address
                 self.news.set()
         self.told_configuration(knowledge, address, now)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -113,19 +113,22 @@
             self.leadership.state.failed(str(error), self.clock())
 
     async def tidy(
-        self, removes: Callable[[members_module.Member], bool]
+        self, hears: Callable[[members_module.Member], bool], removes: bool
     ) -> None:
         """Forgets nodes that were silent for long.
 
         Args:
-            removes: Whether it is for this node to remove an entry, so that
-                not all nodes do; others are forgotten alone.
+            hears: Whether this node would hear another one if that ran; of
+                others their silence says nothing.
+            removes: Whether it is for this node to remove their entries, so
+                that not all nodes do.
         """
         now = self.clock()
         for member in self.members.silent(now - DEAD):
-            removed = removes(member)
+            if not hears(member):
+                continue
             self.drop(member.name)
-            if not removed:
+            if not removes:
                 continue
             try:
                 await self.store.put(names.NODES_TOPIC, member.node, b"")
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -70,8 +70,6 @@
     ):
         self.directory = directory
         self.address = settings.peers.address
-        self.store = store
-        self.homes = homes
         self.leadership = leadership
         self.member = leadership.member
         node = settings.node
@@ -118,13 +116,26 @@
         directory.unreached.append(self.not_reached)
         directory.gone.append(self.forget)
 
-    def removes(self, member: members_module.Member) -> bool:
-        """Whether this node removes the entry of one that was silent."""
+    async def tidy(self) -> None:
+        """Forgets nodes that were silent for long."""
+        await self.entries.tidy(self.hears, self.removes())
+
+    def hears(self, member: members_module.Member) -> bool:
+        """Whether this node would hear another one, if that ran.
+
+        One that follows a relay hears no others but relays.
+        """
         if self.meshed:
-            return self.leadership.token(self.clock()) is not None
+            return True
         own = self.members.own.data_centre
         return member.data_centre == own and self.relays.settled(self.clock())
 
+    def removes(self) -> bool:
+        """Whether this node removes the entries of dead ones."""
+        if self.meshed:
+            return self.leadership.token(self.clock()) is not None
+        return self.relays.settled(self.clock())
+
     def drop(self, name: str) -> None:
         """Forgets a node that has left or is gone."""
         self.members.remove(name)
@@ -193,7 +204,7 @@
                 async with asyncio.timeout(REFRESH):
                     await self.changed.wait()
             except TimeoutError:
-                await self.entries.tidy(self.removes)
+                await self.tidy()
             self.again = self.changed.is_set()
             self.changed.clear()
             if self.meshed:
@@ -234,9 +245,9 @@
     def report(self, now: float) -> None:
         """Tells what this node has, to its relay or to every node."""
         if self.meshed:
-            self.report_to(
-                list(self.members.known.values()), messages.WANTS_NOTHING, now
-            )
+            others = list(self.members.known.values())
+            news = self.news(now)
+            self.send_report(others, messages.WANTS_NOTHING, news, now)
             return
         choice = self.choice
         if choice.relay is None:
@@ -275,12 +286,6 @@
         while len(self.reported) > 1 and now - self.reported[1][0] > UNDER_WAY:
             del self.reported[0]
 
-    def report_to(
-        self, receivers: list[members_module.Member], wants: int, now: float
-    ) -> None:
-        """Tells some nodes all that this one has."""
-        self.send_report(receivers, wants, self.news(now), now)
-
     def send_report(
         self,
         receivers: list[members_module.Member],
