--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -117,7 +117,7 @@
         context.gossip.datagram_received(data, ("10.0.0.9", 1))
         heard = len(context.gossip.numbers) > before
         context.ends["decoded" if heard else "refused"] += 1
-        sums = context.gossip.homes.waiting.sums
+        sums = context.gossip.loads.homes.waiting.sums
         assert all(map(math.isfinite, sums.values())), sums
 
     receive()
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -37,7 +37,7 @@
 def step_node(context, born):
     context.gossip = made_up.gossip()
     context.directory = context.gossip.directory
-    context.homes = context.gossip.homes
+    context.homes = context.gossip.loads.homes
     context.endpoints = mock.AsyncMock()
     context.planner = planning.Planner(
         mock.Mock(),
