Never give the last engine away that surely generates

Its pending order still counted as an engine that generates, and its closing had run out, so that it did not count as changing. Prompts pressed, and the only engine that generated was ordered to read; 0.6 s later the crashed one's entry went. None generated for 10 s.

An engine whose order has not shown counts as changing, and the last one that generates and does not change stays.

Two scenarios fail before and pass after.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -96,6 +96,18 @@
     When two engines that read crash and come back generating
     Then one of them is ordered to read, and none while it changes
 
+  Scenario Outline: The last engine that surely generates is not given away for one that was ordered to: <readers> that read
+    Given a planner with <readers> engines that read and one that generates
+    And another engine that was ordered to generate 5 seconds ago, which has not shown
+    When prompts press for 6 seconds
+    Then the one that surely generates was not ordered to read
+    But once the other one shows its role, one of the two is
+
+    Examples:
+      | readers |
+      | 6       |
+      | 40      |
+
   Scenario Outline: Before there is traffic, enough engines generate for the links
     Given engines that read 40000 tokens a second, with KV caches of <bytes> bytes a token and links of <gbits> Gbit/s
     Then <generators> of <engines> engines generate at a start
--- a/features/steps/gateway_split_steps.py
+++ b/features/steps/gateway_split_steps.py
@@ -1,9 +1,15 @@
 """Steps on the split of engines between prompts and tokens."""
 
+import asyncio
+from unittest import mock
+
 import behave
+from features.support import made_up
 
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types
+from gypsumfold.gateway import planning
+from gypsumfold.gateway import types as gateway_types
 
 # Seconds between two looks of the planner.
 LOOK = 0.15
@@ -216,3 +222,83 @@
 def step_initial(context, generators, engines):
     found = stages.initial(engines, context.moving)
     assert found == generators, (found, context.moving)
+
+
+SERVICE = gateway_types.Service("lm", 0, cache_tokens=400_000)
+ORDERED = "i-ordered"
+STEADY = "i-steady"
+
+
+def engine(name, role):
+    """An engine as it is registered."""
+    return gateway_types.Replica(
+        name, "lm", f"10.0.0.1:{len(name)}", name, 64, False, role
+    )
+
+
+@behave.given(
+    "a planner with {readers:d} engines that read and one that generates"
+)
+def step_planner(context, readers):
+    gossip = made_up.gossip()
+    directory = gossip.directory
+    for place in range(readers):
+        directory.put(engine(f"i-{place}", types.Role.PREFILL))
+    directory.put(engine(STEADY, types.Role.DECODE))
+    directory.put(engine(ORDERED, types.Role.PREFILL))
+    context.planner = planning.Planner(
+        mock.Mock(),
+        directory,
+        mock.Mock(),
+        mock.Mock(),
+        gossip,
+        gossip.loads.homes,
+    )
+    pressed = stages.Load(1.5 * readers, streams=0.3, demand=1.2 * readers)
+    context.planner.load = lambda service, now: pressed
+    context.ordered = []
+
+    async def order(service, change):
+        context.ordered.append(change.engine)
+
+    context.planner.order = order
+    context.now = 100.0
+
+
+@behave.given(
+    "another engine that was ordered to generate 5 seconds ago, which has not "
+    "shown"
+)
+def step_unshown(context):
+    planner = context.planner
+    planner.pending[ORDERED] = planning.Pending(types.Role.DECODE, 200.0)
+    plan(context)
+    # The change before was long enough ago for another one.
+    planner.splits["lm"].changed = context.now - stages.SETTLE
+
+
+def plan(context):
+    """Has the planner look once."""
+    with mock.patch.object(planning.time, "monotonic", lambda: context.now):
+        asyncio.run(context.planner.plan(SERVICE))
+
+
+@behave.when("prompts press for {seconds:d} seconds")
+def step_press(context, seconds):
+    end = context.now + seconds
+    while context.now < end:
+        context.now += 0.15
+        plan(context)
+
+
+@behave.then("the one that surely generates was not ordered to read")
+def step_not_ordered(context):
+    assert STEADY not in context.ordered, context.ordered
+
+
+@behave.then("once the other one shows its role, one of the two is")
+def step_then_ordered(context):
+    context.planner.pending.clear()
+    context.planner.directory.put(engine(ORDERED, types.Role.DECODE))
+    step_press(context, 12)
+    assert {STEADY, ORDERED} & set(context.ordered), context.ordered
--- a/packages/gypsumfold/src/gypsumfold/decisions/stages.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/stages.py
@@ -337,7 +337,10 @@
             decoders.append(engine)
     found = []
     while len(decoders) > wanted:
-        leaving = max(decoders, key=lambda one: crowd(one, decoders))
+        spare = spared(decoders)
+        if not spare:
+            break
+        leaving = max(spare, key=lambda one: crowd(one, decoders))
         decoders.remove(leaving)
         found.append(Change(leaving.name, types.Role.PREFILL))
     while len(decoders) < wanted and readers:
@@ -348,6 +351,21 @@
     return found
 
 
+def spared(decoders: list[EngineView]) -> list[EngineView]:
+    """The engines of which one may stop generating.
+
+    The last one that surely generates stays: one that still changes may have
+    crashed, or carry its order out seconds later. Given away for an engine
+    that had been ordered 4.7 s before and was gone 0.6 s after, it left none
+    for 10 s, and 314 to 317 in 1,000 requests of the day were refused (18
+    nodes, four of five plays).
+    """
+    steady = [engine for engine in decoders if not engine.changing]
+    if len(steady) > 1:
+        return decoders
+    return [engine for engine in decoders if engine.changing]
+
+
 def few_at_once(found: list[Change], engines: list[EngineView]) -> list[Change]:
     """Puts off changes that only free engines which generate, but for a few.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -133,13 +133,18 @@
             role = self.directory.role(replica, now)
             role = pending.role if pending else role
             waiting = self.homes.queued(replica.instance, now)
+            # An order that has not shown may never be carried out: its engine
+            # may have crashed since.
+            changing = pending is not None or (
+                self.directory.changing.get(replica.instance, 0.0) > now
+            )
             views.append(
                 stages.EngineView(
                     replica.instance,
                     replica.data_centre,
                     role,
                     waiting,
-                    self.directory.changing.get(replica.instance, 0.0) > now,
+                    changing,
                 )
             )
         split = self.splits.setdefault(service.name, stages.Split())
