Log which requests ran on a replica that crashed, by an identity that lasts over attempts

The incident's logs could not tell whether the same request came back under new attempt ids, nor whether an engine that broke off had ended. Lines of a request have its fingerprint now (what a replica is asked to do, and for whom), and replica-crashed (316) names the fingerprints that a node had on a replica which ended: nothing listens at its address, another process does, it has started again, or its entry went. A reset of a live replica is none: it answers the next question. Nothing decides by it yet.

--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -19,6 +19,7 @@
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
+from gypsumfold.gateway import runs
 from gypsumfold.gateway import signs_of_life
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
@@ -260,7 +261,10 @@
 @behave.then("the request's prompt is to be read again")
 def step_read_again(context):
     placing = prompts.Prompts(
-        context.directory, context.endpoints, context.homes
+        context.directory,
+        context.endpoints,
+        context.homes,
+        runs.Runs(context.directory),
     )
     placing.check_kept(context.progress, lambda: True)
     assert context.progress.handle is None
@@ -290,7 +294,11 @@
         lambda: context.registrations.update([entry(2000, stage="prefill")])
     )
     serving = generations.Generations(
-        context.directory, context.endpoints, context.budget, context.homes
+        context.directory,
+        context.endpoints,
+        context.budget,
+        context.homes,
+        runs.Runs(context.directory),
     )
     now = time.monotonic()
     tokens = sum(part.tokens for part in CHAIN)
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -171,6 +171,13 @@
     "warning",
     "A replica sends nothing though it owes answers; it gets no work.",
 )
+REPLICA_CRASHED = define(
+    316,
+    "replica-crashed",
+    "warning",
+    "A replica ended while it ran requests of this node, by their "
+    "fingerprints.",
+)
 REPLICA_HEARD = define(
     313, "replica-heard", "info", "A silent replica gives a sign of life."
 )
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -85,6 +85,10 @@
     """No connection to the endpoint could be opened."""
 
 
+class EndpointGone(EndpointUnreachable):
+    """Nothing listens at the endpoint's address."""
+
+
 class EndpointUndetermined(EndpointError):
     """The endpoint may have run the dispatch; nobody here can tell."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -242,6 +242,10 @@
                 _, connection = await loop.create_connection(
                     Connection, host, int(port)
                 )
+        except ConnectionRefusedError as error:
+            raise exceptions.EndpointGone(
+                f"{address} cannot be reached: {error!r}"
+            ) from error
         except (OSError, TimeoutError) as error:
             raise exceptions.EndpointUnreachable(
                 f"{address} cannot be reached: {error!r}"
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -61,6 +61,8 @@
         self.doubts: set[str] = set()
         self.looks: dict[str, tuple[float, float]] = {}
         self.unreached = []
+        self.crashed: list[Callable[[types.Replica], None]] = []
+        self.alive: list[Callable[[str], None]] = []
         self.confirmed: dict[str, tuple[decision_types.Role, float]] = {}
         self.silence = silence_module.Silence()
         self.streams = shares.Shares()
@@ -123,6 +125,8 @@
             before=replica.born,
             born=born,
         )
+        for listener in self.crashed:
+            listener(replica)
         self.forget(replica)
 
     def drop(self, instance: str, grace: float, now: float) -> None:
@@ -305,6 +309,19 @@
             requests=self.silence.owing.get(instance, 0),
         )
 
+    def process_ended(self, instance: str) -> None:
+        """Notes that a replica's process has ended."""
+        replica = self.replicas.get(instance)
+        if replica is None:
+            return
+        for listener in self.crashed:
+            listener(replica)
+
+    def answered(self, instance: str) -> None:
+        """Notes that a replica has answered a new call."""
+        for listener in self.alive:
+            listener(instance)
+
     def failed(
         self, instance: str, error: Exception | None, now: float
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -31,6 +31,7 @@
 from gypsumfold.gateway import lines as lines_module
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import planning
+from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import signs_of_life
@@ -84,6 +85,7 @@
         self.store_state = watching.StoreState(settings.store.contact_ms / 1000)
         rng = random.Random()
         self.directory = directory_module.Directory(rng)
+        self.runs = runs_module.Runs(self.directory)
         self.configurations = watching.Configurations()
         self.pool = connections.Pool()
         self.endpoints = replicas.Replicas(self.pool)
@@ -93,7 +95,11 @@
         self.homes = homes_module.Homes()
         self.counters = counters_module.Counters()
         self.generations = generations.Generations(
-            self.directory, self.endpoints, self.budget, self.homes
+            self.directory,
+            self.endpoints,
+            self.budget,
+            self.homes,
+            self.runs,
         )
         self.handler = handling.Handler(
             self.configurations,
@@ -103,6 +109,7 @@
                 self.endpoints,
                 self.budget,
                 settings.node.data_centre,
+                self.runs,
             ),
             self.generations,
             self.counters,
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -20,6 +20,7 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
 
@@ -33,15 +34,21 @@
 
 
 class EngineListener:
-    """Notes each sign of life of one engine."""
+    """Notes each sign of life of one engine, and that a run gives output."""
 
-    def __init__(self, directory: directory_module.Directory, instance: str):
+    def __init__(
+        self, directory: directory_module.Directory, run: runs_module.Run
+    ):
         self.directory = directory
-        self.instance = instance
+        self.run = run
 
     def heard(self) -> None:
         """Bytes came."""
-        self.directory.heard(self.instance, time.monotonic())
+        self.directory.heard(self.run.replica.instance, time.monotonic())
+
+    def passed_on(self) -> None:
+        """An event went to the caller."""
+        self.run.output = True
 
 
 class Generations:
@@ -56,12 +63,14 @@
         endpoints: types.Endpoints,
         budget: budgets.RetryBudget,
         homes: homes_module.Homes,
+        runs: runs_module.Runs,
     ):
         self.directory = directory
+        self.runs = runs
         self.endpoints = endpoints
         self.budget = budget
         self.homes = homes
-        self.prompts = prompts.Prompts(directory, endpoints, homes)
+        self.prompts = prompts.Prompts(directory, endpoints, homes, runs)
 
     async def serve(
         self,
@@ -242,8 +251,9 @@
             route=route.name,
             resumed=stream.last_event,
         )
+        run = runs_module.Run(progress.fingerprint, replica, reading=False)
         try:
-            await self.exchange(replica, instructions, stream, progress)
+            await self.exchange(run, instructions, stream, progress)
         except exceptions.EndpointNotStarted as error:
             progress.did_not_run(replica)
             progress.failed(replica, str(error))
@@ -253,6 +263,7 @@
             raise
         except exceptions.AnswerBroken as error:
             progress.failed(replica, str(error))
+            self.runs.interrupted(run)
             self.directory.failed(replica.instance, error, time.monotonic())
             self.prompts.drop(progress)
             raise
@@ -275,7 +286,7 @@
 
     async def exchange(
         self,
-        replica: types.Replica,
+        run: runs_module.Run,
         instructions: types.Instructions,
         stream: streams.Stream,
         progress: progress_module.Progress,
@@ -286,14 +297,16 @@
             exceptions.EndpointNotStarted: It ran nothing.
             exceptions.AnswerBroken: It broke off.
         """
-        answer = await self.endpoints.send(replica, progress.call, instructions)
+        answer = await self.endpoints.send(
+            run.replica, progress.call, instructions
+        )
         try:
             if answer.not_run:
                 await answer.read()
                 raise exceptions.EndpointRefused(
                     f"the engine answered {answer.status}"
                 )
-            listener = EngineListener(self.directory, replica.instance)
+            listener = EngineListener(self.directory, run)
             await stream.pass_on(answer, progress, listener)
         finally:
             answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -9,6 +9,7 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import generations as generations_module
 from gypsumfold.gateway import plain_calls as plain_calls_module
 from gypsumfold.gateway import progress as progress_module
@@ -92,6 +93,7 @@
             events.log(
                 events.CALL_ENDED,
                 request=call.id,
+                fingerprint=fingerprints.text(progress.fingerprint),
                 route=route.name,
                 service=service,
                 version=configuration.version,
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -9,6 +9,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
 # Times a route's objective after which a repeatable call is sent elsewhere:
@@ -30,8 +31,10 @@
         endpoints: types.Endpoints,
         budget: budgets.RetryBudget,
         data_centre: str,
+        runs: runs_module.Runs,
     ):
         self.directory = directory
+        self.runs = runs
         self.endpoints = endpoints
         self.budget = budget
         self.data_centre = data_centre
@@ -123,6 +126,9 @@
                 self.directory.refused(replica.instance, error, now)
             raise
         except exceptions.AnswerBroken as error:
+            self.runs.interrupted(
+                runs_module.Run(progress.fingerprint, replica, reading=False)
+            )
             self.failed(replica, progress, str(error), error)
             raise
         finally:
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -7,6 +7,7 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import lateness
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import types
 
 # Seconds after which a caller may come back where there is no room.
@@ -17,6 +18,7 @@
     """Counts what was tried, so that the final answer can be true.
 
     Attributes:
+        fingerprint: The request's identity over all attempts of its caller.
         may_have_run: Whether a replica may have begun to work on it.
         begun: Whether bytes of an answer went to the caller.
         runs: Replicas that may have run it.
@@ -28,6 +30,7 @@
 
     def __init__(self, call: types.Call):
         self.call = call
+        self.fingerprint = fingerprints.fingerprint(call)
         self.may_have_run = False
         self.begun = False
         self.runs = 0
@@ -79,6 +82,7 @@
         events.log(
             events.CALL_PLACED,
             request=self.call.id,
+            fingerprint=fingerprints.text(self.fingerprint),
             instance=replica.instance,
             left=round(self.left(), 3),
             **inputs,
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -12,7 +12,9 @@
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
 # Times the expected seconds after which a prompt is read elsewhere, and the
@@ -37,8 +39,10 @@
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
         homes: homes_module.Homes,
+        runs: runs_module.Runs,
     ):
         self.directory = directory
+        self.runs = runs
         self.endpoints = endpoints
         self.homes = homes
         self.tasks: set[asyncio.Task] = set()
@@ -121,6 +125,7 @@
         events.log(
             events.PROMPT_PLACED,
             request=call.id,
+            fingerprint=fingerprints.text(progress.fingerprint),
             instance=choice.engine,
             tokens=choice.tokens,
             expected=round(choice.total, 3),
@@ -143,7 +148,9 @@
             route.urgency if rank.deferred else None,
         )
         try:
-            handle = await self.exchange(replica, choice, instructions, call)
+            handle = await self.exchange(
+                replica, choice, instructions, progress
+            )
         except exceptions.EndpointNotStarted as error:
             self.homes.dropped(choice)
             progress.failed(replica, str(error))
@@ -162,14 +169,14 @@
         replica: types.Replica,
         choice: homes_module.Choice,
         instructions: types.Instructions,
-        call: types.Call,
+        progress: progress_module.Progress,
     ) -> types.Handle:
         """Has one engine read a prompt, and judges the engine by it.
 
         Raises:
             exceptions.EndpointNotStarted: It did not; nothing has run.
         """
-        prefill = self.endpoints.prefill(replica, call, instructions)
+        prefill = self.endpoints.prefill(replica, progress.call, instructions)
         try:
             return await self.patiently(prefill, choice)
         except TimeoutError as error:
@@ -181,6 +188,10 @@
             self.directory.refused(replica.instance, error, time.monotonic())
             raise
         except exceptions.EndpointError as error:
+            if isinstance(error, exceptions.AnswerBroken):
+                self.runs.interrupted(
+                    runs_module.Run(progress.fingerprint, replica, reading=True)
+                )
             self.directory.failed(replica.instance, error, time.monotonic())
             raise exceptions.EndpointNotStarted(str(error)) from error
 
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/runs.py
@@ -0,0 +1,127 @@
+"""Requests in progress at replicas, and those that a crash interrupted.
+
+An answer that breaks off says little of its replica: a connection may be
+reset on the way, and a replica may fail single requests. It crashed if
+nothing listens at its address any more, another process does, or its entry
+goes.
+"""
+
+from collections.abc import Callable
+import time
+
+from gypsumfold import events
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import fingerprints
+from gypsumfold.gateway import types
+
+# Seconds after which an interrupted run whose replica's fate is not known is
+# forgotten: longer than the entry of a crashed replica stays.
+UNDECIDED_LIMIT = 8.0
+
+
+class Run:
+    """One request at one replica.
+
+    Attributes:
+        fingerprint: The request's identity.
+        replica: Where it runs.
+        reading: Whether just its prompt is read there.
+        output: Whether bytes of its answer came.
+        broken_at: When its answer broke off; None before that.
+    """
+
+    def __init__(self, fingerprint: int, replica: types.Replica, reading: bool):
+        self.fingerprint = fingerprint
+        self.replica = replica
+        self.reading = reading
+        self.output = False
+        self.broken_at: float | None = None
+
+
+class Crash:
+    """A replica that ended, with this node's runs that it interrupted."""
+
+    def __init__(self, replica: types.Replica, runs: list[Run]):
+        self.replica = replica
+        self.runs = runs
+
+
+class Runs:
+    """Decides which interrupted runs a crash of their replica interrupted.
+
+    Attributes:
+        listeners: Called with each crash.
+
+    >>> runs = Runs(directory)
+    >>> run = Run(fingerprint, replica, reading=False)
+    >>> runs.interrupted(run)
+    """
+
+    def __init__(self, directory: directory_module.Directory):
+        self.directory = directory
+        self.undecided: dict[str, list[Run]] = {}
+        self.listeners: list[Callable[[Crash], None]] = []
+        directory.crashed.append(self.crashed)
+        directory.gone.append(self.crashed)
+        directory.alive.append(self.alive)
+
+    def interrupted(self, run: Run) -> None:
+        """Takes in a run whose answer broke off.
+
+        A replica that leaves ends its connections by plan.
+        """
+        instance = run.replica.instance
+        known = self.directory.replicas.get(instance)
+        if known is None or known.draining:
+            return
+        run.broken_at = time.monotonic()
+        self.undecided.setdefault(instance, []).append(run)
+
+    def waits(self, fingerprint: int) -> bool:
+        """Whether the fate of a replica that ran this request is not known."""
+        for instance in list(self.undecided):
+            self.expire(instance)
+        for runs in self.undecided.values():
+            for run in runs:
+                if run.fingerprint == fingerprint:
+                    return True
+        return False
+
+    def expire(self, instance: str) -> None:
+        """Forgets the runs of a replica that were interrupted long ago."""
+        start = time.monotonic() - UNDECIDED_LIMIT
+        kept = []
+        for run in self.undecided[instance]:
+            if run.broken_at >= start:
+                kept.append(run)
+        self.undecided[instance] = kept
+        if not kept:
+            del self.undecided[instance]
+
+    def alive(self, instance: str) -> None:
+        """Notes that a replica answers: its connections were reset."""
+        self.undecided.pop(instance, None)
+
+    def crashed(self, replica: types.Replica) -> None:
+        """Notes that a replica has ended."""
+        instance = replica.instance
+        if instance not in self.undecided:
+            return
+        self.expire(instance)
+        runs = self.undecided.pop(instance, [])
+        known = self.directory.replicas.get(instance, replica)
+        if not runs or known.draining:
+            return
+        requests = []
+        for run in runs:
+            requests.append(fingerprints.text(run.fingerprint))
+        events.log(
+            events.REPLICA_CRASHED,
+            instance=instance,
+            service=replica.service,
+            seconds=round(time.monotonic() - runs[0].broken_at, 3),
+            requests=requests,
+            silent=sum(not run.output for run in runs),
+        )
+        for listener in self.listeners:
+            listener(Crash(replica, runs))
--- a/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
@@ -44,12 +44,15 @@
         try:
             async with asyncio.timeout(LIMIT):
                 state = await self.endpoints.state(replica)
-        except exceptions.EndpointMistaken:
+        except (exceptions.EndpointMistaken, exceptions.EndpointGone):
+            self.directory.process_ended(instance)
             self.directory.suspect(instance, time.monotonic())
         except (exceptions.EndpointRefused, exceptions.RecordInvalid):
+            self.directory.answered(instance)
             self.directory.heard(instance, time.monotonic())
         except (exceptions.EndpointError, TimeoutError):
             self.directory.suspect(instance, time.monotonic())
         else:
             self.directory.said(instance, state)
+            self.directory.answered(instance)
             self.directory.heard(instance, time.monotonic())
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -15,11 +15,14 @@
 
 
 class Listener(Protocol):
-    """Is told of a replica's signs of life."""
+    """Takes note of what comes from a replica."""
 
     def heard(self) -> None:
         """Bytes came."""
 
+    def passed_on(self) -> None:
+        """Output of the run went to the caller."""
+
 
 class Stream:
     """One answer to the caller, made of one or more replicas' streams.
@@ -64,7 +67,8 @@
         listener.heard()
         async for data in answer.chunks():
             listener.heard()
-            await self.write(data, answer, progress)
+            if await self.write(data, answer, progress):
+                listener.passed_on()
         if self.pending:
             await self.reply.write(self.pending)
         if not progress.begun:
@@ -100,15 +104,20 @@
         data: bytes,
         answer: types.Answer,
         progress: progress_module.Progress,
-    ) -> None:
-        """Passes bytes on; whole events only where that matters."""
+    ) -> bool:
+        """Passes bytes on; whole events only where that matters.
+
+        Returns:
+            Whether there was anything to pass on.
+        """
         if self.resumable:
             data = self.whole_events(data)
         if not data:
-            return
+            return False
         if not progress.begun:
             await self.begin(answer, progress)
         await self.reply.write(data)
+        return True
 
     def whole_events(self, data: bytes) -> bytes:
         """Returns the events that are whole by now and keeps the rest.
