--- /dev/null
+++ b/features/support/virtual_engines.py
@@ -0,0 +1,383 @@
+"""Engines and plain replicas that run, crash and start again in virtual time.
+
+They stand behind the `Endpoints` protocol of the gateways' own code and keep
+the truth of what ran where, to be compared with what callers were told.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import itertools
+from typing import NamedTuple
+
+from features.support import made_up
+from gypsumfold import exceptions
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import types
+from gypsumfold.platform import names
+
+# Seconds between a gateway and a replica, one way.
+NETWORK = 0.001
+# Seconds of one step of an engine, alone and for each other running request.
+STEP = 0.02
+STEP_EACH = 0.001
+# Prompt tokens that an engine reads in a second.
+READING = 40_000.0
+# Seconds that a plain replica works on a call.
+WORK = 0.02
+# Seconds from the begin of a run until a crashing request crashes its replica.
+CRASH_AFTER = (0.02, 0.07)
+# Seconds from a crash until the replica serves again, under a new instance.
+RESTART = (3.4, 4.2)
+# Seconds between two entries of a replica; after three missed ones it goes.
+HEARTBEAT = 1.2
+# Seconds that a call to a replica waits which does not answer at all.
+SILENT = 30.0
+SLOTS = 64
+
+
+class Arrival(NamedTuple):
+    """A request that reached a replica.
+
+    Attributes:
+        at: When.
+        body: What it asked for.
+        attempt: The caller's attempt id.
+        instance: Where.
+        ran: Whether it was to run, not just to have its prompt read.
+    """
+
+    at: float
+    body: bytes
+    attempt: str
+    instance: str
+    ran: bool
+
+
+class Crashed(NamedTuple):
+    """A replica that ended.
+
+    Attributes:
+        at: When.
+        body: The request that crashed it; empty where none did.
+        instance: Which.
+    """
+
+    at: float
+    body: bytes
+    instance: str
+
+
+class Replica:
+    """One lifetime of an engine or of a plain replica."""
+
+    def __init__(self, fleet: "Fleet", place: int, service: str, stage: str):
+        self.fleet = fleet
+        self.place = place
+        self.service = service
+        self.stage = stage
+        self.instance = f"i-{next(fleet.numbers)}"
+        self.address = f"10.9.0.{place}:8080"
+        self.alive = True
+        self.free_at = 0.0
+        self.running: set[asyncio.Future] = set()
+        self.cached: set[str] = set()
+
+    def registration(self, order: int) -> dict:
+        """Its entry in the store."""
+        return {
+            **made_up.REGISTRATION,
+            "service": self.service,
+            "addr": self.address,
+            "zone": f"dc-{self.place % 3}",
+            "slots": SLOTS,
+            "stage": self.stage,
+            "seq": order,
+            "born": 0,
+        }
+
+    async def lasts(self, seconds: float) -> bool:
+        """Lets time pass; whether the replica is still there after it."""
+        loop = asyncio.get_running_loop()
+        broken = loop.create_future()
+        self.running.add(broken)
+        try:
+            await asyncio.wait([broken], timeout=seconds)
+        finally:
+            self.running.discard(broken)
+        return self.alive
+
+    def end(self) -> None:
+        """Ends at once, with all that runs."""
+        self.alive = False
+        for broken in self.running:
+            if not broken.done():
+                broken.set_result(None)
+
+
+class Answer:
+    """A replica's answer whose head has come."""
+
+    def __init__(self, replica: Replica, call: types.Call, events: int):
+        self.replica = replica
+        self.call = call
+        self.events = events
+        self.status = 200
+        self.reason = "OK"
+        self.fields: types.Fields = ()
+        self.sealed = True
+        self.not_run = False
+        self.length = None
+        self.reset = replica.fleet.resets()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """The body as it comes."""
+        fleet = self.replica.fleet
+        crashes_after = fleet.begins(self.call)
+        if crashes_after is not None:
+            if await self.replica.lasts(crashes_after):
+                fleet.crash(self.replica, self.call.body)
+            raise exceptions.AnswerBroken("the connection ended")
+        for number in range(self.events):
+            step = STEP + STEP_EACH * len(self.replica.running)
+            if not await self.replica.lasts(step):
+                raise exceptions.AnswerBroken("the connection ended")
+            if self.reset:
+                raise exceptions.AnswerBroken("the connection was reset")
+            yield f"id: {number}\ndata: x\n\n".encode()
+        fleet.completed.add(self.call.body)
+
+    async def read(self) -> bytes:
+        """The whole body."""
+        parts = []
+        async for chunk in self.chunks():
+            parts.append(chunk)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Ends the exchange."""
+
+
+class Fleet:
+    """All replicas of a site.
+
+    Attributes:
+        crashing: Bodies of requests that crash what runs them.
+        arrivals: All requests that reached a replica.
+        crashes: All replicas that ended.
+        completed: Bodies of requests that ran to their end.
+        reset_share: Share of answers that are reset though their replica
+            lives.
+
+    >>> fleet = Fleet(site, readers=4, generators=2, plain=3)
+    >>> fleet.start()
+    """
+
+    def __init__(self, site, readers: int, generators: int, plain: int):
+        self.site = site
+        self.numbers = itertools.count(1)
+        self.crashing: set[bytes] = set()
+        self.arrivals: list[Arrival] = []
+        self.crashes: list[Crashed] = []
+        self.completed: set[bytes] = set()
+        self.reset_share = 0.0
+        self.replicas: dict[str, Replica] = {}
+        self.tasks: set[asyncio.Task] = set()
+        wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
+        self.wanted = wanted
+
+    def start(self) -> None:
+        """Starts and registers all replicas."""
+        for place, stage in enumerate(self.wanted, 1):
+            self.launch(Replica(self, place, "lm" if stage else "app", stage))
+
+    def launch(self, replica: Replica) -> None:
+        """Runs one lifetime of a replica."""
+        self.replicas[replica.address] = replica
+        self.spawn(self.register(replica))
+
+    def spawn(self, coroutine) -> None:
+        """Runs something beside the story."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def register(self, replica: Replica) -> None:
+        """Keeps a replica's entry until three heartbeats after its end."""
+        topic = names.REGISTRATIONS_TOPIC
+        for order in itertools.count():
+            self.site.log.write(
+                topic, replica.instance, replica.registration(order)
+            )
+            pause = HEARTBEAT * self.site.rng.uniform(0.9, 1.1)
+            if not await replica.lasts(pause):
+                break
+        await asyncio.sleep(3 * HEARTBEAT)
+        self.site.log.write(topic, replica.instance, None)
+
+    def crash(self, replica: Replica, body: bytes = b"") -> None:
+        """Ends a replica; another lifetime follows at its address."""
+        if not replica.alive:
+            return
+        now = self.site.clock()
+        self.crashes.append(Crashed(now, body, replica.instance))
+        replica.end()
+        self.spawn(self.restart(replica))
+
+    async def restart(self, replica: Replica) -> None:
+        """Starts the next lifetime of a replica."""
+        await asyncio.sleep(self.site.rng.uniform(*RESTART))
+        self.launch(
+            Replica(self, replica.place, replica.service, replica.stage)
+        )
+
+    def kill(self, stage: str) -> None:
+        """Ends one replica that no request has crashed."""
+        alive = []
+        for replica in self.replicas.values():
+            if replica.alive and replica.stage == stage:
+                alive.append(replica)
+        if alive:
+            self.crash(self.site.rng.choice(alive))
+
+    def begins(self, call: types.Call) -> float | None:
+        """Begins a run; seconds until it crashes its replica, if it does."""
+        if call.body in self.crashing:
+            return self.site.rng.uniform(*CRASH_AFTER)
+        return None
+
+    def resets(self) -> bool:
+        """Draws whether an answer is to be reset."""
+        return self.site.rng.random() < self.reset_share
+
+    def crashed_by(self, body: bytes) -> list[Crashed]:
+        """The replicas that a request has crashed."""
+        return [crash for crash in self.crashes if crash.body == body]
+
+    def retries_after(self, body: bytes, crashes: int, grace: float) -> int:
+        """Attempts of a request that reached replicas after its crashes.
+
+        Args:
+            body: The request's.
+            crashes: After how many.
+            grace: Seconds after the last of them that are not counted.
+        """
+        found = self.crashed_by(body)
+        if len(found) < crashes:
+            return 0
+        start = found[crashes - 1].at + grace
+        attempts = set()
+        for arrival in self.arrivals:
+            if arrival.body == body and arrival.at > start:
+                attempts.add(arrival.attempt)
+        return len(attempts)
+
+    async def stop(self) -> None:
+        """Ends all that runs."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Endpoints:
+    """One gateway's calls to the replicas.
+
+    Attributes:
+        cut: Whether nothing comes back from any replica.
+    """
+
+    def __init__(self, fleet: Fleet):
+        self.fleet = fleet
+        self.cut = False
+
+    def connected(self, replica: types.Replica) -> bool:
+        """Whether a call would find a connection open."""
+        return True
+
+    async def reach(self, replica: types.Replica) -> Replica:
+        """Finds the process at a replica's address."""
+        await asyncio.sleep(NETWORK)
+        if self.cut:
+            await asyncio.sleep(SILENT)
+        found = self.fleet.replicas[replica.address]
+        if not found.alive:
+            raise exceptions.EndpointGone(f"{replica.address}: refused")
+        if found.instance != replica.instance:
+            raise exceptions.EndpointMistaken(f"{replica.instance} is gone")
+        return found
+
+    def arrive(self, replica: Replica, call: types.Call, ran: bool) -> None:
+        """Notes that a request reached a replica."""
+        self.fleet.arrivals.append(
+            Arrival(
+                self.fleet.site.clock(),
+                call.body,
+                call.id,
+                replica.instance,
+                ran,
+            )
+        )
+
+    async def send(
+        self,
+        replica: types.Replica,
+        call: types.Call,
+        instructions: types.Instructions,
+    ) -> Answer:
+        """Sends a request and waits for the head of its answer."""
+        found = await self.reach(replica)
+        self.arrive(found, call, True)
+        if not found.stage:
+            answer = Answer(found, call, 1)
+            if not await found.lasts(WORK):
+                raise exceptions.AnswerBroken("the connection ended")
+            return answer
+        if found.stage != "decode":
+            raise exceptions.EndpointMistaken("another role")
+        events = max(1, call.output_tokens)
+        if instructions.last_event:
+            events -= int(instructions.last_event) + 1
+        return Answer(found, call, events)
+
+    async def prefill(
+        self,
+        replica: types.Replica,
+        call: types.Call,
+        instructions: types.Instructions,
+    ) -> types.Handle:
+        """Has a prompt read."""
+        found = await self.reach(replica)
+        self.arrive(found, call, False)
+        if found.stage != "prefill":
+            raise exceptions.EndpointMistaken("another role")
+        tokens = 0
+        for part in call.chain:
+            if part.id not in found.cached:
+                found.cached.add(part.id)
+                tokens += part.tokens
+        now = self.fleet.site.clock()
+        found.free_at = max(now, found.free_at) + tokens / READING
+        if not await found.lasts(found.free_at - now):
+            raise exceptions.AnswerBroken("the connection ended")
+        return types.Handle(found.instance, found.address, call.id)
+
+    async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
+        """Frees a KV cache."""
+        await self.reach(replica)
+
+    async def state(self, replica: types.Replica) -> types.State:
+        """Asks an engine for its state."""
+        found = await self.reach(replica)
+        await asyncio.sleep(NETWORK)
+        role = decision_types.Role.DECODE
+        if found.stage == "prefill":
+            role = decision_types.Role.PREFILL
+        return types.State(role if found.stage else None, False, 0, 0, 0)
+
+    async def cache_list(self, replica: types.Replica) -> types.CacheList:
+        """Asks an engine which parts of prompts it keeps."""
+        await self.reach(replica)
+        return types.CacheList([])
+
+    async def order(self, replica: types.Replica, order: types.Order) -> bool:
+        """Refuses every order: engines keep their roles here."""
+        raise exceptions.OrderRefused("engines keep their roles")
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -19,6 +19,7 @@
 from unittest import mock
 
 from features.support import made_up
+from features.support import virtual_engines
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -26,6 +27,7 @@
 from gypsumfold.gateway import lines
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.platform import names
+from gypsumfold.platform import replicas as replicas_module
 from gypsumfold.platform import store as store_module
 
 # Seconds that a call to the store takes, and a datagram.
@@ -195,6 +197,7 @@
         data_centre: str,
         leaving_ms: float,
         host: str,
+        first_start: bool = True,
     ):
         self.site = site
         self.name = name
@@ -203,7 +206,9 @@
         self.leaving_ms = leaving_ms
         self.address = (host, PORT)
         settings = settings_module.Settings(
-            node=settings_module.NodeSection(name, data_centre),
+            node=settings_module.NodeSection(
+                name, data_centre, first_start=first_start
+            ),
             callers=settings_module.CallersSection(f"{host}:1", f"{host}:2"),
             store=settings_module.StoreSection("10.200.0.1:1"),
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
@@ -211,9 +216,19 @@
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
         )
         descriptor = os.open(os.devnull, os.O_WRONLY)
-        with mock.patch.object(
-            store_module, "Store", lambda address, session: self.store
-        ):
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(
+                mock.patch.object(
+                    store_module, "Store", lambda address, session: self.store
+                )
+            )
+            if site.fleet is not None:
+                self.endpoints = virtual_engines.Endpoints(site.fleet)
+                stack.enter_context(
+                    mock.patch.object(
+                        replicas_module, "Replicas", lambda pool: self.endpoints
+                    )
+                )
             self.gateway = gateway_module.Gateway(
                 settings, pathlib.Path(__file__), lines.BoundedLines(descriptor)
             )
@@ -233,10 +248,13 @@
         gateway.supervise("fetch", gateway.knowledge.fetch)
         gateway.supervise("leadership", gateway.leadership.run)
         gateway.supervise("housekeeping", gateway.housekeeping)
+        if self.site.fleet is not None:
+            gateway.supervise("silence", gateway.signs_of_life.run)
 
     async def stop(self) -> None:
         """Ends at once."""
         tasks = list(self.gateway.tasks.values())
+        tasks += self.gateway.generations.prompts.tasks
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -280,10 +298,13 @@
         self.rng = random.Random(seed)
         self.log = Log()
         self.nodes: dict[str, Node] = {}
+        self.fleet: virtual_engines.Fleet | None = None
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
         self.divided: set[tuple] = set()
+        # Share of the datagrams that are lost.
+        self.loss = 0.0
         self.lines: list[tuple[float, int, dict]] = []
         self.watched: Callable[[], None] = lambda: None
 
@@ -310,6 +331,8 @@
         try:
             await story
         finally:
+            if self.fleet is not None:
+                await self.fleet.stop()
             for beat in self.beats.values():
                 beat.cancel()
             for node in self.nodes.values():
@@ -332,14 +355,30 @@
         """Ends all gateways and starts them again at once."""
         before = list(self.nodes.values())
         self.nodes = {}
-        loop = asyncio.get_running_loop()
         for old in before:
             await old.stop()
-            node = Node(
-                self, old.name, old.data_centre, old.leaving_ms, old.address[0]
-            )
-            self.nodes[old.name] = node
-            loop.call_later(self.rng.uniform(0.0, 0.3), node.start)
+        for old in before:
+            self.start_again(old)
+
+    async def restart_one(self, name: str) -> None:
+        """Ends one gateway and starts it again."""
+        old = self.nodes.pop(name)
+        await old.stop()
+        self.start_again(old)
+
+    def start_again(self, old: Node) -> None:
+        """Starts a gateway in the place of one that has ended."""
+        node = Node(
+            self,
+            old.name,
+            old.data_centre,
+            old.leaving_ms,
+            old.address[0],
+            first_start=False,
+        )
+        self.nodes[old.name] = node
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.rng.uniform(0.0, 0.3), node.start)
 
     async def kill(self, *names: str) -> None:
         """Ends gateways at once; their entries stay."""
@@ -396,6 +435,8 @@
 
     def deliver(self, data: bytes, receiver: tuple, sender: tuple) -> None:
         """Delivers a datagram."""
+        if self.loss and self.rng.random() < self.loss:
+            return
         if (tuple(receiver) in self.divided) != (sender in self.divided):
             return
         for node in self.nodes.values():
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -278,6 +278,12 @@
     slug = "unavailable"
 
 
+class RequestQuarantined(Unavailable):
+    """The request crashed the replicas that ran it before."""
+
+    slug = "request-quarantined"
+
+
 class AnswerFailed(RequestError):
     """The request was started and its answer cannot be completed."""
 
