--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -19,6 +19,7 @@
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
+from gypsumfold.gateway import quarantine
 from gypsumfold.gateway import runs
 from gypsumfold.gateway import signs_of_life
 from gypsumfold.gateway import types
@@ -264,7 +265,7 @@
         context.directory,
         context.endpoints,
         context.homes,
-        runs.Runs(context.directory),
+        quarantine.Quarantine(runs.Runs(context.directory)),
     )
     placing.check_kept(context.progress, lambda: True)
     assert context.progress.handle is None
@@ -298,7 +299,7 @@
         context.endpoints,
         context.budget,
         context.homes,
-        runs.Runs(context.directory),
+        quarantine.Quarantine(runs.Runs(context.directory)),
     )
     now = time.monotonic()
     tokens = sum(part.tokens for part in CHAIN)
--- a/features/support/made_up.py
+++ b/features/support/made_up.py
@@ -9,6 +9,8 @@
 
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import runs
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway.peers import gossip as gossip_module
 from gypsumfold.gateway.peers import seals
@@ -276,7 +278,12 @@
         peers=settings_module.PeersSection("127.0.0.1:8092", list(keys)),
     )
     made = gossip_module.Gossip(
-        settings, mock.Mock(), homes_module.Homes(), leadership, directory
+        settings,
+        mock.Mock(),
+        homes_module.Homes(),
+        leadership,
+        directory,
+        quarantine.Quarantine(runs.Runs(directory)),
     )
     made.sender.transport = mock.Mock()
     return made
--- a/features/support/relay_site.py
+++ b/features/support/relay_site.py
@@ -8,6 +8,8 @@
 
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import runs
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import gossip as gossip_module
@@ -70,6 +72,7 @@
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
         )
         self.homes = homes_module.Homes()
+        directory = directory_module.Directory(random.Random(place))
         self.gossip = gossip_module.Gossip(
             settings,
             mock.Mock(put=site.write_entry, newest=site.newest_entries),
@@ -78,7 +81,8 @@
                 member=f"{self.name}-{start:016x}",
                 token=lambda now: None,
             ),
-            directory_module.Directory(random.Random(place)),
+            directory,
+            quarantine.Quarantine(runs.Runs(directory)),
         )
         self.gossip.clock = lambda: site.now
         self.gossip.sender.transport = Transport(site.network, self.address)
--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -148,7 +148,7 @@
         refused = False
         wait = 0.0
         try:
-            await node.gateway.handler.serve(call, reply)
+            await self.served(node, call, reply)
             status = reply.status
         except exceptions.RequestError as error:
             status = error.status
@@ -159,6 +159,22 @@
         seconds = self.site.clock() - call.arrival
         return End(body, call.id, status, refused, seconds), wait
 
+    async def served(self, node, call: types.Call, reply: Reply) -> None:
+        """Has a gateway serve a call; one that ends cuts its connection.
+
+        Raises:
+            exceptions.RequestError: As the gateway's handler.
+            exceptions.AnswerBroken: The same, or the gateway ended.
+        """
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(node.gateway.handler.serve(call, reply))
+        node.calls[task] = True
+        task.add_done_callback(node.calls.pop)
+        await asyncio.wait([task])
+        if task.cancelled():
+            raise exceptions.AnswerBroken("the gateway ended")
+        task.result()
+
     def call(self, kind: tuple, body: bytes, left: float) -> types.Call:
         """Makes the call of one attempt."""
         path, shared, own, output, _ = kind
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -79,7 +79,8 @@
         self.address = f"10.9.0.{place}:8080"
         self.alive = True
         self.free_at = 0.0
-        self.running: set[asyncio.Future] = set()
+        # A dict keeps the order, so that a seed gives the same course.
+        self.running: dict[asyncio.Future, bool] = {}
         self.cached: set[str] = set()
 
     def registration(self, order: int) -> dict:
@@ -99,11 +100,11 @@
         """Lets time pass; whether the replica is still there after it."""
         loop = asyncio.get_running_loop()
         broken = loop.create_future()
-        self.running.add(broken)
+        self.running[broken] = True
         try:
             await asyncio.wait([broken], timeout=seconds)
         finally:
-            self.running.discard(broken)
+            del self.running[broken]
         return self.alive
 
     def end(self) -> None:
@@ -181,7 +182,7 @@
         self.completed: set[bytes] = set()
         self.reset_share = 0.0
         self.replicas: dict[str, Replica] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks: dict[asyncio.Task, bool] = {}
         wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
         self.wanted = wanted
 
@@ -198,8 +199,8 @@
     def spawn(self, coroutine) -> None:
         """Runs something beside the story."""
         task = asyncio.get_running_loop().create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks[task] = True
+        task.add_done_callback(self.tasks.pop)
 
     async def register(self, replica: Replica) -> None:
         """Keeps a replica's entry until three heartbeats after its end."""
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -17,6 +17,9 @@
 import selectors
 from typing import Any
 from unittest import mock
+import uuid
+
+import uuid6
 
 from features.support import made_up
 from features.support import virtual_engines
@@ -204,6 +207,8 @@
         self.store = Store(site.log)
         self.data_centre = data_centre
         self.leaving_ms = leaving_ms
+        self.first_start = first_start
+        self.calls: dict[asyncio.Task, bool] = {}
         self.address = (host, PORT)
         settings = settings_module.Settings(
             node=settings_module.NodeSection(
@@ -229,6 +234,15 @@
                         replicas_module, "Replicas", lambda pool: self.endpoints
                     )
                 )
+            own = random.Random(f"{site.seed} {name} {site.clock()}")
+            stack.enter_context(
+                mock.patch.object(random, "Random", lambda: own)
+            )
+            stack.enter_context(
+                mock.patch.object(
+                    uuid6, "uuid7", lambda: uuid.UUID(int=own.getrandbits(128))
+                )
+            )
             self.gateway = gateway_module.Gateway(
                 settings, pathlib.Path(__file__), lines.BoundedLines(descriptor)
             )
@@ -250,14 +264,17 @@
         gateway.supervise("housekeeping", gateway.housekeeping)
         if self.site.fleet is not None:
             gateway.supervise("silence", gateway.signs_of_life.run)
+            gateway.supervise("crash-records", gateway.crash_records.run)
+            if not self.first_start:
+                gateway.supervise(
+                    "crash-records-read", gateway.crash_records.read
+                )
 
     async def stop(self) -> None:
         """Ends at once."""
-        tasks = list(self.gateway.tasks.values())
-        tasks += self.gateway.generations.prompts.tasks
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancelled([*self.calls, *self.gateway.tasks.values()])
+        # Calls that end so have the memory of their prompts freed.
+        await cancelled(list(self.gateway.generations.prompts.tasks))
         await self.gateway.session.close()
         os.close(self.gateway.lines.descriptor)
 
@@ -286,6 +303,13 @@
         return {replica.instance for replica in found}
 
 
+async def cancelled(tasks: list[asyncio.Task]) -> None:
+    """Cancels tasks and waits for their ends."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class Site:
     """Gateways, a store and registered replicas.
 
@@ -295,6 +319,7 @@
 
     def __init__(self, seed: int):
         self.clock = Clock()
+        self.seed = seed
         self.rng = random.Random(seed)
         self.log = Log()
         self.nodes: dict[str, Node] = {}
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -0,0 +1,308 @@
+"""Which requests crash the replicas that run them.
+
+Load pattern: a request that crashes each replica that runs it (a query of
+death) and comes again after each crash, at any node. Without this it ends one
+replica after the other, and each crash interrupts dozens of other requests,
+whose repeats run beside it again.
+
+A crash accuses every request that it interrupted. Three crashes put a request
+into quarantine. An accusation is dropped once the request runs to its end, or
+once the crash is explained by a request in quarantine. Nodes exchange what they
+have seen; records merge in any order and any number of times to the same state.
+"""
+
+import collections
+import enum
+import math
+from typing import NamedTuple
+
+# Crashes after which a request is sent to no replica: the fourth replica that
+# it would end is the first that can be saved with certainty, as two crashes may
+# meet one request by chance.
+MOST_CRASHES = 3
+# Seconds of the first quarantine; a service may run the request well after a
+# new version. One run is tried after it.
+QUARANTINE = 600.0
+# Times by which each further quarantine of a request is longer, and the longest
+# in seconds.
+LONGER = 4.0
+LONGEST_QUARANTINE = 86400.0
+# Crashes that are remembered, and interrupted requests of each: an attacker
+# that makes up new requests must not fill the memory.
+MOST_RECORDS = 256
+MOST_REQUESTS = 256
+# Interrupted requests told in one message, and messages in which news are
+# told, as datagrams may be lost.
+MOST_TOLD = 48
+TOLD_TIMES = 4
+# Seconds between two rounds in which what is known is told again.
+REFRESH = 1.0
+# Seconds after a crash for which accusations by it alone are told again: a
+# node that was cut off for longer learns those of requests that crash more.
+RECENT = 60.0
+
+
+class Verdict(enum.Enum):
+    """What may be done with a request.
+
+    Attributes:
+        FREE: It is sent like any other.
+        CANARY: It runs as the only suspect on its replica, one copy at a time.
+        QUARANTINED: It is sent to no replica.
+    """
+
+    FREE = "free"
+    CANARY = "canary"
+    QUARANTINED = "quarantined"
+
+
+class Lifetime(NamedTuple):
+    """One lifetime of a replica.
+
+    Attributes:
+        instance: The replica.
+        started: Unix milliseconds of its start; 0 if it does not say.
+    """
+
+    instance: str
+    started: int = 0
+
+
+class Interrupted(NamedTuple):
+    """A request that a crash interrupted, as nodes tell each other.
+
+    Attributes:
+        replica: What crashed.
+        fingerprint: The request.
+        output: Whether its caller had got output of this run.
+        cleared: Whether it has run to its end since.
+    """
+
+    replica: Lifetime
+    fingerprint: int
+    output: bool
+    cleared: bool
+
+
+class Crash:
+    """What is known of one crash.
+
+    Attributes:
+        at: When this node learnt of it.
+        requests: The interrupted requests; whether each had given output.
+        cleared: Those that have run to their end since.
+        culprit: The request that explains it; None if none is known.
+    """
+
+    def __init__(self, at: float):
+        self.at = at
+        self.requests: dict[int, bool] = {}
+        self.cleared: set[int] = set()
+        self.culprit: int | None = None
+
+
+class CrashLog:
+    """Crashes, and the requests that they accuse.
+
+    >>> log = CrashLog()
+    >>> for replica in ("engine-1", "engine-2", "engine-3"):
+    ...     log.interrupted(Lifetime(replica), 7, output=False, now=0.0)
+    >>> log.verdict(7, now=1.0)
+    <Verdict.QUARANTINED: 'quarantined'>
+    """
+
+    def __init__(self):
+        self.crashes: collections.OrderedDict[Lifetime, Crash] = (
+            collections.OrderedDict()
+        )
+        self.accused: dict[int, set[Lifetime]] = {}
+        self.quarantined: dict[int, float] = {}
+        self.quarantines: dict[int, int] = {}
+        self.news: dict[tuple[Lifetime, int], int] = {}
+        self.refreshed = -math.inf
+
+    def interrupted(
+        self, replica: Lifetime, fingerprint: int, output: bool, now: float
+    ) -> bool:
+        """Notes that a crash interrupted a request of this node.
+
+        Returns:
+            Whether that puts the request into quarantine.
+        """
+        told = Interrupted(replica, fingerprint, output, False)
+        return self.merge(told, True, now)
+
+    def merge(self, told: Interrupted, pass_on: bool, now: float) -> bool:
+        """Takes in one accusation, of this node or another one.
+
+        Args:
+            told: The accusation.
+            pass_on: Whether it is to be told to others if it is new here.
+            now: The time.
+
+        Returns:
+            Whether that puts the request into quarantine.
+        """
+        crash = self.crash(told.replica, now)
+        fingerprint = told.fingerprint
+        known = fingerprint in crash.requests
+        if not known and len(crash.requests) >= MOST_REQUESTS:
+            return False
+        output = crash.requests.get(fingerprint, True) and told.output
+        changed = not known or output != crash.requests[fingerprint]
+        crash.requests[fingerprint] = output
+        if told.cleared and fingerprint not in crash.cleared:
+            crash.cleared.add(fingerprint)
+            changed = True
+        if changed and pass_on:
+            self.news[told.replica, fingerprint] = TOLD_TIMES
+        if fingerprint in crash.cleared:
+            self.withdraw(fingerprint, told.replica)
+            return False
+        self.accused.setdefault(fingerprint, set()).add(told.replica)
+        return self.judge(fingerprint, now)
+
+    def crash(self, replica: Lifetime, now: float) -> Crash:
+        """Finds the record of a crash, or begins it."""
+        found = self.crashes.get(replica)
+        if found is not None:
+            return found
+        found = self.crashes[replica] = Crash(now)
+        if len(self.crashes) > MOST_RECORDS:
+            self.forget(next(iter(self.crashes)))
+        return found
+
+    def forget(self, replica: Lifetime) -> None:
+        """Drops the record of a crash."""
+        crash = self.crashes.pop(replica)
+        for fingerprint in crash.requests:
+            self.news.pop((replica, fingerprint), None)
+            self.withdraw(fingerprint, replica)
+
+    def withdraw(self, fingerprint: int, replica: Lifetime) -> None:
+        """Takes an accusation back."""
+        accused = self.accused.get(fingerprint)
+        if accused is None:
+            return
+        accused.discard(replica)
+        if not accused:
+            del self.accused[fingerprint]
+
+    def judge(self, fingerprint: int, now: float) -> bool:
+        """Puts a request into quarantine once it has crashed too much."""
+        if fingerprint in self.quarantined:
+            self.explain(fingerprint)
+            return False
+        crashes = max(self.count(fingerprint), self.silent(fingerprint))
+        if crashes < MOST_CRASHES:
+            return False
+        before = self.quarantines.get(fingerprint, 0)
+        self.quarantines[fingerprint] = before + 1
+        seconds = min(LONGEST_QUARANTINE, QUARANTINE * LONGER**before)
+        self.quarantined[fingerprint] = now + seconds
+        self.explain(fingerprint)
+        return True
+
+    def explain(self, fingerprint: int) -> None:
+        """Lets a request in quarantine stand for all its crashes."""
+        for replica in self.accused.get(fingerprint, ()):
+            crash = self.crashes[replica]
+            if crash.culprit is None:
+                crash.culprit = fingerprint
+
+    def completed(self, fingerprint: int) -> bool:
+        """Clears a request that has run to its end; whether it was accused."""
+        accused = self.accused.pop(fingerprint, None)
+        if accused is None:
+            return False
+        for replica in accused:
+            crash = self.crashes[replica]
+            crash.cleared.add(fingerprint)
+            if crash.culprit == fingerprint:
+                crash.culprit = None
+            self.news[replica, fingerprint] = TOLD_TIMES
+        self.quarantined.pop(fingerprint, None)
+        return True
+
+    def accusing(self, fingerprint: int) -> list[Lifetime]:
+        """The crashes that speak against a request."""
+        found = []
+        for replica in self.accused.get(fingerprint, ()):
+            if self.crashes[replica].culprit in (None, fingerprint):
+                found.append(replica)
+        return found
+
+    def count(self, fingerprint: int) -> int:
+        """How many crashes speak against a request."""
+        return len(self.accusing(fingerprint))
+
+    def silent(self, fingerprint: int) -> int:
+        """How many crashes interrupted a request before it gave output.
+
+        Explained ones count too: two requests that crash replicas may have
+        started together.
+        """
+        count = 0
+        for replica in self.accused.get(fingerprint, ()):
+            count += not self.crashes[replica].requests[fingerprint]
+        return count
+
+    def verdict(self, fingerprint: int, now: float) -> Verdict:
+        """What may be done with a request."""
+        until = self.quarantined.get(fingerprint)
+        if until is not None and now < until:
+            return Verdict.QUARANTINED
+        if until is not None:
+            self.release(fingerprint)
+        accusing = self.accusing(fingerprint)
+        if not accusing:
+            return Verdict.FREE
+        output = self.crashes[accusing[0]].requests[fingerprint]
+        # What crashes a replica does so soon after its start as a rule: a
+        # single crash speaks little against a request that had given output.
+        if len(accusing) == 1 and output:
+            return Verdict.FREE
+        return Verdict.CANARY
+
+    def release(self, fingerprint: int) -> None:
+        """Ends a quarantine; one more crash begins the next one."""
+        del self.quarantined[fingerprint]
+        accusing = self.accusing(fingerprint)
+        for replica in accusing[: 1 + len(accusing) - MOST_CRASHES]:
+            self.forget(replica)
+
+    def tell(self, now: float) -> list[Interrupted]:
+        """What is to be told to other nodes in the next message."""
+        if now - self.refreshed >= REFRESH:
+            self.refreshed = now
+            self.refresh(now)
+        told = []
+        for place, left in list(self.news.items())[:MOST_TOLD]:
+            del self.news[place]
+            # What has been told goes behind what has not.
+            if left > 1:
+                self.news[place] = left - 1
+            told.append(self.known(*place))
+        return told
+
+    def known(self, replica: Lifetime, fingerprint: int) -> Interrupted:
+        """What is known of one request at one crash."""
+        crash = self.crashes[replica]
+        return Interrupted(
+            replica,
+            fingerprint,
+            crash.requests[fingerprint],
+            fingerprint in crash.cleared,
+        )
+
+    def refresh(self, now: float) -> None:
+        """Has all told again that may still matter, the newest last."""
+        for replica, crash in self.crashes.items():
+            for fingerprint in crash.requests:
+                if fingerprint in crash.cleared:
+                    continue
+                if crash.culprit not in (None, fingerprint):
+                    continue
+                recent = now - crash.at < RECENT
+                if recent or self.count(fingerprint) > 1:
+                    self.news.setdefault((replica, fingerprint), 1)
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -131,6 +131,19 @@
     "info",
     "A request is not sent once more: this node's share of repeats is used.",
 )
+REQUEST_QUARANTINED = define(
+    229,
+    "request-quarantined",
+    "warning",
+    "A request is refused: it has crashed the replicas that ran it.",
+)
+SUSPECT_HELD = define(
+    230,
+    "suspect-held",
+    "info",
+    "A request that may have crashed a replica was held until it could run "
+    "as the only suspect on one, or until its caller would have left.",
+)
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
@@ -178,6 +191,18 @@
     "A replica ended while it ran requests of this node, by their "
     "fingerprints.",
 )
+QUARANTINE_BEGUN = define(
+    317,
+    "quarantine-begun",
+    "warning",
+    "A request is sent to no replica for now; the crashes that accuse it.",
+)
+SUSPECT_CLEARED = define(
+    318,
+    "suspect-cleared",
+    "info",
+    "A request that was interrupted by a crash has run to its end.",
+)
 REPLICA_HEARD = define(
     313, "replica-heard", "info", "A silent replica gives a sign of life."
 )
@@ -228,6 +253,12 @@
     "info",
     "A node that is not heard was marked in the store; it may renew its entry.",
 )
+CRASH_RECORDS_DELAYED = define(
+    414,
+    "crash-records-delayed",
+    "warning",
+    "The requests that crash replicas could not be read or written yet.",
+)
 ENTRY_RENEWED = define(
     514, "entry-renewed", "info", "The entry of a node that runs was renewed."
 )
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -0,0 +1,156 @@
+"""Keeps in the store which requests crash replicas.
+
+Nodes tell each other; this is for the moment after all of them lost power.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+import random
+import time
+
+import msgspec
+
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold.decisions import crashes as crashes_module
+from gypsumfold.decisions import polling
+from gypsumfold.gateway import fingerprints
+from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.platform import names
+from gypsumfold.platform import store as store_module
+
+# Seconds between two looks whether this node is to read the records.
+LOOK = 0.2
+
+
+class CrashRecord(msgspec.Struct, array_like=True):
+    """One crash of a replica, as a request's record has it.
+
+    Attributes:
+        instance: The replica.
+        started: Unix milliseconds of its start; 0 if it does not say.
+        output: Whether the request had given output.
+    """
+
+    instance: str
+    started: int
+    output: bool
+
+
+class RequestRecord(msgspec.Struct):
+    """A request that was in several crashes.
+
+    Attributes:
+        written_at: Unix seconds.
+        crashes: Those that accuse it.
+    """
+
+    written_at: float
+    crashes: list[CrashRecord]
+
+
+class CrashRecords:
+    """Writes requests that crash replicas to the store, and reads them once.
+
+    >>> records = CrashRecords(store, quarantine, lambda: True)
+    >>> await records.read()
+    >>> await records.run()
+    """
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        quarantine: quarantine_module.Quarantine,
+        reads: Callable[[], bool],
+    ):
+        self.store = store
+        self.quarantine = quarantine
+        self.reads = reads
+        self.waiting: dict[int, bool] = {}
+        self.due = asyncio.Event()
+        quarantine.remember = self.remember
+
+    def remember(self, fingerprint: int) -> None:
+        """Has a request's record written, or dropped if nothing accuses it."""
+        self.waiting[fingerprint] = True
+        self.due.set()
+
+    async def run(self) -> None:
+        """Writes for as long as the node runs."""
+        while True:
+            await self.due.wait()
+            self.due.clear()
+            for fingerprint in list(self.waiting):
+                del self.waiting[fingerprint]
+                await self.retried(functools.partial(self.write, fingerprint))
+
+    async def read(self) -> None:
+        """Reads all records, on a node that reads the store for others."""
+        while True:
+            if self.reads():
+                await self.retried(self.read_newest)
+                return
+            await asyncio.sleep(LOOK)
+
+    async def retried(self, call: Callable[[], Awaitable]) -> None:
+        """Makes a call until it succeeds."""
+        failures = 0
+        while True:
+            try:
+                await call()
+                return
+            except exceptions.PlatformError as error:
+                failures += 1
+                events.log(
+                    events.CRASH_RECORDS_DELAYED,
+                    failures=failures,
+                    reason=str(error),
+                )
+            await asyncio.sleep(polling.retry(failures, random.random()))
+
+    async def read_newest(self) -> None:
+        """Reads all records once."""
+        page = await self.store.newest(names.CRASHES_TOPIC)
+        for record in page.records:
+            if record.value:
+                self.take(record)
+
+    def take(self, record: store_module.Record) -> None:
+        """Takes one record in; a very old one says nothing any more."""
+        try:
+            fingerprint = int(record.key, 16)
+            found = msgspec.json.decode(record.value, type=RequestRecord)
+        except (ValueError, msgspec.DecodeError) as error:
+            events.log(events.RECORD_SKIPPED, key=record.key, reason=str(error))
+            return
+        age = time.time() - found.written_at
+        if age > crashes_module.LONGEST_QUARANTINE:
+            self.remember(fingerprint)
+            return
+        accusations = []
+        for crash in found.crashes:
+            replica = crashes_module.Lifetime(crash.instance, crash.started)
+            accusations.append(
+                crashes_module.Interrupted(
+                    replica, fingerprint, crash.output, False
+                )
+            )
+        self.quarantine.take(accusations, True)
+
+    async def write(self, fingerprint: int) -> None:
+        """Writes what accuses a request, or drops its record."""
+        log = self.quarantine.log
+        crashes = []
+        for replica in sorted(log.accused.get(fingerprint, ())):
+            known = log.known(replica, fingerprint)
+            crashes.append(
+                CrashRecord(replica.instance, replica.started, known.output)
+            )
+        value = b""
+        if crashes:
+            value = msgspec.json.encode(RequestRecord(time.time(), crashes))
+        await self.store.put(
+            names.CRASHES_TOPIC, fingerprints.text(fingerprint), value
+        )
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -4,6 +4,7 @@
 replica may be dead for seconds before its entry goes.
 """
 
+import asyncio
 from collections.abc import Callable
 import math
 import random
@@ -59,6 +60,7 @@
         self.leaving: dict[str, float] = {}
         self.suspects: set[str] = set()
         self.doubts: set[str] = set()
+        self.doubted = asyncio.Event()
         self.looks: dict[str, tuple[float, float]] = {}
         self.unreached = []
         self.crashed: list[Callable[[types.Replica], None]] = []
@@ -351,6 +353,7 @@
         """Has a replica asked for a sign of life at the next look."""
         if instance in self.replicas:
             self.doubts.add(instance)
+            self.doubted.set()
 
     def refused(
         self, instance: str, error: exceptions.EndpointRefused, now: float
@@ -366,6 +369,7 @@
         """
         asked = self.doubts.union(self.silence.look(now)) - self.suspects
         self.doubts.clear()
+        self.doubted.clear()
         for instance in self.suspects:
             due, pause = self.looks.get(instance, (now, FIRST_LOOK))
             if now >= due:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -23,6 +23,7 @@
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import counters as counters_module
+from gypsumfold.gateway import crash_records as crash_records_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import generations
 from gypsumfold.gateway import handling
@@ -31,6 +32,7 @@
 from gypsumfold.gateway import lines as lines_module
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import planning
+from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
@@ -85,7 +87,9 @@
         self.store_state = watching.StoreState(settings.store.contact_ms / 1000)
         rng = random.Random()
         self.directory = directory_module.Directory(rng)
-        self.runs = runs_module.Runs(self.directory)
+        self.quarantine = quarantine_module.Quarantine(
+            runs_module.Runs(self.directory)
+        )
         self.configurations = watching.Configurations()
         self.pool = connections.Pool()
         self.endpoints = replicas.Replicas(self.pool)
@@ -99,7 +103,7 @@
             self.endpoints,
             self.budget,
             self.homes,
-            self.runs,
+            self.quarantine,
         )
         self.handler = handling.Handler(
             self.configurations,
@@ -109,7 +113,7 @@
                 self.endpoints,
                 self.budget,
                 settings.node.data_centre,
-                self.runs,
+                self.quarantine,
             ),
             self.generations,
             self.counters,
@@ -124,6 +128,10 @@
             self.homes,
             self.leadership,
             self.directory,
+            self.quarantine,
+        )
+        self.crash_records = crash_records_module.CrashRecords(
+            self.store, self.quarantine, self.gossip.reads
         )
         self.questions = questions.Questions(self.session, self.gossip.sealer)
         self.cache_lists = cache_lists.CacheLists(
@@ -260,8 +268,10 @@
         self.supervise("planner", self.planner.run)
         self.supervise("housekeeping", self.housekeeping)
         self.supervise("silence", self.signs_of_life.run)
+        self.supervise("crash-records", self.crash_records.run)
         if not self.settings.node.first_start:
             self.supervise("cache-lists", self.cache_lists.run)
+            self.supervise("crash-records-read", self.crash_records.read)
         await self.serve(self.answers.handle, self.settings.peers.address)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -19,6 +19,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
+from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import streams
@@ -37,9 +38,13 @@
     """Notes each sign of life of one engine, and that a run gives output."""
 
     def __init__(
-        self, directory: directory_module.Directory, run: runs_module.Run
+        self,
+        directory: directory_module.Directory,
+        quarantine: quarantine_module.Quarantine,
+        run: runs_module.Run,
     ):
         self.directory = directory
+        self.quarantine = quarantine
         self.run = run
 
     def heard(self) -> None:
@@ -48,7 +53,7 @@
 
     def passed_on(self) -> None:
         """An event went to the caller."""
-        self.run.output = True
+        self.quarantine.gave_output(self.run)
 
 
 class Generations:
@@ -63,14 +68,14 @@
         endpoints: types.Endpoints,
         budget: budgets.RetryBudget,
         homes: homes_module.Homes,
-        runs: runs_module.Runs,
+        quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
-        self.runs = runs
+        self.quarantine = quarantine
         self.endpoints = endpoints
         self.budget = budget
         self.homes = homes
-        self.prompts = prompts.Prompts(directory, endpoints, homes, runs)
+        self.prompts = prompts.Prompts(directory, endpoints, homes, quarantine)
 
     async def serve(
         self,
@@ -107,6 +112,7 @@
             exceptions.AnswerBroken: As `serve`.
         """
         for attempt in range(MOST_ATTEMPTS):
+            self.quarantine.admit(progress)
             if attempt:
                 if not self.may_repeat(service):
                     progress.not_repeated(service.name)
@@ -147,7 +153,12 @@
             handle = await self.prompts.read(choice, route, service, progress)
             progress.handle = handle
             progress.read_at = handle.address
-        decoder = self.decoder(service, progress.handle, progress)
+        self.quarantine.admit(progress)
+        decoder = await self.quarantine.place(
+            progress,
+            route,
+            lambda: self.decoder(service, progress.handle, progress),
+        )
         if decoder is None:
             raise exceptions.EndpointNotStarted("no engine generates")
         await self.run(decoder, route, service, stream, progress)
@@ -252,8 +263,10 @@
             resumed=stream.last_event,
         )
         run = runs_module.Run(progress.fingerprint, replica, reading=False)
+        self.quarantine.started(run)
         try:
             await self.exchange(run, instructions, stream, progress)
+            self.quarantine.completed(run)
         except exceptions.EndpointNotStarted as error:
             progress.did_not_run(replica)
             progress.failed(replica, str(error))
@@ -263,11 +276,12 @@
             raise
         except exceptions.AnswerBroken as error:
             progress.failed(replica, str(error))
-            self.runs.interrupted(run)
+            self.quarantine.interrupted(run)
             self.directory.failed(replica.instance, error, time.monotonic())
             self.prompts.drop(progress)
             raise
         finally:
+            self.quarantine.end(run)
             self.directory.ended(replica.instance)
             self.directory.streams.remove(replica.instance, share)
             self.homes.tell()
@@ -306,7 +320,7 @@
                 raise exceptions.EndpointRefused(
                     f"the engine answered {answer.status}"
                 )
-            listener = EngineListener(self.directory, run)
+            listener = EngineListener(self.directory, self.quarantine, run)
             await stream.pass_on(answer, progress, listener)
         finally:
             answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -25,6 +25,7 @@
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import beliefs as beliefs_module
@@ -66,6 +67,7 @@
         homes: homes_module.Homes,
         leadership: leadership_module.Leadership,
         directory: directory_module.Directory,
+        crashes: quarantine_module.Quarantine,
     ):
         self.directory = directory
         self.address = settings.peers.address
@@ -86,6 +88,10 @@
         self.outbox = outbox_module.Outbox()
         self.sealer = seals.Sealer(settings.peers.keys)
         self.sender = sending.Sender(self.members, self.sealer)
+        self.crashes = crashes
+        self.sender.crashes = crashes.tell
+        crashes.changed = self.tell_at_once
+        crashes.relays = self.relays_for_others
         self.reports = reports_module.Reports(
             self.members, self.relays, self.loads, self.sender
         )
@@ -353,6 +359,7 @@
         )
         self.members.hear(member, now)
         self.entries.roster.meet(member)
+        self.crashes.heard(message.crashes)
         if isinstance(message, messages.Report):
             self.hear_report(member, message, now)
         else:
@@ -531,6 +538,15 @@
             return self.census.apart
         return self.census.alone(self.nodes(), self.clock())
 
+    def relays_for_others(self) -> bool:
+        """Whether this node passes on what other nodes tell."""
+        return not self.meshed and self.choice.relay is None
+
+    def tell_at_once(self) -> None:
+        """Has the other nodes told without waiting for the next report."""
+        self.changed.set()
+        self.urgent.set()
+
     def follows(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -141,6 +141,49 @@
     version_age: Amount
 
 
+# A request's fingerprint.
+Fingerprint = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Interrupted(msgspec.Struct, array_like=True):
+    """A request that a replica's crash interrupted.
+
+    Attributes:
+        instance: The replica.
+        started: Unix milliseconds of its start; 0 if it does not say.
+        fingerprint: The request.
+        output: Whether its caller had got output.
+        cleared: Whether it has run to its end since.
+    """
+
+    instance: str
+    started: Count
+    fingerprint: Fingerprint
+    output: bool = False
+    cleared: bool = False
+
+
+class Canary(msgspec.Struct, array_like=True):
+    """A request that runs as the only suspect on its replica.
+
+    Attributes:
+        fingerprint: The request.
+        instance: The replica.
+        seconds: For how long that is taken for true; 0 where it has ended.
+    """
+
+    fingerprint: Fingerprint
+    instance: str
+    seconds: Amount
+
+
+class Crashes(msgspec.Struct, array_like=True):
+    """What the sender knows of requests that may crash replicas."""
+
+    interrupted: list[Interrupted] = []
+    canaries: list[Canary] = []
+
+
 class Report(msgspec.Struct, array_like=True, tag=1):
     """What one node has at the engines, to its relay or to every node.
 
@@ -152,6 +195,7 @@
         news: What it did since the last one.
         knowledge: What it has read in the store, where each node tells every
             other: once a second and where that changes.
+        crashes: What it knows of requests that may crash replicas.
     """
 
     sender: Contact
@@ -160,6 +204,7 @@
     amounts: Amounts
     news: News
     knowledge: Knowledge | None = None
+    crashes: Crashes = msgspec.field(default_factory=Crashes)
 
 
 class Summary(msgspec.Struct, array_like=True, tag=2):
@@ -176,6 +221,7 @@
         knowledge: What the sender knows from the store.
         members: Nodes that rank high in its data centre.
         apart: Whether the rest of the site may count without these nodes.
+        crashes: What it knows of requests that may crash replicas.
     """
 
     sender: Contact
@@ -187,6 +233,7 @@
     knowledge: Knowledge | None = None
     members: list[Contact] = []
     apart: bool = False
+    crashes: Crashes = msgspec.field(default_factory=Crashes)
 
 
 # What a report asks for: nothing (its sender tells everybody), nothing but to
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -1,6 +1,7 @@
 """Sends reports and summaries as datagrams."""
 
 import asyncio
+from collections.abc import Callable
 
 from gypsumfold.decisions import members as members_module
 from gypsumfold.gateway.peers import frames
@@ -14,6 +15,9 @@
 class Sender:
     """Numbers, seals and sends what this node says.
 
+    Attributes:
+        crashes: Gives what is to be told of requests that crash replicas.
+
     >>> sender = Sender(members, sealer)
     >>> sender.transport = transport
     >>> sender.report([relay], messages.WANTS_ALL, amounts, news)
@@ -24,6 +28,7 @@
         self.sealer = sealer
         self.number = 0
         self.transport: asyncio.DatagramTransport | None = None
+        self.crashes: Callable[[], messages.Crashes] = messages.Crashes
 
     def report(
         self,
@@ -38,7 +43,13 @@
             return
         self.number += 1
         report = messages.Report(
-            self.contact(), self.number, wants, amounts, news, knowledge
+            self.contact(),
+            self.number,
+            wants,
+            amounts,
+            news,
+            knowledge,
+            self.crashes(),
         )
         data = frames.fitting(report, self.sealer)
         for member in receivers:
@@ -50,7 +61,10 @@
         receivers: list[members_module.Member],
     ) -> None:
         """Sends a summary in as many datagrams as it takes."""
-        for part in frames.parts(summary, self.sealer):
+        parts = frames.with_crashes(
+            frames.parts(summary, self.sealer), self.crashes(), self.sealer
+        )
+        for part in parts:
             self.number += 1
             part.number = self.number
             data = frames.encoded(part, self.sealer)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -8,6 +8,7 @@
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
@@ -31,10 +32,10 @@
         endpoints: types.Endpoints,
         budget: budgets.RetryBudget,
         data_centre: str,
-        runs: runs_module.Runs,
+        quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
-        self.runs = runs
+        self.quarantine = quarantine
         self.endpoints = endpoints
         self.budget = budget
         self.data_centre = data_centre
@@ -53,10 +54,13 @@
         """
         answered = None
         for attempt in range(MOST_ATTEMPTS):
+            self.quarantine.admit(progress)
             if attempt and not self.budget.allow(service, time.monotonic()):
                 progress.not_repeated(service)
                 break
-            replica = self.choose(service, progress)
+            replica = await self.quarantine.place(
+                progress, route, lambda: self.choose(service, progress)
+            )
             if replica is None:
                 break
             if attempt:
@@ -112,9 +116,13 @@
             limit = PATIENCE * route.objective
         self.directory.started(replica.instance, time.monotonic())
         progress.sent(replica, route=route.name)
+        run = runs_module.Run(progress.fingerprint, replica, reading=False)
+        self.quarantine.started(run)
         try:
             async with asyncio.timeout(limit):
-                return await self.exchange(replica, progress)
+                answer = await self.exchange(replica, progress)
+            self.quarantine.completed(run)
+            return answer
         except TimeoutError as error:
             self.failed(replica, progress, "silent", error)
             raise exceptions.AnswerBroken("no answer in time") from error
@@ -126,12 +134,11 @@
                 self.directory.refused(replica.instance, error, now)
             raise
         except exceptions.AnswerBroken as error:
-            self.runs.interrupted(
-                runs_module.Run(progress.fingerprint, replica, reading=False)
-            )
+            self.quarantine.interrupted(run)
             self.failed(replica, progress, str(error), error)
             raise
         finally:
+            self.quarantine.end(run)
             self.directory.ended(replica.instance)
 
     def failed(
--- a/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prompts.py
@@ -14,6 +14,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
@@ -39,10 +40,10 @@
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
         homes: homes_module.Homes,
-        runs: runs_module.Runs,
+        quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
-        self.runs = runs
+        self.quarantine = quarantine
         self.endpoints = endpoints
         self.homes = homes
         self.tasks: set[asyncio.Task] = set()
@@ -189,7 +190,7 @@
             raise
         except exceptions.EndpointError as error:
             if isinstance(error, exceptions.AnswerBroken):
-                self.runs.interrupted(
+                self.quarantine.interrupted(
                     runs_module.Run(progress.fingerprint, replica, reading=True)
                 )
             self.directory.failed(replica.instance, error, time.monotonic())
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -0,0 +1,295 @@
+"""Keeps requests that crash replicas from the replicas.
+
+`decisions/crashes.py` says which requests these are, `decisions/canaries.py`
+where suspects may run. What this node sees goes to the other nodes, and what
+all must remember after a loss of power goes to the store.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.decisions import canaries as canaries_module
+from gypsumfold.decisions import crashes as crashes_module
+from gypsumfold.decisions import routes
+from gypsumfold.gateway import fingerprints
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import runs as runs_module
+from gypsumfold.gateway import types
+from gypsumfold.gateway.peers import messages
+
+# Seconds between two looks whether a suspect may run, about: longer than a
+# message takes to the other nodes, so that two suspects seldom start together.
+LOOK = 0.04
+# Share of the time for which its caller still waits that a suspect is held.
+LONGEST_HOLD = 0.5
+
+
+class Quarantine:
+    """Decides whether and where a request may run, by the crashes it was in.
+
+    Attributes:
+        changed: Called where other nodes are to be told something at once.
+        relays: Whether this node passes on what others tell.
+        remember: Called with a request whose crashes the store is to keep.
+
+    >>> quarantine = Quarantine(runs)
+    >>> quarantine.admit(progress)
+    >>> replica = await quarantine.place(progress, route, choose)
+    """
+
+    def __init__(self, runs: runs_module.Runs):
+        self.runs = runs
+        self.log = crashes_module.CrashLog()
+        self.canaries = canaries_module.Canaries()
+        self.changed: Callable[[], None] = lambda: None
+        self.relays: Callable[[], bool] = lambda: False
+        self.remember: Callable[[int], None] = lambda fingerprint: None
+        runs.listeners.append(self.crashed)
+        runs.survived.append(self.survived)
+
+    def admit(self, progress: progress_module.Progress) -> None:
+        """Refuses a request in quarantine.
+
+        Raises:
+            exceptions.RequestError: It is in quarantine, and nothing has gone
+                to its caller.
+            exceptions.AnswerBroken: It is, and its answer has begun.
+        """
+        now = time.monotonic()
+        verdict = self.log.verdict(progress.fingerprint, now)
+        if verdict != crashes_module.Verdict.QUARANTINED:
+            return
+        until = self.log.quarantined[progress.fingerprint]
+        events.log(
+            events.REQUEST_QUARANTINED,
+            request=progress.call.id,
+            fingerprint=fingerprints.text(progress.fingerprint),
+            crashes=self.log.count(progress.fingerprint),
+            seconds=round(until - now, 3),
+        )
+        if progress.begun:
+            raise exceptions.AnswerBroken("the request crashes replicas")
+        if progress.may_have_run:
+            raise progress.failure()
+        raise exceptions.RequestQuarantined(
+            "the request has crashed the replicas that ran it",
+            outcomes.Outcome.NOT_RUN,
+            until - now,
+        )
+
+    async def place(
+        self,
+        progress: progress_module.Progress,
+        route: routes.Route,
+        choose: Callable[[], types.Replica | None],
+    ) -> types.Replica | None:
+        """Waits until a request may run at the replica that is chosen then.
+
+        Args:
+            progress: Of the request.
+            route: Its route.
+            choose: Chooses a replica; None where there is none.
+
+        Raises:
+            exceptions.RequestError: It may not run soon enough.
+            exceptions.AnswerBroken: The same, and its answer has begun.
+        """
+        replica = choose()
+        if replica is None or self.may_run(progress.fingerprint, replica):
+            return replica
+        started = time.monotonic()
+        age = started - progress.call.arrival
+        longest = LONGEST_HOLD * route.waits(progress.left(), age)
+        while True:
+            await asyncio.sleep(LOOK * random.uniform(0.5, 1.5))
+            self.admit(progress)
+            replica = choose()
+            held = time.monotonic() - started
+            if replica is None or self.may_run(progress.fingerprint, replica):
+                self.log_held(progress, held, True)
+                return replica
+            if held >= longest:
+                self.log_held(progress, held, False)
+                if progress.begun:
+                    raise exceptions.AnswerBroken("no replica is free for it")
+                raise progress.failure()
+
+    def log_held(
+        self, progress: progress_module.Progress, held: float, placed: bool
+    ) -> None:
+        """Logs how long a suspect was held, and what became of it."""
+        events.log(
+            events.SUSPECT_HELD,
+            request=progress.call.id,
+            fingerprint=fingerprints.text(progress.fingerprint),
+            crashes=self.log.count(progress.fingerprint),
+            seconds=round(held, 3),
+            placed=placed,
+        )
+
+    def may_run(self, fingerprint: int, replica: types.Replica) -> bool:
+        """Whether a request may run at a replica now."""
+        now = time.monotonic()
+        if self.runs.waits(fingerprint, canaries_module.UNDECIDED):
+            return False
+        if self.canaries.running(fingerprint, now):
+            return False
+        verdict = self.log.verdict(fingerprint, now)
+        if verdict == crashes_module.Verdict.FREE:
+            return True
+        return self.canaries.free(fingerprint, replica.instance, now)
+
+    def started(self, run: runs_module.Run) -> None:
+        """Notes that a request starts to run."""
+        verdict = self.log.verdict(run.fingerprint, time.monotonic())
+        if verdict != crashes_module.Verdict.CANARY:
+            return
+        run.canary = True
+        self.canaries.start(run.fingerprint, run.replica.instance)
+        self.changed()
+
+    def gave_output(self, run: runs_module.Run) -> None:
+        """Notes that a run's output goes to its caller.
+
+        A canary accused by one crash, which had given none before, has come
+        further than then.
+        """
+        if run.output:
+            return
+        run.output = True
+        if run.canary and self.log.count(run.fingerprint) <= 1:
+            self.end(run)
+
+    def completed(self, run: runs_module.Run) -> None:
+        """Notes that a run came to its end."""
+        if self.log.count(run.fingerprint) > 1:
+            self.remember(run.fingerprint)
+        if self.log.completed(run.fingerprint):
+            events.log(
+                events.SUSPECT_CLEARED,
+                fingerprint=fingerprints.text(run.fingerprint),
+                instance=run.replica.instance,
+            )
+
+    def end(self, run: runs_module.Run) -> None:
+        """Notes that a run is over, however it ended."""
+        if not run.canary:
+            return
+        run.canary = False
+        if self.canaries.end(run.fingerprint, time.monotonic()):
+            self.changed()
+
+    def interrupted(self, run: runs_module.Run) -> None:
+        """Notes that a run's answer broke off; a crash may be the cause."""
+        if not self.runs.interrupted(run):
+            return
+        run.canary = False
+        self.canaries.hold(
+            run.fingerprint, run.replica.instance, time.monotonic()
+        )
+        self.changed()
+
+    def survived(self, interrupted: list[runs_module.Run]) -> None:
+        """Takes in that a replica lives: its connections were reset."""
+        for run in interrupted:
+            self.canaries.end(run.fingerprint, time.monotonic())
+        self.changed()
+
+    def crashed(self, crash: runs_module.Crash) -> None:
+        """Takes in a crash that interrupted runs of this node."""
+        replica = crashes_module.Lifetime(
+            crash.replica.instance, crash.replica.born
+        )
+        now = time.monotonic()
+        for run in crash.runs:
+            self.canaries.end(run.fingerprint, now)
+            output = run.output or run.reading
+            quarantined = self.log.interrupted(
+                replica, run.fingerprint, output, now
+            )
+            self.note(run.fingerprint, quarantined, replica)
+            if self.log.count(run.fingerprint) > 1:
+                self.remember(run.fingerprint)
+        self.changed()
+
+    def note(
+        self,
+        fingerprint: int,
+        quarantined: bool,
+        replica: crashes_module.Lifetime,
+    ) -> None:
+        """Logs a quarantine that begins."""
+        if not quarantined:
+            return
+        crashes = []
+        for accusing in self.log.accusing(fingerprint):
+            crashes.append(accusing.instance)
+        events.log(
+            events.QUARANTINE_BEGUN,
+            fingerprint=fingerprints.text(fingerprint),
+            instance=replica.instance,
+            crashes=sorted(crashes),
+        )
+
+    def tell(self) -> messages.Crashes:
+        """What other nodes are to know."""
+        now = time.monotonic()
+        interrupted = []
+        for told in self.log.tell(now):
+            interrupted.append(
+                messages.Interrupted(
+                    told.replica.instance,
+                    told.replica.started,
+                    told.fingerprint,
+                    told.output,
+                    told.cleared,
+                )
+            )
+        running = []
+        for told in self.canaries.tell(self.relays(), now):
+            running.append(messages.Canary(*told))
+        return messages.Crashes(interrupted, running)
+
+    def take(
+        self, accusations: list[crashes_module.Interrupted], pass_on: bool
+    ) -> bool:
+        """Takes in accusations by another node, or of the store.
+
+        Args:
+            accusations: Who was in which crash.
+            pass_on: Whether what is new is told to other nodes.
+
+        Returns:
+            Whether a request was put into quarantine by them.
+        """
+        now = time.monotonic()
+        news = False
+        for accusation in accusations:
+            quarantined = self.log.merge(accusation, pass_on, now)
+            self.note(accusation.fingerprint, quarantined, accusation.replica)
+            news |= quarantined
+        return news
+
+    def heard(self, told: messages.Crashes) -> None:
+        """Takes in what another node tells."""
+        accusations = []
+        for one in told.interrupted:
+            replica = crashes_module.Lifetime(one.instance, one.started)
+            accusations.append(
+                crashes_module.Interrupted(
+                    replica, one.fingerprint, one.output, one.cleared
+                )
+            )
+        news = self.take(accusations, self.relays())
+        now = time.monotonic()
+        for one in told.canaries:
+            news |= self.canaries.heard(
+                one.fingerprint, one.instance, one.seconds, now
+            )
+        if news and self.relays():
+            self.changed()
--- a/packages/gypsumfold/src/gypsumfold/gateway/runs.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/runs.py
@@ -26,7 +26,8 @@
         fingerprint: The request's identity.
         replica: Where it runs.
         reading: Whether just its prompt is read there.
-        output: Whether bytes of its answer came.
+        output: Whether output of it went to the caller.
+        canary: Whether it runs as the only suspect on its replica.
         broken_at: When its answer broke off; None before that.
     """
 
@@ -35,6 +36,7 @@
         self.replica = replica
         self.reading = reading
         self.output = False
+        self.canary = False
         self.broken_at: float | None = None
 
 
@@ -51,6 +53,7 @@
 
     Attributes:
         listeners: Called with each crash.
+        survived: Called with the interrupted runs of a replica that lives.
 
     >>> runs = Runs(directory)
     >>> run = Run(fingerprint, replica, reading=False)
@@ -61,29 +64,38 @@
         self.directory = directory
         self.undecided: dict[str, list[Run]] = {}
         self.listeners: list[Callable[[Crash], None]] = []
+        self.survived: list[Callable[[list[Run]], None]] = []
         directory.crashed.append(self.crashed)
         directory.gone.append(self.crashed)
         directory.alive.append(self.alive)
 
-    def interrupted(self, run: Run) -> None:
+    def interrupted(self, run: Run) -> bool:
         """Takes in a run whose answer broke off.
 
         A replica that leaves ends its connections by plan.
+
+        Returns:
+            Whether a crash may have interrupted it.
         """
         instance = run.replica.instance
         known = self.directory.replicas.get(instance)
         if known is None or known.draining:
-            return
+            return False
         run.broken_at = time.monotonic()
         self.undecided.setdefault(instance, []).append(run)
+        return True
+
+    def waits(self, fingerprint: int, longest: float) -> bool:
+        """Whether it is open if a crash has just interrupted a request.
 
-    def waits(self, fingerprint: int) -> bool:
-        """Whether the fate of a replica that ran this request is not known."""
-        for instance in list(self.undecided):
-            self.expire(instance)
+        Args:
+            fingerprint: The request.
+            longest: Seconds after an interruption for which this counts.
+        """
+        start = time.monotonic() - longest
         for runs in self.undecided.values():
             for run in runs:
-                if run.fingerprint == fingerprint:
+                if run.fingerprint == fingerprint and run.broken_at >= start:
                     return True
         return False
 
@@ -100,7 +112,11 @@
 
     def alive(self, instance: str) -> None:
         """Notes that a replica answers: its connections were reset."""
-        self.undecided.pop(instance, None)
+        runs = self.undecided.pop(instance, None)
+        if runs is None:
+            return
+        for listener in self.survived:
+            listener(runs)
 
     def crashed(self, replica: types.Replica) -> None:
         """Notes that a replica has ended."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
@@ -1,14 +1,17 @@
 """Asks silent replicas, and those that broke off, for a sign of life."""
 
 import asyncio
+import contextlib
 import time
 
 from gypsumfold import exceptions
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import types
 
-# Seconds between two looks for replicas to ask.
+# Seconds between two looks for replicas to ask, and the least where one broke
+# off: what it interrupted waits for the answer.
 LOOK = 0.1
+SOONEST_LOOK = 0.01
 # Seconds that a replica has to answer; a report takes 3 ms.
 LIMIT = 0.25
 
@@ -29,7 +32,10 @@
     async def run(self) -> None:
         """Looks again and again for as long as the node runs."""
         while True:
-            await asyncio.sleep(LOOK)
+            await asyncio.sleep(SOONEST_LOOK)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK):
+                    await self.directory.doubted.wait()
             asked = self.directory.to_ask(time.monotonic())
             async with asyncio.TaskGroup() as group:
                 for instance in asked:
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -87,6 +87,7 @@
 CONFIGURATION_KEY = "config"
 REGISTRATIONS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.gypsumfold-nodes"
+CRASHES_TOPIC = "keyed.gypsumfold-crashes"
 
 KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
