Tell of suspects in datagrams of their own, and let a node make sure before a third run

Accusations shared a datagram with reports: 48 of them are beyond what fits into one, and on a site with many engines they would have been left out. They have datagrams of their own now, of at most 14 each. A canary names its node and its number, so that late or echoed news bring none back.

What is left: a crash that only a killed gateway saw, and gateways that do not hear each other, cost a fourth or fifth replica, within what the rule allows.

--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 # Seconds for which another node's canary is taken to run without being heard
 # of again.
@@ -18,91 +19,112 @@
 ENDED = 1.0
 
 
+class Canary(NamedTuple):
+    """One canary of one node.
+
+    Attributes:
+        fingerprint: The request.
+        owner: The node that runs it.
+        number: Increases with each canary of its owner; what is still on its
+            way of an earlier one does not bring that back.
+        instance: Where it runs.
+        until: When it is taken to have ended.
+    """
+
+    fingerprint: int
+    owner: int
+    number: int
+    instance: str
+    until: float
+
+
 class Canaries:
     """The canaries of all nodes, as far as they are known here.
 
-    >>> canaries = Canaries()
-    >>> canaries.start(7, "engine-1", now=0.0)
+    >>> canaries = Canaries(owner=1)
+    >>> canaries.start(7, "engine-1")
     >>> canaries.free(8, "engine-1", now=0.1)
     False
     """
 
-    def __init__(self):
-        self.own: dict[int, tuple[str, float]] = {}
-        self.others: dict[int, tuple[str, float]] = {}
-        # By request and replica, so that what is still on its way of a canary
-        # that has ended does not bring it back.
-        self.ended: dict[tuple[int, str], float] = {}
+    def __init__(self, owner: int):
+        self.owner = owner
+        self.number = 0
+        self.known: dict[tuple[int, int], Canary] = {}
 
     def start(self, fingerprint: int, instance: str) -> None:
         """Notes that a canary of this node runs until `end`."""
-        self.own[fingerprint] = (instance, math.inf)
+        self.put(fingerprint, instance, math.inf)
 
     def hold(self, fingerprint: int, instance: str, now: float) -> None:
         """Lets no copy of an interrupted request run for a moment."""
-        self.own[fingerprint] = (instance, now + UNDECIDED)
+        self.put(fingerprint, instance, now + UNDECIDED)
+
+    def put(self, fingerprint: int, instance: str, until: float) -> None:
+        """Takes in a canary of this node."""
+        self.number += 1
+        self.known[fingerprint, self.owner] = Canary(
+            fingerprint, self.owner, self.number, instance, until
+        )
 
     def end(self, fingerprint: int, now: float) -> bool:
         """Notes that a canary of this node has ended; whether there was one."""
-        found = self.own.pop(fingerprint, None)
-        if found is None:
+        found = self.known.get((fingerprint, self.owner))
+        if found is None or found.until <= now:
             return False
-        self.ended[fingerprint, found[0]] = now
+        self.known[fingerprint, self.owner] = found._replace(until=now)
         return True
 
-    def heard(
-        self, fingerprint: int, instance: str, seconds: float, now: float
-    ) -> bool:
-        """Takes in another node's canary.
-
-        Args:
-            fingerprint: The request.
-            instance: Where it runs.
-            seconds: How long it is taken to run; 0 where it has ended.
-            now: The time.
-
-        Returns:
-            Whether that is news.
-        """
-        if (fingerprint, instance) in self.ended or fingerprint in self.own:
+    def heard(self, told: Canary, now: float) -> bool:
+        """Takes in another node's canary; whether that is news."""
+        if told.owner == self.owner:
             return False
-        known = self.others.get(fingerprint)
-        if seconds > 0:
-            self.others[fingerprint] = (instance, now + min(seconds, LIFE))
-            return known is None
-        self.ended[fingerprint, instance] = now
-        if known is None or known[0] != instance:
+        place = told.fingerprint, told.owner
+        known = self.known.get(place)
+        if known is not None and known.number > told.number:
             return False
-        del self.others[fingerprint]
-        return True
+        told = told._replace(until=min(told.until, now + LIFE))
+        if known is None or known.number < told.number:
+            self.known[place] = told
+            return True
+        if known.until <= now:
+            return False
+        self.known[place] = told
+        return told.until <= now
 
     def expire(self, now: float) -> None:
-        """Drops what is over."""
-        for table in (self.own, self.others):
-            for fingerprint, (_, until) in list(table.items()):
-                if until <= now:
-                    del table[fingerprint]
-        for place, at in list(self.ended.items()):
-            if now - at > ENDED:
-                del self.ended[place]
+        """Drops what has ended long ago."""
+        for place, canary in list(self.known.items()):
+            if now - canary.until > ENDED:
+                del self.known[place]
 
     def running(self, fingerprint: int, now: float) -> bool:
         """Whether a copy of a request runs as a canary, or is held."""
-        self.expire(now)
-        return fingerprint in self.own or fingerprint in self.others
+        for canary in self.known.values():
+            if canary.fingerprint == fingerprint and canary.until > now:
+                return True
+        return False
+
+    def elsewhere(self, fingerprint: int, now: float) -> bool:
+        """Whether another node runs a copy of a request as a canary."""
+        for canary in self.known.values():
+            if canary.owner == self.owner or canary.until <= now:
+                continue
+            if canary.fingerprint == fingerprint:
+                return True
+        return False
 
     def free(self, fingerprint: int, instance: str, now: float) -> bool:
         """Whether a request may run as the canary of a replica."""
         if self.running(fingerprint, now):
             return False
-        for table in (self.own, self.others):
-            for where, _ in table.values():
-                if where == instance:
-                    return False
+        for canary in self.known.values():
+            if canary.instance == instance and canary.until > now:
+                return False
         return True
 
-    def tell(self, relayed: bool, now: float) -> list[tuple[int, str, float]]:
-        """Fingerprint, replica and seconds of what other nodes are to know.
+    def tell(self, relayed: bool, now: float) -> list[Canary]:
+        """What other nodes are to know.
 
         Args:
             relayed: Whether other nodes' canaries are passed on too.
@@ -110,11 +132,7 @@
         """
         self.expire(now)
         found = []
-        for fingerprint, (instance, until) in self.own.items():
-            found.append((fingerprint, instance, min(LIFE, until - now)))
-        if relayed:
-            for fingerprint, (instance, until) in self.others.items():
-                found.append((fingerprint, instance, until - now))
-        for fingerprint, instance in self.ended:
-            found.append((fingerprint, instance, 0.0))
+        for canary in self.known.values():
+            if canary.owner == self.owner or relayed:
+                found.append(canary)
         return found
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -30,11 +30,11 @@
 # Crashes that are remembered, and interrupted requests of each: an attacker
 # that makes up new requests must not fill the memory.
 MOST_RECORDS = 256
-MOST_REQUESTS = 256
-# Interrupted requests told in one message, and messages in which news are
-# told, as datagrams may be lost.
+MOST_REQUESTS = 128
+# Accusations told at once, and how often each is told, as datagrams may be
+# lost.
 MOST_TOLD = 48
-TOLD_TIMES = 4
+TOLD_TIMES = 6
 # Seconds between two rounds in which what is known is told again.
 REFRESH = 1.0
 # Seconds after a crash for which accusations by it alone are told again: a
@@ -92,6 +92,8 @@
         requests: The interrupted requests; whether each had given output.
         cleared: Those that have run to their end since.
         culprit: The request that explains it; None if none is known.
+        pardoned: Those against which it speaks no more, as their quarantine
+            is over.
     """
 
     def __init__(self, at: float):
@@ -99,6 +101,7 @@
         self.requests: dict[int, bool] = {}
         self.cleared: set[int] = set()
         self.culprit: int | None = None
+        self.pardoned: set[int] = set()
 
 
 class CrashLog:
@@ -158,6 +161,8 @@
             self.news[told.replica, fingerprint] = TOLD_TIMES
         if fingerprint in crash.cleared:
             self.withdraw(fingerprint, told.replica)
+            if fingerprint not in self.accused:
+                self.quarantined.pop(fingerprint, None)
             return False
         self.accused.setdefault(fingerprint, set()).add(told.replica)
         return self.judge(fingerprint, now)
@@ -228,7 +233,10 @@
         """The crashes that speak against a request."""
         found = []
         for replica in self.accused.get(fingerprint, ()):
-            if self.crashes[replica].culprit in (None, fingerprint):
+            crash = self.crashes[replica]
+            if fingerprint in crash.pardoned:
+                continue
+            if crash.culprit in (None, fingerprint):
                 found.append(replica)
         return found
 
@@ -244,7 +252,10 @@
         """
         count = 0
         for replica in self.accused.get(fingerprint, ()):
-            count += not self.crashes[replica].requests[fingerprint]
+            crash = self.crashes[replica]
+            if fingerprint in crash.pardoned:
+                continue
+            count += not crash.requests[fingerprint]
         return count
 
     def verdict(self, fingerprint: int, now: float) -> Verdict:
@@ -267,9 +278,9 @@
     def release(self, fingerprint: int) -> None:
         """Ends a quarantine; one more crash begins the next one."""
         del self.quarantined[fingerprint]
-        accusing = self.accusing(fingerprint)
-        for replica in accusing[: 1 + len(accusing) - MOST_CRASHES]:
-            self.forget(replica)
+        accused = sorted(self.accused.get(fingerprint, ()))
+        for replica in accused[: 1 + len(accused) - MOST_CRASHES]:
+            self.crashes[replica].pardoned.add(fingerprint)
 
     def tell(self, now: float) -> list[Interrupted]:
         """What is to be told to other nodes in the next message."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -224,6 +224,13 @@
                 doubtful.append(replica)
         return fine or doubtful
 
+    def usable(self, instance: str) -> bool:
+        """Whether a replica is known, stays, and is not silent."""
+        replica = self.replicas.get(instance)
+        if replica is None or replica.draining:
+            return False
+        return instance not in self.suspects
+
     def fine(self, instance: str, now: float) -> bool:
         """Whether nothing speaks against sending work to a replica."""
         if instance in self.suspects:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
@@ -9,7 +9,8 @@
 
 
 def encoded(
-    message: messages.Report | messages.Summary, sealer: seals.Sealer
+    message: messages.Report | messages.Summary | messages.Crashes,
+    sealer: seals.Sealer,
 ) -> bytes:
     """Makes one datagram of a message."""
     return sealer.seal(ENCODER.encode(message))
@@ -30,10 +31,6 @@
     is not cut in two. Many registrations that changed at once are left out as
     well: who cannot read them asks for them, by their digest.
     """
-    if not fits(report, sealer):
-        # Less urgent than what else it says, and told again within a second.
-        crashes = messages.Crashes(canaries=report.crashes.canaries)
-        report = msgspec.structs.replace(report, crashes=crashes)
     if report.knowledge is not None and not fits(report, sealer):
         knowledge = msgspec.structs.replace(report.knowledge, changed=[])
         report = msgspec.structs.replace(report, knowledge=knowledge)
@@ -84,27 +81,6 @@
     return halves
 
 
-def with_crashes(
-    parts: list[messages.Summary],
-    crashes: messages.Crashes,
-    sealer: seals.Sealer,
-) -> list[messages.Summary]:
-    """Puts what is known of crashes into the last part, or behind it."""
-    if not crashes.interrupted and not crashes.canaries:
-        return parts
-    last = msgspec.structs.replace(parts[-1], crashes=crashes)
-    if fits(last, sealer):
-        return [*parts[:-1], last]
-    more = msgspec.structs.replace(
-        last,
-        sums=messages.Sums(),
-        news=messages.News(),
-        knowledge=None,
-        members=[],
-    )
-    return [*parts, more]
-
-
 def cut_news(news: messages.News) -> tuple[messages.News, messages.News]:
     """Cuts news in two; each part names the starts that it speaks of."""
     halves = []
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -49,6 +49,10 @@
 # Seconds between two messages of a relay: a third of the time that a prompt
 # takes to be read, at ten datagrams a second for each node.
 TICK = 0.1
+# Seconds after which what is told at once is known everywhere, also where the
+# first datagram was lost.
+SPREAD = 0.05
+SPREAD_BY_RELAYS = 0.25
 # Seconds between two full datagrams where nothing changes.
 REFRESH = 1.0
 
@@ -92,6 +96,7 @@
         self.sender.crashes = crashes.tell
         crashes.changed = self.tell_at_once
         crashes.relays = self.relays_for_others
+        crashes.spread = self.spread
         self.reports = reports_module.Reports(
             self.members, self.relays, self.loads, self.sender
         )
@@ -359,8 +364,9 @@
         )
         self.members.hear(member, now)
         self.entries.roster.meet(member)
-        self.crashes.heard(message.crashes)
-        if isinstance(message, messages.Report):
+        if isinstance(message, messages.Crashes):
+            self.crashes.heard(message)
+        elif isinstance(message, messages.Report):
             self.hear_report(member, message, now)
         else:
             self.hear_summary(member, message, now)
@@ -542,6 +548,10 @@
         """Whether this node passes on what other nodes tell."""
         return not self.meshed and self.choice.relay is None
 
+    def spread(self) -> float:
+        """Seconds until all nodes have been told something at once."""
+        return SPREAD if self.meshed else SPREAD_BY_RELAYS
+
     def tell_at_once(self) -> None:
         """Has the other nodes told without waiting for the next report."""
         self.changed.set()
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -168,22 +168,19 @@
 
     Attributes:
         fingerprint: The request.
+        owner: The node that runs it.
+        number: Increases with each canary of its owner.
         instance: The replica.
         seconds: For how long that is taken for true; 0 where it has ended.
     """
 
     fingerprint: Fingerprint
+    owner: Count
+    number: Count
     instance: str
     seconds: Amount
 
 
-class Crashes(msgspec.Struct, array_like=True):
-    """What the sender knows of requests that may crash replicas."""
-
-    interrupted: list[Interrupted] = []
-    canaries: list[Canary] = []
-
-
 class Report(msgspec.Struct, array_like=True, tag=1):
     """What one node has at the engines, to its relay or to every node.
 
@@ -195,7 +192,6 @@
         news: What it did since the last one.
         knowledge: What it has read in the store, where each node tells every
             other: once a second and where that changes.
-        crashes: What it knows of requests that may crash replicas.
     """
 
     sender: Contact
@@ -204,7 +200,6 @@
     amounts: Amounts
     news: News
     knowledge: Knowledge | None = None
-    crashes: Crashes = msgspec.field(default_factory=Crashes)
 
 
 class Summary(msgspec.Struct, array_like=True, tag=2):
@@ -221,7 +216,6 @@
         knowledge: What the sender knows from the store.
         members: Nodes that rank high in its data centre.
         apart: Whether the rest of the site may count without these nodes.
-        crashes: What it knows of requests that may crash replicas.
     """
 
     sender: Contact
@@ -233,7 +227,22 @@
     knowledge: Knowledge | None = None
     members: list[Contact] = []
     apart: bool = False
-    crashes: Crashes = msgspec.field(default_factory=Crashes)
+
+
+class Crashes(msgspec.Struct, array_like=True, tag=3):
+    """What one node knows of requests that may crash replicas.
+
+    Attributes:
+        sender: Who sends it.
+        number: Increases with each message of the sender.
+        interrupted: Requests that crashes interrupted.
+        canaries: Requests that run as the only suspect on their replica.
+    """
+
+    sender: Contact
+    number: int
+    interrupted: list[Interrupted] = []
+    canaries: list[Canary] = []
 
 
 # What a report asks for: nothing (its sender tells everybody), nothing but to
@@ -263,12 +272,12 @@
     suspected: bool = False
 
 
-DECODER = msgspec.msgpack.Decoder(Report | Summary)
+DECODER = msgspec.msgpack.Decoder(Report | Summary | Crashes)
 # What decoding raises for bytes that hold no message, or too deep a one.
 UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
-def message(data: bytes) -> Report | Summary:
+def message(data: bytes) -> Report | Summary | Crashes:
     """Decodes a peer's message.
 
     Raises:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -2,16 +2,27 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from gypsumfold.decisions import members as members_module
 from gypsumfold.gateway.peers import frames
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import seals
 
+# Interrupted requests, and canaries, of one datagram: each takes up to 45
+# bytes.
+MOST_CRASHES = 14
 # Nodes that a relay introduces to those which report to it.
 INTRODUCED = 3
 
 
+class CrashNews(NamedTuple):
+    """What is to be told of requests that may crash replicas."""
+
+    interrupted: list[messages.Interrupted] = []
+    canaries: list[messages.Canary] = []
+
+
 class Sender:
     """Numbers, seals and sends what this node says.
 
@@ -28,7 +39,7 @@
         self.sealer = sealer
         self.number = 0
         self.transport: asyncio.DatagramTransport | None = None
-        self.crashes: Callable[[], messages.Crashes] = messages.Crashes
+        self.crashes: Callable[[], CrashNews] = CrashNews
 
     def report(
         self,
@@ -49,11 +60,11 @@
             amounts,
             news,
             knowledge,
-            self.crashes(),
         )
         data = frames.fitting(report, self.sealer)
         for member in receivers:
             self.transport.sendto(data, member.address)
+        self.send_crashes(receivers)
 
     def summary(
         self,
@@ -61,16 +72,34 @@
         receivers: list[members_module.Member],
     ) -> None:
         """Sends a summary in as many datagrams as it takes."""
-        parts = frames.with_crashes(
-            frames.parts(summary, self.sealer), self.crashes(), self.sealer
-        )
-        for part in parts:
+        for part in frames.parts(summary, self.sealer):
             self.number += 1
             part.number = self.number
             data = frames.encoded(part, self.sealer)
             for member in receivers:
                 self.transport.sendto(data, member.address)
 
+        self.send_crashes(receivers)
+
+    def send_crashes(self, receivers: list[members_module.Member]) -> None:
+        """Sends what is to be told of requests that may crash replicas."""
+        if not receivers:
+            return
+        news = self.crashes()
+        most = max(len(news.interrupted), len(news.canaries))
+        for start in range(0, most, MOST_CRASHES):
+            end = start + MOST_CRASHES
+            self.number += 1
+            message = messages.Crashes(
+                self.contact(),
+                self.number,
+                news.interrupted[start:end],
+                news.canaries[start:end],
+            )
+            data = frames.encoded(message, self.sealer)
+            for member in receivers:
+                self.transport.sendto(data, member.address)
+
     def contact(self) -> messages.Contact:
         """This node as others rank it."""
         own = self.members.own
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -21,6 +21,7 @@
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import sending
 
 # Seconds between two looks whether a suspect may run, about: longer than a
 # message takes to the other nodes, so that two suspects seldom start together.
@@ -35,6 +36,7 @@
     Attributes:
         changed: Called where other nodes are to be told something at once.
         relays: Whether this node passes on what others tell.
+        spread: Seconds until all nodes have been told something.
         remember: Called with a request whose crashes the store is to keep.
 
     >>> quarantine = Quarantine(runs)
@@ -45,9 +47,10 @@
     def __init__(self, runs: runs_module.Runs):
         self.runs = runs
         self.log = crashes_module.CrashLog()
-        self.canaries = canaries_module.Canaries()
+        self.canaries = canaries_module.Canaries(random.getrandbits(32))
         self.changed: Callable[[], None] = lambda: None
         self.relays: Callable[[], bool] = lambda: False
+        self.spread: Callable[[], float] = lambda: 0.0
         self.remember: Callable[[int], None] = lambda fingerprint: None
         runs.listeners.append(self.crashed)
         runs.survived.append(self.survived)
@@ -99,25 +102,28 @@
             exceptions.RequestError: It may not run soon enough.
             exceptions.AnswerBroken: The same, and its answer has begun.
         """
+        fingerprint = progress.fingerprint
         replica = choose()
-        if replica is None or self.may_run(progress.fingerprint, replica):
+        if replica is None or self.unsuspected(fingerprint):
             return replica
         started = time.monotonic()
         age = started - progress.call.arrival
         longest = LONGEST_HOLD * route.waits(progress.left(), age)
-        while True:
+        while replica is not None:
+            if await self.reserved(progress, replica):
+                held = time.monotonic() - started
+                self.log_held(progress, held, True)
+                return replica
             await asyncio.sleep(LOOK * random.uniform(0.5, 1.5))
             self.admit(progress)
             replica = choose()
             held = time.monotonic() - started
-            if replica is None or self.may_run(progress.fingerprint, replica):
-                self.log_held(progress, held, True)
-                return replica
             if held >= longest:
                 self.log_held(progress, held, False)
                 if progress.begun:
                     raise exceptions.AnswerBroken("no replica is free for it")
                 raise progress.failure()
+        return None
 
     def log_held(
         self, progress: progress_module.Progress, held: float, placed: bool
@@ -132,6 +138,49 @@
             placed=placed,
         )
 
+    def unsuspected(self, fingerprint: int) -> bool:
+        """Whether nothing speaks against sending a request anywhere."""
+        now = time.monotonic()
+        if self.runs.waits(fingerprint, canaries_module.UNDECIDED):
+            return False
+        if self.canaries.running(fingerprint, now):
+            return False
+        verdict = self.log.verdict(fingerprint, now)
+        return verdict == crashes_module.Verdict.FREE
+
+    async def reserved(
+        self, progress: progress_module.Progress, replica: types.Replica
+    ) -> bool:
+        """Whether a request may run at a replica, and no copy elsewhere.
+
+        After two crashes a copy at another node would be one too many: the
+        other nodes are told first, and where two of them tell each other both
+        wait and try again.
+
+        Raises:
+            exceptions.RequestError: As `admit`.
+            exceptions.AnswerBroken: As `admit`.
+        """
+        fingerprint = progress.fingerprint
+        if not self.may_run(fingerprint, replica):
+            return False
+        if self.log.count(fingerprint) < crashes_module.MOST_CRASHES - 1:
+            return True
+        self.canaries.start(fingerprint, replica.instance)
+        self.changed()
+        alone = False
+        try:
+            await asyncio.sleep(self.spread())
+            now = time.monotonic()
+            self.admit(progress)
+            alone = not self.canaries.elsewhere(fingerprint, now)
+            alone = alone and self.runs.directory.usable(replica.instance)
+        finally:
+            if not alone:
+                self.canaries.end(fingerprint, time.monotonic())
+                self.changed()
+        return alone
+
     def may_run(self, fingerprint: int, replica: types.Replica) -> bool:
         """Whether a request may run at a replica now."""
         now = time.monotonic()
@@ -148,6 +197,7 @@
         """Notes that a request starts to run."""
         verdict = self.log.verdict(run.fingerprint, time.monotonic())
         if verdict != crashes_module.Verdict.CANARY:
+            self.canaries.end(run.fingerprint, time.monotonic())
             return
         run.canary = True
         self.canaries.start(run.fingerprint, run.replica.instance)
@@ -236,7 +286,7 @@
             crashes=sorted(crashes),
         )
 
-    def tell(self) -> messages.Crashes:
+    def tell(self) -> sending.CrashNews:
         """What other nodes are to know."""
         now = time.monotonic()
         interrupted = []
@@ -252,8 +302,9 @@
             )
         running = []
         for told in self.canaries.tell(self.relays(), now):
-            running.append(messages.Canary(*told))
-        return messages.Crashes(interrupted, running)
+            left = min(canaries_module.LIFE, max(0.0, told.until - now))
+            running.append(messages.Canary(*told[:-1], left))
+        return sending.CrashNews(interrupted, running)
 
     def take(
         self, accusations: list[crashes_module.Interrupted], pass_on: bool
@@ -288,8 +339,13 @@
         news = self.take(accusations, self.relays())
         now = time.monotonic()
         for one in told.canaries:
-            news |= self.canaries.heard(
-                one.fingerprint, one.instance, one.seconds, now
+            canary = canaries_module.Canary(
+                one.fingerprint,
+                one.owner,
+                one.number,
+                one.instance,
+                now + one.seconds,
             )
+            news |= self.canaries.heard(canary, now)
         if news and self.relays():
             self.changed()
