Show with real processes that a request which ends three replicas is refused by all

Two gateways before five plain replicas whose processes end when they run one body: after three ends both gateways refuse it at once as not run, with the time until it is tried again, and pass other calls on to the two that are left.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -168,3 +168,10 @@
     When the settings file is spoilt and SIGHUP comes
     Then the gateway logs that the file was rejected
     And a caller posts and is served
+
+  Scenario: A request that has crashed three replicas is refused by every gateway at once
+    Given three more replicas of the service "app", all of which crash on "boom"
+    And a second gateway that knows the others
+    When a caller posts "boom" to "/seats/7" at both gateways by turns until three replicas have crashed
+    Then both gateways refuse "boom" to "/seats/7" at once, as not run
+    And both gateways pass "hold" to "/seats/7" on to a replica that is left
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import hashlib
+import os
 import time
 from typing import Any
 import uuid
@@ -39,6 +40,7 @@
         failing: Next requests that run and end with 500.
         broken: Next streams that break off in the middle of their third
             event.
+        crashing: Text of a body whose run ends the process; none if empty.
         silent: Nothing is answered any more.
         orders_lost: Next orders carried out whose answer is dropped.
     """
@@ -53,6 +55,7 @@
     unsealed: int = 0
     failing: int = 0
     broken: int = 0
+    crashing: str = ""
     silent: bool = False
     orders_lost: int = 0
 
@@ -118,6 +121,8 @@
                 "handle": handle,
             }
         )
+        if self.faults.crashing and self.faults.crashing.encode() in body:
+            os._exit(1)
         try:
             return await self.run(request, attempt)
         except (asyncio.CancelledError, ConnectionError):
