Name what is known of crashes in the field's terms, and test it by itself

Suspicion and incarnation in place of accusation and lifetime, updates and merge in place of tell and hear. Scenarios for merging in any order, the end of a quarantine, clearing, bounded memory, news that die down, which interruptions are a crash, and that one seed gives one course. No change of behaviour.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -37,3 +37,50 @@
       | trouble                          | plays |
       | gateways that do not hear others | 3     |
       | all gateways started again       | 3     |
+
+  Scenario: Crashes known by several nodes add up in whatever order they are exchanged
+    Then 200 shuffled exchanges of 3 crashes with 20 requests each, some doubled, give the same verdicts
+
+  Scenario: A request in quarantine is tried once after it, and then for longer
+    Given a request that has crashed 3 replicas
+    Then it is in quarantine for 600 seconds
+    And it may then run as a canary though other nodes still send of its crashes
+    And one more crash puts it into quarantine for 2400 seconds
+
+  Scenario: A request that ran to its end is suspected no more on any node
+    Given a request that has crashed 2 replicas
+    When it runs to its end on another node
+    Then it is sent like any other
+
+  Scenario: An attacker that makes up requests does not fill the memory
+    When 1000 replicas crash, each with 500 requests of its own
+    Then at most 256 crashes with 128 requests each are remembered
+
+  Scenario: News of canaries die down among nodes that pass them on
+    When 6 nodes that pass on all that is new to them run 20 canaries to their ends
+    Then no message is left after 400 of them, and no canary is left
+
+  Scenario Outline: An interruption that is no crash makes nobody a suspect: <event>
+    Given a node with requests that were interrupted at a replica
+    When <event>
+    Then nobody is suspected
+
+    Examples:
+      | event                                     |
+      | the replica answers the next question     |
+      | the replica had said that it leaves       |
+      | nothing is known of the replica for 10 s  |
+
+  Scenario Outline: An interruption by a crash makes its requests suspects: <event>
+    Given a node with requests that were interrupted at a replica
+    When <event>
+    Then its requests are suspected
+
+    Examples:
+      | event                                     |
+      | nothing listens at the replica's address  |
+      | the replica says that it has just started |
+      | the replica's entry goes                  |
+
+  Scenario: The same seed gives the same course in virtual time
+    Then two plays of one seed with 6 gateways and 2 requests that crash replicas end alike
--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -1,21 +1,20 @@
 """Where requests run that may have crashed a replica: one for each replica.
 
 Load pattern: a crash has interrupted dozens of requests, one of which may have
-caused it, and all come again at once. Sent together, the next crash accuses all
-of them again. A canary is the only suspect on its replica, so that a second
-crash speaks against it alone, and one copy of it runs at a time.
+caused it, and all come again at once. Sent together, the next crash leaves all
+of them suspected again. A canary is the only suspect on its replica, so that a
+second crash points at it alone, and one copy of it runs at a time.
 """
 
 import math
 from typing import NamedTuple
 
-# Seconds for which another node's canary is taken to run without being heard
-# of again.
+# Seconds for which another node's canary is taken to run without news of it.
 LIFE = 1.5
 # Seconds for which an interrupted request waits until it is known whether its
 # replica crashed: a question to the replica and a message to all nodes.
 UNDECIDED = 0.5
-# Seconds for which the end of a canary is told.
+# Seconds for which the end of a canary is sent to other nodes.
 ENDED = 1.0
 
 
@@ -75,22 +74,22 @@
         self.known[fingerprint, self.owner] = found._replace(until=now)
         return True
 
-    def heard(self, told: Canary, now: float) -> bool:
+    def merge(self, canary: Canary, now: float) -> bool:
         """Takes in another node's canary; whether that is news."""
-        if told.owner == self.owner:
+        if canary.owner == self.owner:
             return False
-        place = told.fingerprint, told.owner
+        place = canary.fingerprint, canary.owner
         known = self.known.get(place)
-        if known is not None and known.number > told.number:
+        if known is not None and known.number > canary.number:
             return False
-        told = told._replace(until=min(told.until, now + LIFE))
-        if known is None or known.number < told.number:
-            self.known[place] = told
+        canary = canary._replace(until=min(canary.until, now + LIFE))
+        if known is None or known.number < canary.number:
+            self.known[place] = canary
             return True
         if known.until <= now:
             return False
-        self.known[place] = told
-        return told.until <= now
+        self.known[place] = canary
+        return canary.until <= now
 
     def expire(self, now: float) -> None:
         """Drops what has ended long ago."""
@@ -123,7 +122,7 @@
                 return False
         return True
 
-    def tell(self, relayed: bool, now: float) -> list[Canary]:
+    def updates(self, relayed: bool, now: float) -> list[Canary]:
         """What other nodes are to know.
 
         Args:
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -5,10 +5,11 @@
 replica after the other, and each crash interrupts dozens of other requests,
 whose repeats run beside it again.
 
-A crash accuses every request that it interrupted. Three crashes put a request
-into quarantine. An accusation is dropped once the request runs to its end, or
-once the crash is explained by a request in quarantine. Nodes exchange what they
-have seen; records merge in any order and any number of times to the same state.
+Every request that a crash interrupted is suspected of it. Three crashes put a
+request into quarantine. A suspicion is dropped once the request runs to its
+end, or once the crash is explained by a request in quarantine. Nodes exchange
+what they have seen; records merge in any order, and more than once, to the same
+state.
 """
 
 import collections
@@ -16,9 +17,8 @@
 import math
 from typing import NamedTuple
 
-# Crashes after which a request is sent to no replica: the fourth replica that
-# it would end is the first that can be saved with certainty, as two crashes may
-# meet one request by chance.
+# Crashes after which a request is sent to no replica; two may well interrupt
+# the same request by chance.
 MOST_CRASHES = 3
 # Seconds of the first quarantine; a service may run the request well after a
 # new version. One run is tried after it.
@@ -31,14 +31,13 @@
 # that makes up new requests must not fill the memory.
 MOST_RECORDS = 256
 MOST_REQUESTS = 128
-# Accusations told at once, and how often each is told, as datagrams may be
-# lost.
-MOST_TOLD = 48
-TOLD_TIMES = 6
-# Seconds between two rounds in which what is known is told again.
+# Suspicions sent at once, and how often each is sent, as datagrams may be lost.
+MOST_SENT = 48
+SEND_TIMES = 6
+# Seconds between two rounds in which what is known is sent again.
 REFRESH = 1.0
-# Seconds after a crash for which accusations by it alone are told again: a
-# node that was cut off for longer learns those of requests that crash more.
+# Seconds after a crash for which suspicions of this crash alone are sent again:
+# a node that was cut off for longer learns those of requests that crash more.
 RECENT = 60.0
 
 
@@ -56,7 +55,7 @@
     QUARANTINED = "quarantined"
 
 
-class Lifetime(NamedTuple):
+class Incarnation(NamedTuple):
     """One lifetime of a replica.
 
     Attributes:
@@ -69,7 +68,7 @@
 
 
 class Interrupted(NamedTuple):
-    """A request that a crash interrupted, as nodes tell each other.
+    """A request that a crash interrupted, as nodes exchange it.
 
     Attributes:
         replica: What crashed.
@@ -78,7 +77,7 @@
         cleared: Whether it has run to its end since.
     """
 
-    replica: Lifetime
+    replica: Incarnation
     fingerprint: int
     output: bool
     cleared: bool
@@ -91,8 +90,8 @@
         at: When this node learnt of it.
         requests: The interrupted requests; whether each had given output.
         cleared: Those that have run to their end since.
-        culprit: The request that explains it; None if none is known.
-        pardoned: Those against which it speaks no more, as their quarantine
+        cause: The request that explains it; None if none is known.
+        expired: Requests no longer suspected of it, as their quarantine
             is over.
     """
 
@@ -100,74 +99,74 @@
         self.at = at
         self.requests: dict[int, bool] = {}
         self.cleared: set[int] = set()
-        self.culprit: int | None = None
-        self.pardoned: set[int] = set()
+        self.cause: int | None = None
+        self.expired: set[int] = set()
 
 
 class CrashLog:
-    """Crashes, and the requests that they accuse.
+    """Crashes, and the requests suspected of them.
 
     >>> log = CrashLog()
     >>> for replica in ("engine-1", "engine-2", "engine-3"):
-    ...     log.interrupted(Lifetime(replica), 7, output=False, now=0.0)
+    ...     log.interrupted(Incarnation(replica), 7, output=False, now=0.0)
     >>> log.verdict(7, now=1.0)
     <Verdict.QUARANTINED: 'quarantined'>
     """
 
     def __init__(self):
-        self.crashes: collections.OrderedDict[Lifetime, Crash] = (
+        self.crashes: collections.OrderedDict[Incarnation, Crash] = (
             collections.OrderedDict()
         )
-        self.accused: dict[int, set[Lifetime]] = {}
+        self.suspected: dict[int, set[Incarnation]] = {}
         self.quarantined: dict[int, float] = {}
         self.quarantines: dict[int, int] = {}
-        self.news: dict[tuple[Lifetime, int], int] = {}
+        self.news: dict[tuple[Incarnation, int], int] = {}
         self.refreshed = -math.inf
 
     def interrupted(
-        self, replica: Lifetime, fingerprint: int, output: bool, now: float
+        self, replica: Incarnation, fingerprint: int, output: bool, now: float
     ) -> bool:
         """Notes that a crash interrupted a request of this node.
 
         Returns:
             Whether that puts the request into quarantine.
         """
-        told = Interrupted(replica, fingerprint, output, False)
-        return self.merge(told, True, now)
+        report = Interrupted(replica, fingerprint, output, False)
+        return self.merge(report, True, now)
 
-    def merge(self, told: Interrupted, pass_on: bool, now: float) -> bool:
-        """Takes in one accusation, of this node or another one.
+    def merge(self, report: Interrupted, pass_on: bool, now: float) -> bool:
+        """Takes in one suspicion, of this node or another one.
 
         Args:
-            told: The accusation.
-            pass_on: Whether it is to be told to others if it is new here.
+            report: The suspicion.
+            pass_on: Whether it is sent to other nodes if it is new here.
             now: The time.
 
         Returns:
             Whether that puts the request into quarantine.
         """
-        crash = self.crash(told.replica, now)
-        fingerprint = told.fingerprint
+        crash = self.crash(report.replica, now)
+        fingerprint = report.fingerprint
         known = fingerprint in crash.requests
         if not known and len(crash.requests) >= MOST_REQUESTS:
             return False
-        output = crash.requests.get(fingerprint, True) and told.output
+        output = crash.requests.get(fingerprint, True) and report.output
         changed = not known or output != crash.requests[fingerprint]
         crash.requests[fingerprint] = output
-        if told.cleared and fingerprint not in crash.cleared:
+        if report.cleared and fingerprint not in crash.cleared:
             crash.cleared.add(fingerprint)
             changed = True
         if changed and pass_on:
-            self.news[told.replica, fingerprint] = TOLD_TIMES
+            self.news[report.replica, fingerprint] = SEND_TIMES
         if fingerprint in crash.cleared:
-            self.withdraw(fingerprint, told.replica)
-            if fingerprint not in self.accused:
+            self.withdraw(fingerprint, report.replica)
+            if fingerprint not in self.suspected:
                 self.quarantined.pop(fingerprint, None)
             return False
-        self.accused.setdefault(fingerprint, set()).add(told.replica)
+        self.suspected.setdefault(fingerprint, set()).add(report.replica)
         return self.judge(fingerprint, now)
 
-    def crash(self, replica: Lifetime, now: float) -> Crash:
+    def crash(self, replica: Incarnation, now: float) -> Crash:
         """Finds the record of a crash, or begins it."""
         found = self.crashes.get(replica)
         if found is not None:
@@ -177,21 +176,21 @@
             self.forget(next(iter(self.crashes)))
         return found
 
-    def forget(self, replica: Lifetime) -> None:
+    def forget(self, replica: Incarnation) -> None:
         """Drops the record of a crash."""
         crash = self.crashes.pop(replica)
         for fingerprint in crash.requests:
             self.news.pop((replica, fingerprint), None)
             self.withdraw(fingerprint, replica)
 
-    def withdraw(self, fingerprint: int, replica: Lifetime) -> None:
-        """Takes an accusation back."""
-        accused = self.accused.get(fingerprint)
-        if accused is None:
+    def withdraw(self, fingerprint: int, replica: Incarnation) -> None:
+        """Drops a suspicion."""
+        suspected = self.suspected.get(fingerprint)
+        if suspected is None:
             return
-        accused.discard(replica)
-        if not accused:
-            del self.accused[fingerprint]
+        suspected.discard(replica)
+        if not suspected:
+            del self.suspected[fingerprint]
 
     def judge(self, fingerprint: int, now: float) -> bool:
         """Puts a request into quarantine once it has crashed too much."""
@@ -210,50 +209,50 @@
 
     def explain(self, fingerprint: int) -> None:
         """Lets a request in quarantine stand for all its crashes."""
-        for replica in self.accused.get(fingerprint, ()):
+        for replica in self.suspected.get(fingerprint, ()):
             crash = self.crashes[replica]
-            if crash.culprit is None:
-                crash.culprit = fingerprint
+            if crash.cause is None:
+                crash.cause = fingerprint
 
     def completed(self, fingerprint: int) -> bool:
-        """Clears a request that has run to its end; whether it was accused."""
-        accused = self.accused.pop(fingerprint, None)
-        if accused is None:
+        """Clears a suspect that has run to its end; False if it was none."""
+        suspected = self.suspected.pop(fingerprint, None)
+        if suspected is None:
             return False
-        for replica in accused:
+        for replica in suspected:
             crash = self.crashes[replica]
             crash.cleared.add(fingerprint)
-            if crash.culprit == fingerprint:
-                crash.culprit = None
-            self.news[replica, fingerprint] = TOLD_TIMES
+            if crash.cause == fingerprint:
+                crash.cause = None
+            self.news[replica, fingerprint] = SEND_TIMES
         self.quarantined.pop(fingerprint, None)
         return True
 
-    def accusing(self, fingerprint: int) -> list[Lifetime]:
-        """The crashes that speak against a request."""
+    def suspicions(self, fingerprint: int) -> list[Incarnation]:
+        """The crashes of which a request is suspected."""
         found = []
-        for replica in self.accused.get(fingerprint, ()):
+        for replica in self.suspected.get(fingerprint, ()):
             crash = self.crashes[replica]
-            if fingerprint in crash.pardoned:
+            if fingerprint in crash.expired:
                 continue
-            if crash.culprit in (None, fingerprint):
+            if crash.cause in (None, fingerprint):
                 found.append(replica)
         return found
 
     def count(self, fingerprint: int) -> int:
-        """How many crashes speak against a request."""
-        return len(self.accusing(fingerprint))
+        """Counts the crashes of which a request is suspected."""
+        return len(self.suspicions(fingerprint))
 
     def silent(self, fingerprint: int) -> int:
-        """How many crashes interrupted a request before it gave output.
+        """Counts the crashes that interrupted a request before it gave output.
 
         Explained ones count too: two requests that crash replicas may have
         started together.
         """
         count = 0
-        for replica in self.accused.get(fingerprint, ()):
+        for replica in self.suspected.get(fingerprint, ()):
             crash = self.crashes[replica]
-            if fingerprint in crash.pardoned:
+            if fingerprint in crash.expired:
                 continue
             count += not crash.requests[fingerprint]
         return count
@@ -265,38 +264,38 @@
             return Verdict.QUARANTINED
         if until is not None:
             self.release(fingerprint)
-        accusing = self.accusing(fingerprint)
-        if not accusing:
+        suspicions = self.suspicions(fingerprint)
+        if not suspicions:
             return Verdict.FREE
-        output = self.crashes[accusing[0]].requests[fingerprint]
+        output = self.crashes[suspicions[0]].requests[fingerprint]
         # What crashes a replica does so soon after its start as a rule: a
         # single crash speaks little against a request that had given output.
-        if len(accusing) == 1 and output:
+        if len(suspicions) == 1 and output:
             return Verdict.FREE
         return Verdict.CANARY
 
     def release(self, fingerprint: int) -> None:
         """Ends a quarantine; one more crash begins the next one."""
         del self.quarantined[fingerprint]
-        accused = sorted(self.accused.get(fingerprint, ()))
-        for replica in accused[: 1 + len(accused) - MOST_CRASHES]:
-            self.crashes[replica].pardoned.add(fingerprint)
+        suspected = sorted(self.suspected.get(fingerprint, ()))
+        for replica in suspected[: 1 + len(suspected) - MOST_CRASHES]:
+            self.crashes[replica].expired.add(fingerprint)
 
-    def tell(self, now: float) -> list[Interrupted]:
-        """What is to be told to other nodes in the next message."""
+    def updates(self, now: float) -> list[Interrupted]:
+        """What other nodes are sent next."""
         if now - self.refreshed >= REFRESH:
             self.refreshed = now
             self.refresh(now)
-        told = []
-        for place, left in list(self.news.items())[:MOST_TOLD]:
+        updates = []
+        for place, left in list(self.news.items())[:MOST_SENT]:
             del self.news[place]
-            # What has been told goes behind what has not.
+            # What has been sent goes behind what has not.
             if left > 1:
                 self.news[place] = left - 1
-            told.append(self.known(*place))
-        return told
+            updates.append(self.known(*place))
+        return updates
 
-    def known(self, replica: Lifetime, fingerprint: int) -> Interrupted:
+    def known(self, replica: Incarnation, fingerprint: int) -> Interrupted:
         """What is known of one request at one crash."""
         crash = self.crashes[replica]
         return Interrupted(
@@ -307,12 +306,12 @@
         )
 
     def refresh(self, now: float) -> None:
-        """Has all told again that may still matter, the newest last."""
+        """Has all sent again that may still matter, the newest last."""
         for replica, crash in self.crashes.items():
             for fingerprint in crash.requests:
                 if fingerprint in crash.cleared:
                     continue
-                if crash.culprit not in (None, fingerprint):
+                if crash.cause not in (None, fingerprint):
                     continue
                 recent = now - crash.at < RECENT
                 if recent or self.count(fingerprint) > 1:
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -195,7 +195,7 @@
     317,
     "quarantine-begun",
     "warning",
-    "A request is sent to no replica for now; the crashes that accuse it.",
+    "A request is sent to no replica for now, as it crashed several.",
 )
 SUSPECT_CLEARED = define(
     318,
--- a/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -1,6 +1,7 @@
 """Keeps in the store which requests crash replicas.
 
-Nodes tell each other; this is for the moment after all of them lost power.
+Nodes exchange this among themselves; the store is for the moment after all of
+them lost power.
 """
 
 import asyncio
@@ -44,7 +45,7 @@
 
     Attributes:
         written_at: Unix seconds.
-        crashes: Those that accuse it.
+        crashes: Those that it is suspected of.
     """
 
     written_at: float
@@ -73,7 +74,7 @@
         quarantine.remember = self.remember
 
     def remember(self, fingerprint: int) -> None:
-        """Has a request's record written, or dropped if nothing accuses it."""
+        """Has the record of a request written, or dropped if it was cleared."""
         self.waiting[fingerprint] = True
         self.due.set()
 
@@ -129,21 +130,21 @@
         if age > crashes_module.LONGEST_QUARANTINE:
             self.remember(fingerprint)
             return
-        accusations = []
+        suspicions = []
         for crash in found.crashes:
-            replica = crashes_module.Lifetime(crash.instance, crash.started)
-            accusations.append(
+            replica = crashes_module.Incarnation(crash.instance, crash.started)
+            suspicions.append(
                 crashes_module.Interrupted(
                     replica, fingerprint, crash.output, False
                 )
             )
-        self.quarantine.take(accusations, True)
+        self.quarantine.take(suspicions, True)
 
     async def write(self, fingerprint: int) -> None:
-        """Writes what accuses a request, or drops its record."""
+        """Writes the crashes of a request, or drops its record."""
         log = self.quarantine.log
         crashes = []
-        for replica in sorted(log.accused.get(fingerprint, ())):
+        for replica in sorted(log.suspected.get(fingerprint, ())):
             known = log.known(replica, fingerprint)
             crashes.append(
                 CrashRecord(replica.instance, replica.started, known.output)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -49,7 +49,7 @@
 # Seconds between two messages of a relay: a third of the time that a prompt
 # takes to be read, at ten datagrams a second for each node.
 TICK = 0.1
-# Seconds after which what is told at once is known everywhere, also where the
+# Seconds after which what is sent at once is known everywhere, also where the
 # first datagram was lost.
 SPREAD = 0.05
 SPREAD_BY_RELAYS = 0.25
@@ -93,8 +93,8 @@
         self.sealer = seals.Sealer(settings.peers.keys)
         self.sender = sending.Sender(self.members, self.sealer)
         self.crashes = crashes
-        self.sender.crashes = crashes.tell
-        crashes.changed = self.tell_at_once
+        self.sender.crashes = crashes.updates
+        crashes.changed = self.send_at_once
         crashes.relays = self.relays_for_others
         crashes.spread = self.spread
         self.reports = reports_module.Reports(
@@ -365,7 +365,7 @@
         self.members.hear(member, now)
         self.entries.roster.meet(member)
         if isinstance(message, messages.Crashes):
-            self.crashes.heard(message)
+            self.crashes.merge(message)
         elif isinstance(message, messages.Report):
             self.hear_report(member, message, now)
         else:
@@ -545,15 +545,15 @@
         return self.census.alone(self.nodes(), self.clock())
 
     def relays_for_others(self) -> bool:
-        """Whether this node passes on what other nodes tell."""
+        """Whether this node passes on what other nodes send."""
         return not self.meshed and self.choice.relay is None
 
     def spread(self) -> float:
-        """Seconds until all nodes have been told something at once."""
+        """Seconds until all nodes have what was sent at once."""
         return SPREAD if self.meshed else SPREAD_BY_RELAYS
 
-    def tell_at_once(self) -> None:
-        """Has the other nodes told without waiting for the next report."""
+    def send_at_once(self) -> None:
+        """Sends to the other nodes without waiting for the next report."""
         self.changed.set()
         self.urgent.set()
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -17,7 +17,7 @@
 
 
 class CrashNews(NamedTuple):
-    """What is to be told of requests that may crash replicas."""
+    """News of requests that may crash replicas."""
 
     interrupted: list[messages.Interrupted] = []
     canaries: list[messages.Canary] = []
@@ -27,7 +27,7 @@
     """Numbers, seals and sends what this node says.
 
     Attributes:
-        crashes: Gives what is to be told of requests that crash replicas.
+        crashes: Gives what nodes are sent on requests that crash replicas.
 
     >>> sender = Sender(members, sealer)
     >>> sender.transport = transport
@@ -82,7 +82,7 @@
         self.send_crashes(receivers)
 
     def send_crashes(self, receivers: list[members_module.Member]) -> None:
-        """Sends what is to be told of requests that may crash replicas."""
+        """Sends news of requests that may crash replicas."""
         if not receivers:
             return
         news = self.crashes()
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -34,9 +34,9 @@
     """Decides whether and where a request may run, by the crashes it was in.
 
     Attributes:
-        changed: Called where other nodes are to be told something at once.
-        relays: Whether this node passes on what others tell.
-        spread: Seconds until all nodes have been told something.
+        changed: Called where other nodes are to be sent something at once.
+        relays: Whether this node passes on what others send.
+        spread: Seconds until all nodes have what was sent at once.
         remember: Called with a request whose crashes the store is to keep.
 
     >>> quarantine = Quarantine(runs)
@@ -154,8 +154,8 @@
         """Whether a request may run at a replica, and no copy elsewhere.
 
         After two crashes a copy at another node would be one too many: the
-        other nodes are told first, and where two of them tell each other both
-        wait and try again.
+        other nodes are notified first; where two of them notify each other,
+        both wait and try again.
 
         Raises:
             exceptions.RequestError: As `admit`.
@@ -206,7 +206,7 @@
     def gave_output(self, run: runs_module.Run) -> None:
         """Notes that a run's output goes to its caller.
 
-        A canary accused by one crash, which had given none before, has come
+        A canary suspected of one crash, which had given none before, has come
         further than then.
         """
         if run.output:
@@ -252,7 +252,7 @@
 
     def crashed(self, crash: runs_module.Crash) -> None:
         """Takes in a crash that interrupted runs of this node."""
-        replica = crashes_module.Lifetime(
+        replica = crashes_module.Incarnation(
             crash.replica.instance, crash.replica.born
         )
         now = time.monotonic()
@@ -271,14 +271,14 @@
         self,
         fingerprint: int,
         quarantined: bool,
-        replica: crashes_module.Lifetime,
+        replica: crashes_module.Incarnation,
     ) -> None:
         """Logs a quarantine that begins."""
         if not quarantined:
             return
         crashes = []
-        for accusing in self.log.accusing(fingerprint):
-            crashes.append(accusing.instance)
+        for suspicion in self.log.suspicions(fingerprint):
+            crashes.append(suspicion.instance)
         events.log(
             events.QUARANTINE_BEGUN,
             fingerprint=fingerprints.text(fingerprint),
@@ -286,59 +286,59 @@
             crashes=sorted(crashes),
         )
 
-    def tell(self) -> sending.CrashNews:
-        """What other nodes are to know."""
+    def updates(self) -> sending.CrashNews:
+        """What other nodes are sent next."""
         now = time.monotonic()
         interrupted = []
-        for told in self.log.tell(now):
+        for one in self.log.updates(now):
             interrupted.append(
                 messages.Interrupted(
-                    told.replica.instance,
-                    told.replica.started,
-                    told.fingerprint,
-                    told.output,
-                    told.cleared,
+                    one.replica.instance,
+                    one.replica.started,
+                    one.fingerprint,
+                    one.output,
+                    one.cleared,
                 )
             )
         running = []
-        for told in self.canaries.tell(self.relays(), now):
-            left = min(canaries_module.LIFE, max(0.0, told.until - now))
-            running.append(messages.Canary(*told[:-1], left))
+        for one in self.canaries.updates(self.relays(), now):
+            left = min(canaries_module.LIFE, max(0.0, one.until - now))
+            running.append(messages.Canary(*one[:-1], left))
         return sending.CrashNews(interrupted, running)
 
     def take(
-        self, accusations: list[crashes_module.Interrupted], pass_on: bool
+        self, suspicions: list[crashes_module.Interrupted], pass_on: bool
     ) -> bool:
-        """Takes in accusations by another node, or of the store.
+        """Takes in suspicions of another node, or from the store.
 
         Args:
-            accusations: Who was in which crash.
-            pass_on: Whether what is new is told to other nodes.
+            suspicions: Which request was in which crash.
+            pass_on: Whether what is new is sent to other nodes.
 
         Returns:
             Whether a request was put into quarantine by them.
         """
         now = time.monotonic()
         news = False
-        for accusation in accusations:
-            quarantined = self.log.merge(accusation, pass_on, now)
-            self.note(accusation.fingerprint, quarantined, accusation.replica)
+        for suspicion in suspicions:
+            quarantined = self.log.merge(suspicion, pass_on, now)
+            self.note(suspicion.fingerprint, quarantined, suspicion.replica)
             news |= quarantined
         return news
 
-    def heard(self, told: messages.Crashes) -> None:
-        """Takes in what another node tells."""
-        accusations = []
-        for one in told.interrupted:
-            replica = crashes_module.Lifetime(one.instance, one.started)
-            accusations.append(
+    def merge(self, message: messages.Crashes) -> None:
+        """Takes in what another node has sent."""
+        suspicions = []
+        for one in message.interrupted:
+            replica = crashes_module.Incarnation(one.instance, one.started)
+            suspicions.append(
                 crashes_module.Interrupted(
                     replica, one.fingerprint, one.output, one.cleared
                 )
             )
-        news = self.take(accusations, self.relays())
+        news = self.take(suspicions, self.relays())
         now = time.monotonic()
-        for one in told.canaries:
+        for one in message.canaries:
             canary = canaries_module.Canary(
                 one.fingerprint,
                 one.owner,
@@ -346,6 +346,6 @@
                 one.instance,
                 now + one.seconds,
             )
-            news |= self.canaries.heard(canary, now)
+            news |= self.canaries.merge(canary, now)
         if news and self.relays():
             self.changed()
