--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -56,6 +56,17 @@
             "Age of what this node knows of replicas, at the worst.",
             registry=self.registry,
         )
+        self.suspects = prometheus_client.Gauge(
+            "gypsumfold_suspected_requests",
+            "Requests that a replica's crash interrupted and that have not run "
+            "to their end since.",
+            registry=self.registry,
+        )
+        self.quarantined = prometheus_client.Gauge(
+            "gypsumfold_quarantined_requests",
+            "Requests that are refused, as they have crashed replicas.",
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "gypsumfold_store_calls",
             "Calls to the store since the start, failed ones included.",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -328,7 +328,7 @@
             self.share_retries()
             self.counters.open_requests.set(len(self.server.busy))
             self.counters.unusable.set(self.registrations.unreadable)
-            self.count_peers()
+            self.count_known()
             self.lines.flush()
             if time.monotonic() >= due:
                 due += STORE_LINES
@@ -354,12 +354,15 @@
         self.budget.nodes = nodes
         self.budget.apart = apart
 
-    def count_peers(self) -> None:
-        """Sets the gauges of what this node knows by whom."""
+    def count_known(self) -> None:
+        """Sets the gauges of what this node knows, and by whom."""
         age = self.watches["registrations"].following.age(clocks.now())
         self.counters.nodes.set(self.gossip.nodes())
         self.counters.relays.set(int(self.gossip.reads()))
         self.counters.knowledge_age.set(age)
+        crashes = self.quarantine.log
+        self.counters.suspects.set(len(crashes.suspected))
+        self.counters.quarantined.set(len(crashes.quarantined))
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
