Let late streams go on after a crash, and deliver a failure while a repeat is held

The patience counts from the interruption once output has gone out. And a call that one replica had answered with 500 while another node ran a copy waited for that before its caller got the 500 (1 s in the test); it is delivered now.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -84,3 +84,10 @@
 
   Scenario: The same seed gives the same course in virtual time
     Then two plays of one seed with 6 gateways and 2 requests that crash replicas end alike
+
+  Scenario: A stream that a crash interrupts long after its begin goes on elsewhere
+    Then in each of 3 plays 12 long streams that may be resumed are whole though a replica is killed after 3 seconds
+
+  Scenario: A failure that a replica has answered reaches a caller whose repeat is held
+    Given a call that one replica answers with 500 while another node runs it as a canary
+    Then its caller gets the 500 at once
--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -1,16 +1,22 @@
 """Steps on what is known of crashes, on one node and among several."""
 
+import asyncio
 import itertools
 import random
+import time
 from unittest import mock
 
 import behave
 from features.steps import crashing_requests_steps as plays
 from features.support import virtual_gateways
 
+from gypsumfold.decisions import budgets
 from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import crashes as crashes_module
+from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_calls
+from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
@@ -262,3 +268,62 @@
         found.append(ends)
     for first, second in itertools.zip_longest(*found):
         assert first == second, (first, second)
+
+
+class FailingEndpoints:
+    """Replicas that answer every call with 500."""
+
+    def __init__(self, answered):
+        self.answered = answered
+
+    async def send(self, replica, call, instructions):
+        """Answers a call."""
+        self.answered(replica)
+        return mock.Mock(
+            status=500,
+            reason="",
+            fields=(),
+            not_run=False,
+            read=mock.AsyncMock(return_value=b"failed"),
+        )
+
+
+@behave.given(
+    "a call that one replica answers with {status:d} while another node runs "
+    "it as a canary"
+)
+def step_answered_then(context, status):
+    step_interrupted(context)
+    context.directory.put(REPLICA._replace(instance="i-2"))
+    now = time.monotonic()
+    call = types.Call("a", "GET", "/", "h", (), None, now, now + 5.0)
+    progress = progress_module.Progress(call)
+    context.sent = []
+
+    def suspect(replica):
+        context.sent.append(replica)
+        canary = canaries_module.Canary(
+            progress.fingerprint, 1, 1, "i-3", now + 1.0
+        )
+        context.quarantine.canaries.merge(canary, now)
+
+    budget = budgets.RetryBudget(budgets.Policy(1.0, 10.0, 50.0))
+    budget.nodes = 1
+    serving = plain_calls.PlainCalls(
+        context.directory,
+        FailingEndpoints(suspect),
+        budget,
+        "north",
+        context.quarantine,
+    )
+    context.reply = mock.AsyncMock()
+    route = routes.Route(
+        "r", "h", "/", routes.Kind.IDEMPOTENT, 5.0, 0.1, 0, 2, ()
+    )
+    asyncio.run(serving.serve(route, "app", context.reply, progress))
+
+
+@behave.then("its caller gets the {status:d} at once")
+def step_gets(context, status):
+    assert context.reply.whole.call_args.args[0] == status
+    assert len(context.sent) == 1, context.sent
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -19,6 +19,10 @@
 # Crashes, and later attempts, that one request may cost.
 MOST_CRASHES = 3
 MOST_RETRIES = 3
+# Events of a stream that lasts for about five seconds.
+LONG_STREAM = 200
+# Spare repeats of the site, enough for one of each stream.
+LONG_STREAM_SPARE = 20.0
 FIRST_SEED = 1
 
 
@@ -189,3 +193,35 @@
 )
 def step_retries(context, plays, trouble):
     play(plays, 9, 2, trouble, too_many_retries)
+
+
+@behave.then(
+    "in each of {plays:d} plays {count:d} long streams that may be resumed are "
+    "whole though a replica is killed after {seconds:d} seconds"
+)
+def step_long_streams(context, plays, count, seconds):
+    path, shared, own, _, wait = virtual_callers.SWAP
+    kind = (path, shared, own, LONG_STREAM, 2 * wait)
+    for seed in range(FIRST_SEED, FIRST_SEED + plays):
+        site = virtual_gateways.Site(seed)
+        ends = []
+
+        async def story(site, ends=ends):
+            site.spare = LONG_STREAM_SPARE
+            site.fleet = virtual_engines.Fleet(site, 4, 2, 3)
+            callers = virtual_callers.Callers(site, site.fleet)
+            callers.configure(3)
+            site.fleet.start()
+            site.start(6, 3)
+            await site.pass_time(SETTLING)
+            for number in range(count):
+                body = f"long {number}".encode()
+                site.fleet.spawn(callers.ask(kind, body, retries=0))
+            await site.pass_time(seconds)
+            site.fleet.kill("decode")
+            await site.pass_time(2 * wait)
+            ends += callers.ends
+
+        site.play(story(site))
+        assert len(ends) == count, (seed, ends)
+        assert {end.status for end in ends} == {200}, (seed, ends)
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -117,6 +117,10 @@
     """An answer ended early or is no answer; the dispatch may have run."""
 
 
+class AnswerAbandoned(AnswerBroken):
+    """No endpoint may go on with an answer that has begun."""
+
+
 class OrderRefused(EndpointError):
     """An engine refused an order, for example for an old fencing token."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -123,6 +123,8 @@
                 return
             except exceptions.EndpointNotStarted:
                 continue
+            except exceptions.AnswerAbandoned:
+                raise
             except exceptions.AnswerBroken:
                 may_repeat = route.resumable or route.repeatable
                 if not may_repeat or progress.runs >= route.attempts:
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -54,6 +54,10 @@
         """
         answered = None
         for attempt in range(MOST_ATTEMPTS):
+            if answered is not None and not self.quarantine.unsuspected(
+                progress.fingerprint
+            ):
+                break
             self.quarantine.admit(progress)
             if attempt and not self.budget.allow(service, time.monotonic()):
                 progress.not_repeated(service)
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -61,7 +61,7 @@
         Raises:
             exceptions.RequestError: It is in quarantine, and nothing has gone
                 to its caller.
-            exceptions.AnswerBroken: It is, and its answer has begun.
+            exceptions.AnswerAbandoned: It is, and its answer has begun.
         """
         now = time.monotonic()
         verdict = self.log.verdict(progress.fingerprint, now)
@@ -76,7 +76,7 @@
             seconds=round(until - now, 3),
         )
         if progress.begun:
-            raise exceptions.AnswerBroken("the request crashes replicas")
+            raise exceptions.AnswerAbandoned("the request crashes replicas")
         if progress.may_have_run:
             raise progress.failure()
         raise exceptions.RequestQuarantined(
@@ -100,14 +100,16 @@
 
         Raises:
             exceptions.RequestError: It may not run soon enough.
-            exceptions.AnswerBroken: The same, and its answer has begun.
+            exceptions.AnswerAbandoned: The same, and its answer has begun.
         """
         fingerprint = progress.fingerprint
         replica = choose()
         if replica is None or self.unsuspected(fingerprint):
             return replica
         started = time.monotonic()
-        age = started - progress.call.arrival
+        age = 0.0
+        if not progress.begun:
+            age = started - progress.call.arrival
         longest = LONGEST_HOLD * route.waits(progress.left(), age)
         while replica is not None:
             if await self.reserved(progress, replica):
@@ -121,7 +123,9 @@
             if held >= longest:
                 self.log_held(progress, held, False)
                 if progress.begun:
-                    raise exceptions.AnswerBroken("no replica is free for it")
+                    raise exceptions.AnswerAbandoned(
+                        "no replica is free for it"
+                    )
                 raise progress.failure()
         return None
 
@@ -141,13 +145,17 @@
     def unsuspected(self, fingerprint: int) -> bool:
         """Whether nothing speaks against sending a request anywhere."""
         now = time.monotonic()
-        if self.runs.waits(fingerprint, canaries_module.UNDECIDED):
-            return False
-        if self.canaries.running(fingerprint, now):
+        if self.blocked(fingerprint, now):
             return False
         verdict = self.log.verdict(fingerprint, now)
         return verdict == crashes_module.Verdict.FREE
 
+    def blocked(self, fingerprint: int, now: float) -> bool:
+        """Whether a copy of a request runs as a canary, or may have crashed."""
+        if self.runs.waits(fingerprint, canaries_module.UNDECIDED):
+            return True
+        return self.canaries.running(fingerprint, now)
+
     async def reserved(
         self, progress: progress_module.Progress, replica: types.Replica
     ) -> bool:
@@ -159,7 +167,7 @@
 
         Raises:
             exceptions.RequestError: As `admit`.
-            exceptions.AnswerBroken: As `admit`.
+            exceptions.AnswerAbandoned: As `admit`.
         """
         fingerprint = progress.fingerprint
         if not self.may_run(fingerprint, replica):
@@ -184,9 +192,7 @@
     def may_run(self, fingerprint: int, replica: types.Replica) -> bool:
         """Whether a request may run at a replica now."""
         now = time.monotonic()
-        if self.runs.waits(fingerprint, canaries_module.UNDECIDED):
-            return False
-        if self.canaries.running(fingerprint, now):
+        if self.blocked(fingerprint, now):
             return False
         verdict = self.log.verdict(fingerprint, now)
         if verdict == crashes_module.Verdict.FREE:
