--- a/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -22,7 +22,7 @@
 from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
-# Seconds between two looks whether this node reads the store for others.
+# Seconds between two looks whether this node is to read the records.
 LOOK = 0.2
 
 
@@ -64,11 +64,11 @@
         self,
         store: store_module.Store,
         quarantine: quarantine_module.Quarantine,
-        leads: Callable[[], bool],
+        reads: Callable[[], bool],
     ):
         self.store = store
         self.quarantine = quarantine
-        self.leads = leads
+        self.reads = reads
         self.waiting: dict[int, bool] = {}
         self.due = asyncio.Event()
         quarantine.remember = self.remember
@@ -90,7 +90,7 @@
     async def read(self) -> None:
         """Reads all records, on a node that reads the store for others."""
         while True:
-            if self.leads():
+            if self.reads():
                 await self.retried(self.read_newest)
                 return
             await asyncio.sleep(LOOK)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -131,7 +131,7 @@
             self.quarantine,
         )
         self.crash_records = crash_records_module.CrashRecords(
-            self.store, self.quarantine, self.gossip.leads
+            self.store, self.quarantine, self.gossip.reads
         )
         self.questions = questions.Questions(self.session, self.gossip.sealer)
         self.cache_lists = cache_lists.CacheLists(
