--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -16,12 +16,12 @@
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import generations
+from gypsumfold.gateway import liveness
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
 from gypsumfold.gateway import quarantine
 from gypsumfold.gateway import runs
-from gypsumfold.gateway import signs_of_life
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import frames
@@ -187,8 +187,8 @@
     context.endpoints.state.return_value = types.State(
         role, False, 0, 0, 0, born
     )
-    signs = signs_of_life.SignsOfLife(context.directory, context.endpoints)
-    asyncio.run(signs.ask(ENGINE))
+    checks = liveness.LivenessChecks(context.directory, context.endpoints)
+    asyncio.run(checks.ask(ENGINE))
 
 
 @behave.when(
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -263,7 +263,7 @@
         gateway.supervise("leadership", gateway.leadership.run)
         gateway.supervise("housekeeping", gateway.housekeeping)
         if self.site.fleet is not None:
-            gateway.supervise("silence", gateway.signs_of_life.run)
+            gateway.supervise("liveness", gateway.liveness.run)
             gateway.supervise("crash-records", gateway.crash_records.run)
             if not self.first_start:
                 gateway.supervise(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -30,13 +30,13 @@
 from gypsumfold.gateway import knowledge as knowledge_module
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import lines as lines_module
+from gypsumfold.gateway import liveness
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
-from gypsumfold.gateway import signs_of_life
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import gossip as gossip_module
@@ -155,9 +155,7 @@
             self.gossip,
             self.homes,
         )
-        self.signs_of_life = signs_of_life.SignsOfLife(
-            self.directory, self.endpoints
-        )
+        self.liveness = liveness.LivenessChecks(self.directory, self.endpoints)
         self.registrations = watching.Registrations(
             self.directory, self.store_state
         )
@@ -267,7 +265,7 @@
         self.supervise("leadership", self.leadership.run)
         self.supervise("planner", self.planner.run)
         self.supervise("housekeeping", self.housekeeping)
-        self.supervise("silence", self.signs_of_life.run)
+        self.supervise("liveness", self.liveness.run)
         self.supervise("crash-records", self.crash_records.run)
         if not self.settings.node.first_start:
             self.supervise("cache-lists", self.cache_lists.run)
--- a/packages/gypsumfold/src/gypsumfold/gateway/signs_of_life.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -1,4 +1,4 @@
-"""Asks silent replicas, and those that broke off, for a sign of life."""
+"""Checks whether replicas live that are silent or broke off an answer."""
 
 import asyncio
 import contextlib
@@ -16,11 +16,11 @@
 LIMIT = 0.25
 
 
-class SignsOfLife:
-    """Suspects replicas that do not answer, and trusts them when they do.
+class LivenessChecks:
+    """Stops using replicas that do not answer, until they do.
 
-    >>> signs = SignsOfLife(directory, endpoints)
-    >>> await signs.run()
+    >>> checks = LivenessChecks(directory, endpoints)
+    >>> await checks.run()
     """
 
     def __init__(
@@ -42,7 +42,7 @@
                     group.create_task(self.ask(instance))
 
     async def ask(self, instance: str) -> None:
-        """Asks one replica; any answer but another replica's is a sign."""
+        """Asks one replica; an answer of any other instance is none."""
         replica = self.directory.replicas.get(instance)
         if replica is None:
             self.directory.suspects.discard(instance)
