--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -6,16 +6,13 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
-import json
 import os
 import pathlib
 import random
 import selectors
-from typing import Any
 from unittest import mock
 import uuid
 
@@ -23,6 +20,7 @@
 
 from features.support import made_up
 from features.support import virtual_engines
+from features.support import virtual_store
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -33,11 +31,8 @@
 from gypsumfold.platform import replicas as replicas_module
 from gypsumfold.platform import store as store_module
 
-# Seconds that a call to the store takes, and a datagram.
-STORE = 0.004
+# Seconds that a datagram takes.
 NETWORK = 0.001
-# Seconds between two looks of a call that waits at the store.
-LOOK = 0.01
 # Seconds between two entries of a replica.
 HEARTBEAT = 1.2
 # Seconds of one step of the site.
@@ -70,129 +65,6 @@
         return []
 
 
-class Log:
-    """The store's topics, as their records came."""
-
-    def __init__(self):
-        self.topics: dict[str, list[store_module.Record]] = {}
-        self.joined: dict[str, float] = {}
-
-    def join(self, member: str, life: float, now: float) -> bool:
-        """Takes a member into the group; whether it holds its partition."""
-        self.joined[member] = now + life
-        for name, until in list(self.joined.items()):
-            if until < now:
-                del self.joined[name]
-        return member == next(iter(self.joined))
-
-    def entered(self, topic: str) -> set[str]:
-        """The keys of a topic that have a value."""
-        return {record.key for record in self.newest(topic).records}
-
-    def write(self, topic: str, key: str, value: Any) -> None:
-        """Appends a record; None drops its key."""
-        records = self.topics.setdefault(topic, [])
-        body = b"" if value is None else json.dumps(value).encode()
-        records.append(store_module.Record(key, body, len(records)))
-
-    def newest(self, topic: str) -> store_module.Page:
-        """The newest record of each key that has one."""
-        records = self.topics.get(topic, [])
-        found = {record.key: record for record in records}
-        page = [record for record in found.values() if record.value]
-        return store_module.Page(page, len(records))
-
-    def since(self, topic: str, start: int) -> store_module.Page:
-        """The records from an offset on."""
-        records = self.topics.get(topic, [])
-        return store_module.Page(records[start:], max(start, len(records)))
-
-
-class Store:
-    """One gateway's way to the store.
-
-    Attributes:
-        silent: Whether nothing comes back, as where packets are dropped.
-        refuses: Whether each call is refused.
-        losses: How often it fell silent; a call of before stays without an
-            answer.
-    """
-
-    def __init__(self, log: Log):
-        self.log = log
-        self.silent = False
-        self.refuses = False
-        self.losses = 0
-        self.calls: collections.Counter[str] = collections.Counter()
-
-    async def call(self, answer: Callable[[bool], Any], wait: float = 0.0):
-        """Makes one call.
-
-        Args:
-            answer: Gives the answer; None where it is still to wait. It is
-                told whether the wait is over.
-            wait: Seconds for which the store may wait.
-
-        Raises:
-            exceptions.LogUnavailable: It refused or was silent.
-        """
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        losses = self.losses
-        await asyncio.sleep(STORE)
-        if self.refuses:
-            raise exceptions.LogUnavailable("503")
-        while loop.time() < started + wait + store_module.MARGIN:
-            if not self.silent and losses == self.losses:
-                found = answer(loop.time() >= started + wait)
-                if found is not None:
-                    return found
-            await asyncio.sleep(LOOK)
-        raise exceptions.LogUnavailable("TimeoutError")
-
-    async def newest(self, topic: str) -> store_module.Page:
-        """Reads the newest record of each key."""
-        return await self.call(lambda over: self.log.newest(topic))
-
-    async def read(
-        self, topic: str, start: int, wait: float
-    ) -> store_module.Page:
-        """Reads from an offset on."""
-
-        def answer(over: bool) -> store_module.Page | None:
-            page = self.log.since(topic, start)
-            return page if page.records or over else None
-
-        return await self.call(answer, wait)
-
-    async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Writes a key."""
-
-        def answer(over: bool) -> bool:
-            self.log.write(topic, key, json.loads(value) if value else None)
-            return True
-
-        await self.call(answer)
-
-    async def join(
-        self, group: str, member: str, topic: str, life: float, generation: int
-    ) -> store_module.Membership:
-        """Joins a group; the first of those that renew holds its partition."""
-        loop = asyncio.get_running_loop()
-
-        def answer(over: bool) -> store_module.Membership:
-            holds = self.log.join(member, life, loop.time())
-            return store_module.Membership(1, frozenset([0] if holds else []))
-
-        return await self.call(answer)
-
-    async def leave(self, *arguments) -> None:
-        """Leaves a group."""
-
-    async def close(self) -> None:
-        """Ends nothing: there are no connections."""
-
-
 class Node:
     """One gateway, its way to the store and its socket."""
 
@@ -207,7 +79,8 @@
     ):
         self.site = site
         self.name = name
-        self.store = Store(site.log)
+        self.path = virtual_store.Path()
+        self.store = virtual_store.Store(site.log, self.path)
         self.data_centre = data_centre
         self.leaving_ms = leaving_ms
         self.first_start = first_start
@@ -324,7 +197,7 @@
         self.clock = Clock()
         self.seed = seed
         self.rng = random.Random(seed)
-        self.log = Log()
+        self.log = virtual_store.Log()
         self.nodes: dict[str, Node] = {}
         self.fleet: virtual_engines.Fleet | None = None
         self.beats: dict[str, asyncio.Task] = {}
@@ -453,13 +326,12 @@
     def cut(self, nodes: list[str]) -> None:
         """Lets nothing pass between gateways and the store."""
         for name in nodes:
-            self.nodes[name].store.silent = True
-            self.nodes[name].store.losses += 1
+            self.nodes[name].path.cut()
 
     def heal(self, nodes: list[str]) -> None:
         """Lets new calls pass; those of before get no answer."""
         for name in nodes:
-            self.nodes[name].store.silent = False
+            self.nodes[name].path.silent = False
 
     def deliver(self, data: bytes, receiver: tuple, sender: tuple) -> None:
         """Delivers a datagram."""
--- /dev/null
+++ b/features/support/virtual_store.py
@@ -0,0 +1,208 @@
+"""The platform's store and each gateway's path to it, under virtual time."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import json
+import random
+from typing import Any
+
+from gypsumfold import exceptions
+from gypsumfold.platform import store as store_module
+
+# Seconds that a call takes.
+CALL = 0.004
+# Seconds between two looks of a call that waits at the store.
+LOOK = 0.01
+# Seconds for which an idle connection is kept.
+IDLE_LIMIT = 20.0
+
+
+class Log:
+    """The store's topics, as their records came."""
+
+    def __init__(self):
+        self.topics: dict[str, list[store_module.Record]] = {}
+        self.joined: dict[str, float] = {}
+
+    def join(self, member: str, life: float, now: float) -> bool:
+        """Takes a member into the group; whether it holds its partition."""
+        self.joined[member] = now + life
+        for name, until in list(self.joined.items()):
+            if until < now:
+                del self.joined[name]
+        return member == next(iter(self.joined))
+
+    def entered(self, topic: str) -> set[str]:
+        """The keys of a topic that have a value."""
+        return {record.key for record in self.newest(topic).records}
+
+    def write(self, topic: str, key: str, value: Any) -> None:
+        """Appends a record; None drops its key."""
+        records = self.topics.setdefault(topic, [])
+        body = b"" if value is None else json.dumps(value).encode()
+        records.append(store_module.Record(key, body, len(records)))
+
+    def newest(self, topic: str) -> store_module.Page:
+        """The newest record of each key that has one."""
+        records = self.topics.get(topic, [])
+        found = {record.key: record for record in records}
+        page = [record for record in found.values() if record.value]
+        return store_module.Page(page, len(records))
+
+    def since(self, topic: str, start: int) -> store_module.Page:
+        """The records from an offset on."""
+        records = self.topics.get(topic, [])
+        return store_module.Page(records[start:], max(start, len(records)))
+
+
+class Connection:
+    """One connection to the store.
+
+    Attributes:
+        silent: Whether nothing comes on it any more.
+        idle_since: When it was last given back.
+    """
+
+    def __init__(self):
+        self.silent = False
+        self.idle_since = 0.0
+
+
+class Path:
+    """One gateway's path to the store, with all of its connections.
+
+    Attributes:
+        silent: Whether nothing comes back, as where packets are dropped.
+        refuses: Whether each call is refused.
+    """
+
+    def __init__(self):
+        self.silent = False
+        self.refuses = False
+        self.in_use: dict[Connection, bool] = {}
+        self.idle: list[collections.deque[Connection]] = []
+
+    def cut(self) -> None:
+        """Falls silent; a call of before stays without an answer."""
+        self.silent = True
+        for connection in self.in_use:
+            connection.silent = True
+
+    def silence(self, share: float, rng: random.Random) -> None:
+        """Lets a share of the open connections carry nothing any more."""
+        connections = list(self.in_use)
+        for idle in self.idle:
+            connections += idle
+        for connection in connections:
+            if rng.random() < share:
+                connection.silent = True
+
+
+class Store:
+    """One client of the store with its own connections.
+
+    An idle connection is used again like in the HTTP client: the one that was
+    idle longest first.
+    """
+
+    def __init__(self, log: Log, path: Path, idle_limit: float = IDLE_LIMIT):
+        self.log = log
+        self.path = path
+        self.idle_limit = idle_limit
+        self.idle: collections.deque[Connection] = collections.deque()
+        path.idle.append(self.idle)
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def take(self, now: float) -> Connection:
+        """Finds an idle connection or opens one."""
+        while self.idle:
+            connection = self.idle.popleft()
+            if now - connection.idle_since <= self.idle_limit:
+                return connection
+        return Connection()
+
+    async def call(self, answer: Callable[[bool], Any], wait: float = 0.0):
+        """Makes one call.
+
+        Args:
+            answer: Gives the answer; None where it is still to wait. It is
+                told whether the wait is over.
+            wait: Seconds for which the store may wait.
+
+        Raises:
+            exceptions.LogUnavailable: It refused or was silent.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        connection = self.take(started)
+        self.path.in_use[connection] = True
+        try:
+            found = await self.answered(connection, answer, started, wait)
+        finally:
+            del self.path.in_use[connection]
+        connection.idle_since = loop.time()
+        self.idle.append(connection)
+        return found
+
+    async def answered(
+        self,
+        connection: Connection,
+        answer: Callable[[bool], Any],
+        started: float,
+        wait: float,
+    ):
+        """Waits for the answer to a call on one connection."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALL)
+        if self.path.refuses:
+            raise exceptions.LogUnavailable("503")
+        while loop.time() < started + wait + store_module.MARGIN:
+            if not self.path.silent and not connection.silent:
+                found = answer(loop.time() >= started + wait)
+                if found is not None:
+                    return found
+            await asyncio.sleep(LOOK)
+        raise exceptions.LogUnavailable("TimeoutError")
+
+    async def newest(self, topic: str) -> store_module.Page:
+        """Reads the newest record of each key."""
+        return await self.call(lambda over: self.log.newest(topic))
+
+    async def read(
+        self, topic: str, start: int, wait: float
+    ) -> store_module.Page:
+        """Reads from an offset on."""
+
+        def answer(over: bool) -> store_module.Page | None:
+            page = self.log.since(topic, start)
+            return page if page.records or over else None
+
+        return await self.call(answer, wait)
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a key."""
+
+        def answer(over: bool) -> bool:
+            self.log.write(topic, key, json.loads(value) if value else None)
+            return True
+
+        await self.call(answer)
+
+    async def join(
+        self, group: str, member: str, topic: str, life: float, generation: int
+    ) -> store_module.Membership:
+        """Joins a group; the first of those that renew holds its partition."""
+        loop = asyncio.get_running_loop()
+
+        def answer(over: bool) -> store_module.Membership:
+            holds = self.log.join(member, life, loop.time())
+            return store_module.Membership(1, frozenset([0] if holds else []))
+
+        return await self.call(answer)
+
+    async def leave(self, *arguments) -> None:
+        """Leaves a group."""
+
+    async def close(self) -> None:
+        """Ends nothing: there are no connections."""
