--- a/features/late_configurations.feature
+++ b/features/late_configurations.feature
@@ -18,3 +18,33 @@
       | 40    | a third turned away by the store      | 2     |
       | 40    | gateways that are killed              | 2     |
       | 195   | all connections to the store silent   | 1     |
+
+  Scenario Outline: A replica that leaves behind silent connections is used on: <nodes> gateways, <trouble>
+    Then in each of <plays> plays none of <nodes> gateways uses a replica that has left for too long, with <trouble>
+
+    Examples:
+      | nodes | trouble                               | plays |
+      | 6     | all connections to the store silent   | 4     |
+      | 6     | half the connections silent           | 4     |
+      | 9     | a third turned away by the store      | 4     |
+      | 40    | all connections to the store silent   | 1     |
+
+  Scenario Outline: A silent connection is noticed too late for a contact bound of <contact> seconds
+    Then a read of the store that waits behind a pause of 0 to 1.2 seconds is repeated and answered within <contact> seconds of the moment at which its connection falls silent
+
+    Examples:
+      | contact |
+      | 2       |
+      | 3       |
+      | 10      |
+
+  Scenario: A read goes over a connection that fell silent while another call had it
+    Given a store and two replicas of the service "app"
+    And a client of the store behind a proxy of its own that has made 3 calls at once
+    When the open connections of that client fall silent
+    Then a reader of the client is answered at once
+
+  Scenario: A read waits on though another node has a newer version
+    Given a gateway whose read of the configuration has waited on a silent connection for 0.5 s
+    When another node tells that it has a newer version, from 0.3 s before on
+    Then the read is given up, and the newest records are read on a new connection
--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -3,10 +3,20 @@
 import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
+from unittest import mock
 
 import behave
 from features.steps import store_loss_steps
 from features.support import virtual_gateways
+from features.support import virtual_store
+
+from gypsumfold import clocks
+from gypsumfold import events
+from gypsumfold.decisions import polling
+from gypsumfold.decisions import reads
+from gypsumfold.gateway import watching
+from gypsumfold.platform import names
+from gypsumfold.platform import store as store_module
 
 # Seconds after its confirmation at which a version must be in force, and of
 # undisturbed contact with the store before that.
@@ -20,6 +30,10 @@
 # Seconds for which the store turns gateways away.
 TURNED_AWAY = (1.0, 6.0)
 DATA_CENTRES = 3
+# Seconds after which a replica that left must get no more, and how many leave
+# in a play.
+LEAVING = 2.0
+LEAVERS = 4
 
 
 class Confirmed(NamedTuple):
@@ -134,3 +148,139 @@
         found += watched.late
 
     store_loss_steps.play(plays, story)
+
+
+@behave.then(
+    "in each of {plays:d} plays none of {nodes:d} gateways uses a replica that "
+    "has left for too long, with {trouble}"
+)
+def step_left(context, plays, nodes, trouble):
+    async def story(site, found):
+        watched = Watched(site)
+        await store_loss_steps.settled(site, nodes, DATA_CENTRES)
+        leavers = [f"leaver-{number}" for number in range(LEAVERS)]
+        site.register(*leavers)
+        await site.pass_time(CONTACT)
+        for leaver in leavers:
+            await TROUBLES[trouble](watched)
+            await site.pass_time(site.rng.uniform(0.0, CONTACT))
+            left_at = site.clock()
+            site.unregister(leaver)
+            due = max([left_at + LEAVING, *in_touch_again(watched)])
+            await site.pass_time(due - site.clock())
+            for name in site.using(leaver):
+                found.append((round(site.clock(), 2), name, leaver))
+
+    store_loss_steps.play(plays, story)
+
+
+def in_touch_again(watched: Watched) -> list[float]:
+    """When the gateways that were disturbed are in touch again."""
+    return [at + CONTACT for at in watched.harmed.values()]
+
+
+@behave.then(
+    "a read of the store that waits behind a pause of 0 to {longest:g} seconds "
+    "is repeated and answered within {contact:g} seconds of the moment at "
+    "which its connection falls silent"
+)
+def step_bound(context, longest, contact):
+    bounds = reads.limits(contact)
+    for step in range(int(longest * 20) + 1):
+        pause = min(step / 20, bounds.wait)
+        wait = reads.wait_after(pause, 100.0, bounds)
+        for chance in (0.0, 0.5, 1.0):
+            took = wait + bounds.answer
+            retry = polling.retry(1, chance, took)
+            lateness = pause + took + retry + bounds.answer
+            assert lateness <= contact, (pause, wait, chance, lateness)
+
+
+@behave.given(
+    "a client of the store behind a proxy of its own that has made {calls:d} "
+    "calls at once"
+)
+def step_client(context, calls):
+    context.proxy = context.fleet.forward("store")
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+
+    async def connect():
+        context.client = store_module.Store(context.proxy.address)
+        context.reader = context.client.reader(store_module.MARGIN)
+        topic = names.CONFIGURATION_TOPIC
+        await asyncio.gather(
+            *(context.client.newest(topic) for _ in range(calls))
+        )
+
+    context.loop.run_until_complete(connect())
+
+
+@behave.when("the open connections of that client fall silent")
+def step_client_silent(context):
+    context.proxy.silence()
+
+
+@behave.then("a reader of the client is answered at once")
+def step_reader_answered(context):
+    async def read():
+        try:
+            await context.reader.newest(names.CONFIGURATION_TOPIC)
+        finally:
+            await context.client.close()
+
+    context.loop.run_until_complete(read())
+
+
+@behave.given(
+    "a gateway whose read of the configuration has waited on a silent "
+    "connection for {seconds:g} s"
+)
+def step_waits(context, seconds):
+    context.site = virtual_gateways.Site(seed=1)
+    context.waited = seconds
+
+
+@behave.when(
+    "another node tells that it has a newer version, from {before:g} s before "
+    "on"
+)
+def step_newer_told(context, before):
+    site = context.site
+    consumer = mock.Mock()
+
+    async def story():
+        path = virtual_store.Path()
+        store = virtual_store.Store(site.log, path)
+        watch = watching.Watch(
+            store,
+            watching.StoreState(CONTACT),
+            names.CONFIGURATION_TOPIC,
+            consumer,
+            lambda: 0.0,
+            lambda: 1.0,
+        )
+        site.configure(store_loss_steps.OLDER)
+        task = asyncio.get_running_loop().create_task(watch.run())
+        await asyncio.sleep(0.1)
+        path.silence(1.0, site.rng)
+        site.configure(store_loss_steps.NEWER)
+        await asyncio.sleep(context.waited)
+        watch.overdue(clocks.now() - before, before / 2)
+        await asyncio.sleep(2 * virtual_store.CALL)
+        context.reads = consumer.replace.call_count
+        task.cancel()
+
+    site.play(story())
+
+
+@behave.then(
+    "the read is given up, and the newest records are read on a new connection"
+)
+def step_given_up(context):
+    unread = []
+    for _, number, fields in context.site.lines:
+        if number == events.TOPIC_UNREAD.number:
+            unread.append(fields)
+    assert len(unread) == 1, unread
+    assert context.reads == 2, context.reads
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -11,6 +11,7 @@
 from gypsumfold import clocks
 from gypsumfold.decisions import following
 from gypsumfold.decisions import members
+from gypsumfold.decisions import reads as reads_module
 from gypsumfold.decisions import registry
 from gypsumfold.gateway import knowledge
 from gypsumfold.gateway import types
@@ -363,7 +364,13 @@
     watches = []
     for _ in range(2):
         watch = watching.Watch(
-            mock.Mock(), state, "", mock.Mock(), lambda: 0.0, bound=4.0
+            mock.Mock(),
+            state,
+            "",
+            mock.Mock(),
+            lambda: 0.0,
+            lambda: 1.0,
+            bound=4.0,
         )
         watch.read = True
         watch.following.read(0.0)
@@ -374,6 +381,7 @@
         *watches,
         reads,
         mock.Mock(),
+        reads_module.limits(contact=3.0),
     )
 
 
@@ -468,7 +476,12 @@
 def step_forgetful(context):
     context.store = ForgetfulStore()
     context.watch = watching.Watch(
-        context.store, watching.StoreState(3.0), "", mock.Mock(), lambda: 0.0
+        context.store,
+        watching.StoreState(3.0),
+        "",
+        mock.Mock(),
+        lambda: 0.0,
+        lambda: 1.0,
     )
 
 
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -14,8 +14,6 @@
 CALL = 0.004
 # Seconds between two looks of a call that waits at the store.
 LOOK = 0.01
-# Seconds for which an idle connection is kept.
-IDLE_LIMIT = 20.0
 
 
 class Log:
@@ -61,11 +59,13 @@
 
     Attributes:
         silent: Whether nothing comes on it any more.
+        kept: Whether a call was answered on it.
         idle_since: When it was last given back.
     """
 
     def __init__(self):
         self.silent = False
+        self.kept = False
         self.idle_since = 0.0
 
 
@@ -106,19 +106,26 @@
     idle longest first.
     """
 
-    def __init__(self, log: Log, path: Path, idle_limit: float = IDLE_LIMIT):
+    def __init__(self, log: Log, path: Path):
         self.log = log
         self.path = path
-        self.idle_limit = idle_limit
+        self.margin = store_module.MARGIN
         self.idle: collections.deque[Connection] = collections.deque()
         path.idle.append(self.idle)
         self.calls: collections.Counter[str] = collections.Counter()
 
+    def reader(self, margin: float) -> "Store":
+        """Makes a client with connections of its own."""
+        found = Store(self.log, self.path)
+        found.margin = margin
+        found.calls = self.calls
+        return found
+
     def take(self, now: float) -> Connection:
         """Finds an idle connection or opens one."""
         while self.idle:
             connection = self.idle.popleft()
-            if now - connection.idle_since <= self.idle_limit:
+            if now - connection.idle_since <= store_module.IDLE_LIMIT:
                 return connection
         return Connection()
 
@@ -141,6 +148,7 @@
             found = await self.answered(connection, answer, started, wait)
         finally:
             del self.path.in_use[connection]
+        connection.kept = True
         connection.idle_since = loop.time()
         self.idle.append(connection)
         return found
@@ -157,12 +165,14 @@
         await asyncio.sleep(CALL)
         if self.path.refuses:
             raise exceptions.LogUnavailable("503")
-        while loop.time() < started + wait + store_module.MARGIN:
+        while loop.time() < started + wait + self.margin:
             if not self.path.silent and not connection.silent:
                 found = answer(loop.time() >= started + wait)
                 if found is not None:
                     return found
             await asyncio.sleep(LOOK)
+        if connection.kept:
+            raise exceptions.ConnectionLost("TimeoutError")
         raise exceptions.LogUnavailable("TimeoutError")
 
     async def newest(self, topic: str) -> store_module.Page:
--- a/packages/gypsumfold/src/gypsumfold/decisions/polling.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/polling.py
@@ -20,6 +20,9 @@
 # A node has three seconds to be in touch again once the store is back.
 FIRST_RETRY = 0.15
 LONGEST_RETRY = 1.0
+# Seconds before the repeat of the first failed call, at the most, where that
+# call was given up.
+LONGEST_REPEAT = FIRST_RETRY
 
 
 def retry(failures: int, chance: float, took: float = 0.0) -> float:
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/reads.py
@@ -0,0 +1,80 @@
+"""How long reads of the store may wait before they count as lost.
+
+Load pattern: each topic is followed by long reads, so that a record is known
+within milliseconds of its writing and an idle topic costs few calls. A
+connection may go silent without a reset. The read that waits on it then ends
+by its own time limit, and the node knows nothing of the topic until a repeat
+on a new connection was answered. All of that has to fit into the time of
+undisturbed contact after which a node must act on whatever the store says:
+
+    pause + wait + answer + retry + answer + reserve <= contact
+"""
+
+from typing import NamedTuple
+
+from gypsumfold.decisions import polling
+
+# Share of the contact bound that a store may take to answer, and the most
+# seconds that is ever waited for.
+ANSWER_SHARE = 0.25
+LONGEST_ANSWER = 0.8
+# Share of the contact bound that is left for a busy processor and late timers.
+RESERVE_SHARE = 0.1
+# Share of the contact bound after which a read that waits while another node
+# has a newer version is given up: answers to different nodes differ by less.
+OVERDUE_SHARE = 0.1
+# Share of the contact bound after which another node is asked for a version
+# that it has. The store goes first, as a large configuration takes a relay's
+# link longer than the store's.
+ASK_SHARE = 0.2
+
+
+class Limits(NamedTuple):
+    """Seconds by which reads of the store are bounded.
+
+    Attributes:
+        wait: How long a read waits for a record that is not there yet.
+        answer: How long the store may take beyond that.
+        overdue: How long a read may wait on while another node has read more.
+        ask: How long a node lacks what another one has until it asks that.
+        age: Age of what a relay has read beyond which a node that follows
+            it reads for itself.
+    """
+
+    wait: float
+    answer: float
+    overdue: float
+    ask: float
+    age: float
+
+
+def limits(contact: float) -> Limits:
+    """Derives all limits from the site's contact bound.
+
+    Args:
+        contact: Seconds of undisturbed contact after which a node must act on
+            all that the store says.
+    """
+    answer = min(LONGEST_ANSWER, ANSWER_SHARE * contact)
+    reserve = RESERVE_SHARE * contact
+    repeat = polling.LONGEST_REPEAT + answer + reserve
+    return Limits(
+        wait=max(0.0, contact - answer - repeat),
+        answer=answer,
+        overdue=OVERDUE_SHARE * contact,
+        ask=ASK_SHARE * contact,
+        age=max(0.0, contact - repeat),
+    )
+
+
+def wait_after(pause: float, longest: float, bounds: Limits) -> float:
+    """Seconds that a read waits which begins after a pause.
+
+    Its connection may have gone silent at any moment of the pause.
+
+    Args:
+        pause: Seconds since the read before.
+        longest: Seconds that it would wait otherwise.
+        bounds: As of `limits`.
+    """
+    return max(0.0, min(longest, bounds.wait - pause))
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -33,6 +33,14 @@
     """The log refused or could not be reached; nothing was appended."""
 
 
+class ReadOverdue(PlatformError):
+    """A read waits on for what another node has read already."""
+
+
+class ConnectionLost(LogUnavailable):
+    """A kept connection was lost or silent; new ones may well work."""
+
+
 class AppendUndetermined(PlatformError):
     """The answer to an append was lost; it may have taken effect."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -20,6 +20,7 @@
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import polling
+from gypsumfold.decisions import reads
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import counters as counters_module
@@ -80,10 +81,11 @@
         self.changed = stamp(path)
         self.tasks: dict[str, asyncio.Task] = {}
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=16, keepalive_timeout=20)
+            connector=aiohttp.TCPConnector(limit=16, force_close=True)
         )
         self.store = store_module.Store(settings.store.address)
         self.logged_calls: collections.Counter[str] = collections.Counter()
+        self.limits = reads.limits(settings.store.contact_ms / 1000)
         self.store_state = watching.StoreState(settings.store.contact_ms / 1000)
         rng = random.Random()
         self.directory = directory_module.Directory(rng)
@@ -167,6 +169,7 @@
             self.watches["configuration"],
             self.gossip.reads,
             self.questions,
+            self.limits,
         )
         self.gossip.summaries.knowledge = self.knowledge
         self.registrations.changed = self.gossip.read
@@ -183,15 +186,16 @@
         bound = self.settings.replicas.leaving_ms / 1000
         watches = {
             "configuration": watching.Watch(
-                self.store,
+                self.store.reader(self.limits.answer),
                 self.store_state,
                 names.CONFIGURATION_TOPIC,
                 self.configurations,
                 lambda: 0.0,
-                bound=bound,
+                lambda: self.limits.wait,
+                bound,
             ),
             "registrations": watching.Watch(
-                self.store,
+                self.store.reader(self.limits.answer),
                 self.store_state,
                 names.REGISTRATIONS_TOPIC,
                 self.registrations,
@@ -200,11 +204,12 @@
                 bound,
             ),
             "nodes": watching.Watch(
-                self.store,
+                self.store.reader(self.limits.answer),
                 self.store_state,
                 names.NODES_TOPIC,
                 self.gossip.entries,
                 lambda: watching.REREAD,
+                lambda: self.limits.wait,
             ),
         }
         nodes = watches["nodes"]
@@ -236,10 +241,13 @@
 
     def registrations_wait(self) -> float:
         """Seconds for which a read of the registrations waits."""
-        if self.gossip.meshed:
-            return watching.REGISTRATIONS_WAIT
-        bound = self.settings.replicas.leaving_ms / 1000
-        return min(watching.REGISTRATIONS_WAIT, watching.READER_SHARE * bound)
+        longest = watching.REGISTRATIONS_WAIT
+        if not self.gossip.meshed:
+            bound = self.settings.replicas.leaving_ms / 1000
+            longest = min(longest, watching.READER_SHARE * bound)
+        return reads.wait_after(
+            self.registrations_pause(), longest, self.limits
+        )
 
     def ready(self) -> bool:
         """Whether the balancer is to send connections here."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
@@ -13,14 +13,12 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import following
+from gypsumfold.decisions import reads as reads_module
 from gypsumfold.decisions import registry as registry_module
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import questions as questions_module
 
-# Seconds after which the configuration that a relay knows is too old: its
-# reads wait for 3 s, and one on a silent connection is noticed 0.8 s later.
-CONFIGURATION_AGE = 4.5
 # Seconds between two questions for all registrations: where the answer does
 # not settle the difference, the store is read.
 ASKING = 1.0
@@ -32,7 +30,7 @@
 
     >>> knowledge = Knowledge(
     ...     registrations, configurations, watches[0], watches[1],
-    ...     gossip.reads, questions
+    ...     gossip.reads, questions, reads.limits(contact=3.0)
     ... )
     >>> knowledge.reads_registrations()
     True
@@ -46,7 +44,9 @@
         configuration_watch: watching.Watch,
         reads: Callable[[], bool],
         questions: questions_module.Questions,
+        limits: reads_module.Limits,
     ):
+        self.limits = limits
         self.registrations = registrations
         self.configurations = configurations
         self.registrations_watch = registrations_watch
@@ -92,7 +92,7 @@
             return True
         now = clocks.now()
         age = watch.following.age(now)
-        if age > CONFIGURATION_AGE:
+        if age > self.limits.age:
             return True
         longest = following.SHARE * watch.following.bound
         return now - self.registrations_watch.alone_at < longest < age
@@ -173,6 +173,9 @@
         if version < knowledge.version:
             self.ahead = address
             self.configuration_watch.wake.set()
+            self.configuration_watch.overdue(
+                self.configurations.announced_at, self.limits.overdue
+            )
             self.news.set()
         elif version == knowledge.version:
             self.configuration_watch.trust(
@@ -202,16 +205,14 @@
     async def fetch_configuration(self) -> None:
         """Asks for a newer configuration, if the store did not give it.
 
-        The store goes first: one of 1,500 routes takes a relay's link of 10
-        Mbit/s 0.3 s for each node that asks, and asked by four at once it came
-        too late for all (4.3 s after it was accepted, seen in logs).
-
         Raises:
             exceptions.PeerError: Nobody answers.
             exceptions.RecordInvalid: The answer is not sealed.
         """
+        if self.ahead is None or not self.behind():
+            return
         failed = self.configuration_watch.failures > 0
-        if self.ahead is None or not failed or not self.behind():
+        if not failed and self.configurations.behind() < self.limits.ask:
             return
         record = await self.questions.ask(
             self.ahead, questions_module.CONFIGURATION
--- a/packages/gypsumfold/src/gypsumfold/gateway/watching.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/watching.py
@@ -23,10 +23,6 @@
 from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
-# Seconds that a read waits for a record. A connection that went silent is
-# noticed after this and the store client's margin, 3.8 s in all: a change must
-# be in force 2 s after a node has been in touch with the store for 3 s.
-LONGEST_WAIT = 3.0
 # Seconds that a read of the registrations waits at most.
 REGISTRATIONS_WAIT = 1.0
 # Share of the time within which a leaving replica must be known for which a
@@ -53,21 +49,26 @@
     """Whether the store answers this node; logs where that changes.
 
     >>> state = StoreState(bound=3.0)
-    >>> state.failed("log-read: silent", asked=clocks.now())
+    >>> state.failed(error, asked=clocks.now())
     """
 
     def __init__(self, bound: float):
         self.contact = contact_module.Contact(bound, clocks.now())
 
-    def failed(self, reason: str, asked: float) -> None:
+    def failed(self, error: exceptions.PlatformError, asked: float) -> None:
         """Notes a call that failed.
 
+        A kept connection that is lost says nothing of the store: the next
+        call, on a new one, does.
+
         Args:
-            reason: What went wrong.
+            error: What went wrong.
             asked: When the call was made, by `clocks.now`.
         """
+        if isinstance(error, exceptions.ConnectionLost):
+            return
         if self.contact.failed(asked, clocks.now()):
-            events.log(events.STORE_LOST, reason=reason)
+            events.log(events.STORE_LOST, reason=str(error))
 
     def answered(self) -> None:
         """Notes a call that was answered."""
@@ -125,7 +126,9 @@
         needed: Whether this node is to read now.
         wake: Set where it is to look at that at once.
 
-    >>> watch = Watch(store, state, topic, consumer, lambda: 0.0)
+    >>> watch = Watch(
+    ...     store, state, topic, consumer, lambda: 0.0, lambda: 1.0
+    ... )
     >>> await watch.run()
     """
 
@@ -136,7 +139,7 @@
         topic: str,
         consumer: Consumer,
         pause: Callable[[], float],
-        wait: Callable[[], float] = lambda: LONGEST_WAIT,
+        wait: Callable[[], float],
         bound: float = math.inf,
     ):
         self.store = store
@@ -157,6 +160,7 @@
         self.needed: Callable[[], bool] = lambda: True
         self.reads: Callable[[], bool] = lambda: True
         self.wake = asyncio.Event()
+        self.waiting: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Follows the topic for as long as the node runs."""
@@ -166,23 +170,43 @@
                 continue
             try:
                 await self.step()
+            except exceptions.ReadOverdue as error:
+                self.failed(error)
             except exceptions.PlatformError as error:
-                self.state.failed(str(error), self.asked)
+                self.state.failed(error, self.asked)
                 self.failures += 1
-                self.doubted = True
-                took = clocks.now() - self.asked
-                events.log(
-                    events.TOPIC_UNREAD,
-                    topic=self.topic,
-                    reason=str(error),
-                    seconds=round(took, 3),
-                    failures=self.failures,
-                    age=rounded_age(self.following, clocks.now()),
-                )
+                took = self.failed(error)
                 await asyncio.sleep(
                     polling.retry(self.failures, random.random(), took)
                 )
 
+    def failed(self, error: exceptions.PlatformError) -> float:
+        """Has all read again after a failed read; returns its seconds."""
+        self.doubted = True
+        now = clocks.now()
+        took = now - self.asked
+        events.log(
+            events.TOPIC_UNREAD,
+            topic=self.topic,
+            reason=str(error),
+            seconds=round(took, 3),
+            failures=self.failures,
+            age=rounded_age(self.following, now),
+        )
+        return took
+
+    def overdue(self, since: float, limit: float) -> None:
+        """Gives up a read that waits for what another node has read.
+
+        Args:
+            since: When that was first known, by `clocks.now`.
+            limit: Seconds that it may wait on.
+        """
+        if self.waiting is None:
+            return
+        if clocks.now() - max(since, self.asked) > limit:
+            self.waiting.reschedule(asyncio.get_running_loop().time())
+
     async def idle(self) -> None:
         """Waits until it is time to look again whether to read."""
         with contextlib.suppress(TimeoutError):
@@ -228,7 +252,7 @@
             wait = self.wait()
         start = self.position
         asked = self.asked = clocks.now()
-        page = await self.store.read(self.topic, start, wait)
+        page = await self.read_page(start, wait)
         self.consumer.update(page.records)
         self.position = max(page.end, self.position)
         self.flowing = bool(page.records)
@@ -238,6 +262,22 @@
         # The store answers an empty page once it has waited in vain.
         self.following.read(asked if page.records else asked + wait)
 
+    async def read_page(self, start: int, wait: float) -> store_module.Page:
+        """Reads from an offset on, unless that becomes overdue.
+
+        Raises:
+            exceptions.ReadOverdue: Another node has read more meanwhile.
+            exceptions.PlatformError: The store did not answer.
+        """
+        try:
+            async with asyncio.timeout(None) as self.waiting:
+                return await self.store.read(self.topic, start, wait)
+        except TimeoutError as error:
+            reason = "another node has read more"
+            raise exceptions.ReadOverdue(reason) from error
+        finally:
+            self.waiting = None
+
     def trust(self, end: int, known_at: float) -> None:
         """Takes over how far a relay has read that knows the same."""
         self.position = max(end, self.position)
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -14,6 +14,9 @@
 # Seconds that a call may take beyond what the store was asked to wait: it
 # answers in 4 ms, and in a fifth of a second when it is fifty times slower.
 MARGIN = 0.8
+# Seconds for which an idle connection is kept: longer than between two calls
+# that are made once a second, and no longer, as it may fall silent meanwhile.
+IDLE_LIMIT = 1.5
 # Kilobytes of one read: all registrations of 2,900 replicas are less.
 READ_KB = 1024
 # Records of a page of newest records, at most.
@@ -121,16 +124,39 @@
     """
 
     def __init__(self, address: str):
+        self.address = address
         self.base = f"http://{address}"
+        self.margin = MARGIN
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=16, keepalive_timeout=20),
+            connector=aiohttp.TCPConnector(
+                limit=16, keepalive_timeout=IDLE_LIMIT
+            ),
             trace_configs=[connection_trace()],
         )
         # Calls by what they ask for, failed ones included.
         self.calls: collections.Counter[str] = collections.Counter()
+        self.readers: list[Store] = []
+
+    def reader(self, margin: float) -> "Store":
+        """Makes a client for the reads of one topic.
+
+        It shares no connection: a pool would hand out one that went silent
+        while it was idle, after a read on another one had just been answered.
+
+        Args:
+            margin: Seconds that a call may take beyond what the store was
+                asked to wait.
+        """
+        found = Store(self.address)
+        found.margin = margin
+        found.calls = self.calls
+        self.readers.append(found)
+        return found
 
     async def close(self) -> None:
         """Closes all connections."""
+        for reader in self.readers:
+            await reader.close()
         await self.session.close()
 
     async def newest(self, topic: str) -> Page:
@@ -250,10 +276,11 @@
 
         Raises:
             HistoryLost: The store no longer has what was asked for.
+            exceptions.ConnectionLost: A kept connection did not answer.
             exceptions.LogUnavailable: It refused, failed or was silent.
         """
         self.calls[names.STORE_CALLS[path]] += 1
-        limit = aiohttp.ClientTimeout(total=wait + MARGIN)
+        limit = aiohttp.ClientTimeout(total=wait + self.margin)
         trace = CallTrace()
         try:
             async with self.session.request(
@@ -267,7 +294,10 @@
             ) as response:
                 data = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise exceptions.LogUnavailable(
+            failure = exceptions.LogUnavailable
+            if trace.connection == "kept":
+                failure = exceptions.ConnectionLost
+            raise failure(
                 f"{path}: {type(error).__name__}: {error} "
                 f"({trace.connection} connection)"
             ) from error
