--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -277,6 +277,12 @@
     "info",
     "The marked entry of a node was removed, as nobody has renewed it.",
 )
+DATAGRAMS_SENT = define(
+    516,
+    "datagrams-sent",
+    "info",
+    "Kilobytes sent to other nodes since the last such line, by kind.",
+)
 PEER_SILENT = define(
     512,
     "peer-silent",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -50,8 +50,8 @@
 RESTART = 0.2
 # Seconds between two looks at the settings file, log lines and gauges.
 HOUSEKEEPING = 1.0
-# Seconds between two lines on how often the store was called.
-STORE_LINES = 10.0
+# Seconds between two lines on calls to the store and what others were sent.
+TRAFFIC_LINES = 10.0
 # Seconds for which a stopping node listens on: the balancer asks once a
 # second and takes a node out after two answers.
 NOTICE = 2.9
@@ -85,6 +85,7 @@
         )
         self.store = store_module.Store(settings.store.address)
         self.logged_calls: collections.Counter[str] = collections.Counter()
+        self.logged_bytes: collections.Counter[str] = collections.Counter()
         self.limits = reads.limits(settings.store.contact_ms / 1000)
         self.store_state = watching.StoreState(settings.store.contact_ms / 1000)
         rng = random.Random()
@@ -322,7 +323,7 @@
     async def housekeeping(self) -> None:
         """Looks after the settings file, log lines and gauges."""
         reported = 0
-        due = time.monotonic() + STORE_LINES
+        due = time.monotonic() + TRAFFIC_LINES
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HOUSEKEEPING):
@@ -337,8 +338,9 @@
             self.count_known()
             self.lines.flush()
             if time.monotonic() >= due:
-                due += STORE_LINES
+                due += TRAFFIC_LINES
                 self.log_calls()
+                self.log_datagrams()
             if self.lines.dropped > reported:
                 events.log(
                     events.LINES_DROPPED, count=self.lines.dropped - reported
@@ -379,6 +381,20 @@
         if calls:
             events.log(events.STORE_CALLED, reads=self.gossip.reads(), **calls)
 
+    def log_datagrams(self) -> None:
+        """Logs what this node has sent to others, by kind."""
+        sent = self.gossip.sender.bytes_sent
+        kilobytes = {}
+        for kind, size in (sent - self.logged_bytes).items():
+            kilobytes[kind] = round(size / 1000, 1)
+        self.logged_bytes = sent.copy()
+        if kilobytes:
+            events.log(
+                events.DATAGRAMS_SENT,
+                relays=self.gossip.relays_for_others(),
+                **kilobytes,
+            )
+
     def reload_settings(self) -> None:
         """Reads the settings file again; a wrong one changes nothing.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -1,6 +1,7 @@
 """Sends reports and summaries as datagrams."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -28,6 +29,7 @@
 
     Attributes:
         crashes: Gives what nodes are sent on requests that crash replicas.
+        bytes_sent: Bytes of all datagrams by kind.
 
     >>> sender = Sender(members, sealer)
     >>> sender.transport = transport
@@ -40,6 +42,15 @@
         self.number = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.crashes: Callable[[], CrashNews] = CrashNews
+        self.bytes_sent: collections.Counter[str] = collections.Counter()
+
+    def send(
+        self, kind: str, data: bytes, receivers: list[members_module.Member]
+    ) -> None:
+        """Sends one datagram to each of some nodes."""
+        self.bytes_sent[kind] += len(data) * len(receivers)
+        for member in receivers:
+            self.transport.sendto(data, member.address)
 
     def report(
         self,
@@ -62,8 +73,7 @@
             knowledge,
         )
         data = frames.fitting(report, self.sealer)
-        for member in receivers:
-            self.transport.sendto(data, member.address)
+        self.send("reports", data, receivers)
         self.send_crashes(receivers)
 
     def summary(
@@ -75,10 +85,7 @@
         for part in frames.parts(summary, self.sealer):
             self.number += 1
             part.number = self.number
-            data = frames.encoded(part, self.sealer)
-            for member in receivers:
-                self.transport.sendto(data, member.address)
-
+            self.send("summaries", frames.encoded(part, self.sealer), receivers)
         self.send_crashes(receivers)
 
     def send_crashes(self, receivers: list[members_module.Member]) -> None:
@@ -96,9 +103,9 @@
                 news.interrupted[start:end],
                 news.canaries[start:end],
             )
-            data = frames.encoded(message, self.sealer)
-            for member in receivers:
-                self.transport.sendto(data, member.address)
+            self.send(
+                "crashes", frames.encoded(message, self.sealer), receivers
+            )
 
     def contact(self) -> messages.Contact:
         """This node as others rank it."""
