--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 import itertools
 from typing import NamedTuple
+from typing import Protocol
 
 from features.support import made_up
 from gypsumfold import exceptions
@@ -30,6 +31,11 @@
 RESTART = (3.4, 4.2)
 # Seconds between two entries of a replica; after three missed ones it goes.
 HEARTBEAT = 1.2
+# Bytes of a request beside its body, as sent to a replica.
+REQUEST_BYTES = 900
+# Seconds after its caller's deadline beyond which a request that reaches a
+# replica is late.
+LATE = 0.5
 # Seconds that a call to a replica waits which does not answer at all.
 SILENT = 30.0
 SLOTS = 64
@@ -166,6 +172,8 @@
         arrivals: All requests that reached a replica.
         crashes: All replicas that ended.
         completed: Bodies of requests that ran to their end.
+        late: Requests that reached a replica after their callers had left,
+            with the seconds.
         reset_share: Share of answers that are reset though their replica
             lives.
 
@@ -180,6 +188,7 @@
         self.arrivals: list[Arrival] = []
         self.crashes: list[Crashed] = []
         self.completed: set[bytes] = set()
+        self.late: list[tuple[str, float]] = []
         self.reset_share = 0.0
         self.replicas: dict[str, Replica] = {}
         self.tasks: dict[asyncio.Task, bool] = {}
@@ -279,6 +288,13 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
+class Link(Protocol):
+    """The link of a gateway's VM."""
+
+    def send(self, size: int, now: float) -> float:
+        """Sends bytes; returns the seconds until they have left."""
+
+
 class Endpoints:
     """One gateway's calls to the replicas.
 
@@ -286,8 +302,9 @@
         cut: Whether nothing comes back from any replica.
     """
 
-    def __init__(self, fleet: Fleet):
+    def __init__(self, fleet: Fleet, link: Link):
         self.fleet = fleet
+        self.link = link
         self.cut = False
 
     def connected(self, replica: types.Replica) -> bool:
@@ -306,6 +323,20 @@
             raise exceptions.EndpointMistaken(f"{replica.instance} is gone")
         return found
 
+    async def cross(self, call: types.Call) -> None:
+        """Sends a request over the link; it arrives though it is given up."""
+        loop = asyncio.get_running_loop()
+        size = REQUEST_BYTES + len(call.body)
+        delay = self.link.send(size, loop.time())
+        loop.call_later(delay, self.crossed, call)
+        await asyncio.sleep(delay)
+
+    def crossed(self, call: types.Call) -> None:
+        """Notes a request that reaches its replica late."""
+        late = self.fleet.site.clock() - call.deadline
+        if late > LATE:
+            self.fleet.late.append((call.id, round(late, 2)))
+
     def arrive(self, replica: Replica, call: types.Call, ran: bool) -> None:
         """Notes that a request reached a replica."""
         self.fleet.arrivals.append(
@@ -325,6 +356,7 @@
         instructions: types.Instructions,
     ) -> Answer:
         """Sends a request and waits for the head of its answer."""
+        await self.cross(call)
         found = await self.reach(replica)
         self.arrive(found, call, True)
         if not found.stage:
@@ -346,6 +378,7 @@
         instructions: types.Instructions,
     ) -> types.Handle:
         """Has a prompt read."""
+        await self.cross(call)
         found = await self.reach(replica)
         self.arrive(found, call, False)
         if found.stage != "prefill":
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
+import math
 import os
 import pathlib
 import random
@@ -33,6 +34,8 @@
 
 # Seconds that a datagram takes.
 NETWORK = 0.001
+# Seconds for which bytes wait at a link before datagrams are dropped.
+LINK_QUEUE = 2.0
 # Seconds between two entries of a replica.
 HEARTBEAT = 1.2
 # Seconds of one step of the site.
@@ -51,6 +54,28 @@
         return self.now
 
 
+class Link:
+    """The link of one gateway's VM; what is sent waits for what was before.
+
+    Attributes:
+        rate: Bytes a second.
+        free_at: When all that was sent so far has left.
+    """
+
+    def __init__(self, rate: float):
+        self.rate = rate
+        self.free_at = 0.0
+
+    def waiting(self, now: float) -> float:
+        """Seconds that a byte sent now would wait."""
+        return max(0.0, self.free_at - now)
+
+    def send(self, size: int, now: float) -> float:
+        """Sends bytes; returns the seconds until they have left."""
+        self.free_at = max(now, self.free_at) + size / self.rate
+        return self.free_at - now
+
+
 class Selector(selectors.SelectSelector):
     """Lets time pass where an event loop would wait for sockets."""
 
@@ -85,6 +110,7 @@
         self.leaving_ms = leaving_ms
         self.first_start = first_start
         self.calls: dict[asyncio.Task, bool] = {}
+        self.link = Link(site.link_rate)
         self.address = (host, PORT)
         settings = settings_module.Settings(
             node=settings_module.NodeSection(
@@ -104,7 +130,9 @@
                 )
             )
             if site.fleet is not None:
-                self.endpoints = virtual_engines.Endpoints(site.fleet)
+                self.endpoints = virtual_engines.Endpoints(
+                    site.fleet, self.link
+                )
                 stack.enter_context(
                     mock.patch.object(
                         replicas_module, "Replicas", lambda pool: self.endpoints
@@ -155,9 +183,14 @@
         os.close(self.gateway.lines.descriptor)
 
     def sendto(self, data: bytes, receiver: tuple) -> None:
-        """Sends a datagram."""
-        asyncio.get_running_loop().call_later(
-            NETWORK, self.site.deliver, data, receiver, self.address
+        """Sends a datagram; a full link drops it."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if self.link.waiting(now) > LINK_QUEUE:
+            return
+        delay = self.link.send(len(data), now)
+        loop.call_later(
+            NETWORK + delay, self.site.deliver, data, receiver, self.address
         )
 
     async def ask(self, address: tuple, path: str) -> bytes:
@@ -204,6 +237,8 @@
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
         self.divided: set[tuple] = set()
+        # Bytes a second of each gateway's link.
+        self.link_rate = math.inf
         # Share of the datagrams that are lost.
         self.loss = 0.0
         self.lines: list[tuple[float, int, dict]] = []
