--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -22,6 +22,8 @@
 from gypsumfold.gateway import types
 
 SEED = 7
+# Entries of one message between nodes, at most.
+MOST_SENT = 56
 REQUEST = 7
 REPLICA = types.Replica("i-1", "app", "10.0.0.7:8080", "north", 8, False)
 
@@ -105,10 +107,10 @@
 @behave.when("it runs to its end on another node")
 def step_completed(context):
     other = crashes_module.CrashLog()
-    for report in context.log.updates(context.now):
+    for report in context.log.updates(context.now, MOST_SENT):
         other.merge(report, True, context.now)
     assert other.completed(REQUEST)
-    for report in other.updates(context.now):
+    for report in other.updates(context.now, MOST_SENT):
         context.log.merge(report, True, context.now)
 
 
@@ -154,9 +156,9 @@
     for number in range(count):
         node = rng.choice(context.nodes)
         node.start(number, f"i-{number % 3}")
-        waiting.append((node, node.updates(True, context.now)))
+        waiting.append((node, node.updates(True, context.now, MOST_SENT)))
         node.end(number, context.now)
-        waiting.append((node, node.updates(True, context.now)))
+        waiting.append((node, node.updates(True, context.now, MOST_SENT)))
     context.messages = 0
     while waiting and context.messages < 10_000:
         sender, message = waiting.pop(rng.randrange(len(waiting)))
@@ -166,7 +168,8 @@
                 continue
             news = [node.merge(canary, context.now) for canary in message]
             if any(news):
-                waiting.append((node, node.updates(True, context.now)))
+                passed_on = node.updates(True, context.now, MOST_SENT)
+                waiting.append((node, passed_on))
 
 
 @behave.then("no message is left after {most:d} of them, and no canary is left")
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
-import math
 import os
 import pathlib
 import random
@@ -114,7 +113,10 @@
         self.address = (host, PORT)
         settings = settings_module.Settings(
             node=settings_module.NodeSection(
-                name, data_centre, first_start=first_start
+                name,
+                data_centre,
+                first_start=first_start,
+                link_mbps=site.link_rate * 8 / 1e6,
             ),
             callers=settings_module.CallersSection(f"{host}:1", f"{host}:2"),
             store=settings_module.StoreSection("10.200.0.1:1"),
@@ -161,6 +163,7 @@
         )
         gateway.supervise("gossip", gateway.gossip.run)
         gateway.supervise("relay", gateway.gossip.relay)
+        gateway.supervise("crash-news", gateway.gossip.crash_news.run)
         for name, watch in gateway.watches.items():
             gateway.supervise(f"watch-{name}", watch.run)
         gateway.supervise("fetch", gateway.knowledge.fetch)
@@ -238,7 +241,7 @@
         self.spare = 58.0
         self.divided: set[tuple] = set()
         # Bytes a second of each gateway's link.
-        self.link_rate = math.inf
+        self.link_rate = 1000e6 / 8
         # Share of the datagrams that are lost.
         self.loss = 0.0
         self.lines: list[tuple[float, int, dict]] = []
--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -16,6 +16,10 @@
 UNDECIDED = 0.5
 # Seconds for which the end of a canary is sent to other nodes.
 ENDED = 1.0
+# How often what changes is sent, as datagrams may be lost, and seconds until a
+# canary that runs on is sent again.
+SEND_TIMES = 3
+REPEAT = LIFE / 3
 
 
 class Canary(NamedTuple):
@@ -50,6 +54,9 @@
         self.owner = owner
         self.number = 0
         self.known: dict[tuple[int, int], Canary] = {}
+        # How often each is still to be sent, and when it was sent last.
+        self.news: dict[tuple[int, int], int] = {}
+        self.sent: dict[tuple[int, int], float] = {}
 
     def start(self, fingerprint: int, instance: str) -> None:
         """Notes that a canary of this node runs until `end`."""
@@ -62,9 +69,11 @@
     def put(self, fingerprint: int, instance: str, until: float) -> None:
         """Takes in a canary of this node."""
         self.number += 1
-        self.known[fingerprint, self.owner] = Canary(
+        place = fingerprint, self.owner
+        self.known[place] = Canary(
             fingerprint, self.owner, self.number, instance, until
         )
+        self.news[place] = SEND_TIMES
 
     def end(self, fingerprint: int, now: float) -> bool:
         """Notes that a canary of this node has ended; whether there was one."""
@@ -72,6 +81,7 @@
         if found is None or found.until <= now:
             return False
         self.known[fingerprint, self.owner] = found._replace(until=now)
+        self.news[fingerprint, self.owner] = SEND_TIMES
         return True
 
     def merge(self, canary: Canary, now: float) -> bool:
@@ -85,17 +95,23 @@
         canary = canary._replace(until=min(canary.until, now + LIFE))
         if known is None or known.number < canary.number:
             self.known[place] = canary
+            self.news[place] = SEND_TIMES
             return True
         if known.until <= now:
             return False
         self.known[place] = canary
-        return canary.until <= now
+        ended = canary.until <= now
+        if ended:
+            self.news[place] = SEND_TIMES
+        return ended
 
     def expire(self, now: float) -> None:
         """Drops what has ended long ago."""
         for place, canary in list(self.known.items()):
             if now - canary.until > ENDED:
                 del self.known[place]
+                self.news.pop(place, None)
+                self.sent.pop(place, None)
 
     def running(self, fingerprint: int, now: float) -> bool:
         """Whether a copy of a request runs as a canary, or is held."""
@@ -122,16 +138,30 @@
                 return False
         return True
 
-    def updates(self, relayed: bool, now: float) -> list[Canary]:
-        """What other nodes are to know.
+    def updates(self, relayed: bool, now: float, most: int) -> list[Canary]:
+        """What other nodes are to know; what was not sent for longest first.
 
         Args:
             relayed: Whether other nodes' canaries are passed on too.
             now: The time.
+            most: Canaries at most.
         """
         self.expire(now)
+        due = []
+        for place, canary in self.known.items():
+            if canary.owner != self.owner and not relayed:
+                self.news.pop(place, None)
+                continue
+            sent = self.sent.get(place, -math.inf)
+            runs = canary.until > now
+            if place in self.news or (runs and now - sent >= REPEAT):
+                due.append((sent, place))
+        due.sort()
         found = []
-        for canary in self.known.values():
-            if canary.owner == self.owner or relayed:
-                found.append(canary)
+        for _, place in due[:most]:
+            self.sent[place] = now
+            left = self.news.pop(place, 1)
+            if left > 1:
+                self.news[place] = left - 1
+            found.append(self.known[place])
         return found
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -31,10 +31,9 @@
 # that makes up new requests must not fill the memory.
 MOST_RECORDS = 256
 MOST_REQUESTS = 128
-# Suspicions sent at once, and how often each is sent, as datagrams may be lost.
-MOST_SENT = 48
-SEND_TIMES = 6
-# Seconds between two rounds in which what is known is sent again.
+# How often a suspicion is sent, as datagrams may be lost.
+SEND_TIMES = 3
+# Seconds between two rounds in which what is known is sent again, at the least.
 REFRESH = 1.0
 # Seconds after a crash for which suspicions of this crash alone are sent again:
 # a node that was cut off for longer learns those of requests that crash more.
@@ -121,6 +120,9 @@
         self.quarantined: dict[int, float] = {}
         self.quarantines: dict[int, int] = {}
         self.news: dict[tuple[Incarnation, int], int] = {}
+        self.repeats: collections.deque[tuple[Incarnation, int]] = (
+            collections.deque()
+        )
         self.refreshed = -math.inf
 
     def interrupted(
@@ -281,20 +283,34 @@
         for replica in suspected[: 1 + len(suspected) - MOST_CRASHES]:
             self.crashes[replica].expired.add(fingerprint)
 
-    def updates(self, now: float) -> list[Interrupted]:
-        """What other nodes are sent next."""
-        if now - self.refreshed >= REFRESH:
+    def updates(self, now: float, most: int) -> list[Interrupted]:
+        """What other nodes are sent next: news first, then what is repeated.
+
+        Args:
+            now: The time.
+            most: Suspicions at most.
+        """
+        if not self.repeats and now - self.refreshed >= REFRESH:
             self.refreshed = now
             self.refresh(now)
         updates = []
-        for place, left in list(self.news.items())[:MOST_SENT]:
+        for place, left in list(self.news.items())[:most]:
             del self.news[place]
             # What has been sent goes behind what has not.
             if left > 1:
                 self.news[place] = left - 1
             updates.append(self.known(*place))
+        while self.repeats and len(updates) < most:
+            replica, fingerprint = self.repeats.popleft()
+            if fingerprint in self.suspicions_of(replica):
+                updates.append(self.known(replica, fingerprint))
         return updates
 
+    def suspicions_of(self, replica: Incarnation) -> dict[int, bool]:
+        """The requests that a crash interrupted; none if it is forgotten."""
+        crash = self.crashes.get(replica)
+        return crash.requests if crash is not None else {}
+
     def known(self, replica: Incarnation, fingerprint: int) -> Interrupted:
         """What is known of one request at one crash."""
         crash = self.crashes[replica]
@@ -306,13 +322,19 @@
         )
 
     def refresh(self, now: float) -> None:
-        """Has all sent again that may still matter, the newest last."""
+        """Has all sent again that may still matter, the most suspected first.
+
+        A node that was cut off learns it so.
+        """
+        single = []
         for replica, crash in self.crashes.items():
             for fingerprint in crash.requests:
                 if fingerprint in crash.cleared:
                     continue
                 if crash.cause not in (None, fingerprint):
                     continue
-                recent = now - crash.at < RECENT
-                if recent or self.count(fingerprint) > 1:
-                    self.news.setdefault((replica, fingerprint), 1)
+                if self.count(fingerprint) > 1:
+                    self.repeats.append((replica, fingerprint))
+                elif now - crash.at < RECENT:
+                    single.append((replica, fingerprint))
+        self.repeats.extend(single)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -268,6 +268,7 @@
         self.supervise("entries", lambda: self.gossip.entries.run(self.gossip))
         self.supervise("gossip", self.gossip.run)
         self.supervise("relay", self.gossip.relay)
+        self.supervise("crash-news", self.gossip.crash_news.run)
         for name, watch in self.watches.items():
             self.supervise(f"watch-{name}", watch.run)
         self.supervise("fetch", self.knowledge.fetch)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/crash_news.py
@@ -0,0 +1,96 @@
+"""Sends other nodes what is known of requests that may crash replicas."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import time
+from typing import NamedTuple
+from typing import Protocol
+
+from gypsumfold.decisions import bandwidth as bandwidth_module
+from gypsumfold.decisions import members as members_module
+from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import sending
+
+# Entries of one datagram, and bytes that one takes at the most.
+MOST_ENTRIES = 14
+ENTRY_BYTES = 45
+# Datagrams that are sent at once.
+MOST_DATAGRAMS = 16
+# Seconds between two sends at the least; between two sends of the same entry,
+# which may be lost; and between two looks where nothing is new.
+GAP = 0.01
+AGAIN = 0.1
+IDLE = 0.5
+
+
+class News(NamedTuple):
+    """News of requests that may crash replicas.
+
+    Attributes:
+        interrupted: Requests that crashes interrupted.
+        canaries: Suspects that run or wait.
+        more: Whether there is more to send now.
+    """
+
+    interrupted: list[messages.Interrupted] = []
+    canaries: list[messages.Canary] = []
+    more: bool = False
+
+
+class Source(Protocol):
+    """What is known, to be sent in parts."""
+
+    def updates(self, most: int) -> News:
+        """What other nodes are sent next, that many entries at most."""
+
+
+class CrashNews:
+    """Sends news as they come, within a share of the link.
+
+    >>> crash_news = CrashNews(sender, source, bandwidth, lambda: members)
+    >>> await crash_news.run()
+    """
+
+    def __init__(
+        self,
+        sender: sending.Sender,
+        source: Source,
+        bandwidth: bandwidth_module.Bandwidth,
+        receivers: Callable[[], list[members_module.Member]],
+    ):
+        self.sender = sender
+        self.source = source
+        self.bandwidth = bandwidth
+        self.receivers = receivers
+        self.due = asyncio.Event()
+
+    async def run(self) -> None:
+        """Sends for as long as the node runs."""
+        pause = IDLE
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self.due.wait()
+            self.due.clear()
+            pause = AGAIN if self.send(time.monotonic()) else IDLE
+            await asyncio.sleep(GAP)
+
+    def send(self, now: float) -> bool:
+        """Sends what the link bears now; whether there is more to send."""
+        receivers = self.receivers()
+        if not receivers:
+            return False
+        left = self.bandwidth.left(now) / (ENTRY_BYTES * len(receivers))
+        most = min(int(left), MOST_ENTRIES * MOST_DATAGRAMS)
+        if most < 1:
+            return True
+        news = self.source.updates(most)
+        entries = max(len(news.interrupted), len(news.canaries))
+        for start in range(0, entries, MOST_ENTRIES):
+            end = start + MOST_ENTRIES
+            size = self.sender.crashes(
+                news.interrupted[start:end], news.canaries[start:end], receivers
+            )
+            self.bandwidth.spend(size, now)
+        return news.more
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -18,6 +18,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import bandwidth
 from gypsumfold.decisions import census as census_module
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import members as members_module
@@ -29,6 +30,7 @@
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import beliefs as beliefs_module
+from gypsumfold.gateway.peers import crash_news as crash_news_module
 from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import loads as loads_module
 from gypsumfold.gateway.peers import messages
@@ -49,6 +51,8 @@
 # Seconds between two messages of a relay: a third of the time that a prompt
 # takes to be read, at ten datagrams a second for each node.
 TICK = 0.1
+# Seconds between two messages at the least, however urgent they are.
+GAP = 0.02
 # Seconds after which what is sent at once is known everywhere, also where the
 # first datagram was lost.
 SPREAD = 0.05
@@ -93,8 +97,14 @@
         self.sealer = seals.Sealer(settings.peers.keys)
         self.sender = sending.Sender(self.members, self.sealer)
         self.crashes = crashes
-        self.sender.crashes = crashes.updates
-        crashes.changed = self.send_at_once
+        link = settings.node.link_mbps
+        self.crash_news = crash_news_module.CrashNews(
+            self.sender,
+            crashes,
+            bandwidth.Bandwidth(link, bandwidth.CRASHES_SHARE),
+            self.crash_receivers,
+        )
+        crashes.changed = self.crash_news.due.set
         crashes.relays = self.relays_for_others
         crashes.spread = self.spread
         self.reports = reports_module.Reports(
@@ -112,7 +122,11 @@
         self.entries.drop = self.drop
         self.census = census_module.Census(self.members, self.entries.roster)
         self.summaries = summaries_module.Summaries(
-            self.relaying, self.loads, self.sender, directory
+            self.relaying,
+            self.loads,
+            self.sender,
+            directory,
+            bandwidth.Bandwidth(link, bandwidth.SUMMARIES_SHARE),
         )
         self.beliefs = beliefs_module.Beliefs(homes, directory)
         self.meshed = True
@@ -237,10 +251,10 @@
         """Looks for a relay, and relays where this node is the one."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TICK):
+                async with asyncio.timeout(TICK - GAP):
                     await self.urgent.wait()
+            await asyncio.sleep(GAP)
             if self.meshed:
-                await asyncio.sleep(TICK)
                 continue
             self.urgent.clear()
             now = self.clock()
@@ -552,10 +566,25 @@
         """Seconds until all nodes have what was sent at once."""
         return SPREAD if self.meshed else SPREAD_BY_RELAYS
 
-    def send_at_once(self) -> None:
-        """Sends to the other nodes without waiting for the next report."""
-        self.changed.set()
-        self.urgent.set()
+    def crash_receivers(self) -> list[members_module.Member]:
+        """Whom this node sends what it knows of requests that crash replicas.
+
+        One that relays sends it to those that report here and to the relays of
+        other data centres, others to all or to their relays.
+        """
+        if self.meshed:
+            return list(self.members.known.values())
+        choice = self.choice
+        if choice.relay is not None:
+            found = [choice.relay, *choice.asked]
+            if choice.standby is not None:
+                found.append(choice.standby)
+            return found
+        found = self.relaying.targets(self.clock())
+        for subscriber in self.relaying.subscribers.values():
+            if subscriber.wants != messages.WANTS_NOTICE:
+                found.append(subscriber.member)
+        return found
 
     def follows(self) -> bool:
         """Whether this node reports to a relay."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
@@ -89,9 +89,18 @@
             self.not_reached(instance)
         return urgent
 
-    def take(self, now: float) -> messages.News:
-        """What is to be told now."""
+    def take(self, now: float, most: int = MOST_PLACED) -> messages.News:
+        """What is to be told now.
+
+        Args:
+            now: The time.
+            most: Prompts at most; those with the most tokens that others may
+                share are told, the rest is not.
+        """
         placed, self.placed = self.placed, []
+        if len(placed) > most:
+            placed.sort(key=shareable, reverse=True)
+            del placed[most:]
         unreachable, self.unreachable = self.unreachable, []
         closed = {}
         for engine, until in list(self.closings.items()):
@@ -110,3 +119,8 @@
             if born:
                 births[engine] = born
         return messages.News(placed, closed, roles, unreachable, births)
+
+
+def shareable(placed: messages.Placed) -> int:
+    """Tokens of a prompt before its last part, which is its caller's own."""
+    return sum(placed.tokens[:-1])
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -2,33 +2,20 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
-from typing import NamedTuple
 
 from gypsumfold.decisions import members as members_module
 from gypsumfold.gateway.peers import frames
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import seals
 
-# Interrupted requests, and canaries, of one datagram: each takes up to 45
-# bytes.
-MOST_CRASHES = 14
 # Nodes that a relay introduces to those which report to it.
 INTRODUCED = 3
 
 
-class CrashNews(NamedTuple):
-    """News of requests that may crash replicas."""
-
-    interrupted: list[messages.Interrupted] = []
-    canaries: list[messages.Canary] = []
-
-
 class Sender:
     """Numbers, seals and sends what this node says.
 
     Attributes:
-        crashes: Gives what nodes are sent on requests that crash replicas.
         bytes_sent: Bytes of all datagrams by kind.
 
     >>> sender = Sender(members, sealer)
@@ -41,7 +28,6 @@
         self.sealer = sealer
         self.number = 0
         self.transport: asyncio.DatagramTransport | None = None
-        self.crashes: Callable[[], CrashNews] = CrashNews
         self.bytes_sent: collections.Counter[str] = collections.Counter()
 
     def send(
@@ -74,38 +60,44 @@
         )
         data = frames.fitting(report, self.sealer)
         self.send("reports", data, receivers)
-        self.send_crashes(receivers)
 
     def summary(
         self,
         summary: messages.Summary,
         receivers: list[members_module.Member],
-    ) -> None:
-        """Sends a summary in as many datagrams as it takes."""
+    ) -> int:
+        """Sends a summary in as many datagrams as it takes.
+
+        Returns:
+            Bytes that were sent.
+        """
+        size = 0
         for part in frames.parts(summary, self.sealer):
             self.number += 1
             part.number = self.number
-            self.send("summaries", frames.encoded(part, self.sealer), receivers)
-        self.send_crashes(receivers)
+            data = frames.encoded(part, self.sealer)
+            self.send("summaries", data, receivers)
+            size += len(data) * len(receivers)
+        return size
 
-    def send_crashes(self, receivers: list[members_module.Member]) -> None:
-        """Sends news of requests that may crash replicas."""
-        if not receivers:
-            return
-        news = self.crashes()
-        most = max(len(news.interrupted), len(news.canaries))
-        for start in range(0, most, MOST_CRASHES):
-            end = start + MOST_CRASHES
-            self.number += 1
-            message = messages.Crashes(
-                self.contact(),
-                self.number,
-                news.interrupted[start:end],
-                news.canaries[start:end],
-            )
-            self.send(
-                "crashes", frames.encoded(message, self.sealer), receivers
-            )
+    def crashes(
+        self,
+        interrupted: list[messages.Interrupted],
+        canaries: list[messages.Canary],
+        receivers: list[members_module.Member],
+    ) -> int:
+        """Sends news of requests that may crash replicas.
+
+        Returns:
+            Bytes that were sent.
+        """
+        self.number += 1
+        message = messages.Crashes(
+            self.contact(), self.number, interrupted, canaries
+        )
+        data = frames.encoded(message, self.sealer)
+        self.send("crashes", data, receivers)
+        return len(data) * len(receivers)
 
     def contact(self) -> messages.Contact:
         """This node as others rank it."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from gypsumfold.decisions import bandwidth as bandwidth_module
+from gypsumfold.decisions import members as members_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway.peers import loads as loads_module
 from gypsumfold.gateway.peers import messages
@@ -11,6 +13,8 @@
 # Summaries after which the best ranked nodes are introduced again: once a
 # second.
 INTRODUCING = 10
+# Bytes that a prompt takes in a summary.
+PLACED_BYTES = 60
 
 
 class Knowledge(Protocol):
@@ -34,7 +38,7 @@
     Attributes:
         knowledge: What this node knows from the store.
 
-    >>> summaries = Summaries(relaying, loads, sender, directory)
+    >>> summaries = Summaries(relaying, loads, sender, directory, bandwidth)
     >>> summaries.tell_nodes(relaying.due(0.0), 195, False, now=0.0)
     """
 
@@ -44,7 +48,9 @@
         loads: loads_module.Loads,
         sender: sending.Sender,
         directory: directory_module.Directory,
+        bandwidth: bandwidth_module.Bandwidth,
     ):
+        self.bandwidth = bandwidth
         self.relaying = relaying
         self.loads = loads
         self.sender = sender
@@ -84,7 +90,7 @@
                 introduced,
                 apart,
             )
-            self.sender.summary(sign, [one.member for one in due.signs])
+            self.send(sign, [one.member for one in due.signs], now)
         if due.everything:
             self.relaying.for_nodes.keep_closed(self.directory.changing)
             summary = messages.Summary(
@@ -93,12 +99,14 @@
                 nodes,
                 False,
                 self.for_nodes.changed(self.loads.site(now)),
-                self.relaying.for_nodes.take(now),
+                self.relaying.for_nodes.take(
+                    now, self.most_placed(len(due.everything), now)
+                ),
                 knowledge,
                 introduced,
                 apart,
             )
-            self.sender.summary(summary, [one.member for one in due.everything])
+            self.send(summary, [one.member for one in due.everything], now)
 
     def tell_relays(self, now: float) -> None:
         """Tells the relays of the other data centres."""
@@ -113,8 +121,25 @@
             1 + len(self.relaying.subscribers),
             True,
             self.for_relays.changed(sums),
-            self.relaying.for_relays.take(now),
+            self.relaying.for_relays.take(
+                now, self.most_placed(len(targets), now)
+            ),
             # A relay that is cut off from the store hears of it by this.
             self.knowledge.tell(True) if self.knowledge else None,
         )
-        self.sender.summary(summary, targets)
+        self.send(summary, targets, now)
+
+    def send(
+        self,
+        summary: messages.Summary,
+        receivers: list[members_module.Member],
+        now: float,
+    ) -> None:
+        """Sends a summary; sums and signs of life go out in any case."""
+        size = self.sender.summary(summary, receivers)
+        self.bandwidth.spend(size, now)
+
+    def most_placed(self, receivers: int, now: float) -> int:
+        """How many prompts the link bears in a summary to some nodes."""
+        left = self.bandwidth.left(now)
+        return max(0, int(left / (PLACED_BYTES * receivers)))
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -20,8 +20,8 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
+from gypsumfold.gateway.peers import crash_news
 from gypsumfold.gateway.peers import messages
-from gypsumfold.gateway.peers import sending
 
 # Seconds between two looks whether a suspect may run, about: longer than a
 # message takes to the other nodes, so that two suspects seldom start together.
@@ -292,11 +292,21 @@
             crashes=sorted(crashes),
         )
 
-    def updates(self) -> sending.CrashNews:
-        """What other nodes are sent next."""
+    def updates(self, most: int) -> crash_news.News:
+        """What other nodes are sent next, canaries first.
+
+        A reservation has to be known everywhere before its request runs.
+
+        Args:
+            most: Entries at most.
+        """
         now = time.monotonic()
+        running = []
+        for one in self.canaries.updates(self.relays(), now, most):
+            left = min(canaries_module.LIFE, max(0.0, one.until - now))
+            running.append(messages.Canary(*one[:-1], left))
         interrupted = []
-        for one in self.log.updates(now):
+        for one in self.log.updates(now, most - len(running)):
             interrupted.append(
                 messages.Interrupted(
                     one.replica.instance,
@@ -306,11 +316,8 @@
                     one.cleared,
                 )
             )
-        running = []
-        for one in self.canaries.updates(self.relays(), now):
-            left = min(canaries_module.LIFE, max(0.0, one.until - now))
-            running.append(messages.Canary(*one[:-1], left))
-        return sending.CrashNews(interrupted, running)
+        more = bool(self.log.news or self.canaries.news)
+        return crash_news.News(interrupted, running, more)
 
     def take(
         self, suspicions: list[crashes_module.Interrupted], pass_on: bool
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -18,6 +18,7 @@
             that no engine has read a prompt yet.
         core_share: Share of one core that the process may use.
         core_speed: How many times as fast as a plain one that core is.
+        link_mbps: Megabits a second of the VM's link.
     """
 
     name: str
@@ -25,6 +26,7 @@
     first_start: bool = False
     core_share: float = 1.0
     core_speed: float = 1.0
+    link_mbps: float = 1000.0
 
     @property
     def power(self) -> float:
