--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import socket
+import struct
 import time
 
 import h11
@@ -32,6 +33,9 @@
 IDLE_MARGIN = 0.6
 # Bytes of a streamed body that may wait until the socket is paused.
 MOST_WAITING = 256 * 1024
+# SO_LINGER with no time: closing resets the connection and drops what the
+# kernel has not sent yet.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Connection(asyncio.Protocol):
@@ -106,10 +110,19 @@
             self.waiter.set_result(None)
 
     def spoil(self) -> None:
-        """Closes the connection at once; it is not used again."""
+        """Closes the connection at once; it is not used again.
+
+        A request in progress is given up: an orderly close would let the
+        kernel deliver it later, when a link that was cut is back.
+        """
         self.usable = False
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if not self.idle and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.transport.abort()
 
     def request(
         self, method: str, target: str, fields: types.Fields, body: bytes
