--- a/features/late_configurations.feature
+++ b/features/late_configurations.feature
@@ -48,3 +48,13 @@
     Given a gateway whose read of the configuration has waited on a silent connection for 0.5 s
     When another node tells that it has a newer version, from 0.3 s before on
     Then the read is given up, and the newest records are read on a new connection
+
+  Scenario Outline: A read that the store answers without the records takes them for unwritten: <answer>
+    Given a store that answers a read from record 5 with records <first> to <end>, and <given> of them
+    Then the read fails, and its topic is read whole
+
+    Examples:
+      | answer                                     | first | end | given |
+      | the first records were deleted             | 7     | 9   | 2     |
+      | the topic ends before the reader's place   | 0     | 3   | 0     |
+      | a record was written and is not given      | 0     | 6   | 0     |
--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -12,6 +12,7 @@
 
 from gypsumfold import clocks
 from gypsumfold import events
+from gypsumfold import exceptions
 from gypsumfold.decisions import polling
 from gypsumfold.decisions import reads
 from gypsumfold.gateway import watching
@@ -284,3 +285,41 @@
             unread.append(fields)
     assert len(unread) == 1, unread
     assert context.reads == 2, context.reads
+
+
+@behave.given(
+    "a store that answers a read from record {start:d} with records {first:d} "
+    "to {end:d}, and {given:d} of them"
+)
+def step_answers(context, start, first, end, given):
+    record = b"\x03key" + b"value"
+    body = store_module.HEADER.pack(end, first)
+    for _ in range(given):
+        body += store_module.LENGTH.pack(len(record)) + record
+    context.page = body
+    context.start = start
+
+
+@behave.then("the read fails, and its topic is read whole")
+def step_read_fails(context):
+    async def read():
+        store = store_module.Store("127.0.0.1:1")
+        store.call = mock.AsyncMock(return_value=context.page)
+        consumer = mock.Mock()
+        state = watching.StoreState(CONTACT)
+        topic = names.CONFIGURATION_TOPIC
+        watch = watching.Watch(
+            store, state, topic, consumer, lambda: 0.0, lambda: 1.0
+        )
+        watch.position = context.start
+        watch.whole_at = clocks.now()
+        try:
+            await watch.step()
+        except exceptions.PlatformError as error:
+            watch.failed(error)
+        await store.close()
+        return watch
+
+    watch = asyncio.run(read())
+    assert watch.doubted
+    assert watch.position == context.start, watch.position
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -194,9 +194,9 @@
             wait: Seconds to wait for it; the page may be empty then.
 
         Raises:
-            HistoryLost: The offset was deleted.
+            HistoryLost: The offset was deleted, or lies beyond the topic's end.
             exceptions.LogUnavailable: The store does not answer.
-            exceptions.RecordInvalid: A record cannot be read.
+            exceptions.RecordInvalid: A record cannot be read or is missing.
         """
         query = {
             "topic": topic,
@@ -214,6 +214,11 @@
             record, place = _keyed(body, place)
             offset = start + len(records)
             records.append(record._replace(offset=offset))
+        end, first = HEADER.unpack_from(body)
+        if first > start or end < start:
+            raise HistoryLost(f"{topic} has records {first} to {end}")
+        if end > start and not records:
+            raise exceptions.RecordInvalid(f"{topic} lacks record {start}")
         return Page(records, start + len(records))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
