--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -11,6 +11,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import frames
@@ -164,7 +165,7 @@
 def step_directory(context):
     gossip = made_up.gossip()
     context.directory = gossip.directory
-    context.registrations = watching.Registrations(
+    context.registrations = registrations_module.Registrations(
         context.directory, watching.StoreState(3.0)
     )
 
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -13,7 +13,9 @@
 from gypsumfold.decisions import members
 from gypsumfold.decisions import reads as reads_module
 from gypsumfold.decisions import registry
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import knowledge
+from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import frames
@@ -376,8 +378,8 @@
         watch.following.read(0.0)
         watches.append(watch)
     return knowledge.Knowledge(
-        watching.Registrations(gossip.directory, state),
-        watching.Configurations(),
+        registrations_module.Registrations(gossip.directory, state),
+        configurations_module.Configurations(),
         *watches,
         reads,
         mock.Mock(),
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -21,6 +21,7 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import prompts
 from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import runs
 from gypsumfold.gateway import types
 from gypsumfold.gateway import watching
@@ -127,7 +128,7 @@
     context.directory.gone.append(
         lambda replica: context.homes.forget(replica.instance)
     )
-    context.registrations = watching.Registrations(
+    context.registrations = registrations_module.Registrations(
         context.directory, watching.StoreState(3.0)
     )
     context.registrations.update([entry(born)])
--- a/packages/gypsumfold/src/gypsumfold/decisions/bandwidth.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/bandwidth.py
@@ -9,7 +9,7 @@
 # Shares of the link for news of requests that may crash replicas, and for
 # sums and hints; requests and answers have the rest.
 CRASHES_SHARE = 0.1
-SUMMARIES_SHARE = 0.25
+SUMMARIES_SHARE = 0.4
 # Seconds of its rate that a bucket holds.
 BURST = 0.2
 # Bits of a byte, and of a megabit.
--- a/packages/gypsumfold/src/gypsumfold/gateway/cache_lists.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/cache_lists.py
@@ -16,9 +16,9 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import births
 from gypsumfold.decisions import homes as homes_module
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import types
-from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import gossip as gossip_module
 from gypsumfold.gateway.peers import questions as questions_module
 
@@ -43,7 +43,7 @@
     def __init__(
         self,
         directory: directory_module.Directory,
-        configurations: watching.Configurations,
+        configurations: configurations_module.Configurations,
         endpoints: types.Endpoints,
         homes: homes_module.Homes,
         gossip: gossip_module.Gossip,
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -22,6 +22,7 @@
 from gypsumfold.decisions import polling
 from gypsumfold.decisions import reads
 from gypsumfold.gateway import cache_lists
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import counters as counters_module
 from gypsumfold.gateway import crash_records as crash_records_module
@@ -35,6 +36,7 @@
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import planning
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
@@ -93,7 +95,7 @@
         self.quarantine = quarantine_module.Quarantine(
             runs_module.Runs(self.directory)
         )
-        self.configurations = watching.Configurations()
+        self.configurations = configurations_module.Configurations()
         self.pool = connections.Pool()
         self.endpoints = replicas.Replicas(self.pool)
         self.budget = budgets.RetryBudget(budget_policy(settings), rng.random())
@@ -159,7 +161,7 @@
             self.homes,
         )
         self.liveness = liveness.LivenessChecks(self.directory, self.endpoints)
-        self.registrations = watching.Registrations(
+        self.registrations = registrations_module.Registrations(
             self.directory, self.store_state
         )
         self.watches = self.make_watches()
@@ -242,10 +244,10 @@
 
     def registrations_wait(self) -> float:
         """Seconds for which a read of the registrations waits."""
-        longest = watching.REGISTRATIONS_WAIT
+        longest = registrations_module.REGISTRATIONS_WAIT
         if not self.gossip.meshed:
             bound = self.settings.replicas.leaving_ms / 1000
-            longest = min(longest, watching.READER_SHARE * bound)
+            longest = min(longest, registrations_module.READER_SHARE * bound)
         return reads.wait_after(
             self.registrations_pause(), longest, self.limits
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -9,13 +9,13 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import budgets
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import generations as generations_module
 from gypsumfold.gateway import plain_calls as plain_calls_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import types
-from gypsumfold.gateway import watching
 
 # Seconds after which a caller may come back to a node that knows no
 # configuration yet; it has one a few milliseconds after the store answers.
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        configurations: watching.Configurations,
+        configurations: configurations_module.Configurations,
         budget: budgets.RetryBudget,
         plain_calls: plain_calls_module.PlainCalls,
         generations: generations_module.Generations,
--- a/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
@@ -15,6 +15,8 @@
 from gypsumfold.decisions import following
 from gypsumfold.decisions import reads as reads_module
 from gypsumfold.decisions import registry as registry_module
+from gypsumfold.gateway import configurations as configurations_module
+from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import questions as questions_module
@@ -38,8 +40,8 @@
 
     def __init__(
         self,
-        registrations: watching.Registrations,
-        configurations: watching.Configurations,
+        registrations: registrations_module.Registrations,
+        configurations: configurations_module.Configurations,
         registrations_watch: watching.Watch,
         configuration_watch: watching.Watch,
         reads: Callable[[], bool],
--- a/packages/gypsumfold/src/gypsumfold/gateway/planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/planning.py
@@ -10,10 +10,10 @@
 from gypsumfold.decisions import homes as homes_module
 from gypsumfold.decisions import stages
 from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import types
-from gypsumfold.gateway import watching
 from gypsumfold.gateway.peers import gossip as gossip_module
 
 # Seconds between two looks at the engines; a look costs no call.
@@ -66,7 +66,7 @@
         self,
         leadership: leadership_module.Leadership,
         directory: directory_module.Directory,
-        configurations: watching.Configurations,
+        configurations: configurations_module.Configurations,
         endpoints: types.Endpoints,
         gossip: gossip_module.Gossip,
         homes: homes_module.Homes,
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -13,9 +13,9 @@
 from gypsumfold import exceptions
 from gypsumfold import outcomes
 from gypsumfold.callers import problems
+from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import handling
 from gypsumfold.gateway import types
-from gypsumfold.gateway import watching
 from gypsumfold.platform import ingress
 
 # Largest line and header field that the HTTP library takes, in bytes; the
@@ -40,7 +40,9 @@
     """
 
     def __init__(
-        self, handler: handling.Handler, configurations: watching.Configurations
+        self,
+        handler: handling.Handler,
+        configurations: configurations_module.Configurations,
     ):
         self.handler = handler
         self.configurations = configurations
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -7,6 +7,11 @@
 
 Seconds = settings_module.Seconds
 
+# Megabits a second that relaying for a data centre may take, and how strongly
+# nodes with less are passed over for others.
+RELAY_LINK_MBPS = 50.0
+LINK_EXPONENT = 3
+
 
 class NodeSection(settings_module.Section):
     """Who this node is.
@@ -30,8 +35,13 @@
 
     @property
     def power(self) -> float:
-        """What the VM's processor gives, in plain cores."""
-        return self.core_share * self.core_speed
+        """What the VM can do for other nodes, in plain cores.
+
+        A relay sends all news of the site to dozens of nodes; a small link is
+        full before a small processor is busy.
+        """
+        link = min(1.0, self.link_mbps / RELAY_LINK_MBPS)
+        return self.core_share * self.core_speed * link**LINK_EXPONENT
 
 
 class CallersSection(settings_module.Section):
--- a/packages/gypsumfold/src/gypsumfold/gateway/watching.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/watching.py
@@ -1,48 +1,28 @@
-"""Follows the store's records of the configuration and of the replicas."""
+"""Follows topics of the store, and whether the store answers."""
 
 import asyncio
 from collections.abc import Callable
 import contextlib
 import math
 import random
-import time
 from typing import Protocol
 
-import msgspec
-
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import contact as contact_module
 from gypsumfold.decisions import following as following_module
 from gypsumfold.decisions import polling
-from gypsumfold.decisions import registry as registry_module
-from gypsumfold.gateway import directory as directory_module
-from gypsumfold.gateway import types
-from gypsumfold.platform import decoding
-from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
-# Seconds that a read of the registrations waits at most.
-REGISTRATIONS_WAIT = 1.0
-# Share of the time within which a leaving replica must be known for which a
-# node waits that reads for others: what it says is then younger than the age
-# at which they read for themselves (`decisions/following.py`).
-READER_SHARE = 0.3
 # Seconds until all keys are read again, in case a record was missed.
 REREAD = 20.0
 # Seconds between two looks of a node that follows a relay, whether it is to
 # read the store itself: a tenth of the time within which it must have read.
 LOOK = 0.2
-# Entries that are remembered as logged already; more in one fleet are logged
-# again.
-MOST_SKIPPED = 256
 # Seconds of age beyond which it does not matter how old something is: where
 # nothing was ever read the age is infinite, which JSON does not have.
 MOST_AGE = 1e5
-# How registrations are told from node to node.
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(types.Replica)
 
 
 class StoreState:
@@ -288,203 +268,6 @@
             self.state.answered()
 
 
-class Configurations:
-    """Keeps the newest configuration; an older one never replaces it.
-
-    Attributes:
-        current: What is in force; None before the first.
-        record: As the operators wrote it, for other nodes.
-        announced: The newest version that another node had in force.
-        announced_at: When that was first heard, by `clocks.now`.
-    """
-
-    def __init__(self):
-        self.current: types.Configuration | None = None
-        self.record = b""
-        self.announced = 0
-        self.announced_at = -math.inf
-        self.listeners: list[Callable[[types.Configuration], None]] = []
-
-    def replace(self, records: list[store_module.Record]) -> None:
-        """Takes in the newest record of every key."""
-        self.take(records, "newest")
-
-    def update(self, records: list[store_module.Record]) -> None:
-        """Takes in records that came since."""
-        self.take(records, "read")
-
-    def take(self, records: list[store_module.Record], source: str) -> None:
-        """Takes in records of the store."""
-        for record in records:
-            if record.key != names.CONFIGURATION_KEY or not record.value:
-                continue
-            self.offer(record.value, source)
-
-    def version(self) -> int:
-        """Of the configuration in force; 0 for none."""
-        return self.current.version if self.current else 0
-
-    def announce(self, version: int) -> None:
-        """Notes which version another node has in force."""
-        if version > self.announced:
-            self.announced = version
-            self.announced_at = clocks.now()
-
-    def behind(self) -> float:
-        """Seconds for which a newer version has been known of; 0 for none."""
-        if self.version() >= self.announced:
-            return 0.0
-        return clocks.now() - self.announced_at
-
-    def offer(self, record: bytes, source: str) -> None:
-        """Puts a configuration in force if it is newer.
-
-        Args:
-            record: As the operators wrote it.
-            source: How it came, for the log: "newest" or "read" from the
-                store, or "peer".
-        """
-        try:
-            found = decoding.configuration(record)
-        except exceptions.RecordInvalid as error:
-            events.log(events.CONFIG_UNREADABLE, reason=str(error))
-            return
-        old = self.current
-        if old is not None and found.version <= old.version:
-            return
-        behind = self.behind()
-        self.current = found
-        self.record = record
-        events.log(
-            events.CONFIG_IN_FORCE,
-            version=found.version,
-            before=old.version if old else None,
-            source=source,
-            behind=round(behind, 3),
-        )
-        for listener in self.listeners:
-            listener(found)
-
-
-class Registrations:
-    """Keeps the directory of replicas as the store has it.
-
-    Attributes:
-        registry: The entries as they stand in the log, to be told to others.
-        skipped: The last entry under each key that could not be used.
-        unreadable: How many such entries were seen.
-        changed: Called where a reading has brought something new.
-    """
-
-    def __init__(
-        self, directory: directory_module.Directory, state: StoreState
-    ):
-        self.directory = directory
-        self.state = state
-        self.registry = registry_module.Registry()
-        self.skipped: dict[str, bytes] = {}
-        self.unreadable = 0
-        self.changed: Callable[[], None] = lambda: None
-
-    def replace(self, records: list[store_module.Record]) -> None:
-        """Takes in the newest record of every key."""
-        before = self.registry.digest
-        self.take(records)
-        present = {record.key for record in records if record.value}
-        newest = max((record.offset for record in records), default=0)
-        now = clocks.now()
-        for change in self.registry.missing(present, newest):
-            self.registry.put(change, now)
-        for instance in list(self.directory.replicas):
-            if instance not in self.registry.values:
-                self.drop(instance, self.state.grace())
-        self.taken(before)
-
-    def update(self, records: list[store_module.Record]) -> None:
-        """Takes in records that came since."""
-        before = self.registry.digest
-        self.take(records)
-        self.taken(before)
-
-    def taken(self, before: int) -> None:
-        """Ends a reading; says so where the digest is another than before."""
-        self.directory.expire(time.monotonic())
-        if self.registry.digest != before:
-            self.changed()
-
-    def take(self, records: list[store_module.Record]) -> None:
-        """Puts records into the registry and the directory."""
-        now = clocks.now()
-        for record in records:
-            if self.registry.stale(record.key, record.offset):
-                continue
-            if not record.value:
-                self.registry.put(
-                    registry_module.Change(record.key, record.offset, b""), now
-                )
-                self.drop(record.key, self.state.grace())
-                continue
-            try:
-                replica = decoding.replica(record.key, record.value)
-            except exceptions.RecordInvalid as error:
-                self.skip(record, str(error))
-                continue
-            value = ENCODER.encode(replica._replace(orders=0))
-            self.registry.put(
-                registry_module.Change(record.key, record.offset, value), now
-            )
-            self.directory.put(replica)
-
-    def told(self, changes: list[registry_module.Change], grace: float) -> None:
-        """Takes in changes that a relay has read.
-
-        Args:
-            changes: The changes.
-            grace: Seconds for which the relay still believes in an entry that
-                went; this node never does for longer than by its own calls,
-                since a relay that is cut off must not answer for the store.
-        """
-        now = clocks.now()
-        grace = min(grace, self.state.grace())
-        for change in changes:
-            if not self.registry.put(change, now):
-                continue
-            if not change.value:
-                self.drop(change.key, grace)
-                continue
-            try:
-                replica = DECODER.decode(change.value)
-            except msgspec.DecodeError as error:
-                events.log(events.FRAME_REFUSED, reason=str(error))
-                continue
-            self.directory.put(replica)
-
-    def told_all(self, changes: list[registry_module.Change], end: int) -> None:
-        """Takes in all entries that another node knows.
-
-        Args:
-            changes: One for each replica.
-            end: Offset up to which that node has read.
-        """
-        present = {change.key for change in changes}
-        gone = self.registry.missing(present, end - 1)
-        self.told([*changes, *gone], self.state.grace())
-
-    def skip(self, record: store_module.Record, reason: str) -> None:
-        """Counts an entry that names no replica; logs the same one once."""
-        if self.skipped.get(record.key) == record.value:
-            return
-        if len(self.skipped) >= MOST_SKIPPED:
-            self.skipped.clear()
-        self.skipped[record.key] = record.value
-        self.unreadable += 1
-        events.log(events.RECORD_SKIPPED, key=record.key, reason=reason)
-
-    def drop(self, instance: str, grace: float) -> None:
-        """Drops a replica, at once unless the store was just away."""
-        self.directory.drop(instance, grace, time.monotonic())
-
-
 def rounded_age(known: following_module.Following, now: float) -> float:
     """The age of what is known, for a log line."""
     return round(min(known.age(now), MOST_AGE), 3)
