--- a/features/full_links.feature
+++ b/features/full_links.feature
@@ -14,3 +14,11 @@
       | 72    | many requests and answers that are reset    | 1     |
       | 72    | replicas that are killed                    | 1     |
       | 72    | no other trouble                            | 1     |
+
+  Scenario: A node with a small link relays for dozens where others have large ones
+    Then in at least 90 of 100 data centres of 25 nodes with 10 Mbit/s and 2 with 200 one of the two comes first
+
+  Scenario: A summary names the prompts that others gain most by, as far as the link bears it
+    Given a relay of 25 nodes behind a link of 10 Mbit/s
+    When 200 prompts of 40 shared tokens and 10 of 12000 come between two summaries
+    Then the summary names the 10 and at most 150 others, and the link's debt is below 20 milliseconds
--- a/features/steps/full_links_steps.py
+++ b/features/steps/full_links_steps.py
@@ -1,12 +1,22 @@
 """Steps on gateways whose links are small, under virtual time."""
 
 import asyncio
+from unittest import mock
 
 import behave
 from features.steps import store_loss_steps
 from features.support import virtual_callers
 from features.support import virtual_engines
 
+from gypsumfold.decisions import bandwidth as bandwidth_module
+from gypsumfold.decisions import members as members_module
+from gypsumfold.gateway import settings
+from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import relaying
+from gypsumfold.gateway.peers import seals
+from gypsumfold.gateway.peers import sending
+from gypsumfold.gateway.peers import summaries
+
 # Bytes a second of a link of 10 Mbit/s, and the share of it that gateways may
 # use for what they tell each other, over a second.
 LINK = 10e6 / 8
@@ -98,3 +108,99 @@
     for name, node in site.nodes.items():
         found[name] = node.gateway.gossip.sender.bytes_sent.total()
     return found
+
+
+@behave.then(
+    "in at least {least:d} of {count:d} data centres of {small:d} nodes with "
+    "{slow:g} Mbit/s and {large:d} with {fast:g} one of the two comes first"
+)
+def step_ranked(context, least, count, small, slow, large, fast):
+    first = 0
+    for number in range(count):
+        nodes = []
+        for place in range(small + large):
+            link = fast if place < large else slow
+            section = settings.NodeSection(
+                f"dc-{number}-{place}", "dc", link_mbps=link
+            )
+            nodes.append((section, link))
+        found = []
+        for section, _ in nodes:
+            found.append(
+                members_module.Member(
+                    section.name, section.name, "dc", ("h", 1), section.power
+                )
+            )
+        members = members_module.Members(found[0])
+        for member in found[1:]:
+            members.add(member, 0.0)
+        best = members.ranked("dc")[0]
+        links = {section.name: link for section, link in nodes}
+        first += links[best.name] == fast
+    assert first >= least, first
+
+
+@behave.given("a relay of {nodes:d} nodes behind a link of {mbps:g} Mbit/s")
+def step_relay(context, nodes, mbps):
+    context.bandwidth = bandwidth_module.Bandwidth(
+        mbps, bandwidth_module.SUMMARIES_SHARE
+    )
+    context.sent = []
+    member = members_module.Member("m", "n", "dc", ("h", 1))
+    sender = sending.Sender(members_module.Members(member), seals.Sealer([]))
+    sender.transport = mock.Mock(
+        sendto=lambda data, address: context.sent.append(data)
+    )
+    context.relaying = relaying.Relaying(sender.members)
+    context.summaries = summaries.Summaries(
+        context.relaying,
+        mock.Mock(site=lambda now: messages.Amounts({}, {}, {}, {})),
+        sender,
+        mock.Mock(changing={}),
+        context.bandwidth,
+    )
+    for number in range(nodes):
+        name = f"node-{number}"
+        context.relaying.report(
+            members_module.Member(name, name, "dc", ("h", number)),
+            messages.Report(
+                messages.Contact(name, name, "dc"),
+                1,
+                messages.WANTS_ALL,
+                messages.Amounts({}, {}, {}, {}),
+                messages.News(),
+            ),
+            0.0,
+        )
+
+
+@behave.when(
+    "{many:d} prompts of {few_tokens:d} shared tokens and {few:d} of "
+    "{many_tokens:d} come between two summaries"
+)
+def step_prompts(context, many, few_tokens, few, many_tokens):
+    context.shared = many_tokens
+    outbox = context.relaying.for_nodes
+    for number in range(few):
+        outbox.place(messages.Placed("i-1", [number, 1], [many_tokens, number]))
+    for number in range(many):
+        outbox.place(messages.Placed("i-2", [number, 2], [few_tokens, number]))
+    due = context.relaying.due(0.0)
+    context.summaries.tell_nodes(due, 26, False, 0.0)
+
+
+@behave.then(
+    "the summary names the {few:d} and at most {most:d} others, and the link's "
+    "debt is below {milliseconds:g} milliseconds"
+)
+def step_named(context, few, most, milliseconds):
+    named = {}
+    for data in context.sent:
+        summary = messages.message(seals.Sealer([]).open(data))
+        for placed in summary.news.placed:
+            named[tuple(placed.links)] = placed.tokens[0]
+    valuable = [tokens for tokens in named.values() if tokens == context.shared]
+    assert len(valuable) == few, valuable
+    assert len(named) - few <= most, len(named)
+    debt = -context.bandwidth.left(0.0) / context.bandwidth.rate
+    assert debt < milliseconds / 1000, debt
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -7,10 +7,10 @@
 
 Seconds = settings_module.Seconds
 
-# Megabits a second that relaying for a data centre may take, and how strongly
-# nodes with less are passed over for others.
+# Megabits a second that relaying for a data centre may take; a node whose link
+# has less relays where no other can, so that its power counts little.
 RELAY_LINK_MBPS = 50.0
-LINK_EXPONENT = 3
+SMALL_LINK_WEIGHT = 0.002
 
 
 class NodeSection(settings_module.Section):
@@ -40,8 +40,10 @@
         A relay sends all news of the site to dozens of nodes; a small link is
         full before a small processor is busy.
         """
-        link = min(1.0, self.link_mbps / RELAY_LINK_MBPS)
-        return self.core_share * self.core_speed * link**LINK_EXPONENT
+        power = self.core_share * self.core_speed
+        if self.link_mbps < RELAY_LINK_MBPS:
+            return power * SMALL_LINK_WEIGHT
+        return power
 
 
 class CallersSection(settings_module.Section):
