--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -83,6 +83,12 @@
     When a caller asks "/swaps/1" for a stream with the prompt "aa:4000,bb:300"
     Then the caller gets all events of one engine in order
 
+  Scenario: A stream that its caller has resumed is resumed again, and an event comes twice
+    Given a second engine generates
+    And the next stream breaks off in the middle of an event
+    When a caller that has event 1 asks "/swaps/1" for the rest of a stream with the prompt "aa:4000,bb:300"
+    Then the caller gets the events from 2 on, none twice
+
   Scenario: A stream that may not be resumed looks broken to its caller
     Given the next stream breaks off in the middle of an event
     When a caller asks "/briefs/1" for a stream with the prompt "aa:4000,bb:300"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -255,6 +255,24 @@
     assert sorted(prompts) == attempts, (prompts, attempts)
 
 
+@behave.when(
+    'a caller that has event {after:d} asks "{path}" for the rest of a stream '
+    'with the prompt "{chain}"'
+)
+def step_resume(context, after, path, chain):
+    callers.stream(context, path, chain, after=str(after))
+    while not callers.met(context):
+        callers.stream(context, path, chain, after=str(after))
+
+
+@behave.then("the caller gets the events from {first:d} on, none twice")
+def step_rest(context, first):
+    assert context.status == 200, context.status
+    assert not context.cut
+    expected = [(str(n), f"token-{n}") for n in range(first, 6)]
+    assert context.events == expected, context.events
+
+
 @behave.given("the next stream breaks off in the middle of an event")
 def step_breaks(context):
     context.fault = ("decoder-1", "broken")
--- a/features/support/gateway_calls.py
+++ b/features/support/gateway_calls.py
@@ -71,9 +71,19 @@
         sealed(context.sent, answer)
 
 
-def stream(context, path, chain, wait=5.0):
-    """Asks for one stream; keeps its events and how it ended."""
+def stream(context, path, chain, wait=5.0, after=""):
+    """Asks for one stream; keeps its events and how it ended.
+
+    Args:
+        context: Behave's.
+        path: Where.
+        chain: The prompt's parts.
+        wait: Seconds that the caller waits.
+        after: The last event that the caller has; empty for none.
+    """
     context.sent = gateways.headers(wait, chain, stream=True)
+    if after:
+        context.sent[names.LAST_EVENT] = after
     context.cut = False
     connection, response = http.open_request(
         "POST", context.gateway.url + path, b"prompt", context.sent
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -45,6 +45,9 @@
             exceptions.AnswerBroken: It may have run.
         """
         fields = list(call.fields)
+        if instructions.last_event:
+            # The caller's own names an earlier event, where it has resumed.
+            fields = without(fields, names.LAST_EVENT)
         fields += added(replica, instructions)
         answer = await self.exchange(
             replica, call.method, call.target, fields, call.body
@@ -197,6 +200,14 @@
         return connections.PooledAnswer(self.pool, replica, connection, event)
 
 
+def without(
+    fields: list[tuple[bytes, bytes]], name: str
+) -> list[tuple[bytes, bytes]]:
+    """Header fields but for those of one name."""
+    key = name.lower().encode()
+    return [field for field in fields if field[0].lower() != key]
+
+
 def added(
     replica: types.Replica, instructions: types.Instructions
 ) -> list[tuple[bytes, bytes]]:
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -100,6 +100,10 @@
         self.connection = "no"
 
 
+async def _opening(session, context, params) -> None:
+    context.trace_request_ctx.connection = "no"
+
+
 async def _opened(session, context, params) -> None:
     context.trace_request_ctx.connection = "new"
 
@@ -111,6 +115,7 @@
 def connection_trace() -> aiohttp.TraceConfig:
     """Makes sessions tell each `CallTrace` which connection a call uses."""
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(_opening)
     trace.on_connection_create_end.append(_opened)
     trace.on_connection_reuseconn.append(_reused)
     return trace
