--- a/features/late_configurations.feature
+++ b/features/late_configurations.feature
@@ -46,7 +46,7 @@
 
   Scenario: A read waits on though another node has a newer version
     Given a gateway whose read of the configuration has waited on a silent connection for 0.5 s
-    When another node tells that it has a newer version, from 0.3 s before on
+    When another node announces a newer version, from 0.3 s before on
     Then the read is given up, and the newest records are read on a new connection
 
   Scenario Outline: A read that the store answers without the records takes them for unwritten: <answer>
--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -243,10 +243,9 @@
 
 
 @behave.when(
-    "another node tells that it has a newer version, from {before:g} s before "
-    "on"
+    "another node announces a newer version, from {before:g} s before on"
 )
-def step_newer_told(context, before):
+def step_newer_announced(context, before):
     site = context.site
     consumer = mock.Mock()
 
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -402,7 +402,7 @@
 @behave.when("the relay tells of the version {version:d}")
 def step_tells(context, version):
     told = messages.Knowledge(0, 0.0, 0, [], 0.0, version, 5, 0.0)
-    context.knowledge.told(told, ("10.0.0.2", 1), False)
+    context.knowledge.receive(told, ("10.0.0.2", 1), False)
 
 
 @behave.then("it reads the configuration, and has asked no node for it")
@@ -441,10 +441,10 @@
     now = 0.0
     with mock.patch("gypsumfold.clocks.now", lambda: now):
         while now < seconds:
-            told = [one.tell(True) for one in context.pair]
+            told = [one.outgoing(True) for one in context.pair]
             now += way / 1000
-            context.pair[0].told(told[1], ("10.0.0.2", 1), True)
-            context.pair[1].told(told[0], ("10.0.0.1", 1), True)
+            context.pair[0].receive(told[1], ("10.0.0.2", 1), True)
+            context.pair[1].receive(told[0], ("10.0.0.1", 1), True)
             now += 0.1 - way / 1000
     context.now = now
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/contact.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/contact.py
@@ -105,14 +105,14 @@
         if own:
             self.witnessed = now
 
-    def told_grace(self, between: bool, now: float) -> float:
-        """Seconds for which a missing entry is believed, as others are told.
+    def shared_grace(self, between: bool, now: float) -> float:
+        """Seconds for which a missing entry is believed, as sent to others.
 
         Two nodes that vouch for each other would know nothing of the store.
         So the word of one that calls it is passed on once.
 
         Args:
-            between: Whether those are told who might pass it on.
+            between: Whether it is sent to those who might pass it on.
             now: The time.
         """
         if not between and now - self.witnessed < PASSED_ON:
--- a/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/knowledge.py
@@ -1,6 +1,6 @@
-"""What this node knows from the store: read by itself, or told by a relay.
+"""What this node knows from the store: read by itself, or sent by a relay.
 
-`decisions/following.py` says when a node that is told reads for itself.
+`decisions/following.py` says when a node that follows a relay reads for itself.
 """
 
 import asyncio
@@ -99,11 +99,11 @@
         longest = following.SHARE * watch.following.bound
         return now - self.registrations_watch.alone_at < longest < age
 
-    def tell(self, between: bool) -> messages.Knowledge | None:
-        """What other nodes are told; None at a start.
+    def outgoing(self, between: bool) -> messages.Knowledge | None:
+        """What other nodes are sent; None at a start.
 
         Args:
-            between: Whether it is told to other relays, which tell this one.
+            between: Whether it is sent to other relays, which send to this one.
         """
         registrations = self.registrations_watch
         configuration = self.configuration_watch
@@ -116,16 +116,16 @@
             changed.append(messages.Changed(*change))
         return messages.Knowledge(
             registrations.position,
-            told_age(registrations.following, now, between),
+            sent_age(registrations.following, now, between),
             registry.digest,
             changed,
-            round(self.registrations.state.told_grace(between), 3),
+            round(self.registrations.state.shared_grace(between), 3),
             self.configurations.version(),
             configuration.position,
-            told_age(configuration.following, now, between),
+            sent_age(configuration.following, now, between),
         )
 
-    def told(
+    def receive(
         self,
         knowledge: messages.Knowledge,
         address: tuple[str, int],
@@ -134,9 +134,9 @@
         """Takes in what a relay knows.
 
         Args:
-            knowledge: What it tells.
+            knowledge: What it sent.
             address: Where it answers questions.
-            between: Whether it tells that to other relays, which is just what
+            between: Whether it sends that to other relays, which is just what
                 it has read itself.
         """
         now = clocks.now()
@@ -152,7 +152,7 @@
             )
         if knowledge.grace <= 0:
             self.registrations.state.vouch(between)
-        self.registrations.told(changes, knowledge.grace)
+        self.registrations.merge(changes, knowledge.grace)
         if self.registrations.registry.digest == knowledge.digest:
             watch.trust(knowledge.end, now - knowledge.age)
         elif knowledge.end >= watch.position:
@@ -161,9 +161,9 @@
                 self.next_question = now + ASKING
                 self.different = address
                 self.news.set()
-        self.told_configuration(knowledge, address, now)
+        self.receive_configuration(knowledge, address, now)
 
-    def told_configuration(
+    def receive_configuration(
         self,
         knowledge: messages.Knowledge,
         address: tuple[str, int],
@@ -241,7 +241,7 @@
             changes.append(
                 registry_module.Change(entry.key, entry.offset, entry.value)
             )
-        self.registrations.told_all(changes, found.end)
+        self.registrations.merge_all(changes, found.end)
 
     def registered(self) -> bytes:
         """All registrations, for a node that knows others."""
@@ -252,7 +252,7 @@
         return ENCODER.encode(questions_module.Registered(end, entries))
 
 
-def told_age(known: following.Following, now: float, between: bool) -> float:
-    """The age of what is known, as it is told."""
+def sent_age(known: following.Following, now: float, between: bool) -> float:
+    """The age of what is known, as it is sent."""
     known_at = known.read_at if between else known.known_at
     return round(min(now - known_at, watching.MOST_AGE), 3)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -264,10 +264,7 @@
             self.tell(now)
 
     def repeat(self, now: float) -> None:
-        """Tells a relay twice what has changed.
-
-        One lost datagram of forty hid a prompt for a second from all others.
-        """
+        """Sends a relay what has changed a second time: datagrams get lost."""
         if self.again and self.choice.relay is not None:
             self.again = False
             self.report(now)
@@ -450,7 +447,7 @@
         """Takes in what another node knows from the store."""
         knowledge = self.summaries.knowledge
         if told is not None and knowledge is not None:
-            knowledge.told(told, member.address, between)
+            knowledge.receive(told, member.address, between)
 
     def hear_between(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
@@ -37,9 +37,8 @@
     def close(self, engine: str, until: float, born: int = 0) -> bool:
         """Notes that an engine gets no work while it changes its role.
 
-        What was said of its last role holds no more: heard after this, it
-        would open the engine again (1,100 refused streams in 6 s, counted in
-        the logs of 73 nodes whose engines were ordered twice within 4 s).
+        What was said of its last role holds no more: received after this, it
+        would open the engine again.
 
         Returns:
             Whether that is news, not a longer time.
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/reports.py
@@ -64,7 +64,7 @@
         self, knowledge: summaries.Knowledge | None, now: float
     ) -> messages.Knowledge | None:
         """What this node knows from the store, if it is time to tell it."""
-        found = knowledge.tell(True) if knowledge is not None else None
+        found = knowledge.outgoing(True) if knowledge is not None else None
         if found is None:
             return None
         state = (found.digest, found.version)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
@@ -20,10 +20,10 @@
 class Knowledge(Protocol):
     """What this node knows from the store."""
 
-    def tell(self, between: bool) -> messages.Knowledge | None:
-        """What nodes are told that follow this one, or other relays."""
+    def outgoing(self, between: bool) -> messages.Knowledge | None:
+        """What nodes are sent that follow this one, or other relays."""
 
-    def told(
+    def receive(
         self,
         knowledge: messages.Knowledge,
         address: tuple[str, int],
@@ -77,7 +77,7 @@
         introduced = []
         if due.signs or self.count % INTRODUCING == 0:
             introduced = self.sender.introduced()
-        knowledge = self.knowledge.tell(False) if self.knowledge else None
+        knowledge = self.knowledge.outgoing(False) if self.knowledge else None
         if due.signs:
             sign = messages.Summary(
                 self.sender.contact(),
@@ -125,7 +125,7 @@
                 now, self.most_placed(len(targets), now)
             ),
             # A relay that is cut off from the store hears of it by this.
-            self.knowledge.tell(True) if self.knowledge else None,
+            self.knowledge.outgoing(True) if self.knowledge else None,
         )
         self.send(summary, targets, now)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -24,7 +24,7 @@
 # Entries that are remembered as logged already; more in one fleet are logged
 # again.
 MOST_SKIPPED = 256
-# How registrations are told from node to node.
+# Encoding of registrations in messages between nodes.
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(types.Replica)
 
@@ -33,7 +33,7 @@
     """Keeps the directory of replicas as the store has it.
 
     Attributes:
-        registry: The entries as they stand in the log, to be told to others.
+        registry: The entries as they stand in the log, to be sent to others.
         skipped: The last entry under each key that could not be used.
         unreadable: How many such entries were seen.
         changed: Called where a reading has brought something new.
@@ -98,7 +98,9 @@
             )
             self.directory.put(replica)
 
-    def told(self, changes: list[registry_module.Change], grace: float) -> None:
+    def merge(
+        self, changes: list[registry_module.Change], grace: float
+    ) -> None:
         """Takes in changes that a relay has read.
 
         Args:
@@ -122,7 +124,9 @@
                 continue
             self.directory.put(replica)
 
-    def told_all(self, changes: list[registry_module.Change], end: int) -> None:
+    def merge_all(
+        self, changes: list[registry_module.Change], end: int
+    ) -> None:
         """Takes in all entries that another node knows.
 
         Args:
@@ -131,7 +135,7 @@
         """
         present = {change.key for change in changes}
         gone = self.registry.missing(present, end - 1)
-        self.told([*changes, *gone], self.state.grace())
+        self.merge([*changes, *gone], self.state.grace())
 
     def skip(self, record: store_module.Record, reason: str) -> None:
         """Counts an entry that names no replica; logs the same one once."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/watching.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/watching.py
@@ -64,13 +64,13 @@
         """
         self.contact.vouch(own, clocks.now())
 
-    def told_grace(self, between: bool) -> float:
-        """Seconds for which a missing entry is believed, as others are told.
+    def shared_grace(self, between: bool) -> float:
+        """Seconds for which a missing entry is believed, as sent to others.
 
         Args:
-            between: Whether those are told who might pass it on.
+            between: Whether it is sent to those who might pass it on.
         """
-        return self.contact.told_grace(between, clocks.now())
+        return self.contact.shared_grace(between, clocks.now())
 
     def grace(self) -> float:
         """Seconds for which a missing entry is believed."""
