Report each account's usage once per window

Change: each node counts the requests that replicas began, by account and window, and sends the counts to two other nodes as they change. After a window's end the relay stores those of all nodes that report to it in one call; a node that is not told so stores its own. The leader totals the window and records the total under the condition that nothing was recorded since it read, then reports it with the fencing token that orders to engines already have. So a window has one total for good, and a successor repeats it to the byte.

--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -90,6 +90,8 @@
         self.version = 0
         self.routes = [PLAIN, LOOKUP, BRIEF, SWAP]
         self.accounts: list[dict[str, Any]] | None = None
+        # Sections that are added to the settings of gateways.
+        self.sections: dict[str, dict[str, Any]] = {}
         self.failed = False
         self.closing = threading.Event()
         self.heartbeats = threading.Thread(target=self.beat, daemon=True)
@@ -152,6 +154,12 @@
         answer = http.post(self["store"].url + names.JOIN_PATH, body)
         assert answer.status == 200, answer
 
+    def give_authority(self) -> None:
+        """Leaves the gateways' group, so that one of them leads."""
+        body = {"group": leadership.GROUP, "member": "a-test"}
+        answer = http.post(self["store"].url + names.LEAVE_PATH, body)
+        assert answer.status == 200, answer
+
     def write(self, topic: str, key: str, value: Any) -> None:
         """Writes a record as operators and replicas do; None drops it."""
         body = b"" if value is None else json.dumps(value).encode()
@@ -313,6 +321,7 @@
             "orders": {"lease_ms": 1500},
             "shutdown": {"grace_s": 6},
             "metrics": {"port": 8093},
+            **self.sections,
         }
         path = self.folder / f"{name}.toml"
         path.write_text(fleets.toml(sections))
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -20,6 +20,7 @@
 
 from features.support import made_up
 from features.support import virtual_engines
+from features.support import virtual_operations
 from features.support import virtual_store
 from gypsumfold import clocks
 from gypsumfold import events
@@ -28,6 +29,7 @@
 from gypsumfold.gateway import line_writer
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.platform import names
+from gypsumfold.platform import operations as operations_module
 from gypsumfold.platform import replicas as replicas_module
 from gypsumfold.platform import store as store_module
 
@@ -123,6 +125,9 @@
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
             replicas=settings_module.ReplicasSection(leaving_ms),
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
+            operations=settings_module.OperationsSection(
+                *(("10.200.0.2:1", site.duties) if site.platform else ())
+            ),
         )
         descriptor = os.open(os.devnull, os.O_WRONLY)
         with contextlib.ExitStack() as stack:
@@ -140,6 +145,14 @@
                         replicas_module, "Replicas", lambda pool: self.endpoints
                     )
                 )
+            if site.platform is not None:
+                stack.enter_context(
+                    mock.patch.object(
+                        operations_module,
+                        "Operations",
+                        lambda address: site.platform,
+                    )
+                )
             own = random.Random(f"{site.seed} {name} {site.clock()}")
             stack.enter_context(
                 mock.patch.object(random, "Random", lambda: own)
@@ -156,6 +169,15 @@
             )
         self.gateway.gossip.sender.transport = self
         self.gateway.query_client.fetch = self.ask
+        # Seconds by which the VM's time of day is ahead.
+        self.ahead = 0.0
+        self.gateway.usage.clock = self.time_of_day
+        if self.gateway.usage_reporter is not None:
+            self.gateway.usage_reporter.clock = self.time_of_day
+
+    def time_of_day(self) -> float:
+        """The VM's clock in Unix seconds."""
+        return self.site.clock() + self.ahead
 
     def start(self) -> None:
         """Starts the tasks that learn what the store and others say."""
@@ -171,6 +193,7 @@
         gateway.supervise("fetch", gateway.store_copy.fetch)
         gateway.supervise("leadership", gateway.leadership.run)
         gateway.supervise("housekeeping", gateway.housekeeping)
+        gateway.supervise_duties()
         if self.site.fleet is not None:
             gateway.supervise("liveness", gateway.liveness.run)
             gateway.supervise("crash-records", gateway.crash_records.run)
@@ -238,6 +261,8 @@
         self.log = virtual_store.Log()
         self.nodes: dict[str, Node] = {}
         self.fleet: virtual_engines.Fleet | None = None
+        self.platform: virtual_operations.Platform | None = None
+        self.duties = [names.USAGE_DUTY]
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
@@ -278,6 +303,9 @@
                 beat.cancel()
             for node in self.nodes.values():
                 await node.stop()
+            if self.platform is not None:
+                await self.platform.close()
+                await asyncio.sleep(0)
 
     def start(
         self, nodes: int, data_centres: int = 3, leaving_ms: float = 2000.0
--- /dev/null
+++ b/features/support/virtual_operations.py
@@ -0,0 +1,64 @@
+"""The platform's own API, as gateways in virtual time reach it."""
+
+import asyncio
+import json
+
+from gypsumfold import exceptions
+from gypsumfold.platform import names
+from gypsumfold_standins import duties as duties_module
+
+# Seconds that a call takes, and after which one without answer is given up.
+CALL = 0.004
+GIVEN_UP = 1.5
+
+
+class Platform:
+    """The API that all gateways of a site call.
+
+    Attributes:
+        silent: Whether nothing is answered or carried out.
+        late_share: Share of the calls that are not answered and are carried
+            out some seconds later.
+    """
+
+    def __init__(self, rng, fenced: bool = True):
+        self.rng = rng
+        self.duties = duties_module.Duties(fenced)
+        self.silent = False
+        self.late_share = 0.0
+        self.tasks: set[asyncio.Task] = set()
+
+    async def call(
+        self, path: str, body: bytes, holder: str, token: int
+    ) -> None:
+        """Takes one call.
+
+        Raises:
+            exceptions.DutyFenced: A higher token was seen.
+            exceptions.OperationsUnavailable: There is no answer.
+        """
+        await asyncio.sleep(CALL)
+        wanted = (path, json.loads(body), holder, token)
+        if self.silent or self.rng.random() < self.late_share:
+            if not self.silent:
+                self.tasks.add(asyncio.create_task(self.later(wanted)))
+            await asyncio.sleep(GIVEN_UP)
+            raise exceptions.OperationsUnavailable(path)
+        loop = asyncio.get_running_loop()
+        if self.duties.carry_out(*wanted, loop.time()) == 409:
+            raise exceptions.DutyFenced(path)
+
+    async def later(self, wanted: tuple) -> None:
+        """Carries a call out that has got no answer."""
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
+        loop = asyncio.get_running_loop()
+        self.duties.carry_out(*wanted, loop.time())
+
+    async def report_usage(self, body: bytes, holder: str, token: int) -> None:
+        """Takes a usage report."""
+        await self.call(names.USAGE_PATH, body, holder, token)
+
+    async def close(self) -> None:
+        """Forgets the calls that are not carried out yet."""
+        for task in self.tasks:
+            task.cancel()
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -22,13 +22,17 @@
     def __init__(self):
         self.topics: dict[str, list[store_module.Record]] = {}
         self.joined: dict[str, float] = {}
+        self.generation = 1
 
     def join(self, member: str, life: float, now: float) -> bool:
         """Takes a member into the group; whether it holds its partition."""
+        if member not in self.joined:
+            self.generation += 1
         self.joined[member] = now + life
         for name, until in list(self.joined.items()):
             if until < now:
                 del self.joined[name]
+                self.generation += 1
         return member == next(iter(self.joined))
 
     def entered(self, topic: str) -> set[str]:
@@ -199,6 +203,32 @@
 
         await self.call(answer)
 
+    async def put_all(
+        self, topic: str, records: list[tuple[str, bytes]]
+    ) -> None:
+        """Writes several keys."""
+
+        def answer(over: bool) -> bool:
+            for key, value in records:
+                self.log.write(topic, key, json.loads(value) if value else None)
+            return True
+
+        await self.call(answer)
+
+    async def put_at(
+        self, topic: str, key: str, value: bytes, end: int
+    ) -> int | None:
+        """Writes a key if the topic ends at an offset."""
+
+        def answer(over: bool) -> int:
+            if self.log.newest(topic).end != end:
+                return -1
+            self.log.write(topic, key, json.loads(value))
+            return end + 1
+
+        found = await self.call(answer)
+        return None if found < 0 else found
+
     async def join(
         self, group: str, member: str, topic: str, life: float, generation: int
     ) -> store_module.Membership:
@@ -207,7 +237,9 @@
 
         def answer(over: bool) -> store_module.Membership:
             holds = self.log.join(member, life, loop.time())
-            return store_module.Membership(1, frozenset([0] if holds else []))
+            return store_module.Membership(
+                self.log.generation, frozenset([0] if holds else [])
+            )
 
         return await self.call(answer)
 
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
@@ -72,6 +72,9 @@
             return refused
         topic = request.query["topic"]
         body = await request.read()
+        end = len(self.topics.get(topic, ()))
+        if request.query.get("at", str(end)) != str(end):
+            return serving.answer({"end": end}, status=412)
         place = 0
         while place < len(body):
             (size,) = LENGTH.unpack_from(body, place)
@@ -79,7 +82,8 @@
             place += 4 + size
             key = record[1 : 1 + record[0]].decode()
             await self.put(topic, key, record[1 + record[0] :])
-        return self.lose(request) or serving.answer({"offset": 0, "end": 0})
+        answer = {"offset": end, "end": len(self.topics.get(topic, ()))}
+        return self.lose(request) or serving.answer(answer)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Adds one record."""
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -168,6 +168,37 @@
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
+USAGE_UNSTORED = define(
+    431,
+    "usage-unstored",
+    "warning",
+    "Usage counts could not be written to the store; retried.",
+)
+USAGE_RECORDED = define(
+    432,
+    "usage-recorded",
+    "info",
+    "The total usage of a window is decided for good and is in the store.",
+)
+USAGE_REPORTED = define(
+    433,
+    "usage-reported",
+    "info",
+    "The platform has accepted the usage of a window.",
+)
+USAGE_FENCED = define(
+    434,
+    "usage-fenced",
+    "warning",
+    "The platform refused a usage report, as another node has reported with a "
+    "higher fencing token.",
+)
+USAGE_DELAYED = define(
+    435,
+    "usage-delayed",
+    "warning",
+    "A window's usage could not be totalled or reported; retried.",
+)
 ENDPOINT_HEARD = define(
     300, "endpoint-heard", "info", "An endpoint answers its load polls."
 )
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -49,6 +49,14 @@
     """A record on the log cannot be decoded."""
 
 
+class OperationsUnavailable(PlatformError):
+    """The platform's own API refused a call, failed or did not answer."""
+
+
+class DutyFenced(PlatformError):
+    """The platform has seen a higher fencing token for the same duty."""
+
+
 class VMListUnavailable(PlatformError):
     """The platform's list of VMs could not be read."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -18,6 +18,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import client_keys
+from gypsumfold.decisions import metering
 from gypsumfold.decisions import polling
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import read_timeouts
@@ -44,9 +45,11 @@
 from gypsumfold.gateway import store_copy as store_copy_module
 from gypsumfold.gateway import topic_watches
 from gypsumfold.gateway import types
+from gypsumfold.gateway import usage_reports
 from gypsumfold.gateway.peers import gossip as gossip_module
 from gypsumfold.gateway.peers import queries
 from gypsumfold.platform import names
+from gypsumfold.platform import operations as operations_module
 from gypsumfold.platform import replicas
 from gypsumfold.platform import store as store_module
 
@@ -124,6 +127,33 @@
             self.prefix_router,
             self.quarantine,
         )
+        self.leadership = leadership_module.Leadership(
+            settings, self.store, self.store_state, self.member
+        )
+        self.operations: operations_module.Operations | None = None
+        if settings.operations.address:
+            self.operations = operations_module.Operations(
+                settings.operations.address
+            )
+        self.usage_reporter: usage_reports.UsageReporter | None = None
+        if names.USAGE_DUTY in settings.operations.duties and self.operations:
+            self.usage_reporter = usage_reports.UsageReporter(
+                self.store,
+                self.operations,
+                self.leadership,
+                usage_policy(settings),
+                settings.node.name,
+                self.store_state.contact_since,
+            )
+        self.gossip = gossip_module.Gossip(
+            settings,
+            self.store,
+            self.prefix_router,
+            self.leadership,
+            self.directory,
+            self.quarantine,
+        )
+        self.usage = self.gossip.usage
         self.authenticator = authentication.Authenticator(
             self.configurations, key_policy(settings), self.assess_keys
         )
@@ -140,19 +170,9 @@
             self.generations,
             self.counters,
             self.authenticator,
+            self.usage,
         )
         self.server = server_module.Server(self.handler, self.configurations)
-        self.leadership = leadership_module.Leadership(
-            settings, self.store, self.store_state, self.member
-        )
-        self.gossip = gossip_module.Gossip(
-            settings,
-            self.store,
-            self.prefix_router,
-            self.leadership,
-            self.directory,
-            self.quarantine,
-        )
         self.crash_records = crash_records_module.CrashRecords(
             self.store, self.quarantine, self.gossip.is_store_reader
         )
@@ -319,6 +339,7 @@
         if not self.settings.node.first_start:
             self.supervise("cache-lists", self.cache_lists.run)
             self.supervise("crash-records-read", self.crash_records.read)
+        self.supervise_duties()
         await self.serve(self.query_handler.handle, self.settings.peers.address)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
@@ -329,6 +350,13 @@
             )
         events.log(events.NODE_STARTED, incarnation=self.member)
 
+    def supervise_duties(self) -> None:
+        """Starts the tasks of the platform's duties."""
+        if self.usage_reporter is not None:
+            self.supervise("usage", self.usage.run)
+            self.supervise("usage-updates", self.usage.run_updates)
+            self.supervise("usage-reports", self.usage_reporter.run)
+
     async def serve(
         self, handle: Callable[..., Awaitable], address: str
     ) -> None:
@@ -477,11 +505,15 @@
         await self.server.stop_listening()
         end = started + grace - FINAL_ANSWER_SECONDS
         await self.server.wait_until_idle(end - time.monotonic())
+        if self.usage_reporter is not None:
+            await self.usage.flush()
         for task in self.tasks.values():
             task.cancel()
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
         self.pool.close()
         await self.session.close()
+        if self.operations is not None:
+            await self.operations.close()
         await self.store.close()
         events.log(events.NODE_STOPPED)
         self.lines.flush()
@@ -499,6 +531,12 @@
     return client_keys.Policy(accounts.strict, accounts.max_age_ms / 1000)
 
 
+def usage_policy(settings: settings_module.Settings) -> metering.Policy:
+    """Returns how usage is reported, from the settings."""
+    usage = settings.usage
+    return metering.Policy(usage.window_s, usage.due_s)
+
+
 def modified_at(path: pathlib.Path) -> int:
     """Returns a file's modification time in ns; 0 if it cannot be read."""
     try:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -45,10 +45,12 @@
         directory: directory_module.Directory,
         quarantine: quarantine_module.Quarantine,
         run: runs_module.Run,
+        progress: progress_module.Progress,
     ):
         self.directory = directory
         self.quarantine = quarantine
         self.run = run
+        self.progress = progress
 
     def bytes_received(self) -> None:
         """Records that the engine is alive."""
@@ -58,6 +60,7 @@
 
     def output_forwarded(self) -> None:
         """Records that output was sent to the caller."""
+        self.progress.record_begin()
         self.quarantine.record_output(self.run)
 
 
@@ -346,7 +349,9 @@
                 raise exceptions.EndpointRefused(
                     f"the engine answered {answer.status}"
                 )
-            listener = EngineListener(self.directory, self.quarantine, run)
+            listener = EngineListener(
+                self.directory, self.quarantine, run, progress
+            )
             await stream.forward(answer, progress, listener)
         finally:
             answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -44,6 +44,7 @@
         generations: generations_module.Generations,
         observer: Observer,
         authenticator: authentication.Authenticator,
+        usage: progress_module.Usage,
     ):
         self.configurations = configurations
         self.budget = budget
@@ -51,6 +52,7 @@
         self.generations = generations
         self.observer = observer
         self.authenticator = authenticator
+        self.usage = usage
 
     async def serve(self, call: types.Call, reply: replies.Reply) -> None:
         """Answers a request.
@@ -83,7 +85,7 @@
         route, call = await self.authenticator.admit(configuration, route, call)
         limit = min(call.deadline, call.arrival + route.limit)
         call = call._replace(deadline=limit)
-        progress = progress_module.Progress(call)
+        progress = progress_module.Progress(call, self.usage)
         service = route.pick_service(call.id)
         self.budget.record_request(service, time.monotonic())
         outcome = "cancelled"
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -20,6 +20,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import bandwidth
 from gypsumfold.decisions import members as members_module
+from gypsumfold.decisions import metering
 from gypsumfold.decisions import node_count as node_count_module
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import relays as relays_module
@@ -29,6 +30,7 @@
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
+from gypsumfold.gateway import usage as usage_module
 from gypsumfold.gateway.peers import crash_updates as crash_updates_module
 from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import loads as loads_module
@@ -59,6 +61,8 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
+# Other nodes that keep copies of a node's usage counts.
+USAGE_COPIES = 2
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -94,6 +98,12 @@
         self.relaying = relaying_module.Relaying(self.members)
         self.loads = loads_module.Loads(prefix_router, directory)
         self.outbox = outbox_module.Outbox()
+        self.usage = usage_module.Usage(
+            store,
+            self.member,
+            metering.Policy(settings.usage.window_s, settings.usage.due_s),
+            self,
+        )
         self.sealer = seals.Sealer(settings.peers.keys)
         self.sender = sending.Sender(self.members, self.sealer)
         self.quarantine = quarantine
@@ -393,7 +403,11 @@
         )
         self.members.observe(member, now)
         self.entries.others.observe(member)
-        if isinstance(message, messages.CrashUpdate):
+        if isinstance(message, messages.UsageUpdate):
+            self.usage.receive(message)
+        elif isinstance(message, messages.UsageStored):
+            self.usage.receive_stored(message)
+        elif isinstance(message, messages.CrashUpdate):
             self.quarantine.merge_message(message)
         elif isinstance(message, messages.Report):
             self.receive_report(member, message, now)
@@ -613,6 +627,46 @@
                 found.append(subscriber.member)
         return found
 
+    def usage_receivers(self) -> list[members_module.Member]:
+        """Returns the nodes that keep copies of this node's usage counts."""
+        if self.meshed:
+            return self.ranked_peers()[:USAGE_COPIES]
+        choice = self.choice
+        if choice.relay is None:
+            own = self.members.own
+            ranked = self.members.ranked(own.data_centre)
+            others = [one for one in ranked if one.name != own.name]
+            return others[: USAGE_COPIES - 1]
+        if choice.standby is None:
+            return [choice.relay]
+        return [choice.relay, choice.standby]
+
+    def ranked_peers(self) -> list[members_module.Member]:
+        """Returns the other nodes of a mesh, the highest ranked first."""
+        return sorted(
+            self.members.known.values(), key=members_module.score, reverse=True
+        )
+
+    def usage_is_relayed_here(self) -> bool:
+        """Whether this node stores the usage counts of others."""
+        if not self.meshed:
+            return self.choice.relay is None
+        ranked = self.ranked_peers()
+        own = members_module.score(self.members.own)
+        return not ranked or own > members_module.score(ranked[0])
+
+    def send_usage(self, index: int, counts: dict[str, int]) -> None:
+        """Sends this node's usage counts to those that keep copies."""
+        self.sender.send_usage(index, counts, self.usage_receivers())
+
+    def send_usage_stored(self, index: int, versions: dict[str, int]) -> None:
+        """Sends other nodes which of their usage counts are stored."""
+        self.sender.send_usage_stored(index, versions, self.usage_receivers())
+        for name, version in versions.items():
+            member = self.members.known.get(name)
+            if member is not None:
+                self.sender.send_usage_stored(index, {name: version}, [member])
+
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -249,6 +249,42 @@
     canaries: list[Canary] = []
 
 
+class UsageUpdate(msgspec.Struct, array_like=True, tag=4):
+    """The requests of each account that began through the sender.
+
+    Attributes:
+        sender: The sending node.
+        sequence: Increases with each message of the sender.
+        window: Number of the window.
+        counts: Requests by account.
+    """
+
+    sender: Contact
+    sequence: int
+    window: Count
+    counts: dict[str, Count]
+
+
+class UsageStored(msgspec.Struct, array_like=True, tag=5):
+    """Which counts of a window the sender has stored.
+
+    Attributes:
+        sender: The sending node.
+        sequence: Increases with each message of the sender.
+        window: Number of the window.
+        versions: Sum of the stored counts, by incarnation of a node.
+    """
+
+    sender: Contact
+    sequence: int
+    window: Count
+    versions: dict[str, Count]
+
+
+# Any message between nodes.
+Message = Report | Summary | CrashUpdate | UsageUpdate | UsageStored
+
+
 # What a report asks its receiver for: nothing, since its sender reports to
 # every node; only to note the sender; a heartbeat once a second; or all
 # summaries.
@@ -277,12 +313,12 @@
     suspected: bool = False
 
 
-DECODER = msgspec.msgpack.Decoder(Report | Summary | CrashUpdate)
+DECODER = msgspec.msgpack.Decoder(Message)
 # Raised by decoding for invalid bytes and for messages nested too deeply.
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
-def decode_message(data: bytes) -> Report | Summary | CrashUpdate:
+def decode_message(data: bytes) -> Message:
     """Decodes a peer's message.
 
     Raises:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/sending.py
@@ -10,6 +10,8 @@
 
 # Nodes of its data centre that a relay lists to those that report to it.
 MAX_INTRODUCED = 3
+# Entries of 60 bytes at most in one datagram.
+MAX_VERSIONS_PER_DATAGRAM = 18
 
 
 class Sender:
@@ -101,6 +103,38 @@
         self.send("crashes", data, receivers)
         return len(data) * len(receivers)
 
+    def send_usage(
+        self,
+        window: int,
+        counts: dict[str, int],
+        receivers: list[members_module.Member],
+    ) -> None:
+        """Sends counts of usage; too many for a datagram are not sent."""
+        self.sequence += 1
+        message = messages.UsageUpdate(
+            self.own_contact(), self.sequence, window, counts
+        )
+        data = frames.encode(message, self.sealer)
+        if len(data) <= messages.MAX_DATAGRAM_BYTES:
+            self.send("usage", data, receivers)
+
+    def send_usage_stored(
+        self,
+        window: int,
+        versions: dict[str, int],
+        receivers: list[members_module.Member],
+    ) -> None:
+        """Sends which counts of usage are stored, in parts if needed."""
+        rows = list(versions.items())
+        for start in range(0, len(rows), MAX_VERSIONS_PER_DATAGRAM):
+            self.sequence += 1
+            part = dict(rows[start : start + MAX_VERSIONS_PER_DATAGRAM])
+            message = messages.UsageStored(
+                self.own_contact(), self.sequence, window, part
+            )
+            data = frames.encode(message, self.sealer)
+            self.send("usage", data, receivers)
+
     def own_contact(self) -> messages.Contact:
         """Returns this node's own contact, without its address."""
         own = self.members.own
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -122,9 +122,11 @@
         progress.record_sent(replica, route=route.name)
         run = runs_module.Run(progress.fingerprint, replica, is_prefill=False)
         self.quarantine.record_start(run)
+        sent_at = time.time()
         try:
             async with asyncio.timeout(limit):
                 answer = await self.exchange(replica, progress)
+            progress.record_begin(sent_at)
             self.quarantine.record_completion(run)
             return answer
         except TimeoutError as error:
@@ -138,6 +140,7 @@
                 self.directory.request_refused(replica.instance, error, now)
             raise
         except exceptions.AnswerBroken as error:
+            progress.record_begin(sent_at)
             self.quarantine.record_interruption(run)
             self.record_failure(replica, progress, str(error), error)
             raise
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -1,6 +1,7 @@
 """The state of one request while it is served."""
 
 import time
+from typing import Protocol
 
 from gypsumfold import events
 from gypsumfold import exceptions
@@ -14,6 +15,13 @@
 RETRY_AFTER_SECONDS = 0.5
 
 
+class Usage(Protocol):
+    """Counts requests that began to run."""
+
+    def add(self, account: str, at: float | None = None) -> None:
+        """Counts a request of an account that began at a Unix time."""
+
+
 class Progress:
     """Tracks the attempts at a request, so that its final answer is correct.
 
@@ -26,10 +34,13 @@
         prefill_address: Address of the engine that ran the prefill; empty
             before that.
         handle: KV cache of the prompt that is not fetched yet.
+        has_begun: Whether a replica has begun to run it.
     """
 
-    def __init__(self, call: types.Call):
+    def __init__(self, call: types.Call, usage: Usage | None = None):
         self.call = call
+        self.usage = usage
+        self.has_begun = False
         self.fingerprint = fingerprints.fingerprint(call)
         self.may_have_run = False
         self.answer_started = False
@@ -96,6 +107,18 @@
             **inputs,
         )
 
+    def record_begin(self, at: float | None = None) -> None:
+        """Records that a replica has begun to run the request.
+
+        Args:
+            at: When it began, in Unix seconds; None for now.
+        """
+        if self.has_begun:
+            return
+        self.has_begun = True
+        if self.usage is not None:
+            self.usage.add(self.call.account, at)
+
     def record_not_run(self, replica: types.Replica) -> None:
         """Reverts `record_sent`: the replica ran nothing."""
         self.runs -= 1
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -139,6 +139,30 @@
     lease_ms: float = 3000.0
 
 
+class OperationsSection(settings_module.Section):
+    """The platform's own API.
+
+    Attributes:
+        address: IP:PORT; empty if there is none.
+        duties: What one node at a time calls it for.
+    """
+
+    address: str = ""
+    duties: list[str] = []
+
+
+class UsageSection(settings_module.Section):
+    """Reports of each account's usage.
+
+    Attributes:
+        window_s: Seconds of a window.
+        due_s: Seconds from a window's end until its report is due.
+    """
+
+    window_s: Seconds = 5.0
+    due_s: Seconds = 10.0
+
+
 class ShutdownSection(settings_module.Section):
     """The graceful shutdown.
 
@@ -172,6 +196,8 @@
     accounts: AccountsSection = AccountsSection()
     retries: RetriesSection = RetriesSection()
     orders: OrdersSection = OrdersSection()
+    operations: OperationsSection = OperationsSection()
+    usage: UsageSection = UsageSection()
     shutdown: ShutdownSection = ShutdownSection()
     metrics: MetricsSection = MetricsSection()
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -58,6 +58,11 @@
         if seconds is not None:
             events.log(events.STORE_REGAINED, seconds=round(seconds, 3))
 
+    def contact_since(self) -> float:
+        """Returns when the present contact began, by `clocks.now`."""
+        since = self.contact.connected_since
+        return clocks.now() if since is None else since
+
     def confirm_relayed(self, direct: bool) -> None:
         """Records another node's confirmation that the store was reachable.
 
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -0,0 +1,222 @@
+"""Reports each account's usage to the platform while this node is the leader.
+
+The total of a window is recorded in the store before it is reported, under the
+condition that nothing was recorded since the records were last read. So every
+window has one total for good, whichever nodes believe that they lead, and a
+report that arrives late or twice repeats the same one.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from gypsumfold import clocks
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold.decisions import metering
+from gypsumfold.decisions import polling
+from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import usage as usage_module
+from gypsumfold.platform import names
+from gypsumfold.platform import operations as operations_module
+from gypsumfold.platform import store as store_module
+
+# Seconds between two checks whether a window is due; a check makes no call.
+CHECK_INTERVAL_SECONDS = 0.25
+# Records of totals that are kept in the store: each window replaces the one of
+# as many windows before.
+RECORD_SLOTS = 16
+# Windows after which counts are deleted.
+EXPIRED_WINDOWS = 2 * metering.KEPT_WINDOWS
+
+
+class UsageReporter:
+    """Totals and reports windows of usage.
+
+    Attributes:
+        recorded: Reports by window, as they are in the store.
+        confirmed: Windows whose report was accepted.
+        position: End of the topic of totals when it was last read; None if it
+            has to be read again.
+        refused_token: Fencing token that the platform has refused.
+
+    >>> reporter = UsageReporter(
+    ...     store, operations, leadership, policy, node="edge-1",
+    ...     contact_since=lambda: 0.0
+    ... )
+    >>> await reporter.run()
+    """
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        operations: operations_module.Operations,
+        leadership: leadership_module.Leadership,
+        policy: metering.Policy,
+        node: str,
+        contact_since: Callable[[], float],
+    ):
+        self.store = store
+        self.operations = operations
+        self.leadership = leadership
+        self.policy = policy
+        self.node = node
+        self.contact_since = contact_since
+        self.clock = time.time
+        self.recorded: dict[int, bytes] = {}
+        self.confirmed: set[int] = set()
+        self.position: int | None = None
+        self.refused_token = -1
+
+    async def run(self) -> None:
+        """Reports for as long as the node runs."""
+        failures = 0
+        while True:
+            try:
+                await self.check()
+                failures = 0
+            except exceptions.PlatformError as error:
+                failures += 1
+                self.position = None
+                events.log(
+                    events.USAGE_DELAYED, failures=failures, reason=str(error)
+                )
+                await asyncio.sleep(
+                    polling.retry_delay(failures, random.random())
+                )
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+
+    def token(self) -> int | None:
+        """Returns the fencing token to report with; None if not the leader."""
+        token = self.leadership.token(time.monotonic())
+        if token is None or token <= self.refused_token:
+            return None
+        return token
+
+    async def check(self) -> None:
+        """Records and reports the windows that are due.
+
+        Raises:
+            exceptions.PlatformError: A call failed; it may have taken effect.
+        """
+        if self.token() is None:
+            self.position = None
+            return
+        now = self.clock()
+        regained_at = now - (clocks.now() - self.contact_since())
+        steps = metering.due_steps(
+            self.recorded, self.confirmed, regained_at, now, self.policy
+        )
+        if not steps:
+            return
+        if self.position is None:
+            await self.read_recorded()
+        for step in steps:
+            if step.index not in self.recorded:
+                await self.record(step.index)
+            await self.report(step.index)
+
+    async def read_recorded(self) -> None:
+        """Reads the totals that were recorded so far."""
+        page = await self.store.newest(names.USAGE_TOTALS_TOPIC)
+        for record in page.records:
+            if not record.value:
+                continue
+            index = operations_module.window_of(record.value)
+            self.recorded[index] = record.value
+        self.position = page.end
+
+    async def record(self, index: int) -> None:
+        """Totals a window and records it, unless another node has.
+
+        Raises:
+            exceptions.PlatformError: A call failed; the total may be recorded.
+        """
+        copies = await self.read_counts(index)
+        counts = metering.total(index, copies)
+        value = operations_module.encode_usage(index, counts)
+        end = await self.store.put_at(
+            names.USAGE_TOTALS_TOPIC,
+            str(index % RECORD_SLOTS),
+            value,
+            self.position,
+        )
+        if end is None:
+            # Another node has recorded something meanwhile.
+            self.position = None
+            raise exceptions.LogUnavailable("another node records totals")
+        self.position = end
+        self.recorded[index] = value
+        events.log(
+            events.USAGE_RECORDED,
+            window=index,
+            requests=sum(counts.values()),
+            accounts=len(counts),
+            nodes=len(copies.counts),
+            late=round(self.clock() - self.policy.end(index), 3),
+        )
+        self.forget(index)
+
+    async def read_counts(self, index: int) -> metering.UsageCopies:
+        """Reads all nodes' counts of a window; deletes expired records."""
+        page = await self.store.newest(names.USAGE_TOPIC)
+        found = metering.UsageCopies(self.policy)
+        expired = []
+        for record in page.records:
+            window = usage_module.window_of(record.key)
+            if window <= index - EXPIRED_WINDOWS:
+                expired.append((record.key, b""))
+            if window != index:
+                continue
+            try:
+                members = usage_module.decode_counts(record.value)
+            except exceptions.RecordInvalid as error:
+                events.log(
+                    events.RECORD_SKIPPED, key=record.key, reason=str(error)
+                )
+                continue
+            for member, counts in members.items():
+                found.merge(member, index, counts)
+        if expired:
+            await self.store.put_all(names.USAGE_TOPIC, expired)
+        return found
+
+    async def report(self, index: int) -> None:
+        """Sends a recorded window to the platform.
+
+        Raises:
+            exceptions.PlatformError: It may or may not have been accepted.
+        """
+        token = self.token()
+        if token is None:
+            return
+        try:
+            await self.operations.report_usage(
+                self.recorded[index], self.node, token
+            )
+        except exceptions.DutyFenced as error:
+            self.refused_token = token
+            events.log(
+                events.USAGE_FENCED,
+                window=index,
+                token=token,
+                reason=str(error),
+            )
+            return
+        self.confirmed.add(index)
+        events.log(
+            events.USAGE_REPORTED,
+            window=index,
+            token=token,
+            late=round(self.clock() - self.policy.end(index), 3),
+        )
+
+    def forget(self, newest: int) -> None:
+        """Drops windows that can no longer be reported."""
+        for index in list(self.recorded):
+            if index <= newest - RECORD_SLOTS:
+                del self.recorded[index]
+        self.confirmed = {
+            index for index in self.confirmed if index > newest - RECORD_SLOTS
+        }
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -75,6 +75,13 @@
 HANDLE_PATH = "/v1/kv-handle/"
 CACHE_LIST_PATH = "/v1/kv-list"
 
+# Calls to the platform that one node at a time makes, and their headers.
+USAGE_PATH = "/usage"
+DUTY_HOLDER = "Duty-Holder"
+FENCING_TOKEN = "Fence-Token"
+# Duties as the settings list them.
+USAGE_DUTY = "metering"
+
 # Calls to the store, and its topics and keys.
 APPEND_PATH = "/v1/log-append"
 READ_PATH = "/v1/log-read"
@@ -94,6 +101,8 @@
 REGISTRATIONS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.gypsumfold-nodes"
 CRASHES_TOPIC = "keyed.gypsumfold-crashes"
+USAGE_TOPIC = "keyed.gypsumfold-usage"
+USAGE_TOTALS_TOPIC = "keyed.gypsumfold-usage-totals"
 
 ROUTE_KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -0,0 +1,96 @@
+"""The client of the platform's own API: usage reports."""
+
+import aiohttp
+import msgspec
+
+from gypsumfold import exceptions
+from gypsumfold.platform import names
+
+# Time limit of one call in seconds.
+CALL_TIMEOUT_SECONDS = 1.5
+
+
+class UsageRecord(msgspec.Struct):
+    """The requests of each account in one window."""
+
+    window: int = msgspec.field(name="windowSeq")
+    counts: dict[str, int]
+
+
+class Operations:
+    """Calls that only the holder of a duty may make.
+
+    >>> operations = Operations("10.200.0.2:8287")
+    >>> await operations.report_usage(body, "edge-1", token=7)
+    """
+
+    def __init__(self, address: str):
+        self.base = f"http://{address}"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=4, force_close=True)
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.session.close()
+
+    async def report_usage(self, body: bytes, holder: str, token: int) -> None:
+        """Reports the usage of one window.
+
+        Args:
+            body: An encoded report.
+            holder: Name of this node.
+            token: Fencing token of the authority.
+
+        Raises:
+            exceptions.DutyFenced: Another node has used a higher token.
+            exceptions.OperationsUnavailable: The report may or may not have
+                been accepted.
+        """
+        await self.call(names.USAGE_PATH, body, holder, token)
+
+    async def call(
+        self, path: str, body: bytes, holder: str, token: int
+    ) -> None:
+        """Makes one call.
+
+        Raises:
+            exceptions.DutyFenced: Another node has used a higher token.
+            exceptions.OperationsUnavailable: It failed or timed out.
+        """
+        headers = {
+            names.DUTY_HOLDER: holder,
+            names.FENCING_TOKEN: str(token),
+            "Content-Type": "application/json",
+        }
+        limit = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
+        try:
+            async with self.session.post(
+                self.base + path, data=body, headers=headers, timeout=limit
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise exceptions.OperationsUnavailable(
+                f"{path}: {type(error).__name__}: {error}"
+            ) from error
+        if response.status == 409:
+            raise exceptions.DutyFenced(f"{path}: token {token}")
+        if response.status != 200:
+            raise exceptions.OperationsUnavailable(f"{path}: {response.status}")
+
+
+def encode_usage(window: int, counts: dict[str, int]) -> bytes:
+    """Encodes a report of usage."""
+    return msgspec.json.encode(UsageRecord(window, counts))
+
+
+def window_of(body: bytes) -> int:
+    """Returns the window of an encoded report.
+
+    Raises:
+        exceptions.RecordInvalid: It is malformed.
+    """
+    try:
+        return msgspec.json.decode(body, type=UsageRecord).window
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise exceptions.RecordInvalid(str(error)) from error
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -68,6 +68,16 @@
     """The requested records were deleted; read the newest ones instead."""
 
 
+class ConditionFailed(exceptions.PlatformError):
+    """The condition of a write does not hold; nothing was written."""
+
+
+class AppendAnswer(msgspec.Struct):
+    """The answer to an append: the topic's end after it."""
+
+    end: int
+
+
 class NewestItem(msgspec.Struct):
     """A record of a page of newest records."""
 
@@ -235,12 +245,46 @@
         Raises:
             exceptions.LogUnavailable: It may or may not have been written.
         """
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
-        data = RECORD_LENGTH.pack(len(record)) + record
+        await self.put_all(topic, [(key, value)])
+
+    async def put_all(
+        self, topic: str, records: list[tuple[str, bytes]]
+    ) -> None:
+        """Writes several keys of a keyed topic, all of them or none.
+
+        Raises:
+            exceptions.LogUnavailable: They may or may not have been written.
+        """
         query = {"topic": topic, "part": "0"}
+        data = b"".join(_encode_record(*record) for record in records)
         await self.call("POST", names.APPEND_PATH, query, data)
 
+    async def put_at(
+        self, topic: str, key: str, value: bytes, end: int
+    ) -> int | None:
+        """Writes a key only if the topic still ends at an offset.
+
+        Args:
+            topic: The topic.
+            key: The key.
+            value: Its value.
+            end: The offset.
+
+        Returns:
+            The topic's new end; None if it ended elsewhere, so that nothing
+            was written.
+
+        Raises:
+            exceptions.LogUnavailable: It may or may not have been written.
+        """
+        query = {"topic": topic, "part": "0", "at": str(end)}
+        data = _encode_record(key, value)
+        try:
+            body = await self.call("POST", names.APPEND_PATH, query, data)
+        except ConditionFailed:
+            return None
+        return _decode(body, AppendAnswer).end
+
     async def join(
         self,
         group: str,
@@ -294,6 +338,7 @@
 
         Raises:
             HistoryLost: The store has deleted the requested records.
+            ConditionFailed: The condition of a write does not hold.
             exceptions.ConnectionLost: A reused connection did not answer.
             exceptions.LogUnavailable: The store refused, failed or timed out.
         """
@@ -321,11 +366,20 @@
             ) from error
         if response.status == 410:
             raise HistoryLost(path)
+        if response.status == 412:
+            raise ConditionFailed(path)
         if response.status != 200:
             raise exceptions.LogUnavailable(f"{path}: {response.status}")
         return data
 
 
+def _encode_record(key: str, value: bytes) -> bytes:
+    """Encodes a record of a keyed topic."""
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return RECORD_LENGTH.pack(len(record)) + record
+
+
 def _decode_record(body: bytes, position: int) -> tuple[Record, int]:
     """Decodes the record at a position; returns it and the next position."""
     if position + RECORD_LENGTH.size >= len(body):
