Let requests wait at a node that was paused until it has asked again

Change: a node that notices a pause of its own checks lets requests wait up to 1.5 s until the log or a peer has answered again. A node that starts, or that finds nobody afterwards, refuses as before.

--- a/features/path.feature
+++ b/features/path.feature
@@ -14,3 +14,8 @@
     Then a change of configuration comes into force at each node
     And a plain call through each node is answered and ran once
     And each node logged event 402 for each of those streams
+
+  Scenario: A node that was not run for seconds refuses the calls that waited at it
+    Given a path of 3 nodes, 1 engines and 1 plain service
+    When 8 calls wait at each node in turn, which is not run for 5 s
+    Then each of these calls was answered
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,5 +1,8 @@
 """Steps on the whole path through real processes."""
 
+import concurrent.futures
+import time
+
 import behave
 from features.support import deployments
 from features.support import fleets
@@ -101,3 +104,28 @@
 
     for node in context.fleet.nodes.values():
         context.fleet.until(lambda node=node: streams(node) == set(STREAMS))
+
+
+@behave.when(
+    "{calls:d} calls wait at each node in turn, which is not run for "
+    "{seconds:g} s"
+)
+def step_stalled(context, calls, seconds):
+    context.answers = []
+    with concurrent.futures.ThreadPoolExecutor(calls) as pool:
+        for name, node in context.fleet.nodes.items():
+            node.freeze()
+            waiting = []
+            for number in range(calls):
+                body = f"{name} {number}"
+                waiting.append(pool.submit(deployments.call, node, body))
+            time.sleep(seconds)
+            node.thaw()
+            for call in waiting:
+                context.answers.append(call.result())
+
+
+@behave.then("each of these calls was answered")
+def step_all_answered(context):
+    statuses = [answer.status for answer in context.answers]
+    assert set(statuses) == {200}, statuses
--- a/packages/gypsumfold/src/gypsumfold/callers/server.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/server.py
@@ -127,7 +127,7 @@
         """Finds the account; refuses requests if this node is not ready."""
         if request.path in OPEN_PATHS:
             return await handler(request)
-        if not self.node.is_serving():
+        if not await self.node.wait_until_serving():
             error = exceptions.Unavailable(
                 "this node is not ready", outcomes.Outcome.NOT_RUN, 1.0
             )
--- a/packages/gypsumfold/src/gypsumfold/node.py
+++ b/packages/gypsumfold/src/gypsumfold/node.py
@@ -143,6 +143,10 @@
         """
         return self.replication.is_fresh()
 
+    async def wait_until_serving(self) -> bool:
+        """Waits for a node that was paused; returns whether it serves."""
+        return await self.replication.wait_until_fresh()
+
     def make_heartbeat(self):
         """Builds the heartbeat that describes this node to its peers."""
         return framing.peers_thrift.Heartbeat(
--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 
@@ -31,6 +32,9 @@
 # Seconds after which the last check no longer counts: the process was paused,
 # and its state may be stale.
 CHECK_EXPIRY_SECONDS = 1.0
+# Seconds that requests wait at a node that was paused, until it has asked the
+# log or a peer again.
+RESUME_SECONDS = 1.5
 # Timeout of one pull: a page of at most half a frame over a short distance.
 PULL_TIMEOUT_SECONDS = 2.0
 # Entries or snapshot data in one reply. A single batch on the log has at most
@@ -80,6 +84,7 @@
         self.incarnation = incarnation
         self.freshness = config_freshness_module.ConfigFreshness()
         self.checked_at = 0.0
+        self.resumed_at = -math.inf
         self.served_snapshot: tuple[int, bytes] = (-1, b"")
         peers.handle("config.pull", thrift.ConfigPull, self.serve)
         configuration.watch(log_outcome)
@@ -91,6 +96,27 @@
             return False
         return self.freshness.fresh
 
+    def is_resuming(self) -> bool:
+        """Whether the node was paused and has yet to ask others again."""
+        now = clocks.now()
+        if not self.freshness.settled:
+            return False
+        if now - self.checked_at > CHECK_EXPIRY_SECONDS:
+            return True
+        return now - self.resumed_at <= RESUME_SECONDS
+
+    async def wait_until_fresh(self) -> bool:
+        """Waits while the node resumes; returns whether it may serve.
+
+        After a pause of the process all it knows is old, although it may not
+        be cut off from anyone.
+        """
+        while not self.is_fresh():
+            if not self.is_resuming():
+                return False
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        return True
+
     def revision(self) -> int:
         """Returns the revision to report to peers; -1 until it is settled."""
         return self.configuration.revision if self.freshness.settled else -1
@@ -162,7 +188,10 @@
             self.tail.last_seen or None,
             tuple(peers),
         )
-        self.checked_at = clocks.now()
+        now = clocks.now()
+        if now - self.checked_at > CHECK_EXPIRY_SECONDS:
+            self.resumed_at = now
+        self.checked_at = now
         self.freshness.update(view, self.checked_at)
 
     def sources(self) -> list[str]:
