Let a keyed call wait while its node opens a new connection to the log

Change: a keyed call waits up to 1 s after the loss, and half of its time at most, for a read to be answered; a log that stays away is refused as before. The silence is now measured by the clock that the last answer was noted by.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -105,3 +105,16 @@
     When all open connections from the nodes to the services go silent
     Then a call through each node is answered with and without a key
     And the call ran once
+
+  @promise-6
+  Scenario Outline: A keyed call is refused while a new connection to the log is opened: <log>
+    Given a node that has lost the log <lost> s ago
+    When a keyed call comes, and the log is <log>
+    Then the call is <end> within 1.1 s
+
+    Examples:
+      | lost | log                     | end     |
+      | 0.0  | back after 0.4 s        | claimed |
+      | 0.3  | back after 0.4 s        | claimed |
+      | 0.0  | not back                | refused |
+      | 20.0 | not back                | refused |
--- a/packages/gypsumfold/src/gypsumfold/callers/keyed_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/keyed_calls.py
@@ -11,6 +11,7 @@
 import time
 
 from gypsumfold import claims as claims_module
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import outcomes
@@ -31,6 +32,10 @@
 # How long the log may be silent before keyed calls are refused at once. A reset
 # connection alone is replaced within half a second.
 MAX_LOG_SILENCE_SECONDS = 2.0
+# How long a keyed call waits for the first reads after one has failed: a silent
+# connection is noticed only by its time limit, and a new one works at once.
+RECONNECT_SECONDS = 1.0
+LOG_CHECK_SECONDS = 0.02
 
 AccountKey = tuple[str, str]
 
@@ -177,7 +182,7 @@
         age = self.claims.age(attempt.claim.key, now)
         if age != claims_module.Age.VALID:
             raise key_errors.out_of_window(age)
-        if not self.is_log_readable():
+        if not await self.wait_for_log(attempt):
             raise key_errors.claim_failed("the log cannot be read")
         timeout = min(self.claim_timeout, attempt.time_left)
         try:
@@ -194,9 +199,23 @@
             ) from error
         attempt.read_back = True
 
+    async def wait_for_log(self, attempt: Attempt) -> bool:
+        """Waits for a log that was lost a moment ago; whether it is readable.
+
+        Args:
+            attempt: The attempt, which waits for half of its time at most.
+        """
+        limit = self.tail.lost_at + RECONNECT_SECONDS
+        end = clocks.now() + attempt.time_left / 2
+        while not self.is_log_readable():
+            if clocks.now() > min(limit, end):
+                return False
+            await asyncio.sleep(LOG_CHECK_SECONDS)
+        return True
+
     def is_log_readable(self) -> bool:
         """Whether the window was read and the log is not known to be down."""
-        silence = asyncio.get_running_loop().time() - self.tail.last_seen
+        silence = clocks.now() - self.tail.last_seen
         up = self.tail.healthy or silence < MAX_LOG_SILENCE_SECONDS
         return up and self.tail.caught_up.is_set()
 
--- a/packages/gypsumfold/src/gypsumfold/logservice/logs.py
+++ b/packages/gypsumfold/src/gypsumfold/logservice/logs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 from typing import NamedTuple
@@ -162,6 +163,7 @@
         healthy: Whether the last read was answered.
         last_seen: When the last answered read was sent, by `clocks.now`; 0
             before the first answer.
+        lost_at: When a read failed after one was answered, by `clocks.now`.
         end: One above the highest offset in the last answer.
         end_listeners: Called when the stream's end is read, with the time
             (`clocks.now`) at which the read was sent.
@@ -185,6 +187,7 @@
         self.caught_up = asyncio.Event()
         self.healthy = False
         self.last_seen = 0.0
+        self.lost_at = -math.inf
         self.end = 0
         self.subscribers: list[Callable[[records.Entry], Any]] = []
         self.gap_listeners: list[Callable[[int, int], Any]] = []
@@ -262,4 +265,5 @@
         if healthy:
             events.log(events.LOG_UP, stream=self.stream)
         else:
+            self.lost_at = clocks.now()
             events.log(events.LOG_DOWN, stream=self.stream, reason=reason)
