Limit the silence of a read of the store, not its length

Cause: a read of the store had to be complete within its margin of 0.8 s, and was given up 0.4 s after another node had announced a newer version.

Change: the limit applies to the time without data, and a read that receives data is not given up for another node's announcement. A connection that falls silent in the middle of an answer is noticed within the margin as before.

Result: three scenarios in features/late_configurations.feature, two of which fail on the code before.

--- a/features/late_configurations.feature
+++ b/features/late_configurations.feature
@@ -58,3 +58,19 @@
       | the first records were deleted             | 7     | 9   | 2     |
       | the topic ends before the reader's place   | 0     | 3   | 0     |
       | a record was written and is not given      | 0     | 6   | 0     |
+
+  Scenario Outline: A large configuration takes longer over a slow link than the store may take to answer: <link>
+    Given a store that sends an answer of 20 parts, one each <gap> s
+    When a client that allows 0.4 s of silence reads it
+    Then the read <end> within 4 s
+
+    Examples:
+      | link                        | gap  | end              |
+      | slow, but data keeps coming | 0.08 | gives the answer |
+      | silent in the middle        | 9.0  | fails            |
+
+  Scenario: A large configuration that is being received is given up since another node has it
+    Given a gateway whose read of the configuration has received data for 0.5 s
+    When another node announces a newer version, from 0.3 s before on
+    Then the read goes on
+
--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 from unittest import mock
 
+from aiohttp import web
 import behave
 from features.steps import store_loss_steps
+from features.support import fleets
 from features.support import virtual_gateways
 from features.support import virtual_store
 
@@ -240,6 +242,16 @@
 def step_waits(context, seconds):
     context.site = virtual_gateways.Site(seed=1)
     context.waited = seconds
+    context.receives = False
+
+
+@behave.given(
+    "a gateway whose read of the configuration has received data for "
+    "{seconds:g} s"
+)
+def step_receives(context, seconds):
+    step_waits(context, seconds)
+    context.receives = True
 
 
 @behave.when(
@@ -266,6 +278,8 @@
         path.silence(1.0, site.rng)
         site.configure(store_loss_steps.NEWER)
         await asyncio.sleep(context.waited)
+        if context.receives:
+            store.received_at = clocks.now()
         watch.cancel_overdue_read(clocks.now() - before, before / 2)
         await asyncio.sleep(2 * virtual_store.CALL)
         context.reads = consumer.replace.call_count
@@ -322,3 +336,56 @@
     watch = asyncio.run(read())
     assert watch.is_suspect
     assert watch.position == context.start, watch.position
+
+
+@behave.then("the read goes on")
+def step_goes_on(context):
+    # The only read of all keys is the first one.
+    assert context.reads == 1, context.reads
+
+
+@behave.given(
+    "a store that sends an answer of {count:d} parts, one each {gap:g} s"
+)
+def step_slow_store(context, count, gap):
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for _ in range(count):
+            await response.write(b"part")
+            await asyncio.sleep(gap)
+        return response
+
+    context.answer = answer
+    context.expected = b"part" * count
+
+
+@behave.when("a client that allows {margin:g} s of silence reads it")
+def step_read_slowly(context, margin):
+    async def read() -> bytes | str:
+        app = web.Application()
+        app.router.add_get(names.READ_PATH, context.answer)
+        runner = web.AppRunner(app, handler_cancellation=True)
+        await runner.setup()
+        host = fleets.new_host()
+        await web.TCPSite(runner, host, fleets.STANDIN_PORT).start()
+        store = store_module.Store(f"{host}:{fleets.STANDIN_PORT}")
+        store.margin = margin
+        started = clocks.now()
+        try:
+            found = await store.call("GET", names.READ_PATH, {})
+        except exceptions.LogUnavailable:
+            found = "fails"
+        context.seconds = clocks.now() - started
+        await store.close()
+        await runner.cleanup()
+        return found
+
+    context.read = asyncio.run(read())
+
+
+@behave.then("the read {end} within {seconds:g} s")
+def step_read_ends(context, end, seconds):
+    expected = "fails" if end == "fails" else context.expected
+    assert context.read == expected, context.read
+    assert context.seconds < seconds, context.seconds
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -117,6 +117,7 @@
         self.idle: collections.deque[Connection] = collections.deque()
         path.idle.append(self.idle)
         self.calls: collections.Counter[str] = collections.Counter()
+        self.received_at = float("-inf")
 
     def reader(self, margin: float) -> "Store":
         """Makes a client with connections of its own."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -188,12 +188,13 @@
 
         Args:
             since: When this node learnt of that, by `clocks.now`.
-            limit: Seconds from then on, or from the call if it is later, that
-                the read may take.
+            limit: Seconds from then on, from the call or from the last data
+                received, whichever is latest, that the read may take.
         """
         if self.read_timeout is None:
             return
-        if clocks.now() - max(since, self.called_at) > limit:
+        last = max(since, self.called_at, self.store.received_at)
+        if clocks.now() - last > limit:
             self.read_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def wait_for_check(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -1,13 +1,16 @@
 """The client of the platform's store: a log with topics, keys and groups."""
 
+import asyncio
 import base64
 import collections
+import math
 import struct
 from typing import NamedTuple
 
 import aiohttp
 import msgspec
 
+from gypsumfold import clocks
 from gypsumfold import exceptions
 from gypsumfold.platform import names
 
@@ -18,6 +21,7 @@
 # calls that are made once a second, but not much longer, since an idle
 # connection may stop responding unnoticed.
 IDLE_TIMEOUT_SECONDS = 1.5
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 # Size limit of one read; the registrations of 2,900 replicas fit in it.
 MAX_READ_KB = 1024
 # Precedes the records of a page: the topic's end and its first offset.
@@ -150,6 +154,8 @@
             ),
             trace_configs=[connection_trace()],
         )
+        # When data was last received, by `clocks.now`.
+        self.received_at = -math.inf
         # Number of calls by name, including failed ones.
         self.calls: collections.Counter[str] = collections.Counter()
         self.readers: list[Store] = []
@@ -343,19 +349,28 @@
             exceptions.LogUnavailable: The store refused, failed or timed out.
         """
         self.calls[names.STORE_CALL_NAMES[path]] += 1
-        limit = aiohttp.ClientTimeout(total=wait + self.margin)
         trace = CallTrace()
+        # The time limits apply to silence: over a slow link a large answer
+        # takes longer than the store may take to begin it.
+        limit = asyncio.timeout(wait + self.margin)
+        parts = []
         try:
-            async with self.session.request(
-                method,
-                self.base + path,
-                params=query,
-                json=body if isinstance(body, dict) else None,
-                data=body if isinstance(body, bytes) else None,
-                timeout=limit,
-                trace_request_ctx=trace,
-            ) as response:
-                data = await response.read()
+            async with (
+                limit,
+                self.session.request(
+                    method,
+                    self.base + path,
+                    params=query,
+                    json=body if isinstance(body, dict) else None,
+                    data=body if isinstance(body, bytes) else None,
+                    timeout=NO_TIMEOUT,
+                    trace_request_ctx=trace,
+                ) as response,
+            ):
+                async for part in response.content.iter_any():
+                    parts.append(part)
+                    self.received_at = clocks.now()
+                    self.extend(limit)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             failure = exceptions.LogUnavailable
             if trace.connection == "kept":
@@ -370,7 +385,12 @@
             raise ConditionFailed(path)
         if response.status != 200:
             raise exceptions.LogUnavailable(f"{path}: {response.status}")
-        return data
+        return b"".join(parts)
+
+    def extend(self, limit: asyncio.Timeout) -> None:
+        """Extends a call's time limit after data was received."""
+        now = asyncio.get_running_loop().time()
+        limit.reschedule(now + self.margin)
 
 
 def _encode_record(key: str, value: bytes) -> bytes:
