Reword heads and steps of the features on store loss, restarts and decisions

Names and texts only: 'believed', 'told' and 'has to spare' give way to the field's terms; the stories at two heads become the failure and its cause. No check, bound or example differs.

--- a/features/full_links.feature
+++ b/features/full_links.feature
@@ -1,4 +1,4 @@
-Feature: What gateways tell each other leaves their links to requests
+Feature: Messages between gateways leave bandwidth for requests
 
   A small VM has a link of 10 Mbit/s. Whole gateways run under virtual time
   behind such links, before engines and plain replicas; a request waits at its
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -14,14 +14,14 @@
     Given a steady load of 12 prompts a second and 60 new long ones within a second
     When prompts are read in order of urgency alone, and with late ones behind
     Then late ones behind reads more on time in each seed
-    And whoever is refused is told at once
+    And refused callers get their answer at once
 
   Scenario: Late prompts behind many others are told at once to come back
     Given a steady load of 12 prompts a second and 160 new long ones within a second
     When late prompts go behind, without and with a count of those before them
     Then with the count at most a third as many starve until their callers leave
     And no fewer are read on time
-    And whoever is refused is told at once
+    And refused callers get their answer at once
 
   Scenario: Short prompts are not refused for a queue that engines read in one step
     Given 100 short prompts a second, and 500 more for 2 seconds
@@ -183,9 +183,9 @@
   Scenario: A call of before the contact that fails late does not say that the store was lost again
     Given a node that was in touch with the store until a call of 16.37 s failed
     When a call is answered at 17.2 s, and one that was made at 16.57 s fails at 17.38 s
-    Then a missing entry is believed for 1.53 seconds more at 17.67 s, and not at 19.2 s
+    Then a replica without entry is kept for 1.53 seconds more at 17.67 s, and not at 19.2 s
 
-  Scenario: A missing entry is not believed once a node must act on all that the store says
+  Scenario: A replica without entry is kept though a node must act on all that the store says
     Given a node that was in touch with the store until a call of 5.0 s failed
     When the last call that fails is made at 15.8 s, and one is answered at 17.6 s
-    Then a missing entry is believed for 0.9 seconds more at 17.7 s, and not at 18.6 s
+    Then a replica without entry is kept for 0.9 seconds more at 17.7 s, and not at 18.6 s
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -2,11 +2,11 @@
 
   Background:
     Given a node that knows an engine started at 1000
-    And much is believed of that engine
+    And state is recorded for that engine
 
-  Scenario Outline: All that was believed ends with <word> of a later start
+  Scenario Outline: Recorded state outlives <word> of a later start
     When <word> of a start at 2000 comes
-    Then nothing of before is believed of the engine
+    Then no earlier state of the engine is left
     And the engine is used
 
     Examples:
@@ -18,7 +18,7 @@
     When an entry of a start at 2000 comes
     And <word> of a start at 1000 says that the engine reads and leaves
     Then the engine is used
-    And nothing of before is believed of the engine
+    And no earlier state of the engine is left
 
     Examples:
       | word             |
@@ -29,7 +29,7 @@
 
   Scenario: The same start said again ends nothing
     When an entry of a start at 1000 comes
-    Then much is still believed of the engine
+    Then the state of the engine is still there
 
   Scenario: A kept prompt is read again where its engine has started again
     Given a request whose prompt the engine has read
--- a/features/steps/gateway_decisions_steps.py
+++ b/features/steps/gateway_decisions_steps.py
@@ -207,7 +207,7 @@
         assert ranked > without, context.shares
 
 
-@behave.then("whoever is refused is told at once")
+@behave.then("refused callers get their answer at once")
 def step_told(context):
     for played in context.plays:
         for seconds in played.refused.values():
@@ -508,9 +508,9 @@
 
 
 @behave.then(
-    "a missing entry is believed for {seconds:g} seconds more at {at:g} s, and "
-    "not at {end:g} s"
+    "a replica without entry is kept for {seconds:g} seconds more at {at:g} s, "
+    "and not at {end:g} s"
 )
-def step_believed(context, seconds, at, end):
+def step_kept(context, seconds, at, end):
     assert abs(context.contact.grace(at) - seconds) < 1e-6
     assert context.contact.grace(end) == 0.0
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -134,8 +134,8 @@
     context.registrations.update([entry(born)])
 
 
-@behave.given("much is believed of that engine")
-def step_believed(context):
+@behave.given("state is recorded for that engine")
+def step_recorded(context):
     now = time.monotonic()
     directory = context.directory
     directory.confirm_role(ENGINE, decision_types.Role.PREFILL, now + 60)
@@ -154,7 +154,7 @@
 
 
 def beliefs(context):
-    """What is believed of the engine beyond its entry."""
+    """State recorded for the engine beyond its entry."""
     now = time.monotonic()
     directory = context.directory
     found = {
@@ -170,7 +170,7 @@
         "ordered": ENGINE in context.planner.pending,
         "told": ENGINE in context.gossip.outbox.roles,
     }
-    return {name for name, believed in found.items() if believed}
+    return {name for name, recorded in found.items() if recorded}
 
 
 @behave.when("an entry of a start at {born:d} comes")
@@ -339,12 +339,12 @@
     assert not context.answered
 
 
-@behave.then("nothing of before is believed of the engine")
+@behave.then("no earlier state of the engine is left")
 def step_nothing(context):
     assert beliefs(context) == set(), beliefs(context)
 
 
-@behave.then("much is still believed of the engine")
+@behave.then("the state of the engine is still there")
 def step_still(context):
     assert len(beliefs(context)) == 10, beliefs(context)
 
--- a/features/store_loss.feature
+++ b/features/store_loss.feature
@@ -1,16 +1,12 @@
 Feature: Who left while the store could not be reached gets no more work
 
-  Whole gateways run under virtual time before a store, in one process. Three
-  of nine got no answer from the store for 12 s and sent calls to a replica
-  that had left 4 s after the start of that, until 3.3 s after their path was
-  back: store-regained at 17.17 s, store-lost at 17.38 s by a call of before,
-  replica-gone at 20.37 s, while all other gateways had dropped it at 8.1 s.
-  They took their own loss of the store for an outage, in which entries of
-  living replicas lapse, and believed in the missing one for two seconds after
-  their own first answer; a late failure and a look once a second made it more.
-  Nobody told them what the others had read. And gateways that start counted
-  only those that they had heard, so that nine of them took 2.4 times the
-  repeats that the site has to spare.
+  Whole gateways run under virtual time before a store, in one process.
+
+  A gateway that lost the store alone took that for an outage of the store, in
+  which entries of running replicas lapse. It kept sending to a replica that had
+  left until 3 s after its own path was back, though all other gateways had
+  dropped it. Starting gateways divided the retry budget by the nodes that they
+  had received messages from, which is too few, and together exceeded it.
 
   Scenario Outline: A replica leaves while <cut> of <nodes> gateways do not reach the store, 20 times
     Then in each of 20 plays none of <nodes> gateways in <data_centres> data centres uses it once <cut> were cut off and are in touch again
@@ -64,12 +60,10 @@
       | 20    | 2            | 1     | are cut off from all               |
 
   Scenario Outline: A gateway that lives keeps its entry, and one that died loses it: <nodes> nodes
-    Parts of a site did not hear each other while all ran and reached the store.
-    Silence alone was taken for death: after 30 s the others' entries were
-    removed and stayed away, and the spare repeats were shared by those that
-    were heard: 1.7 times what the site has, and up to 4.5 times after 150 s.
-    Now an entry is suspected first, and a node that runs renews it
-    (entry-suspected, entry-renewed).
+    Gateways that were partitioned from each other, but reached the store,
+    removed each other's entries after 30 s of silence and divided the retry
+    budget by too few nodes. An entry is now marked as suspected first, and its
+    node renews it if it runs.
 
     Then in each of <plays> plays <nodes> gateways in <data_centres> data centres that do not hear each other for long are all entered, and the dead are not
 
