Order reclaimable replicas in place of others

Change: the leader orders replicas by data centre and kind with the token of its authority. Nine in ten are reclaimable, spread over the data centres; the others leave once those serve, or at once while nothing is asked. After a data centre's were reclaimed, steady ones are ordered only if the load needs them. Numbers are ordered, not changes, and again if they show no effect. What the platform's duties need has a module of its own, out of gateway.py.

--- /dev/null
+++ b/features/capacity.feature
@@ -0,0 +1,46 @@
+Feature: Replicas that are paid by the second are ordered as the load needs them
+
+  The platform takes reclaimable replicas back, all of a data centre at once.
+  Replicas serve 4 s after they were ordered and leave within 3 s.
+
+  Scenario Outline: Replicas are missing that the load needs, or paid for nothing: <trouble>
+    Given 30 replicas in 3 data centres, of which the load keeps <busy> busy
+    When 60 s pass with <trouble>
+    Then after 15 s at least <least> replicas serve, and <steady> at most can't be reclaimed
+    And no more than <orders> orders were given
+
+    Examples:
+      | trouble                                         | busy | least | steady | orders |
+      | nothing wrong                                   | 8    | 30    | 3      | 12     |
+      | the replicas of a data centre reclaimed for 20 s | 8   | 20    | 3      | 20     |
+      | the replicas of a data centre reclaimed for 20 s | 18  | 20    | 13     | 60     |
+      | no reclaimable replicas to be had               | 8    | 30    | 30     | 60     |
+      | orders that are carried out 6 s late            | 8    | 30    | 3      | 24     |
+      | a new leader every 7 s                          | 8    | 30    | 3      | 24     |
+
+  Scenario: A burst waits for replicas though it was seen coming
+    Given 30 replicas in 3 data centres, of which the load keeps 8 busy
+    When the load rises to keep 26 busy
+    Then within 8 s as many replicas serve as it needs
+
+  Scenario: The steady replicas leave before reclaimable ones serve in their place
+    Given 30 replicas in 3 data centres, of which the load keeps 8 busy
+    When 60 s pass with nothing wrong
+    Then at every moment at least 30 replicas served
+
+  Scenario: A service without cheaper replicas or without an offer is changed
+    Given 30 replicas in 3 data centres, of which the load keeps 8 busy
+    And reclaimable replicas cost as much as others
+    When 60 s pass with nothing wrong
+    Then no order was given
+
+  Scenario: An order that a higher token has refused is repeated with the same token
+    Given a platform that has seen a higher token for replicas
+    When a leader orders replicas for 10 s
+    Then it orders once for each data centre at most, until its token is higher
+
+  Scenario: Replicas that have not registered yet are missing from the number that is kept
+    Given a service of 30 replicas that register within 2.5 s of a leader's start
+    When the leader orders replicas for 6 s
+    Then its orders add up to 30 replicas
+
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -175,7 +175,7 @@
             await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND))
             node = rng.choice(list(self.site.nodes.values()))
             account = rng.choice(self.accounts)
-            node.gateway.usage.add(account)
+            node.gateway.gossip.usage.add(account)
             window = POLICY.index(self.site.clock())
             self.truth[window][account] += 1
 
@@ -213,7 +213,7 @@
         if self.trouble.startswith("gateways that start again"):
             name = site.rng.choice(list(site.nodes))
             # A stopping gateway writes its counts.
-            await site.nodes[name].gateway.usage.flush()
+            await site.nodes[name].gateway.duties.flush()
             await site.restart_one(name)
             return
         name = self.leader()
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -171,9 +171,10 @@
         self.gateway.query_client.fetch = self.ask
         # Seconds by which the VM's time of day is ahead.
         self.ahead = 0.0
-        self.gateway.usage.clock = self.time_of_day
-        if self.gateway.usage_reporter is not None:
-            self.gateway.usage_reporter.clock = self.time_of_day
+        self.gateway.gossip.usage.clock = self.time_of_day
+        reporter = self.gateway.duties.usage_reporter
+        if reporter is not None:
+            reporter.clock = self.time_of_day
 
     def time_of_day(self) -> float:
         """The VM's clock in Unix seconds."""
--- a/features/support/virtual_operations.py
+++ b/features/support/virtual_operations.py
@@ -58,6 +58,18 @@
         """Takes a usage report."""
         await self.call(names.USAGE_PATH, body, holder, token)
 
+    async def order_replicas(self, service, order, holder, token) -> None:
+        """Takes an order of replicas."""
+        body = {
+            "service": service,
+            "zone": order.data_centre,
+            "desired": order.count,
+            "spot": order.spot,
+        }
+        await self.call(
+            names.SCALE_PATH, json.dumps(body).encode(), holder, token
+        )
+
     async def close(self) -> None:
         """Forgets the calls that are not carried out yet."""
         for task in self.tasks:
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -0,0 +1,264 @@
+"""Decides how many replicas of each kind to order, and where.
+
+Load pattern: replicas that are paid by the second, most of them idle between
+bursts, and a cheaper kind that the platform takes back, all of a data centre at
+once and at seconds' notice. A new replica serves after seconds and has nothing
+cached, so what a burst needs has to be there before it.
+"""
+
+import math
+from typing import NamedTuple
+
+# Seconds for which an order may stay without visible effect, beyond the time
+# that a replica takes to start: entries are renewed each second, and a call
+# without an answer may be carried out seconds later.
+EFFECT_SECONDS = 8.0
+# Seconds after its start within which a new replica is known to serve.
+ARRIVAL_SECONDS = 2.5
+# Seconds until replicas of a kind are ordered again where there were none.
+UNAVAILABLE_SECONDS = 4.0
+# Seconds for which fewer replicas must be enough before any is given up, and
+# between two reductions.
+SHRINK_AFTER_SECONDS = 6.0
+
+
+class Offer(NamedTuple):
+    """What the operators declare of a service's replicas.
+
+    Attributes:
+        least: Minimum number in a data centre, both kinds together.
+        most: Maximum number in a data centre, both kinds together.
+        start_seconds: Seconds until a new replica serves.
+        spot_price: Price of a reclaimable replica relative to another.
+        prices: Price of a replica-second by data centre.
+    """
+
+    least: int = 0
+    most: int = 0
+    start_seconds: float = 0.0
+    spot_price: float = 1.0
+    prices: dict[str, float] = {}
+
+
+class Policy(NamedTuple):
+    """How much capacity is kept.
+
+    Attributes:
+        steady_share: Share of the replicas that are not reclaimable.
+        headroom: Number of replicas relative to what the load keeps busy.
+        least_share: Share of the replicas present at first that is always
+            kept, of both kinds.
+    """
+
+    steady_share: float = 0.1
+    headroom: float = 1.5
+    least_share: float = 1.0
+
+
+class Count(NamedTuple):
+    """Replicas of one data centre.
+
+    Attributes:
+        steady: Those that are not reclaimable.
+        spot: Reclaimable ones.
+    """
+
+    steady: int = 0
+    spot: int = 0
+
+
+class Order(NamedTuple):
+    """The number of replicas of a kind that a data centre shall have."""
+
+    data_centre: str
+    spot: bool
+    count: int
+
+
+def spread(total: int, names: list[str], least: int, most: int) -> list[int]:
+    """Divides a number as evenly as possible, the first names getting more."""
+    if not names:
+        return []
+    share, rest = divmod(total, len(names))
+    found = []
+    for place in range(len(names)):
+        wanted = share + (1 if place < rest else 0)
+        found.append(max(least, min(most, wanted)))
+    return found
+
+
+def wanted_total(first: int, busy: float, offer: Offer, policy: Policy) -> int:
+    """Returns the number of replicas that a service needs.
+
+    Args:
+        first: Number of replicas present at first.
+        busy: Number of replicas that the load keeps busy.
+        offer: What can be ordered.
+        policy: How much capacity is kept.
+    """
+    least = math.ceil(policy.least_share * first)
+    limit = offer.most * max(1, len(offer.prices))
+    return min(limit, max(least, math.ceil(policy.headroom * busy)))
+
+
+def wanted_spots(total: int, offer: Offer, policy: Policy) -> int:
+    """Returns how many of the replicas shall be reclaimable."""
+    if offer.spot_price >= 1.0:
+        return 0
+    return total - math.ceil(policy.steady_share * total)
+
+
+def wanted_steady(
+    total: int,
+    needed: int,
+    present: Count,
+    coming: int,
+    offer: Offer,
+    policy: Policy,
+) -> int:
+    """Returns how many of the replicas shall not be reclaimable.
+
+    Reclaimable replicas take the place of the others once they serve. After
+    they were reclaimed, others are ordered only for what the load needs.
+
+    Args:
+        total: Number of replicas of both kinds that are kept.
+        needed: Number of replicas that the load needs now.
+        present: Replicas that serve, in all data centres.
+        coming: Reclaimable replicas that are ordered and may still come.
+        offer: What can be ordered.
+        policy: How much capacity is kept.
+    """
+    floor = total - wanted_spots(total, offer, policy)
+    serving = present.spot
+    if needed <= 0:
+        # Without any load it does not matter that some do not serve yet.
+        serving += coming
+    kept = min(present.steady, total - serving)
+    missing = needed - present.spot - coming
+    return max(floor, kept, missing)
+
+
+class Capacity:
+    """Tracks one service's orders and decides the next ones.
+
+    Attributes:
+        total: Number of replicas wanted at present.
+        ordered: The last order of each data centre and kind, and when it was
+            given.
+
+    >>> capacity = Capacity(first=70, policy=Policy())
+    >>> capacity.plan(present, busy=12.0, offer=offer, now=0.0)
+    [Order(...)]
+    """
+
+    def __init__(self, first: int, policy: Policy):
+        self.first = first
+        self.policy = policy
+        self.total = first
+        self.lower_since: float | None = None
+        self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
+        self.unavailable_until: dict[str, float] = {}
+
+    def record_first(self, count: int) -> None:
+        """Records the number of replicas that were there at first."""
+        self.first = count
+        self.total = max(self.total, count)
+
+    def plan(
+        self,
+        present: dict[str, Count],
+        busy: float,
+        offer: Offer,
+        now: float,
+    ) -> list[Order]:
+        """Returns the orders to give now.
+
+        Args:
+            present: Replicas that serve, by data centre.
+            busy: Number of replicas that the load keeps busy.
+            offer: What can be ordered.
+            now: Seconds of a monotonic clock.
+        """
+        self.update_total(busy, offer, now)
+        # More go to where they cost less.
+        names = sorted(
+            offer.prices, key=lambda name: (offer.prices[name], name)
+        )
+        spots = spread(
+            wanted_spots(self.total, offer, self.policy), names, 0, offer.most
+        )
+        all_present = Count(
+            sum(count.steady for count in present.values()),
+            sum(count.spot for count in present.values()),
+        )
+        steady = wanted_steady(
+            self.total,
+            math.ceil(self.policy.headroom * busy),
+            all_present,
+            self.coming(present, offer, now),
+            offer,
+            self.policy,
+        )
+        steadies = spread(steady, names, offer.least, offer.most)
+        found = []
+        for place, name in enumerate(names):
+            have = present.get(name, Count())
+            if now >= self.unavailable_until.get(name, -math.inf):
+                order = Order(name, True, spots[place])
+                found += self.plan_kind(order, have.spot, offer, now)
+            count = min(steadies[place], offer.most - spots[place])
+            order = Order(name, False, count)
+            found += self.plan_kind(order, have.steady, offer, now)
+        return found
+
+    def coming(
+        self, present: dict[str, Count], offer: Offer, now: float
+    ) -> int:
+        """Counts the reclaimable replicas that are ordered and may come."""
+        found = 0
+        for (name, spot), (count, given_at) in self.ordered.items():
+            late = now - given_at > offer.start_seconds + ARRIVAL_SECONDS
+            if spot and not late:
+                found += max(0, count - present.get(name, Count()).spot)
+        return found
+
+    def plan_kind(
+        self, order: Order, have: int, offer: Offer, now: float
+    ) -> list[Order]:
+        """Returns an order if it is new, or if the last had no effect."""
+        last = self.ordered.get((order.data_centre, order.spot))
+        if last is None:
+            return [] if have == order.count else [order]
+        count, given_at = last
+        if count != order.count:
+            return [order]
+        effect_at = given_at + offer.start_seconds + EFFECT_SECONDS
+        if have != order.count and now >= effect_at:
+            return [order]
+        return []
+
+    def update_total(self, busy: float, offer: Offer, now: float) -> None:
+        """Raises the number of replicas at once and lowers it slowly."""
+        needed = wanted_total(self.first, busy, offer, self.policy)
+        if needed >= self.total:
+            self.total = needed
+            self.lower_since = None
+            return
+        if self.lower_since is None:
+            self.lower_since = now
+        if now - self.lower_since >= SHRINK_AFTER_SECONDS:
+            self.total = needed
+            self.lower_since = None
+
+    def record_order(self, order: Order, now: float) -> None:
+        """Records an order that was accepted or that may have been."""
+        key = (order.data_centre, order.spot)
+        self.ordered[key] = (order.count, now)
+
+    def record_unavailable(self, order: Order, now: float) -> None:
+        """Records that a data centre has no such replicas at present."""
+        self.ordered.pop((order.data_centre, order.spot), None)
+        if order.spot:
+            until = now + UNAVAILABLE_SECONDS
+            self.unavailable_until[order.data_centre] = until
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -199,6 +199,25 @@
     "warning",
     "A window's usage could not be totalled or reported; retried.",
 )
+REPLICAS_ORDERED = define(
+    640,
+    "replicas-ordered",
+    "info",
+    "The platform has accepted an order of replicas.",
+)
+REPLICAS_REFUSED = define(
+    641,
+    "replicas-refused",
+    "warning",
+    "The platform refused an order of replicas: none are available there, or "
+    "another node has used a higher fencing token.",
+)
+REPLICAS_NOT_ORDERED = define(
+    642,
+    "replicas-not-ordered",
+    "warning",
+    "An order of replicas had no answer; it may be carried out later.",
+)
 ENDPOINT_HEARD = define(
     300, "endpoint-heard", "info", "An endpoint answers its load polls."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/authentication.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/authentication.py
@@ -14,6 +14,8 @@
 # Seconds for which a request with an unknown key waits for a newer
 # configuration at a node that may have missed one: reading it takes less.
 MAX_WAIT_SECONDS = 0.5
+# Largest age that is logged; JSON cannot express an infinite one.
+MAX_AGE_SECONDS = 1e5
 # Retry-After of a node that cannot tell whether a key is valid; other nodes
 # may be able to.
 RETRY_AFTER_SECONDS = 0.3
@@ -28,7 +30,7 @@
         refused: Number of requests refused for their key.
 
     >>> authenticator = Authenticator(configurations, policy, assess)
-    >>> configuration, route, call = await authenticator.admit(call)
+    >>> route, call = await authenticator.admit(configuration, route, call)
     """
 
     def __init__(
@@ -55,6 +57,10 @@
             route: Its route.
             call: The request.
 
+        Returns:
+            The route with the urgency of the account, if it has one, and the
+            request with its account.
+
         Raises:
             exceptions.Unauthorized: No account holds its key.
             exceptions.Unavailable: This node cannot tell.
@@ -104,7 +110,7 @@
             version=self.configurations.version(),
             announced=self.configurations.announced,
             behind=round(self.configurations.seconds_behind(), 3),
-            age=round(min(self.assess().age, 1e5), 3),
+            age=round(min(self.assess().age, MAX_AGE_SECONDS), 3),
             certain=verdict == client_keys.Verdict.REFUSE,
         )
         if verdict == client_keys.Verdict.REFUSE:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -18,7 +18,6 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import client_keys
-from gypsumfold.decisions import metering
 from gypsumfold.decisions import polling
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import read_timeouts
@@ -30,6 +29,7 @@
 from gypsumfold.gateway import counters as counters_module
 from gypsumfold.gateway import crash_records as crash_records_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import duties as duties_module
 from gypsumfold.gateway import generations
 from gypsumfold.gateway import handling
 from gypsumfold.gateway import leadership as leadership_module
@@ -45,11 +45,9 @@
 from gypsumfold.gateway import store_copy as store_copy_module
 from gypsumfold.gateway import topic_watches
 from gypsumfold.gateway import types
-from gypsumfold.gateway import usage_reports
 from gypsumfold.gateway.peers import gossip as gossip_module
 from gypsumfold.gateway.peers import queries
 from gypsumfold.platform import names
-from gypsumfold.platform import operations as operations_module
 from gypsumfold.platform import replicas
 from gypsumfold.platform import store as store_module
 
@@ -130,21 +128,6 @@
         self.leadership = leadership_module.Leadership(
             settings, self.store, self.store_state, self.member
         )
-        self.operations: operations_module.Operations | None = None
-        if settings.operations.address:
-            self.operations = operations_module.Operations(
-                settings.operations.address
-            )
-        self.usage_reporter: usage_reports.UsageReporter | None = None
-        if names.USAGE_DUTY in settings.operations.duties and self.operations:
-            self.usage_reporter = usage_reports.UsageReporter(
-                self.store,
-                self.operations,
-                self.leadership,
-                usage_policy(settings),
-                settings.node.name,
-                self.store_state.contact_since,
-            )
         self.gossip = gossip_module.Gossip(
             settings,
             self.store,
@@ -153,9 +136,18 @@
             self.directory,
             self.quarantine,
         )
-        self.usage = self.gossip.usage
+        self.duties = duties_module.Duties(
+            settings,
+            self.store,
+            self.store_state,
+            self.leadership,
+            self.configurations,
+            self.directory,
+            self.prefix_router,
+            self.gossip,
+        )
         self.authenticator = authentication.Authenticator(
-            self.configurations, key_policy(settings), self.assess_keys
+            self.configurations, settings.accounts.policy, self.assess_keys
         )
         self.handler = handling.Handler(
             self.configurations,
@@ -170,7 +162,7 @@
             self.generations,
             self.counters,
             self.authenticator,
-            self.usage,
+            self.gossip.usage,
         )
         self.server = server_module.Server(self.handler, self.configurations)
         self.crash_records = crash_records_module.CrashRecords(
@@ -352,10 +344,8 @@
 
     def supervise_duties(self) -> None:
         """Starts the tasks of the platform's duties."""
-        if self.usage_reporter is not None:
-            self.supervise("usage", self.usage.run)
-            self.supervise("usage-updates", self.usage.run_updates)
-            self.supervise("usage-reports", self.usage_reporter.run)
+        for name, function in self.duties.tasks().items():
+            self.supervise(name, function)
 
     async def serve(
         self, handle: Callable[..., Awaitable], address: str
@@ -485,7 +475,7 @@
             events.log(events.SETTINGS_REJECTED, reason=str(error))
             return
         self.budget.policy = budget_policy(self.settings)
-        self.authenticator.policy = key_policy(self.settings)
+        self.authenticator.policy = self.settings.accounts.policy
         events.log(events.SETTINGS_RELOADED)
 
     async def shut_down(self) -> None:
@@ -505,15 +495,13 @@
         await self.server.stop_listening()
         end = started + grace - FINAL_ANSWER_SECONDS
         await self.server.wait_until_idle(end - time.monotonic())
-        if self.usage_reporter is not None:
-            await self.usage.flush()
+        await self.duties.flush()
         for task in self.tasks.values():
             task.cancel()
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
         self.pool.close()
         await self.session.close()
-        if self.operations is not None:
-            await self.operations.close()
+        await self.duties.close()
         await self.store.close()
         events.log(events.NODE_STOPPED)
         self.lines.flush()
@@ -525,18 +513,6 @@
     return retry_budget.Policy(retries.share, retries.window_s, retries.slack)
 
 
-def key_policy(settings: settings_module.Settings) -> client_keys.Policy:
-    """Returns how long keys remain valid, from the settings."""
-    accounts = settings.accounts
-    return client_keys.Policy(accounts.strict, accounts.max_age_ms / 1000)
-
-
-def usage_policy(settings: settings_module.Settings) -> metering.Policy:
-    """Returns how usage is reported, from the settings."""
-    usage = settings.usage
-    return metering.Policy(usage.window_s, usage.due_s)
-
-
 def modified_at(path: pathlib.Path) -> int:
     """Returns a file's modification time in ns; 0 if it cannot be read."""
     try:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -20,7 +20,6 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import bandwidth
 from gypsumfold.decisions import members as members_module
-from gypsumfold.decisions import metering
 from gypsumfold.decisions import node_count as node_count_module
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import relays as relays_module
@@ -101,7 +100,7 @@
         self.usage = usage_module.Usage(
             store,
             self.member,
-            metering.Policy(settings.usage.window_s, settings.usage.due_s),
+            settings.usage.policy,
             self,
         )
         self.sealer = seals.Sealer(settings.peers.keys)
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -0,0 +1,225 @@
+"""Orders replicas while this node is the leader."""
+
+import asyncio
+import time
+
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold.decisions import capacity as capacity_module
+from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.gateway import configurations as configurations_module
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import types
+from gypsumfold.platform import names
+from gypsumfold.platform import operations as operations_module
+from gypsumfold.platform import store as store_module
+
+# Seconds between two checks; a check makes no call unless an order is due.
+CHECK_INTERVAL_SECONDS = 0.5
+# Seconds until the checks go on after a call failed.
+RETRY_SECONDS = 1.0
+# Fraction of an engine that running streams fill on average when they keep it
+# busy.
+STREAMS_FRACTION = 0.5
+# Seconds without another replica of a new service after which they are counted:
+# they register one by one as they start.
+SETTLED_SECONDS = 1.5
+
+
+class Scaler:
+    """Keeps the number of replicas of each service at what it needs.
+
+    Attributes:
+        capacities: State by service while this node leads.
+
+    >>> scaler = Scaler(
+    ...     store, operations, leadership, configurations, directory,
+    ...     prefix_router, policy, node="edge-1"
+    ... )
+    >>> await scaler.run()
+    """
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        operations: operations_module.Operations,
+        leadership: leadership_module.Leadership,
+        configurations: configurations_module.Configurations,
+        directory: directory_module.Directory,
+        prefix_router: prefix_routing_module.PrefixRouter,
+        policy: capacity_module.Policy,
+        node: str,
+    ):
+        self.store = store
+        self.operations = operations
+        self.leadership = leadership
+        self.configurations = configurations
+        self.directory = directory
+        self.prefix_router = prefix_router
+        self.policy = policy
+        self.node = node
+        self.capacities: dict[str, capacity_module.Capacity] = {}
+        self.growing_since: dict[str, float] = {}
+        self.refused_tokens: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Orders replicas for as long as the node runs."""
+        while True:
+            pause = CHECK_INTERVAL_SECONDS
+            try:
+                await self.check()
+            except exceptions.PlatformError as error:
+                events.log(events.REPLICAS_NOT_ORDERED, reason=str(error))
+                pause = RETRY_SECONDS
+            await asyncio.sleep(pause)
+
+    async def check(self) -> None:
+        """Plans all services that can be scaled.
+
+        Raises:
+            exceptions.PlatformError: A call failed; it may have taken effect.
+        """
+        now = time.monotonic()
+        if self.leadership.token(now) is None:
+            self.capacities.clear()
+            self.growing_since.clear()
+            return
+        configuration = self.configurations.current
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.offer is None:
+                continue
+            present = self.count_present(service)
+            if not present:
+                continue
+            capacity = await self.find_capacity(service)
+            if not await self.has_counted(service, capacity, present):
+                continue
+            busy = self.busy(service, now)
+            for order in capacity.plan(present, busy, service.offer, now):
+                await self.order(service, capacity, order)
+
+    async def find_capacity(
+        self, service: types.Service
+    ) -> capacity_module.Capacity:
+        """Returns the state of a service.
+
+        The number of replicas that were there at first is kept in the store:
+        a later leader can't tell it from those that are there by then.
+
+        Raises:
+            exceptions.PlatformError: The store does not answer.
+        """
+        found = self.capacities.get(service.name)
+        if found is None:
+            page = await self.store.newest(names.CAPACITY_TOPIC)
+            first = 0
+            for record in page.records:
+                if record.key == service.name and record.value:
+                    first = operations_module.decode_capacity(record.value)
+            found = capacity_module.Capacity(first, self.policy)
+            self.capacities[service.name] = found
+            if not first:
+                self.growing_since[service.name] = time.monotonic()
+        return found
+
+    async def has_counted(
+        self,
+        service: types.Service,
+        capacity: capacity_module.Capacity,
+        present: dict[str, capacity_module.Count],
+    ) -> bool:
+        """Counts the replicas of a new service until no more register.
+
+        Raises:
+            exceptions.PlatformError: The store does not answer.
+        """
+        since = self.growing_since.get(service.name)
+        if since is None:
+            return True
+        now = time.monotonic()
+        count = sum(count.steady for count in present.values())
+        if count > capacity.first:
+            capacity.record_first(count)
+            self.growing_since[service.name] = now
+            return False
+        if now - since < SETTLED_SECONDS:
+            return False
+        value = operations_module.encode_capacity(capacity.first)
+        await self.store.put(names.CAPACITY_TOPIC, service.name, value)
+        del self.growing_since[service.name]
+        return True
+
+    def count_present(
+        self, service: types.Service
+    ) -> dict[str, capacity_module.Count]:
+        """Counts the replicas of a service that serve, by data centre."""
+        found: dict[str, capacity_module.Count] = {}
+        for replica in self.directory.known(service.name):
+            if replica.draining:
+                continue
+            count = found.get(replica.data_centre, capacity_module.Count())
+            if replica.spot:
+                count = count._replace(spot=count.spot + 1)
+            else:
+                count = count._replace(steady=count.steady + 1)
+            found[replica.data_centre] = count
+        return found
+
+    def busy(self, service: types.Service, now: float) -> float:
+        """Returns the number of engines that the load keeps busy."""
+        streams = 0.0
+        for replica in self.directory.known(service.name):
+            streams += self.directory.streams.total(replica.instance, now)
+        demand = self.prefix_router.demand.total(service.name, now)
+        return demand + streams / STREAMS_FRACTION
+
+    async def order(
+        self,
+        service: types.Service,
+        capacity: capacity_module.Capacity,
+        order: capacity_module.Order,
+    ) -> None:
+        """Gives one order.
+
+        Raises:
+            exceptions.OperationsUnavailable: It may or may not be carried out.
+        """
+        token = self.leadership.token(time.monotonic())
+        if token is None or token <= self.refused_tokens.get(service.name, -1):
+            return
+        now = time.monotonic()
+        try:
+            await self.operations.order_replicas(
+                service.name, order, self.node, token
+            )
+        except exceptions.DutyFenced as error:
+            capacity.record_unavailable(order, now)
+            if not order.spot:
+                # Only reclaimable replicas may be unavailable.
+                self.refused_tokens[service.name] = token
+            events.log(
+                events.REPLICAS_REFUSED,
+                service=service.name,
+                data_centre=order.data_centre,
+                spot=order.spot,
+                count=order.count,
+                token=token,
+                reason=str(error),
+            )
+            return
+        except exceptions.OperationsUnavailable:
+            capacity.record_order(order, now)
+            raise
+        capacity.record_order(order, now)
+        events.log(
+            events.REPLICAS_ORDERED,
+            service=service.name,
+            data_centre=order.data_centre,
+            spot=order.spot,
+            count=order.count,
+            total=capacity.total,
+            token=token,
+        )
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -3,6 +3,9 @@
 import pathlib
 
 from gypsumfold import settings as settings_module
+from gypsumfold.decisions import capacity
+from gypsumfold.decisions import client_keys
+from gypsumfold.decisions import metering
 from gypsumfold.decisions import relays
 
 Seconds = settings_module.Seconds
@@ -104,6 +107,11 @@
     strict: bool = False
     max_age_ms: float = 5000.0
 
+    @property
+    def policy(self) -> client_keys.Policy:
+        """How long keys remain valid."""
+        return client_keys.Policy(self.strict, self.max_age_ms / 1000)
+
 
 class ReplicasSection(settings_module.Section):
     """The replicas of all services.
@@ -162,6 +170,34 @@
     window_s: Seconds = 5.0
     due_s: Seconds = 10.0
 
+    @property
+    def policy(self) -> metering.Policy:
+        """How usage is reported."""
+        return metering.Policy(self.window_s, self.due_s)
+
+
+class ScalingSection(settings_module.Section):
+    """Orders of replicas that are paid by the second.
+
+    Attributes:
+        steady_share: Share of a service's replicas that the platform can't
+            reclaim.
+        headroom: Number of replicas relative to what the load keeps busy.
+        least_share: Share of the replicas present at first that is always
+            kept.
+    """
+
+    steady_share: float = 0.1
+    headroom: float = 1.5
+    least_share: float = 1.0
+
+    @property
+    def policy(self) -> capacity.Policy:
+        """How much capacity is kept."""
+        return capacity.Policy(
+            self.steady_share, self.headroom, self.least_share
+        )
+
 
 class ShutdownSection(settings_module.Section):
     """The graceful shutdown.
@@ -198,6 +234,7 @@
     orders: OrdersSection = OrdersSection()
     operations: OperationsSection = OperationsSection()
     usage: UsageSection = UsageSection()
+    scaling: ScalingSection = ScalingSection()
     shutdown: ShutdownSection = ShutdownSection()
     metrics: MetricsSection = MetricsSection()
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from gypsumfold.decisions import capacity
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import client_keys
 from gypsumfold.decisions import routes
@@ -63,6 +64,7 @@
         orders: Number of orders accepted, as last reported.
         started_at: Start time in Unix milliseconds; 0 if not reported. A later
             one for the same instance means a restart, with all state lost.
+        spot: Whether the platform may reclaim it.
     """
 
     instance: str
@@ -74,6 +76,7 @@
     role: types.Role | None = None
     orders: int = 0
     started_at: int = 0
+    spot: bool = False
 
 
 class Service(NamedTuple):
@@ -91,6 +94,7 @@
             engine to fetch.
         switch_time: Seconds for which an engine is unavailable while it
             changes its role.
+        offer: How many replicas may be ordered; None if none may.
     """
 
     name: str
@@ -100,6 +104,7 @@
     link_rate: float = 0.0
     handle_life: float = 0.0
     switch_time: float = 0.0
+    offer: capacity.Offer | None = None
 
 
 class Limits(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gypsumfold import exceptions
+from gypsumfold.decisions import capacity
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import client_keys
 from gypsumfold.decisions import routes
@@ -56,12 +57,25 @@
     switch_s: float = msgspec.field(name="stageSwitchS", default=0.0)
 
 
+class ScaleRecord(msgspec.Struct):
+    """How many replicas of a service may be ordered, and their prices."""
+
+    least: int = msgspec.field(name="min", default=0)
+    most: int = msgspec.field(name="max", default=0)
+    start_s: float = msgspec.field(name="bootS", default=0.0)
+    spot_price: float = msgspec.field(name="spotPrice", default=1.0)
+    prices: dict[str, float] = msgspec.field(
+        name="zonePrices", default_factory=dict
+    )
+
+
 class ServiceRecord(msgspec.Struct):
     """A service in the operators' configuration."""
 
     name: str
     connections: int = msgspec.field(name="maxConns", default=0)
     engine: EngineRecord | None = None
+    scale: ScaleRecord | None = None
 
 
 class LimitsRecord(msgspec.Struct):
@@ -107,6 +121,7 @@
     # Number of accepted orders if the replica has a stage; otherwise a counter
     # without meaning.
     orders: int = msgspec.field(name="seq", default=0)
+    spot: bool = False
 
 
 def decode_configuration(value: bytes) -> types.Configuration:
@@ -158,6 +173,7 @@
         role=names.ROLES.get(record.stage),
         orders=record.orders,
         started_at=record.born or 0,
+        spot=record.spot,
     )
 
 
@@ -334,4 +350,17 @@
         engine.link_mbps * 1e6 / 8,
         engine.handle_s,
         engine.switch_s,
+        _offer(record.scale),
+    )
+
+
+def _offer(record: ScaleRecord | None) -> capacity.Offer | None:
+    if record is None:
+        return None
+    return capacity.Offer(
+        record.least,
+        record.most,
+        record.start_s,
+        record.spot_price,
+        record.prices,
     )
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -77,10 +77,12 @@
 
 # Calls to the platform that one node at a time makes, and their headers.
 USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 DUTY_HOLDER = "Duty-Holder"
 FENCING_TOKEN = "Fence-Token"
 # Duties as the settings list them.
 USAGE_DUTY = "metering"
+SCALE_DUTY = "autoscale"
 
 # Calls to the store, and its topics and keys.
 APPEND_PATH = "/v1/log-append"
@@ -103,6 +105,7 @@
 CRASHES_TOPIC = "keyed.gypsumfold-crashes"
 USAGE_TOPIC = "keyed.gypsumfold-usage"
 USAGE_TOTALS_TOPIC = "keyed.gypsumfold-usage-totals"
+CAPACITY_TOPIC = "keyed.gypsumfold-capacity"
 
 ROUTE_KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -1,9 +1,10 @@
-"""The client of the platform's own API: usage reports."""
+"""The client of the platform's own API: usage reports and replicas."""
 
 import aiohttp
 import msgspec
 
 from gypsumfold import exceptions
+from gypsumfold.decisions import capacity
 from gypsumfold.platform import names
 
 # Time limit of one call in seconds.
@@ -17,6 +18,21 @@
     counts: dict[str, int]
 
 
+class ScaleRecord(msgspec.Struct, omit_defaults=True):
+    """An order of replicas."""
+
+    service: str
+    data_centre: str = msgspec.field(name="zone")
+    count: int = msgspec.field(name="desired")
+    spot: bool = False
+
+
+class CapacityRecord(msgspec.Struct):
+    """The number of replicas that a service had at first."""
+
+    first: int
+
+
 class Operations:
     """Calls that only the holder of a duty may make.
 
@@ -49,6 +65,28 @@
         """
         await self.call(names.USAGE_PATH, body, holder, token)
 
+    async def order_replicas(
+        self, service: str, order: capacity.Order, holder: str, token: int
+    ) -> None:
+        """Orders a number of replicas.
+
+        Args:
+            service: The service.
+            order: How many, of which kind, and where.
+            holder: Name of this node.
+            token: Fencing token of the authority.
+
+        Raises:
+            exceptions.DutyFenced: Another node has used a higher token, or
+                there are no reclaimable replicas at present.
+            exceptions.OperationsUnavailable: It may or may not be carried out.
+        """
+        record = ScaleRecord(
+            service, order.data_centre, order.count, order.spot
+        )
+        body = msgspec.json.encode(record)
+        await self.call(names.SCALE_PATH, body, holder, token)
+
     async def call(
         self, path: str, body: bytes, holder: str, token: int
     ) -> None:
@@ -84,6 +122,23 @@
     return msgspec.json.encode(UsageRecord(window, counts))
 
 
+def encode_capacity(first: int) -> bytes:
+    """Encodes the number of replicas that a service had at first."""
+    return msgspec.json.encode(CapacityRecord(first))
+
+
+def decode_capacity(value: bytes) -> int:
+    """Decodes the number of replicas that a service had at first.
+
+    Raises:
+        exceptions.RecordInvalid: It is malformed.
+    """
+    try:
+        return msgspec.json.decode(value, type=CapacityRecord).first
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise exceptions.RecordInvalid(str(error)) from error
+
+
 def window_of(body: bytes) -> int:
     """Returns the window of an encoded report.
 
