Move the exchange of usage counts out of the gossip

gossip.py sends and receives; who keeps copies of usage counts, and who stores them, is chosen in a module of its own. No change of behaviour: the features on usage and relays pass as before.

--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -41,6 +41,7 @@
 from gypsumfold.gateway.peers import seals
 from gypsumfold.gateway.peers import sending
 from gypsumfold.gateway.peers import summaries as summaries_module
+from gypsumfold.gateway.peers import usage_exchange
 from gypsumfold.platform import store as store_module
 
 # Minimum seconds between two datagrams to the same peer: prefill of a prompt
@@ -60,8 +61,6 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
-# Other nodes that keep copies of a node's usage counts.
-USAGE_COPIES = 2
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -97,12 +96,6 @@
         self.relaying = relaying_module.Relaying(self.members)
         self.loads = loads_module.Loads(prefix_router, directory)
         self.outbox = outbox_module.Outbox()
-        self.usage = usage_module.Usage(
-            store,
-            self.member,
-            settings.usage.policy,
-            self,
-        )
         self.sealer = seals.Sealer(settings.peers.keys)
         self.sender = sending.Sender(self.members, self.sealer)
         self.quarantine = quarantine
@@ -142,6 +135,14 @@
         self.remote_state = remote_state_module.RemoteState(
             prefix_router, directory
         )
+        self.usage = usage_module.Usage(
+            store,
+            self.member,
+            settings.usage.policy,
+            usage_exchange.UsageExchange(
+                self.sender, self.members, self.relay_choice
+            ),
+        )
         self.meshed = True
         self.relay_chosen = False
         self.resend_due = False
@@ -542,6 +543,10 @@
         relay = self.choice.relay
         return None if relay is None else relay.address
 
+    def relay_choice(self) -> relays_module.Choice | None:
+        """Returns this node's choice of a relay; None in a mesh."""
+        return None if self.meshed else self.choice
+
     def is_confirmed_reader(self) -> bool:
         """Whether it is certain that this node reads the store itself.
 
@@ -626,46 +631,6 @@
                 found.append(subscriber.member)
         return found
 
-    def usage_receivers(self) -> list[members_module.Member]:
-        """Returns the nodes that keep copies of this node's usage counts."""
-        if self.meshed:
-            return self.ranked_peers()[:USAGE_COPIES]
-        choice = self.choice
-        if choice.relay is None:
-            own = self.members.own
-            ranked = self.members.ranked(own.data_centre)
-            others = [one for one in ranked if one.name != own.name]
-            return others[: USAGE_COPIES - 1]
-        if choice.standby is None:
-            return [choice.relay]
-        return [choice.relay, choice.standby]
-
-    def ranked_peers(self) -> list[members_module.Member]:
-        """Returns the other nodes of a mesh, the highest ranked first."""
-        return sorted(
-            self.members.known.values(), key=members_module.score, reverse=True
-        )
-
-    def usage_is_relayed_here(self) -> bool:
-        """Whether this node stores the usage counts of others."""
-        if not self.meshed:
-            return self.choice.relay is None
-        ranked = self.ranked_peers()
-        own = members_module.score(self.members.own)
-        return not ranked or own > members_module.score(ranked[0])
-
-    def send_usage(self, index: int, counts: dict[str, int]) -> None:
-        """Sends this node's usage counts to those that keep copies."""
-        self.sender.send_usage(index, counts, self.usage_receivers())
-
-    def send_usage_stored(self, index: int, versions: dict[str, int]) -> None:
-        """Sends other nodes which of their usage counts are stored."""
-        self.sender.send_usage_stored(index, versions, self.usage_receivers())
-        for name, version in versions.items():
-            member = self.members.known.get(name)
-            if member is not None:
-                self.sender.send_usage_stored(index, {name: version}, [member])
-
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
