Replace reclaimed replicas at once

Cause: after a data centre's reclaimable replicas were taken back, others were ordered only for what the load kept busy.

Change: steady replicas are ordered for all that are missing and not on their way; the floor and the rule that none leaves under load before its substitute serves stay.

Result: features/capacity.feature, which fails on the code before (the example with 18 busy, which allowed fewer replicas after a reclaim, gives way to it).

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -12,12 +12,16 @@
     Examples:
       | trouble                                         | busy | least | steady | orders |
       | nothing wrong                                   | 8    | 30    | 3      | 12     |
-      | the replicas of a data centre reclaimed for 20 s | 8   | 20    | 3      | 20     |
-      | the replicas of a data centre reclaimed for 20 s | 18  | 20    | 13     | 60     |
+      | the replicas of a data centre reclaimed for 20 s | 8    | 20    | 3      | 30     |
       | no reclaimable replicas to be had               | 8    | 30    | 30     | 60     |
       | orders that are carried out 6 s late            | 8    | 30    | 3      | 24     |
       | a new leader every 7 s                          | 8    | 30    | 3      | 24     |
 
+  Scenario: Reclaimed replicas are missing until reclaimable ones can be had again
+    Given 30 replicas in 3 data centres, of which the load keeps 8 busy
+    When the replicas of two data centres are reclaimed for 20 s
+    Then within 6 s as many replicas serve as before
+
   Scenario: A burst waits for replicas though it was seen coming
     Given 30 replicas in 3 data centres, of which the load keeps 8 busy
     When the load rises to keep 26 busy
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -165,6 +165,24 @@
     play.busy = float(busy)
 
 
+@behave.when("the replicas of two data centres are reclaimed for {seconds:d} s")
+def step_reclaim(context, seconds):
+    play = context.play
+    while play.now < 20.0:
+        play.step()
+    for name in DATA_CENTRES[:2]:
+        play.platform.reclaim(name, play.now + seconds)
+
+
+@behave.then("within {seconds:d} s as many replicas serve as before")
+def step_replaced(context, seconds):
+    play = context.play
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+    assert play.history[-1][1] >= play.count, play.history[-14:]
+
+
 @behave.then("within {seconds:d} s as many replicas serve as it needs")
 def step_enough(context, seconds):
     play = context.play
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -109,34 +109,26 @@
 
 
 def wanted_steady(
-    total: int,
-    needed: int,
-    present: Count,
-    coming: int,
-    offer: Offer,
-    policy: Policy,
+    total: int, present: Count, coming: int, busy: float, floor: int
 ) -> int:
     """Returns how many of the replicas shall not be reclaimable.
 
-    Reclaimable replicas take the place of the others once they serve. After
-    they were reclaimed, others are ordered only for what the load needs.
+    Reclaimable replicas take the place of the others once they serve. Those
+    that were reclaimed are replaced at once by others, since nobody knows when
+    reclaimable ones can be had again.
 
     Args:
         total: Number of replicas of both kinds that are kept.
-        needed: Number of replicas that the load needs now.
         present: Replicas that serve, in all data centres.
         coming: Reclaimable replicas that are ordered and may still come.
-        offer: What can be ordered.
-        policy: How much capacity is kept.
+        busy: Number of replicas that the load keeps busy.
+        floor: The least number.
     """
-    floor = total - wanted_spots(total, offer, policy)
-    serving = present.spot
-    if needed <= 0:
-        # Without any load it does not matter that some do not serve yet.
-        serving += coming
-    kept = min(present.steady, total - serving)
-    missing = needed - present.spot - coming
-    return max(floor, kept, missing)
+    missing = total - present.spot - coming
+    kept = 0
+    if busy > 0:
+        kept = min(present.steady, total - present.spot)
+    return max(floor, missing, kept)
 
 
 class Capacity:
@@ -194,11 +186,10 @@
         )
         steady = wanted_steady(
             self.total,
-            math.ceil(self.policy.headroom * busy),
             all_present,
             self.coming(present, offer, now),
-            offer,
-            self.policy,
+            busy,
+            math.ceil(self.policy.steady_share * self.total),
         )
         steadies = spread(steady, names, offer.least, offer.most)
         found = []
