--- a/packages/gypsumfold/src/gypsumfold/peers/replication.py
+++ b/packages/gypsumfold/src/gypsumfold/peers/replication.py
@@ -32,9 +32,9 @@
 # Seconds after which the last check no longer counts: the process was paused,
 # and its state may be stale.
 CHECK_EXPIRY_SECONDS = 1.0
-# Seconds that requests wait at a node that was paused, until it has asked the
-# log or a peer again.
-RESUME_SECONDS = 1.5
+# Seconds that requests wait at a node that was paused, until the log or a peer
+# has answered again; after them it counts as cut off like any other node.
+RESUME_SECONDS = config_freshness_module.CUT_OFF_SECONDS
 # Timeout of one pull: a page of at most half a frame over a short distance.
 PULL_TIMEOUT_SECONDS = 2.0
 # Entries or snapshot data in one reply. A single batch on the log has at most
