Repeat a keyed stream until it meets the engine that breaks off

Change: the step repeats the request until the fault has struck, as the step of the scenario without keys does. The check is as it was.

--- a/features/steps/client_keys_steps.py
+++ b/features/steps/client_keys_steps.py
@@ -97,6 +97,8 @@
 @behave.when('a caller with the key "{key}" asks "{path}" for a stream')
 def step_stream(context, key, path):
     callers.stream(context, path, CHAIN, **key_headers(key))
+    while not callers.met(context):
+        callers.stream(context, path, CHAIN, **key_headers(key))
 
 
 @behave.then(
