Move the watches of the store and the traffic log out of the gateway

gateway.py created all parts, decided how often topics are read, and logged calls and datagrams. Which topics are read and how often is now in watches.py, the log lines in traffic_log.py.

--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -189,12 +189,13 @@
         gateway.supervise("gossip", gateway.gossip.run)
         gateway.supervise("relay", gateway.gossip.run_relay)
         gateway.supervise("crash-news", gateway.gossip.crash_updates.run)
-        for name, watch in gateway.watches.items():
-            gateway.supervise(f"watch-{name}", watch.run)
+        for name, function in gateway.watches.tasks().items():
+            gateway.supervise(name, function)
         gateway.supervise("fetch", gateway.store_copy.fetch)
         gateway.supervise("leadership", gateway.leadership.run)
         gateway.supervise("housekeeping", gateway.housekeeping)
-        gateway.supervise_duties()
+        for name, function in gateway.duties.tasks().items():
+            gateway.supervise(name, function)
         if self.site.fleet is not None:
             gateway.supervise("liveness", gateway.liveness.run)
             gateway.supervise("crash-records", gateway.crash_records.run)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -1,7 +1,6 @@
 """The gateway process: creates all parts and runs them until it is stopped."""
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -17,8 +16,6 @@
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
-from gypsumfold.decisions import client_keys
-from gypsumfold.decisions import polling
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import read_timeouts
 from gypsumfold.decisions import retry_budget
@@ -44,7 +41,9 @@
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import store_copy as store_copy_module
 from gypsumfold.gateway import topic_watches
+from gypsumfold.gateway import traffic_log
 from gypsumfold.gateway import types
+from gypsumfold.gateway import watches as watches_module
 from gypsumfold.gateway.peers import gossip as gossip_module
 from gypsumfold.gateway.peers import queries
 from gypsumfold.platform import names
@@ -55,8 +54,6 @@
 RESTART_SECONDS = 0.2
 # Seconds between two checks of the settings file, log lines and gauges.
 HOUSEKEEPING_SECONDS = 1.0
-# Seconds between two log lines on calls to the store and datagrams sent.
-TRAFFIC_LOG_SECONDS = 10.0
 # Seconds for which a stopping node goes on listening: the balancer checks once
 # a second and removes a node after two negative answers.
 DRAIN_NOTICE_SECONDS = 2.9
@@ -95,8 +92,6 @@
             connector=aiohttp.TCPConnector(limit=16, force_close=True)
         )
         self.store = store_module.Store(settings.store.address)
-        self.logged_calls: collections.Counter[str] = collections.Counter()
-        self.logged_bytes: collections.Counter[str] = collections.Counter()
         self.read_timeouts = read_timeouts.derive(
             settings.store.contact_ms / 1000
         )
@@ -147,7 +142,9 @@
             self.gossip,
         )
         self.authenticator = authentication.Authenticator(
-            self.configurations, settings.accounts.policy, self.assess_keys
+            self.configurations,
+            settings.accounts.policy,
+            lambda: self.watches.assess_keys(self.store_copy.is_behind()),
         )
         self.handler = handling.Handler(
             self.configurations,
@@ -198,12 +195,20 @@
         self.registrations = registrations_module.Registrations(
             self.directory, self.store_state
         )
-        self.watches = self.make_watches()
+        self.watches = watches_module.Watches(
+            settings,
+            self.store,
+            self.store_state,
+            self.read_timeouts,
+            self.configurations,
+            self.registrations,
+            self.gossip,
+        )
         self.store_copy = store_copy_module.StoreCopy(
             self.registrations,
             self.configurations,
-            self.watches["registrations"],
-            self.watches["configuration"],
+            self.watches.registrations,
+            self.watches.configuration,
             self.gossip.is_store_reader,
             self.query_client,
             self.read_timeouts,
@@ -220,92 +225,16 @@
         self.directory.removal_listeners.append(self.forget)
         self.runners: list[web.ServerRunner] = []
 
-    def make_watches(self) -> dict[str, topic_watches.TopicWatch]:
-        """Creates the watches of the store's topics, one task each."""
-        bound = self.settings.replicas.leaving_ms / 1000
-        watches = {
-            "configuration": topic_watches.TopicWatch(
-                self.store.reader(self.read_timeouts.answer),
-                self.store_state,
-                names.CONFIGURATION_TOPIC,
-                self.configurations,
-                lambda: 0.0,
-                lambda: self.read_timeouts.wait,
-                bound,
-            ),
-            "registrations": topic_watches.TopicWatch(
-                self.store.reader(self.read_timeouts.answer),
-                self.store_state,
-                names.REGISTRATIONS_TOPIC,
-                self.registrations,
-                self.registrations_pause,
-                self.registrations_wait,
-                bound,
-            ),
-            "nodes": topic_watches.TopicWatch(
-                self.store.reader(self.read_timeouts.answer),
-                self.store_state,
-                names.NODES_TOPIC,
-                self.gossip.entries,
-                lambda: topic_watches.REREAD_SECONDS,
-                lambda: self.read_timeouts.wait,
-            ),
-        }
-        nodes = watches["nodes"]
-        nodes.is_reader = self.gossip.is_store_reader
-        entries = self.gossip.entries
-        entries.on_readable = nodes.wake.set
-        nodes.should_read = lambda: (
-            entries.can_read()
-            and (self.gossip.is_store_reader() or not nodes.has_read_all)
-        )
-        return watches
-
-    def assess_keys(self) -> client_keys.Knowledge:
-        """Returns how recent the keys of client accounts are."""
-        watch = self.watches["configuration"]
-        return client_keys.Knowledge(
-            self.store_copy.is_behind(),
-            watch.failures == 0,
-            watch.staleness.age(clocks.now()),
-        )
-
     def forget(self, replica: types.Replica) -> None:
         """Drops what is kept for a removed replica."""
         self.pool.discard(replica.address, replica.instance)
         self.prefix_router.forget(replica.instance)
 
-    def registrations_pause(self) -> float:
-        """Returns the seconds until the registrations are read again.
-
-        A node that reads for others waits at the store for a change instead,
-        unless the last read returned records.
-        """
-        watch = self.watches["registrations"]
-        if not self.gossip.meshed and not watch.has_new_records:
-            return 0.0
-        return polling.poll_interval(
-            self.gossip.store_reader_count(),
-            self.settings.replicas.leaving_ms / 1000,
-        )
-
-    def registrations_wait(self) -> float:
-        """Returns how long a read of the registrations waits, in seconds."""
-        longest = registrations_module.MAX_WAIT_SECONDS
-        if not self.gossip.meshed:
-            bound = self.settings.replicas.leaving_ms / 1000
-            longest = min(
-                longest, registrations_module.READER_WAIT_FRACTION * bound
-            )
-        return read_timeouts.wait_after(
-            self.registrations_pause(), longest, self.read_timeouts
-        )
-
     def is_ready(self) -> bool:
         """Whether the balancer should send connections here."""
         if self.stop.is_set() or self.configurations.current is None:
             return False
-        return self.watches["registrations"].has_read_all
+        return self.watches.registrations.has_read_all
 
     async def run(self) -> None:
         """Runs until `stop` is set, then shuts down."""
@@ -320,8 +249,8 @@
         self.supervise("gossip", self.gossip.run)
         self.supervise("relay", self.gossip.run_relay)
         self.supervise("crash-news", self.gossip.crash_updates.run)
-        for name, watch in self.watches.items():
-            self.supervise(f"watch-{name}", watch.run)
+        for name, function in self.watches.tasks().items():
+            self.supervise(name, function)
         self.supervise("fetch", self.store_copy.fetch)
         self.supervise("leadership", self.leadership.run)
         self.supervise("planner", self.planner.run)
@@ -331,7 +260,8 @@
         if not self.settings.node.first_start:
             self.supervise("cache-lists", self.cache_lists.run)
             self.supervise("crash-records-read", self.crash_records.read)
-        self.supervise_duties()
+        for name, function in self.duties.tasks().items():
+            self.supervise(name, function)
         await self.serve(self.query_handler.handle, self.settings.peers.address)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
@@ -342,11 +272,6 @@
             )
         events.log(events.NODE_STARTED, incarnation=self.member)
 
-    def supervise_duties(self) -> None:
-        """Starts the tasks of the platform's duties."""
-        for name, function in self.duties.tasks().items():
-            self.supervise(name, function)
-
     async def serve(
         self, handle: Callable[..., Awaitable], address: str
     ) -> None:
@@ -383,7 +308,9 @@
     async def housekeeping(self) -> None:
         """Maintains settings, log lines, gauges and the retry budget."""
         reported = 0
-        due = time.monotonic() + TRAFFIC_LOG_SECONDS
+        traffic = traffic_log.TrafficLog(
+            self.store, self.gossip, time.monotonic()
+        )
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HOUSEKEEPING_SECONDS):
@@ -400,10 +327,7 @@
             self.counters.unusable.set(self.registrations.unreadable)
             self.update_gauges()
             self.lines.flush()
-            if time.monotonic() >= due:
-                due += TRAFFIC_LOG_SECONDS
-                self.log_calls()
-                self.log_datagrams()
+            traffic.check(time.monotonic())
             if self.lines.dropped > reported:
                 events.log(
                     events.LINES_DROPPED, count=self.lines.dropped - reported
@@ -427,7 +351,7 @@
 
     def update_gauges(self) -> None:
         """Updates the gauges of nodes, relays, crashes and store calls."""
-        age = self.watches["registrations"].staleness.age(clocks.now())
+        age = self.watches.registrations.staleness.age(clocks.now())
         self.counters.nodes.set(self.gossip.node_count())
         self.counters.relays.set(int(self.gossip.is_store_reader()))
         self.counters.registrations_age.set(age)
@@ -438,31 +362,6 @@
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
-    def log_calls(self) -> None:
-        """Logs the number of calls to the store since the last line."""
-        calls = self.store.calls - self.logged_calls
-        self.logged_calls = self.store.calls.copy()
-        if calls:
-            events.log(
-                events.STORE_CALLED,
-                reads=self.gossip.is_store_reader(),
-                **calls,
-            )
-
-    def log_datagrams(self) -> None:
-        """Logs the kilobytes sent to other nodes since the last line."""
-        sent = self.gossip.sender.bytes_sent
-        kilobytes = {}
-        for kind, size in (sent - self.logged_bytes).items():
-            kilobytes[kind] = round(size / 1000, 1)
-        self.logged_bytes = sent.copy()
-        if kilobytes:
-            events.log(
-                events.DATAGRAMS_SENT,
-                relays=self.gossip.is_relay(),
-                **kilobytes,
-            )
-
     def reload_settings(self) -> None:
         """Loads the settings file again; an invalid one changes nothing.
 
