Keep reclaimable replicas in reserve for the loss of a data centre

Cause: reclaimable replicas of a data centre leave 2.4 s after the notice, and others ordered in their place serve 2.5 s after that, with nothing cached.

Change: with n data centres n / (n - 1) times as many reclaimable replicas are kept as are needed, if that is cheaper than steady ones. Steady ones are ordered only when fewer are left than are needed.

Result: features/capacity.feature, which fails on the code before: 30 of 30 replicas remain while a data centre's are reclaimed, where 20 were asked for.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -12,7 +12,7 @@
     Examples:
       | trouble                                         | busy | least | steady | orders |
       | nothing wrong                                   | 8    | 30    | 3      | 12     |
-      | the replicas of a data centre reclaimed for 20 s | 8    | 20    | 3      | 30     |
+      | the replicas of a data centre reclaimed for 20 s | 8    | 30    | 3      | 30     |
       | no reclaimable replicas to be had               | 8    | 30    | 30     | 60     |
       | orders that are carried out 6 s late            | 8    | 30    | 3      | 24     |
       | a new leader every 7 s                          | 8    | 30    | 3      | 24     |
@@ -46,5 +46,5 @@
   Scenario: Replicas that have not registered yet are missing from the number that is kept
     Given a service of 30 replicas that register within 2.5 s of a leader's start
     When the leader orders replicas for 6 s
-    Then its orders add up to 30 replicas
+    Then its orders add up to 44 replicas, of which 30 remain without any one data centre
 
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -301,13 +301,18 @@
     lead.site.play(story())
 
 
-@behave.then("its orders add up to {count:d} replicas")
-def step_add_up(context, count):
+@behave.then(
+    "its orders add up to {count:d} replicas, of which {left:d} remain without "
+    "any one data centre"
+)
+def step_add_up(context, count, left):
     ordered = {}
     for call in context.lead.platform.duties.calls:
         body = call.body
         ordered[body["zone"], body["spot"]] = body["desired"]
     assert sum(ordered.values()) == count, ordered
+    for name in DATA_CENTRES:
+        assert count - ordered[name, True] >= left, ordered
 
 
 @behave.then(
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -3,7 +3,8 @@
 Load pattern: replicas that are paid by the second, most of them idle between
 bursts, and a cheaper kind that the platform takes back, all of a data centre at
 once and at seconds' notice. A new replica serves after seconds and has nothing
-cached, so what a burst needs has to be there before it.
+cached, so what a burst needs has to be there before it, and what is left when a
+data centre's are taken back must be enough.
 """
 
 import math
@@ -102,10 +103,25 @@
 
 
 def wanted_spots(total: int, offer: Offer, policy: Policy) -> int:
-    """Returns how many of the replicas shall be reclaimable."""
-    if offer.spot_price >= 1.0:
+    """Returns how many reclaimable replicas to keep.
+
+    They include a reserve, so that the loss of any one data centre's leaves as
+    many as are needed. With fewer data centres or a smaller difference in price
+    the reserve costs more than it saves.
+
+    Args:
+        total: Number of replicas that are needed.
+        offer: What can be ordered.
+        policy: How much capacity is kept.
+    """
+    data_centres = len(offer.prices)
+    if data_centres < 2:
+        return 0
+    reserve = data_centres / (data_centres - 1)
+    if offer.spot_price * reserve >= 1.0:
         return 0
-    return total - math.ceil(policy.steady_share * total)
+    needed = total - math.ceil(policy.steady_share * total)
+    return math.ceil(needed * reserve)
 
 
 def wanted_steady(
@@ -113,12 +129,12 @@
 ) -> int:
     """Returns how many of the replicas shall not be reclaimable.
 
-    Reclaimable replicas take the place of the others once they serve. Those
-    that were reclaimed are replaced at once by others, since nobody knows when
+    Reclaimable replicas take the place of the others once they serve. If too
+    few are left, others replace them at once, since nobody knows when
     reclaimable ones can be had again.
 
     Args:
-        total: Number of replicas of both kinds that are kept.
+        total: Number of replicas that are needed.
         present: Replicas that serve, in all data centres.
         coming: Reclaimable replicas that are ordered and may still come.
         busy: Number of replicas that the load keeps busy.
@@ -135,7 +151,7 @@
     """Tracks one service's orders and decides the next ones.
 
     Attributes:
-        total: Number of replicas wanted at present.
+        total: Number of replicas needed at present, without the reserve.
         ordered: The last order of each data centre and kind, and when it was
             given.
 
