Count the reclaimable replicas that a new leader orders as on their way

Cause: a new leader knows nothing of its predecessor's orders. Where many are ordered the reserve also took the places of the steady floor.

Change: reclaimable replicas of a first or larger order count as coming in the plan that orders them; those ordered again after a reclaim or a refusal do not. The steady floor keeps its places below the limit of a data centre.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -32,6 +32,11 @@
     When 60 s pass with nothing wrong
     Then at every moment at least 30 replicas served
 
+  Scenario: A new leader orders replicas that its predecessor has on their way
+    Given 30 replicas in 3 data centres, of which the load keeps 0 busy
+    When a new leader takes over while the first reclaimable replicas start
+    Then no more replicas are ordered that can't be reclaimed
+
   Scenario: A service without cheaper replicas or without an offer is changed
     Given 30 replicas in 3 data centres, of which the load keeps 8 busy
     And reclaimable replicas cost as much as others
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -69,6 +69,14 @@
         self.serving[name, True] = []
         self.dry_until[name] = until
 
+    def count_steady(self) -> int:
+        """Counts the replicas that can't be reclaimed, starting ones too."""
+        found = 0
+        for (_, spot), replicas in self.serving.items():
+            if not spot:
+                found += len(replicas)
+        return found
+
     def present(self, now: float) -> dict[str, capacity.Count]:
         """The replicas that serve, by data centre."""
         found = {}
@@ -197,6 +205,26 @@
     assert min(row[1] for row in context.play.history) >= least
 
 
+@behave.when(
+    "a new leader takes over while the first reclaimable replicas start"
+)
+def step_take_over(context):
+    play = context.play
+    while play.now < START - STEP:
+        play.step()
+    play.leader = capacity.Capacity(play.count, POLICY)
+    context.steady_before = play.platform.count_steady()
+    play.step()
+    # Its orders are carried out at the next step.
+    play.platform.step(play.now)
+
+
+@behave.then("no more replicas are ordered that can't be reclaimed")
+def step_no_more_steady(context):
+    steady = context.play.platform.count_steady()
+    assert steady <= context.steady_before, (steady, context.steady_before)
+
+
 @behave.then("no order was given")
 def step_no_order(context):
     assert context.play.platform.orders == 0, context.play.platform.orders
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -193,41 +193,68 @@
         names = sorted(
             offer.prices, key=lambda name: (offer.prices[name], name)
         )
+        floor = math.ceil(self.policy.steady_share * self.total)
+        floors = spread(floor, names, offer.least, offer.most)
         spots = spread(
-            wanted_spots(self.total, offer, self.policy), names, 0, offer.most
+            wanted_spots(self.total, offer, self.policy),
+            names,
+            0,
+            offer.most - max(floors, default=0),
         )
+        spot_orders = {}
+        for name, count in zip(names, spots, strict=True):
+            if now < self.unavailable_until.get(name, -math.inf):
+                continue
+            have = present.get(name, Count()).spot
+            order = Order(name, True, count)
+            spot_orders[name] = self.plan_kind(order, have, offer, now)
         all_present = Count(
             sum(count.steady for count in present.values()),
             sum(count.spot for count in present.values()),
         )
-        steady = wanted_steady(
-            self.total,
-            all_present,
-            self.coming(present, offer, now),
-            busy,
-            math.ceil(self.policy.steady_share * self.total),
-        )
+        coming = self.coming(present, spot_orders, offer, now)
+        steady = wanted_steady(self.total, all_present, coming, busy, floor)
         steadies = spread(steady, names, offer.least, offer.most)
         found = []
         for place, name in enumerate(names):
-            have = present.get(name, Count())
-            if now >= self.unavailable_until.get(name, -math.inf):
-                order = Order(name, True, spots[place])
-                found += self.plan_kind(order, have.spot, offer, now)
+            found += spot_orders.get(name, [])
             count = min(steadies[place], offer.most - spots[place])
-            order = Order(name, False, count)
-            found += self.plan_kind(order, have.steady, offer, now)
+            have = present.get(name, Count()).steady
+            found += self.plan_kind(Order(name, False, count), have, offer, now)
         return found
 
     def coming(
-        self, present: dict[str, Count], offer: Offer, now: float
+        self,
+        present: dict[str, Count],
+        new: dict[str, list[Order]],
+        offer: Offer,
+        now: float,
     ) -> int:
-        """Counts the reclaimable replicas that are ordered and may come."""
-        found = 0
+        """Counts the reclaimable replicas that are ordered and may come.
+
+        Those of a first or a larger order that is about to be given count as
+        well; a new leader doesn't know what its predecessor has ordered. Those
+        that are ordered again do not, as there may be none.
+
+        Args:
+            present: Replicas that serve, by data centre.
+            new: Orders of reclaimable replicas to give now, by data centre.
+            offer: What can be ordered.
+            now: Seconds of a monotonic clock.
+        """
+        expected = {}
         for (name, spot), (count, given_at) in self.ordered.items():
             late = now - given_at > offer.start_seconds + ARRIVAL_SECONDS
             if spot and not late:
-                found += max(0, count - present.get(name, Count()).spot)
+                expected[name] = count
+        for name, orders in new.items():
+            before, _ = self.ordered.get((name, True), (0, 0.0))
+            for order in orders:
+                if order.count > before and name not in self.unavailable_until:
+                    expected[name] = order.count
+        found = 0
+        for name, count in expected.items():
+            found += max(0, count - present.get(name, Count()).spot)
         return found
 
     def plan_kind(
@@ -262,6 +289,8 @@
         """Records an order that was accepted or that may have been."""
         key = (order.data_centre, order.spot)
         self.ordered[key] = (order.count, now)
+        if order.spot:
+            self.unavailable_until.pop(order.data_centre, None)
 
     def record_unavailable(self, order: Order, now: float) -> None:
         """Records that a data centre has no such replicas at present."""
