Order no role changes of idle engines that are about to be replaced

Cause: before there is traffic some 35 steady engines were ordered to change their roles, and were replaced by reclaimable ones seconds later.

Change: the planner leaves the roles of an idle service alone until the reclaimable replicas that are ordered first have registered. Under load it plans as before.

Result: two scenarios in features/gateway_decisions.feature, the first of which fails on the code before.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -120,6 +120,19 @@
       | 327680 | 1800  | 29      | 9          |
       | 327680 | 10    | 6       | 3          |
 
+  Scenario: Engines change their roles although they are about to be replaced
+    Given a planner with 10 engines that read and one that generates
+    And there is no traffic
+    When the engines are about to be replaced for 2 seconds
+    Then no engine is ordered to change its role
+    And once they are replaced, engines are
+
+  Scenario: Engines keep their roles under load as they are about to be replaced
+    Given a planner with 10 engines that read and one that generates
+    And streams that fill 3 engines
+    When the engines are about to be replaced for 12 seconds
+    Then engines are ordered to change their roles
+
   Scenario: A mix that turns over every second is not followed
     Given a split of six engines of which one generates
     When the mix turns over every second for 40 seconds
--- a/features/steps/gateway_split_steps.py
+++ b/features/steps/gateway_split_steps.py
@@ -306,3 +306,37 @@
     context.planner.directory.put(engine(ORDERED, types.Role.DECODE))
     step_press(context, 12)
     assert {STEADY, ORDERED} & set(context.ordered), context.ordered
+
+
+@behave.given("there is no traffic")
+def step_no_traffic(context):
+    context.planner.load = lambda service, now: role_split.Load(0.0, 0.0)
+
+
+@behave.given("streams that fill {count:d} engines")
+def step_streams(context, count):
+    load = role_split.Load(0.1, float(count), 1.0)
+    context.planner.load = lambda service, now: load
+
+
+@behave.when("the engines are about to be replaced for {seconds:d} seconds")
+def step_replacing(context, seconds):
+    context.planner.is_replacing = lambda service: True
+    step_press(context, seconds)
+
+
+@behave.then("no engine is ordered to change its role")
+def step_none_ordered(context):
+    assert context.ordered == [], context.ordered
+
+
+@behave.then("once they are replaced, engines are")
+def step_ordered_once_replaced(context):
+    context.planner.is_replacing = lambda service: False
+    step_press(context, 2)
+    assert context.ordered
+
+
+@behave.then("engines are ordered to change their roles")
+def step_ordered_under_load(context):
+    assert context.ordered
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -102,6 +102,22 @@
     return min(limit, max(least, math.ceil(policy.headroom * busy)))
 
 
+def reserve_factor(offer: Offer) -> float:
+    """Returns how many replicas to keep for one that must remain.
+
+    With as many in each data centre, the loss of any one leaves enough.
+    """
+    data_centres = len(offer.prices)
+    if data_centres < 2:
+        return math.inf
+    return data_centres / (data_centres - 1)
+
+
+def replaces_steady(offer: Offer) -> bool:
+    """Whether reclaimable replicas with their reserve cost less than others."""
+    return offer.spot_price * reserve_factor(offer) < 1.0
+
+
 def wanted_spots(total: int, offer: Offer, policy: Policy) -> int:
     """Returns how many reclaimable replicas to keep.
 
@@ -114,14 +130,10 @@
         offer: What can be ordered.
         policy: How much capacity is kept.
     """
-    data_centres = len(offer.prices)
-    if data_centres < 2:
-        return 0
-    reserve = data_centres / (data_centres - 1)
-    if offer.spot_price * reserve >= 1.0:
+    if not replaces_steady(offer):
         return 0
     needed = total - math.ceil(policy.steady_share * total)
-    return math.ceil(needed * reserve)
+    return math.ceil(needed * reserve_factor(offer))
 
 
 def wanted_steady(
@@ -223,6 +235,12 @@
             found += self.plan_kind(Order(name, False, count), have, offer, now)
         return found
 
+    def is_awaiting(
+        self, present: dict[str, Count], offer: Offer, now: float
+    ) -> bool:
+        """Whether reclaimable replicas are ordered and may still come."""
+        return self.coming(present, {}, offer, now) > 0
+
     def coming(
         self,
         present: dict[str, Count],
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -134,7 +134,7 @@
         if len(engines) < 2:
             return []
         current = count_decoders(engines)
-        if now - self.busy_at > IDLE_SECONDS:
+        if self.is_idle(now):
             self.target = initial_decoders(len(engines), load.moving)
         elif self.target is None:
             self.adopt_current(engines, now)
@@ -145,11 +145,15 @@
         self.update_target(len(engines), now)
         self.target = max(1, min(self.target, len(engines) - 1))
         found = plan_changes(engines, self.target)
-        if now - self.busy_at <= IDLE_SECONDS:
+        if not self.is_idle(now):
             found = limit_changes(found, engines)
         self.record_roles(engines, found)
         return found
 
+    def is_idle(self, now: float) -> bool:
+        """Whether there has been no traffic for a while, or none yet."""
+        return now - self.busy_at > IDLE_SECONDS
+
     def adopt_current(self, engines: list[EngineView], now: float) -> None:
         """Starts from the split that another node has left.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -191,6 +191,8 @@
             self.gossip,
             self.prefix_router,
         )
+        if self.duties.scaler is not None:
+            self.planner.is_replacing = self.duties.scaler.is_replacing
         self.liveness = liveness.LivenessChecks(self.directory, self.endpoints)
         self.registrations = registrations_module.Registrations(
             self.directory, self.store_state
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -1,6 +1,7 @@
 """Orders engines to change roles so that prefill and decode fit the load."""
 
 import asyncio
+from collections.abc import Callable
 import time
 from typing import NamedTuple
 
@@ -59,6 +60,8 @@
     Attributes:
         pending: Orders whose effect is not visible yet, by engine.
         splits: The planned split of roles of each service.
+        is_replacing: Whether most engines of a service are about to be
+            replaced, so that role changes before there is traffic are wasted.
 
     >>> planner = RolePlanner(
     ...     leadership, directory, configurations, endpoints, gossip, router
@@ -84,6 +87,7 @@
         self.pending: dict[str, PendingOrder] = {}
         self.splits: dict[str, role_split.RoleSplit] = {}
         self.tasks: set[asyncio.Task] = set()
+        self.is_replacing: Callable[[str], bool] = lambda service: False
         directory.removal_listeners.append(self.forget)
 
     def forget(self, replica: types.Replica) -> None:
@@ -153,6 +157,8 @@
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
         planned = split.plan(views, self.load(service, now), now)
+        if split.is_idle(now) and self.is_replacing(service.name):
+            return
         async with asyncio.TaskGroup() as group:
             for change in planned:
                 if change.engine in self.pending:
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -74,6 +74,23 @@
                 pause = RETRY_SECONDS
             await asyncio.sleep(pause)
 
+    def is_replacing(self, name: str) -> bool:
+        """Whether a service's first replicas are still to be replaced.
+
+        This holds from the count of the replicas until the reclaimable ones
+        that are ordered in their place have registered.
+        """
+        configuration = self.configurations.current
+        service = configuration.services.get(name) if configuration else None
+        if service is None or service.offer is None:
+            return False
+        capacity = self.capacities.get(name)
+        if capacity is None or name in self.growing_since:
+            return capacity_module.replaces_steady(service.offer)
+        return capacity.is_awaiting(
+            self.count_present(service), service.offer, time.monotonic()
+        )
+
     async def check(self) -> None:
         """Plans all services that can be scaled.
 
