Keep enough replicas for a second data centre's loss before the first is back

Cause: once a data centre's reclaimable replicas are gone the reserve is used up, and steady ones were ordered only when fewer were left than are needed.

Change: steady replicas make up for what would be missing if the data centre with the most reclaimable ones lost them next.

Result: features/capacity.feature, 'A second data centre's replicas are reclaimed before the first one's are back', which fails on the code before.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -22,6 +22,11 @@
     When the replicas of two data centres are reclaimed for 20 s
     Then within 6 s as many replicas serve as before
 
+  Scenario: A second data centre's replicas are reclaimed before the first one's are back
+    Given 30 replicas in 3 data centres, of which the load keeps 8 busy
+    When the replicas of two data centres are reclaimed 10 s apart
+    Then at every moment at least 30 replicas served
+
   Scenario: A burst waits for replicas though it was seen coming
     Given 30 replicas in 3 data centres, of which the load keeps 8 busy
     When the load rises to keep 26 busy
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -182,6 +182,21 @@
         play.platform.reclaim(name, play.now + seconds)
 
 
+@behave.when(
+    "the replicas of two data centres are reclaimed {seconds:d} s apart"
+)
+def step_reclaim_apart(context, seconds):
+    play = context.play
+    for name in DATA_CENTRES[:2]:
+        end = play.now + max(seconds, START + STEP)
+        while play.now < end:
+            play.step()
+        for dry in DATA_CENTRES:
+            play.platform.dry_until[dry] = play.now + 2 * seconds
+        play.platform.reclaim(name, play.now + 2 * seconds)
+    step_replaced(context, seconds)
+
+
 @behave.then("within {seconds:d} s as many replicas serve as before")
 def step_replaced(context, seconds):
     play = context.play
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -136,23 +136,33 @@
     return math.ceil(needed * reserve_factor(offer))
 
 
+def remaining_spots(spots: dict[str, int]) -> int:
+    """Counts the replicas left if the largest data centre's are reclaimed.
+
+    Args:
+        spots: Reclaimable replicas by data centre.
+    """
+    return sum(spots.values()) - max(spots.values(), default=0)
+
+
 def wanted_steady(
-    total: int, present: Count, coming: int, busy: float, floor: int
+    total: int, present: Count, remaining: int, busy: float, floor: int
 ) -> int:
     """Returns how many of the replicas shall not be reclaimable.
 
-    Reclaimable replicas take the place of the others once they serve. If too
-    few are left, others replace them at once, since nobody knows when
-    reclaimable ones can be had again.
+    Reclaimable replicas take the place of the others once they serve. While a
+    data centre's are gone, others are ordered at once so that the next loss
+    leaves enough as well: nobody knows when there are reclaimable ones again.
 
     Args:
         total: Number of replicas that are needed.
         present: Replicas that serve, in all data centres.
-        coming: Reclaimable replicas that are ordered and may still come.
+        remaining: Reclaimable replicas, those on their way included, that
+            remain if any one data centre's are reclaimed.
         busy: Number of replicas that the load keeps busy.
         floor: The least number.
     """
-    missing = total - present.spot - coming
+    missing = total - remaining
     kept = 0
     if busy > 0:
         kept = min(present.steady, total - present.spot)
@@ -224,8 +234,9 @@
             sum(count.steady for count in present.values()),
             sum(count.spot for count in present.values()),
         )
-        coming = self.coming(present, spot_orders, offer, now)
-        steady = wanted_steady(self.total, all_present, coming, busy, floor)
+        expected = self.expected_spots(present, spot_orders, offer, now)
+        remaining = remaining_spots(expected)
+        steady = wanted_steady(self.total, all_present, remaining, busy, floor)
         steadies = spread(steady, names, offer.least, offer.most)
         found = []
         for place, name in enumerate(names):
@@ -239,16 +250,20 @@
         self, present: dict[str, Count], offer: Offer, now: float
     ) -> bool:
         """Whether reclaimable replicas are ordered and may still come."""
-        return self.coming(present, {}, offer, now) > 0
+        expected = self.expected_spots(present, {}, offer, now)
+        for name, count in expected.items():
+            if count > present.get(name, Count()).spot:
+                return True
+        return False
 
-    def coming(
+    def expected_spots(
         self,
         present: dict[str, Count],
         new: dict[str, list[Order]],
         offer: Offer,
         now: float,
-    ) -> int:
-        """Counts the reclaimable replicas that are ordered and may come.
+    ) -> dict[str, int]:
+        """Counts the reclaimable replicas that serve or may come.
 
         Those of a first or a larger order that is about to be given count as
         well; a new leader doesn't know what its predecessor has ordered. Those
@@ -259,20 +274,20 @@
             new: Orders of reclaimable replicas to give now, by data centre.
             offer: What can be ordered.
             now: Seconds of a monotonic clock.
+
+        Returns:
+            Their number by data centre.
         """
-        expected = {}
+        found = {name: count.spot for name, count in present.items()}
         for (name, spot), (count, given_at) in self.ordered.items():
             late = now - given_at > offer.start_seconds + ARRIVAL_SECONDS
             if spot and not late:
-                expected[name] = count
+                found[name] = max(count, found.get(name, 0))
         for name, orders in new.items():
             before, _ = self.ordered.get((name, True), (0, 0.0))
             for order in orders:
                 if order.count > before and name not in self.unavailable_until:
-                    expected[name] = order.count
-        found = 0
-        for name, count in expected.items():
-            found += max(0, count - present.get(name, Count()).spot)
+                    found[name] = max(order.count, found.get(name, 0))
         return found
 
     def plan_kind(
