--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -48,6 +48,11 @@
     When 60 s pass with nothing wrong
     Then no order was given
 
+  Scenario: Engines get no roles until the last reclaimable replica has registered
+    Given 30 replicas in 3 data centres, of which the load keeps 0 busy
+    When the first reclaimable replicas serve, all but one
+    Then none is awaited that would replace the first replicas
+
   Scenario: An order that a higher token has refused is repeated with the same token
     Given a platform that has seen a higher token for replicas
     When a leader orders replicas for 10 s
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -101,6 +101,10 @@
         self.now = 0.0
         self.history: list[tuple[float, int, int]] = []
 
+    def present(self) -> dict[str, capacity.Count]:
+        """The replicas that serve now, by data centre."""
+        return self.platform.present(self.now)
+
     def step(self) -> None:
         """Passes one step."""
         self.now += STEP
@@ -173,6 +177,25 @@
     play.busy = float(busy)
 
 
+@behave.when("the first reclaimable replicas serve, all but one")
+def step_all_but_one(context):
+    play = context.play
+    while not any(count.spot for count in play.present().values()):
+        awaited = play.leader.is_awaiting_first(
+            play.present(), play.offer, play.now
+        )
+        assert awaited or play.now < 2 * STEP
+        play.step()
+    play.platform.serving["dc-0", True].pop()
+
+
+@behave.then("none is awaited that would replace the first replicas")
+def step_none_awaited(context):
+    play = context.play
+    present = play.present()
+    assert not play.leader.is_awaiting_first(present, play.offer, play.now)
+
+
 @behave.when("the replicas of two data centres are reclaimed for {seconds:d} s")
 def step_reclaim(context, seconds):
     play = context.play
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -246,15 +246,14 @@
             found += self.plan_kind(Order(name, False, count), have, offer, now)
         return found
 
-    def is_awaiting(
+    def is_awaiting_first(
         self, present: dict[str, Count], offer: Offer, now: float
     ) -> bool:
-        """Whether reclaimable replicas are ordered and may still come."""
+        """Whether the first reclaimable replicas are still on their way."""
+        if any(count.spot for count in present.values()):
+            return False
         expected = self.expected_spots(present, {}, offer, now)
-        for name, count in expected.items():
-            if count > present.get(name, Count()).spot:
-                return True
-        return False
+        return any(expected.values())
 
     def expected_spots(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -77,8 +77,8 @@
     def is_replacing(self, name: str) -> bool:
         """Whether a service's first replicas are still to be replaced.
 
-        This holds from the count of the replicas until the reclaimable ones
-        that are ordered in their place have registered.
+        This holds from the count of the replicas until the first reclaimable
+        ones that are ordered in their place have registered.
         """
         configuration = self.configurations.current
         service = configuration.services.get(name) if configuration else None
@@ -87,7 +87,7 @@
         capacity = self.capacities.get(name)
         if capacity is None or name in self.growing_since:
             return capacity_module.replaces_steady(service.offer)
-        return capacity.is_awaiting(
+        return capacity.is_awaiting_first(
             self.count_present(service), service.offer, time.monotonic()
         )
 
