--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -243,13 +243,17 @@
 
 @behave.then("no order reaches an engine for {count:d} durations of the lease")
 def step_none(context, count):
-    before = [
-        control_fleet.orders(context, name) for name in control_fleet.ENGINES
-    ]
+    before = all_orders(context)
     time.sleep(count * control_fleet.LEASE["duration"])
-    assert [
+    after = all_orders(context)
+    assert after == before, (before, after)
+
+
+def all_orders(context):
+    """Lists all orders that came to each engine."""
+    return [
         control_fleet.orders(context, name) for name in control_fleet.ENGINES
-    ] == before
+    ]
 
 
 @behave.when('the answer of the next order to "{engine}" is lost')
