--- a/packages/gypsumfold/src/gypsumfold/decisions/admission.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/admission.py
@@ -12,9 +12,8 @@
 from typing import Protocol
 
 # Fraction added to an estimate before it is compared with a deadline, since
-# estimates are averages. At twice the capacity nearly half of the answers ended
-# just too late with 0.0, a fifth with 0.2 and a tenth with 0.35; 0.5 refused
-# more callers with ordinary use (features/support/patterns.py).
+# estimates are averages. A smaller one lets more answers end just too late under
+# overload; a larger one refuses callers under ordinary load.
 ESTIMATE_MARGIN = 0.35
 # From this urgency value the complete margin is added. Urgency 0 gets none:
 # there every answer that may still be on time is worth the work.
--- a/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/lateness.py
@@ -4,24 +4,22 @@
 prefill within their objectives. Served in order of arrival, all of them are
 late, including new ones. So a request that will miss its objective is queued
 behind all that can meet theirs, and one whose caller will have left by then is
-refused at once. A late request must count the late ones queued ahead of it: of
-160 new long prompts within a second, 29 to 51 otherwise waited until their
-callers left, and 0 to 2 with the count (simulated, five seeds).
+refused at once. A late request must count the late ones queued ahead of it;
+otherwise many wait until their callers have left.
 """
 
 from typing import NamedTuple
 
 # Time from the end of prefill to the caller's first event: KV cache transfer
-# and the first decode step (45 ms is the median under light load).
+# and the first decode step.
 FIRST_EVENT_SECONDS = 0.06
 # Urgency of the most urgent deferred request: behind all requests that are on
 # time and those without a declared urgency (5).
 DEFERRED_URGENCY = 6
 # A late request that delays others for at most this fraction of its objective
 # isn't deferred: it stays ahead of less urgent requests, behind those of its
-# own urgency that are on time. When deferred, prompts of 6 ms waited 0.4 s for
-# prompts of 60 to 300 ms while 300 arrived per second, and fewer of them were
-# served.
+# own urgency that are on time. Behind prompts that take ten times as long, few
+# small ones would be served.
 SMALL_LOAD_FRACTION = 0.1
 # Engine urgencies for each route urgency: one for requests on time, one for
 # small late ones.
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
@@ -16,8 +16,8 @@
 PROMPT_OVERHEAD_SECONDS = 0.03
 # Fixed engine time per prompt, in addition to its tokens: a busy engine
 # prefills several short prompts in one step of 4 to 7 ms and takes the next
-# ones while a response is under way. With 30 ms for each, 27 waiting prompts of
-# 290 tokens counted as 1 s, and callers with 2 s left were refused.
+# ones while a response is under way. A higher value refuses callers for a queue
+# of short prompts that takes a few steps.
 ENGINE_OVERHEAD_SECONDS = 0.002
 # Fraction of observations that should be faster than the estimate: only prompts
 # that didn't wait show the engine's speed.
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -35,8 +35,8 @@
 # Urgencies from 0 to this are counted separately; larger ones count as this.
 MAX_URGENCY = 3
 # Seconds for which a prompt in prefill delays a more urgent one: engines
-# prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. When
-# long prompts counted in full, short ones that overtake them looked late.
+# prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. Short
+# prompts that overtake long ones do not wait for all of them.
 CHUNK_SECONDS = 0.032
 # Below this copying takes longer than prefill: 400 tokens take 10 ms.
 MIN_COPY_TOKENS = 400
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -15,9 +15,8 @@
 # Engines of a service per decode engine before there is traffic: nothing is
 # cached then.
 ENGINES_PER_DECODER = 6
-# Tokens of KV cache transferred for each prefilled token. Prompts are
-# transferred complete, and engines found 2.5 of their tokens cached for each
-# one that they prefilled (calm day of long dossiers and short tags).
+# Tokens of KV cache transferred for each prefilled token: prompts are
+# transferred complete, cached tokens included.
 TRANSFERRED_PER_PREFILLED = 2.5
 # Average transfer time relative to one within a data centre, if two in three
 # transfers go to another data centre and take twice as long.
@@ -25,9 +24,8 @@
 # Fraction of the decode engines that streams may fill before another one is
 # added: a full memory evicts streams midway.
 FULL_FRACTION = 0.6
-# Fraction from which a decode engine is added although prompts wait. Behind a
-# full engine they wait as well, and with 0.9 to 1.2 of one used the streams of
-# a mean answer of 120 tokens lasted 2 to 3 s instead of 0.6 s.
+# Fraction from which a decode engine is added although prompts wait: behind a
+# full engine they wait as well, and its streams take several times as long.
 OVERFULL_FRACTION = 0.9
 # Fraction that adding engines aims at, and below which one engine fewer would
 # still be enough.
@@ -47,8 +45,8 @@
 # ignored, since a change makes an engine unavailable for three.
 STABLE_SECONDS = 1.2
 # Seconds between two changes. A role change takes three, and the streams that
-# waited meanwhile end some seconds later. With five seconds a second engine
-# changed its role too, for streams that had waited for the first.
+# waited meanwhile end some seconds later; a second engine must not change its
+# role for them.
 SETTLE_SECONDS = 8.0
 # The split may be off its target by one engine for each so many engines of a
 # service while the load permits it: none of six, seven of 70.
@@ -167,10 +165,10 @@
     def count_foreign_changes(self, engines: list[EngineView]) -> int:
         """Returns the net number of decode engines added by other nodes.
 
-        Without this, a change that a holder of authority had ordered before it
-        froze looked like an error of the split. Its successor undid it 0.1 s
-        after it was carried out and ordered it again 4 s later, so the engine
-        was unavailable for 10 s of a burst (seen in the logs of nine nodes).
+        A change that a holder of authority ordered before it froze is carried
+        out under its successor, which must not take it for an error of the
+        split: undoing it and ordering it again makes the engine unavailable for
+        several role changes.
         """
         found = 0
         for engine in engines:
@@ -191,9 +189,9 @@
     def is_tolerable(self, current: int, engines: int) -> bool:
         """Whether a split that changed without an order may stay.
 
-        Engines that crash come back, and new ones start as decode engines.
-        With 18 of 70 engines lost for 2 s, six were ordered to change and to
-        change back within 3.5 s, and were unavailable for 7 s.
+        Engines that crash come back, and new ones start as decode engines. A
+        correction of each loss would be taken back a few seconds later, and
+        each change makes an engine unavailable for seconds.
         """
         deviation = current - self.target
         if current < 1 or abs(deviation) > engines // ENGINES_PER_DEVIATION:
@@ -268,10 +266,9 @@
     def pressure(self, decoders: int, engines: int) -> float:
         """Returns how far a split falls short of the load, for both roles.
 
-        Judging either role alone removed prefill engines at the peak of a
-        burst, when streams and prompts both wait: two of five kept prefilling,
-        at 0.35 s a prompt instead of 0.05 s, until the day's end (counted in
-        the logs of nine nodes).
+        Judging either role alone would remove prefill engines at the peak of a
+        burst, when streams and prompts both wait, and the few that are left
+        would not catch up.
         """
         prompts = max(
             self.prompts / OVERLOADED_SECONDS, self.demand / BUSY_FRACTION
@@ -309,10 +306,8 @@
 def initial_decoders(engines: int, moving: float = 0.0) -> int:
     """Returns the number of decode engines before there is traffic.
 
-    Nothing is cached then and most engines prefill, but the links must carry
-    what they transfer. With one decode engine of six and 0.73 of its link used,
-    14 in 100 of the requests of the first 6 s were late or never answered; with
-    two, 5 in 100 (a calm day, three seeds).
+    Nothing is cached then and most engines prefill, but the links of the decode
+    engines must carry what they transfer.
 
     Args:
         engines: The number of engines.
@@ -381,10 +376,8 @@
     """Returns the engines of which one may stop decoding.
 
     The last decode engine that isn't changing stays: one that is changing may
-    have crashed, or may carry out its order seconds later. When the last one
-    changed its role, in favour of an engine that had been ordered 4.7 s before
-    and was lost 0.6 s after, there was none for 10 s, and 314 to 317 in 1,000
-    requests of the day were refused (18 nodes, four of five runs).
+    have crashed, or may carry out its order seconds later, and until then there
+    would be none.
     """
     unchanging = [engine for engine in decoders if not engine.changing]
     if len(unchanging) > 1:
@@ -397,11 +390,10 @@
 ) -> list[Change]:
     """Postpones all but a few changes from decode to prefill.
 
-    Engines that crash come back as decode engines. When all of them were
-    ordered to prefill at once, three of five were unavailable for 3 s, and the
-    streams that came then had one engine (1,000 of the 1,112 requests of 2 s
-    refused, seen in the logs of nine nodes). A lost decode engine is still
-    replaced at once.
+    Engines that crash come back as decode engines. If all of them were ordered
+    to prefill at once, most engines of a small fleet would be unavailable for a
+    role change, and streams refused. A lost decode engine is still replaced at
+    once.
     """
     limit = max(1, len(engines) // ENGINES_PER_DEVIATION)
     for engine in engines:
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -368,8 +368,8 @@
         """Records a failed request.
 
         If the connection ended or could not be opened, the replica is probed:
-        the entry of a crashed one stays for up to four seconds (3.8 s
-        observed), in which every request sent there would be lost.
+        the entry of a crashed one stays for up to four seconds, in which every
+        request sent there would be lost.
 
         Args:
             instance: The replica.
