--- a/packages/gypsumfold/src/gypsumfold/decisions/admission.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/admission.py
@@ -12,8 +12,8 @@
 from typing import Protocol
 
 # Fraction added to an estimate before it is compared with a deadline, since
-# estimates are averages. A smaller one lets more answers end just too late under
-# overload; a larger one refuses callers under ordinary load.
+# estimates are averages. A smaller one lets more answers end just too late
+# under overload; a larger one refuses callers under ordinary load.
 ESTIMATE_MARGIN = 0.35
 # From this urgency value the complete margin is added. Urgency 0 gets none:
 # there every answer that may still be on time is worth the work.
