--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -48,12 +48,12 @@
         steady_share: Share of the replicas that are not reclaimable.
         headroom: Number of replicas relative to what the load keeps busy.
         least_share: Share of the replicas present at first that is always
-            kept, of both kinds.
+            needed; the reserve comes on top.
     """
 
     steady_share: float = 0.1
     headroom: float = 1.5
-    least_share: float = 1.0
+    least_share: float = 0.8
 
 
 class Count(NamedTuple):
@@ -185,7 +185,7 @@
     def __init__(self, first: int, policy: Policy):
         self.first = first
         self.policy = policy
-        self.total = first
+        self.total = math.ceil(policy.least_share * first)
         self.lower_since: float | None = None
         self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
         self.unavailable_until: dict[str, float] = {}
@@ -193,7 +193,8 @@
     def record_first(self, count: int) -> None:
         """Records the number of replicas that were there at first."""
         self.first = count
-        self.total = max(self.total, count)
+        least = math.ceil(self.policy.least_share * count)
+        self.total = max(self.total, least)
 
     def plan(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -184,12 +184,12 @@
             reclaim.
         headroom: Number of replicas relative to what the load keeps busy.
         least_share: Share of the replicas present at first that is always
-            kept.
+            needed; the reserve comes on top.
     """
 
     steady_share: float = 0.1
     headroom: float = 1.5
-    least_share: float = 1.0
+    least_share: float = 0.8
 
     @property
     def policy(self) -> capacity.Policy:
