--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -53,7 +53,7 @@
 
     steady_share: float = 0.1
     headroom: float = 1.5
-    least_share: float = 0.8
+    least_share: float = 1.0
 
 
 class Count(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -189,7 +189,7 @@
 
     steady_share: float = 0.1
     headroom: float = 1.5
-    least_share: float = 0.8
+    least_share: float = 1.0
 
     @property
     def policy(self) -> capacity.Policy:
