--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -132,6 +132,7 @@
         self.reason = "OK"
         self.fields: types.Fields = ()
         self.sealed = True
+        self.is_framed = True
         self.not_run = False
         self.length = None
         self.reset = replica.fleet.resets()
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -165,6 +165,12 @@
     "identified by a fingerprint; unless that is certain, the request may be "
     "retried at another node.",
 )
+ANSWER_UNFRAMED = define(
+    232,
+    "answer-unframed",
+    "info",
+    "A stream with neither a length nor chunks has ended with its connection.",
+)
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -292,7 +292,12 @@
 
 
 class PooledAnswer:
-    """An answer on a pooled connection whose head has been received."""
+    """An answer on a pooled connection whose head has been received.
+
+    Attributes:
+        is_framed: Whether the end of the body is marked by a length or chunks;
+            otherwise it ends with its connection.
+    """
 
     def __init__(
         self,
@@ -310,6 +315,7 @@
         self.sealed = False
         self.not_run = False
         self.length = _length(head)
+        self.is_framed = self.length is not None or _is_chunked(head)
         self.ended = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -356,3 +362,7 @@
         if name == b"content-length":
             return int(value)
     return None
+
+
+def _is_chunked(head: h11.Response) -> bool:
+    return any(name == b"transfer-encoding" for name, _ in head.headers)
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import progress as progress_module
@@ -65,10 +66,21 @@
         plain_calls.check_answer(answer)
         self.pending = b""
         listener.bytes_received()
+        received = 0
+        last_bytes = b""
         async for data in answer.chunks():
             listener.bytes_received()
+            received += len(data)
+            last_bytes = (last_bytes + data)[-4:]
             if await self.write(data, answer, progress):
                 listener.output_forwarded()
+        if not answer.is_framed:
+            events.log(
+                events.ANSWER_UNFRAMED,
+                request=progress.call.id,
+                received=received,
+                last_bytes=last_bytes.hex(),
+            )
         if self.pending:
             await self.reply.write(self.pending)
         if not progress.answer_started:
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -189,6 +189,8 @@
             confirms a success.
         not_run: Whether the replica reports that the request has not run.
         length: Size of the body in bytes; None if it is not known in advance.
+        is_framed: Whether the end of the body is marked by a length or chunks;
+            otherwise it ends with its connection.
     """
 
     status: int
@@ -197,6 +199,7 @@
     sealed: bool
     not_run: bool
     length: int | None
+    is_framed: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; raises `AnswerBroken` if it ends early."""
