--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -40,6 +40,8 @@
         failing: Next requests that run and end with 500.
         broken: Next streams that break off in the middle of their third
             event.
+        unframed: Next streams with neither a length nor chunks; they end with
+            their connection, which is closed in order even if they break off.
         crashing: Text of a body whose run ends the process; none if empty.
         silent: Nothing is answered any more.
         orders_lost: Next orders carried out whose answer is dropped.
@@ -55,6 +57,7 @@
     unsealed: int = 0
     failing: int = 0
     broken: int = 0
+    unframed: int = 0
     crashing: str = ""
     silent: bool = False
     orders_lost: int = 0
@@ -68,6 +71,21 @@
         return True
 
 
+class StreamedAnswer(web.StreamResponse):
+    """A stream in chunks, or one that ends with its connection.
+
+    Attributes:
+        framed: Whether it is sent in chunks.
+    """
+
+    framed = True
+
+    @property
+    def _length_check(self) -> bool:
+        # The HTTP library adds chunks unless a subclass opts out by this name.
+        return self.framed
+
+
 class Replica:
     """The replica's state and its handlers."""
 
@@ -186,8 +204,11 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         """Streams events, from the one after Last-Event-Id on."""
-        response = web.StreamResponse(headers=headers)
+        response = StreamedAnswer(headers=headers)
         response.content_type = "text/event-stream"
+        if self.faults.takes("unframed"):
+            response.framed = False
+            response.force_close()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         breaks = self.faults.takes("broken")
@@ -195,8 +216,10 @@
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
             if breaks and number == first + 2:
                 await response.write(event[:9])
-                request.transport.abort()
-                return response
+                if response.framed:
+                    request.transport.abort()
+                    return response
+                break
             await response.write(event)
             await asyncio.sleep(self.faults.event_seconds)
         await response.write_eof()
