Leave a call undetermined whose answer has neither a length nor chunks

The nodes' protocol now asks for a length or chunks, and an answer without is undetermined. Both new rows of features/services.feature failed before (an Answer with half of the body) and pass. The other readers of that path check content: streams need their finish, count and end marker; log, VM list and reports are JSON objects or counted records; orders need only a status.

--- a/features/services.feature
+++ b/features/services.feature
@@ -28,6 +28,8 @@
       | closes the connection after the body       | once  |
       | never answers after the body               | once  |
       | answers half                               | once  |
+      | answers half without a length and closes   | once  |
+      | answers half without a length and resets   | once  |
       | answers another dispatch                   | once  |
       | answers 200 instead of the 100             | never |
 
--- a/features/steps/services_steps.py
+++ b/features/steps/services_steps.py
@@ -1,6 +1,8 @@
 """Steps on the client of plain services, against scripted replicas."""
 
 import asyncio
+import socket
+import struct
 
 import behave
 
@@ -108,6 +110,9 @@
             writer.write(answer(dispatch, length=100))
             writer.close()
             return False
+        if self.behaviour.startswith("answers half without a length"):
+            await self.answer_half(writer, dispatch)
+            return False
         if self.behaviour == "answers another dispatch":
             dispatch = b"another"
         more = b""
@@ -118,6 +123,23 @@
         writer.write(answer(dispatch, status, more=more))
         return True
 
+    async def answer_half(self, writer, dispatch):
+        """Answers without a length and ends the connection in the body."""
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            b"Gypsumfold-Dispatch: %s\r\n\r\ndo" % dispatch
+        )
+        await writer.drain()
+        if self.behaviour.endswith("resets"):
+            # The half is read before the reset discards it.
+            await asyncio.sleep(0.05)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+            return
+        writer.close()
+
 
 async def converse(replica, sizes, permits):
     """Sends calls one after the other and gives the last one's end."""
--- a/packages/gypsumfold/src/gypsumfold/endpoints/services.py
+++ b/packages/gypsumfold/src/gypsumfold/endpoints/services.py
@@ -14,6 +14,8 @@
 
 # The header that carries the dispatch id in requests and answers.
 DISPATCH_HEADER = "Gypsumfold-Dispatch"
+# Statuses of answers that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 
 class Health(msgspec.Struct):
@@ -200,6 +202,11 @@
             if not call_body.sent:
                 answer.close()
                 raise early_answer_error(answer.status)
+            if not is_framed(answer):
+                answer.close()
+                raise exceptions.EndpointUndetermined(
+                    "an answer with neither a length nor chunks"
+                )
             content = await answer.read()
             if answer.headers.get(DISPATCH_HEADER) != dispatch_id:
                 answer.close()
@@ -221,6 +228,17 @@
     return isinstance(error.__cause__, connection_errors)
 
 
+def is_framed(answer: aiohttp.ClientResponse) -> bool:
+    """Whether the end of an answer's body can be told from a broken one.
+
+    The HTTP library takes any end of the connection, a reset too, for the end
+    of a body with neither a length nor chunks.
+    """
+    if answer.status in BODILESS_STATUSES or answer.content_length is not None:
+        return True
+    return "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+
+
 def early_answer_error(status: int) -> exceptions.EndpointError:
     """Returns the error for a final answer received instead of the 100."""
     if status < 400:
