Take JSON that ends inside its value for broken off

A JSON body without framing now has to be a whole value, else the attempt counts as broken off: repeated where the route allows, else 502 as undetermined. HEAD, 204 and 304 have no body and count as framed. Both new rows of features/gateway.feature failed before (200, sealed, with 15 bytes of the object) and pass.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -34,6 +34,7 @@
       | crossed  | 502    |
       | unsealed | 502    |
       | reset    | 502    |
+      | halved   | 502    |
 
   Scenario: Bytes behind an answer do not become the next caller's answer
     Given the replicas' next 6 answers are "stray"
@@ -50,6 +51,7 @@
       | reset    |
       | crossed  |
       | unsealed |
+      | halved   |
       | failing  |
       | refused  |
 
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -40,6 +40,8 @@
         failing: Next requests that run and end with 500.
         broken: Next streams that break off in the middle of their third
             event.
+        halved: Next plain answers of JSON with neither a length nor chunks
+            whose connection is closed in order in their middle.
         unframed: Next streams with neither a length nor chunks; they end with
             their connection, which is closed in order even if they break off.
         crashing: Text of a body whose run ends the process; none if empty.
@@ -57,6 +59,7 @@
     unsealed: int = 0
     failing: int = 0
     broken: int = 0
+    halved: int = 0
     unframed: int = 0
     crashing: str = ""
     silent: bool = False
@@ -179,6 +182,8 @@
         if request.headers.get("Accept") == "text/event-stream":
             return await self.stream(request, headers)
         await asyncio.sleep(self.faults.seconds)
+        if self.faults.takes("halved"):
+            return await self.halve(request, headers)
         response = web.Response(
             headers=headers, body=self.seal(attempt).encode()
         )
@@ -190,6 +195,19 @@
             self.waits.add(asyncio.create_task(self.until_closed(request)))
         return response
 
+    async def halve(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Sends the first half of a JSON object and closes the connection."""
+        response = StreamedAnswer(headers=headers)
+        response.content_type = "application/json"
+        response.framed = False
+        response.force_close()
+        await response.prepare(request)
+        await response.write(b'{"seat": 7, "ta')
+        await response.write_eof()
+        return response
+
     async def until_closed(self, request: web.Request) -> None:
         """Counts a connection with stray bytes that the node has closed."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -36,6 +36,8 @@
 # SO_LINGER with a timeout of zero: closing resets the connection and drops what
 # the kernel has not sent yet.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Statuses of answers that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 
 class Connection(asyncio.Protocol):
@@ -295,8 +297,8 @@
     """An answer on a pooled connection whose head has been received.
 
     Attributes:
-        is_framed: Whether the end of the body is marked by a length or chunks;
-            otherwise it ends with its connection.
+        is_framed: Whether the end of the body is marked by a length or chunks,
+            or there is never a body; otherwise it ends with its connection.
     """
 
     def __init__(
@@ -304,6 +306,7 @@
         pool: Pool,
         replica: types.Replica,
         connection: Connection,
+        method: str,
         head: h11.Response,
     ):
         self.pool = pool
@@ -315,7 +318,8 @@
         self.sealed = False
         self.not_run = False
         self.length = _length(head)
-        self.is_framed = self.length is not None or _is_chunked(head)
+        has_no_body = method == "HEAD" or self.status in BODILESS_STATUSES
+        self.is_framed = has_no_body or _is_framed(head)
         self.ended = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -364,5 +368,8 @@
     return None
 
 
-def _is_chunked(head: h11.Response) -> bool:
-    return any(name == b"transfer-encoding" for name, _ in head.headers)
+def _is_framed(head: h11.Response) -> bool:
+    for name, _ in head.headers:
+        if name in (b"content-length", b"transfer-encoding"):
+            return True
+    return False
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import msgspec
+
 from gypsumfold import exceptions
 from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
@@ -18,6 +20,7 @@
 ATTEMPT_TIMEOUT_FACTOR = 2.0
 # Attempts, refused ones included; each retry counts against the site's budget.
 MAX_ATTEMPTS = 4
+JSON_TYPE = b"application/json"
 
 
 class PlainCalls:
@@ -175,6 +178,7 @@
         finally:
             answer.close()
         check_answer(answer)
+        check_body(answer, body)
         now = time.monotonic()
         self.directory.record_activity(replica.instance, now)
         if answer.status < 500:
@@ -198,3 +202,32 @@
         raise exceptions.AnswerBroken(
             f"{answer.status} without the statement that nothing has run"
         )
+
+
+def check_body(answer: types.Answer, body: bytes) -> None:
+    """Checks that the end of a connection was the end of a body.
+
+    Only the content can tell. A body of another type than JSON counts as whole
+    if its connection was closed in order.
+
+    Raises:
+        exceptions.AnswerBroken: The body is JSON and has been cut off.
+    """
+    if answer.is_framed or not is_json(answer.fields):
+        return
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise exceptions.AnswerBroken(
+            "the connection ended inside the body"
+        ) from error
+
+
+def is_json(fields: types.Fields) -> bool:
+    """Whether header fields state that a body is JSON."""
+    for name, value in fields:
+        if name.lower() != b"content-type":
+            continue
+        media_type = value.partition(b";")[0].strip().lower()
+        return media_type == JSON_TYPE or media_type.endswith(b"+json")
+    return False
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -107,6 +107,7 @@
         """Forwards a replica's error answer, unless an answer has started."""
         body = await answer.read()
         plain_calls.check_answer(answer)
+        plain_calls.check_body(answer, body)
         if progress.answer_started:
             raise exceptions.AnswerBroken(
                 f"the engine to resume the stream answered {answer.status}"
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -189,8 +189,8 @@
             confirms a success.
         not_run: Whether the replica reports that the request has not run.
         length: Size of the body in bytes; None if it is not known in advance.
-        is_framed: Whether the end of the body is marked by a length or chunks;
-            otherwise it ends with its connection.
+        is_framed: Whether the end of the body is marked by a length or chunks,
+            or there is never a body; otherwise it ends with its connection.
     """
 
     status: int
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -199,7 +199,9 @@
         for name, value in event.headers:
             if name == b"keep-alive":
                 connection.idle_timeout = parse_idle_timeout(value)
-        return connections.PooledAnswer(self.pool, replica, connection, event)
+        return connections.PooledAnswer(
+            self.pool, replica, connection, method, event
+        )
 
 
 def remove_field(
