--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -216,6 +216,14 @@
                 found.append(replica)
         return found
 
+    def count_usable(self, service: str) -> tuple[int, int]:
+        """Counts the replicas of a service: those not suspect, and all."""
+        known = self.known(service)
+        suspect = 0
+        for replica in known:
+            suspect += replica.instance in self.suspects
+        return len(known) - suspect, len(known)
+
     def responsive(self, service: str) -> list[types.Replica]:
         """Returns the replicas of a service neither draining nor suspect."""
         found = []
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -160,6 +160,7 @@
             self.counters,
             self.authenticator,
             self.gossip.usage,
+            self.directory,
         )
         self.server = server_module.Server(self.handler, self.configurations)
         self.crash_records = crash_records_module.CrashRecords(
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -11,6 +11,7 @@
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import authentication
 from gypsumfold.gateway import configurations as configurations_module
+from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import generations as generations_module
 from gypsumfold.gateway import plain_calls as plain_calls_module
@@ -45,6 +46,7 @@
         observer: Observer,
         authenticator: authentication.Authenticator,
         usage: progress_module.Usage,
+        directory: directory_module.Directory,
     ):
         self.configurations = configurations
         self.budget = budget
@@ -53,6 +55,7 @@
         self.observer = observer
         self.authenticator = authenticator
         self.usage = usage
+        self.directory = directory
 
     async def serve(self, call: types.Call, reply: replies.Reply) -> None:
         """Answers a request.
@@ -104,6 +107,7 @@
             reason = str(error)
             raise
         finally:
+            usable, known = self.directory.count_usable(service)
             seconds = time.monotonic() - call.arrival
             self.observer.count_answer(route.name, outcome, seconds)
             events.log(
@@ -118,6 +122,8 @@
                 reason=reason,
                 seconds=round(seconds, 4),
                 runs=progress.runs,
+                usable=usable,
+                replicas=known,
             )
 
     async def serve_until_deadline(
