--- /dev/null
+++ b/features/cut_off_gateways.feature
@@ -0,0 +1,27 @@
+Feature: A gateway that is cut off from the replicas serves its callers by way of others
+
+  Some gateways lose their links to all replicas for seconds, while callers, the
+  store and the other gateways still reach them. Whole gateways run under virtual
+  time before engines and plain replicas.
+
+  Scenario Outline: Callers of gateways that are cut off from all replicas are served as the others are: <cut> of <nodes>, new connections are <how>
+    Then in each of <plays> plays <cut> of <nodes> gateways whose connections are <how> serve first attempts as the others do
+
+    Examples:
+      | nodes | cut                  | how     | plays |
+      | 6     | 1                    | silent  | 2     |
+      | 6     | 1                    | refused | 2     |
+      | 6     | all of a data centre | silent  | 2     |
+      | 6     | all of a data centre | refused | 2     |
+      | 9     | most                 | silent  | 1     |
+      | 9     | most                 | refused | 1     |
+      | 40    | all of a data centre | silent  | 1     |
+
+  Scenario Outline: What callers of gateways that are cut off are told is true: <cut> of <nodes>, new connections are <how>
+    Then in each of <plays> plays with <cut> of <nodes> gateways whose connections are <how> nothing runs twice and no refusal is untrue
+
+    Examples:
+      | nodes | cut                  | how     | plays |
+      | 6     | 1                    | silent  | 2     |
+      | 6     | all of a data centre | refused | 2     |
+      | 9     | most                 | silent  | 1     |
--- /dev/null
+++ b/features/steps/cut_off_gateways_steps.py
@@ -0,0 +1,144 @@
+"""Steps on gateways that are cut off from all replicas, in virtual time."""
+
+import behave
+from features.support import virtual_callers
+from features.support import virtual_engines
+from features.support import virtual_gateways
+
+# Seconds for which gateways learn what there is, and for which callers ask
+# before the cut.
+SETTLING = 5.0
+QUIET = 2.0
+# Seconds after a cut's begin from which its callers count, and of the cut.
+CONTACT = 3.0
+CUT = 12.0
+HEALED = 6.0
+# Requests a second, so that far more than ten reach each gateway that is cut.
+RATE = 90.0
+# First attempts at gateways that are cut off are served less than this share
+# as often as the others, and more than so many of them fail: the bound of the
+# users' rule.
+SHARE = 2 / 3
+FAILED = 10
+FAILED_SHARE = 1 / 50
+FIRST_SEED = 1
+
+
+def pick(site, cut):
+    """The gateways to cut off."""
+    names = list(site.nodes)
+    if cut == "most":
+        return names[: 2 * len(names) // 3]
+    if cut == "all of a data centre":
+        data_centre = site.nodes[names[0]].data_centre
+        return [
+            name
+            for name in names
+            if site.nodes[name].data_centre == data_centre
+        ]
+    return names[: int(cut)]
+
+
+def change(site, names, how, cut):
+    """Cuts gateways off, or ends that."""
+    for name in names:
+        endpoints = site.nodes[name].endpoints
+        if how == "refused":
+            endpoints.refused = cut
+        else:
+            endpoints.cut = cut
+
+
+async def play_cut(site, nodes, cut, how, found):
+    """Plays one cut and what follows; collects what is needed to judge it."""
+    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
+    callers = virtual_callers.Callers(site, site.fleet)
+    callers.configure(3)
+    site.fleet.start()
+    site.start(nodes, 3)
+    await site.pass_time(SETTLING)
+    callers.keep_asking(RATE)
+    await site.pass_time(QUIET)
+    names = pick(site, cut)
+    begin = site.clock()
+    change(site, names, how, True)
+    await site.pass_time(CUT)
+    end = site.clock()
+    change(site, names, how, False)
+    await site.pass_time(HEALED)
+    found["names"] = names
+    found["callers"] = callers
+    found["span"] = (begin + CONTACT, end)
+    found["after"] = (end + CONTACT, site.clock())
+
+
+def play(plays, nodes, cut, how):
+    """Plays seeds; yields each with what it gave."""
+    for seed in range(FIRST_SEED, FIRST_SEED + plays):
+        site = virtual_gateways.Site(seed)
+        found = {}
+        site.play(play_cut(site, nodes, cut, how, found))
+        yield seed, site, found
+
+
+def first_attempts(found, span, cut):
+    """First attempts within a span, at gateways cut off or at the others."""
+    begin, end = span
+    kept = []
+    for one in found["callers"].ends:
+        if not one.first or not begin <= one.at < end:
+            continue
+        if (one.gateway in found["names"]) == cut:
+            kept.append(one)
+    return kept
+
+
+def is_served_worse(cut, others):
+    """Whether the users' rule on gateways that are cut off is broken."""
+    served = sum(one.status == 200 for one in cut)
+    served_others = sum(one.status == 200 for one in others)
+    failed = len(cut) - served
+    share = served / len(cut)
+    return share < SHARE * served_others / len(
+        others
+    ) and failed > FAILED + FAILED_SHARE * len(cut)
+
+
+@behave.then(
+    "in each of {plays:d} plays {cut} of {nodes:d} gateways whose connections "
+    "are {how} serve first attempts as the others do"
+)
+def step_served(context, plays, cut, nodes, how):
+    for seed, _, found in play(plays, nodes, cut, how):
+        for span in (found["span"], found["after"]):
+            cut_off = first_attempts(found, span, cut=True)
+            others = first_attempts(found, span, cut=False)
+            assert len(cut_off) > FAILED, (seed, len(cut_off))
+            served = sum(one.status == 200 for one in cut_off)
+            served_others = sum(one.status == 200 for one in others)
+            assert not is_served_worse(cut_off, others), (
+                f"seed {seed}: {served} of {len(cut_off)} at gateways that are "
+                f"cut off, {served_others} of {len(others)} at the others"
+            )
+
+
+@behave.then(
+    "in each of {plays:d} plays with {cut} of {nodes:d} gateways whose "
+    "connections are {how} nothing runs twice and no refusal is untrue"
+)
+def step_true(context, plays, cut, nodes, how):
+    once = virtual_callers.BRIEF[0]
+    for seed, site, found in play(plays, nodes, cut, how):
+        callers = found["callers"]
+        runs = {}
+        for arrival in site.fleet.arrivals:
+            if arrival.ran:
+                runs[arrival.attempt] = runs.get(arrival.attempt, 0) + 1
+        twice = [
+            attempt
+            for attempt, path in callers.paths.items()
+            if path == once and runs.get(attempt, 0) > 1
+        ]
+        assert not twice, (seed, twice[:5])
+        untrue = callers.false_promises()
+        assert not untrue, (seed, untrue[:5])
--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -32,6 +32,9 @@
         status: HTTP status; 0 where the answer broke off.
         refused: Whether it was refused as a request that crashes replicas.
         seconds: From the attempt's begin to its end.
+        gateway: The gateway that took it.
+        first: Whether it was its caller's first.
+        at: When it began.
     """
 
     body: bytes
@@ -39,6 +42,9 @@
     status: int
     refused: bool
     seconds: float
+    gateway: str = ""
+    first: bool = True
+    at: float = 0.0
 
 
 class Reply:
@@ -79,6 +85,8 @@
         self.site = site
         self.fleet = fleet
         self.ends: list[End] = []
+        # The path of each attempt.
+        self.paths: dict[str, str] = {}
         self.numbers = itertools.count()
 
     def configure(self, version: int) -> None:
@@ -126,12 +134,12 @@
     async def ask(self, kind: tuple, body: bytes, retries: int = 1) -> None:
         """Asks for one thing, and once more after a failure."""
         deadline = self.site.clock() + kind[4]
-        for _ in range(1 + retries):
+        for number in range(1 + retries):
             left = deadline - self.site.clock()
             if left <= 0 or not self.site.nodes:
                 return
             end, wait = await self.attempt(kind, body, left)
-            self.ends.append(end)
+            self.ends.append(end._replace(first=number == 0))
             if end.status == 200:
                 return
             left = deadline - self.site.clock()
@@ -157,7 +165,16 @@
         except exceptions.AnswerBroken:
             reply.abort()
         seconds = self.site.clock() - call.arrival
-        return End(body, call.id, status, refused, seconds), wait
+        end = End(
+            body,
+            call.id,
+            status,
+            refused,
+            seconds,
+            gateway=node.name,
+            at=call.arrival,
+        )
+        return end, wait
 
     async def served(self, node, call: types.Call, reply: Reply) -> None:
         """Has a gateway serve a call; one that ends cuts its connection.
@@ -188,8 +205,10 @@
             if body in self.fleet.crashing:
                 chain = (chains.Block(path, shared), chain[1])
         now = self.site.clock()
+        attempt = f"attempt-{next(self.numbers)}"
+        self.paths[attempt] = path
         return types.Call(
-            id=f"attempt-{next(self.numbers)}",
+            id=attempt,
             method="POST",
             target=path,
             host=gateways.HOST,
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -38,6 +38,10 @@
 LATE = 0.5
 # Seconds that a call to a replica waits which does not answer at all.
 SILENT = 30.0
+# Seconds after which a gateway gives up opening a connection.
+CONNECT = 0.3
+# Share of connections that a replica closes after an answer.
+CLOSED_SHARE = 0.3
 SLOTS = 64
 
 
@@ -301,27 +305,57 @@
 
     Attributes:
         cut: Whether nothing comes back from any replica.
+        refused: Whether new connections are refused; open ones live on.
+        kept: Number of idle connections by address.
     """
 
     def __init__(self, fleet: Fleet, link: Link):
         self.fleet = fleet
         self.link = link
         self.cut = False
+        self.refused = False
+        self.kept: dict[str, int] = {}
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a call would find a connection open."""
-        return True
+        return self.kept.get(replica.address, 0) > 0
+
+    async def connect(self, replica: types.Replica) -> None:
+        """Takes an idle connection or opens one."""
+        if self.is_connected(replica):
+            self.kept[replica.address] -= 1
+            return
+        await asyncio.sleep(NETWORK)
+        if self.cut:
+            await asyncio.sleep(CONNECT)
+            raise exceptions.EndpointUnreachable(f"{replica.address}: silent")
+        if self.refused:
+            raise exceptions.EndpointNotListening(f"{replica.address}: refused")
+
+    def release(self, replica: types.Replica) -> None:
+        """Keeps a connection for the next call.
+
+        Replicas close some after an answer, which shows once new ones are
+        refused.
+        """
+        if self.refused and self.fleet.site.rng.random() < CLOSED_SHARE:
+            return
+        kept = self.kept.get(replica.address, 0)
+        self.kept[replica.address] = kept + 1
 
     async def reach(self, replica: types.Replica) -> Replica:
         """Finds the process at a replica's address."""
+        await self.connect(replica)
         await asyncio.sleep(NETWORK)
         if self.cut:
             await asyncio.sleep(SILENT)
+            raise exceptions.AnswerBroken("the connection ended")
         found = self.fleet.replicas[replica.address]
         if not found.alive:
             raise exceptions.EndpointNotListening(f"{replica.address}: refused")
         if found.instance != replica.instance:
             raise exceptions.EndpointMismatch(f"{replica.instance} is gone")
+        self.release(replica)
         return found
 
     async def cross(self, call: types.Call) -> None:
