Take nothing out of the retry budget for attempts that reached no replica

The budget bounds what replicas get, so an attempt whose connection could not be opened needs no place in it; the number of attempts stays bounded. The new scenario failed before (retries counted at the gateway that is cut off) and passes.

--- a/features/cut_off_gateways.feature
+++ b/features/cut_off_gateways.feature
@@ -25,3 +25,6 @@
       | 6     | 1                    | silent  | 2     |
       | 6     | all of a data centre | refused | 2     |
       | 9     | most                 | silent  | 1     |
+
+  Scenario: Attempts that reach no replica use nothing of the retry budget
+    Then 1 of 6 gateways whose new connections are refused uses nothing of the retry budget
--- a/features/steps/cut_off_gateways_steps.py
+++ b/features/steps/cut_off_gateways_steps.py
@@ -22,6 +22,7 @@
 FAILED = 10
 FAILED_SHARE = 1 / 50
 FIRST_SEED = 1
+ATTEMPT_FAILED = 222
 
 
 def pick(site, cut):
@@ -142,3 +143,18 @@
         assert not twice, (seed, twice[:5])
         untrue = callers.false_promises()
         assert not untrue, (seed, untrue[:5])
+
+
+@behave.then(
+    "1 of {nodes:d} gateways whose new connections are refused uses nothing of "
+    "the retry budget"
+)
+def step_budget(context, nodes):
+    for seed, site, found in play(1, nodes, "1", "refused"):
+        budget = site.nodes[found["names"][0]].gateway.budget
+        used = {
+            service: len(times) for service, times in budget.retries.items()
+        }
+        failed = [line for line in site.lines if line[1] == ATTEMPT_FAILED]
+        assert failed, seed
+        assert not sum(used.values()), (seed, used)
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -121,21 +121,24 @@
             exceptions.RequestError: As `serve`.
             exceptions.AnswerBroken: As `serve`.
         """
+        arrived = False
         for attempt in range(MAX_ATTEMPTS):
             self.quarantine.admit(progress)
+            if arrived and not self.take_retry(service):
+                progress.log_retry_refused(service.name)
+                break
             if attempt:
-                if not self.take_retry(service):
-                    progress.log_retry_refused(service.name)
-                    break
                 progress.log_retry("the previous attempt failed")
             try:
                 await self.attempt(route, service, stream, progress)
                 return
-            except exceptions.EndpointNotStarted:
+            except exceptions.EndpointNotStarted as error:
+                arrived = arrived or progress_module.has_arrived(error)
                 continue
             except exceptions.AnswerAbandoned:
                 raise
             except exceptions.AnswerBroken:
+                arrived = True
                 can_retry = route.resumable or route.repeatable
                 if not can_retry or progress.runs >= route.attempts:
                     break
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -56,13 +56,14 @@
             exceptions.RequestError: No replica answered.
         """
         last_answer = None
+        arrived = False
         for attempt in range(MAX_ATTEMPTS):
             if last_answer is not None and not self.quarantine.is_unsuspected(
                 progress.fingerprint
             ):
                 break
             self.quarantine.admit(progress)
-            if attempt and not self.budget.allow(service, time.monotonic()):
+            if arrived and not self.budget.allow(service, time.monotonic()):
                 progress.log_retry_refused(service)
                 break
             replica = await self.quarantine.place(
@@ -74,13 +75,16 @@
                 progress.log_retry("the previous attempt failed")
             try:
                 found = await self.attempt(replica, route, progress)
-            except exceptions.EndpointNotStarted:
+            except exceptions.EndpointNotStarted as error:
+                arrived = arrived or progress_module.has_arrived(error)
                 continue
             except exceptions.AnswerBroken:
+                arrived = True
                 if self.can_retry(route, progress):
                     continue
                 break
             last_answer = found
+            arrived = True
             status = found[0]
             if status < 500 or not self.can_retry(route, progress):
                 break
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -142,3 +142,15 @@
     def log_retry(self, reason: str) -> None:
         """Logs that the request is retried."""
         events.log(events.CALL_REPEATED, request=self.call.id, reason=reason)
+
+
+def has_arrived(error: exceptions.EndpointNotStarted) -> bool:
+    """Whether a request that didn't start may have reached its replica.
+
+    One that did not needs no place in the retry budget, which bounds what
+    replicas get.
+    """
+    unreachable = exceptions.EndpointUnreachable
+    return not isinstance(error, unreachable) and not isinstance(
+        error.__cause__, unreachable
+    )
