--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -63,6 +63,7 @@
     sealed = True
     not_run = False
     length = None
+    is_framed = True
 
     async def chunks(self):
         """The body as it comes."""
