Tell a gateway's lost links from replicas that have crashed

The class: a decision that blames replicas for a path of one's own.

A gateway now keeps which replicas don't answer on new connections (decisions/reachability.py); these get work over open ones only. Suspects are probed over new ones. After each replica lost another one is asked as a witness: if it doesn't answer either, all are probed, a refused connection is no crash, and a gateway that reaches too few replicas of a service reports none of them.

The new scenario failed before (a refused engine was taken for crashed) and passes.

--- a/features/cut_off_gateways.feature
+++ b/features/cut_off_gateways.feature
@@ -28,3 +28,6 @@
 
   Scenario: Attempts that reach no replica use nothing of the retry budget
     Then 1 of 6 gateways whose new connections are refused uses nothing of the retry budget
+
+  Scenario: A gateway whose connections are refused takes no replica for crashed
+    Then 1 of 6 gateways whose new connections are refused takes no replica for crashed
--- a/features/steps/cut_off_gateways_steps.py
+++ b/features/steps/cut_off_gateways_steps.py
@@ -158,3 +158,34 @@
         failed = [line for line in site.lines if line[1] == ATTEMPT_FAILED]
         assert failed, seed
         assert not sum(used.values()), (seed, used)
+
+
+@behave.then(
+    "1 of {nodes:d} gateways whose new connections are refused takes no "
+    "replica for crashed"
+)
+def step_no_crash(context, nodes):
+    site = virtual_gateways.Site(FIRST_SEED)
+    crashed = []
+
+    async def story():
+        site.fleet = virtual_engines.Fleet(
+            site, readers=6, generators=4, plain=4
+        )
+        callers = virtual_callers.Callers(site, site.fleet)
+        callers.configure(3)
+        site.fleet.start()
+        site.start(nodes, 3)
+        await site.pass_time(SETTLING)
+        callers.keep_asking(RATE)
+        await site.pass_time(QUIET)
+        names = pick(site, "1")
+        directory = site.nodes[names[0]].gateway.directory
+        directory.crash_listeners.append(crashed.append)
+        change(site, names, "refused", True)
+        await site.pass_time(CUT)
+
+    site.play(story())
+    refused = [line for line in site.lines if line[1] == ATTEMPT_FAILED]
+    assert refused
+    assert not crashed, crashed[:3]
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -306,6 +306,7 @@
     Attributes:
         cut: Whether nothing comes back from any replica.
         refused: Whether new connections are refused; open ones live on.
+        silent_until: Until when a replica doesn't answer, by address.
         kept: Number of idle connections by address.
     """
 
@@ -314,15 +315,16 @@
         self.link = link
         self.cut = False
         self.refused = False
+        self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a call would find a connection open."""
         return self.kept.get(replica.address, 0) > 0
 
-    async def connect(self, replica: types.Replica) -> None:
+    async def connect(self, replica: types.Replica, fresh: bool) -> None:
         """Takes an idle connection or opens one."""
-        if self.is_connected(replica):
+        if self.is_connected(replica) and not fresh:
             self.kept[replica.address] -= 1
             return
         await asyncio.sleep(NETWORK)
@@ -343,13 +345,17 @@
         kept = self.kept.get(replica.address, 0)
         self.kept[replica.address] = kept + 1
 
-    async def reach(self, replica: types.Replica) -> Replica:
+    async def reach(
+        self, replica: types.Replica, fresh: bool = False
+    ) -> Replica:
         """Finds the process at a replica's address."""
-        await self.connect(replica)
+        await self.connect(replica, fresh)
         await asyncio.sleep(NETWORK)
         if self.cut:
             await asyncio.sleep(SILENT)
             raise exceptions.AnswerBroken("the connection ended")
+        until = self.silent_until.get(replica.address, 0.0)
+        await asyncio.sleep(max(0.0, until - self.fleet.site.clock()))
         found = self.fleet.replicas[replica.address]
         if not found.alive:
             raise exceptions.EndpointNotListening(f"{replica.address}: refused")
@@ -433,9 +439,11 @@
         """Frees a KV cache."""
         await self.reach(replica)
 
-    async def state(self, replica: types.Replica) -> types.State:
+    async def state(
+        self, replica: types.Replica, fresh: bool = False
+    ) -> types.State:
         """Asks an engine for its state."""
-        found = await self.reach(replica)
+        found = await self.reach(replica, fresh)
         await asyncio.sleep(NETWORK)
         role = decision_types.Role.DECODE
         if found.stage == "prefill":
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/reachability.py
@@ -0,0 +1,78 @@
+"""Tracks which replicas this node can open connections to.
+
+Load pattern: a node that loses its links to all replicas, or to most, while
+callers, the store and the other nodes still reach it. To that node each replica
+looks failed, and connections that were open before may live on, so bytes on
+them don't show that a new request would arrive. Without this the node blames
+one replica after the other and refuses its callers, whom the other nodes could
+serve.
+"""
+
+import collections
+import math
+
+# Fraction of a service's replicas below which other nodes serve it better.
+MIN_REACHABLE_FRACTION = 0.5
+# Number of replicas, lost within some seconds, after which all are probed. One
+# crash alone doesn't count, as another replica is probed after it.
+SWEEP_THRESHOLD = 2
+SWEEP_WINDOW_SECONDS = 1.0
+# Minimum seconds between two such sweeps.
+SWEEP_INTERVAL_SECONDS = 3.0
+
+
+class Reachability:
+    """Remembers the replicas to which new connections fail.
+
+    Attributes:
+        unreachable: Instances whose last new connection failed.
+
+    >>> reachability = Reachability()
+    >>> reachability.lost("engine-1", now=0.0)
+    >>> reachability.unreachable
+    {'engine-1'}
+    """
+
+    def __init__(self):
+        self.unreachable: set[str] = set()
+        self.lost_at: collections.deque[float] = collections.deque()
+        self.swept_at = -math.inf
+
+    def lost(self, instance: str, now: float) -> None:
+        """Records that a new connection failed."""
+        if instance in self.unreachable:
+            return
+        self.unreachable.add(instance)
+        self.lost_at.append(now)
+
+    def reached(self, instance: str) -> None:
+        """Records that a replica answered on a new connection."""
+        self.unreachable.discard(instance)
+
+    def should_sweep(self, now: float) -> bool:
+        """Whether to probe all replicas now, as several were lost at once."""
+        while self.lost_at and now - self.lost_at[0] > SWEEP_WINDOW_SECONDS:
+            self.lost_at.popleft()
+        if len(self.lost_at) < SWEEP_THRESHOLD:
+            return False
+        if now - self.swept_at < SWEEP_INTERVAL_SECONDS:
+            return False
+        self.swept_at = now
+        return True
+
+
+def is_cut_off(counts: list[tuple[int, int]]) -> bool:
+    """Whether other nodes are likely to serve a service better.
+
+    Args:
+        counts: For each role of its replicas, how many of them this node can
+            use, and how many there are.
+    """
+    usable = 0
+    known = 0
+    for usable_in_role, known_in_role in counts:
+        if known_in_role and not usable_in_role:
+            return True
+        usable += usable_in_role
+        known += known_in_role
+    return usable < MIN_REACHABLE_FRACTION * known
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -286,6 +286,19 @@
 REPLICA_HEARD = define(
     313, "replica-heard", "info", "A silent replica sends data again."
 )
+REPLICA_UNREACHABLE = define(
+    319,
+    "replica-unreachable",
+    "warning",
+    "A new connection to a replica got no answer; the replica gets work only "
+    "over connections that are open.",
+)
+REPLICA_REACHED = define(
+    320,
+    "replica-reached",
+    "info",
+    "A replica answers on new connections again.",
+)
 STORE_LOST = define(
     410,
     "store-lost",
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -226,16 +226,26 @@
     >>> connection = await pool.acquire("10.1.64.9:8080", "i-7f3a91c2")
     """
 
-    def __init__(self):
+    def __init__(self, source: str = ""):
+        self.local_address = (source, 0) if source else None
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.opened = 0
 
-    async def acquire(self, address: str, instance: str) -> Connection:
+    async def acquire(
+        self, address: str, instance: str, fresh: bool = False
+    ) -> Connection:
         """Returns an idle connection or opens one.
 
+        Args:
+            address: IP:PORT of the replica.
+            instance: Its instance id.
+            fresh: Whether to open one in any case.
+
         Raises:
             exceptions.EndpointUnreachable: The address cannot be reached.
         """
+        if fresh:
+            return await self.open(address)
         kept = self.idle.get((address, instance), [])
         now = time.monotonic()
         while kept:
@@ -261,7 +271,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    Connection, host, int(port)
+                    Connection,
+                    host,
+                    int(port),
+                    local_addr=self.local_address,
                 )
         except ConnectionRefusedError as error:
             raise exceptions.EndpointNotListening(
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -16,6 +16,7 @@
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import health
 from gypsumfold.decisions import incarnations as incarnations_module
+from gypsumfold.decisions import reachability as reachability_module
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import types
@@ -31,6 +32,8 @@
 # calls a second.
 FIRST_PROBE_INTERVAL_SECONDS = 0.1
 MAX_PROBE_INTERVAL_SECONDS = 1.0
+# Maximum number of replicas probed in one check; the others follow in the next.
+MAX_PROBES_PER_CHECK = 20
 # Fraction of an engine by which one in another data centre must be less loaded
 # to be chosen.
 OTHER_DATA_CENTRE_PENALTY = 0.1
@@ -53,7 +56,11 @@
         changing_until: Until when an engine changes its role and gets no work.
         draining_since: When this node learnt that a replica is draining.
         suspects: Replicas that did not answer a probe; they get no work.
+        reachability: The replicas to which new connections fail; they get work
+            only over open ones.
+        is_connected: Whether an idle connection to a replica is open.
         probe_requests: Replicas to probe at the next check.
+        fresh_probes: Those to probe over a new connection.
         probe_requested: Set when there are any.
         next_probes: When a suspect is probed next, and the interval after it.
         confirmed_roles: Roles known before the entries show them, and until
@@ -74,7 +81,10 @@
         self.changing_until: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
         self.suspects: set[str] = set()
+        self.reachability = reachability_module.Reachability()
+        self.is_connected: Callable[[types.Replica], bool] = lambda _: False
         self.probe_requests: set[str] = set()
+        self.fresh_probes: set[str] = set()
         self.probe_requested = asyncio.Event()
         self.next_probes: dict[str, tuple[float, float]] = {}
         self.unreachable_listeners = []
@@ -192,7 +202,9 @@
         self.confirmed_roles.pop(instance, None)
         self.streams.forget(instance)
         self.suspects.discard(instance)
+        self.reachability.reached(instance)
         self.probe_requests.discard(instance)
+        self.fresh_probes.discard(instance)
         self.next_probes.pop(instance, None)
         self.health.forget(instance)
         self.silence.forget(instance)
@@ -216,19 +228,51 @@
                 found.append(replica)
         return found
 
+    def is_reachable(self, replica: types.Replica) -> bool:
+        """Whether a replica answers and a request could be sent to it."""
+        if replica.instance in self.suspects:
+            return False
+        if replica.instance not in self.reachability.unreachable:
+            return True
+        return self.is_connected(replica)
+
+    def count_reachable(
+        self, service: str
+    ) -> dict[decision_types.Role | None, tuple[int, int]]:
+        """Counts the reachable replicas of a service and all, by role."""
+        now = time.monotonic()
+        counts = {}
+        for replica in self.known(service):
+            role = self.role(replica, now)
+            reachable, known = counts.get(role, (0, 0))
+            reachable += self.is_reachable(replica)
+            counts[role] = (reachable, known + 1)
+        return counts
+
     def count_usable(self, service: str) -> tuple[int, int]:
-        """Counts the replicas of a service: those not suspect, and all."""
-        known = self.known(service)
-        suspect = 0
-        for replica in known:
-            suspect += replica.instance in self.suspects
-        return len(known) - suspect, len(known)
+        """Counts the reachable replicas of a service, and all of them."""
+        reachable = len(self.responsive(service))
+        return reachable, len(self.known(service))
+
+    def is_cut_off(self, service: str) -> bool:
+        """Whether this node reaches too few replicas of a service."""
+        if not self.suspects and not self.reachability.unreachable:
+            return False
+        counts = self.count_reachable(service)
+        return reachability_module.is_cut_off(list(counts.values()))
+
+    def misses_any(self, service: str) -> bool:
+        """Whether any replica of a service is out of this node's reach."""
+        for replica in self.known(service):
+            if not self.is_reachable(replica):
+                return True
+        return False
 
     def responsive(self, service: str) -> list[types.Replica]:
         """Returns the replicas of a service neither draining nor suspect."""
         found = []
         for replica in self.known(service):
-            if replica.instance not in self.suspects:
+            if self.is_reachable(replica):
                 found.append(replica)
         return found
 
@@ -241,7 +285,8 @@
         """Returns the replicas of a plain service that may get work now.
 
         Those that refused, failed or fell silent recently are returned only
-        if there is no other.
+        if there is no other; those that don't answer on new connections either
+        are left out.
 
         Args:
             service: The service.
@@ -255,20 +300,26 @@
                 continue
             if self.is_healthy(replica.instance, now):
                 healthy.append(replica)
-            else:
+            elif not self.is_lost(replica.instance):
                 unhealthy.append(replica)
         return healthy or unhealthy
 
+    def is_lost(self, instance: str) -> bool:
+        """Whether a replica answers neither on open nor on new connections."""
+        lost = self.reachability.unreachable
+        return instance in self.suspects and instance in lost
+
     def is_usable(self, instance: str) -> bool:
         """Whether a replica is known, and neither draining nor suspect."""
         replica = self.replicas.get(instance)
         if replica is None or replica.draining:
             return False
-        return instance not in self.suspects
+        return self.is_reachable(replica)
 
     def is_healthy(self, instance: str, now: float) -> bool:
-        """Whether a replica is not suspect, paused or failing."""
-        if instance in self.suspects:
+        """Whether a replica is reachable, and neither paused nor failing."""
+        replica = self.replicas.get(instance)
+        if replica is None or not self.is_reachable(replica):
             return False
         if self.paused_until.get(instance, -math.inf) > now:
             return False
@@ -327,7 +378,7 @@
                 continue
             if self.is_prefill(replica, now):
                 continue
-            if instance not in self.suspects:
+            if self.is_reachable(replica):
                 found.append(replica)
         return found
 
@@ -340,7 +391,8 @@
         self.silence.received(instance, now)
         if instance in self.suspects:
             self.suspects.discard(instance)
-            self.next_probes.pop(instance, None)
+            if instance not in self.reachability.unreachable:
+                self.next_probes.pop(instance, None)
             events.log(events.REPLICA_HEARD, instance=instance)
 
     def suspect(self, instance: str, now: float) -> None:
@@ -357,6 +409,37 @@
             requests=self.silence.open_requests.get(instance, 0),
         )
 
+    def connection_failed(self, instance: str, now: float) -> bool:
+        """Records that a new connection to a replica got no answer.
+
+        Returns:
+            Whether the last one before it had been answered.
+        """
+        if instance in self.reachability.unreachable:
+            return False
+        if instance not in self.replicas:
+            return False
+        self.reachability.lost(instance, now)
+        events.log(
+            events.REPLICA_UNREACHABLE,
+            instance=instance,
+            unreachable=len(self.reachability.unreachable),
+            replicas=len(self.replicas),
+        )
+        return True
+
+    def connection_answered(self, instance: str) -> None:
+        """Records that a replica answered on a new connection."""
+        if instance not in self.reachability.unreachable:
+            return
+        self.reachability.reached(instance)
+        self.next_probes.pop(instance, None)
+        events.log(
+            events.REPLICA_REACHED,
+            instance=instance,
+            unreachable=len(self.reachability.unreachable),
+        )
+
     def process_ended(self, instance: str) -> None:
         """Notifies the listeners that a replica's process has ended."""
         replica = self.replicas.get(instance)
@@ -388,12 +471,20 @@
         silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
         if isinstance(error, exceptions.EndpointUnreachable):
+            self.fresh_probes.add(instance)
             self.request_probe(instance)
-            for listener in self.unreachable_listeners:
-                listener(instance)
+            self.report_unreachable(instance)
         elif isinstance(error, exceptions.AnswerBroken):
             self.request_probe(instance)
 
+    def report_unreachable(self, instance: str) -> None:
+        """Has the other nodes probe a replica, unless this one is cut off."""
+        replica = self.replicas.get(instance)
+        if replica is None or self.is_cut_off(replica.service):
+            return
+        for listener in self.unreachable_listeners:
+            listener(instance)
+
     def request_probe(self, instance: str) -> None:
         """Has a replica probed at the next liveness check."""
         if instance in self.replicas:
@@ -414,14 +505,18 @@
     def due_probes(self, now: float) -> set[str]:
         """Returns the replicas to probe now.
 
-        Suspects are probed less and less often.
+        Suspects are probed less and less often. Once several replicas were
+        lost at the same time, all are probed.
         """
-        asked = (
-            self.probe_requests.union(self.silence.check(now)) - self.suspects
-        )
+        lost = self.suspects | self.reachability.unreachable
+        asked = self.probe_requests.union(self.silence.check(now)) - lost
         self.probe_requests.clear()
         self.probe_requested.clear()
-        for instance in self.suspects:
+        if self.reachability.should_sweep(now):
+            others = self.replicas.keys() - lost
+            self.fresh_probes |= others
+            asked |= others
+        for instance in lost:
             due, pause = self.next_probes.get(
                 instance, (now, FIRST_PROBE_INTERVAL_SECONDS)
             )
@@ -429,7 +524,34 @@
                 asked.add(instance)
                 longer = min(2 * pause, MAX_PROBE_INTERVAL_SECONDS)
                 self.next_probes[instance] = (now + pause, longer)
-        return asked
+        if len(asked) <= MAX_PROBES_PER_CHECK:
+            return asked
+        chosen = set(self.rng.sample(sorted(asked), MAX_PROBES_PER_CHECK))
+        left = asked - chosen
+        self.probe_requests |= left
+        for instance in left & lost:
+            self.next_probes.pop(instance, None)
+        return chosen
+
+    def needs_fresh_probe(self, instance: str) -> bool:
+        """Whether a replica is probed over a new connection this time."""
+        requested = instance in self.fresh_probes
+        self.fresh_probes.discard(instance)
+        if requested or instance in self.suspects:
+            return True
+        return instance in self.reachability.unreachable
+
+    def find_witness(self, instance: str) -> types.Replica | None:
+        """Returns another replica that this node should be able to reach."""
+        found = []
+        for replica in self.replicas.values():
+            if replica.instance == instance or replica.draining:
+                continue
+            if replica.instance in self.suspects:
+                continue
+            if replica.instance not in self.reachability.unreachable:
+                found.append(replica)
+        return self.rng.choice(found) if found else None
 
     def confirm_role(
         self, instance: str, role: decision_types.Role, until: float
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -106,6 +106,7 @@
         self.configurations = configurations_module.Configurations()
         self.pool = connections.Pool()
         self.endpoints = replicas.Replicas(self.pool)
+        self.directory.is_connected = self.endpoints.is_connected
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -51,18 +51,71 @@
         if replica is None:
             self.directory.suspects.discard(instance)
             return
+        fresh = self.directory.needs_fresh_probe(instance)
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
-                state = await self.endpoints.state(replica)
-        except (exceptions.EndpointMismatch, exceptions.EndpointNotListening):
+                state = await self.endpoints.state(replica, fresh)
+        except exceptions.EndpointMismatch:
             self.directory.process_ended(instance)
             self.directory.suspect(instance, time.monotonic())
+        except exceptions.EndpointNotListening:
+            await self.handle_refused(instance)
         except (exceptions.EndpointRefused, exceptions.RecordInvalid):
-            self.directory.replica_answered(instance)
-            self.directory.record_activity(instance, time.monotonic())
-        except (exceptions.EndpointError, TimeoutError):
-            self.directory.suspect(instance, time.monotonic())
+            self.handle_answer(instance, fresh)
+        except (exceptions.EndpointError, TimeoutError) as error:
+            await self.handle_silence(instance, fresh, error)
         else:
             self.directory.receive_state(instance, state)
-            self.directory.replica_answered(instance)
-            self.directory.record_activity(instance, time.monotonic())
+            self.handle_answer(instance, fresh)
+
+    def handle_answer(self, instance: str, fresh: bool) -> None:
+        """Records that a replica answered a probe."""
+        if fresh:
+            self.directory.connection_answered(instance)
+        self.directory.replica_answered(instance)
+        self.directory.record_activity(instance, time.monotonic())
+
+    async def handle_silence(
+        self, instance: str, fresh: bool, error: Exception
+    ) -> None:
+        """Records that a probe was not answered."""
+        now = time.monotonic()
+        self.directory.suspect(instance, now)
+        if not fresh and not isinstance(error, exceptions.EndpointUnreachable):
+            return
+        if self.directory.connection_failed(instance, now):
+            await self.reaches_another(instance)
+
+    async def handle_refused(self, instance: str) -> None:
+        """Records that a connection was refused.
+
+        The replica's process has ended, unless it is this node that has lost
+        its links.
+        """
+        now = time.monotonic()
+        self.directory.suspect(instance, now)
+        self.directory.connection_failed(instance, now)
+        if await self.reaches_another(instance):
+            self.directory.process_ended(instance)
+
+    async def reaches_another(self, instance: str) -> bool:
+        """Whether another replica, the witness, answers on a new connection.
+
+        Without another one that could be asked, the node trusts its links.
+        """
+        if len(self.directory.replicas) <= 1:
+            return True
+        witness = self.directory.find_witness(instance)
+        if witness is None:
+            return False
+        try:
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await self.endpoints.state(witness, fresh=True)
+        except (exceptions.EndpointRefused, exceptions.RecordInvalid):
+            return True
+        except (exceptions.EndpointError, TimeoutError):
+            now = time.monotonic()
+            self.directory.suspect(witness.instance, now)
+            self.directory.connection_failed(witness.instance, now)
+            return False
+        return True
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -264,8 +264,8 @@
     async def drop(self, replica: Replica, handle: Handle) -> None:
         """Frees a KV cache that no engine will fetch."""
 
-    async def state(self, replica: Replica) -> State:
-        """Asks an engine for its state."""
+    async def state(self, replica: Replica, fresh: bool = False) -> State:
+        """Asks an engine for its state, over a new connection if `fresh`."""
 
     async def cache_list(self, replica: Replica) -> CacheList:
         """Asks an engine which prefix blocks it has cached."""
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -116,14 +116,22 @@
         path = names.HANDLE_PATH + handle.id
         await self.ask(replica, "DELETE", path)
 
-    async def state(self, replica: types.Replica) -> types.State:
+    async def state(
+        self, replica: types.Replica, fresh: bool = False
+    ) -> types.State:
         """Asks an engine for its state.
 
+        Args:
+            replica: The engine.
+            fresh: Whether to open a new connection in any case.
+
         Raises:
             exceptions.EndpointError: The engine does not report it.
             exceptions.RecordInvalid: The answer is malformed.
         """
-        status, body = await self.ask(replica, "GET", names.REPORT_PATH)
+        status, body = await self.ask(
+            replica, "GET", names.REPORT_PATH, fresh=fresh
+        )
         if status == 421:
             raise exceptions.EndpointMismatch(f"{replica.instance} is gone")
         if status != 200:
@@ -161,6 +169,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
+        fresh: bool = False,
     ) -> tuple[int, bytes]:
         """Makes a call of the node's own; returns status and body."""
         fields = [
@@ -169,7 +178,7 @@
         ]
         if body is not None:
             fields.append((b"Content-Type", b"application/json"))
-        answer = await self.exchange(replica, method, path, fields, body)
+        answer = await self.exchange(replica, method, path, fields, body, fresh)
         with contextlib.closing(answer):
             return answer.status, await answer.read()
 
@@ -180,12 +189,15 @@
         target: str,
         fields: list[tuple[bytes, bytes]],
         body: bytes | None,
+        fresh: bool = False,
     ) -> connections.PooledAnswer:
         """Sends one request and waits for the head of its answer."""
         if body is not None:
             length = str(len(body)).encode()
             fields = [*fields, (b"Content-Length", length)]
-        connection = await self.pool.acquire(replica.address, replica.instance)
+        connection = await self.pool.acquire(
+            replica.address, replica.instance, fresh
+        )
         done = False
         try:
             connection.request(method, target, tuple(fields), body or b"")
