Take nothing out of the retry budget where no engine could be sent a request

Follows the same rule for an attempt that ended since no decode engine was available: nothing was sent, so nothing counts.

--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -101,6 +101,10 @@
     """No connection to the endpoint could be opened."""
 
 
+class EndpointUnavailable(EndpointNotStarted):
+    """No endpoint can be sent the dispatch at the moment."""
+
+
 class EndpointNotListening(EndpointUnreachable):
     """Nothing listens at the endpoint's address."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -181,7 +181,9 @@
             ),
         )
         if decoder is None:
-            raise exceptions.EndpointNotStarted("no decode engine is available")
+            raise exceptions.EndpointUnavailable(
+                "no decode engine is available"
+            )
         await self.run(decoder, route, service, stream, progress)
 
     def take_retry(self, service: types.Service) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -13,6 +13,11 @@
 
 # Retry-After if no replica has free capacity.
 RETRY_AFTER_SECONDS = 0.5
+# Failures of attempts of which no replica got a byte.
+NOT_SENT_ERRORS = (
+    exceptions.EndpointUnavailable,
+    exceptions.EndpointUnreachable,
+)
 
 
 class Usage(Protocol):
@@ -150,7 +155,7 @@
     One that did not needs no place in the retry budget, which bounds what
     replicas get.
     """
-    unreachable = exceptions.EndpointUnreachable
-    return not isinstance(error, unreachable) and not isinstance(
-        error.__cause__, unreachable
-    )
+    for each in (error, error.__cause__):
+        if isinstance(each, NOT_SENT_ERRORS):
+            return False
+    return True
