Let what runs on open connections go on while new ones are refused

A replica that refuses a new connection while it sends data on open ones was marked as silent, which ends prefills that run there. It is only kept from new work now.

--- a/packages/gypsumfold/src/gypsumfold/decisions/silence.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/silence.py
@@ -49,6 +49,11 @@
         self.open_requests.pop(replica, None)
         self.last_byte_at.pop(replica, None)
 
+    def is_active(self, replica: str, now: float) -> bool:
+        """Whether a replica sends data on open requests, or just got one."""
+        since = self.last_byte_at.get(replica)
+        return since is not None and now - since <= SILENCE_LIMIT_SECONDS
+
     def forget(self, replica: str) -> None:
         """Stops watching a removed replica; its open requests end later."""
         self.last_byte_at.pop(replica, None)
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -80,12 +80,21 @@
     ) -> None:
         """Records that a probe was not answered."""
         now = time.monotonic()
-        self.directory.suspect(instance, now)
         if not fresh and not isinstance(error, exceptions.EndpointUnreachable):
+            self.directory.suspect(instance, now)
             return
+        self.suspect_unless_active(instance, now)
         if self.directory.connection_failed(instance, now):
             await self.reaches_another(instance)
 
+    def suspect_unless_active(self, instance: str, now: float) -> None:
+        """Marks a replica as silent that doesn't answer on a new connection.
+
+        One that sends data on open connections goes on with what it runs.
+        """
+        if not self.directory.silence.is_active(instance, now):
+            self.directory.suspect(instance, now)
+
     async def handle_refused(self, instance: str) -> None:
         """Records that a connection was refused.
 
@@ -93,7 +102,7 @@
         its links.
         """
         now = time.monotonic()
-        self.directory.suspect(instance, now)
+        self.suspect_unless_active(instance, now)
         self.directory.connection_failed(instance, now)
         if await self.reaches_another(instance):
             self.directory.process_ended(instance)
@@ -115,7 +124,7 @@
             return True
         except (exceptions.EndpointError, TimeoutError):
             now = time.monotonic()
-            self.directory.suspect(witness.instance, now)
+            self.suspect_unless_active(witness.instance, now)
             self.directory.connection_failed(witness.instance, now)
             return False
         return True
