Have the soak cut gateways off from all replicas, and end streams unframed

The soak's partition of one replica from one gateway took no effect: it named the gateway's address, but gateways opened their connections from the system's choice, 127.0.0.1, so the fault proxy took them for others. Gateways under test have had a source address of their own since the forwarding of requests; the partition now picks replicas only, and cut_off cuts one or two gateways off from all of them. Replicas also answer without length or chunks, whole, cut inside an event and inside JSON.

--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -32,7 +32,16 @@
 BETWEEN = (0.2, 1.5)
 # What replicas do to answers, as their stand-in names it; "reset" and
 # "crossed" come after the request has run.
-SPOILED = ("reset", "crossed", "stray", "unsealed", "refused", "broken")
+SPOILED = (
+    "reset",
+    "crossed",
+    "stray",
+    "unsealed",
+    "refused",
+    "broken",
+    "unframed",
+    "halved",
+)
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
 CALM = 36.0
@@ -133,6 +142,7 @@
             self.slow_link,
             self.cut_link,
             self.partition,
+            self.cut_off,
             self.silence,
             self.store_fault,
             self.pause,
@@ -167,12 +177,30 @@
         return name, self.fleet.proxies[name].heal
 
     def partition(self):
-        """Lets nothing pass between one link and one gateway."""
-        name = self.link()
+        """Lets nothing pass between one replica and one gateway."""
+        name = self.random.choice((*PLAINS, *ENGINES))
         source = self.fleet[self.random.choice(GATEWAYS)].host
         self.fleet.proxies[name].partition(source)
         return name, self.fleet.proxies[name].heal
 
+    def cut_off(self):
+        """Cuts one or two gateways off from all replicas, in one of two ways.
+
+        Nothing passes, or connections are reset, old and new ones.
+        """
+        cut = self.random.sample(GATEWAYS, self.random.choice((1, 1, 2)))
+        how = self.random.choice(("partition", "cut"))
+        for name in (*PLAINS, *ENGINES):
+            for gateway in cut:
+                proxy = self.fleet.proxies[name]
+                getattr(proxy, how)(self.fleet[gateway].host)
+
+        def undo() -> None:
+            for name in (*PLAINS, *ENGINES):
+                self.fleet.proxies[name].heal()
+
+        return f"{how} {', '.join(cut)}", undo
+
     def silence(self):
         """Makes open connections of one link silent for good."""
         name = self.link()
