Have a leader that is cut off from the replicas give up its authority

It now leaves the group at its next renewal, and doesn't join again, while it reaches too few of all replicas and another node has served one of its requests within 3 s. Without that evidence the replicas themselves have failed, and somebody has to order others.

--- a/features/cut_off_gateways.feature
+++ b/features/cut_off_gateways.feature
@@ -87,3 +87,11 @@
 
   Scenario: A gateway whose connections are refused takes no replica for crashed
     Then 1 of 6 gateways whose new connections are refused takes no replica for crashed
+
+  Scenario Outline: A leader that is cut off gives up the authority, unless no gateway reaches the replicas: <cut> of 6 cut off
+    Then when the leader and <cut> of 6 gateways are cut off the authority is <whose> within 5 seconds
+
+    Examples:
+      | cut    | whose           |
+      | no     | another's       |
+      | all    | somebody's      |
--- a/features/steps/cut_off_gateways_steps.py
+++ b/features/steps/cut_off_gateways_steps.py
@@ -27,6 +27,8 @@
 CONTACT = 3.0
 CUT = 12.0
 HEALED = 6.0
+# Seconds within which a leader that is cut off is replaced.
+AUTHORITY = 5.0
 # Seconds for which a sound replica may be silent.
 SILENCE = 1.0
 # Requests a second, so that far more than ten reach each gateway that is cut.
@@ -489,3 +491,35 @@
     refused = [line for line in site.lines if line[1] == ATTEMPT_FAILED]
     assert refused
     assert not crashed, crashed[:3]
+
+
+@behave.then(
+    "when the leader and {cut} of {nodes:d} gateways are cut off the authority "
+    "is {whose} within 5 seconds"
+)
+def step_authority(context, cut, nodes, whose):
+    site = virtual_gateways.Site(FIRST_SEED)
+    holders = []
+
+    def find_holders():
+        found = []
+        for node in site.nodes.values():
+            if node.gateway.leadership.token(site.clock()) is not None:
+                found.append(node.name)
+        return found
+
+    async def story():
+        await start_asking(site, nodes)
+        first = find_holders()
+        assert len(first) == 1, first
+        change(
+            site, list(site.nodes) if cut == "all" else first, "silent", True
+        )
+        await site.pass_time(AUTHORITY)
+        holders.append((first, find_holders()))
+
+    site.play(story())
+    ((before, after),) = holders
+    assert len(after) == 1, holders
+    if whose == "another's":
+        assert after != before, holders
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -261,6 +261,19 @@
         counts = self.count_reachable(service)
         return reachability_module.is_cut_off(list(counts.values()))
 
+    def is_cut_off_from_most(self) -> bool:
+        """Whether this node reaches too few of all replicas."""
+        if not self.suspects and not self.reachability.unreachable:
+            return False
+        known = 0
+        reachable = 0
+        for replica in self.replicas.values():
+            if replica.draining:
+                continue
+            known += 1
+            reachable += self.is_reachable(replica)
+        return reachability_module.is_cut_off([(reachable, known)])
+
     def misses_any(self, service: str) -> bool:
         """Whether any replica of a service is out of this node's reach."""
         for replica in self.known(service):
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -61,6 +61,9 @@
 # Seconds for which a stopping node goes on listening: the balancer checks once
 # a second and removes a node after two negative answers.
 DRAIN_NOTICE_SECONDS = 2.9
+# Seconds for which a request that another node has served shows that it reaches
+# the replicas.
+CUT_OFF_EVIDENCE_SECONDS = 3.0
 # Seconds before the kill at which a stopping node gives its final answers.
 FINAL_ANSWER_SECONDS = 0.7
 
@@ -242,6 +245,7 @@
             self.store_copy.encode_registrations
         )
         self.leadership.is_candidate = self.gossip.can_lead
+        self.leadership.is_cut_off = self.is_cut_off
         self.directory.removal_listeners.append(self.forget)
         self.runners: list[web.ServerRunner] = []
 
@@ -250,6 +254,17 @@
         self.pool.discard(replica.address, replica.instance)
         self.prefix_router.forget(replica.instance)
 
+    def is_cut_off(self) -> bool:
+        """Whether other nodes reach replicas that this one doesn't.
+
+        If nobody reaches them, the replicas have failed, and somebody has to
+        order others.
+        """
+        since = time.monotonic() - self.forwarder.accepted_at
+        if since > CUT_OFF_EVIDENCE_SECONDS:
+            return False
+        return self.directory.is_cut_off_from_most()
+
     def is_ready(self) -> bool:
         """Whether the balancer should send connections here."""
         if self.stop.is_set() or self.configurations.current is None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -41,6 +41,7 @@
 
     Attributes:
         is_candidate: Whether this node should join the group.
+        is_cut_off: Whether other nodes reach replicas that this one doesn't.
         candidate_at: When it was last a candidate.
         joined: Whether it is a member of the group.
         lease_seconds: How long a membership lasts without a renewal.
@@ -64,6 +65,7 @@
         self.state = state
         self.member = member
         self.is_candidate: Callable[[], bool] = lambda: True
+        self.is_cut_off: Callable[[], bool] = lambda: False
         self.candidate_at = float("-inf")
         self.joined = False
         self.lease_seconds = max(
@@ -95,9 +97,14 @@
         """Renews while this node is a candidate and `STAY_SECONDS` longer.
 
         A few candidates among hundreds of nodes are enough, and each change of
-        the group transfers the authority.
+        the group transfers the authority. A node whose orders would not arrive
+        leaves the group at once.
         """
         now = time.monotonic()
+        if self.is_cut_off():
+            if self.joined:
+                await self.leave()
+            return
         if self.is_candidate():
             self.candidate_at = now
         if now - self.candidate_at < STAY_SECONDS:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import math
 import time
 from typing import Protocol
 
@@ -97,6 +98,7 @@
 
     Attributes:
         find_members: Returns the other nodes.
+        accepted_at: When another node last served a request.
 
     >>> forwarder = Forwarder(link, sealer, choice, budget, find_members)
     >>> await forwarder.forward(route, "lm", 7, reply, progress)
@@ -116,6 +118,7 @@
         self.choice = choice
         self.budget = budget
         self.find_members = find_members
+        self.accepted_at = -math.inf
 
     async def forward(
         self,
@@ -151,6 +154,7 @@
             try:
                 await self.exchange(member, service, version, reply, progress)
                 self.choice.accepted(service)
+                self.accepted_at = time.monotonic()
                 return True
             except (exceptions.PeerError, exceptions.RecordInvalid) as error:
                 progress.record_declined(member.node, str(error))
