Pass a refused request on only if a replica could not be reached for it

Under overload with one crashed replica each refusal at each gateway went to another one as well, which had nothing better to say. A request that would be refused is passed on if one of its own attempts reached no replica, or if the gateway is cut off by then.

--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -274,13 +274,6 @@
             reachable += self.is_reachable(replica)
         return reachability_module.is_cut_off([(reachable, known)])
 
-    def misses_any(self, service: str) -> bool:
-        """Whether any replica of a service is out of this node's reach."""
-        for replica in self.known(service):
-            if not self.is_reachable(replica):
-                return True
-        return False
-
     def responsive(self, service: str) -> list[types.Replica]:
         """Returns the replicas of a service neither draining nor suspect."""
         found = []
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -133,7 +133,8 @@
                 await self.attempt(route, service, stream, progress)
                 return
             except exceptions.EndpointNotStarted as error:
-                arrived = arrived or progress_module.has_arrived(error)
+                if progress.record_not_started(error):
+                    arrived = True
                 continue
             except exceptions.AnswerAbandoned:
                 raise
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -244,11 +244,12 @@
         """Serves a request here, or at another node if this one can't.
 
         Another one is asked first if this one is cut off from the replicas,
-        and later if nothing has run and some replica is out of reach.
+        and later if nothing has run and a replica could not be reached.
         """
         service = route.pick_service(progress.call.id)
         version = configuration.version
-        if self.directory.is_cut_off(service) and await self.forwarder.forward(
+        asked = self.directory.is_cut_off(service)
+        if asked and await self.forwarder.forward(
             route, service, version, reply, progress
         ):
             return
@@ -257,7 +258,8 @@
         except exceptions.RequestQuarantined:
             raise
         except exceptions.Unavailable:
-            if not self.directory.misses_any(service):
+            missed = progress.missed or self.directory.is_cut_off(service)
+            if asked or not missed:
                 raise
             if not await self.forwarder.forward(
                 route, service, version, reply, progress
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -76,7 +76,8 @@
             try:
                 found = await self.attempt(replica, route, progress)
             except exceptions.EndpointNotStarted as error:
-                arrived = arrived or progress_module.has_arrived(error)
+                if progress.record_not_started(error):
+                    arrived = True
                 continue
             except exceptions.AnswerBroken:
                 arrived = True
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -34,6 +34,7 @@
         fingerprint: Identifies the request over all attempts of its caller.
         may_have_run: Whether a replica may have started to run it.
         answer_started: Whether any of the answer was sent to the caller.
+        missed: Whether an attempt reached no replica.
         runs: Number of replicas that may have run it.
         avoid: Instances that failed to serve it.
         prefill_address: Address of the engine that ran the prefill; empty
@@ -49,6 +50,7 @@
         self.fingerprint = fingerprints.fingerprint(call)
         self.may_have_run = False
         self.answer_started = False
+        self.missed = False
         self.runs = 0
         self.avoid: frozenset[str] = frozenset()
         self.prefill_address = ""
@@ -162,6 +164,19 @@
         self.may_have_run = self.runs > 0
         self.avoid |= {replica.instance}
 
+    def record_not_started(self, error: exceptions.EndpointNotStarted) -> bool:
+        """Records that an attempt did not start.
+
+        Returns:
+            Whether a replica may have got it. If not, it needs no place in the
+            retry budget, which bounds what replicas get.
+        """
+        for each in (error, error.__cause__):
+            if isinstance(each, NOT_SENT_ERRORS):
+                self.missed = True
+                return False
+        return True
+
     def record_failure(self, replica: types.Replica, reason: str) -> None:
         """Records a failed attempt."""
         self.avoid |= {replica.instance}
@@ -179,15 +194,3 @@
     def log_retry(self, reason: str) -> None:
         """Logs that the request is retried."""
         events.log(events.CALL_REPEATED, request=self.call.id, reason=reason)
-
-
-def has_arrived(error: exceptions.EndpointNotStarted) -> bool:
-    """Whether a request that didn't start may have reached its replica.
-
-    One that did not needs no place in the retry budget, which bounds what
-    replicas get.
-    """
-    for each in (error, error.__cause__):
-        if isinstance(each, NOT_SENT_ERRORS):
-            return False
-    return True
