--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -79,6 +79,18 @@
             "Requests that are refused, as they have crashed replicas.",
             registry=self.registry,
         )
+        self.unreachable = prometheus_client.Gauge(
+            "gypsumfold_unreachable_replicas",
+            "Replicas that don't answer this node on new connections.",
+            registry=self.registry,
+        )
+        self.forwarded = prometheus_client.Gauge(
+            "gypsumfold_forwarded_requests",
+            "Requests that other nodes have served for this one since the "
+            "start, and those that they declined, each node asked counted.",
+            ("result",),
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "gypsumfold_store_calls",
             "Calls to the store since the start, failed ones included.",
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -249,10 +249,10 @@
             counts[role] = (reachable, known + 1)
         return counts
 
-    def count_usable(self, service: str) -> tuple[int, int]:
-        """Counts the reachable replicas of a service, and all of them."""
-        reachable = len(self.responsive(service))
-        return reachable, len(self.known(service))
+    def count_usable(self, service: str) -> dict[str, int]:
+        """Counts the usable replicas of a service and all, for log lines."""
+        usable = len(self.responsive(service))
+        return {"usable": usable, "replicas": len(self.known(service))}
 
     def is_cut_off(self, service: str) -> bool:
         """Whether this node reaches too few replicas of a service."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -400,6 +400,10 @@
         self.counters.suspected.set(len(crashes.suspected))
         self.counters.quarantined.set(len(crashes.quarantined))
         self.counters.keys_refused.set(self.authenticator.refused)
+        lost = self.directory.reachability.unreachable
+        self.counters.unreachable.set(len(lost))
+        for result, count in self.forwarder.results.items():
+            self.counters.forwarded.labels(result).set(count)
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -190,7 +190,9 @@
             reason = str(error)
             raise
         finally:
-            usable, known = self.directory.count_usable(service)
+            replicas = {}
+            if outcome != "complete":
+                replicas = self.directory.count_usable(service)
             seconds = time.monotonic() - call.arrival
             if serve == self.serve_or_forward:
                 self.observer.count_answer(route.name, outcome, seconds)
@@ -206,8 +208,7 @@
                 reason=reason,
                 seconds=round(seconds, 4),
                 runs=progress.runs,
-                usable=usable,
-                replicas=known,
+                **replicas,
             )
 
     async def serve_until_deadline(
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
@@ -99,6 +99,7 @@
     Attributes:
         find_members: Returns the other nodes.
         accepted_at: When another node last served a request.
+        results: Number of requests by what became of them.
 
     >>> forwarder = Forwarder(link, sealer, choice, budget, find_members)
     >>> await forwarder.forward(route, "lm", 7, reply, progress)
@@ -119,6 +120,7 @@
         self.budget = budget
         self.find_members = find_members
         self.accepted_at = -math.inf
+        self.results = {"served": 0, "declined": 0, "broken": 0}
 
     async def forward(
         self,
@@ -155,11 +157,14 @@
                 await self.exchange(member, service, version, reply, progress)
                 self.choice.accepted(service)
                 self.accepted_at = time.monotonic()
+                self.results["served"] += 1
                 return True
             except (exceptions.PeerError, exceptions.RecordInvalid) as error:
                 progress.record_declined(member.node, str(error))
+                self.results["declined"] += 1
                 self.choice.declined(service, member, time.monotonic())
             except exceptions.AnswerBroken as error:
+                self.results["broken"] += 1
                 self.choice.declined(service, member, time.monotonic())
                 self.check_retry(route, service, progress, error)
         if progress.may_have_run:
