Ask a witness only when several replicas were lost, and probe all only if it fails

Cause: each gateway asked a witness over a new connection after each loss, and once two replicas were lost within a second each of 90 gateways probed all 69, every 3 s.

A witness is asked when two replicas were lost within 3 s, one in half a second at most, and all are probed only if it does not answer. A refused connection is put down to a crash only where runs were interrupted. A call that was given up for silence has its replica probed: without the witness after each loss nothing else found a plain replica whose calls time out before its silence is noticed (features/forwarded_requests.feature showed that).

--- a/packages/gypsumfold/src/gypsumfold/decisions/reachability.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/reachability.py
@@ -13,11 +13,14 @@
 
 # Fraction of a service's replicas below which other nodes serve it better.
 MIN_REACHABLE_FRACTION = 0.5
-# Number of replicas, lost within some seconds, after which all are probed. One
-# crash alone doesn't count, as another replica is probed after it.
-SWEEP_THRESHOLD = 2
-SWEEP_WINDOW_SECONDS = 1.0
-# Minimum seconds between two such sweeps.
+# Number of replicas lost within some seconds after which a witness, another
+# replica, is asked. If it does not answer either, all are probed.
+DOUBT_THRESHOLD = 2
+DOUBT_WINDOW_SECONDS = 3.0
+# Minimum seconds between two witnesses: hundreds of nodes ask when several
+# replicas crash at once, each over a new connection.
+WITNESS_INTERVAL_SECONDS = 0.5
+# Minimum seconds between two probes of all replicas.
 SWEEP_INTERVAL_SECONDS = 3.0
 
 
@@ -36,7 +39,9 @@
     def __init__(self):
         self.unreachable: set[str] = set()
         self.lost_at: collections.deque[float] = collections.deque()
+        self.asked_at = -math.inf
         self.swept_at = -math.inf
+        self.sweep_due = False
 
     def lost(self, instance: str, now: float) -> None:
         """Records that a new connection failed."""
@@ -51,16 +56,24 @@
 
     def count_lost(self, now: float) -> int:
         """Counts the replicas that were lost a moment ago."""
-        while self.lost_at and now - self.lost_at[0] > SWEEP_WINDOW_SECONDS:
+        while self.lost_at and now - self.lost_at[0] > DOUBT_WINDOW_SECONDS:
             self.lost_at.popleft()
         return len(self.lost_at)
 
-    def should_sweep(self, now: float) -> bool:
-        """Whether to probe all replicas now, as several were lost at once."""
-        if self.count_lost(now) < SWEEP_THRESHOLD:
+    def needs_witness(self, now: float) -> bool:
+        """Whether to ask a witness, as several replicas were lost at once."""
+        if self.count_lost(now) < DOUBT_THRESHOLD:
             return False
-        if now - self.swept_at < SWEEP_INTERVAL_SECONDS:
+        if now - self.asked_at < WITNESS_INTERVAL_SECONDS:
             return False
+        self.asked_at = now
+        return True
+
+    def take_sweep(self, now: float) -> bool:
+        """Whether to probe all replicas now, as a witness did not answer."""
+        if not self.sweep_due or now - self.swept_at < SWEEP_INTERVAL_SECONDS:
+            return False
+        self.sweep_due = False
         self.swept_at = now
         return True
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -483,7 +483,7 @@
             self.fresh_probes.add(instance)
             self.request_probe(instance)
             self.report_unreachable(instance)
-        elif isinstance(error, exceptions.AnswerBroken):
+        elif isinstance(error, exceptions.AnswerBroken | TimeoutError):
             self.request_probe(instance)
 
     def report_unreachable(self, instance: str) -> None:
@@ -514,14 +514,14 @@
     def due_probes(self, now: float) -> set[str]:
         """Returns the replicas to probe now.
 
-        Suspects are probed less and less often. Once several replicas were
-        lost at the same time, all are probed.
+        Suspects are probed less and less often. All are probed once it seems
+        that this node has lost its links.
         """
         lost = self.suspects | self.reachability.unreachable
         asked = self.probe_requests.union(self.silence.check(now)) - lost
         self.probe_requests.clear()
         self.probe_requested.clear()
-        if self.reachability.should_sweep(now):
+        if self.reachability.take_sweep(now):
             others = self.replicas.keys() - lost
             self.fresh_probes |= others
             asked |= others
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -88,7 +88,17 @@
             return
         self.suspect_unless_active(instance, now)
         if self.directory.connection_failed(instance, now):
-            await self.reaches_another(instance, witnesses=1)
+            await self.check_links(instance, now)
+
+    async def check_links(self, instance: str, now: float) -> None:
+        """Asks a witness if several replicas were lost.
+
+        All are probed if it doesn't answer either.
+        """
+        if not self.directory.reachability.needs_witness(now):
+            return
+        if not await self.reaches_another(instance, witnesses=1):
+            self.directory.reachability.sweep_due = True
 
     def suspect_unless_active(self, instance: str, now: float) -> None:
         """Marks a replica as silent that doesn't answer on a new connection.
@@ -101,20 +111,25 @@
     async def handle_refused(self, instance: str) -> None:
         """Records that a connection was refused.
 
-        The replica's process has ended, unless it is this node that has lost
-        its links. Where the end of a run there has to be explained and no other
-        replica was lost, that isn't asked: until it is known that the replica
-        crashed, other nodes may run the same request.
+        Where runs were interrupted, the replica's process has ended, unless it
+        is this node that has lost its links. If no other replica was lost that
+        isn't asked: until the crash is known, other nodes may run the same
+        requests.
         """
         now = time.monotonic()
         self.suspect_unless_active(instance, now)
-        self.directory.connection_failed(instance, now)
-        urgent = self.directory.has_interrupted_runs(instance)
-        if urgent and self.directory.reachability.count_lost(now) <= 1:
+        newly = self.directory.connection_failed(instance, now)
+        if not self.directory.has_interrupted_runs(instance):
+            if newly:
+                await self.check_links(instance, now)
+            return
+        if self.directory.reachability.count_lost(now) <= 1:
             self.directory.process_ended(instance)
             return
         if await self.reaches_another(instance, MAX_WITNESSES):
             self.directory.process_ended(instance)
+            return
+        self.directory.reachability.sweep_due = True
 
     async def reaches_another(self, instance: str, witnesses: int) -> bool:
         """Whether another replica answers on a new connection.
