Log the software versions of replicas and of streams, and what callers take up

Now 310 has a replica's version, and 220 the version a run is sent to, the version that began the stream, and the attempt that a caller names. Nothing decides by them yet.

--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -129,6 +129,7 @@
             address=replica.address,
             draining=replica.draining,
             role=replica.role,
+            version=replica.version,
         )
 
     def receive_state(self, instance: str, state: types.State) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -60,7 +60,7 @@
 
     def output_forwarded(self) -> None:
         """Records that output was sent to the caller."""
-        self.progress.record_begin()
+        self.progress.record_output(self.run.replica)
         self.quarantine.record_output(self.run)
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_messages.py
@@ -44,6 +44,8 @@
         chain: Prefix chain of the prompt: id and tokens of each block.
         prompt_tokens: Length of the prompt.
         output_tokens: Maximum number of tokens in the answer.
+        resumes: Id of the attempt that began the stream which is taken up.
+        last_event: Id of the last event of that stream which the caller has.
     """
 
     id: str
@@ -61,6 +63,8 @@
     chain: list[tuple[str, messages.Count]]
     prompt_tokens: messages.Count
     output_tokens: messages.Count
+    resumes: str = ""
+    last_event: str = ""
 
 
 class Declined(msgspec.Struct, array_like=True, tag="declined"):
@@ -141,6 +145,8 @@
         chain=[(block.id, block.tokens) for block in call.chain],
         prompt_tokens=call.prompt_tokens,
         output_tokens=call.output_tokens,
+        resumes=call.resumes,
+        last_event=call.last_event,
     )
 
 
@@ -161,6 +167,8 @@
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         account=request.account,
+        resumes=request.resumes,
+        last_event=request.last_event,
     )
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -41,6 +41,8 @@
             before that.
         handle: KV cache of the prompt that is not fetched yet.
         has_begun: Whether a replica has begun to run it.
+        version: Software version of the replica that wrote the first event
+            which was sent to the caller; None before that.
     """
 
     def __init__(self, call: types.Call, usage: Usage | None = None):
@@ -55,6 +57,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.prefill_address = ""
         self.handle: types.Handle | None = None
+        self.version: str | None = None
 
     def time_left(self) -> float:
         """Seconds until the deadline."""
@@ -111,9 +114,18 @@
             fingerprint=fingerprints.to_hex(self.fingerprint),
             instance=replica.instance,
             left=round(self.time_left(), 3),
+            version=replica.version,
+            began=self.version,
+            resumes=self.call.resumes,
             **inputs,
         )
 
+    def record_output(self, replica: types.Replica) -> None:
+        """Records that output of a replica was sent to the caller."""
+        if self.version is None:
+            self.version = replica.version
+        self.record_begin()
+
     def record_forwarded(self, node: str, **inputs) -> None:
         """Records that the request is passed on to another node."""
         self.may_have_run = True
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -32,6 +32,9 @@
         output_tokens: Maximum number of tokens in the answer.
         key_digest: Digest of the caller's key; empty if it sent none.
         account: Name of the client account; empty before it is known.
+        resumes: Id of the attempt that began the stream which this one takes
+            up; empty for a new request.
+        last_event: Id of the last event of that stream which the caller has.
     """
 
     id: str
@@ -48,6 +51,8 @@
     output_tokens: int = 0
     key_digest: bytes = b""
     account: str = ""
+    resumes: str = ""
+    last_event: str = ""
 
 
 class Replica(NamedTuple):
@@ -65,6 +70,8 @@
         started_at: Start time in Unix milliseconds; 0 if not reported. A later
             one for the same instance means a restart, with all state lost.
         spot: Whether the platform may reclaim it.
+        version: Version of its software. What replicas of two versions write
+            does not fit together.
     """
 
     instance: str
@@ -77,6 +84,7 @@
     orders: int = 0
     started_at: int = 0
     spot: bool = False
+    version: str = ""
 
 
 class Service(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -115,6 +115,8 @@
     data_centre: str = msgspec.field(name="zone")
     slots: int
     state: str
+    # Version of the replica's software, not of its weights.
+    version: str | int = ""
     stage: str = ""
     # Start time in Unix milliseconds; some replicas leave it out.
     born: int | None = None
@@ -174,6 +176,7 @@
         orders=record.orders,
         started_at=record.born or 0,
         spot=record.spot,
+        version=str(record.version),
     )
 
 
--- a/packages/gypsumfold/src/gypsumfold/platform/ingress.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/ingress.py
@@ -51,6 +51,8 @@
         prompt_tokens=counts[0] if counts else 0,
         output_tokens=counts[1] if len(counts) > 1 else 0,
         key_digest=client_keys.digest(get_header(found, names.KEY)),
+        resumes=get_header(found, names.RESUMES),
+        last_event=get_header(found, names.LAST_EVENT),
     )
 
 
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -15,6 +15,8 @@
 # The complete chain of prefix blocks, not one hash.
 CHAIN = "Prefix-Hash"
 LAST_EVENT = "Last-Event-Id"
+# Attempt id of the caller's attempt that brought a stream's first event.
+RESUMES = "Resumes"
 # The key of a client account; never forwarded.
 KEY = "Credential"
 
