Show that streams go on at another software version than the one that began them

Both ways in: engines that crash (the gateway resumes) and callers that take a stream up with Resumes at any gateway, whose beginner lives, was killed, restarted, cut off or told to stop.

--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -257,6 +257,7 @@
             "zone": "north-apron",
             "slots": 6,
             "state": "ready",
+            "version": record["version"],
             "stage": record["stage"],
             "born": record["born"],
             **changes,
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -29,6 +29,11 @@
 CRASH_AFTER = (0.02, 0.07)
 # Seconds from a crash until the replica serves again, under a new instance.
 RESTART = (3.4, 4.2)
+# Seconds for which both replicas serve in a release, from one replacement to
+# the next, and from the notice of leaving to the end.
+RELEASE_OVERLAP = 1.0
+RELEASE_PAUSE = 0.5
+DRAINING = 2.5
 # Seconds between two entries of a replica; after three missed ones it goes.
 HEARTBEAT = 1.2
 # Bytes of a request beside its body, as sent to a replica.
@@ -80,8 +85,17 @@
 class Replica:
     """One lifetime of an engine or of a plain replica."""
 
-    def __init__(self, fleet: "Fleet", place: int, service: str, stage: str):
+    def __init__(
+        self,
+        fleet: "Fleet",
+        place: int,
+        service: str,
+        stage: str,
+        version: str = "v1",
+    ):
         self.fleet = fleet
+        self.version = version
+        self.draining = False
         self.place = place
         self.service = service
         self.stage = stage
@@ -100,7 +114,9 @@
             "service": self.service,
             "addr": self.address,
             "zone": f"dc-{self.place % 3}",
+            "version": self.version,
             "slots": SLOTS,
+            "state": "draining" if self.draining else "ready",
             "stage": self.stage,
             "seq": order,
             "born": 0,
@@ -128,9 +144,12 @@
 class Answer:
     """A replica's answer whose head has come."""
 
-    def __init__(self, replica: Replica, call: types.Call, events: int):
+    def __init__(
+        self, replica: Replica, call: types.Call, events: int, first: int = 0
+    ):
         self.replica = replica
         self.call = call
+        self.first = first
         self.events = events
         self.status = 200
         self.reason = "OK"
@@ -149,13 +168,13 @@
             if await self.replica.lasts(crashes_after):
                 fleet.crash(self.replica, self.call.body)
             raise exceptions.AnswerBroken("the connection ended")
-        for number in range(self.events):
+        for number in range(self.first, self.events):
             step = STEP + STEP_EACH * len(self.replica.running)
             if not await self.replica.lasts(step):
                 raise exceptions.AnswerBroken("the connection ended")
             if self.reset:
                 raise exceptions.AnswerBroken("the connection was reset")
-            yield f"id: {number}\ndata: x\n\n".encode()
+            yield f"id: {number}\ndata: {self.replica.version}\n\n".encode()
         fleet.completed.add(self.call.body)
 
     async def read(self) -> bytes:
@@ -242,9 +261,60 @@
         """Starts the next lifetime of a replica."""
         await asyncio.sleep(self.site.rng.uniform(*RESTART))
         self.launch(
-            Replica(self, replica.place, replica.service, replica.stage)
+            Replica(
+                self,
+                replica.place,
+                replica.service,
+                replica.stage,
+                replica.version,
+            )
         )
 
+    async def release(self, version: str, stage: str, count: int) -> None:
+        """Replaces replicas of a stage by ones of another version, by turns.
+
+        Args:
+            version: The version that comes.
+            stage: The stage of the replicas.
+            count: How many; those of the oldest version go first.
+        """
+        for _ in range(count):
+            old = self.oldest(version, stage)
+            if old is None:
+                return
+            place = 1 + max(one.place for one in self.replicas.values())
+            self.launch(Replica(self, place, old.service, stage, version))
+            await asyncio.sleep(RELEASE_OVERLAP)
+            self.spawn(self.drain(old))
+            await asyncio.sleep(RELEASE_PAUSE)
+
+    def oldest(self, version: str, stage: str) -> Replica | None:
+        """The replica of a stage with the oldest version but this one."""
+        found = []
+        for one in self.replicas.values():
+            if not one.alive or one.draining or one.stage != stage:
+                continue
+            if one.version != version:
+                found.append(one)
+        return min(found, key=lambda one: one.version, default=None)
+
+    async def drain(self, replica: Replica) -> None:
+        """Lets a replica say that it leaves, and end a while later."""
+        replica.draining = True
+        topic = names.REGISTRATIONS_TOPIC
+        entry = replica.registration(0)
+        self.site.log.write(topic, replica.instance, entry)
+        await asyncio.sleep(DRAINING)
+        replica.end()
+
+    def serving(self, version: str) -> int:
+        """Counts the decode engines of a version that take streams."""
+        count = 0
+        for one in self.replicas.values():
+            if one.alive and not one.draining and one.stage == "decode":
+                count += one.version == version
+        return count
+
     def kill(self, stage: str) -> None:
         """Ends one replica that no request has crashed."""
         alive = []
@@ -408,9 +478,8 @@
         if found.stage != "decode":
             raise exceptions.EndpointMismatch("another role")
         events = max(1, call.output_tokens)
-        if instructions.last_event:
-            events -= int(instructions.last_event) + 1
-        return Answer(found, call, events)
+        last = instructions.last_event or call.last_event
+        return Answer(found, call, events, int(last) + 1 if last else 0)
 
     async def prefill(
         self,
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -92,8 +92,11 @@
 class Replica:
     """The replica's state and its handlers."""
 
-    def __init__(self, faults: Faults, stage: str, switch: float):
+    def __init__(
+        self, faults: Faults, stage: str, switch: float, version: str = ""
+    ):
         self.faults = faults
+        self.version = version
         self.stage = stage
         self.switch = switch
         self.instance = f"i-{uuid.uuid4().hex[:10]}"
@@ -231,7 +234,8 @@
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         breaks = self.faults.takes("broken")
         for number in range(first, self.faults.events + 1):
-            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            data = f"token-{number} {self.version}".rstrip()
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if breaks and number == first + 2:
                 await response.write(event[:9])
                 if response.framed:
@@ -314,6 +318,7 @@
                 "instance": self.instance,
                 "born": self.born,
                 "stage": self.stage,
+                "version": self.version,
                 "runs": self.runs,
                 "prompts": self.prompts,
                 "orders": self.orders,
@@ -345,9 +350,12 @@
 @serving.PORT
 @click.option("--stage", default="", help="prefill, decode or nothing.")
 @click.option("--switch", default=0.5, help="Seconds for a change of role.")
-def main(address: str, port: int, stage: str, switch: float) -> None:
+@click.option("--version", default="", help="Version of its software.")
+def main(
+    address: str, port: int, stage: str, switch: float, version: str
+) -> None:
     """Serve a replica of a service."""
-    replica = Replica(Faults(), stage, switch)
+    replica = Replica(Faults(), stage, switch, version)
     serving.run(serving.serve(application(replica), address, port))
 
 
