Resume a stream within an answer only at the version that began it

Cause: run_attempts took a broken stream to any decode engine; nothing knew that replicas of a service can differ. Now the first output of a request fixes its origin (service and version, by instance and never by address), and from then on only engines of that version are chosen, also among draining ones. None left: the answer is abandoned at once, or after a second at most if one of the version is known and merely silent, refusing or changing its role. A replica that started again under its id has no version until its next registration.

Callers that take a stream up themselves are not mended by this.

--- a/features/steps/broken_off_answers_steps.py
+++ b/features/steps/broken_off_answers_steps.py
@@ -82,6 +82,9 @@
     def bytes_received(self):
         pass
 
+    def output_received(self):
+        pass
+
     def output_forwarded(self):
         pass
 
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -208,6 +208,15 @@
         thread.join()
 
 
+def check_streams(readers, count):
+    """Checks that streams are whole, in order and of one version each."""
+    found = [reader.versions() for reader in readers]
+    assert all(len(versions) == 1 for versions in found), found
+    assert all(reader.in_order() for reader in readers)
+    whole = [len(reader.events) == EVENTS for reader in readers]
+    assert sum(whole) == count, [len(reader.events) for reader in readers]
+
+
 @behave.when(
     "callers read the begins of {count:d} streams at the first gateway and "
     "{what}"
@@ -225,14 +234,28 @@
     context.readers = readers
 
 
+@behave.when(
+    "one engine of each version breaks off its next {breaks:d} streams and "
+    "callers read {count:d} streams at the first gateway"
+)
+def step_break_off(context, breaks, count):
+    for name in ("decoder-0", "decoder-1"):
+        context.fleet[name].faults(broken=breaks)
+    context.readers = []
+    for _ in range(count):
+        context.readers.append(stream_readers.Reader(context.fleet))
+    read_all(context.readers, "edge-1", EVENTS)
+
+
+@behave.then("{count:d} callers have whole streams, each of one version")
+def step_whole(context, count):
+    check_streams(context.readers, count)
+
+
 @behave.then(
     "{count:d} callers go on at the second gateway, each at the version that "
     "began"
 )
 def step_went_on(context, count):
     read_all(context.readers, "edge-2", EVENTS)
-    found = [reader.versions() for reader in context.readers]
-    assert all(len(versions) == 1 for versions in found), found
-    assert all(reader.in_order() for reader in context.readers)
-    whole = [len(reader.events) == EVENTS for reader in context.readers]
-    assert sum(whole) == count, [reader.status for reader in context.readers]
+    check_streams(context.readers, count)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -32,6 +32,11 @@
       | 40    | gateways that are killed             | 1     |
       | 40    | a data centre that loses power       | 1     |
 
+  Scenario: Real gateways: a stream that breaks off within an answer is resumed at its version
+    Given two gateways before engines of two versions
+    When one engine of each version breaks off its next 1 streams and callers read 8 streams at the first gateway
+    Then 8 callers have whole streams, each of one version
+
   Scenario Outline: Real gateways: a stream that its caller takes up elsewhere goes on at its version: <what>
     Given two gateways before engines of two versions
     When callers read the begins of 8 streams at the first gateway and <what>
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -178,6 +178,13 @@
     "info",
     "Another node has not begun to serve a request that was passed on to it.",
 )
+STREAM_STRANDED = define(
+    236,
+    "stream-stranded",
+    "warning",
+    "A stream cannot go on: no engine of the software version that began it "
+    "is available.",
+)
 FORWARD_BROKEN = define(
     235,
     "forward-broken",
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -18,6 +18,7 @@
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import reachability as reachability_module
 from gypsumfold.decisions import silence as silence_module
+from gypsumfold.decisions import stream_origins
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import types
 
@@ -146,8 +147,12 @@
         ):
             return True
         self.replica_restarted(replica, state.started_at)
+        # Its software may have changed; the next registration says to what.
         self.replicas[instance] = replica._replace(
-            started_at=state.started_at, role=state.role, orders=state.orders
+            started_at=state.started_at,
+            role=state.role,
+            orders=state.orders,
+            version=None,
         )
         return True
 
@@ -341,6 +346,7 @@
         prefill: bool,
         now: float,
         avoid: frozenset[str] = frozenset(),
+        origin: stream_origins.Origin | None = None,
     ) -> list[types.Replica]:
         """Returns the prefill or the decode engines that may get work now.
 
@@ -352,12 +358,16 @@
             prefill: Whether to return prefill engines, not decode engines.
             now: The time.
             avoid: Instances that failed this request before.
+            origin: What began the stream that is to go on; only engines of its
+                version are returned.
         """
         healthy = []
         unhealthy = []
         for replica in self.responsive(service):
             if self.is_prefill(replica, now) != prefill:
                 continue
+            if origin is not None and not origin.fits(replica.version):
+                continue
             if replica.instance in avoid:
                 continue
             if self.changing_until.get(replica.instance, -math.inf) > now:
@@ -368,17 +378,45 @@
                 unhealthy.append(replica)
         found = healthy or unhealthy
         if not found and not prefill:
-            found = self.recently_draining(service, now)
+            found = self.recently_draining(service, now, origin)
         if found and not prefill:
             self.decode_available_at[service] = now
         return found
 
+    def may_return(self, origin: stream_origins.Origin, now: float) -> bool:
+        """Whether a decode engine of a stream's version is known but unusable.
+
+        It may be silent, refuse work or change its role.
+        """
+        for replica in self.known(origin.service):
+            if not origin.fits(replica.version):
+                continue
+            if not self.is_prefill(replica, now):
+                return True
+        return False
+
+    def lost_version(self, origin: stream_origins.Origin, now: float) -> bool:
+        """Whether this node can't reach any decode engine of a version."""
+        found = False
+        for replica in self.known(origin.service):
+            if not origin.fits(replica.version):
+                continue
+            if self.is_prefill(replica, now):
+                continue
+            if self.is_reachable(replica):
+                return False
+            found = True
+        return found
+
     def is_prefill(self, replica: types.Replica, now: float) -> bool:
         """Whether an engine is a prefill engine."""
         return self.role(replica, now) == decision_types.Role.PREFILL
 
     def recently_draining(
-        self, service: str, now: float
+        self,
+        service: str,
+        now: float,
+        origin: stream_origins.Origin | None = None,
     ) -> list[types.Replica]:
         """Returns the decode engines that began to drain a moment ago."""
         found = []
@@ -388,6 +426,8 @@
                 continue
             if self.is_prefill(replica, now):
                 continue
+            if origin is not None and not origin.fits(replica.version):
+                continue
             if self.is_reachable(replica):
                 found.append(replica)
         return found
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -35,6 +35,9 @@
 )
 # Seconds between two checks for a decode engine.
 POLL_INTERVAL = 0.03
+# Maximum seconds to wait for an engine of a stream's version that is silent or
+# refuses work: callers abandon a stream after a gap of two seconds.
+VERSION_WAIT_SECONDS = 1.0
 
 
 class EngineListener:
@@ -58,9 +61,13 @@
             self.run.replica.instance, time.monotonic()
         )
 
+    def output_received(self) -> None:
+        """Records which version begins the stream."""
+        self.progress.record_output(self.run.replica)
+
     def output_forwarded(self) -> None:
         """Records that output was sent to the caller."""
-        self.progress.record_output(self.run.replica)
+        self.progress.record_begin()
         self.quarantine.record_output(self.run)
 
 
@@ -160,7 +167,10 @@
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
             exceptions.AnswerBroken: An engine may have started to run it.
         """
-        await self.wait_for_decode_engine(route, service, progress)
+        if progress.origin is None:
+            await self.wait_for_decode_engine(route, service, progress)
+        else:
+            await self.wait_for_version(service, progress)
         self.prefills.discard_lost_handle(
             progress, lambda: self.take_retry(service)
         )
@@ -239,20 +249,69 @@
                 )
             await asyncio.sleep(POLL_INTERVAL)
 
+    async def wait_for_version(
+        self, service: types.Service, progress: progress_module.Progress
+    ) -> None:
+        """Waits a moment for a decode engine of the version of a stream.
+
+        Raises:
+            exceptions.RequestError: None is expected in time.
+            exceptions.AnswerAbandoned: The same, and the answer has started.
+        """
+        started = time.monotonic()
+        while True:
+            now = time.monotonic()
+            origin = progress.origin
+            if self.directory.engines(service.name, False, now, origin=origin):
+                return
+            progress.missed |= self.directory.lost_version(origin, now)
+            waited = now - started
+            if (
+                waited >= VERSION_WAIT_SECONDS
+                or progress.time_left() < VERSION_WAIT_SECONDS
+                or not self.directory.may_return(origin, now)
+            ):
+                break
+            await asyncio.sleep(POLL_INTERVAL)
+        events.log(
+            events.STREAM_STRANDED,
+            request=progress.call.id,
+            resumes=progress.call.resumes,
+            service=origin.service,
+            version=origin.version,
+            waited=round(waited, 3),
+        )
+        if progress.answer_started:
+            raise exceptions.AnswerAbandoned(
+                "no engine of the stream's version is available"
+            )
+        if progress.may_have_run:
+            raise progress.final_error()
+        raise exceptions.Unavailable(
+            "no engine of the stream's version is available",
+            outcomes.Outcome.NOT_RUN,
+            progress.retry_after(),
+        )
+
     def choose_decode_engine(
         self,
         service: types.Service,
         handle: types.Handle | None,
         progress: progress_module.Progress,
     ) -> types.Replica | None:
-        """Chooses the decode engine."""
+        """Chooses the decode engine, for a stream one of its version."""
         now = time.monotonic()
+        origin = progress.origin
         data_centre = ""
         if handle is not None and handle.engine in self.directory.replicas:
             data_centre = self.directory.replicas[handle.engine].data_centre
-        found = self.directory.engines(service.name, False, now, progress.avoid)
+        found = self.directory.engines(
+            service.name, False, now, progress.avoid, origin
+        )
         # A failed stream does not exclude the only engine.
-        found = found or self.directory.engines(service.name, False, now)
+        found = found or self.directory.engines(
+            service.name, False, now, origin=origin
+        )
         return self.directory.least_loaded(
             found, data_centre, self.endpoints.is_connected
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -8,6 +8,7 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import lateness
 from gypsumfold.decisions import routes
+from gypsumfold.decisions import stream_origins
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import types
 
@@ -41,8 +42,8 @@
             before that.
         handle: KV cache of the prompt that is not fetched yet.
         has_begun: Whether a replica has begun to run it.
-        version: Software version of the replica that wrote the first event
-            which was sent to the caller; None before that.
+        origin: What wrote the first event that was sent to the caller, in this
+            attempt or in the one that this one takes up; None before that.
     """
 
     def __init__(self, call: types.Call, usage: Usage | None = None):
@@ -57,7 +58,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.prefill_address = ""
         self.handle: types.Handle | None = None
-        self.version: str | None = None
+        self.origin: stream_origins.Origin | None = None
 
     def time_left(self) -> float:
         """Seconds until the deadline."""
@@ -101,9 +102,13 @@
         return exceptions.Unavailable(
             "no replica has room",
             outcomes.Outcome.NOT_RUN,
-            min(RETRY_AFTER_SECONDS, max(0.0, self.time_left() / 3)),
+            self.retry_after(),
         )
 
+    def retry_after(self) -> float:
+        """Seconds until a retry makes sense if replicas are short."""
+        return min(RETRY_AFTER_SECONDS, max(0.0, self.time_left() / 3))
+
     def record_sent(self, replica: types.Replica, **inputs) -> None:
         """Records that the request is sent to a replica that may run it."""
         self.may_have_run = True
@@ -115,16 +120,20 @@
             instance=replica.instance,
             left=round(self.time_left(), 3),
             version=replica.version,
-            began=self.version,
+            began=self.origin.version if self.origin is not None else None,
             resumes=self.call.resumes,
             **inputs,
         )
 
     def record_output(self, replica: types.Replica) -> None:
-        """Records that output of a replica was sent to the caller."""
-        if self.version is None:
-            self.version = replica.version
-        self.record_begin()
+        """Records that output of a replica is about to be sent.
+
+        From then on the stream goes on only at the replica's version.
+        """
+        if self.origin is None:
+            self.origin = stream_origins.Origin(
+                replica.service, replica.version
+            )
 
     def record_forwarded(self, node: str, **inputs) -> None:
         """Records that the request is passed on to another node."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -21,6 +21,9 @@
     def bytes_received(self) -> None:
         """Bytes were received from the replica."""
 
+    def output_received(self) -> None:
+        """Output of the run is about to be sent to the caller."""
+
     def output_forwarded(self) -> None:
         """Output of the run was sent to the caller."""
 
@@ -70,8 +73,14 @@
         listener.bytes_received()
         async for data in answer.chunks():
             listener.bytes_received()
-            if await self.write(data, answer, progress):
-                listener.output_forwarded()
+            self.boundaries.feed(data)
+            if self.resumable:
+                data = self.take_complete_events(data)
+            if not data:
+                continue
+            listener.output_received()
+            await self.write(data, answer, progress)
+            listener.output_forwarded()
         self.check_end(answer, progress)
         if self.pending:
             await self.reply.write(self.pending)
@@ -132,21 +141,11 @@
         data: bytes,
         answer: types.Answer,
         progress: progress_module.Progress,
-    ) -> bool:
-        """Forwards bytes; only complete events if the stream is resumable.
-
-        Returns:
-            Whether anything was forwarded.
-        """
-        self.boundaries.feed(data)
-        if self.resumable:
-            data = self.take_complete_events(data)
-        if not data:
-            return False
+    ) -> None:
+        """Forwards bytes, behind the head of the first replica's answer."""
         if not progress.answer_started:
             await self.start_answer(answer, progress)
         await self.reply.write(data)
-        return True
 
     def take_complete_events(self, data: bytes) -> bytes:
         """Adds bytes and returns the complete events; the rest stays pending.
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -70,8 +70,8 @@
         started_at: Start time in Unix milliseconds; 0 if not reported. A later
             one for the same instance means a restart, with all state lost.
         spot: Whether the platform may reclaim it.
-        version: Version of its software. What replicas of two versions write
-            does not fit together.
+        version: Version of its software; None while it isn't known. What
+            replicas of two versions write does not fit together.
     """
 
     instance: str
@@ -84,7 +84,7 @@
     orders: int = 0
     started_at: int = 0
     spot: bool = False
-    version: str = ""
+    version: str | None = ""
 
 
 class Service(NamedTuple):
