Have the soak release engines by versions and take streams up elsewhere

Engines of two versions from the start, releases that go on, are rolled back or stop half way, engines of another version at the address of one before, and callers that lose a stream and take it up with Resumes at any gateway.

--- a/features/soak.py
+++ b/features/soak.py
@@ -17,10 +17,12 @@
 REPORTS = pathlib.Path("reports") / "soak"
 
 
-def play(seed: int, seconds: float) -> list[str]:
+def play(
+    seed: int, seconds: float, gateway_count: int, engine_count: int
+) -> list[str]:
     """Plays one seed; returns the promises that were broken."""
     fleet = gateways.GatewayFleet()
-    played = soak.Soak(fleet, seed, seconds)
+    played = soak.Soak(fleet, seed, seconds, gateway_count, engine_count)
     try:
         played.run()
         broken = played.broken()
@@ -38,12 +40,16 @@
 @click.option("--first", default=1, help="First seed.")
 @click.option("--count", default=50, help="Seeds.")
 @click.option("--seconds", default=20.0, help="Seconds of faults for each.")
-def main(first: int, count: int, seconds: float) -> None:
+@click.option("--nodes", default=soak.GATEWAYS, help="Gateways.")
+@click.option("--engines", default=soak.ENGINES, help="Engines.")
+def main(
+    first: int, count: int, seconds: float, nodes: int, engines: int
+) -> None:
     """Play seeds; exit with 1 if one broke a promise."""
     REPORTS.mkdir(parents=True, exist_ok=True)
     failed = []
     for seed in range(first, first + count):
-        broken = play(seed, seconds)
+        broken = play(seed, seconds, nodes, engines)
         click.echo(f"seed {seed}: {broken or 'held'}")
         if broken:
             failed.append(seed)
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -21,9 +21,10 @@
 from features.support import soak_callers
 from gypsumfold.platform import names
 
-GATEWAYS = ("edge-1", "edge-2", "edge-3")
+# Gateways and engines of a short run.
+GATEWAYS = 3
+ENGINES = 7
 PLAINS = ("app-1", "app-2")
-ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 CALLERS = 6
 # Seconds of a call at a plain service.
 CALL = 0.2
@@ -45,6 +46,11 @@
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
 CALM = 36.0
+# Seconds between two events, attempts at taking a stream up, and seconds until
+# a caller comes back for it, at most.
+EVENT = 0.1
+TAKE_UPS = 2
+RETURN = 0.3
 # Promises that nothing has run or will.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -67,8 +73,17 @@
     []
     """
 
-    def __init__(self, fleet: gateways.GatewayFleet, seed: int, seconds: float):
+    def __init__(
+        self,
+        fleet: gateways.GatewayFleet,
+        seed: int,
+        seconds: float,
+        gateway_count: int = GATEWAYS,
+        engine_count: int = ENGINES,
+    ):
         self.fleet = fleet
+        self.gateways = [f"edge-{n}" for n in range(1, gateway_count + 1)]
+        self.engines = [f"engine-{n}" for n in range(1, engine_count + 1)]
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -79,18 +94,23 @@
         self.counted: set[tuple[str, str]] = set()
         self.ended = threading.Event()
         self.lock = threading.Lock()
+        self.streams: list[soak_callers.Stream] = []
+        self.newest = 2
         self.recovered = True
-        self.starts = dict.fromkeys(GATEWAYS, 1)
+        self.starts = dict.fromkeys(self.gateways, 1)
         self.started = 0.0
 
     def prepare(self) -> None:
         """Starts the fleet, each replica and the store behind a proxy."""
         self.fleet.start_store()
         wanted = [(name, "app", "") for name in PLAINS]
-        for number, name in enumerate(ENGINES):
-            wanted.append((name, "lm", "decode" if number < 1 else "prefill"))
+        for number, name in enumerate(self.engines):
+            wanted.append((name, "lm", "decode" if number < 4 else "prefill"))
         for name, _, stage in wanted:
-            options = ["--stage", stage] if stage else []
+            options = []
+            if stage:
+                version = f"v{1 + self.engines.index(name) % self.newest}"
+                options = ["--stage", stage, "--version", version]
             self.fleet.start_standin(name, "platform_replica", options)
         self.fleet.proxy("store")
         for name, service, _ in wanted:
@@ -100,7 +120,9 @@
         for name in PLAINS:
             # Long enough that most faults meet a call in progress.
             self.fleet[name].faults(seconds=CALL)
-        for name in GATEWAYS:
+        for name in self.engines:
+            self.fleet[name].faults(event_seconds=EVENT)
+        for name in self.gateways:
             self.fleet.start_gateway(name)
 
     def run(self) -> None:
@@ -149,6 +171,8 @@
             self.kill,
             self.stop,
             self.crash_engine,
+            self.release,
+            self.release,
             self.spoil_answers,
             self.spoil_answers,
             self.configure,
@@ -162,7 +186,7 @@
 
     def link(self) -> str:
         """Picks what is behind a proxy."""
-        return self.random.choice(("store", *PLAINS, *ENGINES))
+        return self.random.choice(("store", *PLAINS, *self.engines))
 
     def slow_link(self):
         """Delays every chunk of one link."""
@@ -178,8 +202,8 @@
 
     def partition(self):
         """Lets nothing pass between one replica and one gateway."""
-        name = self.random.choice((*PLAINS, *ENGINES))
-        source = self.fleet[self.random.choice(GATEWAYS)].host
+        name = self.random.choice((*PLAINS, *self.engines))
+        source = self.fleet[self.random.choice(self.gateways)].host
         self.fleet.proxies[name].partition(source)
         return name, self.fleet.proxies[name].heal
 
@@ -188,15 +212,15 @@
 
         Nothing passes, or connections are reset, old and new ones.
         """
-        cut = self.random.sample(GATEWAYS, self.random.choice((1, 1, 2)))
+        cut = self.random.sample(self.gateways, self.random.choice((1, 1, 2)))
         how = self.random.choice(("partition", "cut"))
-        for name in (*PLAINS, *ENGINES):
+        for name in (*PLAINS, *self.engines):
             for gateway in cut:
                 proxy = self.fleet.proxies[name]
                 getattr(proxy, how)(self.fleet[gateway].host)
 
         def undo() -> None:
-            for name in (*PLAINS, *ENGINES):
+            for name in (*PLAINS, *self.engines):
                 self.fleet.proxies[name].heal()
 
         return f"{how} {', '.join(cut)}", undo
@@ -221,7 +245,7 @@
 
     def spoil_answers(self):
         """Has a replica lose, cross, refuse or break its next answers."""
-        name = self.random.choice((*PLAINS, *ENGINES))
+        name = self.random.choice((*PLAINS, *self.engines))
         kind = self.random.choice(SPOILED)
         if not self.fleet[name].alive:
             return f"{name} (not there)", lambda: None
@@ -230,7 +254,7 @@
 
     def pause(self):
         """Pauses a gateway and lets it go on."""
-        process = self.fleet[self.random.choice(GATEWAYS)]
+        process = self.fleet[self.random.choice(self.gateways)]
         if process.alive and not process.frozen:
             process.freeze()
 
@@ -250,7 +274,7 @@
 
     def end_gateway(self, end):
         """Ends a gateway in some way; it is started again."""
-        process = self.fleet[self.random.choice(GATEWAYS)]
+        process = self.fleet[self.random.choice(self.gateways)]
         if not process.alive or process.frozen:
             return f"{process.name} (not there)", lambda: None
         end(process)
@@ -272,7 +296,7 @@
 
     def crash_engine(self):
         """Kills an engine; a new one comes at its address."""
-        name = self.random.choice(ENGINES)
+        name = self.random.choice(self.engines)
         if name not in self.fleet.entries or not self.fleet[name].alive:
             return name, lambda: None
         self.count(name)
@@ -280,28 +304,58 @@
         self.fleet.crash(name)
 
         def undo() -> None:
-            self.fleet[name].restart()
-            self.fleet[name].until_ready("/_test/record")
-            key = entry["instance"]
-            self.fleet.write(names.REGISTRATIONS_TOPIC, key, None)
-            self.fleet.register(name, "lm")
+            self.start_engine(name, entry["instance"])
 
         return name, undo
 
+    def release(self):
+        """Has an engine leave; one of another version comes at its address."""
+        name = self.random.choice(self.engines)
+        entry = self.fleet.entries.get(name)
+        if entry is None or entry["state"] == "draining":
+            return f"{name} (not there)", lambda: None
+        entry["state"] = "draining"
+        self.fleet.write(names.REGISTRATIONS_TOPIC, entry["instance"], entry)
+        # A release goes on, is rolled back, or stops half way.
+        number = self.newest + self.random.choice((1, 0, 0, -1))
+        self.newest = max(self.newest, number)
+        version = f"v{max(1, number)}"
+
+        def undo() -> None:
+            if self.fleet.entries.get(name) is not entry:
+                return
+            self.count(name)
+            self.fleet.crash(name)
+            command = self.fleet[name].command
+            command[command.index("--version") + 1] = version
+            self.start_engine(name, entry["instance"])
+
+        return f"{name} {version}", undo
+
+    def start_engine(self, name: str, instance: str) -> None:
+        """Starts an engine again, in the place of another instance."""
+        self.fleet[name].restart()
+        self.fleet[name].until_ready("/_test/record")
+        self.fleet[name].faults(event_seconds=EVENT)
+        self.fleet.write(names.REGISTRATIONS_TOPIC, instance, None)
+        self.fleet.register(name, "lm")
+
     def configure(self):
         """Writes a newer configuration."""
         return f"version {self.fleet.configure()}", lambda: None
 
     def calm(self) -> None:
         """Waits until every gateway serves every kind of request again."""
-        for name in GATEWAYS:
+        for name in self.gateways:
             process = self.fleet[name]
             if process.frozen:
                 process.thaw()
         rng = random.Random(self.seed)
         limit = time.monotonic() + CALM
         wanted = {
-            (name, path) for name in GATEWAYS for path in soak_callers.PATHS
+            (name, path)
+            for name in self.gateways
+            for path in soak_callers.PATHS
         }
         while wanted and time.monotonic() < limit:
             for name, path in sorted(wanted):
@@ -320,12 +374,33 @@
         caller = soak_callers.Caller(self.fleet, rng)
         while not self.ended.is_set():
             ask = caller.ask(
-                rng.choice(GATEWAYS), rng.choice(soak_callers.PATHS)
+                rng.choice(self.gateways), rng.choice(soak_callers.PATHS)
             )
             with self.lock:
                 self.asks.append(ask)
+            if ask.path == soak_callers.SWAP and ask.events:
+                self.take_up(caller, rng, soak_callers.Stream([ask]))
         caller.close()
 
+    def take_up(
+        self,
+        caller: soak_callers.Caller,
+        rng: random.Random,
+        stream: soak_callers.Stream,
+    ) -> None:
+        """Takes a stream up at any gateway as long as it breaks off."""
+        for _ in range(TAKE_UPS):
+            if stream.asks[-1].status == 200 and stream.asks[-1].whole:
+                break
+            time.sleep(rng.uniform(0.0, RETURN))
+            gateway = rng.choice(self.gateways)
+            ask = caller.ask(gateway, soak_callers.SWAP, stream)
+            stream.asks.append(ask)
+            with self.lock:
+                self.asks.append(ask)
+        with self.lock:
+            self.streams.append(stream)
+
     def count(self, name: str) -> None:
         """Adds what a replica has run and was ordered, before it ends."""
         record = self.fleet[name].test("record")
@@ -339,7 +414,7 @@
 
     def collect(self) -> None:
         """Reads the records of all replicas that are left."""
-        for name in (*PLAINS, *ENGINES):
+        for name in (*PLAINS, *self.engines):
             self.count(name)
 
     def broken(self) -> list[str]:
@@ -347,6 +422,8 @@
         found = []
         for ask in self.asks:
             found += self.judge(ask)
+        for stream in self.streams:
+            found += judge_stream(stream)
         for instance, orders in self.orders.items():
             tokens = [order["fence"] for order in orders]
             if tokens != sorted(tokens):
@@ -356,7 +433,7 @@
                 first = holders.setdefault(order["fence"], order["holder"])
                 if first != order["holder"]:
                     found.append(f"{instance}: two holders of one token")
-        for name in GATEWAYS:
+        for name in self.gateways:
             found += self.regressed(name)
         if not self.recovered:
             found.append("a gateway does not serve again")
@@ -380,6 +457,7 @@
         if (
             complete
             and "stream" in ask.path
+            and not ask.is_take_up
             and not soak_callers.in_order(ask.body)
         ):
             found.append(f"{ask}: not all events in order")
@@ -405,12 +483,38 @@
         return found
 
 
+def judge_stream(stream: soak_callers.Stream) -> list[str]:
+    """Judges a stream by the events of all of its attempts."""
+    found = []
+    events = stream.events()
+    numbers = [number for number, _ in events]
+    if numbers != list(range(1, len(numbers) + 1)):
+        found.append(f"{stream.asks}: events {numbers}")
+    versions = {version for _, version in events}
+    if len(versions) > 1:
+        found.append(f"{stream.asks}: events of {sorted(versions)}")
+    return found
+
+
+def count_take_ups(soak: Soak) -> tuple[int, int]:
+    """Counts the attempts at taking streams up, and those that went on."""
+    attempts = 0
+    went_on = 0
+    for stream in soak.streams:
+        for ask in stream.asks[1:]:
+            attempts += 1
+            went_on += bool(ask.events)
+    return attempts, went_on
+
+
 def timeline(soak: Soak, path: pathlib.Path) -> None:
     """Writes the faults and the ends of requests for a person to read."""
     ends: dict[int, int] = {}
     for ask in soak.asks:
         ends[ask.status] = ends.get(ask.status, 0) + 1
     lines = [f"seed {soak.seed}: {len(soak.asks)} requests, by status {ends}"]
+    attempts, went_on = count_take_ups(soak)
+    lines.append(f"{went_on} of {attempts} attempts took a stream up")
     for fault in soak.faults:
         lines.append(
             f"{fault.at:7.2f} s  {fault.what:13} {fault.where}"
--- a/features/support/soak_callers.py
+++ b/features/support/soak_callers.py
@@ -5,12 +5,15 @@
 from typing import NamedTuple
 
 from features.support import gateways
+from features.support import stream_readers
 from gypsumfold.platform import names
 
 # Seconds that a caller waits for an answer: a frozen gateway gives none.
 WAIT = 4.0
 # Events of a stand-in's stream.
 EVENTS = 5
+# Share of streams whose caller loses its connection after the first events.
+LEAVING_SHARE = 0.4
 # What callers ask for; "stream" marks routes that answer with events.
 HOLD, LOOK_UP = "/seats/1", "/lookups/1"
 BRIEF, SWAP = "/briefs/stream", "/swaps/stream"
@@ -29,6 +32,8 @@
         whole: Whether the answer ended as complete.
         sealed: Whether a replica vouches for it, for this attempt.
         body: What came.
+        events: Whole events that came, by id and version.
+        is_take_up: Whether it took a stream up.
     """
 
     attempt: str
@@ -38,6 +43,25 @@
     whole: bool
     sealed: bool
     body: bytes
+    events: tuple[tuple[int, str], ...] = ()
+    is_take_up: bool = False
+
+
+class Stream(NamedTuple):
+    """A stream over all attempts of its caller.
+
+    Attributes:
+        asks: The attempts; the first one brought the first event.
+    """
+
+    asks: list[Ask]
+
+    def events(self) -> list[tuple[int, str]]:
+        """The events of all attempts."""
+        found = []
+        for ask in self.asks:
+            found += ask.events
+        return found
 
 
 class Caller:
@@ -48,13 +72,24 @@
         self.random = rng
         self.kept: dict[str, http.client.HTTPConnection] = {}
 
-    def ask(self, gateway: str, path: str) -> Ask:
-        """Sends one request and reads what comes of it."""
+    def ask(
+        self, gateway: str, path: str, stream_begun: Stream | None = None
+    ) -> Ask:
+        """Sends one request and reads what comes of it.
+
+        Args:
+            gateway: Where.
+            path: What for.
+            stream_begun: A stream that broke off and is taken up.
+        """
         stream = "stream" in path
         number = self.random.randrange(40)
         chain = f"aa:4000,{number:x}:300" if stream else ""
         sent = gateways.headers(WAIT, chain, stream)
         attempt = sent[names.ATTEMPT]
+        if stream_begun is not None:
+            sent[names.RESUMES] = stream_begun.asks[0].attempt
+            sent[names.LAST_EVENT] = str(stream_begun.events()[-1][0])
         method, body = ("GET", None) if path == LOOK_UP else ("POST", b"x")
         status, whole, sealed, data = 0, False, False, b""
         connection = self.kept.pop(gateway, None) or self.connect(gateway)
@@ -64,17 +99,35 @@
             status = response.status
             seal = response.headers.get(names.SEAL, "")
             sealed = seal.endswith(f".{attempt}")
-            data = response.read()
-            whole = True
-            if not response.will_close:
-                self.kept[gateway] = connection
+            leaves = path == SWAP and self.random.random() < LEAVING_SHARE
+            while piece := response.read1(65536):
+                data += piece
+                if leaves and stream_readers.EVENT.search(data):
+                    break
+            else:
+                whole = True
+                if not response.will_close:
+                    self.kept[gateway] = connection
         except http.client.IncompleteRead as error:
-            data = error.partial
+            data += error.partial
         except (OSError, http.client.HTTPException):
             pass
         if gateway not in self.kept:
             connection.close()
-        return Ask(attempt, gateway, path, status, whole, sealed, data)
+        events = []
+        for event, version in stream_readers.EVENT.findall(data):
+            events.append((int(event), version.decode()))
+        return Ask(
+            attempt,
+            gateway,
+            path,
+            status,
+            whole,
+            sealed,
+            data,
+            tuple(events),
+            stream_begun is not None,
+        )
 
     def connect(self, gateway: str) -> http.client.HTTPConnection:
         """Opens a connection, which fails with its first request if ever."""
