Keep decode engines of a version in pairs, and have new streams prefer pairs

A stream goes on only at its version, so the only decode engine of a version takes its streams with it when it is lost. Roles: a second decode engine of a version joins first, one of a pair leaves last. Placement: the only engine of its version is taken while it is a fifth of an engine less loaded than others. With one version nothing changes. While there is no decode engine at all a stream waits for a change of roles as before.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -1,6 +1,7 @@
 """Steps on streams that break off while several versions serve."""
 
 import functools
+import random
 import threading
 
 import behave
@@ -11,6 +12,11 @@
 from features.support import virtual_gateways
 from features.support import virtual_streams
 
+from gypsumfold.decisions import role_split
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import types
+
 # Seconds for which gateways learn what there is, and of a trouble.
 SETTLING = 5.0
 TROUBLE = 24.0
@@ -266,3 +272,68 @@
 def step_went_on(context, count):
     read_all(context.readers, "edge-2", EVENTS)
     check_streams(context.readers, count)
+
+
+def engine_views(versions, role):
+    """Engines of some versions, each in a data centre of its own."""
+    views = []
+    for number, version in enumerate(versions.split(", ")):
+        name = f"{role}-{number}"
+        views.append(role_split.EngineView(name, name, role, version=version))
+    return views
+
+
+@behave.when(
+    '{wanted:d} decode engines are wanted where "{decoding}" decode and '
+    '"{reading}" prefill'
+)
+def step_plan(context, wanted, decoding, reading):
+    views = engine_views(decoding, decision_types.Role.DECODE)
+    views += engine_views(reading, decision_types.Role.PREFILL)
+    roles = {view.name: view.role for view in views}
+    for change in role_split.plan_changes(views, wanted):
+        roles[change.engine] = change.role
+    context.versions = []
+    for view in views:
+        if roles[view.name] == decision_types.Role.DECODE:
+            context.versions.append(view.version)
+
+
+@behave.then('the versions of the decode engines are "{versions}"')
+def step_versions(context, versions):
+    assert sorted(context.versions) == versions.split(", "), context.versions
+
+
+@behave.given('decode engines of the versions "{versions}"')
+def step_decoders(context, versions):
+    context.engines = []
+    for number, version in enumerate(versions.split(", ")):
+        name = f"i-{number}"
+        context.engines.append(
+            types.Replica(name, "lm", name, "dc", 8, False, version=version)
+        )
+
+
+def version_of_next(engines, difference):
+    """The version of the next stream where v2 is fuller by a difference."""
+    directory = directory_module.Directory(random.Random(1))
+    for engine in engines:
+        directory.put(engine)
+        if engine.version == "v2":
+            directory.streams.add(engine.instance, difference)
+    return directory.least_loaded(engines, "dc").version
+
+
+@behave.then(
+    "new streams go to v2 while its engines are at most {most:g} fuller than "
+    "that of v1"
+)
+def step_prefers_pair(context, most):
+    for difference in (0.0, most / 2, most - 0.01):
+        found = version_of_next(context.engines, difference)
+        assert found == "v2", (difference, found)
+
+
+@behave.then("new streams go to v1 once the engines of v2 are {more:g} fuller")
+def step_spreads(context, more):
+    assert version_of_next(context.engines, more) == "v1"
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -47,3 +47,20 @@
       | their connections are reset     |
       | the first gateway is killed     |
       | the first gateway is told to stop |
+
+  Scenario Outline: Decode engines of a version come in pairs: <decoding>, <wanted> wanted
+    When <wanted> decode engines are wanted where "<decoding>" decode and "<reading>" prefill
+    Then the versions of the decode engines are "<versions>"
+
+    Examples:
+      | decoding     | reading     | wanted | versions       |
+      | v1           | v2, v1      | 2      | v1, v1         |
+      | v1, v1, v2   | v1          | 2      | v1, v1         |
+      | v1, v2       | v2, v3      | 3      | v1, v2, v2     |
+      | v1, v1, v1, v2, v2 | v3    | 4      | v1, v1, v2, v2 |
+      | v1, v1       | v1, v1      | 3      | v1, v1, v1     |
+
+  Scenario: New streams go to a version of which two engines decode unless they are fuller
+    Given decode engines of the versions "v1, v2, v2"
+    Then new streams go to v2 while its engines are at most 0.2 fuller than that of v1
+    And new streams go to v1 once the engines of v2 are 0.4 fuller
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -64,6 +64,7 @@
         role: Its role, or its next role while it changes.
         waiting: Seconds of prompts that it has to prefill first.
         changing: Whether it is changing its role, on any node's order.
+        version: Version of its software; a stream goes on at its own only.
     """
 
     name: str
@@ -71,6 +72,7 @@
     role: types.Role
     waiting: float = 0.0
     changing: bool = False
+    version: str | None = ""
 
 
 class Load(NamedTuple):
@@ -344,8 +346,9 @@
 def plan_changes(engines: list[EngineView], desired: int) -> list[Change]:
     """Picks the engines to change.
 
-    Decode engines are spread over the data centres, so that a KV cache rarely
-    has to leave its own.
+    Each version that decodes should have two decode engines, so that streams
+    go on if one of them is lost. Decode engines are also spread over the data
+    centres, so that a KV cache rarely has to leave its own.
     """
     decoders = []
     prefill_engines = []
@@ -359,7 +362,7 @@
         candidates = removable(decoders)
         if not candidates:
             break
-        leaving = max(candidates, key=lambda one: crowding(one, decoders))
+        leaving = max(candidates, key=lambda one: leave_order(one, decoders))
         decoders.remove(leaving)
         found.append(Change(leaving.name, types.Role.PREFILL))
     while len(decoders) < desired and prefill_engines:
@@ -409,16 +412,37 @@
     return kept
 
 
+def leave_order(
+    engine: EngineView, decoders: list[EngineView]
+) -> tuple[bool, int, str]:
+    """Returns the sort key for picking the engine that stops decoding.
+
+    One of two engines of a version is picked last.
+    """
+    is_pair = count_version(engine, decoders) == 2
+    return not is_pair, *crowding(engine, decoders)
+
+
+def count_version(engine: EngineView, decoders: list[EngineView]) -> int:
+    """Counts the decode engines of an engine's version."""
+    count = 0
+    for other in decoders:
+        count += other.version == engine.version
+    return count
+
+
 def join_order(
     engine: EngineView, decoders: list[EngineView]
-) -> tuple[float, int, str]:
+) -> tuple[float, int, int, str]:
     """Returns the sort key for picking the next decode engine.
 
     If there is none, the engine with the least to prefill comes first, since
     it changes its role only after that.
     """
     waiting = 0.0 if decoders else round(engine.waiting, 1)
-    return waiting, *crowding(engine, decoders)
+    # A second engine of a version comes first, the only one of it last.
+    missing = {1: 0, 0: 2}.get(count_version(engine, decoders), 1)
+    return waiting, missing, *crowding(engine, decoders)
 
 
 def crowding(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 import math
 import random
@@ -43,6 +44,8 @@
 # use every engine open 0.55 connections for each request, and each engine gets
 # them from all nodes.
 UNCONNECTED_PENALTY = 0.1
+# The same for the only decode engine of its software version.
+SOLE_ENGINE_PENALTY = 0.2
 # Seconds for which a draining decode engine is still used if there is no other:
 # it goes on serving for two seconds, and a role change takes three.
 DRAINING_USE_SECONDS = 0.9
@@ -660,9 +663,11 @@
 
         An engine of the given data centre is preferred to others that are up
         to a tenth less loaded: a KV transfer between data centres takes twice
-        as long. So is an engine with an open connection.
+        as long. So is an engine with an open connection, and one whose streams
+        could go on at another engine of its version.
         """
         now = time.monotonic()
+        versions = collections.Counter(engine.version for engine in engines)
         best = None
         best_key = math.inf
         for engine in engines:
@@ -671,6 +676,8 @@
                 key += OTHER_DATA_CENTRE_PENALTY
             if not connected(engine):
                 key += UNCONNECTED_PENALTY
+            if versions[engine.version] == 1 and len(versions) > 1:
+                key += SOLE_ENGINE_PENALTY
             key += self.rng.random() * 1e-3
             if key < best_key:
                 best, best_key = engine, key
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -175,9 +175,8 @@
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
             exceptions.AnswerBroken: An engine may have started to run it.
         """
-        if progress.origin is None:
-            await self.wait_for_decode_engine(route, service, progress)
-        else:
+        await self.wait_for_decode_engine(route, service, progress)
+        if progress.origin is not None:
             await self.wait_for_version(service, progress)
         self.prefills.discard_lost_handle(
             progress, lambda: self.take_retry(service)
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -153,6 +153,7 @@
                     role,
                     waiting,
                     changing,
+                    replica.version,
                 )
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
