Bound what is kept and asked of streams, and pass on what lacks a version's reach

- A gateway that reaches half of a service but no engine of a stream's version has another gateway serve the request at once (it waited a second first).
- A request that is tied to a version is not sent to the last engine of it once it has crashed two: the streams that need the engine would go with it.
- An origin that came with a passed-on request is checked against the route, as one that was found is; ids are kept to 128 characters.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -52,11 +52,16 @@
     """Breaks off half of what runs at a third of the gateways, by turns."""
     for _ in range(int(TROUBLE / 2)):
         await site.pass_time(2.0)
-        nodes = list(site.nodes.values())
-        for node in site.rng.sample(nodes, max(1, len(nodes) // 3)):
-            for task in list(node.calls):
-                if site.rng.random() < 0.5:
-                    task.cancel()
+        break_off(site)
+
+
+def break_off(site):
+    """Breaks off half of what runs at a third of the gateways."""
+    nodes = list(site.nodes.values())
+    for node in site.rng.sample(nodes, max(1, len(nodes) // 3)):
+        for task in list(node.calls):
+            if site.rng.random() < 0.5:
+                task.cancel()
 
 
 async def kill(site, streams, names):
@@ -116,6 +121,19 @@
         site.nodes[name].endpoints.cut = False
 
 
+async def cut_version(site, streams):
+    """Cuts a third of the gateways off from one version, by turns."""
+    for version in ("v1", "v1.1", "v1.2"):
+        names = site.rng.sample(list(site.nodes), len(site.nodes) // 3)
+        for name in names:
+            site.nodes[name].endpoints.cut_versions = {version}
+        for _ in range(4):
+            await site.pass_time(2.0)
+            break_off(site)
+        for name in names:
+            site.nodes[name].endpoints.cut_versions = set()
+
+
 TROUBLES = {
     "engines that crash": crash_engines,
     "callers whose connections are reset": reset_callers,
@@ -123,6 +141,7 @@
     "gateways that are cut from the store": cut_store,
     "gateways that do not hear others": part_gateways,
     "gateways that reach no replica": cut_replicas,
+    "gateways that reach no replica of a version": cut_version,
     "a data centre that loses power": lose_power,
 }
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -18,6 +18,7 @@
       | 6     | gateways that reach no replica       | 2     |
       | 9     | a data centre that loses power       | 1     |
       | 40    | gateways that are killed             | 1     |
+      | 6     | gateways that reach no replica of a version | 2 |
 
   Scenario Outline: Streams that break off go on about as often as new ones begin: <nodes> gateways, <trouble>
     Then in each of <plays> plays of a release before <nodes> gateways with <trouble> callers take up streams at least half as often as new ones begin
@@ -31,6 +32,7 @@
       | 40    | callers whose connections are reset  | 1     |
       | 40    | gateways that are killed             | 1     |
       | 40    | a data centre that loses power       | 1     |
+      | 6     | gateways that reach no replica of a version | 2 |
 
   Scenario: Real gateways: a stream that breaks off within an answer is resumed at its version
     Given two gateways before engines of two versions
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -376,6 +376,7 @@
     Attributes:
         cut: Whether nothing comes back from any replica.
         refused: Whether new connections are refused; open ones live on.
+        cut_versions: Versions of which no replica is reached.
         silent_until: Until when a replica doesn't answer, by address.
         kept: Number of idle connections by address.
     """
@@ -385,6 +386,7 @@
         self.link = link
         self.cut = False
         self.refused = False
+        self.cut_versions: set[str | None] = set()
         self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
 
@@ -419,6 +421,9 @@
         self, replica: types.Replica, fresh: bool = False
     ) -> Replica:
         """Finds the process at a replica's address."""
+        if replica.version in self.cut_versions:
+            await asyncio.sleep(CONNECT)
+            raise exceptions.EndpointUnreachable(f"{replica.address}: silent")
         await self.connect(replica, fresh)
         await asyncio.sleep(NETWORK)
         if self.cut:
--- a/packages/gypsumfold/src/gypsumfold/decisions/routes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/routes.py
@@ -62,6 +62,10 @@
         """Whether a request may run again from its start."""
         return self.kind == Kind.IDEMPOTENT
 
+    def leads_to(self, service: str) -> bool:
+        """Whether a service may serve the route's requests."""
+        return any(target.service == service for target in self.targets)
+
     def remaining_wait(self, left: float, age: float) -> float:
         """Returns the seconds for which the caller waits for a first event.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -261,6 +261,9 @@
     ) -> None:
         """Waits a moment for a decode engine of the version of a stream.
 
+        Where the version's engines are merely out of reach, another node may
+        serve the request at once.
+
         Raises:
             exceptions.RequestError: None is expected in time.
             exceptions.AnswerAbandoned: The same, and the answer has started.
@@ -269,12 +272,23 @@
         while True:
             now = time.monotonic()
             origin = progress.origin
-            if self.directory.engines(service.name, False, now, origin=origin):
-                return
-            progress.missed |= self.directory.lost_version(origin, now)
+            found = self.directory.engines(
+                service.name, False, now, origin=origin
+            )
             waited = now - started
+            if found:
+                if self.quarantine.is_last_engine(found, progress):
+                    break
+                return
+            lost = self.directory.lost_version(origin, now)
+            progress.missed |= lost
             if (
                 waited >= VERSION_WAIT_SECONDS
+                or (
+                    lost
+                    and progress.may_forward
+                    and not progress.answer_started
+                )
                 or progress.time_left() < VERSION_WAIT_SECONDS
                 or not self.directory.may_return(origin, now)
             ):
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -263,7 +263,13 @@
         if not call.resumes and not call.last_event:
             return
         if progress.origin is None:
-            progress.origin = await self.origins.resolve(route, call)
+            progress.origin = await self.origins.resolve(call, route)
+        if not route.leads_to(progress.origin.service):
+            raise exceptions.Unavailable(
+                "the route leads to the stream's service no more",
+                outcomes.Outcome.NOT_RUN,
+                progress.retry_after(),
+            )
         progress.service = progress.origin.service
 
     async def serve_or_forward(
@@ -285,6 +291,7 @@
             route, service, version, reply, progress
         ):
             return
+        progress.may_forward = not asked
         try:
             await self.serve_here(configuration, route, reply, progress)
         except exceptions.RequestQuarantined:
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -44,7 +44,7 @@
         results: Number of streams taken up by how their origin was found.
 
     >>> origins = Origins(directory)
-    >>> await origins.resolve(route, call)
+    >>> await origins.resolve(call, route)
     Origin(service='lm', version='v1.1')
     """
 
@@ -113,16 +113,15 @@
         return stream_origins.Origin(service, version)
 
     async def resolve(
-        self, route: routes.Route, call: types.Call
+        self, call: types.Call, route: routes.Route
     ) -> stream_origins.Origin:
         """Finds the origin of a stream that a caller takes up.
 
         Raises:
-            exceptions.Unavailable: It isn't known, or the route leads to its
-                service no more.
+            exceptions.Unavailable: It isn't known.
         """
         started = time.monotonic()
-        origin, source = await self.find(route, call)
+        origin, source = await self.find(call, route)
         self.results[source] += 1
         events.log(
             events.STREAM_TAKEN_UP,
@@ -144,16 +143,10 @@
                 outcomes.Outcome.NOT_RUN,
                 retry_after,
             )
-        if all(target.service != origin.service for target in route.targets):
-            raise exceptions.Unavailable(
-                "the route leads to the stream's service no more",
-                outcomes.Outcome.NOT_RUN,
-                retry_after,
-            )
         return origin
 
     async def find(
-        self, route: routes.Route, call: types.Call
+        self, call: types.Call, route: routes.Route
     ) -> tuple[stream_origins.Origin | None, str]:
         """Finds a stream's origin; returns it and how it is known."""
         if not call.resumes:
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -36,6 +36,7 @@
         may_have_run: Whether a replica may have started to run it.
         answer_started: Whether any of the answer was sent to the caller.
         missed: Whether an attempt reached no replica.
+        may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
         avoid: Instances that failed to serve it.
         prefill_address: Address of the engine that ran the prefill; empty
@@ -57,6 +58,7 @@
         self.may_have_run = False
         self.answer_started = False
         self.missed = False
+        self.may_forward = False
         self.runs = 0
         self.avoid: frozenset[str] = frozenset()
         self.prefill_address = ""
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -136,6 +136,25 @@
                 raise progress.final_error()
         return None
 
+    def is_last_engine(
+        self,
+        engines: list[types.Replica],
+        progress: progress_module.Progress,
+    ) -> bool:
+        """Whether a request may crash the only engine that it can run on.
+
+        One that is tied to a software version would otherwise take all engines
+        of the version with it, and the streams that need them.
+        """
+        suspicions = self.crash_log.suspicions(progress.fingerprint)
+        if len(suspicions) < crashes_module.MAX_CRASHES - 1:
+            return False
+        crashed = {suspicion.instance for suspicion in suspicions}
+        left = 0
+        for engine in engines:
+            left += engine.instance not in crashed | progress.avoid
+        return left <= 1
+
     def log_held(
         self, progress: progress_module.Progress, held: float, placed: bool
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/platform/ingress.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/ingress.py
@@ -11,6 +11,8 @@
 
 # Digits of a token count; model contexts hold a few million tokens.
 MAX_COUNT_DIGITS = 9
+# Characters of an id that are kept, as it is logged.
+MAX_ID_CHARACTERS = 128
 # Time left for a request whose caller states none; longer than the limit of
 # any route.
 DEFAULT_TIME_LEFT_SECONDS = 3600.0
@@ -51,8 +53,8 @@
         prompt_tokens=counts[0] if counts else 0,
         output_tokens=counts[1] if len(counts) > 1 else 0,
         key_digest=client_keys.digest(get_header(found, names.KEY)),
-        resumes=get_header(found, names.RESUMES),
-        last_event=get_header(found, names.LAST_EVENT),
+        resumes=get_header(found, names.RESUMES)[:MAX_ID_CHARACTERS],
+        last_event=get_header(found, names.LAST_EVENT)[:MAX_ID_CHARACTERS],
     )
 
 
