Keep a sole version sole while its only replica registers again

A registration that changed nothing but its count took the replica out of the count of versions and put it back, so that for a service with one replica of a version the 30 s began anew with each heartbeat, and streams that nobody remembered were refused. Seen in reading the diff; the new case of features/stream_origins.feature failed before.

--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -158,7 +158,9 @@
 def change_versions(what, origins, clock):
     """Makes what may have happened to a service happen."""
     directory = origins.directory
-    if what == '"v2" registers too':
+    if what == "its replica registers again":
+        directory.put(replica("i-1", "v1"))
+    elif what == '"v2" registers too':
         directory.put(replica("i-2", "v2"))
     elif what == '"v2" replaced it a moment ago':
         directory.put(replica("i-2", "v2"))
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -32,6 +32,7 @@
     Examples:
       | what                                         | goes on      |
       | nothing changes                              | goes on at v1 |
+      | its replica registers again                  | goes on at v1 |
       | "v2" registers too                           | is refused   |
       | "v2" replaced it a moment ago                | is refused   |
       | "v2" has come and gone a moment ago          | is refused   |
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -119,9 +119,9 @@
         ):
             self.replica_restarted(old, replica.started_at)
             old = None
+        self.versions.add(replica.service, replica.version, now)
         if old is not None:
             self.versions.remove(old.service, old.version, now)
-        self.versions.add(replica.service, replica.version, now)
         self.replicas[replica.instance] = replica
         self.lapses_at.pop(replica.instance, None)
         if replica.draining:
