Ask for origins beside other queries, and no node that has just been silent

Questions for origins shared 16 connections with all other queries, and each one to a gateway without power held one for 0.3 s: when a data centre is lost and dozens of streams are taken up elsewhere, questions to living gateways would have waited behind them and the streams been refused. They have 64 connections of their own now, and a node that didn't answer is not asked again for a second.

--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -169,6 +169,7 @@
             )
         self.gateway.gossip.sender.transport = self
         self.gateway.query_client.fetch = self.ask
+        self.gateway.origin_client.fetch = self.ask
         self.gateway.forwarder.link = self
         # Seconds by which the VM's time of day is ahead.
         self.ahead = 0.0
@@ -212,6 +213,7 @@
         # Calls that end so have the memory of their prompts freed.
         await cancelled(list(self.gateway.generations.prefills.tasks))
         await self.gateway.session.close()
+        await self.gateway.origin_session.close()
         await self.gateway.forward_link.close()
         os.close(self.gateway.lines.descriptor)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -63,6 +63,8 @@
 # Seconds for which a stopping node goes on listening: the balancer checks once
 # a second and removes a node after two negative answers.
 DRAIN_NOTICE_SECONDS = 2.9
+# Questions for the origins of streams that are open at the same time.
+MAX_ORIGIN_QUERIES = 64
 # Seconds for which a request that another node has served shows that it reaches
 # the replicas.
 CUT_OFF_EVIDENCE_SECONDS = 3.0
@@ -211,8 +213,17 @@
         self.query_handler.sources[queries.CACHES] = (
             self.cache_lists.encode_caches
         )
+        # Questions to nodes that are gone must not hold up other queries.
+        self.origin_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=MAX_ORIGIN_QUERIES, force_close=True
+            )
+        )
+        self.origin_client = queries.QueryClient(
+            self.origin_session, self.gossip.sealer
+        )
         self.origin_queries = origin_queries_module.OriginQueries(
-            self.query_client,
+            self.origin_client,
             self.origins,
             self.gossip.origin_sources,
             self.gossip.other_relays,
@@ -475,6 +486,7 @@
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
         self.pool.close()
         await self.session.close()
+        await self.origin_session.close()
         await self.forward_link.close()
         await self.duties.close()
         await self.store.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
@@ -17,6 +17,9 @@
 
 # Seconds until all nodes that were asked have answered; the caller waits.
 ASK_TIMEOUT_SECONDS = 0.3
+# Seconds for which a node that did not answer is not asked again.
+SILENT_SECONDS = 1.0
+MAX_SILENT = 1000
 # Streams a second for which others are asked, and at once: more than a killed
 # node leaves behind. Beyond that an origin counts as unknown, so that callers
 # cannot load all nodes with made-up ids.
@@ -72,6 +75,7 @@
         self.origins = origins
         self.sources = sources
         self.relays = relays
+        self.silent_until: dict[str, float] = {}
         self.tokens = MAX_ASKS_AT_ONCE
         self.filled_at = -ASK_TIMEOUT_SECONDS
 
@@ -110,9 +114,10 @@
         origin for all living streams must agree on it.
         """
         path = f"{prefix}{key:x}/{urllib.parse.quote(route, safe='')}"
-        tasks = set()
-        for member in members:
-            tasks.add(asyncio.create_task(self.ask_one(member, path)))
+        tasks = {}
+        for member in self.answering(members):
+            task = asyncio.create_task(self.ask_one(member, path))
+            tasks[task] = member
         general = {}
         try:
             async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
@@ -124,12 +129,36 @@
                         return found
                     general[found.service, found.version] = found
         except TimeoutError:
-            events.log(events.PEER_SILENT, reason=f"no answer to {path}")
+            self.record_silent(
+                [tasks[task] for task in tasks if not task.done()]
+            )
         finally:
             for task in tasks:
                 task.cancel()
         return general.popitem()[1] if len(general) == 1 else None
 
+    def answering(
+        self, members: list[members_module.Member]
+    ) -> list[members_module.Member]:
+        """Returns the nodes without those that did not answer a moment ago."""
+        now = time.monotonic()
+        found = []
+        for member in members:
+            if self.silent_until.get(member.name, now) <= now:
+                self.silent_until.pop(member.name, None)
+                found.append(member)
+        return found
+
+    def record_silent(self, members: list[members_module.Member]) -> None:
+        """Asks nodes that did not answer no more for a moment."""
+        if len(self.silent_until) > MAX_SILENT:
+            self.silent_until.clear()
+        for member in members:
+            self.silent_until[member.name] = time.monotonic() + SILENT_SECONDS
+            events.log(
+                events.PEER_SILENT, peer=member.node, reason="no origin in time"
+            )
+
     async def ask_one(
         self, member: members_module.Member, path: str
     ) -> OriginAnswer | None:
@@ -139,12 +168,11 @@
             return DECODER.decode(body)
         except exceptions.PeerRefused:
             return None
-        except (
-            exceptions.PeerError,
-            exceptions.RecordInvalid,
-            *messages.DECODE_ERRORS,
-        ) as error:
-            events.log(events.PEER_SILENT, reason=str(error))
+        except exceptions.PeerUnreachable:
+            self.record_silent([member])
+            return None
+        except (exceptions.RecordInvalid, *messages.DECODE_ERRORS) as error:
+            events.log(events.FRAME_REFUSED, reason=str(error))
             return None
 
     async def answer(self, path: str) -> bytes:
