Give the choice of who keeps origins a module, and the soak relays

gateway/peers/origin_holders.py has what gossip.py had of it: who keeps the origins of a node's streams, whom it asks, what a relay passes on.

--- a/features/soak.py
+++ b/features/soak.py
@@ -18,11 +18,11 @@
 
 
 def play(
-    seed: int, seconds: float, gateway_count: int, engine_count: int
+    seed: int, seconds: float, gateway_count: int, engine_count: int, mesh: int
 ) -> list[str]:
     """Plays one seed; returns the promises that were broken."""
     fleet = gateways.GatewayFleet()
-    played = soak.Soak(fleet, seed, seconds, gateway_count, engine_count)
+    played = soak.Soak(fleet, seed, seconds, gateway_count, engine_count, mesh)
     try:
         played.run()
         broken = played.broken()
@@ -42,14 +42,15 @@
 @click.option("--seconds", default=20.0, help="Seconds of faults for each.")
 @click.option("--nodes", default=soak.GATEWAYS, help="Gateways.")
 @click.option("--engines", default=soak.ENGINES, help="Engines.")
+@click.option("--mesh", default=soak.MESH, help="Gateways without a relay.")
 def main(
-    first: int, count: int, seconds: float, nodes: int, engines: int
+    first: int, count: int, seconds: float, nodes: int, engines: int, mesh: int
 ) -> None:
     """Play seeds; exit with 1 if one broke a promise."""
     REPORTS.mkdir(parents=True, exist_ok=True)
     failed = []
     for seed in range(first, first + count):
-        broken = play(seed, seconds, nodes, engines)
+        broken = play(seed, seconds, nodes, engines, mesh)
         click.echo(f"seed {seed}: {broken or 'held'}")
         if broken:
             failed.append(seed)
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -21,9 +21,11 @@
 from features.support import soak_callers
 from gypsumfold.platform import names
 
-# Gateways and engines of a short run.
+# Gateways and engines of a short run, and the number of gateways up to which
+# they need no relay.
 GATEWAYS = 3
 ENGINES = 7
+MESH = 16
 PLAINS = ("app-1", "app-2")
 CALLERS = 6
 # Seconds of a call at a plain service.
@@ -80,8 +82,10 @@
         seconds: float,
         gateway_count: int = GATEWAYS,
         engine_count: int = ENGINES,
+        mesh: int = MESH,
     ):
         self.fleet = fleet
+        self.mesh = mesh
         self.gateways = [f"edge-{n}" for n in range(1, gateway_count + 1)]
         self.engines = [f"engine-{n}" for n in range(1, engine_count + 1)]
         self.seed = seed
@@ -123,7 +127,7 @@
         for name in self.engines:
             self.fleet[name].faults(event_seconds=EVENT)
         for name in self.gateways:
-            self.fleet.start_gateway(name)
+            self.fleet.start_gateway(name, mesh=self.mesh)
 
     def run(self) -> None:
         """Plays faults and calls, then lets all calm down and serve again."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -225,9 +225,9 @@
         self.origin_queries = origin_queries_module.OriginQueries(
             self.origin_client,
             self.origins,
-            self.gossip.origin_sources,
-            self.gossip.other_relays,
-            self.gossip.origin_keepers,
+            self.gossip.origin_holders.sources,
+            self.gossip.origin_holders.other_relays,
+            self.gossip.origin_holders.former_relays,
         )
         self.origins.ask = self.origin_queries.ask
         for prefix in (
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -35,7 +35,7 @@
     """Remembers, announces and finds the origins of streams.
 
     Attributes:
-        memory: Origins of this node's streams and of those it was told of.
+        memory: Origins of this node's streams, and of others' that it keeps.
         running: Streams that this node forwards, with the time of their last
             announcement.
         announce: Called with each origin that other nodes should know.
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -23,7 +23,6 @@
 from gypsumfold.decisions import node_count as node_count_module
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import relays as relays_module
-from gypsumfold.decisions import stream_origins
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import leadership as leadership_module
@@ -36,6 +35,7 @@
 from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import loads as loads_module
 from gypsumfold.gateway.peers import messages
+from gypsumfold.gateway.peers import origin_holders as origin_holders_module
 from gypsumfold.gateway.peers import origin_updates as origin_updates_module
 from gypsumfold.gateway.peers import outbox as outbox_module
 from gypsumfold.gateway.peers import relaying as relaying_module
@@ -62,12 +62,6 @@
 # even if its first datagram was lost: in a mesh, and by relays.
 PROPAGATION_SECONDS = 0.05
 RELAYED_PROPAGATION_SECONDS = 0.25
-# Nodes of a mesh that keep the origins of a node's streams: many processes may
-# be killed at the same moment.
-ORIGIN_HOLDERS = 3
-# Nodes of each data centre that are asked for an origin which its relay does
-# not know: the relay and those that take over if it ends.
-ORIGIN_KEEPERS = 3
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
 
@@ -116,12 +110,15 @@
             bandwidth.Bandwidth(link, bandwidth.CRASHES_SHARE),
             self.crash_update_receivers,
         )
-        self.origins = origins
+        self.origin_holders = origin_holders_module.OriginHolders(
+            self, origins.memory
+        )
         self.origin_updates = origin_updates_module.OriginUpdates(
             self.sender,
             bandwidth.Bandwidth(link, bandwidth.ORIGINS_SHARE),
-            self.origin_holders,
+            self.origin_holders.receivers,
         )
+        self.origin_holders.pass_on = self.origin_updates.add
         origins.announce = self.origin_updates.add
         self.origin_updates.renew = origins.renew
         quarantine.notify_peers = self.crash_updates.due.set
@@ -435,7 +432,7 @@
         elif isinstance(message, messages.UsageStored):
             self.usage.receive_stored(message)
         elif isinstance(message, messages.OriginUpdate):
-            self.receive_origins(member, message, now)
+            self.origin_holders.receive(member, message, now)
         elif isinstance(message, messages.CrashUpdate):
             self.quarantine.merge_message(message)
         elif isinstance(message, messages.Report):
@@ -443,23 +440,6 @@
         else:
             self.receive_summary(member, message, now)
 
-    def receive_origins(
-        self,
-        member: members_module.Member,
-        message: messages.OriginUpdate,
-        now: float,
-    ) -> None:
-        """Receives origins of streams; a relay passes on those of its nodes."""
-        own = self.members.own.data_centre
-        forward = self.is_relay() and member.data_centre == own
-        for group in message.groups:
-            origin = stream_origins.Origin(group.service, group.version)
-            for key in group.keys:
-                is_new = self.origins.memory.find(key, now) is None
-                self.origins.memory.put(key, origin, now)
-                if forward and is_new:
-                    self.origin_updates.add(key, origin)
-
     def receive_report(
         self,
         member: members_module.Member,
@@ -677,71 +657,6 @@
                 found.append(subscriber.member)
         return found
 
-    def origin_holders(self) -> list[members_module.Member]:
-        """Returns the nodes that keep the origins of this node's streams.
-
-        A relay keeps those of its nodes, and has them kept by the relays of
-        another data centre.
-        """
-        if self.meshed:
-            others = list(self.members.known.values())
-            return members_module.spread_holders(
-                self.members.own, others, ORIGIN_HOLDERS
-            )
-        choice = self.choice
-        if choice.relay is None:
-            return [*self.next_relays(), *self.standby_nodes()]
-        if choice.standby is None:
-            return [choice.relay]
-        return [choice.relay, choice.standby]
-
-    def origin_sources(self) -> list[members_module.Member]:
-        """Returns the nodes to ask for the origin of a stream."""
-        if self.meshed:
-            return list(self.members.known.values())
-        if self.choice.relay is None:
-            return self.other_relays()
-        return self.origin_holders()
-
-    def origin_keepers(self) -> list[members_module.Member]:
-        """Returns the nodes that may have been the relay of a data centre."""
-        if self.meshed:
-            return []
-        found = []
-        for data_centre in self.members.data_centres():
-            ranked = self.members.ranked(data_centre)
-            found += ranked[:ORIGIN_KEEPERS]
-        return [member for member in found if member != self.members.own]
-
-    def other_relays(self) -> list[members_module.Member]:
-        """Returns the nodes that a relay asks on behalf of its nodes."""
-        if not self.is_relay():
-            return []
-        return [
-            *self.relaying.relay_targets(self.clock()),
-            *self.standby_nodes(),
-        ]
-
-    def next_relays(self) -> list[members_module.Member]:
-        """Returns the relays of the next data centre that has any."""
-        own = self.members.own.data_centre
-        data_centres = sorted(self.members.data_centres())
-        place = data_centres.index(own)
-        for data_centre in data_centres[place + 1 :] + data_centres[:place]:
-            relays = self.relaying.remote_relays.get(data_centre)
-            if relays:
-                return [relay.member for relay in relays.values()]
-        return []
-
-    def standby_nodes(self) -> list[members_module.Member]:
-        """Returns the node that would relay if this one ended."""
-        ranked = self.members.ranked(self.members.own.data_centre)
-        subscribers = self.relaying.subscribers
-        for member in ranked:
-            if member.name in subscribers:
-                return [member]
-        return []
-
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
@@ -55,9 +55,9 @@
     Attributes:
         sources: Returns the nodes to ask on behalf of a caller.
         relays: Returns the nodes to ask on behalf of another node.
-        keepers: Returns the nodes to ask if those know nothing.
+        former_relays: Returns the nodes to ask if those know nothing.
 
-    >>> asked = OriginQueries(client, origins, sources, relays, keepers)
+    >>> asked = OriginQueries(client, origins, sources, relays, former_relays)
     >>> await asked.ask(7, "swaps")
     Origin(service='lm', version='v1.1')
     """
@@ -68,9 +68,9 @@
         origins: origins_module.Origins,
         sources: Callable[[], list[members_module.Member]],
         relays: Callable[[], list[members_module.Member]],
-        keepers: Callable[[], list[members_module.Member]],
+        former_relays: Callable[[], list[members_module.Member]],
     ):
-        self.keepers = keepers
+        self.former_relays = former_relays
         self.client = client
         self.origins = origins
         self.sources = sources
@@ -86,7 +86,9 @@
         found = await self.ask_members(self.sources(), ASK_ON, key, route)
         if found is None:
             # Relays that were killed a moment ago are still taken for alive.
-            found = await self.ask_members(self.keepers(), ASK_ONE, key, route)
+            found = await self.ask_members(
+                self.former_relays(), ASK_ONE, key, route
+            )
         if found is None:
             return None
         return stream_origins.Origin(found.service, found.version)
