--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -82,6 +82,26 @@
     context.memory.put(KEY, V1, 3.0)
 
 
+@behave.when(
+    'two streams of one id begin at "v1" and "v2" and each has {count:d} events'
+)
+def step_twice_events(context, count):
+    origins = make_origins()
+    context.announced = []
+    origins.announce = lambda key, origin: context.announced.append(origin)
+    for origin in (V1, V2):
+        progress = progress_module.Progress(make_call("attempt-1", ""))
+        progress.stream_key = KEY
+        progress.origin = origin
+        for _ in range(count):
+            origins.begin(progress)
+
+
+@behave.then("{count:d} announcements were made")
+def step_announced(context, count):
+    assert len(context.announced) == count, len(context.announced)
+
+
 @behave.then("no version fits the stream")
 def step_none_fits(context):
     found = context.memory.find(KEY, 4.0)
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -7,6 +7,10 @@
     When two streams of one id begin at "v1" and "v2"
     Then no version fits the stream
 
+  Scenario: A stream whose id was used twice is announced once for each use
+    When two streams of one id begin at "v1" and "v2" and each has 50 events
+    Then 2 announcements were made
+
   Scenario: An account can't take up a stream of another account
     When a stream of the account "north" begins at "v1"
     Then the account "south" finds no origin under its id
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -71,12 +71,10 @@
     def begin(self, progress: progress_module.Progress) -> None:
         """Records that the first event of a stream is about to be sent."""
         key = progress.stream_key
-        if key is None:
+        if key is None or progress.is_announced:
             return
+        progress.is_announced = True
         now = time.monotonic()
-        known = self.memory.find(key, now)
-        if key in self.running and known == progress.origin:
-            return
         self.running[key] = now
         self.memory.put(key, progress.origin, now)
         if progress.origin.version is not None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
@@ -153,7 +153,7 @@
         return found
 
     def record_silent(self, members: list[members_module.Member]) -> None:
-        """Asks nodes that did not answer no more for a moment."""
+        """Leaves out nodes that did not answer for a moment."""
         if len(self.silent_until) > MAX_SILENT:
             self.silent_until.clear()
         for member in members:
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -46,6 +46,7 @@
         service: Service that serves it.
         stream_key: Identifies its stream if other replicas may resume it; None
             otherwise.
+        is_announced: Whether other nodes were sent the stream's origin.
         origin: What wrote the first event that was sent to the caller, in this
             attempt or in the one that this one takes up; None before that.
     """
@@ -65,6 +66,7 @@
         self.handle: types.Handle | None = None
         self.service = ""
         self.stream_key: int | None = None
+        self.is_announced = False
         self.origin: stream_origins.Origin | None = None
 
     def time_left(self) -> float:
