Keep the origins of streams that begin before other gateways are known

A gateway that has just started may serve before it knows the others. What it had to announce then was dropped, and sent again 10 s later if the stream still ran. It waits now until there is somebody to send it to. The new scenario fails on the code before and passes now.

A killed gateway that never knew the other can't have told it, so the scenario now waits until both count two gateways; its check is as it was.

--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -15,6 +15,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold import outcomes
+from gypsumfold.decisions import bandwidth
 from gypsumfold.decisions import members
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import software_versions
@@ -24,6 +25,7 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import origin_queries
+from gypsumfold.gateway.peers import origin_updates
 
 V1 = stream_origins.Origin("lm", "v1")
 V2 = stream_origins.Origin("lm", "v2")
@@ -102,6 +104,28 @@
     assert len(context.announced) == count, len(context.announced)
 
 
+@behave.when(
+    "a stream begins while no other gateway is known and one is known later"
+)
+def step_known_later(context):
+    context.sender = mock.Mock()
+    context.sender.send_origins.return_value = 112
+    known = []
+    updates = origin_updates.OriginUpdates(
+        context.sender, bandwidth.Bandwidth(1000.0, 0.05), lambda: known
+    )
+    updates.add(KEY, V1)
+    known.append(members.Member("edge-2-1", "edge-2", "dc", ("10.0.0.2", 1)))
+    updates.send(time.monotonic())
+
+
+@behave.then("the other gateway is sent its origin")
+def step_sent(context):
+    groups, receivers = context.sender.send_origins.call_args.args
+    assert [(g.service, g.version, g.keys) for g in groups] == [(*V1, [KEY])]
+    assert [member.node for member in receivers] == ["edge-2"]
+
+
 @behave.then("no version fits the stream")
 def step_none_fits(context):
     found = context.memory.find(KEY, 4.0)
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 from features.support import gateways
+from features.support import http
 from features.support import stream_readers
 from features.support import virtual_callers
 from features.support import virtual_engines
@@ -32,6 +33,8 @@
 LEAST = 12
 SHARE = 0.5
 FIRST_SEED = 1
+# Where gateways of a fleet export their metrics.
+METRICS_PORT = 8093
 # Events of a stand-in's stream and seconds between two.
 EVENTS = 20
 EVENT_SECONDS = 0.05
@@ -239,6 +242,12 @@
     for name, _, _ in wanted:
         fleet.until_known("edge-1", name)
         fleet.until_known("edge-2", name)
+    for name in ("edge-1", "edge-2"):
+        url = f"http://{fleet[name].host}:{METRICS_PORT}/metrics"
+        gateways.until(
+            lambda url=url: b"gypsumfold_nodes 2.0" in http.get(url).body,
+            f"{name} does not know the other gateway",
+        )
 
 
 def read_all(readers, gateway, events):
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -11,6 +11,10 @@
     When two streams of one id begin at "v1" and "v2" and each has 50 events
     Then 2 announcements were made
 
+  Scenario: A stream that begins before other gateways are known is announced to them
+    When a stream begins while no other gateway is known and one is known later
+    Then the other gateway is sent its origin
+
   Scenario: An account can't take up a stream of another account
     When a stream of the account "north" begins at "v1"
     Then the account "south" finds no origin under its id
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_updates.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_updates.py
@@ -89,8 +89,7 @@
         """Sends what waits, and repeats that are halfway due with it."""
         receivers = self.receivers()
         if not receivers:
-            self.waiting.clear()
-            self.repeats.clear()
+            # A node that has just started may not know the others yet.
             return
         size = STREAM_BYTES * len(receivers)
         room = int(self.bandwidth.available(now) / size)
