--- a/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
@@ -54,6 +54,8 @@
             a node's share may be less than one retry; the chance decides
             which nodes send one, so that hundreds of nodes together use the
             sum of their shares.
+        taken: Number of retries taken since the start, by service.
+        refused: Number of retries refused since the start, by service.
 
     >>> budget = RetryBudget(Policy(0.2, 10.0, 52.0))
     >>> budget.nodes = 6
@@ -69,6 +71,8 @@
         self.nodes = 0
         self.requests: dict[str, collections.deque[float]] = {}
         self.retries: dict[str, collections.deque[float]] = {}
+        self.taken: collections.Counter[str] = collections.Counter()
+        self.refused: collections.Counter[str] = collections.Counter()
 
     def record_request(self, service: str, now: float) -> None:
         """Counts a caller's request for a service."""
@@ -103,8 +107,10 @@
             most *= RESTRICTED_FRACTION
             enough = self.chance
         if len(retries) + enough > most:
+            self.refused[service] += 1
             return False
         retries.append(now)
+        self.taken[service] += 1
         return True
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -91,6 +91,13 @@
             ("result",),
             registry=self.registry,
         )
+        self.retries = prometheus_client.Gauge(
+            "gypsumfold_retries",
+            "Retries since the start that the site's retry budget allowed or "
+            "refused.",
+            ("service", "result"),
+            registry=self.registry,
+        )
         self.taken_up = prometheus_client.Gauge(
             "gypsumfold_taken_up_streams",
             "Streams that callers have taken up since the start, by how the "
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -441,6 +441,10 @@
             self.counters.taken_up.labels(source).set(count)
         for result, count in self.forwarder.results.items():
             self.counters.forwarded.labels(result).set(count)
+        for service, count in self.budget.taken.items():
+            self.counters.retries.labels(service, "allowed").set(count)
+        for service, count in self.budget.refused.items():
+            self.counters.retries.labels(service, "refused").set(count)
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -136,10 +136,9 @@
             exceptions.RequestError: As `serve`.
             exceptions.AnswerBroken: As `serve`.
         """
-        arrived = False
         for attempt in range(MAX_ATTEMPTS):
             self.quarantine.admit(progress)
-            if arrived and not self.take_retry(service):
+            if progress.arrived and not self.take_retry(service):
                 progress.log_retry_refused(service.name)
                 break
             if attempt:
@@ -148,13 +147,12 @@
                 await self.attempt(route, service, stream, progress)
                 return
             except exceptions.EndpointNotStarted as error:
-                if progress.record_not_started(error):
-                    arrived = True
+                progress.record_not_started(error)
                 continue
             except exceptions.AnswerAbandoned:
                 raise
             except exceptions.AnswerBroken:
-                arrived = True
+                progress.arrived = True
                 can_retry = route.resumable or route.repeatable
                 if not can_retry or progress.runs >= route.attempts:
                     break
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -56,14 +56,15 @@
             exceptions.RequestError: No replica answered.
         """
         last_answer = None
-        arrived = False
         for attempt in range(MAX_ATTEMPTS):
             if last_answer is not None and not self.quarantine.is_unsuspected(
                 progress.fingerprint
             ):
                 break
             self.quarantine.admit(progress)
-            if arrived and not self.budget.allow(service, time.monotonic()):
+            if progress.arrived and not self.budget.allow(
+                service, time.monotonic()
+            ):
                 progress.log_retry_refused(service)
                 break
             replica = await self.quarantine.place(
@@ -76,16 +77,15 @@
             try:
                 found = await self.attempt(replica, route, progress)
             except exceptions.EndpointNotStarted as error:
-                if progress.record_not_started(error):
-                    arrived = True
+                progress.record_not_started(error)
                 continue
             except exceptions.AnswerBroken:
-                arrived = True
+                progress.arrived = True
                 if self.can_retry(route, progress):
                     continue
                 break
             last_answer = found
-            arrived = True
+            progress.arrived = True
             status = found[0]
             if status < 500 or not self.can_retry(route, progress):
                 break
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -35,6 +35,8 @@
         fingerprint: Identifies the request over all attempts of its caller.
         may_have_run: Whether a replica may have started to run it.
         answer_started: Whether any of the answer was sent to the caller.
+        arrived: Whether a replica may have received an attempt. Each further
+            one counts against the site's retry budget.
         missed: Whether an attempt reached no replica.
         may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
@@ -58,6 +60,7 @@
         self.fingerprint = fingerprints.fingerprint(call)
         self.may_have_run = False
         self.answer_started = False
+        self.arrived = False
         self.missed = False
         self.may_forward = False
         self.runs = 0
@@ -153,6 +156,7 @@
             request=self.call.id,
             fingerprint=fingerprints.to_hex(self.fingerprint),
             to=node,
+            arrived=self.arrived,
             left=round(self.time_left(), 3),
             **inputs,
         )
@@ -194,18 +198,13 @@
         self.may_have_run = self.runs > 0
         self.avoid |= {replica.instance}
 
-    def record_not_started(self, error: exceptions.EndpointNotStarted) -> bool:
-        """Records that an attempt did not start.
-
-        Returns:
-            Whether a replica may have got it. If not, it needs no place in the
-            retry budget, which bounds what replicas get.
-        """
+    def record_not_started(self, error: exceptions.EndpointNotStarted) -> None:
+        """Records that an attempt did not start, and whether it was sent."""
         for each in (error, error.__cause__):
             if isinstance(each, NOT_SENT_ERRORS):
                 self.missed = True
-                return False
-        return True
+                return
+        self.arrived = True
 
     def record_failure(self, replica: types.Replica, reason: str) -> None:
         """Records a failed attempt."""
@@ -223,4 +222,9 @@
 
     def log_retry(self, reason: str) -> None:
         """Logs that the request is retried."""
-        events.log(events.CALL_REPEATED, request=self.call.id, reason=reason)
+        events.log(
+            events.CALL_REPEATED,
+            request=self.call.id,
+            arrived=self.arrived,
+            reason=reason,
+        )
