--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -87,6 +87,10 @@
         self.ends: list[End] = []
         # The path of each attempt.
         self.paths: dict[str, str] = {}
+        # When each attempt was sent.
+        self.sent: dict[str, float] = {}
+        # How many of the gateways, from the first on, callers ask.
+        self.spread: int | None = None
         self.numbers = itertools.count()
 
     def configure(self, version: int) -> None:
@@ -149,7 +153,8 @@
         self, kind: tuple, body: bytes, left: float
     ) -> tuple[End, float]:
         """Makes one attempt; also returns the seconds to wait after it."""
-        node = self.site.rng.choice(list(self.site.nodes.values()))
+        names = sorted(self.site.nodes)[: self.spread]
+        node = self.site.nodes[self.site.rng.choice(names)]
         call = self.call(kind, body, left)
         reply = Reply()
         status = 0
@@ -207,6 +212,7 @@
         now = self.site.clock()
         attempt = f"attempt-{next(self.numbers)}"
         self.paths[attempt] = path
+        self.sent[attempt] = now
         return types.Call(
             id=attempt,
             method="POST",
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -59,6 +59,8 @@
         attempt: The caller's attempt id.
         instance: Where.
         ran: Whether it was to run, not just to have its prompt read.
+        accepted: Whether the replica took it.
+        gateway: Which gateway sent it.
     """
 
     at: float
@@ -66,6 +68,8 @@
     attempt: str
     instance: str
     ran: bool
+    accepted: bool = True
+    gateway: str = ""
 
 
 class Crashed(NamedTuple):
@@ -200,6 +204,7 @@
             with the seconds.
         reset_share: Share of answers that are reset though their replica
             lives.
+        refusing_share: Share of the requests that replicas reject.
 
     >>> fleet = Fleet(site, readers=4, generators=2, plain=3)
     >>> fleet.start()
@@ -214,6 +219,7 @@
         self.completed: set[bytes] = set()
         self.late: list[tuple[str, float]] = []
         self.reset_share = 0.0
+        self.refusing_share = 0.0
         self.replicas: dict[str, Replica] = {}
         self.tasks: dict[asyncio.Task, bool] = {}
         wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
@@ -229,11 +235,12 @@
         self.replicas[replica.address] = replica
         self.spawn(self.register(replica))
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine) -> asyncio.Task:
         """Runs something beside the story."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks[task] = True
         task.add_done_callback(self.tasks.pop)
+        return task
 
     async def register(self, replica: Replica) -> None:
         """Keeps a replica's entry until three heartbeats after its end."""
@@ -377,16 +384,20 @@
         cut: Whether nothing comes back from any replica.
         refused: Whether new connections are refused; open ones live on.
         cut_versions: Versions of which no replica is reached.
+        cut_addresses: Addresses at which no replica is reached.
+        name: The gateway.
         silent_until: Until when a replica doesn't answer, by address.
         kept: Number of idle connections by address.
     """
 
-    def __init__(self, fleet: Fleet, link: Link):
+    def __init__(self, fleet: Fleet, link: Link, name: str = ""):
         self.fleet = fleet
+        self.name = name
         self.link = link
         self.cut = False
         self.refused = False
         self.cut_versions: set[str | None] = set()
+        self.cut_addresses: set[str] = set()
         self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
 
@@ -421,7 +432,10 @@
         self, replica: types.Replica, fresh: bool = False
     ) -> Replica:
         """Finds the process at a replica's address."""
-        if replica.version in self.cut_versions:
+        if (
+            replica.version in self.cut_versions
+            or replica.address in self.cut_addresses
+        ):
             await asyncio.sleep(CONNECT)
             raise exceptions.EndpointUnreachable(f"{replica.address}: silent")
         await self.connect(replica, fresh)
@@ -454,16 +468,26 @@
             self.fleet.late.append((call.id, round(late, 2)))
 
     def arrive(self, replica: Replica, call: types.Call, ran: bool) -> None:
-        """Notes that a request reached a replica."""
-        self.fleet.arrivals.append(
+        """Notes that a request reached a replica.
+
+        Raises:
+            exceptions.EndpointRefused: The replica rejects it.
+        """
+        fleet = self.fleet
+        refuses = fleet.site.rng.random() < fleet.refusing_share
+        fleet.arrivals.append(
             Arrival(
-                self.fleet.site.clock(),
+                fleet.site.clock(),
                 call.body,
                 call.id,
                 replica.instance,
                 ran,
+                not refuses,
+                self.name,
             )
         )
+        if refuses:
+            raise exceptions.EndpointRefused("full")
 
     async def send(
         self,
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -139,7 +139,7 @@
             )
             if site.fleet is not None:
                 self.endpoints = virtual_engines.Endpoints(
-                    site.fleet, self.link
+                    site.fleet, self.link, name
                 )
                 stack.enter_context(
                     mock.patch.object(
