Charge the budget for a request that goes on at another gateway after it arrived

Callers saw nothing; replicas got more retries than the site's budget while gateways reached some replicas only: a request that a replica here had rejected and that then reached none was passed on, and the other gateway's first attempt counted as the request's first.

The request's progress now holds whether a replica may have received it and whether a retry was taken that no attempt has used; the gateway that counted the request takes the retry before it passes it on, one more where a replica has already accepted its prefill, and keeps it while others decline. A retry that reached no replica serves the next attempt.

--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -138,9 +138,11 @@
         """
         for attempt in range(MAX_ATTEMPTS):
             self.quarantine.admit(progress)
-            if progress.arrived and not self.take_retry(service):
-                progress.log_retry_refused(service.name)
-                break
+            if progress.needs_retry():
+                if not self.take_retry(service):
+                    progress.log_retry_refused(service.name)
+                    break
+                progress.has_retry = True
             if attempt:
                 progress.log_retry("the previous attempt failed")
             try:
@@ -152,7 +154,7 @@
             except exceptions.AnswerAbandoned:
                 raise
             except exceptions.AnswerBroken:
-                progress.arrived = True
+                progress.record_arrival()
                 can_retry = route.resumable or route.repeatable
                 if not can_retry or progress.runs >= route.attempts:
                     break
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
@@ -153,6 +153,9 @@
         if not candidates:
             return False
         for member in candidates:
+            if not self.take_retries(service, progress):
+                progress.log_retry_refused(service)
+                break
             try:
                 await self.exchange(member, service, version, reply, progress)
                 self.choice.accepted(service)
@@ -166,15 +169,34 @@
             except exceptions.AnswerBroken as error:
                 self.results["broken"] += 1
                 self.choice.declined(service, member, time.monotonic())
-                self.check_retry(route, service, progress, error)
+                self.check_retry(route, progress, error)
+                progress.record_arrival()
         if progress.may_have_run:
             raise progress.final_error()
         return False
 
+    def take_retries(
+        self, service: str, progress: progress_module.Progress
+    ) -> bool:
+        """Takes from the budget what another node's first attempt costs.
+
+        That node doesn't know what replicas have received from this one, and
+        its own retries come out of its own share. It also repeats the prefill.
+        """
+        now = time.monotonic()
+        if progress.needs_retry():
+            if not self.budget.allow(service, now):
+                return False
+            progress.has_retry = True
+        if progress.prefill_address:
+            if not self.budget.allow(service, now):
+                return False
+            progress.prefill_address = ""
+        return True
+
     def check_retry(
         self,
         route: routes.Route,
-        service: str,
         progress: progress_module.Progress,
         error: exceptions.AnswerBroken,
     ) -> None:
@@ -187,8 +209,7 @@
         if progress.answer_started:
             raise error
         progress.log_forward_broken(str(error))
-        may_retry = route.repeatable and progress.runs < route.attempts
-        if not may_retry or not self.budget.allow(service, time.monotonic()):
+        if not route.repeatable or progress.runs >= route.attempts:
             raise exceptions.AnswerFailed(
                 "the node that served it broke off",
                 outcomes.Outcome.UNDETERMINED,
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -62,11 +62,11 @@
             ):
                 break
             self.quarantine.admit(progress)
-            if progress.arrived and not self.budget.allow(
-                service, time.monotonic()
-            ):
-                progress.log_retry_refused(service)
-                break
+            if progress.needs_retry():
+                if not self.budget.allow(service, time.monotonic()):
+                    progress.log_retry_refused(service)
+                    break
+                progress.has_retry = True
             replica = await self.quarantine.place(
                 progress, route, lambda: self.choose(service, progress)
             )
@@ -80,12 +80,12 @@
                 progress.record_not_started(error)
                 continue
             except exceptions.AnswerBroken:
-                progress.arrived = True
+                progress.record_arrival()
                 if self.can_retry(route, progress):
                     continue
                 break
             last_answer = found
-            progress.arrived = True
+            progress.record_arrival()
             status = found[0]
             if status < 500 or not self.can_retry(route, progress):
                 break
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -37,6 +37,8 @@
         answer_started: Whether any of the answer was sent to the caller.
         arrived: Whether a replica may have received an attempt. Each further
             one counts against the site's retry budget.
+        has_retry: Whether a retry was taken from the budget that no attempt
+            has used yet.
         missed: Whether an attempt reached no replica.
         may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
@@ -61,6 +63,7 @@
         self.may_have_run = False
         self.answer_started = False
         self.arrived = False
+        self.has_retry = False
         self.missed = False
         self.may_forward = False
         self.runs = 0
@@ -204,7 +207,16 @@
             if isinstance(each, NOT_SENT_ERRORS):
                 self.missed = True
                 return
+        self.record_arrival()
+
+    def record_arrival(self) -> None:
+        """Records that a replica may have received an attempt."""
         self.arrived = True
+        self.has_retry = False
+
+    def needs_retry(self) -> bool:
+        """Whether the next attempt has to be taken from the retry budget."""
+        return self.arrived and not self.has_retry
 
     def record_failure(self, replica: types.Replica, reason: str) -> None:
         """Records a failed attempt."""
