Let a process that starts again earn its spare retries by its uptime

Replicas got more retries than the site's budget where gateways started again several times within a window: each process took 0.15 of its share at once, and two retries of each service before it knew the number of gateways. One restart of all is covered by what the others leave over, further ones add up.

In the window after a start a process now has that part of its share in proportion to its uptime, and none before it knows the number; the uptimes of a VM's processes within a window add up to no more than the window, so any number of restarts takes what one takes. A system that starts for the first time keeps its two retries.

--- a/features/steps/store_loss_steps.py
+++ b/features/steps/store_loss_steps.py
@@ -214,7 +214,7 @@
         def look():
             spare = 0.0
             for node in site.nodes.values():
-                spare += node.gateway.budget.spare_retries()
+                spare += node.gateway.budget.spare_retries(site.clock())
             worst[0] = max(worst[0], spare / site.spare)
 
         site.watched = look
--- a/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
@@ -4,7 +4,9 @@
 the whole site, and each node uses a share of it. The share stays valid when
 callers spread unevenly over the nodes, since it grows with the node's own
 requests. A process that restarts during the outage doesn't know what it sent
-before, so at first it uses only what the shares of all nodes leave over.
+before, so at first it uses only what the shares of all nodes leave over, and
+that in proportion to its uptime: however often nodes restart within a window,
+their uptimes add up to no more than the window.
 """
 
 import collections
@@ -30,7 +32,8 @@
 # counted in another window than their retries.
 USED_FRACTION = 0.85
 # Spare retries of a node in a window until the number of nodes that share them
-# is known; sites have more per node.
+# is known, if the whole system starts for the first time; sites have more per
+# node.
 SPARE_IF_NODES_UNKNOWN = 2.0
 # Fraction of its share that a node uses while the rest may already be used: in
 # the first window after a restart, since it may have used its whole share just
@@ -79,14 +82,32 @@
         seen = self.requests.setdefault(service, collections.deque())
         seen.append(now)
 
-    def spare_retries(self) -> float:
+    def is_recently_restarted(self, now: float) -> bool:
+        """Whether a previous process may have sent retries in this window."""
+        return now - self.started_at < self.policy.window
+
+    def spare_retries(self, now: float) -> float:
         """Returns the spare retries that this node may use in a window."""
         whole = USED_FRACTION * self.policy.slack
+        restarted = self.is_recently_restarted(now)
         if not self.nodes:
-            return min(SPARE_IF_NODES_UNKNOWN, whole)
+            return 0.0 if restarted else min(SPARE_IF_NODES_UNKNOWN, whole)
+        share = whole / self.nodes
+        if restarted:
+            uptime = now - self.started_at
+            return RESTRICTED_FRACTION * share * uptime / self.policy.window
         if self.partitioned:
-            whole *= RESTRICTED_FRACTION
-        return whole / self.nodes
+            return RESTRICTED_FRACTION * share
+        return share
+
+    def limit(self, service: str, now: float) -> float:
+        """Returns the retries that this node may use in the current window."""
+        start = now - self.policy.window
+        requests = trim_and_count(self.requests.get(service), start)
+        share = USED_FRACTION * self.policy.share * requests
+        if self.is_recently_restarted(now):
+            share *= RESTRICTED_FRACTION
+        return share + self.spare_retries(now)
 
     def allow(self, service: str, now: float) -> bool:
         """Takes one retry out of the budget, if one is left.
@@ -95,18 +116,10 @@
             service: The service that is called again.
             now: The time.
         """
-        start = now - self.policy.window
-        requests = trim_and_count(self.requests.get(service), start)
         retries = self.retries.setdefault(service, collections.deque())
-        trim_and_count(retries, start)
-        most = (
-            USED_FRACTION * self.policy.share * requests + self.spare_retries()
-        )
-        enough = 1.0
-        if self.nodes and now - self.started_at < self.policy.window:
-            most *= RESTRICTED_FRACTION
-            enough = self.chance
-        if len(retries) + enough > most:
+        trim_and_count(retries, now - self.policy.window)
+        enough = self.chance if self.is_recently_restarted(now) else 1.0
+        if len(retries) + enough > self.limit(service, now):
             self.refused[service] += 1
             return False
         retries.append(now)
