--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -41,6 +41,7 @@
 
 @behave.given('"{name}" is registered under the address of "{other}"')
 def step_address(context, name, other):
+    context.fleet.until_sharing("edge-1")
     before = len(context.gateway.events(310))
     address = context.fleet[other].address
     context.fleet.register(name, "app", addr=address)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -183,6 +183,7 @@
 
 @behave.given('the replicas\' next {count:d} answers are "{fault}"')
 def step_fault(context, count, fault):
+    context.fleet.until_sharing("edge-1")
     if count > 1:
         for name in callers.PLAINS:
             context.fleet[name].faults(**{fault: count})
@@ -275,6 +276,7 @@
 
 @behave.given("the next stream breaks off in the middle of an event")
 def step_breaks(context):
+    context.fleet.until_sharing("edge-1")
     context.fault = ("decoder-1", "broken")
     context.fleet["decoder-1"].faults(broken=1)
 
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -366,6 +366,16 @@
 
         until(known, f"{name} does not know {replica}")
 
+    def until_sharing(self, name: str) -> None:
+        """Waits until a gateway knows its share of the site's spare retries.
+
+        One that has started without the whole system retries nothing before.
+        """
+        until(
+            lambda: self[name].events(801),
+            f"{name} does not know how many share the retry budget",
+        )
+
     def stages(self) -> dict[str, str]:
         """The role of each engine."""
         found = {}
