Judge made-up streams by how they compare, not by how fast they are made

That check measures the machine; all 600 comparisons stay. The same commit waits, like the others, for the gateway's share of retries in the scenario of a stream that is resumed.

--- a/features/steps/broken_off_answers_steps.py
+++ b/features/steps/broken_off_answers_steps.py
@@ -50,6 +50,7 @@
     "the next stream has neither a length nor chunks and ends inside an event"
 )
 def step_unframed_cut(context):
+    context.fleet.until_sharing("edge-1")
     context.fleet["decoder-1"].faults(unframed=1, broken=1)
 
 
@@ -230,7 +231,13 @@
     context.differences = {"tail": [], "is_whole": []}
 
     @hypothesis.given(PIECES)
-    @hypothesis.settings(max_examples=600, derandomize=True, database=None)
+    @hypothesis.settings(
+        max_examples=600,
+        derandomize=True,
+        database=None,
+        # Compares wall time, which depends on what else the machine does.
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
     def compare(pieces):
         cut = event_boundaries.EventBoundaries()
         for piece in pieces:
