Lend retries between gateways, so that none are left while callers are refused

A gateway whose share is used up asks a few others, by way of its relay where it has one. A loan counts at the lender before it is sent and until the borrower may no longer use it, so that a lost answer, a restart or a partition can only leave retries unused.

--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -28,11 +28,12 @@
       | 9     | 60   | a burst ends and gateways start again          |
       | 9     | 130  | links are cut and gateways start again         |
 
-  Scenario Outline: Retries are refused while the budget is left unused: callers reach <spread> of <nodes> gateways
-    Then with <nodes> gateways of which callers reach <spread> at least half of the budget is used
+  Scenario Outline: Retries are refused while the budget is left unused: callers reach <spread> of <nodes> gateways at <rate> requests a second
+    Then with <nodes> gateways of which callers reach <spread> at <rate> requests a second at least half of the budget is used
 
     Examples:
-      | nodes | spread |
-      | 9     | 9      |
-      | 9     | 1      |
-      | 20    | 2      |
+      | nodes | spread | rate |
+      | 9     | 9      | 130  |
+      | 9     | 1      | 20   |
+      | 20    | 2      | 20   |
+      | 40    | 2      | 20   |
--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -18,6 +18,7 @@
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
@@ -315,7 +316,7 @@
     serving = plain_calls.PlainCalls(
         context.directory,
         FailingEndpoints(suspect),
-        budget,
+        retry_permits.RetryPermits(budget),
         "north",
         context.quarantine,
     )
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -21,6 +21,7 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine
 from gypsumfold.gateway import registrations as registrations_module
+from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import role_planning
 from gypsumfold.gateway import runs
 from gypsumfold.gateway import topic_watches
@@ -269,7 +270,8 @@
         context.homes,
         quarantine.Quarantine(runs.InterruptedRuns(context.directory)),
     )
-    placing.discard_lost_handle(context.progress, lambda: True)
+    assert placing.has_lost_handle(context.progress)
+    placing.discard_handle(context.progress, may_repeat=True)
     assert context.progress.handle is None
     assert not context.progress.prefill_address
 
@@ -299,7 +301,7 @@
     serving = generations.Generations(
         context.directory,
         context.endpoints,
-        context.budget,
+        retry_permits.RetryPermits(context.budget),
         context.homes,
         quarantine.Quarantine(runs.InterruptedRuns(context.directory)),
     )
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -12,7 +12,6 @@
 QUIET = 6.0
 REJECTING = 24.0
 REJECTED_SHARE = 0.9
-RATE = 130.0
 # Seconds between two changes of the links.
 TURN = 2.0
 # Requests a second that a burst adds, and how long it lasts.
@@ -132,10 +131,10 @@
 
 
 @behave.then(
-    "with {nodes:d} gateways of which callers reach {spread:d} at least half "
-    "of the budget is used"
+    "with {nodes:d} gateways of which callers reach {spread:d} at {rate:d} "
+    "requests a second at least half of the budget is used"
 )
-def step_used(context, nodes, spread):
-    for worst in play(nodes, RATE, "nothing else happens", spread):
+def step_used(context, nodes, spread, rate):
+    for worst in play(nodes, rate, "nothing else happens", spread):
         assert worst.extra <= worst.allowed, worst
         assert worst.extra >= LEAST_USED * worst.allowed, worst
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -214,6 +214,7 @@
         # Calls that end so have the memory of their prompts freed.
         await cancelled(list(self.gateway.generations.prefills.tasks))
         await self.gateway.session.close()
+        await self.gateway.loans.close()
         await self.gateway.origin_session.close()
         await self.gateway.forward_link.close()
         os.close(self.gateway.lines.descriptor)
--- a/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
@@ -7,6 +7,10 @@
 before, so at first it uses only what the shares of all nodes leave over, and
 that in proportion to its uptime: however often nodes restart within a window,
 their uptimes add up to no more than the window.
+
+Nodes lend each other what they have left. A loan counts at the lender before
+it is sent and for as long as the borrower may use it, so a lost answer, a
+restart or a partition can only leave retries unused.
 """
 
 import collections
@@ -40,6 +44,11 @@
 # before, and while other nodes may not count it. All nodes together then stay
 # within what USED_FRACTION leaves.
 RESTRICTED_FRACTION = 0.15
+# Fraction of what it has left that a node lends at once, but at least one; it
+# may need the rest itself a moment later.
+LENDABLE_FRACTION = 0.5
+# Seconds for which a loan may be used.
+LOAN_SECONDS = 2.0
 
 
 class RetryBudget:
@@ -59,6 +68,8 @@
             sum of their shares.
         taken: Number of retries taken since the start, by service.
         refused: Number of retries refused since the start, by service.
+        lent: Number of retries lent to other nodes since the start.
+        loans: Borrowed retries by service: until when each may be used.
 
     >>> budget = RetryBudget(Policy(0.2, 10.0, 52.0))
     >>> budget.nodes = 6
@@ -76,6 +87,8 @@
         self.retries: dict[str, collections.deque[float]] = {}
         self.taken: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[str] = collections.Counter()
+        self.lent = 0
+        self.loans: dict[str, collections.deque[float]] = {}
 
     def record_request(self, service: str, now: float) -> None:
         """Counts a caller's request for a service."""
@@ -110,21 +123,60 @@
         return share + self.spare_retries(now)
 
     def allow(self, service: str, now: float) -> bool:
-        """Takes one retry out of the budget, if one is left.
+        """Takes one retry out of this node's share or a loan, if one is left.
 
         Args:
             service: The service that is called again.
             now: The time.
         """
-        retries = self.retries.setdefault(service, collections.deque())
-        trim_and_count(retries, now - self.policy.window)
         enough = self.chance if self.is_recently_restarted(now) else 1.0
-        if len(retries) + enough > self.limit(service, now):
-            self.refused[service] += 1
-            return False
-        retries.append(now)
-        self.taken[service] += 1
-        return True
+        if self.remaining(service, now) >= enough:
+            self.retries[service].append(now)
+            self.taken[service] += 1
+            return True
+        loans = self.loans.get(service)
+        if trim_and_count(loans, now):
+            loans.popleft()
+            self.taken[service] += 1
+            return True
+        return False
+
+    def remaining(self, service: str, now: float) -> float:
+        """Returns what is left of this node's share, without loans."""
+        retries = self.retries.setdefault(service, collections.deque())
+        used = trim_and_count(retries, now - self.policy.window)
+        return self.limit(service, now) - used
+
+    def lend(self, service: str, wanted: int, now: float) -> int:
+        """Lends retries to another node.
+
+        Args:
+            service: The service that it calls.
+            wanted: How many it asks for.
+            now: The time.
+
+        Returns:
+            How many it may use within `LOAN_SECONDS` of its request.
+        """
+        if self.is_recently_restarted(now):
+            return 0
+        left = self.remaining(service, now)
+        lendable = max(min(left, 1.0), left * LENDABLE_FRACTION)
+        count = max(0, min(wanted, math.floor(lendable)))
+        self.retries[service].extend([now + LOAN_SECONDS] * count)
+        self.lent += count
+        return count
+
+    def borrow(self, service: str, count: int, asked_at: float) -> None:
+        """Adds retries that another node lends to this one.
+
+        Args:
+            service: The service.
+            count: How many.
+            asked_at: When this node asked for them.
+        """
+        loans = self.loans.setdefault(service, collections.deque())
+        loans.extend([asked_at + LOAN_SECONDS] * count)
 
 
 def trim_and_count(times: collections.deque[float] | None, start: float) -> int:
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -192,6 +192,12 @@
     "A caller takes up a stream; the software version that began it is known "
     "from this node's own memory, from a peer, as the sole one, or unknown.",
 )
+LOAN_FAILED = define(
+    238,
+    "loan-failed",
+    "info",
+    "A node that was asked for a part of an allowance did not answer.",
+)
 FORWARD_BROKEN = define(
     235,
     "forward-broken",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -37,6 +37,7 @@
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import registrations as registrations_module
+from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import role_planning
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
@@ -50,6 +51,7 @@
 from gypsumfold.gateway.peers import forward_server
 from gypsumfold.gateway.peers import forwarding
 from gypsumfold.gateway.peers import gossip as gossip_module
+from gypsumfold.gateway.peers import loans as loans_module
 from gypsumfold.gateway.peers import origin_queries as origin_queries_module
 from gypsumfold.gateway.peers import queries
 from gypsumfold.platform import names
@@ -123,12 +125,13 @@
         )
         if not settings.node.first_start:
             self.budget.started_at = time.monotonic()
+        self.retry_permits = retry_permits_module.RetryPermits(self.budget)
         self.prefix_router = prefix_routing_module.PrefixRouter()
         self.counters = counters_module.Counters()
         self.generations = generations.Generations(
             self.directory,
             self.endpoints,
-            self.budget,
+            self.retry_permits,
             self.prefix_router,
             self.quarantine,
         )
@@ -167,7 +170,7 @@
             self.forward_link,
             self.gossip.sealer,
             peer_choice.PeerChoice(rng),
-            self.budget,
+            self.retry_permits,
             self.gossip.find_others,
         )
         self.handler = handling.Handler(
@@ -176,7 +179,7 @@
             plain_calls.PlainCalls(
                 self.directory,
                 self.endpoints,
-                self.budget,
+                self.retry_permits,
                 settings.node.data_centre,
                 self.quarantine,
             ),
@@ -213,7 +216,8 @@
         self.query_handler.sources[queries.CACHES] = (
             self.cache_lists.encode_caches
         )
-        # Questions to nodes that are gone must not hold up other queries.
+        # Requests wait for these answers; questions to nodes that are gone must
+        # not hold up other queries.
         self.origin_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=MAX_ORIGIN_QUERIES, force_close=True
@@ -235,6 +239,13 @@
             origin_queries_module.ASK_ONE,
         ):
             self.query_handler.finders[prefix] = self.origin_queries.answer
+        self.loans = loans_module.Loans(
+            self.origin_client, self.gossip.lenders, rng
+        )
+        self.loans.ledgers[retry_permits_module.KIND] = self.budget
+        self.retry_permits.request_loan = self.loans.request
+        for prefix in loans_module.TIMEOUT_SECONDS:
+            self.query_handler.finders[prefix] = self.loans.answer
         self.planner = role_planning.RolePlanner(
             self.leadership,
             self.directory,
@@ -490,6 +501,7 @@
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
         self.pool.close()
         await self.session.close()
+        await self.loans.close()
         await self.origin_session.close()
         await self.forward_link.close()
         await self.duties.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -14,7 +14,6 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import outages
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
-from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
@@ -22,6 +21,7 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
@@ -88,14 +88,14 @@
         self,
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
-        budget: retry_budget.RetryBudget,
+        retry_permits: retry_permits_module.RetryPermits,
         prefix_router: prefix_routing_module.PrefixRouter,
         quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
         self.quarantine = quarantine
         self.endpoints = endpoints
-        self.budget = budget
+        self.retry_permits = retry_permits
         self.prefix_router = prefix_router
         self.notify_begin = lambda progress: None
         self.prefills = prefills.Prefills(
@@ -139,7 +139,7 @@
         for attempt in range(MAX_ATTEMPTS):
             self.quarantine.admit(progress)
             if progress.needs_retry():
-                if not self.take_retry(service):
+                if not await self.retry_permits.take(service.name):
                     progress.log_retry_refused(service.name)
                     break
                 progress.has_retry = True
@@ -178,9 +178,9 @@
         await self.wait_for_decode_engine(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
-        self.prefills.discard_lost_handle(
-            progress, lambda: self.take_retry(service)
-        )
+        if self.prefills.has_lost_handle(progress):
+            may_repeat = await self.retry_permits.take(service.name)
+            self.prefills.discard_handle(progress, may_repeat)
         choice = None
         if not progress.prefill_address:
             choice = self.prefills.place(route, service, progress)
@@ -204,10 +204,6 @@
             )
         await self.run(decoder, route, service, stream, progress)
 
-    def take_retry(self, service: types.Service) -> bool:
-        """Takes one retry out of the site's budget, if one is left."""
-        return self.budget.allow(service.name, time.monotonic())
-
     async def wait_for_decode_engine(
         self,
         route: routes.Route,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
@@ -18,10 +18,10 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import members as members_module
 from gypsumfold.decisions import peer_choice
-from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway.peers import forward_messages
 from gypsumfold.gateway.peers import seals
 
@@ -101,7 +101,7 @@
         accepted_at: When another node last served a request.
         results: Number of requests by what became of them.
 
-    >>> forwarder = Forwarder(link, sealer, choice, budget, find_members)
+    >>> forwarder = Forwarder(link, sealer, choice, permits, find_members)
     >>> await forwarder.forward(route, "lm", 7, reply, progress)
     True
     """
@@ -111,13 +111,13 @@
         link: Link,
         sealer: seals.Sealer,
         choice: peer_choice.PeerChoice,
-        budget: retry_budget.RetryBudget,
+        retry_permits: retry_permits_module.RetryPermits,
         find_members: Callable[[], list[members_module.Member]],
     ):
         self.link = link
         self.sealer = sealer
         self.choice = choice
-        self.budget = budget
+        self.retry_permits = retry_permits
         self.find_members = find_members
         self.accepted_at = -math.inf
         self.results = {"served": 0, "declined": 0, "broken": 0}
@@ -153,7 +153,7 @@
         if not candidates:
             return False
         for member in candidates:
-            if not self.take_retries(service, progress):
+            if not await self.take_retries(service, progress):
                 progress.log_retry_refused(service)
                 break
             try:
@@ -175,7 +175,7 @@
             raise progress.final_error()
         return False
 
-    def take_retries(
+    async def take_retries(
         self, service: str, progress: progress_module.Progress
     ) -> bool:
         """Takes from the budget what another node's first attempt costs.
@@ -183,13 +183,12 @@
         That node doesn't know what replicas have received from this one, and
         its own retries come out of its own share. It also repeats the prefill.
         """
-        now = time.monotonic()
         if progress.needs_retry():
-            if not self.budget.allow(service, now):
+            if not await self.retry_permits.take(service):
                 return False
             progress.has_retry = True
         if progress.prefill_address:
-            if not self.budget.allow(service, now):
+            if not await self.retry_permits.take(service):
                 return False
             progress.prefill_address = ""
         return True
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -34,6 +34,7 @@
 from gypsumfold.gateway.peers import crash_updates as crash_updates_module
 from gypsumfold.gateway.peers import entries as entries_module
 from gypsumfold.gateway.peers import loads as loads_module
+from gypsumfold.gateway.peers import loans
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import origin_holders as origin_holders_module
 from gypsumfold.gateway.peers import origin_updates as origin_updates_module
@@ -657,6 +658,22 @@
                 found.append(subscriber.member)
         return found
 
+    def lenders(self) -> list[loans.Lenders]:
+        """Returns the nodes that may lend parts of allowances to this one."""
+        if self.meshed:
+            known = list(self.members.known.values())
+            return [loans.Lenders(known, loans.ASK_ONE)]
+        if self.choice.relay is not None:
+            return [loans.Lenders([self.choice.relay], loans.ASK_SITE)]
+        subscribers = []
+        for subscriber in self.relaying.subscribers.values():
+            subscribers.append(subscriber.member)
+        relays = self.relaying.relay_targets(self.clock())
+        return [
+            loans.Lenders(subscribers, loans.ASK_ONE),
+            loans.Lenders(relays, loans.ASK_DATA_CENTRE),
+        ]
+
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -6,12 +6,12 @@
 import msgspec
 
 from gypsumfold import exceptions
-from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
@@ -33,14 +33,14 @@
         self,
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
-        budget: retry_budget.RetryBudget,
+        retry_permits: retry_permits_module.RetryPermits,
         data_centre: str,
         quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
         self.quarantine = quarantine
         self.endpoints = endpoints
-        self.budget = budget
+        self.retry_permits = retry_permits
         self.data_centre = data_centre
 
     async def serve(
@@ -63,7 +63,7 @@
                 break
             self.quarantine.admit(progress)
             if progress.needs_retry():
-                if not self.budget.allow(service, time.monotonic()):
+                if not await self.retry_permits.take(service):
                     progress.log_retry_refused(service)
                     break
                 progress.has_retry = True
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -1,7 +1,6 @@
 """Runs prefills: chooses the engine, sets the timeout, handles failures."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 import time
 
@@ -253,31 +252,28 @@
             self.directory.request_ended(choice.engine)
             task.cancel()
 
-    def discard_lost_handle(
-        self,
-        progress: progress_module.Progress,
-        take_retry: Callable[[], bool],
-    ) -> None:
-        """Drops the handle of an engine that has restarted since the prefill.
+    def has_lost_handle(self, progress: progress_module.Progress) -> bool:
+        """Whether the prefill's engine has restarted since the prefill."""
+        handle = progress.handle
+        if handle is None:
+            return False
+        replica = self.directory.replicas.get(handle.engine)
+        return replica is not None and incarnations.is_later_start(
+            replica.started_at, handle.started_at
+        )
 
-        The prefill is repeated if the retry budget allows; otherwise the
-        decode engine processes the prompt itself.
+    def discard_handle(
+        self, progress: progress_module.Progress, may_repeat: bool
+    ) -> None:
+        """Drops the handle of an engine that has restarted.
 
         Args:
             progress: Progress of the request.
-            take_retry: Takes one retry out of the site's budget, if one is
-                left.
+            may_repeat: Whether the retry budget allows another prefill; if
+                not, the decode engine processes the prompt itself.
         """
-        handle = progress.handle
-        if handle is None:
-            return
-        replica = self.directory.replicas.get(handle.engine)
-        if replica is None or not incarnations.is_later_start(
-            replica.started_at, handle.started_at
-        ):
-            return
         progress.handle = None
-        if take_retry():
+        if may_repeat:
             progress.prefill_address = ""
 
     def release_handle(self, progress: progress_module.Progress) -> None:
