Read the rate limits that replicas name, and log when they change

A gateway keeps the newest by the time at which the answered request was sent and logs each change (340). No decision uses it yet.

--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -198,6 +198,19 @@
     "info",
     "A node that was asked for a part of an allowance did not answer.",
 )
+RATE_LIMIT_CHANGED = define(
+    340,
+    "rate-limit-changed",
+    "info",
+    "A replica names another limit of the requests that it takes from all "
+    "nodes, or none.",
+)
+RATE_LIMIT_REJECTED = define(
+    341,
+    "rate-limit-rejected",
+    "warning",
+    "A replica names a limit that cannot be read; the one before stays.",
+)
 FORWARD_BROKEN = define(
     235,
     "forward-broken",
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -330,6 +330,7 @@
         self.fields: types.Fields = tuple(head.headers.raw_items())
         self.sealed = False
         self.not_run = False
+        self.names_rate_limit = False
         self.length = _length(head)
         has_no_body = method == "HEAD" or self.status in BODILESS_STATUSES
         self.is_framed = has_no_body or _is_framed(head)
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -17,6 +17,7 @@
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import health
 from gypsumfold.decisions import incarnations as incarnations_module
+from gypsumfold.decisions import rate_limits as rate_limits_module
 from gypsumfold.decisions import reachability as reachability_module
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import software_versions
@@ -64,6 +65,7 @@
         reachability: The replicas to which new connections fail; they get work
             only over open ones.
         versions: The software versions of each service.
+        rate_limits: The rate limits that replicas name.
         is_connected: Whether an idle connection to a replica is open.
         has_interrupted_runs: Whether runs on a replica were interrupted and it
             isn't known yet whether it crashed.
@@ -107,6 +109,7 @@
         self.removal_listeners = []
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
+        self.rate_limits = rate_limits_module.RateLimits()
 
     def put(self, replica: types.Replica) -> None:
         """Adds or updates a replica; ignores entries of an earlier start."""
@@ -228,6 +231,7 @@
         self.fresh_probes.discard(instance)
         self.next_probes.pop(instance, None)
         self.health.forget(instance)
+        self.rate_limits.forget(instance)
         self.silence.forget(instance)
         for listener in self.removal_listeners:
             listener(replica)
@@ -502,6 +506,27 @@
             unreachable=len(self.reachability.unreachable),
         )
 
+    def record_rate_limit(
+        self, replica: types.Replica, rate: float | None, sent_at: float
+    ) -> None:
+        """Records the rate limit that a replica's answer names.
+
+        Args:
+            replica: The replica, as the request was sent to it.
+            rate: Requests a second from all nodes; None if it names none.
+            sent_at: When the request was sent.
+        """
+        known = self.replicas.get(replica.instance)
+        if known is None or known.started_at != replica.started_at:
+            return
+        if self.rate_limits.observe(replica.instance, rate, sent_at):
+            events.log(
+                events.RATE_LIMIT_CHANGED,
+                instance=replica.instance,
+                service=replica.service,
+                rate=rate,
+            )
+
     def process_ended(self, instance: str) -> None:
         """Notifies the listeners that a replica's process has ended."""
         replica = self.replicas.get(instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -1,6 +1,7 @@
 """Types shared by the gateway and the platform adapter."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
@@ -254,7 +255,15 @@
 
 
 class Endpoints(Protocol):
-    """Client for calls to replicas."""
+    """Client for calls to replicas.
+
+    Attributes:
+        rate_limit_listener: Called with the replica, the requests a second
+            that it takes from all nodes, None if its answer names no limit,
+            and the time at which the answered request was sent.
+    """
+
+    rate_limit_listener: Callable[[Replica, float | None, float], None]
 
     def is_connected(self, replica: Replica) -> bool:
         """Whether an idle connection to the replica is open."""
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -19,6 +19,8 @@
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 # IP:PORT of a replica.
 ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}")
+# A decimal number of requests a second.
+RATE = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 
 
 class TargetRecord(msgspec.Struct):
@@ -367,3 +369,14 @@
         record.spot_price,
         record.prices,
     )
+
+
+def decode_rate(value: bytes) -> float:
+    """Decodes the requests a second that a replica takes from all nodes.
+
+    Raises:
+        exceptions.RecordInvalid: It is not a decimal number.
+    """
+    if RATE.fullmatch(value.strip()) is None:
+        raise exceptions.RecordInvalid(f"not a rate: {value[:40]!r}")
+    return float(value)
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -51,6 +51,7 @@
 SEAL = "Response-Seal"
 NOT_RUN = "Not-Run"
 RETRY_AFTER = "Retry-After"
+RATE_LIMIT = "Server-Limit"
 INSTANCE = "Instance-Id"
 
 # Headers that concern one connection only and are never forwarded.
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -1,10 +1,13 @@
 """The client of replicas: requests, prefills, orders and reports."""
 
+from collections.abc import Callable
 import contextlib
 import re
+import time
 
 import h11
 
+from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import types
@@ -21,12 +24,19 @@
 class Replicas:
     """Calls to replicas over pooled connections.
 
+    Attributes:
+        rate_limit_listener: Called with the rate limit that an answer names,
+            as in `Directory.record_rate_limit`.
+
     >>> replicas = Replicas(connections.Pool())
     >>> answer = await replicas.send(replica, call, instructions)
     """
 
     def __init__(self, pool: connections.Pool):
         self.pool = pool
+        self.rate_limit_listener: Callable[
+            [types.Replica, float | None, float], None
+        ] = lambda replica, rate, sent_at: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a connection to the replica is open."""
@@ -51,9 +61,14 @@
         fields += instruction_fields(replica, instructions)
         if call.account:
             fields.append((names.ACCOUNT.encode(), call.account.encode()))
+        sent_at = time.monotonic()
         answer = await self.exchange(
             replica, call.method, call.target, fields, call.body
         )
+        if not answer.names_rate_limit and answer.status != 421:
+            # Only answers to callers' requests are known to name a limit for
+            # as long as it holds.
+            self.rate_limit_listener(replica, None, sent_at)
         found = {name.lower(): value for name, value in answer.fields}
         echoed = found.get(names.ATTEMPT.lower().encode(), b"")
         if echoed and echoed != call.id.encode():
@@ -199,6 +214,7 @@
             replica.address, replica.instance, fresh
         )
         done = False
+        sent_at = time.monotonic()
         try:
             connection.request(method, target, tuple(fields), body or b"")
             event = await connection.next_event()
@@ -211,9 +227,38 @@
         for name, value in event.headers:
             if name == b"keep-alive":
                 connection.idle_timeout = parse_idle_timeout(value)
-        return connections.PooledAnswer(
+        answer = connections.PooledAnswer(
             self.pool, replica, connection, method, event
         )
+        if answer.status != 421:
+            answer.names_rate_limit = self.read_rate_limit(
+                replica, answer.fields, sent_at
+            )
+        return answer
+
+    def read_rate_limit(
+        self, replica: types.Replica, fields: types.Fields, sent_at: float
+    ) -> bool:
+        """Reports the rate limit that an answer names.
+
+        Returns:
+            Whether it names one. An unreadable one changes nothing.
+        """
+        name = names.RATE_LIMIT.lower().encode()
+        values = [value for key, value in fields if key.lower() == name]
+        if not values:
+            return False
+        try:
+            rate = min(decoding.decode_rate(value) for value in values)
+        except exceptions.RecordInvalid as error:
+            events.log(
+                events.RATE_LIMIT_REJECTED,
+                instance=replica.instance,
+                reason=str(error),
+            )
+            return True
+        self.rate_limit_listener(replica, rate, sent_at)
+        return True
 
 
 def remove_field(
