Show that replicas get more requests than the limit that they name

Under virtual time, by the users' rule: arrivals in the worst four seconds at replicas that name a limit, from gateways that were told it, from three seconds after the naming.

--- /dev/null
+++ b/features/steps/rate_limits_steps.py
@@ -0,0 +1,129 @@
+"""Steps on replicas that name a rate limit."""
+
+import behave
+from features.support import virtual_callers
+from features.support import virtual_engines
+from features.support import virtual_gateways
+from features.support import virtual_limits
+
+SETTLING = 5.0
+QUIET = 3.0
+LIMITED = 15.0
+RATE = 130.0
+STAGES = {"decode": "decode", "prefill": "prefill", "plain": ""}
+LEAST_USED = 0.5
+SEED = 1
+# Seconds until a limit that has ended is known to have, and for which arrivals
+# are compared then.
+ENDED = 8.0
+COMPARED = 5.0
+
+
+async def start_asking(site, nodes, spread=None):
+    """Starts a site whose callers ask."""
+    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
+    callers = virtual_callers.Callers(site, site.fleet)
+    callers.spread = spread
+    callers.configure(3)
+    site.fleet.start()
+    site.start(nodes, 3)
+    await site.pass_time(SETTLING)
+    callers.keep_asking(RATE)
+    await site.pass_time(QUIET)
+    return callers
+
+
+def limit(site, limited, rate):
+    """Lets some replicas name a limit; returns them."""
+    count, stage, _ = limited.split()
+    found = []
+    for replica in site.fleet.replicas.values():
+        if replica.stage == STAGES[stage] and len(found) < int(count):
+            replica.rate_limit = rate
+            found.append(replica)
+    return found
+
+
+async def play_trouble(site, trouble):
+    """Lets gateways start again one by one, or reach some replicas only."""
+    end = site.clock() + LIMITED
+    while site.clock() < end:
+        name = site.rng.choice(sorted(site.nodes))
+        if trouble == "gateways start again":
+            await site.restart_one(name)
+        elif trouble == "gateways reach other replicas":
+            addresses = sorted(site.fleet.replicas)
+            cut = site.rng.sample(addresses, len(addresses) // 2)
+            site.nodes[name].endpoints.cut_addresses = set(cut)
+        await site.pass_time(1.0)
+
+
+def play(nodes, limited, rate, trouble, spread=None, seed=SEED):
+    """Plays limits; returns the worst window of each replica."""
+    site = virtual_gateways.Site(seed)
+    found = []
+
+    async def story():
+        await start_asking(site, nodes, spread)
+        begin = site.clock()
+        replicas = limit(site, limited, rate)
+        await play_trouble(site, trouble)
+        for replica in replicas:
+            span = virtual_limits.Span(
+                replica.instance, rate, begin, site.clock()
+            )
+            found.append(virtual_limits.judge(site.fleet, span))
+
+    site.play(story())
+    return found
+
+
+@behave.then(
+    "{limited} that name a limit of {rate:g} a second get no more from "
+    "{nodes:d} gateways while {trouble}"
+)
+def step_within(context, limited, rate, nodes, trouble):
+    for worst in play(nodes, limited, rate, trouble):
+        assert worst.arrivals <= worst.allowed, worst
+
+
+@behave.then(
+    "at least half of the limit of {limited} at {rate:g} a second is used by "
+    "{nodes:d} gateways of which callers reach {spread:d}"
+)
+def step_used(context, limited, rate, nodes, spread):
+    found = play(nodes, limited, rate, "nothing else happens", spread)
+    used = sum(worst.used for worst in found) / len(found)
+    assert used >= LEAST_USED, found
+    for worst in found:
+        assert worst.arrivals <= worst.allowed, worst
+
+
+@behave.then(
+    "{limited} that named a limit of {rate:g} a second before {nodes:d} "
+    "gateways gets as many requests as others once it names none"
+)
+def step_ended(context, limited, rate, nodes):
+    site = virtual_gateways.Site(SEED)
+    counts = {}
+
+    async def story():
+        await start_asking(site, nodes)
+        (replica,) = limit(site, limited, rate)
+        await site.pass_time(LIMITED)
+        replica.rate_limit = None
+        await site.pass_time(ENDED)
+        begin = site.clock()
+        await site.pass_time(COMPARED)
+        for one in site.fleet.replicas.values():
+            if one.stage == replica.stage:
+                counts[one is replica, one.instance] = 0
+        for arrival in site.fleet.arrivals:
+            for key in counts:
+                if arrival.instance == key[1] and arrival.at >= begin:
+                    counts[key] += 1
+
+    site.play(story())
+    own = [count for key, count in counts.items() if key[0]]
+    others = [count for key, count in counts.items() if not key[0]]
+    assert own[0] >= LEAST_USED * sum(others) / len(others), counts
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -61,6 +61,7 @@
         ran: Whether it was to run, not just to have its prompt read.
         accepted: Whether the replica took it.
         gateway: Which gateway sent it.
+        process: Which process of that gateway.
     """
 
     at: float
@@ -70,6 +71,7 @@
     ran: bool
     accepted: bool = True
     gateway: str = ""
+    process: int = 0
 
 
 class Crashed(NamedTuple):
@@ -100,6 +102,8 @@
         self.fleet = fleet
         self.version = version
         self.draining = False
+        # Requests a second that it takes from all gateways; None for any.
+        self.rate_limit: float | None = None
         self.place = place
         self.service = service
         self.stage = stage
@@ -220,6 +224,8 @@
         self.late: list[tuple[str, float]] = []
         self.reset_share = 0.0
         self.refusing_share = 0.0
+        # When a process of a gateway was first told the limit of a replica.
+        self.told: dict[tuple[int, str], float] = {}
         self.replicas: dict[str, Replica] = {}
         self.tasks: dict[asyncio.Task, bool] = {}
         wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
@@ -400,6 +406,7 @@
         self.cut_addresses: set[str] = set()
         self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
+        self.rate_limit_listener = lambda replica, rate, sent_at: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a call would find a connection open."""
@@ -467,8 +474,14 @@
         if late > LATE:
             self.fleet.late.append((call.id, round(late, 2)))
 
-    def arrive(self, replica: Replica, call: types.Call, ran: bool) -> None:
-        """Notes that a request reached a replica.
+    def arrive(
+        self,
+        replica: Replica,
+        addressed: types.Replica,
+        call: types.Call,
+        ran: bool,
+    ) -> None:
+        """Notes that a request reached a replica, which may name a limit.
 
         Raises:
             exceptions.EndpointRefused: The replica rejects it.
@@ -484,8 +497,13 @@
                 ran,
                 not refuses,
                 self.name,
+                id(self),
             )
         )
+        now = fleet.site.clock()
+        if replica.rate_limit is not None:
+            fleet.told.setdefault((id(self), replica.instance), now)
+        self.rate_limit_listener(addressed, replica.rate_limit, now)
         if refuses:
             raise exceptions.EndpointRefused("full")
 
@@ -498,7 +516,7 @@
         """Sends a request and waits for the head of its answer."""
         await self.cross(call)
         found = await self.reach(replica)
-        self.arrive(found, call, True)
+        self.arrive(found, replica, call, True)
         if not found.stage:
             answer = Answer(found, call, 1)
             if not await found.lasts(WORK):
@@ -519,7 +537,7 @@
         """Has a prompt read."""
         await self.cross(call)
         found = await self.reach(replica)
-        self.arrive(found, call, False)
+        self.arrive(found, replica, call, False)
         if found.stage != "prefill":
             raise exceptions.EndpointMismatch("another role")
         tokens = 0
