Keep to the rate limits that replicas name, over all gateways together

Callers saw nothing; replicas that named a limit got as much as before (58 requests in 4 s, 33 allowed), as no decision used what they named.

The limit is a quantity of the site, like the retry budget, so it is divided alike: a few holders have it, in a mesh gateways by rendezvous hashing, beyond that the relays of data centres, no more of them than a limit bears that send one request at once; others borrow from holders, as they do retries. A process that starts has saved up nothing, one that others may not count holds nothing. A replica without a permit is left out where others can serve; where all are limited, a permit is borrowed or the request is refused as not run. It is no failure, costs no retry and isn't passed on. Gateways tell each other what a replica said and how long ago; what answered the newest request counts, and a limit that nobody renews ends.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -29,3 +29,19 @@
 
   Scenario: A replica whose limit has ended is used as before
     Then 1 decode engine that named a limit of 1 a second before 6 gateways gets as many requests as others once it names none
+
+  Scenario Outline: A limit that cannot be read changes nothing: <value>
+    Then after a limit of 4.7 an answer that names "<value>" leaves 4.7
+
+    Examples:
+      | value           |
+      | -1              |
+      | nan             |
+      | 1e3             |
+      | 1,5             |
+      | inf             |
+      | ٣               |
+      | 99999999999     |
+
+  Scenario: What a replica said last counts, whatever arrives last
+    Then a limit of 3 named in answer to a newer request outlasts one of 9 and none in answer to older ones
--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -18,6 +18,7 @@
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import rate_permits
 from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
@@ -317,6 +318,7 @@
         context.directory,
         FailingEndpoints(suspect),
         retry_permits.RetryPermits(budget),
+        rate_permits.RatePermits(retry_permits.lend_nothing, random.Random(1)),
         "north",
         context.quarantine,
     )
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -6,6 +6,11 @@
 from features.support import virtual_gateways
 from features.support import virtual_limits
 
+from gypsumfold.decisions import rate_limits
+from gypsumfold.gateway import types
+from gypsumfold.platform import names
+from gypsumfold.platform import replicas as replicas_module
+
 SETTLING = 5.0
 QUIET = 3.0
 LIMITED = 15.0
@@ -127,3 +132,32 @@
     own = [count for key, count in counts.items() if key[0]]
     others = [count for key, count in counts.items() if not key[0]]
     assert own[0] >= LEAST_USED * sum(others) / len(others), counts
+
+
+@behave.then(
+    'after a limit of {rate:g} an answer that names "{value}" leaves {same:g}'
+)
+def step_unreadable(context, rate, value, same):
+    known = rate_limits.RateLimits()
+    client = replicas_module.Replicas(None)
+    client.rate_limit_listener = lambda replica, rate, sent_at: known.observe(
+        replica.instance, rate, sent_at
+    )
+    replica = types.Replica("i-1", "app", "10.0.0.1:80", "dc-0", 4, False)
+    name = names.RATE_LIMIT.encode()
+    for sent_at, text in enumerate((str(rate), value)):
+        fields = ((name, text.encode()),)
+        assert client.read_rate_limit(replica, fields, float(sent_at))
+    assert known.rate("i-1", 2.0) == same
+
+
+@behave.then(
+    "a limit of {rate:g} named in answer to a newer request outlasts one of "
+    "{older:g} and none in answer to older ones"
+)
+def step_overtaken(context, rate, older):
+    known = rate_limits.RateLimits()
+    assert known.observe("i-1", rate, sent_at=5.0)
+    assert not known.observe("i-1", older, sent_at=4.0)
+    assert not known.observe("i-1", None, sent_at=3.0)
+    assert known.rate("i-1", 6.0) == rate
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import math
+import random
 import time
 from unittest import mock
 
@@ -20,6 +21,7 @@
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import rate_permits
 from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import role_planning
@@ -302,6 +304,7 @@
         context.directory,
         context.endpoints,
         retry_permits.RetryPermits(context.budget),
+        rate_permits.RatePermits(retry_permits.lend_nothing, random.Random(1)),
         context.homes,
         quarantine.Quarantine(runs.InterruptedRuns(context.directory)),
     )
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -105,6 +105,10 @@
     """No endpoint can be sent the dispatch at the moment."""
 
 
+class EndpointLimited(EndpointNotStarted):
+    """This node has no permit for an endpoint that limits its requests."""
+
+
 class EndpointNotListening(EndpointUnreachable):
     """Nothing listens at the endpoint's address."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -110,6 +110,9 @@
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
         self.rate_limits = rate_limits_module.RateLimits()
+        self.rate_limit_listeners: list[
+            Callable[[str, float | None, float], None]
+        ] = []
 
     def put(self, replica: types.Replica) -> None:
         """Adds or updates a replica; ignores entries of an earlier start."""
@@ -317,7 +320,7 @@
 
         Those that refused, failed or fell silent recently are returned only
         if there is no other; those that don't answer on new connections either
-        are left out.
+        are left out, and those for which this node has no permit.
 
         Args:
             service: The service.
@@ -329,6 +332,8 @@
         for replica in self.known(service):
             if replica.instance in avoid:
                 continue
+            if not self.rate_limits.is_open(replica.instance, now):
+                continue
             if self.is_healthy(replica.instance, now):
                 healthy.append(replica)
             elif not self.is_lost(replica.instance):
@@ -366,8 +371,8 @@
     ) -> list[types.Replica]:
         """Returns the prefill or the decode engines that may get work now.
 
-        Suspects and engines that change their role are left out even if there
-        is no other.
+        Suspects, engines that change their role and those for which this node
+        has no permit are left out even if there is no other.
 
         Args:
             service: The service.
@@ -388,6 +393,8 @@
                 continue
             if self.changing_until.get(replica.instance, -math.inf) > now:
                 continue
+            if not self.rate_limits.is_open(replica.instance, now):
+                continue
             if self.is_healthy(replica.instance, now):
                 healthy.append(replica)
             else:
@@ -444,6 +451,8 @@
                 continue
             if origin is not None and not origin.fits(replica.version):
                 continue
+            if not self.rate_limits.is_open(instance, now):
+                continue
             if self.is_reachable(replica):
                 found.append(replica)
         return found
@@ -519,14 +528,71 @@
         known = self.replicas.get(replica.instance)
         if known is None or known.started_at != replica.started_at:
             return
-        if self.rate_limits.observe(replica.instance, rate, sent_at):
-            events.log(
-                events.RATE_LIMIT_CHANGED,
-                instance=replica.instance,
-                service=replica.service,
-                rate=rate,
+        changed = self.merge_rate_limit(replica.instance, rate, sent_at)
+        if changed or rate is not None:
+            for listener in self.rate_limit_listeners:
+                listener(replica.instance, rate, sent_at)
+
+    def merge_rate_limit(
+        self, instance: str, rate: float | None, sent_at: float
+    ) -> bool:
+        """Records a rate limit that this node or another one has learnt.
+
+        Returns:
+            Whether it is another one now.
+        """
+        replica = self.replicas.get(instance)
+        if replica is None:
+            return False
+        if not self.rate_limits.observe(instance, rate, sent_at):
+            return False
+        events.log(
+            events.RATE_LIMIT_CHANGED,
+            instance=instance,
+            service=replica.service,
+            rate=rate,
+        )
+        return True
+
+    def take_permit(self, replica: types.Replica) -> None:
+        """Takes a permit for a request to a replica.
+
+        Raises:
+            exceptions.EndpointLimited: There is none.
+        """
+        if not self.rate_limits.take(replica.instance, time.monotonic()):
+            raise exceptions.EndpointLimited(
+                f"{replica.instance} limits its requests"
             )
 
+    def limited(
+        self,
+        service: str,
+        prefill: bool | None,
+        now: float,
+        origin: stream_origins.Origin | None = None,
+    ) -> list[types.Replica]:
+        """Returns the reachable replicas for which this node has no permit.
+
+        Args:
+            service: The service.
+            prefill: Whether to return prefill or decode engines; None for
+                replicas of a plain service.
+            now: The time.
+            origin: As in `engines`.
+        """
+        found = []
+        for replica in self.responsive(service):
+            if self.rate_limits.is_open(replica.instance, now):
+                continue
+            if prefill is not None:
+                if self.is_prefill(replica, now) != prefill:
+                    continue
+                if origin is not None and not origin.fits(replica.version):
+                    continue
+            found.append(replica)
+        return found
+
     def process_ended(self, instance: str) -> None:
         """Notifies the listeners that a replica's process has ended."""
         replica = self.replicas.get(instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -36,6 +36,7 @@
 from gypsumfold.gateway import origins as origins_module
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import role_planning
@@ -127,12 +128,16 @@
         if not settings.node.first_start:
             self.budget.started_at = time.monotonic()
         self.retry_permits = retry_permits_module.RetryPermits(self.budget)
+        self.rate_permits = rate_permits_module.RatePermits(
+            retry_permits_module.lend_nothing, rng
+        )
         self.prefix_router = prefix_routing_module.PrefixRouter()
         self.counters = counters_module.Counters()
         self.generations = generations.Generations(
             self.directory,
             self.endpoints,
             self.retry_permits,
+            self.rate_permits,
             self.prefix_router,
             self.quarantine,
         )
@@ -181,6 +186,7 @@
                 self.directory,
                 self.endpoints,
                 self.retry_permits,
+                self.rate_permits,
                 settings.node.data_centre,
                 self.quarantine,
             ),
@@ -244,7 +250,12 @@
             self.origin_client, self.gossip.lenders, rng
         )
         self.loans.ledgers[retry_permits_module.KIND] = self.budget
+        self.loans.ledgers[rate_permits_module.KIND] = (
+            self.directory.rate_limits
+        )
+        self.directory.rate_limits.share = self.gossip.limit_share
         self.retry_permits.request_loan = self.loans.request
+        self.rate_permits.request_loan = self.loans.request
         for prefix in loans_module.TIMEOUT_SECONDS:
             self.query_handler.finders[prefix] = self.loans.answer
         self.planner = role_planning.RolePlanner(
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -20,6 +20,7 @@
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import runs as runs_module
@@ -89,6 +90,7 @@
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
         retry_permits: retry_permits_module.RetryPermits,
+        rate_permits: rate_permits_module.RatePermits,
         prefix_router: prefix_routing_module.PrefixRouter,
         quarantine: quarantine_module.Quarantine,
     ):
@@ -96,6 +98,7 @@
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.retry_permits = retry_permits
+        self.rate_permits = rate_permits
         self.prefix_router = prefix_router
         self.notify_begin = lambda progress: None
         self.prefills = prefills.Prefills(
@@ -175,6 +178,7 @@
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
             exceptions.AnswerBroken: An engine may have started to run it.
         """
+        await self.borrow_permit(service, False, progress)
         await self.wait_for_decode_engine(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
@@ -183,6 +187,7 @@
             self.prefills.discard_handle(progress, may_repeat)
         choice = None
         if not progress.prefill_address:
+            await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
         if choice is not None:
             handle = await self.prefills.prefill(
@@ -190,6 +195,7 @@
             )
             progress.handle = handle
             progress.prefill_address = handle.address
+            await self.borrow_permit(service, False, progress)
         self.quarantine.admit(progress)
         decoder = await self.quarantine.place(
             progress,
@@ -199,11 +205,32 @@
             ),
         )
         if decoder is None:
+            if self.directory.limited(
+                service.name, False, time.monotonic(), progress.origin
+            ):
+                raise exceptions.EndpointLimited(
+                    "decode engines limit requests"
+                )
             raise exceptions.EndpointUnavailable(
                 "no decode engine is available"
             )
         await self.run(decoder, route, service, stream, progress)
 
+    async def borrow_permit(
+        self,
+        service: types.Service,
+        prefill: bool,
+        progress: progress_module.Progress,
+    ) -> None:
+        """Borrows a permit if only engines that limit requests are left."""
+        now = time.monotonic()
+        origin = None if prefill else progress.origin
+        if self.directory.engines(service.name, prefill, now, origin=origin):
+            return
+        limited = self.directory.limited(service.name, prefill, now, origin)
+        if limited:
+            await self.rate_permits.borrow(limited)
+
     async def wait_for_decode_engine(
         self,
         route: routes.Route,
@@ -362,6 +389,7 @@
             else self.prefills.cache_peer(progress.prefill_address),
             last_event=stream.last_event,
         )
+        self.directory.take_permit(replica)
         share = stream_share(replica, service, progress.call)
         self.directory.request_started(replica.instance, time.monotonic())
         self.directory.streams.add(replica.instance, share)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
@@ -99,6 +99,7 @@
     unreachable = split_list(updates.unreachable)
     closed = split_dict(updates.closed)
     roles = split_dict(updates.roles)
+    rate_limits = split_dict(updates.rate_limits)
     for place in range(2):
         start_times = {}
         for engine in [*closed[place], *roles[place]]:
@@ -111,6 +112,7 @@
                 roles[place],
                 unreachable[place],
                 start_times,
+                rate_limits[place],
             )
         )
     return halves[0], halves[1]
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -22,6 +22,7 @@
 from gypsumfold.decisions import members as members_module
 from gypsumfold.decisions import node_count as node_count_module
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import rate_limits
 from gypsumfold.decisions import relays as relays_module
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
@@ -171,6 +172,7 @@
         prefix_router.listener = self
         directory.unreachable_listeners.append(self.report_unreachable)
         directory.removal_listeners.append(self.forget_replica)
+        directory.rate_limit_listeners.append(self.announce_rate_limit)
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
@@ -674,6 +676,32 @@
             loans.Lenders(relays, loans.ASK_DATA_CENTRE),
         ]
 
+    def limit_share(self, instance: str, rate: float) -> float:
+        """Returns this node's fraction of a replica's rate limit.
+
+        In a mesh nodes hold it, else the relays of data centres. A node that
+        doesn't know the others, or that they may not count, holds nothing.
+        """
+        if self.sharing_node_count() == 0 or self.is_partitioned():
+            return 0.0
+        own = self.members.own
+        if self.meshed:
+            names = {own.node}
+            names.update(self.members.names_by_node)
+            names.update(self.entries.others.entries)
+            return rate_limits.holder_share(own.node, names, instance, rate)
+        if not self.relays.is_settled(self.clock()):
+            return 0.0
+        names = self.members.data_centres()
+        return rate_limits.holder_share(own.data_centre, names, instance, rate)
+
+    def announce_rate_limit(
+        self, instance: str, rate: float | None, sent_at: float
+    ) -> None:
+        """Tells the other nodes what a replica has said of its limit."""
+        if self.outbox.add_rate_limit(instance, rate, sent_at):
+            self.changed.set()
+
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -101,6 +101,8 @@
         unreachable: Replicas to which no connection could be opened.
         start_times: Start times of the engines in `closed` and `roles`; what is
             reported about an engine is void once it has started again.
+        rate_limits: What replicas said of their rate limits: requests a
+            second, None for no limit, and how many seconds ago.
     """
 
     placements: list[Placement] = []
@@ -108,6 +110,7 @@
     roles: dict[str, tuple[str, Amount]] = {}
     unreachable: list[str] = []
     start_times: dict[str, int] = {}
+    rate_limits: dict[str, tuple[Amount | None, Amount]] = {}
 
 
 class ChangedRegistration(msgspec.Struct, array_like=True):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
@@ -6,13 +6,15 @@
 
 # Maximum number of prompts waiting to be sent; the newest are kept.
 MAX_PLACEMENTS = 256
+# Seconds until a rate limit that has not changed is sent again.
+RATE_LIMIT_INTERVAL_SECONDS = 1.0
 
 
 class Outbox:
     """Collects updates to send.
 
-    Placements and unreachable replicas are sent once. Closings and roles are
-    sent each time until they end.
+    Placements, unreachable replicas and rate limits are sent once. Closings and
+    roles are sent each time until they end.
 
     >>> outbox = Outbox()
     >>> outbox.add_closing("i-1", until=4.5)
@@ -26,6 +28,8 @@
         self.closings: dict[str, float] = {}
         self.roles: dict[str, tuple[str, float]] = {}
         self.start_times: dict[str, int] = {}
+        self.rate_limits: dict[str, tuple[float | None, float]] = {}
+        self.sent_rate_limits: dict[str, tuple[float | None, float]] = {}
 
     def add_placement(self, placement: messages.Placement) -> None:
         """Adds a prompt that was sent to an engine."""
@@ -62,8 +66,34 @@
         self.closings.pop(engine, None)
         self.start_times[engine] = started_at
 
+    def add_rate_limit(
+        self, instance: str, rate: float | None, sent_at: float
+    ) -> bool:
+        """Adds what a replica said of its rate limit.
+
+        Args:
+            instance: The replica.
+            rate: Requests a second; None for no limit.
+            sent_at: When the request was sent whose answer said so.
+
+        Returns:
+            Whether there is something to send: a limit that hasn't changed is
+            sent again only now and then.
+        """
+        before = self.sent_rate_limits.get(instance)
+        if before is not None and before[0] == rate:
+            if sent_at - before[1] < RATE_LIMIT_INTERVAL_SECONDS:
+                return False
+        elif before is not None and sent_at <= before[1]:
+            return False
+        self.sent_rate_limits[instance] = (rate, sent_at)
+        self.rate_limits[instance] = (rate, sent_at)
+        return True
+
     def forget(self, engine: str) -> None:
         """Drops updates on an engine that was removed or has restarted."""
+        self.rate_limits.pop(engine, None)
+        self.sent_rate_limits.pop(engine, None)
         self.closings.pop(engine, None)
         self.roles.pop(engine, None)
         self.start_times.pop(engine, None)
@@ -91,6 +121,8 @@
             self.add_role(engine, role, now + seconds, started_at)
         for instance in updates.unreachable:
             self.add_unreachable(instance)
+        for instance, (rate, age) in updates.rate_limits.items():
+            self.add_rate_limit(instance, rate, now - age)
         return urgent
 
     def take(
@@ -124,8 +156,12 @@
         for engine, started_at in self.start_times.items():
             if started_at:
                 start_times[engine] = started_at
+        rate_limits = {}
+        for instance, (rate, sent_at) in self.rate_limits.items():
+            rate_limits[instance] = (rate, round(max(0.0, now - sent_at), 3))
+        self.rate_limits.clear()
         return messages.Updates(
-            placements, closed, roles, unreachable, start_times
+            placements, closed, roles, unreachable, start_times, rate_limits
         )
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -33,6 +33,8 @@
         for instance in updates.unreachable:
             if instance not in self.directory.suspects:
                 self.directory.request_probe(instance)
+        for instance, (rate, age) in updates.rate_limits.items():
+            self.directory.merge_rate_limit(instance, rate, now - age)
         for placed in updates.placements:
             self.prefix_router.add_remote_prompt(
                 placed.engine, placed.prefix_hashes, placed.tokens
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -10,6 +10,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import retry_permits as retry_permits_module
 from gypsumfold.gateway import runs as runs_module
@@ -34,6 +35,7 @@
         directory: directory_module.Directory,
         endpoints: types.Endpoints,
         retry_permits: retry_permits_module.RetryPermits,
+        rate_permits: rate_permits_module.RatePermits,
         data_centre: str,
         quarantine: quarantine_module.Quarantine,
     ):
@@ -41,6 +43,7 @@
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.retry_permits = retry_permits
+        self.rate_permits = rate_permits
         self.data_centre = data_centre
 
     async def serve(
@@ -67,6 +70,7 @@
                     progress.log_retry_refused(service)
                     break
                 progress.has_retry = True
+            await self.borrow_permit(service, progress)
             replica = await self.quarantine.place(
                 progress, route, lambda: self.choose(service, progress)
             )
@@ -94,6 +98,17 @@
             return
         raise progress.final_error()
 
+    async def borrow_permit(
+        self, service: str, progress: progress_module.Progress
+    ) -> None:
+        """Borrows a permit if only replicas that limit requests are left."""
+        now = time.monotonic()
+        if self.directory.ready(service, now, avoid=progress.avoid):
+            return
+        limited = self.directory.limited(service, None, now)
+        if limited:
+            await self.rate_permits.borrow(limited)
+
     def choose(
         self, service: str, progress: progress_module.Progress
     ) -> types.Replica | None:
@@ -126,6 +141,7 @@
         limit = None
         if route.repeatable and progress.runs + 1 < route.attempts:
             limit = ATTEMPT_TIMEOUT_FACTOR * route.objective
+        self.directory.take_permit(replica)
         self.directory.request_started(replica.instance, time.monotonic())
         progress.record_sent(replica, route=route.name)
         run = runs_module.Run(progress.fingerprint, replica, is_prefill=False)
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -203,6 +203,8 @@
 
     def record_not_started(self, error: exceptions.EndpointNotStarted) -> None:
         """Records that an attempt did not start, and whether it was sent."""
+        if isinstance(error, exceptions.EndpointLimited):
+            return
         for each in (error, error.__cause__):
             if isinstance(each, NOT_SENT_ERRORS):
                 self.missed = True
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -21,6 +21,8 @@
 ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}")
 # A decimal number of requests a second.
 RATE = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
+# Requests a second beyond which a limit is as good as none.
+MAX_RATE = 1e6
 
 
 class TargetRecord(msgspec.Struct):
@@ -379,4 +381,4 @@
     """
     if RATE.fullmatch(value.strip()) is None:
         raise exceptions.RecordInvalid(f"not a rate: {value[:40]!r}")
-    return float(value)
+    return min(float(value), MAX_RATE)
