Have the soak reject, limit and kill in series, and count all that arrives

Replicas of the soak name rate limits that change and end, all replicas of a service are full for a while, and a gateway is killed twice in a row. What reaches replicas is judged by both rules over all gateways, hops and restarts; the site has few enough spare retries that a soak can exceed them.

--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -18,6 +18,7 @@
 
 from features.support import gateways
 from features.support import processes
+from features.support import soak_arrivals
 from features.support import soak_callers
 from gypsumfold.platform import names
 
@@ -45,6 +46,10 @@
     "unframed",
     "halved",
 )
+# Requests a second that replicas name as their limits, and how many requests a
+# replica rejects that is full for a while.
+RATE_LIMITS = (0.5, 1.0, 2.0, 4.0)
+REJECTED = 40
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
 CALM = 36.0
@@ -96,6 +101,9 @@
         self.runs: dict[str, int] = {}
         self.orders: dict[str, list[dict]] = {}
         self.counted: set[tuple[str, str]] = set()
+        self.arrivals: dict[str, list[soak_arrivals.Arrival]] = {}
+        self.services: dict[str, str] = {}
+        self.disturbed: dict[str, list[float]] = {}
         self.ended = threading.Event()
         self.lock = threading.Lock()
         self.streams: list[soak_callers.Stream] = []
@@ -106,6 +114,12 @@
 
     def prepare(self) -> None:
         """Starts the fleet, each replica and the store behind a proxy."""
+        # So few spare retries that a soak can exceed the budget.
+        self.fleet.sections["retries"] = {
+            "share": soak_arrivals.SHARE,
+            "window_s": soak_arrivals.WINDOW,
+            "slack": soak_arrivals.SPARE,
+        }
         self.fleet.start_store()
         wanted = [(name, "app", "") for name in PLAINS]
         for number, name in enumerate(self.engines):
@@ -179,6 +193,10 @@
             self.release,
             self.spoil_answers,
             self.spoil_answers,
+            self.limit,
+            self.limit,
+            self.fill,
+            self.kill_twice,
             self.configure,
         )
         seconds = self.random.uniform(*LASTS)
@@ -207,7 +225,9 @@
     def partition(self):
         """Lets nothing pass between one replica and one gateway."""
         name = self.random.choice((*PLAINS, *self.engines))
-        source = self.fleet[self.random.choice(self.gateways)].host
+        gateway = self.random.choice(self.gateways)
+        source = self.fleet[gateway].host
+        self.disturb(gateway)
         self.fleet.proxies[name].partition(source)
         return name, self.fleet.proxies[name].heal
 
@@ -218,6 +238,7 @@
         """
         cut = self.random.sample(self.gateways, self.random.choice((1, 1, 2)))
         how = self.random.choice(("partition", "cut"))
+        self.disturb(*cut)
         for name in (*PLAINS, *self.engines):
             for gateway in cut:
                 proxy = self.fleet.proxies[name]
@@ -226,6 +247,7 @@
         def undo() -> None:
             for name in (*PLAINS, *self.engines):
                 self.fleet.proxies[name].heal()
+            self.disturb(*cut)
 
         return f"{how} {', '.join(cut)}", undo
 
@@ -256,6 +278,51 @@
         self.fleet[name].faults(**{kind: 3})
         return f"{name} {kind}", lambda: None
 
+    def disturb(self, *gateways: str) -> None:
+        """Notes that gateways were cut, frozen or started just now."""
+        for name in gateways:
+            self.disturbed.setdefault(name, []).append(time.monotonic())
+
+    def limit(self):
+        """Has some replicas name a rate limit, another one, or none."""
+        names_limited = self.random.sample((*PLAINS, *self.engines), 3)
+        rate = self.random.choice(RATE_LIMITS)
+        self.set_limits(names_limited, rate)
+
+        def undo() -> None:
+            self.set_limits(names_limited, 0.0)
+
+        return f"{', '.join(names_limited)} at {rate}", undo
+
+    def set_limits(self, replicas: list[str], rate: float) -> None:
+        """Has the replicas that are there name a limit."""
+        for name in replicas:
+            if self.fleet[name].alive:
+                self.fleet[name].faults(rate_limit=rate)
+
+    def fill(self):
+        """Has all replicas of a service reject their next requests."""
+        chosen = self.random.choice((PLAINS, tuple(self.engines)))
+        for name in chosen:
+            if self.fleet[name].alive:
+                self.fleet[name].faults(refused=REJECTED)
+
+        def undo() -> None:
+            for name in chosen:
+                if self.fleet[name].alive:
+                    self.fleet[name].faults(refused=0)
+
+        return chosen[0], undo
+
+    def kill_twice(self):
+        """Kills a gateway, starts it, and kills it once more."""
+        process = self.fleet[self.random.choice(self.gateways)]
+        if process.alive and not process.frozen:
+            process.kill()
+            process.child.wait()
+            self.restart(process)
+        return self.end_gateway(lambda process: process.kill())
+
     def pause(self):
         """Pauses a gateway and lets it go on."""
         process = self.fleet[self.random.choice(self.gateways)]
@@ -263,6 +330,7 @@
             process.freeze()
 
         def undo() -> None:
+            self.disturb(process.name)
             if process.frozen and process.alive:
                 process.thaw()
 
@@ -297,6 +365,7 @@
         """Starts a gateway again."""
         process.restart()
         self.starts[process.name] += 1
+        self.disturb(process.name)
 
     def crash_engine(self):
         """Kills an engine; a new one comes at its address."""
@@ -415,6 +484,17 @@
             attempt = run["attempt"]
             self.runs[attempt] = self.runs.get(attempt, 0) + 1
         self.orders[record["instance"]] = record["orders"]
+        self.services[record["instance"]] = "app" if name in PLAINS else "lm"
+        arrivals = self.arrivals.setdefault(record["instance"], [])
+        for row in record["arrival_log"]:
+            arrivals.append(
+                soak_arrivals.Arrival(
+                    row["at"],
+                    row["attempt"],
+                    row["prefilled"],
+                    row["rate_limit"],
+                )
+            )
 
     def collect(self) -> None:
         """Reads the records of all replicas that are left."""
@@ -437,6 +517,7 @@
                 first = holders.setdefault(order["fence"], order["holder"])
                 if first != order["holder"]:
                     found.append(f"{instance}: two holders of one token")
+        found += self.judge_arrivals()
         for name in self.gateways:
             found += self.regressed(name)
         if not self.recovered:
@@ -467,6 +548,38 @@
             found.append(f"{ask}: not all events in order")
         return found
 
+    def judge_arrivals(self) -> list[str]:
+        """Judges what replicas got by the retry budget and by their limits."""
+        gateways_by_attempt = {ask.attempt: ask.gateway for ask in self.asks}
+        found = []
+        for instance, arrivals in self.arrivals.items():
+            kept = []
+            for arrival in arrivals:
+                gateway = gateways_by_attempt.get(arrival.attempt)
+                if not self.is_excused(gateway, arrival.at):
+                    kept.append(arrival)
+            found += soak_arrivals.over_limit(instance, kept)
+        for service in ("app", "lm"):
+            arrivals = []
+            for instance, some in self.arrivals.items():
+                if self.services[instance] == service:
+                    arrivals += some
+            sent = []
+            for ask in self.asks:
+                if ("stream" in ask.path) == (service == "lm"):
+                    sent.append(ask.at)
+            found += soak_arrivals.over_budget(service, arrivals, sent)
+        return found
+
+    def is_excused(self, gateway: str | None, at: float) -> bool:
+        """Whether a gateway was cut, frozen or started a moment before."""
+        if gateway is None:
+            return True
+        for moment in self.disturbed.get(gateway, ()):
+            if 0.0 <= at - moment < soak_arrivals.CONTACT:
+                return True
+        return False
+
     def regressed(self, name: str) -> list[str]:
         """Checks that no process of a gateway went back in configuration.
 
--- a/features/support/soak_callers.py
+++ b/features/support/soak_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import time
 from typing import NamedTuple
 
 from features.support import gateways
@@ -34,6 +35,7 @@
         body: What came.
         events: Whole events that came, by id and version.
         is_take_up: Whether it took a stream up.
+        at: When it was sent.
     """
 
     attempt: str
@@ -45,6 +47,7 @@
     body: bytes
     events: tuple[tuple[int, str], ...] = ()
     is_take_up: bool = False
+    at: float = 0.0
 
 
 class Stream(NamedTuple):
@@ -82,6 +85,7 @@
             path: What for.
             stream_begun: A stream that broke off and is taken up.
         """
+        sent_at = time.monotonic()
         stream = "stream" in path
         number = self.random.randrange(40)
         chain = f"aa:4000,{number:x}:300" if stream else ""
@@ -127,6 +131,7 @@
             data,
             tuple(events),
             stream_begun is not None,
+            sent_at,
         )
 
     def connect(self, gateway: str) -> http.client.HTTPConnection:
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -47,6 +47,8 @@
         crashing: Text of a body whose run ends the process; none if empty.
         silent: Nothing is answered any more.
         orders_lost: Next orders carried out whose answer is dropped.
+        rate_limit: Requests a second from all nodes, named in each answer to a
+            request; none if 0.
     """
 
     seconds: float = 0.02
@@ -64,6 +66,7 @@
     crashing: str = ""
     silent: bool = False
     orders_lost: int = 0
+    rate_limit: float = 0.0
 
     def takes(self, name: str) -> bool:
         """Counts a fault down and says whether it strikes now."""
@@ -108,6 +111,7 @@
         self.orders: list[dict[str, Any]] = []
         self.left: list[str] = []
         self.arrivals = 0
+        self.arrival_log: list[dict[str, Any]] = []
         self.while_busy: list[str] = []
         self.strays = 0
         self.strays_closed = 0
@@ -121,6 +125,13 @@
             await serving.while_true(lambda: self.faults.silent)
             return serving.drop(request)
         self.arrivals += 1
+        row = {
+            "at": time.monotonic(),
+            "attempt": request.headers.get("Attempt-Id", ""),
+            "prefilled": False,
+            "rate_limit": self.faults.rate_limit,
+        }
+        self.arrival_log.append(row)
         body = await request.read()
         wanted = request.headers.get("Expect-Instance", self.instance)
         if wanted != self.instance:
@@ -133,6 +144,7 @@
             return web.Response(status=503, headers={"Not-Run": "1"})
         attempt = request.headers.get("Attempt-Id", "")
         if request.headers.get("Stage") == "prefill":
+            row["prefilled"] = self.stage == "prefill"
             return await self.prefill(request, attempt)
         handle = request.headers.get("Kv-Source", "")
         self.runs.append(
@@ -153,6 +165,13 @@
             self.left.append(attempt)
             raise
 
+    async def name_limit(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Names the rate limit in an answer to a request."""
+        if self.faults.rate_limit and "Attempt-Id" in request.headers:
+            response.headers["Server-Limit"] = str(self.faults.rate_limit)
+
     async def prefill(
         self, request: web.Request, attempt: str
     ) -> web.StreamResponse:
@@ -324,6 +343,7 @@
                 "orders": self.orders,
                 "left": self.left,
                 "arrivals": self.arrivals,
+                "arrival_log": self.arrival_log,
                 "while_busy": self.while_busy,
                 "strays_open": self.strays - self.strays_closed,
                 "handles": sorted(self.handles),
@@ -342,6 +362,7 @@
     app.router.add_post("/_test/restart", replica.restart)
     serving.add_faults(app, replica.faults)
     app.router.add_route("*", "/{path:.*}", replica.handle)
+    app.on_response_prepare.append(replica.name_limit)
     return app
 
 
