--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -46,9 +46,9 @@
     "unframed",
     "halved",
 )
-# Requests a second that replicas name as their limits, and how many requests a
-# replica rejects that is full for a while.
-RATE_LIMITS = (0.5, 1.0, 2.0, 4.0)
+# Requests a second that replicas name as their limits, 0 for none, and how many
+# requests a replica rejects that is full for a while.
+RATE_LIMITS = (0.2, 0.5, 1.0, 2.0, 0.0)
 REJECTED = 40
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
@@ -284,21 +284,13 @@
             self.disturbed.setdefault(name, []).append(time.monotonic())
 
     def limit(self):
-        """Has some replicas name a rate limit, another one, or none."""
-        names_limited = self.random.sample((*PLAINS, *self.engines), 3)
+        """Has some replicas name a rate limit until they name another."""
+        chosen = self.random.sample((*PLAINS, *self.engines), 3)
         rate = self.random.choice(RATE_LIMITS)
-        self.set_limits(names_limited, rate)
-
-        def undo() -> None:
-            self.set_limits(names_limited, 0.0)
-
-        return f"{', '.join(names_limited)} at {rate}", undo
-
-    def set_limits(self, replicas: list[str], rate: float) -> None:
-        """Has the replicas that are there name a limit."""
-        for name in replicas:
+        for name in chosen:
             if self.fleet[name].alive:
                 self.fleet[name].faults(rate_limit=rate)
+        return f"{', '.join(chosen)} at {rate}", lambda: None
 
     def fill(self):
         """Has all replicas of a service reject their next requests."""
@@ -423,6 +415,9 @@
             process = self.fleet[name]
             if process.frozen:
                 process.thaw()
+        for name in (*PLAINS, *self.engines):
+            if self.fleet[name].alive:
+                self.fleet[name].faults(rate_limit=0.0)
         rng = random.Random(self.seed)
         limit = time.monotonic() + CALM
         wanted = {
