Refuse at once what the limits of all engines leave no room for

They are refused as not run once no other gateway lends a permit; streams that go on and prompts that were processed wait for their engines as before.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -45,3 +45,6 @@
 
   Scenario: What a replica said last counts, whatever arrives last
     Then a limit of 3 named in answer to a newer request outlasts one of 9 and none in answer to older ones
+
+  Scenario: Callers wait in vain where all engines limit their requests
+    Then of the requests that 4 decode engines at a limit of 1 a second before 6 gateways leave no room for 95 in 100 are refused within 0.5 seconds
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -161,3 +161,29 @@
     assert not known.observe("i-1", older, sent_at=4.0)
     assert not known.observe("i-1", None, sent_at=3.0)
     assert known.rate("i-1", 6.0) == rate
+
+
+@behave.then(
+    "of the requests that {limited} at a limit of {rate:g} a second before "
+    "{nodes:d} gateways leave no room for {share:d} in 100 are refused within "
+    "{seconds:g} seconds"
+)
+def step_refused(context, limited, rate, nodes, share, seconds):
+    site = virtual_gateways.Site(SEED)
+    refused = []
+
+    async def story():
+        callers = await start_asking(site, nodes)
+        limit(site, limited, rate)
+        begin = site.clock() + virtual_limits.CONTACT
+        await site.pass_time(LIMITED)
+        for end in callers.ends:
+            if end.at >= begin and end.status == 503:
+                refused.append(end.seconds)
+
+    site.play(story())
+    quick = sum(waited <= seconds for waited in refused)
+    assert refused and quick >= share / 100 * len(refused), (
+        quick,
+        len(refused),
+    )
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -178,7 +178,16 @@
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
             exceptions.AnswerBroken: An engine may have started to run it.
         """
-        await self.borrow_permit(service, False, progress)
+        is_limited = await self.borrow_permit(service, False, progress)
+        # A stream that goes on, or a prompt that was processed, waits for its
+        # engines.
+        is_tied = progress.origin is not None or progress.handle is not None
+        if is_limited and not is_tied and not progress.may_have_run:
+            raise exceptions.Unavailable(
+                "the engines limit their requests",
+                outcomes.Outcome.NOT_RUN,
+                progress.retry_after(),
+            )
         await self.wait_for_decode_engine(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
@@ -221,15 +230,20 @@
         service: types.Service,
         prefill: bool,
         progress: progress_module.Progress,
-    ) -> None:
-        """Borrows a permit if only engines that limit requests are left."""
+    ) -> bool:
+        """Borrows a permit if only engines that limit requests are left.
+
+        Returns:
+            Whether a limit leaves no engine for the request.
+        """
         now = time.monotonic()
         origin = None if prefill else progress.origin
         if self.directory.engines(service.name, prefill, now, origin=origin):
-            return
+            return False
         limited = self.directory.limited(service.name, prefill, now, origin)
-        if limited:
-            await self.rate_permits.borrow(limited)
+        if not limited:
+            return False
+        return not await self.rate_permits.borrow(limited)
 
     async def wait_for_decode_engine(
         self,
