--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -238,7 +238,7 @@
         if stage == "decode":
             fleet[name].faults(events=EVENTS, event_seconds=EVENT_SECONDS)
     for name in ("edge-1", "edge-2"):
-        fleet.start_gateway(name)
+        fleet.start_gateway(name, first_start=True)
     for name, _, _ in wanted:
         fleet.until_known("edge-1", name)
         fleet.until_known("edge-2", name)
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -297,6 +297,7 @@
         ready: bool = True,
         data_centre: str = "north-apron",
         leaving_ms: int = 2000,
+        first_start: bool = False,
         **peers,
     ):
         """Starts a gateway and waits until it is ready.
@@ -306,11 +307,16 @@
             ready: Whether to wait.
             data_centre: Where it stands.
             leaving_ms: Time after which a leaving replica must get no work.
+            first_start: Whether it starts with the whole system.
             **peers: More of its settings for peers.
         """
         host = fleets.new_host()
         sections = {
-            "node": {"name": name, "data_centre": data_centre},
+            "node": {
+                "name": name,
+                "data_centre": data_centre,
+                "first_start": first_start,
+            },
             "callers": {
                 "front": f"{host}:{FRONT_PORT}",
                 "ready": f"{host}:{READY_PORT}",
