End a limit by answers to the request alone, and look for permits only at limits

Read on the way through the diff: an answer left over from an earlier request ended a limit that it didn't name, as it was looked at before its id; and each request listed the replicas twice though none named a limit.

--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -236,6 +236,8 @@
         Returns:
             Whether a limit leaves no engine for the request.
         """
+        if not self.directory.rate_limits.named:
+            return False
         now = time.monotonic()
         origin = None if prefill else progress.origin
         if self.directory.engines(service.name, prefill, now, origin=origin):
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -102,6 +102,8 @@
         self, service: str, progress: progress_module.Progress
     ) -> None:
         """Borrows a permit if only replicas that limit requests are left."""
+        if not self.directory.rate_limits.named:
+            return
         now = time.monotonic()
         if self.directory.ready(service, now, avoid=progress.avoid):
             return
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -65,10 +65,6 @@
         answer = await self.exchange(
             replica, call.method, call.target, fields, call.body
         )
-        if not answer.names_rate_limit and answer.status != 421:
-            # Only answers to callers' requests are known to name a limit for
-            # as long as it holds.
-            self.rate_limit_listener(replica, None, sent_at)
         found = {name.lower(): value for name, value in answer.fields}
         echoed = found.get(names.ATTEMPT.lower().encode(), b"")
         if echoed and echoed != call.id.encode():
@@ -80,6 +76,10 @@
             raise exceptions.EndpointMismatch(
                 f"{replica.instance} has another role or is gone"
             )
+        if not answer.names_rate_limit:
+            # Only answers to callers' requests are known to name a limit for
+            # as long as it holds.
+            self.rate_limit_listener(replica, None, sent_at)
         if answer.status < 300 and b"content-encoding" in found:
             answer.close()
             raise exceptions.AnswerBroken("the answer is encoded")
