--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -224,7 +224,7 @@
         self.late: list[tuple[str, float]] = []
         self.reset_share = 0.0
         self.refusing_share = 0.0
-        # When a process of a gateway was first told the limit of a replica.
+        # Time of the first answer with a limit, by gateway process and replica.
         self.told: dict[tuple[int, str], float] = {}
         self.replicas: dict[str, Replica] = {}
         self.tasks: dict[asyncio.Task, bool] = {}
--- a/features/support/virtual_limits.py
+++ b/features/support/virtual_limits.py
@@ -3,9 +3,9 @@
 import bisect
 from typing import NamedTuple
 
-# The users' rule: from this many seconds after the naming on, a replica gets in
-# so many seconds this share of what its limit allows and some more, from
-# gateways that it told this long before.
+# Seconds from the first answer with a limit until the limit is judged; length
+# of a window in seconds; share of the limit and further requests allowed in it;
+# seconds after a process's first such answer from which its requests count.
 CONTACT = 3.0
 WINDOW = 4.0
 SHARE = 1.5
