--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -196,7 +196,7 @@
 def interrupt(context):
     """Interrupts the requests at the replica as it is known by now."""
     for fingerprint in context.interrupted:
-        run = runs_module.Run(fingerprint, REPLICA, is_prefill=False)
+        run = runs_module.Run(fingerprint, (), REPLICA, is_prefill=False)
         context.quarantine.record_interruption(run)
 
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -321,7 +321,7 @@
     "replica-crashed",
     "warning",
     "A replica crashed while it ran requests of this node, which are listed "
-    "by fingerprint.",
+    "by fingerprint, and so are the parts of prompts of those without output.",
 )
 QUARANTINE_BEGUN = define(
     317,
--- a/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints that identify a request over all attempts of its caller."""
+"""Fingerprints of requests and of the parts of their prompts."""
 
 import hashlib
 
@@ -19,7 +19,7 @@
         call: The request.
 
     Returns:
-        An unsigned integer of `SIZE` bytes.
+        An unsigned integer of `DIGEST_BYTES` bytes.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     parts = [
@@ -42,6 +42,28 @@
     return int.from_bytes(digest.digest())
 
 
+def part_fingerprints(call: types.Call) -> tuple[int, ...]:
+    """Hashes the parts of a prompt that other requests may share.
+
+    The last part belongs to the request alone and is left out. The position
+    doesn't matter, nor who sends the request.
+
+    Args:
+        call: The request.
+
+    Returns:
+        One unsigned integer for each part, in the order of the prompt.
+    """
+    found = []
+    for block in call.chain[:-1]:
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (call.model.encode(), block.id.encode()):
+            digest.update(len(part).to_bytes(8))
+            digest.update(part)
+        found.append(int.from_bytes(digest.digest()))
+    return tuple(found)
+
+
 def to_hex(value: int) -> str:
     """Formats a fingerprint as in log lines."""
     return f"{value:0{2 * DIGEST_BYTES}x}"
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -415,7 +415,9 @@
             route=route.name,
             resumed=stream.last_event,
         )
-        run = runs_module.Run(progress.fingerprint, replica, is_prefill=False)
+        run = runs_module.Run(
+            progress.fingerprint, progress.parts, replica, is_prefill=False
+        )
         self.quarantine.record_start(run)
         try:
             await self.exchange(run, instructions, stream, progress)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -146,7 +146,9 @@
         self.directory.take_permit(replica)
         self.directory.request_started(replica.instance, time.monotonic())
         progress.record_sent(replica, route=route.name)
-        run = runs_module.Run(progress.fingerprint, replica, is_prefill=False)
+        run = runs_module.Run(
+            progress.fingerprint, progress.parts, replica, is_prefill=False
+        )
         self.quarantine.record_start(run)
         sent_at = time.time()
         try:
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -207,7 +207,10 @@
             if isinstance(error, exceptions.AnswerBroken):
                 self.quarantine.record_interruption(
                     runs_module.Run(
-                        progress.fingerprint, replica, is_prefill=True
+                        progress.fingerprint,
+                        progress.parts,
+                        replica,
+                        is_prefill=True,
                     )
                 )
             self.directory.request_failed(
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -33,6 +33,7 @@
 
     Attributes:
         fingerprint: Identifies the request over all attempts of its caller.
+        parts: Fingerprints of the parts of its prompt that others may share.
         may_have_run: Whether a replica may have started to run it.
         answer_started: Whether any of the answer was sent to the caller.
         arrived: Whether a replica may have received an attempt. Each further
@@ -60,6 +61,7 @@
         self.usage = usage
         self.has_begun = False
         self.fingerprint = fingerprints.fingerprint(call)
+        self.parts = fingerprints.part_fingerprints(call)
         self.may_have_run = False
         self.answer_started = False
         self.arrived = False
@@ -132,6 +134,7 @@
             events.CALL_PLACED,
             request=self.call.id,
             fingerprint=fingerprints.to_hex(self.fingerprint),
+            parts=[fingerprints.to_hex(part) for part in self.parts],
             instance=replica.instance,
             left=round(self.time_left(), 3),
             version=replica.version,
--- a/packages/gypsumfold/src/gypsumfold/gateway/runs.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/runs.py
@@ -24,6 +24,7 @@
 
     Attributes:
         fingerprint: Fingerprint of the request.
+        parts: Fingerprints of the parts of its prompt that others may share.
         replica: Replica that runs it.
         is_prefill: Whether only its prefill runs there.
         has_output: Whether output of this run was sent to the caller.
@@ -34,9 +35,14 @@
     """
 
     def __init__(
-        self, fingerprint: int, replica: types.Replica, is_prefill: bool
+        self,
+        fingerprint: int,
+        parts: tuple[int, ...],
+        replica: types.Replica,
+        is_prefill: bool,
     ):
         self.fingerprint = fingerprint
+        self.parts = parts
         self.replica = replica
         self.is_prefill = is_prefill
         self.has_output = False
@@ -61,7 +67,7 @@
             did not crash.
 
     >>> runs = InterruptedRuns(directory)
-    >>> run = Run(fingerprint, replica, is_prefill=False)
+    >>> run = Run(fingerprint, parts, replica, is_prefill=False)
     >>> runs.add(run)
     """
 
@@ -139,8 +145,12 @@
         if not runs or known.draining:
             return
         requests = []
+        parts = set()
         for run in runs:
             requests.append(fingerprints.to_hex(run.fingerprint))
+            if run.has_output or run.is_prefill:
+                continue
+            parts.update(fingerprints.to_hex(part) for part in run.parts)
         events.log(
             events.REPLICA_CRASHED,
             instance=instance,
@@ -148,6 +158,7 @@
             seconds=round(time.monotonic() - runs[0].interrupted_at, 3),
             requests=requests,
             silent=sum(not run.has_output for run in runs),
+            silent_parts=sorted(parts),
         )
         for listener in self.crash_listeners:
             listener(Crash(replica, runs))
