--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -35,6 +35,7 @@
         gateway: The gateway that took it.
         first: Whether it was its caller's first.
         at: When it began.
+        begun: Whether its answer had begun.
     """
 
     body: bytes
@@ -45,6 +46,7 @@
     gateway: str = ""
     first: bool = True
     at: float = 0.0
+    begun: bool = False
 
 
 class Reply:
@@ -178,6 +180,7 @@
             seconds,
             gateway=node.name,
             at=call.arrival,
+            begun=reply.status == 200,
         )
         return end, wait
 
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -48,6 +48,12 @@
 # Share of connections that a replica closes after an answer.
 CLOSED_SHARE = 0.3
 SLOTS = 64
+DATA_CENTRES = 3
+
+
+def parts_of(call: types.Call) -> frozenset[str]:
+    """The parts of a call's prompt."""
+    return frozenset(block.id for block in call.chain)
 
 
 class Arrival(NamedTuple):
@@ -62,6 +68,7 @@
         accepted: Whether the replica took it.
         gateway: Which gateway sent it.
         process: Which process of that gateway.
+        parts: The parts of its prompt.
     """
 
     at: float
@@ -72,6 +79,7 @@
     accepted: bool = True
     gateway: str = ""
     process: int = 0
+    parts: frozenset[str] = frozenset()
 
 
 class Crashed(NamedTuple):
@@ -81,11 +89,13 @@
         at: When.
         body: The request that crashed it; empty where none did.
         instance: Which.
+        parts: The parts of that request's prompt.
     """
 
     at: float
     body: bytes
     instance: str
+    parts: frozenset[str] = frozenset()
 
 
 class Replica:
@@ -121,7 +131,7 @@
             **made_up.REGISTRATION,
             "service": self.service,
             "addr": self.address,
-            "zone": f"dc-{self.place % 3}",
+            "zone": f"dc-{self.place % DATA_CENTRES}",
             "version": self.version,
             "slots": SLOTS,
             "state": "draining" if self.draining else "ready",
@@ -173,8 +183,10 @@
         fleet = self.replica.fleet
         crashes_after = fleet.begins(self.call)
         if crashes_after is not None:
+            if fleet.output_before_crash:
+                yield f"id: 0\ndata: {self.replica.version}\n\n".encode()
             if await self.replica.lasts(crashes_after):
-                fleet.crash(self.replica, self.call.body)
+                fleet.crash(self.replica, self.call.body, parts_of(self.call))
             raise exceptions.AnswerBroken("the connection ended")
         for number in range(self.first, self.events):
             step = STEP + STEP_EACH * len(self.replica.running)
@@ -201,6 +213,8 @@
 
     Attributes:
         crashing: Bodies of requests that crash what runs them.
+        crashing_parts: Parts of prompts with which every request does so.
+        output_before_crash: Whether such a request gives output first.
         arrivals: All requests that reached a replica.
         crashes: All replicas that ended.
         completed: Bodies of requests that ran to their end.
@@ -218,6 +232,8 @@
         self.site = site
         self.numbers = itertools.count(1)
         self.crashing: set[bytes] = set()
+        self.crashing_parts: set[str] = set()
+        self.output_before_crash = False
         self.arrivals: list[Arrival] = []
         self.crashes: list[Crashed] = []
         self.completed: set[bytes] = set()
@@ -261,12 +277,17 @@
         await asyncio.sleep(3 * HEARTBEAT)
         self.site.log.write(topic, replica.instance, None)
 
-    def crash(self, replica: Replica, body: bytes = b"") -> None:
+    def crash(
+        self,
+        replica: Replica,
+        body: bytes = b"",
+        parts: frozenset[str] = frozenset(),
+    ) -> None:
         """Ends a replica; another lifetime follows at its address."""
         if not replica.alive:
             return
         now = self.site.clock()
-        self.crashes.append(Crashed(now, body, replica.instance))
+        self.crashes.append(Crashed(now, body, replica.instance, parts))
         replica.end()
         self.spawn(self.restart(replica))
 
@@ -339,10 +360,17 @@
 
     def begins(self, call: types.Call) -> float | None:
         """Begins a run; seconds until it crashes its replica, if it does."""
-        if call.body in self.crashing:
+        crashing = not self.crashing_parts.isdisjoint(parts_of(call))
+        if crashing or call.body in self.crashing:
             return self.site.rng.uniform(*CRASH_AFTER)
         return None
 
+    def lose_data_centre(self, number: int) -> None:
+        """Ends all engines of a data centre at once."""
+        for replica in list(self.replicas.values()):
+            if replica.stage and replica.place % DATA_CENTRES == number:
+                self.crash(replica)
+
     def resets(self) -> bool:
         """Draws whether an answer is to be reset."""
         return self.site.rng.random() < self.reset_share
@@ -498,6 +526,7 @@
                 not refuses,
                 self.name,
                 id(self),
+                parts_of(call),
             )
         )
         now = fleet.site.clock()
