Suspect parts of prompts of crashes too, and refuse the requests that hold them

Callers saw: requests of all streaming routes refused or broken off for as long as requests with one part came, no two of them alike; each crashed the engine that began to answer it.

Cause: a crash was put down to whole requests only, by a fingerprint that also has the last part and the body, so that nothing added up. The class: a cause that is told by something narrower than itself.

Change: subjects of suspicion are whole requests and the parts of prompts but the last, in one set of records. A part with which a replica of the same software version has answered is sound; this keeps beginnings that all callers share out of it. A suspected part runs at one replica of the site at a time, and is refused after three crashes, four while replicas also crash without it. Crashes at about the same time count once, so that the loss of a data centre convicts no part. A request is refused for a part only if no recurring subject that it doesn't hold explains the part's crashes as well. Of two nodes that reserve a suspect at once one goes on; both gave way before, and dozens of waiting requests never ran. Records in the store are merged before they are replaced, which joins nodes that don't hear each other.

--- a/features/support/virtual_parts.py
+++ b/features/support/virtual_parts.py
@@ -21,6 +21,8 @@
 CULPRIT_TOKENS = 200
 # Crashes after which the rules count what reaches replicas.
 FATAL = 5
+# Sound requests of which the rules count how many began.
+FEWEST = 20
 
 
 class Culprit(NamedTuple):
@@ -114,7 +116,10 @@
         return end.body not in self.held
 
     def begun(self, start: float, end: float) -> float:
-        """Share of sound first attempts on the culprits' route that began."""
+        """Share of sound first attempts on the culprits' route that began.
+
+        1 where they are too few to count.
+        """
         sent = 0
         begun = 0
         for one in self.ends:
@@ -126,7 +131,7 @@
                 continue
             sent += 1
             begun += one.begun
-        return begun / max(1, sent)
+        return begun / sent if sent >= FEWEST else 1.0
 
     def refused_sound(self) -> set[bytes]:
         """Sound requests that were refused as crashing replicas."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -34,6 +34,8 @@
             about an earlier canary are ignored.
         instance: The replica that runs it.
         until: When it counts as ended.
+        reserved: Whether it has not started: its owner waits until all nodes
+            know of it.
     """
 
     fingerprint: int
@@ -41,6 +43,7 @@
     number: int
     instance: str
     until: float
+    reserved: bool = False
 
 
 class Canaries:
@@ -64,16 +67,26 @@
         """Records that a canary of this node runs until `end` is called."""
         self.record(fingerprint, instance, math.inf)
 
+    def reserve(self, fingerprint: int, instance: str) -> None:
+        """Records that a canary of this node is about to run."""
+        self.record(fingerprint, instance, math.inf, reserved=True)
+
     def hold(self, fingerprint: int, instance: str, now: float) -> None:
         """Keeps all copies of an interrupted request from running briefly."""
         self.record(fingerprint, instance, now + HOLD_SECONDS)
 
-    def record(self, fingerprint: int, instance: str, until: float) -> None:
+    def record(
+        self,
+        fingerprint: int,
+        instance: str,
+        until: float,
+        reserved: bool = False,
+    ) -> None:
         """Records a canary of this node."""
         self.number += 1
         place = fingerprint, self.owner
         self.known[place] = Canary(
-            fingerprint, self.owner, self.number, instance, until
+            fingerprint, self.owner, self.number, instance, until, reserved
         )
         self.pending_sends[place] = SEND_TIMES
 
@@ -132,12 +145,18 @@
                 return True
         return False
 
-    def is_running_elsewhere(self, fingerprint: int, now: float) -> bool:
-        """Whether another node runs a copy of a request as a canary."""
+    def must_yield(self, fingerprint: int, now: float) -> bool:
+        """Whether a reservation of this node has to be given up.
+
+        Of nodes that reserve at the same time the one with the lowest number
+        goes on; otherwise many waiting requests would all give way.
+        """
         for canary in self.known.values():
-            if canary.owner == self.owner or canary.until <= now:
+            if canary.fingerprint != fingerprint or canary.until <= now:
                 continue
-            if canary.fingerprint == fingerprint:
+            if canary.owner < self.owner:
+                return True
+            if canary.owner != self.owner and not canary.reserved:
                 return True
         return False
 
@@ -145,6 +164,10 @@
         """Whether a request may run as a replica's canary."""
         if self.is_running(fingerprint, now):
             return False
+        return self.is_unused(instance, now)
+
+    def is_unused(self, instance: str, now: float) -> bool:
+        """Whether no canary runs on a replica."""
         for canary in self.known.values():
             if canary.instance == instance and canary.until > now:
                 return False
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -1,25 +1,40 @@
-"""Finds requests that crash the replicas that run them.
+"""Finds requests, and parts of prompts, that crash the replicas that run them.
 
 Load pattern: a request that crashes each replica that runs it (a query of
-death) and is retried after each crash, at any node. Without this it takes down
-one replica after the other, and each crash interrupts dozens of other requests,
-whose retries run beside it again.
-
-Every request that a crash interrupted is suspected of it. Three crashes put a
-request into quarantine. A suspicion is dropped once the request completes, or
-once the crash is attributed to a request in quarantine. Nodes exchange their
-suspicions; records merged in any order, and more than once, give the same
-state.
+death) and is retried after each crash, at any node, or requests that share a
+part which does so. Without this they take down one replica after the other,
+and each crash interrupts dozens of other requests, whose retries run beside
+them again.
+
+Suspects are subjects: a request as a whole, and each part of its prompt that
+other requests may hold. Every subject that a crash interrupted is suspected of
+it. Three crashes put a subject into quarantine. A suspicion is dropped once a
+request with the subject completes, or once the crash is attributed to another
+subject in quarantine. Nodes exchange their suspicions; records merged in any
+order, and more than once, give the same state.
+
+A part in many prompts runs on many replicas at once. Crashes at about the same
+time count once for it, unless it ran alone.
 """
 
 import collections
+from collections.abc import Iterable
 import enum
 import math
 from typing import NamedTuple
 
+from gypsumfold.decisions import sound_parts
+from gypsumfold.decisions import subjects as subjects_module
+
 # Crashes after which a request is sent to no replica. Two crashes may interrupt
 # the same request by chance.
 MAX_CRASHES = 3
+# Crashes more that it takes for a part while replicas crash without it too.
+CHANCE_CRASHES = 1
+# Seconds for which a crash without a part counts for that.
+CHANCE_SECONDS = 60.0
+# Crashes within this time may have one cause, such as a data centre's loss.
+TOGETHER_SECONDS = 1.0
 # Length of the first quarantine. One run is tried after it, since a new version
 # of the service may handle the request.
 QUARANTINE_SECONDS = 600.0
@@ -68,43 +83,73 @@
 
 
 class Interrupted(NamedTuple):
-    """A request that a crash interrupted, as nodes exchange it.
+    """A subject that a crash interrupted, as nodes exchange it.
 
     Attributes:
         replica: The incarnation that crashed.
-        fingerprint: The request's fingerprint.
+        fingerprint: The subject's fingerprint.
         output: Whether its caller had received output of this run.
-        cleared: Whether the request has completed since.
+        cleared: Whether a request with it has completed since.
+        alone: Whether it ran as a canary.
+        version: Digest of the replica's software version; 0 if unknown.
+        age: Seconds since the crash.
     """
 
     replica: Incarnation
     fingerprint: int
     output: bool
     cleared: bool
+    alone: bool = False
+    version: int = 0
+    age: float = 0.0
+
+
+class Judgement(NamedTuple):
+    """What may be done with a request, from all its subjects.
+
+    Attributes:
+        decision: The decision.
+        suspects: The subjects that a canary has to run alone with.
+        cause: The subject in quarantine; None unless it is refused.
+        until: End of that quarantine.
+    """
+
+    decision: Decision
+    suspects: tuple[int, ...] = ()
+    cause: int | None = None
+    until: float = 0.0
 
 
 class Crash:
     """What is known of one crash.
 
     Attributes:
-        at: When this node learned of it.
-        requests: The interrupted requests, and whether each had given output.
-        cleared: Requests that have completed since.
-        cause: The request that the crash is attributed to; None if unknown.
-        expired: Requests no longer suspected of it, because their quarantine
+        at: When it was, as far as this node knows.
+        version: Digest of the replica's software version; 0 if unknown.
+        requests: The interrupted subjects, and whether each had given output.
+        alone: Subjects that ran as a canary.
+        cleared: Subjects that have completed since.
+        cause: The subject that the crash is attributed to; None if unknown.
+        expired: Subjects no longer suspected of it, because their quarantine
             is over.
     """
 
     def __init__(self, at: float):
         self.at = at
+        self.version = 0
         self.requests: dict[int, bool] = {}
+        self.alone: set[int] = set()
         self.cleared: set[int] = set()
         self.cause: int | None = None
         self.expired: set[int] = set()
 
 
 class CrashLog:
-    """Records crashes and the requests suspected of them.
+    """Records crashes and the subjects suspected of them.
+
+    Attributes:
+        sound: Parts that this node has seen answered. They are not suspected
+            here, whatever others report.
 
     >>> log = CrashLog()
     >>> for replica in ("engine-1", "engine-2", "engine-3"):
@@ -114,6 +159,7 @@
     """
 
     def __init__(self):
+        self.sound = sound_parts.SoundParts()
         self.crashes: collections.OrderedDict[Incarnation, Crash] = (
             collections.OrderedDict()
         )
@@ -127,14 +173,33 @@
         self.refreshed = -math.inf
 
     def interrupted(
-        self, replica: Incarnation, fingerprint: int, output: bool, now: float
+        self,
+        replica: Incarnation,
+        fingerprint: int,
+        output: bool,
+        now: float,
+        alone: bool = False,
+        version: int = 0,
     ) -> bool:
         """Records that a crash interrupted a request of this node.
 
+        Args:
+            replica: The incarnation that crashed.
+            fingerprint: The request, or a part of its prompt.
+            output: Whether its caller had received output of this run.
+            now: The time.
+            alone: Whether it ran as a canary.
+            version: Digest of the replica's software version.
+
         Returns:
-            Whether that puts the request into quarantine.
+            Whether that puts the subject into quarantine.
         """
-        report = Interrupted(replica, fingerprint, output, False)
+        if self.sound.is_sound(fingerprint, version):
+            self.sound.interrupted(fingerprint, version, replica)
+            return False
+        report = Interrupted(
+            replica, fingerprint, output, False, alone, version
+        )
         return self.merge(report, True, now)
 
     def merge(self, report: Interrupted, forward: bool, now: float) -> bool:
@@ -146,9 +211,11 @@
             now: The time.
 
         Returns:
-            Whether that puts the request into quarantine.
+            Whether that puts the subject into quarantine.
         """
         crash = self.crash_record(report.replica, now)
+        crash.at = min(crash.at, now - report.age)
+        crash.version = crash.version or report.version
         fingerprint = report.fingerprint
         known = fingerprint in crash.requests
         if not known and len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
@@ -156,6 +223,9 @@
         output = crash.requests.get(fingerprint, True) and report.output
         changed = not known or output != crash.requests[fingerprint]
         crash.requests[fingerprint] = output
+        if report.alone and fingerprint not in crash.alone:
+            crash.alone.add(fingerprint)
+            changed = True
         if report.cleared and fingerprint not in crash.cleared:
             crash.cleared.add(fingerprint)
             changed = True
@@ -196,7 +266,7 @@
             del self.suspected[fingerprint]
 
     def update_quarantine(self, fingerprint: int, now: float) -> bool:
-        """Quarantines a request after `MAX_CRASHES` crashes.
+        """Quarantines a subject after enough crashes.
 
         Returns:
             Whether that starts a quarantine.
@@ -204,10 +274,7 @@
         if fingerprint in self.quarantined:
             self.attribute_crashes(fingerprint)
             return False
-        crashes = max(
-            self.count(fingerprint), self.count_before_output(fingerprint)
-        )
-        if crashes < MAX_CRASHES:
+        if self.evidence(fingerprint) < self.max_crashes(fingerprint, now):
             return False
         before = self.quarantines.get(fingerprint, 0)
         self.quarantines[fingerprint] = before + 1
@@ -219,47 +286,167 @@
         self.attribute_crashes(fingerprint)
         return True
 
+    def evidence(self, fingerprint: int) -> int:
+        """Counts the crashes that speak against a subject independently."""
+        if not subjects_module.is_part(fingerprint):
+            return max(
+                self.count(fingerprint), self.count_before_output(fingerprint)
+            )
+        runs = []
+        for replica in self.suspicions(fingerprint):
+            crash = self.crashes[replica]
+            runs.append((crash.at, fingerprint in crash.alone))
+        return count_independent(runs)
+
+    def max_crashes(self, fingerprint: int, now: float) -> int:
+        """Returns after how many crashes a subject goes into quarantine.
+
+        The refusal of a part concerns many requests, so it takes more while
+        replicas crash that no request with it ran on.
+        """
+        if not subjects_module.is_part(fingerprint):
+            return MAX_CRASHES
+        for crash in self.crashes.values():
+            if fingerprint in crash.requests or crash.cause is not None:
+                continue
+            if now - crash.at < CHANCE_SECONDS:
+                return MAX_CRASHES + CHANCE_CRASHES
+        return MAX_CRASHES
+
     def attribute_crashes(self, fingerprint: int) -> None:
-        """Attributes to a quarantined request all crashes it is suspected of.
+        """Attributes to a quarantined subject all crashes it is suspected of.
 
         Crashes that are already attributed stay so.
         """
+        is_part = subjects_module.is_part(fingerprint)
+        alone = frozenset((fingerprint,))
+        if is_part and not self.is_conclusive(fingerprint, alone):
+            return
         for replica in self.suspected.get(fingerprint, ()):
             crash = self.crashes[replica]
             if crash.cause is None:
                 crash.cause = fingerprint
 
-    def completed(self, fingerprint: int) -> bool:
-        """Clears a request that has completed.
+    def answered(self, part: int, version: int) -> int:
+        """Clears a part with which a replica has given an answer.
+
+        Args:
+            part: The part.
+            version: Digest of the replica's software version.
+
+        Returns:
+            Of how many crashes it was suspected by any node.
+        """
+        crashes = len(self.suspected.get(part, ()))
+        self.sound.answered(part, version)
+        self.completed(part, version)
+        return crashes
+
+    def completed(self, fingerprint: int, version: int = 0) -> bool:
+        """Clears a subject that has completed.
+
+        Args:
+            fingerprint: The subject.
+            version: Clears it only of crashes of this software version, and of
+                those of unknown version; 0 for all.
 
         Returns:
             Whether it was suspected.
         """
-        suspected = self.suspected.pop(fingerprint, None)
-        if suspected is None:
-            return False
-        for replica in suspected:
+        cleared = False
+        for replica in list(self.suspected.get(fingerprint, ())):
             crash = self.crashes[replica]
+            if version and crash.version not in (0, version):
+                continue
             crash.cleared.add(fingerprint)
             if crash.cause == fingerprint:
                 crash.cause = None
             self.pending_sends[replica, fingerprint] = SEND_TIMES
-        self.quarantined.pop(fingerprint, None)
-        return True
+            self.withdraw(fingerprint, replica)
+            cleared = True
+        if fingerprint not in self.suspected:
+            self.quarantined.pop(fingerprint, None)
+        return cleared
 
     def suspicions(self, fingerprint: int) -> list[Incarnation]:
-        """Returns the crashes of which a request is suspected."""
+        """Returns the crashes of which a subject is suspected."""
         found = []
         for replica in self.suspected.get(fingerprint, ()):
             crash = self.crashes[replica]
             if fingerprint in crash.expired:
                 continue
-            if crash.cause in (None, fingerprint):
+            if self.sound.is_sound(fingerprint, crash.version):
+                continue
+            if not self.is_explained(crash, fingerprint):
                 found.append(replica)
         return found
 
+    def is_explained(self, crash: Crash, fingerprint: int) -> bool:
+        """Whether another subject in quarantine explains a crash.
+
+        A request doesn't explain the crashes of a part, and nothing explains
+        that of a part which had given no output. Nor does a subject that was
+        interrupted by no other crashes than this one: either may be the cause.
+        """
+        cause = crash.cause
+        if cause is None or cause == fingerprint:
+            return False
+        if not subjects_module.is_part(fingerprint):
+            return True
+        if not subjects_module.is_part(cause):
+            return False
+        if not crash.requests[fingerprint]:
+            return False
+        others = self.suspected.get(cause, set())
+        return not others <= self.suspected.get(fingerprint, set())
+
+    def is_conclusive(self, part: int, held: frozenset[int]) -> bool:
+        """Whether a part's crashes speak against all requests with some others.
+
+        They don't if other subjects, which a request doesn't hold, explain them
+        as well: several parts that crash replicas may come with one beginning.
+
+        Args:
+            part: The part.
+            held: The subjects of the request, this part included.
+        """
+        for replica in self.suspicions(part):
+            crash = self.crashes[replica]
+            if not self.has_other_cause(crash, part, held):
+                return True
+        return False
+
+    def has_other_cause(
+        self, crash: Crash, part: int, held: frozenset[int]
+    ) -> bool:
+        """Whether a subject that a request doesn't hold may explain a crash."""
+        ran_alone = part in crash.alone
+        for other in crash.requests:
+            if other in held or other in crash.cleared:
+                continue
+            if self.sound.is_sound(other, crash.version):
+                continue
+            # Requests beside a canary had not crashed anything before.
+            is_beside = ran_alone and other not in crash.alone
+            if is_beside and not subjects_module.is_part(other):
+                continue
+            if self.is_recurring(other):
+                return True
+        return False
+
+    def is_recurring(self, subject: int) -> bool:
+        """Whether a subject was in several crashes that are independent."""
+        suspected = self.suspected.get(subject, set())
+        if not subjects_module.is_part(subject):
+            return len(suspected) > 1
+        runs = []
+        for replica in suspected:
+            crash = self.crashes[replica]
+            runs.append((crash.at, subject in crash.alone))
+        return count_independent(runs) > 1
+
     def count(self, fingerprint: int) -> int:
-        """Counts the crashes of which a request is suspected."""
+        """Counts the crashes of which a subject is suspected."""
         return len(self.suspicions(fingerprint))
 
     def count_before_output(self, fingerprint: int) -> int:
@@ -277,13 +464,16 @@
         return count
 
     def decide(self, fingerprint: int, now: float) -> Decision:
-        """Decides how a request may be sent."""
+        """Decides how a request with a subject may be sent."""
         until = self.quarantined.get(fingerprint)
+        suspicions = self.suspicions(fingerprint)
         if until is not None and now < until:
-            return Decision.QUARANTINED
+            if suspicions or not subjects_module.is_part(fingerprint):
+                return Decision.QUARANTINED
+            return Decision.FREE
         if until is not None:
             self.release(fingerprint)
-        suspicions = self.suspicions(fingerprint)
+            suspicions = self.suspicions(fingerprint)
         if not suspicions:
             return Decision.FREE
         output = self.crashes[suspicions[0]].requests[fingerprint]
@@ -293,11 +483,35 @@
             return Decision.FREE
         return Decision.CANARY
 
+    def judge(self, subjects: Iterable[int], now: float) -> Judgement:
+        """Decides how a request may be sent, from all its subjects.
+
+        It is refused for a part only if it holds all that may have caused the
+        part's crashes. Otherwise it runs as a canary, which tells them apart.
+        """
+        subjects = frozenset(subjects)
+        suspects = []
+        for subject in sorted(subjects):
+            decision = self.decide(subject, now)
+            if decision == Decision.FREE:
+                continue
+            suspects.append(subject)
+            if decision == Decision.CANARY:
+                continue
+            is_part = subjects_module.is_part(subject)
+            if not is_part or self.is_conclusive(subject, subjects):
+                until = self.quarantined[subject]
+                return Judgement(decision, (), subject, until)
+        if suspects:
+            return Judgement(Decision.CANARY, tuple(suspects))
+        return Judgement(Decision.FREE)
+
     def release(self, fingerprint: int) -> None:
         """Ends a quarantine; one more crash starts the next one."""
         del self.quarantined[fingerprint]
-        suspected = sorted(self.suspected.get(fingerprint, ()))
-        for replica in suspected[: 1 + len(suspected) - MAX_CRASHES]:
+        for replica in sorted(self.suspected.get(fingerprint, ())):
+            if self.evidence(fingerprint) < MAX_CRASHES:
+                return
             self.crashes[replica].expired.add(fingerprint)
 
     def updates(self, now: float, limit: int) -> list[Interrupted]:
@@ -316,11 +530,11 @@
             # Suspicions already sent go behind those that aren't.
             if left > 1:
                 self.pending_sends[place] = left - 1
-            updates.append(self.known(*place))
+            updates.append(self.known(*place, now))
         while self.repeats and len(updates) < limit:
             replica, fingerprint = self.repeats.popleft()
             if fingerprint in self.suspicions_of(replica):
-                updates.append(self.known(replica, fingerprint))
+                updates.append(self.known(replica, fingerprint, now))
         return updates
 
     def suspicions_of(self, replica: Incarnation) -> dict[int, bool]:
@@ -331,14 +545,19 @@
         crash = self.crashes.get(replica)
         return crash.requests if crash is not None else {}
 
-    def known(self, replica: Incarnation, fingerprint: int) -> Interrupted:
-        """Returns the suspicion of one request for one crash."""
+    def known(
+        self, replica: Incarnation, fingerprint: int, now: float
+    ) -> Interrupted:
+        """Returns the suspicion of one subject for one crash."""
         crash = self.crashes[replica]
         return Interrupted(
             replica,
             fingerprint,
             crash.requests[fingerprint],
             fingerprint in crash.cleared,
+            fingerprint in crash.alone,
+            crash.version,
+            max(0.0, now - crash.at),
         )
 
     def refresh(self, now: float) -> None:
@@ -352,10 +571,29 @@
             for fingerprint in crash.requests:
                 if fingerprint in crash.cleared:
                     continue
-                if crash.cause not in (None, fingerprint):
+                if self.is_explained(crash, fingerprint):
                     continue
                 if self.count(fingerprint) > 1:
                     self.repeats.append((replica, fingerprint))
                 elif now - crash.at < RECENT_SECONDS:
                     single.append((replica, fingerprint))
         self.repeats.extend(single)
+
+
+def count_independent(runs: list[tuple[float, bool]]) -> int:
+    """Counts crashes, those at about the same time once.
+
+    Args:
+        runs: When each crash was, and whether its suspect ran alone. Those
+            that ran alone all count: only one copy was running.
+    """
+    count = 0
+    together_until = -math.inf
+    for at, alone in sorted(runs):
+        if alone:
+            count += 1
+            continue
+        if at >= together_until:
+            together_until = at + TOGETHER_SECONDS
+            count += 1
+    return count
--- a/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -34,11 +34,17 @@
         started_at: Start time of the replica in Unix milliseconds; 0 if not
             reported.
         has_output: Whether the request had given output.
+        was_alone: Whether it ran as the only suspect on the replica.
+        version: Digest of the replica's software version; 0 if unknown.
+        age: Seconds from the crash to the time of writing.
     """
 
     instance: str
     started_at: int
     has_output: bool
+    was_alone: bool = False
+    version: int = 0
+    age: float = 0.0
 
 
 class RequestRecord(msgspec.Struct):
@@ -84,6 +90,8 @@
         while True:
             await self.pending_added.wait()
             self.pending_added.clear()
+            # A write replaces what nodes out of reach have written.
+            await self.call_until_success(self.read_all)
             for fingerprint in list(self.pending):
                 del self.pending[fingerprint]
                 await self.call_until_success(
@@ -140,7 +148,13 @@
             )
             suspicions.append(
                 crashes_module.Interrupted(
-                    replica, fingerprint, crash.has_output, False
+                    replica,
+                    fingerprint,
+                    crash.has_output,
+                    False,
+                    crash.was_alone,
+                    crash.version,
+                    crash.age + max(0.0, age),
                 )
             )
         self.quarantine.merge_suspicions(suspicions, True)
@@ -150,9 +164,16 @@
         log = self.quarantine.crash_log
         crashes = []
         for replica in sorted(log.suspected.get(fingerprint, ())):
-            known = log.known(replica, fingerprint)
+            known = log.known(replica, fingerprint, time.monotonic())
             crashes.append(
-                CrashRecord(replica.instance, replica.started, known.output)
+                CrashRecord(
+                    replica.instance,
+                    replica.started,
+                    known.output,
+                    known.alone,
+                    known.version,
+                    known.age,
+                )
             )
         value = b""
         if crashes:
--- a/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from gypsumfold.decisions import subjects
 from gypsumfold.gateway import types
 
 DIGEST_BYTES = 8
@@ -39,7 +40,7 @@
         # Without the length, different splits into parts would hash alike.
         digest.update(len(part).to_bytes(8))
         digest.update(part)
-    return int.from_bytes(digest.digest())
+    return subjects.as_request(int.from_bytes(digest.digest()))
 
 
 def part_fingerprints(call: types.Call) -> tuple[int, ...]:
@@ -60,7 +61,7 @@
         for part in (call.model.encode(), block.id.encode()):
             digest.update(len(part).to_bytes(8))
             digest.update(part)
-        found.append(int.from_bytes(digest.digest()))
+        found.append(subjects.as_part(int.from_bytes(digest.digest())))
     return tuple(found)
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/crash_updates.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/crash_updates.py
@@ -13,8 +13,8 @@
 from gypsumfold.gateway.peers import sending
 
 # Entries in one datagram, and the largest size of an entry.
-MAX_ENTRIES_PER_DATAGRAM = 14
-MAX_ENTRY_BYTES = 45
+MAX_ENTRIES_PER_DATAGRAM = 12
+MAX_ENTRY_BYTES = 57
 # Datagrams sent at once.
 MAX_DATAGRAMS_PER_SEND = 16
 # Minimum seconds between two sends; seconds until entries are sent again,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -150,14 +150,17 @@
 
 
 class Interrupted(msgspec.Struct, array_like=True):
-    """A request that a replica's crash interrupted.
+    """A request that a replica's crash interrupted, or a part of its prompt.
 
     Attributes:
         instance: The replica.
         started: The replica's start in Unix milliseconds; 0 if unknown.
-        fingerprint: The request.
+        fingerprint: The request or the part.
         output: Whether its caller had received output.
-        cleared: Whether the request has since run to completion.
+        cleared: Whether a request with it has since run to completion.
+        alone: Whether it ran as the only suspect on the replica.
+        version: Digest of the replica's software version; 0 if unknown.
+        age: Seconds since the crash.
     """
 
     instance: str
@@ -165,6 +168,9 @@
     fingerprint: Fingerprint
     output: bool = False
     cleared: bool = False
+    alone: bool = False
+    version: Count = 0
+    age: Amount = 0.0
 
 
 class Canary(msgspec.Struct, array_like=True):
@@ -176,6 +182,7 @@
         number: Increases with each canary of its owner.
         instance: The replica.
         valid_seconds: For how long this is valid; 0 if the canary has ended.
+        reserved: Whether it has not started yet.
     """
 
     fingerprint: Fingerprint
@@ -183,6 +190,7 @@
     number: Count
     instance: str
     valid_seconds: Amount
+    reserved: bool = False
 
 
 class Report(msgspec.Struct, array_like=True, tag=1):
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -61,7 +61,7 @@
         last_answer = None
         for attempt in range(MAX_ATTEMPTS):
             if last_answer is not None and not self.quarantine.is_unsuspected(
-                progress.fingerprint
+                progress
             ):
                 break
             self.quarantine.admit(progress)
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -77,6 +77,11 @@
         self.is_announced = False
         self.origin: stream_origins.Origin | None = None
 
+    @property
+    def subjects(self) -> tuple[int, ...]:
+        """What may be at fault if it crashes replicas."""
+        return (*self.parts, self.fingerprint)
+
     def time_left(self) -> float:
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 import time
 
@@ -16,6 +17,7 @@
 from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import crashes as crashes_module
 from gypsumfold.decisions import routes
+from gypsumfold.decisions import subjects
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import runs as runs_module
@@ -30,6 +32,9 @@
 # Fraction of the time its caller still waits for which a suspected request is
 # held.
 MAX_HOLD_FRACTION = 0.5
+# Seconds for which a run gives output until the parts of its prompt count as
+# sound: a part that crashes replicas does so when an answer begins.
+SOUND_AFTER_SECONDS = 1.0
 
 
 class Quarantine:
@@ -39,8 +44,9 @@
         notify_peers: Called if updates for other nodes are to be sent at once.
         is_relay: Whether this node forwards updates of other nodes.
         propagation_time: Seconds until an update has reached all nodes.
-        store_crashes: Called with the fingerprint of a request whose crashes
-            are to be written to the store.
+        store_crashes: Called with a subject whose crashes are to be written
+            to the store.
+        refused: Number of requests refused since the start.
 
     >>> quarantine = Quarantine(runs)
     >>> quarantine.admit(progress)
@@ -51,6 +57,7 @@
         self.runs = runs
         self.crash_log = crashes_module.CrashLog()
         self.canaries = canaries_module.Canaries(random.getrandbits(32))
+        self.refused = 0
         self.notify_peers: Callable[[], None] = lambda: None
         self.is_relay: Callable[[], bool] = lambda: False
         self.propagation_time: Callable[[], float] = lambda: 0.0
@@ -68,16 +75,18 @@
                 has started.
         """
         now = time.monotonic()
-        decision = self.crash_log.decide(progress.fingerprint, now)
-        if decision != crashes_module.Decision.QUARANTINED:
+        judgement = self.crash_log.judge(progress.subjects, now)
+        if judgement.cause is None:
             return
-        until = self.crash_log.quarantined[progress.fingerprint]
+        self.refused += 1
         events.log(
             events.REQUEST_QUARANTINED,
             request=progress.call.id,
             fingerprint=fingerprints.to_hex(progress.fingerprint),
-            crashes=self.crash_log.count(progress.fingerprint),
-            seconds=round(until - now, 3),
+            cause=fingerprints.to_hex(judgement.cause),
+            part=subjects.is_part(judgement.cause),
+            crashes=self.crash_log.count(judgement.cause),
+            seconds=round(judgement.until - now, 3),
         )
         if progress.answer_started:
             raise exceptions.AnswerAbandoned("the request crashes replicas")
@@ -86,7 +95,7 @@
         raise exceptions.RequestQuarantined(
             "the request has crashed the replicas that ran it",
             outcomes.Outcome.NOT_RUN,
-            until - now,
+            judgement.until - now,
         )
 
     async def place(
@@ -107,9 +116,8 @@
             exceptions.AnswerAbandoned: It may not run soon enough, and its
                 answer has started.
         """
-        fingerprint = progress.fingerprint
         replica = choose()
-        if replica is None or self.is_unsuspected(fingerprint):
+        if replica is None or self.is_unsuspected(progress):
             return replica
         started = time.monotonic()
         age = 0.0
@@ -146,7 +154,11 @@
         One that is tied to a software version would otherwise take all engines
         of the version with it, and the streams that need them.
         """
-        suspicions = self.crash_log.suspicions(progress.fingerprint)
+        suspicions = []
+        for subject in progress.subjects:
+            suspicions = max(
+                suspicions, self.crash_log.suspicions(subject), key=len
+            )
         if len(suspicions) < crashes_module.MAX_CRASHES - 1:
             return False
         crashed = {suspicion.instance for suspicion in suspicions}
@@ -163,141 +175,232 @@
             events.SUSPECT_HELD,
             request=progress.call.id,
             fingerprint=fingerprints.to_hex(progress.fingerprint),
-            crashes=self.crash_log.count(progress.fingerprint),
+            crashes=self.most_crashes(progress.subjects),
             seconds=round(held, 3),
             placed=placed,
         )
 
-    def is_unsuspected(self, fingerprint: int) -> bool:
+    def most_crashes(self, subjects_held: tuple[int, ...]) -> int:
+        """Counts the crashes of the most suspected of some subjects."""
+        return max(self.crash_log.count(subject) for subject in subjects_held)
+
+    def is_unsuspected(self, progress: progress_module.Progress) -> bool:
         """Whether a request may be sent to any replica."""
         now = time.monotonic()
-        if self.is_blocked(fingerprint, now):
+        for subject in progress.subjects:
+            if self.is_blocked(subject, now):
+                return False
+        judgement = self.crash_log.judge(progress.subjects, now)
+        return judgement.decision == crashes_module.Decision.FREE
+
+    def is_blocked(self, subject: int, now: float) -> bool:
+        """Whether a copy of a subject runs as a canary or may have crashed."""
+        known = self.crash_log.sound.is_known(subject)
+        if known and not self.crash_log.suspicions(subject):
             return False
-        decision = self.crash_log.decide(fingerprint, now)
-        return decision == crashes_module.Decision.FREE
-
-    def is_blocked(self, fingerprint: int, now: float) -> bool:
-        """Whether a copy of a request runs as a canary or may have crashed."""
-        if self.runs.is_undecided(fingerprint, canaries_module.HOLD_SECONDS):
+        if self.runs.is_undecided(subject, canaries_module.HOLD_SECONDS):
             return True
-        return self.canaries.is_running(fingerprint, now)
+        return self.canaries.is_running(subject, now)
 
     async def reserve(
         self, progress: progress_module.Progress, replica: types.Replica
     ) -> bool:
         """Reserves a replica for a request; False if it may not run there now.
 
-        After two crashes no copy may run on another node at the same time, so
-        the other nodes are notified first. If two nodes notify each other,
-        both wait and try again.
+        No copy of a suspected part may run on another node at the same time,
+        nor one of a request after two crashes, so the other nodes are notified
+        first. If two nodes notify each other, one waits and tries again.
 
         Raises:
             exceptions.RequestError: As `admit`.
             exceptions.AnswerAbandoned: As `admit`.
         """
-        fingerprint = progress.fingerprint
-        if not self.can_run(fingerprint, replica):
+        if not self.can_run(progress, replica):
             return False
-        if self.crash_log.count(fingerprint) < crashes_module.MAX_CRASHES - 1:
+        now = time.monotonic()
+        suspects = self.crash_log.judge(progress.subjects, now).suspects
+        if not self.needs_reservation(suspects):
             return True
-        self.canaries.start(fingerprint, replica.instance)
+        for subject in suspects:
+            self.canaries.reserve(subject, replica.instance)
         self.notify_peers()
         alone = False
         try:
             await asyncio.sleep(self.propagation_time())
             now = time.monotonic()
             self.admit(progress)
-            alone = not self.canaries.is_running_elsewhere(fingerprint, now)
-            alone = alone and self.runs.directory.is_usable(replica.instance)
+            alone = self.runs.directory.is_usable(replica.instance)
+            for subject in suspects:
+                if self.canaries.must_yield(subject, now):
+                    alone = False
         finally:
             if not alone:
-                self.canaries.end(fingerprint, time.monotonic())
-                self.notify_peers()
+                self.end_canaries(suspects)
         return alone
 
-    def can_run(self, fingerprint: int, replica: types.Replica) -> bool:
+    def needs_reservation(self, suspects: tuple[int, ...]) -> bool:
+        """Whether no copy of a suspect may run anywhere else."""
+        for subject in suspects:
+            if subjects.is_part(subject):
+                return True
+            if self.crash_log.count(subject) >= crashes_module.MAX_CRASHES - 1:
+                return True
+        return False
+
+    def can_run(
+        self, progress: progress_module.Progress, replica: types.Replica
+    ) -> bool:
         """Whether a request may run on a replica now."""
         now = time.monotonic()
-        if self.is_blocked(fingerprint, now):
-            return False
-        decision = self.crash_log.decide(fingerprint, now)
-        if decision == crashes_module.Decision.FREE:
+        for subject in progress.subjects:
+            if self.is_blocked(subject, now):
+                return False
+        suspects = self.crash_log.judge(progress.subjects, now).suspects
+        if not suspects:
             return True
-        return self.canaries.is_free(fingerprint, replica.instance, now)
+        return self.canaries.is_unused(replica.instance, now)
 
     def record_start(self, run: runs_module.Run) -> None:
         """Records that a request starts to run."""
-        decision = self.crash_log.decide(run.fingerprint, time.monotonic())
-        if decision != crashes_module.Decision.CANARY:
-            self.canaries.end(run.fingerprint, time.monotonic())
-            return
-        run.is_canary = True
-        self.canaries.start(run.fingerprint, run.replica.instance)
-        self.notify_peers()
+        now = time.monotonic()
+        run.suspects = self.crash_log.judge(run.subjects, now).suspects
+        for subject in run.subjects:
+            if subject in run.suspects:
+                self.canaries.start(subject, run.replica.instance)
+                continue
+            # It may have been cleared since it was reserved.
+            self.canaries.end(subject, now)
+        if run.suspects:
+            self.notify_peers()
 
     def record_output(self, run: runs_module.Run) -> None:
         """Records that output of a run was sent to its caller.
 
         A canary suspected of a single crash gave no output before that crash;
-        with output it has passed that point and is a canary no more.
+        with output it has passed that point and is a canary no more. Parts
+        count as sound once the run has gone on for a while.
         """
-        if run.has_output:
+        now = time.monotonic()
+        if run.output_at is not None:
+            if run.output_at <= now - SOUND_AFTER_SECONDS:
+                run.output_at = math.inf
+                self.record_sound_parts(run)
             return
+        run.output_at = now
         run.has_output = True
-        if run.is_canary and self.crash_log.count(run.fingerprint) <= 1:
+        if run.suspects and self.most_crashes(run.suspects) <= 1:
             self.end_canary(run)
 
+    def record_sound_parts(self, run: runs_module.Run) -> None:
+        """Records that a run has passed the point at which parts crash."""
+        version = subjects.version_digest(run.replica.version)
+        for part in run.parts:
+            crashes = self.crash_log.answered(part, version)
+            if not crashes:
+                continue
+            if crashes > 1:
+                self.store_crashes(part)
+            self.log_cleared(part, run)
+            self.notify_peers()
+
     def record_completion(self, run: runs_module.Run) -> None:
         """Records that a run has completed."""
+        if run.has_output:
+            self.record_sound_parts(run)
         if self.crash_log.count(run.fingerprint) > 1:
             self.store_crashes(run.fingerprint)
         if self.crash_log.completed(run.fingerprint):
-            events.log(
-                events.SUSPECT_CLEARED,
-                fingerprint=fingerprints.to_hex(run.fingerprint),
-                instance=run.replica.instance,
-            )
+            self.log_cleared(run.fingerprint, run)
+
+    def log_cleared(self, subject: int, run: runs_module.Run) -> None:
+        """Logs that a subject is suspected no more."""
+        events.log(
+            events.SUSPECT_CLEARED,
+            fingerprint=fingerprints.to_hex(subject),
+            part=subjects.is_part(subject),
+            instance=run.replica.instance,
+        )
 
     def end_canary(self, run: runs_module.Run) -> None:
         """Records that a run has ended, completed or not."""
-        if not run.is_canary:
-            return
-        run.is_canary = False
-        if self.canaries.end(run.fingerprint, time.monotonic()):
+        suspects, run.suspects = run.suspects, ()
+        self.end_canaries(suspects)
+
+    def end_canaries(self, suspects: tuple[int, ...]) -> None:
+        """Ends canaries and holds of this node."""
+        now = time.monotonic()
+        ended = False
+        for subject in suspects:
+            ended |= self.canaries.end(subject, now)
+        if ended:
             self.notify_peers()
 
     def record_interruption(self, run: runs_module.Run) -> None:
         """Records that a run was interrupted; a crash may be the cause."""
         if not self.runs.add(run):
             return
-        run.is_canary = False
-        self.canaries.hold(
-            run.fingerprint, run.replica.instance, time.monotonic()
-        )
+        run.was_alone = run.suspects
+        run.suspects = ()
+        now = time.monotonic()
+        version = subjects.version_digest(run.replica.version)
+        for subject in run.subjects:
+            if self.crash_log.sound.is_sound(subject, version):
+                continue
+            if run.is_prefill and subjects.is_part(subject):
+                continue
+            self.canaries.hold(subject, run.replica.instance, now)
         self.notify_peers()
 
     def record_survival(self, interrupted: list[runs_module.Run]) -> None:
         """Records that a replica did not crash: its connections were reset."""
         for run in interrupted:
-            self.canaries.end(run.fingerprint, time.monotonic())
-        self.notify_peers()
+            self.end_canaries(run.subjects)
 
     def record_crash(self, crash: runs_module.Crash) -> None:
-        """Records a crash that interrupted runs of this node."""
+        """Records a crash that interrupted runs of this node.
+
+        What is most likely its cause goes first, as the number of suspects of a
+        crash is bounded.
+        """
+        silent = []
+        others = []
+        for run in crash.runs:
+            self.end_canaries(run.subjects)
+            later = run.has_output or run.is_prefill
+            (others if later else silent).append(run)
+        for run in silent + others:
+            self.record_suspects(run)
+        self.notify_peers()
+
+    def was_alone(self, run: runs_module.Run, subject: int) -> bool:
+        """Whether an interrupted run was a canary that held a subject.
+
+        Other requests may have held those of its parts that were unsuspected.
+        """
+        if subjects.is_part(subject):
+            return subject in run.was_alone
+        return bool(run.was_alone)
+
+    def record_suspects(self, run: runs_module.Run) -> None:
+        """Records that the subjects of a run may have crashed its replica."""
         replica = crashes_module.Incarnation(
-            crash.replica.instance, crash.replica.started_at
+            run.replica.instance, run.replica.started_at
         )
-        now = time.monotonic()
-        for run in crash.runs:
-            self.canaries.end(run.fingerprint, now)
-            output = run.has_output or run.is_prefill
+        version = subjects.version_digest(run.replica.version)
+        for subject in run.subjects:
+            if run.is_prefill and subjects.is_part(subject):
+                continue
             quarantined = self.crash_log.interrupted(
-                replica, run.fingerprint, output, now
+                replica,
+                subject,
+                run.has_output or run.is_prefill,
+                time.monotonic(),
+                self.was_alone(run, subject),
+                version,
             )
-            self.log_quarantine(run.fingerprint, quarantined, replica)
-            if self.crash_log.count(run.fingerprint) > 1:
-                self.store_crashes(run.fingerprint)
-        self.notify_peers()
+            self.log_quarantine(subject, quarantined, replica)
+            if self.crash_log.count(subject) > 1:
+                self.store_crashes(subject)
 
     def log_quarantine(
         self,
@@ -314,6 +417,7 @@
         events.log(
             events.QUARANTINE_BEGUN,
             fingerprint=fingerprints.to_hex(fingerprint),
+            part=subjects.is_part(fingerprint),
             instance=replica.instance,
             crashes=sorted(crashes),
         )
@@ -332,7 +436,16 @@
             left = min(
                 canaries_module.LIFETIME_SECONDS, max(0.0, one.until - now)
             )
-            running.append(messages.Canary(*one[:-1], left))
+            running.append(
+                messages.Canary(
+                    one.fingerprint,
+                    one.owner,
+                    one.number,
+                    one.instance,
+                    left,
+                    one.reserved,
+                )
+            )
         interrupted = []
         for one in self.crash_log.updates(now, limit - len(running)):
             interrupted.append(
@@ -342,6 +455,9 @@
                     one.fingerprint,
                     one.output,
                     one.cleared,
+                    one.alone,
+                    one.version,
+                    round(one.age, 1),
                 )
             )
         more = bool(self.crash_log.pending_sends or self.canaries.pending_sends)
@@ -376,7 +492,13 @@
             replica = crashes_module.Incarnation(one.instance, one.started)
             suspicions.append(
                 crashes_module.Interrupted(
-                    replica, one.fingerprint, one.output, one.cleared
+                    replica,
+                    one.fingerprint,
+                    one.output,
+                    one.cleared,
+                    one.alone,
+                    one.version,
+                    one.age,
                 )
             )
         changed = self.merge_suspicions(suspicions, self.is_relay())
@@ -388,6 +510,7 @@
                 one.number,
                 one.instance,
                 now + one.valid_seconds,
+                one.reserved,
             )
             changed |= self.canaries.merge(canary, now)
         if changed and self.is_relay():
--- a/packages/gypsumfold/src/gypsumfold/gateway/runs.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/runs.py
@@ -28,8 +28,10 @@
         replica: Replica that runs it.
         is_prefill: Whether only its prefill runs there.
         has_output: Whether output of this run was sent to the caller.
-        is_canary: Whether it runs as the only suspected request on its
-            replica.
+        output_at: Time of the first output; None before that.
+        suspects: The subjects for which it runs as the only suspected request
+            on its replica; empty if it does not.
+        was_alone: The same, when it was interrupted.
         interrupted_at: Time when its answer was interrupted; None before
             that.
     """
@@ -46,9 +48,16 @@
         self.replica = replica
         self.is_prefill = is_prefill
         self.has_output = False
-        self.is_canary = False
+        self.output_at: float | None = None
+        self.suspects: tuple[int, ...] = ()
+        self.was_alone: tuple[int, ...] = ()
         self.interrupted_at: float | None = None
 
+    @property
+    def subjects(self) -> tuple[int, ...]:
+        """What may be at fault if its replica crashes, the parts first."""
+        return (*self.parts, self.fingerprint)
+
 
 class Crash:
     """A crashed replica, with the runs of this node that it interrupted."""
@@ -98,20 +107,17 @@
         self.undecided.setdefault(instance, []).append(run)
         return True
 
-    def is_undecided(self, fingerprint: int, max_age: float) -> bool:
+    def is_undecided(self, subject: int, max_age: float) -> bool:
         """Whether it is still unknown if a crash interrupted a request.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            subject: The request's fingerprint, or that of a part of its prompt.
             max_age: Seconds after an interruption for which this counts.
         """
         start = time.monotonic() - max_age
         for runs in self.undecided.values():
             for run in runs:
-                if (
-                    run.fingerprint == fingerprint
-                    and run.interrupted_at >= start
-                ):
+                if subject in run.subjects and run.interrupted_at >= start:
                     return True
         return False
 
