--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -148,7 +148,8 @@
     229,
     "request-quarantined",
     "warning",
-    "A request is refused because it has crashed the replicas that ran it.",
+    "A request is refused because it, or the part of its prompt that is named "
+    "as the cause, has crashed the replicas that ran it.",
 )
 SUSPECT_HELD = define(
     230,
@@ -327,13 +328,15 @@
     317,
     "quarantine-begun",
     "warning",
-    "A request that crashed several replicas is sent to none for now.",
+    "A request that crashed several replicas is sent to none for now, or no "
+    "request with a part of a prompt is.",
 )
 SUSPECT_CLEARED = define(
     318,
     "suspect-cleared",
     "info",
-    "A request that was interrupted by a crash has run to completion.",
+    "A request that was interrupted by a crash has run to completion, or one "
+    "with a part of its prompt was answered.",
 )
 REPLICA_HEARD = define(
     313, "replica-heard", "info", "A silent replica sends data again."
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -70,13 +70,22 @@
         )
         self.suspected = prometheus_client.Gauge(
             "gypsumfold_suspected_requests",
-            "Requests that a replica's crash interrupted and that have not run "
-            "to their end since.",
+            "Requests and parts of prompts that a replica's crash interrupted "
+            "and that have not run to their end since.",
+            ("subject",),
             registry=self.registry,
         )
         self.quarantined = prometheus_client.Gauge(
             "gypsumfold_quarantined_requests",
-            "Requests that are refused, as they have crashed replicas.",
+            "Requests and parts of prompts that are refused, as they have "
+            "crashed replicas.",
+            ("subject",),
+            registry=self.registry,
+        )
+        self.quarantine_refusals = prometheus_client.Gauge(
+            "gypsumfold_quarantine_refusals",
+            "Requests refused since the start, as they or parts of their "
+            "prompts have crashed replicas.",
             registry=self.registry,
         )
         self.unreachable = prometheus_client.Gauge(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -20,6 +20,7 @@
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import read_timeouts
 from gypsumfold.decisions import retry_budget
+from gypsumfold.decisions import subjects
 from gypsumfold.gateway import authentication
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import configurations as configurations_module
@@ -455,8 +456,14 @@
         self.counters.relays.set(int(self.gossip.is_store_reader()))
         self.counters.registrations_age.set(age)
         crashes = self.quarantine.crash_log
-        self.counters.suspected.set(len(crashes.suspected))
-        self.counters.quarantined.set(len(crashes.quarantined))
+        for gauge, found in (
+            (self.counters.suspected, crashes.suspected),
+            (self.counters.quarantined, crashes.quarantined),
+        ):
+            parts = sum(subjects.is_part(subject) for subject in found)
+            gauge.labels("part").set(parts)
+            gauge.labels("request").set(len(found) - parts)
+        self.counters.quarantine_refusals.set(self.quarantine.refused)
         self.counters.keys_refused.set(self.authenticator.refused)
         lost = self.directory.reachability.unreachable
         self.counters.unreachable.set(len(lost))
