--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 import contextlib
+import http.client
 import pathlib
 import random
 import threading
@@ -20,6 +21,7 @@
 from features.support import processes
 from features.support import soak_arrivals
 from features.support import soak_callers
+from features.support import soak_parts
 from gypsumfold.platform import names
 
 # Gateways and engines of a short run, and the number of gateways up to which
@@ -111,6 +113,7 @@
         self.recovered = True
         self.starts = dict.fromkeys(self.gateways, 1)
         self.started = 0.0
+        self.parts = soak_parts.CrashingParts(self)
 
     def prepare(self) -> None:
         """Starts the fleet, each replica and the store behind a proxy."""
@@ -139,7 +142,9 @@
             # Long enough that most faults meet a call in progress.
             self.fleet[name].faults(seconds=CALL)
         for name in self.engines:
-            self.fleet[name].faults(event_seconds=EVENT)
+            self.fleet[name].faults(
+                event_seconds=EVENT, crashing_part=soak_parts.PREFIX
+            )
         for name in self.gateways:
             self.fleet.start_gateway(name, mesh=self.mesh)
 
@@ -153,17 +158,20 @@
             threads.append(threading.Thread(target=self.call, args=(rng,)))
         for thread in threads:
             thread.start()
+        self.parts.spawn(self.parts.watch)
         pending: list[tuple[float, Callable[[], None]]] = []
         end = self.started + self.seconds
         while time.monotonic() < end:
             pending.append(self.strike())
             time.sleep(self.random.uniform(*BETWEEN))
             pending = self.heal(pending, time.monotonic())
+            self.revive(time.monotonic())
         self.heal(pending, float("inf"))
         self.calm()
         self.ended.set()
         for thread in threads:
             thread.join()
+        self.parts.join()
         self.collect()
 
     def heal(self, pending, now: float):
@@ -176,6 +184,24 @@
             undo()
         return left
 
+    def revive(self, now: float) -> None:
+        """Starts engines again that a part of prompts has ended."""
+        for name in self.parts.due(now):
+            entry = self.fleet.entries.get(name)
+            if entry is not None and not self.fleet[name].alive:
+                self.start_engine(name, entry["instance"])
+            del self.parts.down[name]
+
+    def set_faults(self, name: str, **changes) -> None:
+        """Changes a replica's faults, unless a part of prompts ends it."""
+        if not self.fleet[name].alive:
+            return
+        try:
+            self.fleet[name].faults(**changes)
+        except (OSError, http.client.HTTPException):
+            if self.fleet[name].alive:
+                raise
+
     def strike(self) -> tuple[float, Callable[[], None]]:
         """Injects one fault; returns when and how it ends."""
         kinds = (
@@ -189,6 +215,8 @@
             self.kill,
             self.stop,
             self.crash_engine,
+            self.crash_on_part,
+            self.crash_on_part,
             self.release,
             self.release,
             self.spoil_answers,
@@ -275,7 +303,7 @@
         kind = self.random.choice(SPOILED)
         if not self.fleet[name].alive:
             return f"{name} (not there)", lambda: None
-        self.fleet[name].faults(**{kind: 3})
+        self.set_faults(name, **{kind: 3})
         return f"{name} {kind}", lambda: None
 
     def disturb(self, *gateways: str) -> None:
@@ -288,21 +316,18 @@
         chosen = self.random.sample((*PLAINS, *self.engines), 3)
         rate = self.random.choice(RATE_LIMITS)
         for name in chosen:
-            if self.fleet[name].alive:
-                self.fleet[name].faults(rate_limit=rate)
+            self.set_faults(name, rate_limit=rate)
         return f"{', '.join(chosen)} at {rate}", lambda: None
 
     def fill(self):
         """Has all replicas of a service reject their next requests."""
         chosen = self.random.choice((PLAINS, tuple(self.engines)))
         for name in chosen:
-            if self.fleet[name].alive:
-                self.fleet[name].faults(refused=REJECTED)
+            self.set_faults(name, refused=REJECTED)
 
         def undo() -> None:
             for name in chosen:
-                if self.fleet[name].alive:
-                    self.fleet[name].faults(refused=0)
+                self.set_faults(name, refused=0)
 
         return chosen[0], undo
 
@@ -359,6 +384,10 @@
         self.starts[process.name] += 1
         self.disturb(process.name)
 
+    def crash_on_part(self):
+        """Lets requests come with a part that ends each engine."""
+        return self.parts.begin(), lambda: None
+
     def crash_engine(self):
         """Kills an engine; a new one comes at its address."""
         name = self.random.choice(self.engines)
@@ -401,7 +430,9 @@
         """Starts an engine again, in the place of another instance."""
         self.fleet[name].restart()
         self.fleet[name].until_ready("/_test/record")
-        self.fleet[name].faults(event_seconds=EVENT)
+        self.fleet[name].faults(
+            event_seconds=EVENT, crashing_part=soak_parts.PREFIX
+        )
         self.fleet.write(names.REGISTRATIONS_TOPIC, instance, None)
         self.fleet.register(name, "lm")
 
@@ -411,13 +442,13 @@
 
     def calm(self) -> None:
         """Waits until every gateway serves every kind of request again."""
+        self.parts.stop()
         for name in self.gateways:
             process = self.fleet[name]
             if process.frozen:
                 process.thaw()
         for name in (*PLAINS, *self.engines):
-            if self.fleet[name].alive:
-                self.fleet[name].faults(rate_limit=0.0)
+            self.set_faults(name, rate_limit=0.0)
         rng = random.Random(self.seed)
         limit = time.monotonic() + CALM
         wanted = {
@@ -426,6 +457,7 @@
             for path in soak_callers.PATHS
         }
         while wanted and time.monotonic() < limit:
+            self.revive(time.monotonic())
             for name, path in sorted(wanted):
                 if not self.fleet[name].alive:
                     self.restart(self.fleet[name])
@@ -470,8 +502,16 @@
             self.streams.append(stream)
 
     def count(self, name: str) -> None:
-        """Adds what a replica has run and was ordered, before it ends."""
-        record = self.fleet[name].test("record")
+        """Adds what a replica has run and was ordered, before it ends.
+
+        What one has run that a part of prompts has ended isn't known.
+        """
+        try:
+            record = self.fleet[name].test("record")
+        except (OSError, http.client.HTTPException):
+            if self.fleet[name].alive:
+                raise
+            return
         key = (name, record["instance"])
         assert key not in self.counted, key
         self.counted.add(key)
@@ -513,6 +553,7 @@
                 if first != order["holder"]:
                     found.append(f"{instance}: two holders of one token")
         found += self.judge_arrivals()
+        found += self.parts.broken()
         for name in self.gateways:
             found += self.regressed(name)
         if not self.recovered:
@@ -627,6 +668,7 @@
     lines = [f"seed {soak.seed}: {len(soak.asks)} requests, by status {ends}"]
     attempts, went_on = count_take_ups(soak)
     lines.append(f"{went_on} of {attempts} attempts took a stream up")
+    lines.append(f"engines ended by parts of prompts: {soak.parts.ended()}")
     for fault in soak.faults:
         lines.append(
             f"{fault.at:7.2f} s  {fault.what:13} {fault.where}"
--- a/features/support/soak_callers.py
+++ b/features/support/soak_callers.py
@@ -76,7 +76,11 @@
         self.kept: dict[str, http.client.HTTPConnection] = {}
 
     def ask(
-        self, gateway: str, path: str, stream_begun: Stream | None = None
+        self,
+        gateway: str,
+        path: str,
+        stream_begun: Stream | None = None,
+        part: str = "",
     ) -> Ask:
         """Sends one request and reads what comes of it.
 
@@ -84,11 +88,14 @@
             gateway: Where.
             path: What for.
             stream_begun: A stream that broke off and is taken up.
+            part: Part of the prompt besides those of all others.
         """
         sent_at = time.monotonic()
         stream = "stream" in path
         number = self.random.randrange(40)
         chain = f"aa:4000,{number:x}:300" if stream else ""
+        if part:
+            chain = f"aa:4000,{part}:200,{self.random.randrange(1 << 40):x}:300"
         sent = gateways.headers(WAIT, chain, stream)
         attempt = sent[names.ATTEMPT]
         if stream_begun is not None:
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -45,6 +45,8 @@
         unframed: Next streams with neither a length nor chunks; they end with
             their connection, which is closed in order even if they break off.
         crashing: Text of a body whose run ends the process; none if empty.
+        crashing_part: Begin of the id of a part of prompts, not their last one,
+            with which every run ends the process; none if empty.
         silent: Nothing is answered any more.
         orders_lost: Next orders carried out whose answer is dropped.
         rate_limit: Requests a second from all nodes, named in each answer to a
@@ -64,6 +66,7 @@
     halved: int = 0
     unframed: int = 0
     crashing: str = ""
+    crashing_part: str = ""
     silent: bool = False
     orders_lost: int = 0
     rate_limit: float = 0.0
@@ -159,12 +162,22 @@
         )
         if self.faults.crashing and self.faults.crashing.encode() in body:
             os._exit(1)
+        chain = request.headers.get("Prefix-Hash", "")
+        if self.faults.crashing_part and self.crashes_on(chain):
+            os._exit(1)
         try:
             return await self.run(request, attempt)
         except (asyncio.CancelledError, ConnectionError):
             self.left.append(attempt)
             raise
 
+    def crashes_on(self, chain: str) -> bool:
+        """Whether a part of a prompt, not its last one, ends the process."""
+        for part in chain.split(",")[:-1]:
+            if part.strip().startswith(self.faults.crashing_part):
+                return True
+        return False
+
     async def name_limit(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
