Split types and messages of crashes into modules, and test the decision alone

No change of behaviour. New scenarios on the pure decision: replicas that end together, software versions, a beginning that several parts share, made-up parts, two reservations at once.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -34,3 +34,25 @@
       | 9     | data centres that are lost       | 2     |
       | 9     | replicas that are killed often   | 1     |
       | 9     | all gateways started again       | 1     |
+
+  Scenario: Replicas that end together count once for a part
+    Given a part of which 5 replicas ended within a second
+    Then requests with the part are not refused
+
+  Scenario: A part that a replica answered is suspected only with other software
+    Given a part that software version "v1" has answered
+    When 3 replicas of version "v1" end under it one after the other
+    Then requests with the part are sent like any other
+    When 3 replicas of version "v2" end under it one after the other
+    Then requests with the part are refused
+
+  Scenario: A beginning shared by several crashing parts is not refused alone
+    Given a beginning under which 3 parts have crashed 2 replicas each
+    Then requests with the beginning run as canaries, and with such a part are refused
+
+  Scenario: Made-up parts do not fill the memory
+    When 20000 made-up parts are answered
+    Then at most 8192 of them are remembered, the last ones
+
+  Scenario: One of two nodes that reserve a suspect at once goes on
+    Then of 2 nodes that reserve the same part at once 1 goes on
--- a/features/steps/crash_log_steps.py
+++ b/features/steps/crash_log_steps.py
@@ -11,6 +11,7 @@
 from features.support import virtual_gateways
 
 from gypsumfold.decisions import canaries as canaries_module
+from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import crashes as crashes_module
 from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
@@ -32,7 +33,7 @@
 
 def replica(number):
     """One of several replicas."""
-    return crashes_module.Incarnation(f"i-{number}")
+    return crash_types.Incarnation(f"i-{number}")
 
 
 @behave.then(
@@ -48,7 +49,7 @@
             output = rng.random() < 0.5 and fingerprint != REQUEST
             cleared = rng.random() < 0.2 and fingerprint != REQUEST
             reports.append(
-                crashes_module.Interrupted(
+                crash_types.Interrupted(
                     replica(number), fingerprint, output, cleared
                 )
             )
@@ -64,7 +65,7 @@
             verdicts.append(log.decide(fingerprint, 1.0))
         found.add(tuple(verdicts))
     assert len(found) == 1, len(found)
-    assert crashes_module.Decision.QUARANTINED in next(iter(found))
+    assert crash_types.Decision.QUARANTINED in next(iter(found))
 
 
 @behave.given("a request that has crashed {count:d} replicas")
@@ -83,9 +84,9 @@
 @behave.then("it is in quarantine for {seconds:d} seconds")
 def step_quarantined(context, seconds):
     context.now += seconds - 1.0
-    assert judged(context) == crashes_module.Decision.QUARANTINED
+    assert judged(context) == crash_types.Decision.QUARANTINED
     context.now += 2.0
-    assert judged(context) == crashes_module.Decision.CANARY, judged(context)
+    assert judged(context) == crash_types.Decision.CANARY, judged(context)
 
 
 @behave.then(
@@ -93,11 +94,9 @@
 )
 def step_tried(context):
     for number in range(3):
-        report = crashes_module.Interrupted(
-            replica(number), REQUEST, False, False
-        )
+        report = crash_types.Interrupted(replica(number), REQUEST, False, False)
         context.log.merge(report, True, context.now)
-    assert judged(context) == crashes_module.Decision.CANARY, judged(context)
+    assert judged(context) == crash_types.Decision.CANARY, judged(context)
 
 
 @behave.then("one more crash puts it into quarantine for {seconds:d} seconds")
@@ -118,7 +117,7 @@
 
 @behave.then("it is sent like any other")
 def step_free(context):
-    assert judged(context) == crashes_module.Decision.FREE, judged(context)
+    assert judged(context) == crash_types.Decision.FREE, judged(context)
 
 
 @behave.when(
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -8,6 +8,12 @@
 from features.support import virtual_gateways
 from features.support import virtual_parts
 
+from gypsumfold.decisions import canaries as canaries_module
+from gypsumfold.decisions import crash_types
+from gypsumfold.decisions import crashes as crashes_module
+from gypsumfold.decisions import sound_parts
+from gypsumfold.decisions import subjects
+
 # Seconds for which gateways learn what there is, and callers ask before the
 # first crash.
 SETTLING = 5.0
@@ -164,3 +170,116 @@
 )
 def step_none_refused(context, plays, nodes, trouble):
     play_all(plays, nodes, 0, 0.0, 0, trouble)
+
+
+PART = subjects.as_part(1)
+
+
+def crash(context, count, pause, parts, version="v1", alone=True):
+    """Ends replicas one after the other while requests with parts ran."""
+    for _ in range(count):
+        context.now += pause
+        context.number = getattr(context, "number", 0) + 1
+        for part in parts:
+            context.log.interrupted(
+                crash_types.Incarnation(f"i-{context.number}"),
+                part,
+                False,
+                context.now,
+                alone,
+                subjects.version_digest(version),
+            )
+
+
+def judged(context, *parts):
+    """What is decided on a request with some parts."""
+    return context.log.judge(parts, context.now).decision
+
+
+@behave.given("a part of which {count:d} replicas ended within a second")
+def step_together(context, count):
+    context.log = crashes_module.CrashLog()
+    context.now = 0.0
+    crash(context, count, 0.1, [PART], alone=False)
+
+
+@behave.then("requests with the part are not refused")
+def step_not_refused(context):
+    assert judged(context, PART) == crash_types.Decision.CANARY
+
+
+@behave.given('a part that software version "{version}" has answered')
+def step_answered(context, version):
+    context.log = crashes_module.CrashLog()
+    context.now = 0.0
+    context.log.answered(PART, subjects.version_digest(version))
+
+
+@behave.when(
+    '{count:d} replicas of version "{version}" end under it one after the other'
+)
+def step_end_under(context, count, version):
+    crash(context, count, 5.0, [PART], version)
+
+
+@behave.then("requests with the part are sent like any other")
+def step_sent(context):
+    assert judged(context, PART) == crash_types.Decision.FREE
+
+
+@behave.then("requests with the part are refused")
+def step_refused(context):
+    assert judged(context, PART) == crash_types.Decision.QUARANTINED
+
+
+@behave.given(
+    "a beginning under which {count:d} parts have crashed {each:d} replicas "
+    "each"
+)
+def step_beginning(context, count, each):
+    context.log = crashes_module.CrashLog()
+    context.now = 0.0
+    context.culprits = [PART + number for number in range(1, count + 1)]
+    for culprit in context.culprits:
+        crash(context, each, 5.0, [PART, culprit])
+
+
+@behave.then(
+    "requests with the beginning run as canaries, and with such a part are "
+    "refused"
+)
+def step_told_apart(context):
+    assert judged(context, PART) == crash_types.Decision.CANARY
+    for culprit in context.culprits:
+        found = judged(context, PART, culprit)
+        assert found == crash_types.Decision.QUARANTINED, culprit
+
+
+@behave.when("{count:d} made-up parts are answered")
+def step_made_up(context, count):
+    context.sound = sound_parts.SoundParts()
+    context.made_up = [subjects.as_part(number) for number in range(count)]
+    for part in context.made_up:
+        context.sound.answered(part, 1)
+
+
+@behave.then("at most {count:d} of them are remembered, the last ones")
+def step_remembered(context, count):
+    assert len(context.sound.interruptions) <= count
+    for part in context.made_up[-count:]:
+        assert context.sound.is_sound(part, 1)
+
+
+@behave.then(
+    "of {nodes:d} nodes that reserve the same part at once {count:d} goes on"
+)
+def step_reserve(context, nodes, count):
+    known = [canaries_module.Canaries(owner) for owner in range(1, nodes + 1)]
+    for number, one in enumerate(known):
+        one.reserve(PART, f"engine-{number}")
+    for sender in known:
+        for canary in sender.updates(False, 0.0, 10):
+            for receiver in known:
+                receiver.merge(canary, 0.0)
+    going_on = [one for one in known if not one.must_yield(PART, 0.1)]
+    assert len(going_on) == count
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -19,10 +19,9 @@
 
 import collections
 from collections.abc import Iterable
-import enum
 import math
-from typing import NamedTuple
 
+from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import sound_parts
 from gypsumfold.decisions import subjects as subjects_module
 
@@ -56,94 +55,6 @@
 RECENT_SECONDS = 60.0
 
 
-class Decision(enum.Enum):
-    """What may be done with a request.
-
-    Attributes:
-        FREE: The request is sent like any other.
-        CANARY: It runs as the only suspect on its replica, one copy at a time.
-        QUARANTINED: It is sent to no replica.
-    """
-
-    FREE = "free"
-    CANARY = "canary"
-    QUARANTINED = "quarantined"
-
-
-class Incarnation(NamedTuple):
-    """One run of a replica, from a start to its end.
-
-    Attributes:
-        instance: The replica's instance.
-        started: Unix milliseconds of its start; 0 if unknown.
-    """
-
-    instance: str
-    started: int = 0
-
-
-class Interrupted(NamedTuple):
-    """A subject that a crash interrupted, as nodes exchange it.
-
-    Attributes:
-        replica: The incarnation that crashed.
-        fingerprint: The subject's fingerprint.
-        output: Whether its caller had received output of this run.
-        cleared: Whether a request with it has completed since.
-        alone: Whether it ran as a canary.
-        version: Digest of the replica's software version; 0 if unknown.
-        age: Seconds since the crash.
-    """
-
-    replica: Incarnation
-    fingerprint: int
-    output: bool
-    cleared: bool
-    alone: bool = False
-    version: int = 0
-    age: float = 0.0
-
-
-class Judgement(NamedTuple):
-    """What may be done with a request, from all its subjects.
-
-    Attributes:
-        decision: The decision.
-        suspects: The subjects that a canary has to run alone with.
-        cause: The subject in quarantine; None unless it is refused.
-        until: End of that quarantine.
-    """
-
-    decision: Decision
-    suspects: tuple[int, ...] = ()
-    cause: int | None = None
-    until: float = 0.0
-
-
-class Crash:
-    """What is known of one crash.
-
-    Attributes:
-        at: When it was, as far as this node knows.
-        version: Digest of the replica's software version; 0 if unknown.
-        requests: The interrupted subjects, and whether each had given output.
-        alone: Subjects that ran as a canary.
-        cleared: Subjects that have completed since.
-        cause: The subject that the crash is attributed to; None if unknown.
-        expired: Subjects no longer suspected of it, because their quarantine
-            is over.
-    """
-
-    def __init__(self, at: float):
-        self.at = at
-        self.version = 0
-        self.requests: dict[int, bool] = {}
-        self.alone: set[int] = set()
-        self.cleared: set[int] = set()
-        self.cause: int | None = None
-        self.expired: set[int] = set()
-
-
 class CrashLog:
     """Records crashes and the subjects suspected of them.
 
@@ -152,29 +63,30 @@
             here, whatever others report.
 
     >>> log = CrashLog()
-    >>> for replica in ("engine-1", "engine-2", "engine-3"):
-    ...     log.interrupted(Incarnation(replica), 7, output=False, now=0.0)
+    >>> for name in ("engine-1", "engine-2", "engine-3"):
+    ...     replica = crash_types.Incarnation(name)
+    ...     log.interrupted(replica, 7, output=False, now=0.0)
     >>> log.decide(7, now=1.0)
     <Decision.QUARANTINED: 'quarantined'>
     """
 
     def __init__(self):
         self.sound = sound_parts.SoundParts()
-        self.crashes: collections.OrderedDict[Incarnation, Crash] = (
-            collections.OrderedDict()
-        )
-        self.suspected: dict[int, set[Incarnation]] = {}
+        self.crashes: collections.OrderedDict[
+            crash_types.Incarnation, crash_types.Crash
+        ] = collections.OrderedDict()
+        self.suspected: dict[int, set[crash_types.Incarnation]] = {}
         self.quarantined: dict[int, float] = {}
         self.quarantines: dict[int, int] = {}
-        self.pending_sends: dict[tuple[Incarnation, int], int] = {}
-        self.repeats: collections.deque[tuple[Incarnation, int]] = (
+        self.pending_sends: dict[tuple[crash_types.Incarnation, int], int] = {}
+        self.repeats: collections.deque[tuple[crash_types.Incarnation, int]] = (
             collections.deque()
         )
         self.refreshed = -math.inf
 
     def interrupted(
         self,
-        replica: Incarnation,
+        replica: crash_types.Incarnation,
         fingerprint: int,
         output: bool,
         now: float,
@@ -197,12 +109,14 @@
         if self.sound.is_sound(fingerprint, version):
             self.sound.interrupted(fingerprint, version, replica)
             return False
-        report = Interrupted(
+        report = crash_types.Interrupted(
             replica, fingerprint, output, False, alone, version
         )
         return self.merge(report, True, now)
 
-    def merge(self, report: Interrupted, forward: bool, now: float) -> bool:
+    def merge(
+        self, report: crash_types.Interrupted, forward: bool, now: float
+    ) -> bool:
         """Merges one suspicion, of this node or another one.
 
         Args:
@@ -239,24 +153,28 @@
         self.suspected.setdefault(fingerprint, set()).add(report.replica)
         return self.update_quarantine(fingerprint, now)
 
-    def crash_record(self, replica: Incarnation, now: float) -> Crash:
+    def crash_record(
+        self, replica: crash_types.Incarnation, now: float
+    ) -> crash_types.Crash:
         """Returns the record of a crash, creating it if needed."""
         found = self.crashes.get(replica)
         if found is not None:
             return found
-        found = self.crashes[replica] = Crash(now)
+        found = self.crashes[replica] = crash_types.Crash(now)
         if len(self.crashes) > MAX_CRASH_RECORDS:
             self.forget(next(iter(self.crashes)))
         return found
 
-    def forget(self, replica: Incarnation) -> None:
+    def forget(self, replica: crash_types.Incarnation) -> None:
         """Drops the record of a crash."""
         crash = self.crashes.pop(replica)
         for fingerprint in crash.requests:
             self.pending_sends.pop((replica, fingerprint), None)
             self.withdraw(fingerprint, replica)
 
-    def withdraw(self, fingerprint: int, replica: Incarnation) -> None:
+    def withdraw(
+        self, fingerprint: int, replica: crash_types.Incarnation
+    ) -> None:
         """Drops a suspicion."""
         suspected = self.suspected.get(fingerprint)
         if suspected is None:
@@ -368,7 +286,7 @@
             self.quarantined.pop(fingerprint, None)
         return cleared
 
-    def suspicions(self, fingerprint: int) -> list[Incarnation]:
+    def suspicions(self, fingerprint: int) -> list[crash_types.Incarnation]:
         """Returns the crashes of which a subject is suspected."""
         found = []
         for replica in self.suspected.get(fingerprint, ()):
@@ -381,7 +299,7 @@
                 found.append(replica)
         return found
 
-    def is_explained(self, crash: Crash, fingerprint: int) -> bool:
+    def is_explained(self, crash: crash_types.Crash, fingerprint: int) -> bool:
         """Whether another subject in quarantine explains a crash.
 
         A request doesn't explain the crashes of a part, and nothing explains
@@ -417,7 +335,7 @@
         return False
 
     def has_other_cause(
-        self, crash: Crash, part: int, held: frozenset[int]
+        self, crash: crash_types.Crash, part: int, held: frozenset[int]
     ) -> bool:
         """Whether a subject that a request doesn't hold may explain a crash."""
         ran_alone = part in crash.alone
@@ -463,27 +381,29 @@
             count += not crash.requests[fingerprint]
         return count
 
-    def decide(self, fingerprint: int, now: float) -> Decision:
+    def decide(self, fingerprint: int, now: float) -> crash_types.Decision:
         """Decides how a request with a subject may be sent."""
         until = self.quarantined.get(fingerprint)
         suspicions = self.suspicions(fingerprint)
         if until is not None and now < until:
             if suspicions or not subjects_module.is_part(fingerprint):
-                return Decision.QUARANTINED
-            return Decision.FREE
+                return crash_types.Decision.QUARANTINED
+            return crash_types.Decision.FREE
         if until is not None:
             self.release(fingerprint)
             suspicions = self.suspicions(fingerprint)
         if not suspicions:
-            return Decision.FREE
+            return crash_types.Decision.FREE
         output = self.crashes[suspicions[0]].requests[fingerprint]
         # A request that crashes replicas usually does so soon after it starts,
         # so a single crash is weak evidence against one with output.
         if len(suspicions) == 1 and output:
-            return Decision.FREE
-        return Decision.CANARY
+            return crash_types.Decision.FREE
+        return crash_types.Decision.CANARY
 
-    def judge(self, subjects: Iterable[int], now: float) -> Judgement:
+    def judge(
+        self, subjects: Iterable[int], now: float
+    ) -> crash_types.Judgement:
         """Decides how a request may be sent, from all its subjects.
 
         It is refused for a part only if it holds all that may have caused the
@@ -493,18 +413,20 @@
         suspects = []
         for subject in sorted(subjects):
             decision = self.decide(subject, now)
-            if decision == Decision.FREE:
+            if decision == crash_types.Decision.FREE:
                 continue
             suspects.append(subject)
-            if decision == Decision.CANARY:
+            if decision == crash_types.Decision.CANARY:
                 continue
             is_part = subjects_module.is_part(subject)
             if not is_part or self.is_conclusive(subject, subjects):
                 until = self.quarantined[subject]
-                return Judgement(decision, (), subject, until)
+                return crash_types.Judgement(decision, (), subject, until)
         if suspects:
-            return Judgement(Decision.CANARY, tuple(suspects))
-        return Judgement(Decision.FREE)
+            return crash_types.Judgement(
+                crash_types.Decision.CANARY, tuple(suspects)
+            )
+        return crash_types.Judgement(crash_types.Decision.FREE)
 
     def release(self, fingerprint: int) -> None:
         """Ends a quarantine; one more crash starts the next one."""
@@ -514,7 +436,7 @@
                 return
             self.crashes[replica].expired.add(fingerprint)
 
-    def updates(self, now: float, limit: int) -> list[Interrupted]:
+    def updates(self, now: float, limit: int) -> list[crash_types.Interrupted]:
         """Returns the suspicions to send next: new ones, then repeated ones.
 
         Args:
@@ -537,7 +459,9 @@
                 updates.append(self.known(replica, fingerprint, now))
         return updates
 
-    def suspicions_of(self, replica: Incarnation) -> dict[int, bool]:
+    def suspicions_of(
+        self, replica: crash_types.Incarnation
+    ) -> dict[int, bool]:
         """Returns the requests that a crash interrupted.
 
         Empty if the crash is no longer recorded.
@@ -546,11 +470,11 @@
         return crash.requests if crash is not None else {}
 
     def known(
-        self, replica: Incarnation, fingerprint: int, now: float
-    ) -> Interrupted:
+        self, replica: crash_types.Incarnation, fingerprint: int, now: float
+    ) -> crash_types.Interrupted:
         """Returns the suspicion of one subject for one crash."""
         crash = self.crashes[replica]
-        return Interrupted(
+        return crash_types.Interrupted(
             replica,
             fingerprint,
             crash.requests[fingerprint],
--- a/packages/gypsumfold/src/gypsumfold/decisions/sound_parts.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/sound_parts.py
@@ -13,10 +13,10 @@
 MAX_PARTS = 8192
 # Crashes in a row, without an answer in between, after which a part no longer
 # counts as sound.
-MAX_STRIKES = 3
+MAX_INTERRUPTIONS = 3
 
 
-class Strikes(NamedTuple):
+class Interruptions(NamedTuple):
     """Crashes since a part was answered last.
 
     Attributes:
@@ -39,23 +39,23 @@
 
     def __init__(self):
         # By part and version.
-        self.strikes: collections.OrderedDict[int, dict[int, Strikes]] = (
-            collections.OrderedDict()
-        )
+        self.interruptions: collections.OrderedDict[
+            int, dict[int, Interruptions]
+        ] = collections.OrderedDict()
 
     def answered(self, part: int, version: int) -> None:
         """Records that a request with a part ran past its beginning."""
-        self.strikes.setdefault(part, {})[version] = Strikes()
-        self.strikes.move_to_end(part)
-        if len(self.strikes) > MAX_PARTS:
-            self.strikes.popitem(last=False)
+        self.interruptions.setdefault(part, {})[version] = Interruptions()
+        self.interruptions.move_to_end(part)
+        if len(self.interruptions) > MAX_PARTS:
+            self.interruptions.popitem(last=False)
 
     def interrupted(self, part: int, version: int, replica: Hashable) -> None:
         """Records that a crash interrupted requests with a sound part."""
-        before = self.strikes[part][version]
+        before = self.interruptions[part][version]
         if before.replica != replica:
-            after = Strikes(before.count + 1, replica)
-            self.strikes[part][version] = after
+            after = Interruptions(before.count + 1, replica)
+            self.interruptions[part][version] = after
 
     def is_sound(self, part: int, version: int) -> bool:
         """Whether a part doesn't crash replicas of a version.
@@ -64,12 +64,12 @@
             part: The part.
             version: Digest of the version; 0 for one that is unknown.
         """
-        found = self.strikes.get(part, {}).get(version)
-        return found is not None and found.count < MAX_STRIKES
+        found = self.interruptions.get(part, {}).get(version)
+        return found is not None and found.count < MAX_INTERRUPTIONS
 
     def is_known(self, part: int) -> bool:
         """Whether a part is sound with any version."""
-        for version in self.strikes.get(part, {}):
+        for version in self.interruptions.get(part, {}):
             if self.is_sound(part, version):
                 return True
         return False
--- a/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -15,6 +15,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import crashes as crashes_module
 from gypsumfold.decisions import polling
 from gypsumfold.gateway import fingerprints
@@ -143,11 +144,9 @@
             return
         suspicions = []
         for crash in found.crashes:
-            replica = crashes_module.Incarnation(
-                crash.instance, crash.started_at
-            )
+            replica = crash_types.Incarnation(crash.instance, crash.started_at)
             suspicions.append(
-                crashes_module.Interrupted(
+                crash_types.Interrupted(
                     replica,
                     fingerprint,
                     crash.has_output,
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -15,9 +15,11 @@
 from gypsumfold import exceptions
 from gypsumfold import outcomes
 from gypsumfold.decisions import canaries as canaries_module
+from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import crashes as crashes_module
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import subjects
+from gypsumfold.gateway import crash_messages
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import runs as runs_module
@@ -191,7 +193,7 @@
             if self.is_blocked(subject, now):
                 return False
         judgement = self.crash_log.judge(progress.subjects, now)
-        return judgement.decision == crashes_module.Decision.FREE
+        return judgement.decision == crash_types.Decision.FREE
 
     def is_blocked(self, subject: int, now: float) -> bool:
         """Whether a copy of a subject runs as a canary or may have crashed."""
@@ -383,7 +385,7 @@
 
     def record_suspects(self, run: runs_module.Run) -> None:
         """Records that the subjects of a run may have crashed its replica."""
-        replica = crashes_module.Incarnation(
+        replica = crash_types.Incarnation(
             run.replica.instance, run.replica.started_at
         )
         version = subjects.version_digest(run.replica.version)
@@ -406,7 +408,7 @@
         self,
         fingerprint: int,
         quarantined: bool,
-        replica: crashes_module.Incarnation,
+        replica: crash_types.Incarnation,
     ) -> None:
         """Logs that a quarantine starts, if it does."""
         if not quarantined:
@@ -433,38 +435,15 @@
         now = time.monotonic()
         running = []
         for one in self.canaries.updates(self.is_relay(), now, limit):
-            left = min(
-                canaries_module.LIFETIME_SECONDS, max(0.0, one.until - now)
-            )
-            running.append(
-                messages.Canary(
-                    one.fingerprint,
-                    one.owner,
-                    one.number,
-                    one.instance,
-                    left,
-                    one.reserved,
-                )
-            )
+            running.append(crash_messages.from_canary(one, now))
         interrupted = []
         for one in self.crash_log.updates(now, limit - len(running)):
-            interrupted.append(
-                messages.Interrupted(
-                    one.replica.instance,
-                    one.replica.started,
-                    one.fingerprint,
-                    one.output,
-                    one.cleared,
-                    one.alone,
-                    one.version,
-                    round(one.age, 1),
-                )
-            )
+            interrupted.append(crash_messages.from_suspicion(one))
         more = bool(self.crash_log.pending_sends or self.canaries.pending_sends)
         return crash_updates.UpdateBatch(interrupted, running, more)
 
     def merge_suspicions(
-        self, suspicions: list[crashes_module.Interrupted], forward: bool
+        self, suspicions: list[crash_types.Interrupted], forward: bool
     ) -> bool:
         """Merges suspicions of another node or from the store.
 
@@ -489,29 +468,11 @@
         """Merges the updates sent by another node."""
         suspicions = []
         for one in message.interrupted:
-            replica = crashes_module.Incarnation(one.instance, one.started)
-            suspicions.append(
-                crashes_module.Interrupted(
-                    replica,
-                    one.fingerprint,
-                    one.output,
-                    one.cleared,
-                    one.alone,
-                    one.version,
-                    one.age,
-                )
-            )
+            suspicions.append(crash_messages.to_suspicion(one))
         changed = self.merge_suspicions(suspicions, self.is_relay())
         now = time.monotonic()
         for one in message.canaries:
-            canary = canaries_module.Canary(
-                one.fingerprint,
-                one.owner,
-                one.number,
-                one.instance,
-                now + one.valid_seconds,
-                one.reserved,
-            )
+            canary = crash_messages.to_canary(one, now)
             changed |= self.canaries.merge(canary, now)
         if changed and self.is_relay():
             self.notify_peers()
