Tell crashing parts from beginnings that other software answered

Engines of several versions ran; the shared beginning had been answered by one version only, so that it counted as the other's possible cause in crashes of the rest. For telling two parts apart an answer by any version counts now. The scenario fails without the change.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -50,6 +50,11 @@
     Given a beginning under which 3 parts have crashed 2 replicas each
     Then requests with the beginning run as canaries, and with such a part are refused
 
+  Scenario: A part is refused though its beginning was answered by other software only
+    Given a part that software version "v1" has answered
+    When 3 replicas of version "v2" end under it and another part one after the other
+    Then requests with both are refused
+
   Scenario: Made-up parts do not fill the memory
     When 20000 made-up parts are answered
     Then at most 8192 of them are remembered, the last ones
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -222,6 +222,19 @@
     crash(context, count, 5.0, [PART], version)
 
 
+@behave.when(
+    '{count:d} replicas of version "{version}" end under it and another part '
+    "one after the other"
+)
+def step_end_under_both(context, count, version):
+    crash(context, count, 5.0, [PART, PART + 1], version)
+
+
+@behave.then("requests with both are refused")
+def step_both_refused(context):
+    assert judged(context, PART, PART + 1) == crash_types.Decision.QUARANTINED
+
+
 @behave.then("requests with the part are sent like any other")
 def step_sent(context):
     assert judged(context, PART) == crash_types.Decision.FREE
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -352,7 +352,7 @@
         for other in crash.alone - crash.cleared - {part}:
             if not subjects_module.is_part(other):
                 continue
-            if not self.sound.is_sound(other, crash.version):
+            if not self.sound.is_known(other):
                 return False
         return True
 
@@ -364,7 +364,7 @@
         for other in crash.requests:
             if other in held or other in crash.cleared:
                 continue
-            if self.sound.is_sound(other, crash.version):
+            if self.sound.is_known(other):
                 continue
             # Requests beside a canary had not crashed anything before.
             is_beside = ran_alone and other not in crash.alone
