Read what answers say of their replicas in one place, and log it

Change: platform/statements.py decodes the rate limit, leaving and rest of any answer into one typed message for one listener; 342 and 343 log the new ones, 341 any that can't be read. Nothing is decided by them yet. Measured: features/rate_limits.feature, 22 passed.

--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -7,9 +7,8 @@
 from features.support import virtual_limits
 
 from gypsumfold.decisions import rate_limits
-from gypsumfold.gateway import types
 from gypsumfold.platform import names
-from gypsumfold.platform import replicas as replicas_module
+from gypsumfold.platform import statements
 
 SETTLING = 5.0
 QUIET = 3.0
@@ -139,15 +138,12 @@
 )
 def step_unreadable(context, rate, value, same):
     known = rate_limits.RateLimits()
-    client = replicas_module.Replicas(None)
-    client.rate_limit_listener = lambda replica, rate, sent_at: known.observe(
-        replica.instance, rate, sent_at
-    )
-    replica = types.Replica("i-1", "app", "10.0.0.1:80", "dc-0", 4, False)
-    name = names.RATE_LIMIT.encode()
     for sent_at, text in enumerate((str(rate), value)):
-        fields = ((name, text.encode()),)
-        assert client.read_rate_limit(replica, fields, float(sent_at))
+        fields = ((names.RATE_LIMIT.encode(), text.encode()),)
+        found = statements.read("i-1", 200, fields, float(sent_at))
+        assert found.names_rate
+        if found.rate is not None:
+            known.observe("i-1", found.rate, found.sent_at)
     assert known.rate("i-1", 2.0) == same
 
 
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import itertools
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -434,7 +435,7 @@
         self.cut_addresses: set[str] = set()
         self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
-        self.rate_limit_listener = lambda replica, rate, sent_at: None
+        self.statement_listener = lambda replica, statement: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a call would find a connection open."""
@@ -532,7 +533,8 @@
         now = fleet.site.clock()
         if replica.rate_limit is not None:
             fleet.told.setdefault((id(self), replica.instance), now)
-        self.rate_limit_listener(addressed, replica.rate_limit, now)
+        rate = math.inf if replica.rate_limit is None else replica.rate_limit
+        self.statement_listener(addressed, types.Statement(now, rate=rate))
         if refuses:
             raise exceptions.EndpointRefused("full")
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -206,11 +206,24 @@
     "A replica names another limit of the requests that it takes from all "
     "nodes, or none.",
 )
-RATE_LIMIT_REJECTED = define(
+STATEMENT_REJECTED = define(
     341,
-    "rate-limit-rejected",
+    "statement-rejected",
     "warning",
-    "A replica names a limit that cannot be read; the one before stays.",
+    "A replica's answer names a limit or a time of rest that cannot be read; "
+    "what was known before stays.",
+)
+REPLICA_LEAVING = define(
+    342,
+    "replica-leaving",
+    "info",
+    "A replica's answer, or another node, says that it is shutting down.",
+)
+REPLICA_RESTING = define(
+    343,
+    "replica-resting",
+    "info",
+    "A replica turns a request away and wants none from this node for a while.",
 )
 FORWARD_BROKEN = define(
     235,
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -312,6 +312,7 @@
     Attributes:
         is_framed: Whether the end of the body is marked by a length or chunks,
             or there is never a body; otherwise it ends with its connection.
+        statement: What its head says of the replica.
     """
 
     def __init__(
@@ -330,7 +331,7 @@
         self.fields: types.Fields = tuple(head.headers.raw_items())
         self.sealed = False
         self.not_run = False
-        self.names_rate_limit = False
+        self.statement: types.Statement | None = None
         self.length = _length(head)
         has_no_body = method == "HEAD" or self.status in BODILESS_STATUSES
         self.is_framed = has_no_body or _is_framed(head)
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -515,6 +515,32 @@
             unreachable=len(self.reachability.unreachable),
         )
 
+    def record_statement(
+        self, replica: types.Replica, statement: types.Statement
+    ) -> None:
+        """Records what a replica's answer says of the replica.
+
+        Args:
+            replica: The replica, as the request was sent to it.
+            statement: What the answer says.
+        """
+        if statement.leaving:
+            events.log(
+                events.REPLICA_LEAVING,
+                instance=replica.instance,
+                service=replica.service,
+            )
+        if statement.rest > 0:
+            events.log(
+                events.REPLICA_RESTING,
+                instance=replica.instance,
+                service=replica.service,
+                seconds=round(statement.rest, 3),
+            )
+        if statement.rate is not None:
+            rate = None if math.isinf(statement.rate) else statement.rate
+            self.record_rate_limit(replica, rate, statement.sent_at)
+
     def record_rate_limit(
         self, replica: types.Replica, rate: float | None, sent_at: float
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -122,7 +122,7 @@
         self.pool = connections.Pool(settings.replicas.source)
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.is_connected = self.endpoints.is_connected
-        self.endpoints.rate_limit_listener = self.directory.record_rate_limit
+        self.endpoints.statement_listener = self.directory.record_statement
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -148,6 +148,25 @@
     keys: client_keys.KeyTable | None = None
 
 
+class Statement(NamedTuple):
+    """What the head of an answer says of the replica that gave it.
+
+    Attributes:
+        sent_at: When the answered request was sent, on the monotonic clock.
+        rate: Requests a second that the replica takes from all nodes; infinite
+            for no limit, None if the answer doesn't tell.
+        names_rate: Whether the answer has such a field, readable or not.
+        leaving: Whether the replica is shutting down.
+        rest: Seconds for which it wants no request from this node.
+    """
+
+    sent_at: float
+    rate: float | None = None
+    names_rate: bool = False
+    leaving: bool = False
+    rest: float = 0.0
+
+
 class Handle(NamedTuple):
     """A reference to a KV cache that an engine keeps for another to fetch.
 
@@ -258,12 +277,11 @@
     """Client for calls to replicas.
 
     Attributes:
-        rate_limit_listener: Called with the replica, the requests a second
-            that it takes from all nodes, None if its answer names no limit,
-            and the time at which the answered request was sent.
+        statement_listener: Called with the replica, as the request was sent
+            to it, and with what the head of its answer says of it.
     """
 
-    rate_limit_listener: Callable[[Replica, float | None, float], None]
+    statement_listener: Callable[[Replica, Statement], None]
 
     def is_connected(self, replica: Replica) -> bool:
         """Whether an idle connection to the replica is open."""
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -52,6 +52,8 @@
 NOT_RUN = "Not-Run"
 RETRY_AFTER = "Retry-After"
 RATE_LIMIT = "Server-Limit"
+# Set by a replica that is about to shut down.
+LEAVING = "Server-Leaving"
 INSTANCE = "Instance-Id"
 
 # Headers that concern one connection only and are never forwarded.
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -2,17 +2,18 @@
 
 from collections.abc import Callable
 import contextlib
+import math
 import re
 import time
 
 import h11
 
-from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import types
 from gypsumfold.platform import decoding
 from gypsumfold.platform import names
+from gypsumfold.platform import statements
 
 # Header fields of an answer that are not forwarded: those of the connection,
 # and the length, which is set anew.
@@ -25,8 +26,8 @@
     """Calls to replicas over pooled connections.
 
     Attributes:
-        rate_limit_listener: Called with the rate limit that an answer names,
-            as in `Directory.record_rate_limit`.
+        statement_listener: Called with what each answer says of its replica,
+            as in `types.Endpoints`.
 
     >>> replicas = Replicas(connections.Pool())
     >>> answer = await replicas.send(replica, call, instructions)
@@ -34,9 +35,9 @@
 
     def __init__(self, pool: connections.Pool):
         self.pool = pool
-        self.rate_limit_listener: Callable[
-            [types.Replica, float | None, float], None
-        ] = lambda replica, rate, sent_at: None
+        self.statement_listener: Callable[
+            [types.Replica, types.Statement], None
+        ] = lambda replica, statement: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a connection to the replica is open."""
@@ -61,7 +62,6 @@
         fields += instruction_fields(replica, instructions)
         if call.account:
             fields.append((names.ACCOUNT.encode(), call.account.encode()))
-        sent_at = time.monotonic()
         answer = await self.exchange(
             replica, call.method, call.target, fields, call.body
         )
@@ -76,10 +76,13 @@
             raise exceptions.EndpointMismatch(
                 f"{replica.instance} has another role or is gone"
             )
-        if not answer.names_rate_limit:
+        if not answer.statement.names_rate:
             # Only answers to callers' requests are known to name a limit for
             # as long as it holds.
-            self.rate_limit_listener(replica, None, sent_at)
+            self.statement_listener(
+                replica,
+                types.Statement(answer.statement.sent_at, rate=math.inf),
+            )
         if answer.status < 300 and b"content-encoding" in found:
             answer.close()
             raise exceptions.AnswerBroken("the answer is encoded")
@@ -230,36 +233,14 @@
         answer = connections.PooledAnswer(
             self.pool, replica, connection, method, event
         )
+        answer.statement = statements.read(
+            replica.instance, answer.status, answer.fields, sent_at
+        )
         if answer.status != 421:
-            answer.names_rate_limit = self.read_rate_limit(
-                replica, answer.fields, sent_at
-            )
+            # Another instance may have given that answer.
+            self.statement_listener(replica, answer.statement)
         return answer
 
-    def read_rate_limit(
-        self, replica: types.Replica, fields: types.Fields, sent_at: float
-    ) -> bool:
-        """Reports the rate limit that an answer names.
-
-        Returns:
-            Whether it names one. An unreadable one changes nothing.
-        """
-        name = names.RATE_LIMIT.lower().encode()
-        values = [value for key, value in fields if key.lower() == name]
-        if not values:
-            return False
-        try:
-            rate = min(decoding.decode_rate(value) for value in values)
-        except exceptions.RecordInvalid as error:
-            events.log(
-                events.RATE_LIMIT_REJECTED,
-                instance=replica.instance,
-                reason=str(error),
-            )
-            return True
-        self.rate_limit_listener(replica, rate, sent_at)
-        return True
-
 
 def remove_field(
     fields: list[tuple[bytes, bytes]], name: str
