Show that requests reach replicas that leave or rest by their answers

Callers saw requests run by a replica 3.9 s after an answer had said that it leaves, and requests turned away by engines that had asked for rest.

--- /dev/null
+++ b/features/steps/answer_statements_steps.py
@@ -0,0 +1,336 @@
+"""Steps on replicas whose answers say that they leave or ask for rest."""
+
+import email.utils
+import random
+import time
+
+import behave
+from features.support import virtual_callers
+from features.support import virtual_engines
+from features.support import virtual_gateways
+from features.support import virtual_statements
+
+from gypsumfold.decisions import role_split
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import types
+from gypsumfold.platform import names
+from gypsumfold.platform import statements
+
+SEED = 1
+SETTLING = 5.0
+QUIET = 2.0
+# Seconds for which replicas leave or ask for rest.
+PLAYED = 8.0
+REST = 3.0
+RATE = 60.0
+STAGES = {"decode": "decode", "prefill": "prefill", "plain": ""}
+# Seconds until an entry lapses, and until it is back.
+LAPSED = 1.0
+REPLICA = types.Replica(
+    "i-1", "lm", "10.0.0.1:80", "dc-0", 4, False, decision_types.Role.DECODE
+)
+
+
+async def start_asking(site, nodes):
+    """Starts a site whose callers ask."""
+    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
+    callers = virtual_callers.Callers(site, site.fleet)
+    callers.configure(3)
+    site.fleet.start()
+    site.start(nodes, 3)
+    await site.pass_time(SETTLING)
+    callers.keep_asking(RATE)
+    await site.pass_time(QUIET)
+    return callers
+
+
+def choose(site, count, stage):
+    """The first replicas of a stage."""
+    found = []
+    for replica in site.fleet.replicas.values():
+        if replica.stage == STAGES[stage] and len(found) < count:
+            found.append(replica)
+    return found
+
+
+async def disturb(site, replicas, trouble):
+    """Brings the trouble with the store or between gateways."""
+    if trouble == "the store is silent":
+        site.cut(list(site.nodes))
+    elif trouble == "gateways hear nothing":
+        site.cut(list(site.nodes))
+        site.loss = 1.0
+    elif trouble == "the entry comes back":
+        await site.pass_time(LAPSED)
+        for replica in replicas:
+            site.log.write(names.REGISTRATIONS_TOPIC, replica.instance, None)
+        await site.pass_time(LAPSED)
+    else:
+        assert trouble == "the entry says ready"
+
+
+@behave.then(
+    "{count:d} {stage} replicas that say that they leave get no request 2 "
+    "seconds later from {nodes:d} gateways while {trouble} and {share:d} in "
+    "100 are served"
+)
+def step_leave(context, count, stage, nodes, trouble, share):
+    site = virtual_gateways.Site(SEED)
+    found = []
+    shares = []
+
+    async def story():
+        callers = await start_asking(site, nodes)
+        replicas = choose(site, count, stage)
+        for replica in replicas:
+            replica.leaving = True
+        begin = site.clock()
+        await disturb(site, replicas, trouble)
+        await site.pass_time(PLAYED)
+        found.extend(virtual_statements.after_leaving(site.fleet, callers))
+        shares.append(virtual_statements.served(callers, begin, site.clock()))
+
+    site.play(story())
+    assert site.fleet.told_leaving
+    assert not found, (len(found), found[0])
+    assert shares[0] >= share / 100, shares
+
+
+@behave.then(
+    "nobody uses a plain replica 2 seconds after it told one of {nodes:d} "
+    "gateways that it leaves while the store is silent"
+)
+def step_spread(context, nodes):
+    site = virtual_gateways.Site(SEED)
+    found = []
+
+    async def story():
+        callers = await start_asking(site, nodes)
+        (replica,) = choose(site, 1, "plain")
+        site.cut(list(site.nodes))
+        # Only callers of one gateway ask until it has been told.
+        callers.spread = 1
+        replica.leaving = True
+        while not site.fleet.told_leaving:
+            await site.pass_time(0.1)
+        await site.pass_time(virtual_statements.LEAVING)
+        callers.spread = None
+        await site.pass_time(PLAYED)
+        found.extend(
+            virtual_statements.after_leaving(site.fleet, callers, True)
+        )
+
+    site.play(story())
+    assert not found, (len(found), found[0])
+
+
+@behave.then(
+    "a gateway that passes such an answer on for another one sends the replica "
+    "nothing 2 seconds later"
+)
+def step_hop(context):
+    site = virtual_gateways.Site(SEED)
+    found = []
+
+    async def story():
+        callers = await start_asking(site, 2)
+        first = next(iter(site.nodes.values()))
+        replicas = choose(site, 4, "plain")
+        addresses = {replica.address for replica in replicas}
+        first.endpoints.cut_addresses = set(addresses)
+        await site.pass_time(QUIET)
+        site.cut(list(site.nodes))
+        # Datagrams tell nothing from here on; only the answers do.
+        site.loss = 1.0
+        replicas[0].leaving = True
+        callers.spread = 1
+        while not site.fleet.told_leaving:
+            await site.pass_time(0.1)
+        told = min(site.fleet.told_leaving.values())
+        await site.pass_time(QUIET)
+        first.endpoints.cut_addresses = set()
+        await site.pass_time(PLAYED)
+        for arrival in site.fleet.arrivals:
+            late = callers.sent[arrival.attempt] > told + QUIET
+            if late and arrival.instance == replicas[0].instance:
+                found.append(arrival)
+
+    site.play(story())
+    assert not found, (len(found), found[0])
+
+
+@behave.then(
+    "what an earlier start of a replica said is dropped by a later start and "
+    "never believed again"
+)
+def step_restarted(context):
+    directory = directory_module.Directory(random.Random(SEED))
+    first = REPLICA._replace(started_at=1000)
+    second = REPLICA._replace(started_at=2000)
+    said = types.Statement(time.monotonic(), leaving=True, rest=REST)
+    directory.put(first)
+    directory.record_statement(first, said)
+    assert not directory.is_usable("i-1")
+    directory.put(first)
+    assert not directory.is_usable("i-1"), "the entry took it back"
+    directory.put(second)
+    directory.record_statement(first, said)
+    assert directory.is_usable("i-1")
+    assert directory.engines("lm", False, time.monotonic())
+
+
+@behave.then(
+    "{count:d} {stage} replicas that ask for 3 seconds of rest get nothing "
+    "within it from {nodes:d} gateways and {share:d} in 100 are served"
+)
+def step_rest(context, count, stage, nodes, share):
+    site = virtual_gateways.Site(SEED)
+    found = []
+    shares = []
+
+    async def story():
+        callers = await start_asking(site, nodes)
+        replicas = choose(site, count, stage)
+        for replica in replicas:
+            replica.rest = REST
+        begin = site.clock()
+        await site.pass_time(PLAYED)
+        found.extend(virtual_statements.in_rest(site.fleet))
+        shares.append(virtual_statements.served(callers, begin, site.clock()))
+
+    site.play(story())
+    assert site.fleet.rests
+    assert not found, (len(found), found[:3])
+    assert shares[0] >= share / 100, shares
+
+
+@behave.then(
+    "of the requests refused while all {stage} replicas rest {share:d} in 100 "
+    "are refused within {seconds:g} seconds and told the end of the rest"
+)
+def step_refused(context, stage, share, seconds):
+    site = virtual_gateways.Site(SEED)
+    quick = []
+    told = []
+
+    async def story():
+        callers = await start_asking(site, 2)
+        replicas = choose(site, 9, stage)
+        for replica in replicas:
+            replica.rest = REST
+        await site.pass_time(0.5)
+        begin = site.clock()
+        own = callers.attempt
+
+        async def attempt(kind, body, left):
+            deadline = site.clock() + left
+            end, wait = await own(kind, body, left)
+            if end.status != 503 or end.at < begin:
+                return end, wait
+            quick.append(end.seconds <= seconds)
+            process = id(site.nodes[end.gateway].endpoints)
+            ends = virtual_statements.rest_ends(site.fleet, process)
+            if len(ends) == len(replicas):
+                left = deadline - site.clock()
+                told.append((wait, min(ends.values()) - site.clock(), left))
+            return end, wait
+
+        callers.attempt = attempt
+        await site.pass_time(PLAYED)
+
+    site.play(story())
+    assert quick and told
+    assert sum(quick) >= share / 100 * len(quick), (sum(quick), len(quick))
+    for wait, rests, left in told:
+        # Where the rest outlasts the deadline its end is of no use.
+        if 0.0 < rests <= left:
+            assert abs(wait - rests) < 0.01, (wait, rests, left)
+        else:
+            assert wait <= max(0.0, left), (wait, rests, left)
+
+
+@behave.then(
+    "a decode engine whose rest has ended gets no more than twice the share of "
+    "each other one in the next second"
+)
+def step_return(context):
+    site = virtual_gateways.Site(SEED)
+    counts = {}
+
+    async def story():
+        await start_asking(site, 6)
+        (replica,) = choose(site, 1, "decode")
+        replica.rest = REST
+        while not site.fleet.rests:
+            await site.pass_time(0.1)
+        await site.pass_time(0.5)
+        replica.rest = 0.0
+        await site.pass_time(REST - 0.5)
+        begin = max(one.at + one.seconds for one in site.fleet.rests)
+        await site.pass_time(begin + 1.0 - site.clock())
+        for one in choose(site, 9, "decode"):
+            counts[one is replica, one.instance] = 0
+        for arrival in site.fleet.arrivals:
+            for key in counts:
+                if arrival.instance == key[1] and arrival.at >= begin:
+                    counts[key] += 1
+
+    site.play(story())
+    own = [count for key, count in counts.items() if key[0]]
+    others = [count for key, count in counts.items() if not key[0]]
+    assert own[0] <= 2 * sum(others) / len(others), counts
+
+
+@behave.then(
+    "an engine that rests is neither ordered to change its role, nor probed, "
+    "nor counted as failing"
+)
+def step_neither(context):
+    views = []
+    for name in ("a", "b", "c"):
+        views.append(
+            role_split.EngineView(
+                name, "dc", decision_types.Role.PREFILL, resting=name != "c"
+            )
+        )
+    changes = role_split.plan_changes(views, 2)
+    assert [change.engine for change in changes] == ["c"], changes
+    directory = directory_module.Directory(random.Random(SEED))
+    directory.put(REPLICA)
+    now = time.monotonic()
+    directory.record_statement(REPLICA, types.Statement(now, rest=REST))
+    directory.request_probe("i-1")
+    assert not directory.due_probes(now)
+    assert directory.due_probes(now + 2 * REST) == {"i-1"}
+    assert "i-1" not in directory.health.failure_rates
+    assert directory.count_usable("lm")["replicas"] == 1
+    assert not directory.is_cut_off("lm")
+
+
+def rest_of(status, value):
+    """The rest that an answer asks for."""
+    fields = ((names.RETRY_AFTER.encode(), value.encode()),)
+    return statements.read("i-1", status, fields, 0.0).rest
+
+
+@behave.then(
+    'a 503 with the Retry-After "{value}" asks for {seconds:g} seconds of rest'
+)
+def step_retry_after(context, value, seconds):
+    if value.endswith("as a date"):
+        at = time.time() + seconds
+        value = email.utils.formatdate(at, usegmt=True)
+    found = rest_of(503, value)
+    # A date names whole seconds.
+    assert seconds - 2 <= found <= seconds, found
+    if not value.endswith("GMT"):
+        assert found == seconds
+
+
+@behave.then(
+    "an answer with status {status:d} and a Retry-After of 3 asks for "
+    "{seconds:g} seconds of rest"
+)
+def step_status(context, status, seconds):
+    assert rest_of(status, "3") == seconds
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -83,6 +83,22 @@
     parts: frozenset[str] = frozenset()
 
 
+class Asked(NamedTuple):
+    """A rest that a replica asked of a gateway.
+
+    Attributes:
+        at: When.
+        process: Which process of a gateway.
+        instance: Which replica.
+        seconds: For how long.
+    """
+
+    at: float
+    process: int
+    instance: str
+    seconds: float
+
+
 class Crashed(NamedTuple):
     """A replica that ended.
 
@@ -115,6 +131,10 @@
         self.draining = False
         # Requests a second that it takes from all gateways; None for any.
         self.rate_limit: float | None = None
+        # Whether its answers say that it leaves.
+        self.leaving = False
+        # Seconds of rest that it asks for; it turns all away then.
+        self.rest = 0.0
         self.place = place
         self.service = service
         self.stage = stage
@@ -243,6 +263,11 @@
         self.refusing_share = 0.0
         # Time of the first answer with a limit, by gateway process and replica.
         self.told: dict[tuple[int, str], float] = {}
+        # The same of the first answer that says that the replica leaves.
+        self.told_leaving: dict[tuple[int, str], float] = {}
+        self.rests: list[Asked] = []
+        # Reports, orders and the like, as time, process and instance.
+        self.own_calls: list[tuple[float, int, str]] = []
         self.replicas: dict[str, Replica] = {}
         self.tasks: dict[asyncio.Task, bool] = {}
         wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
@@ -530,14 +555,48 @@
                 parts_of(call),
             )
         )
-        now = fleet.site.clock()
-        if replica.rate_limit is not None:
-            fleet.told.setdefault((id(self), replica.instance), now)
-        rate = math.inf if replica.rate_limit is None else replica.rate_limit
-        self.statement_listener(addressed, types.Statement(now, rate=rate))
+        self.say(replica, addressed, True)
         if refuses:
             raise exceptions.EndpointRefused("full")
 
+    def say(
+        self, replica: Replica, addressed: types.Replica, to_caller: bool
+    ) -> None:
+        """Says in an answer what a replica has to say of itself.
+
+        Raises:
+            exceptions.EndpointRefused: It wants to rest.
+        """
+        fleet = self.fleet
+        now = fleet.site.clock()
+        key = (id(self), replica.instance)
+        rate = None
+        if to_caller:
+            rate = replica.rate_limit or math.inf
+        if to_caller and replica.rate_limit is not None:
+            fleet.told.setdefault(key, now)
+        if replica.leaving:
+            fleet.told_leaving.setdefault(key, now)
+        if replica.rest:
+            fleet.rests.append(Asked(now, *key, replica.rest))
+        statement = types.Statement(
+            now, rate=rate, leaving=replica.leaving, rest=replica.rest
+        )
+        self.statement_listener(addressed, statement)
+        if replica.rest:
+            raise exceptions.EndpointRefused("rests")
+
+    async def take(
+        self, replica: types.Replica, fresh: bool = False
+    ) -> Replica:
+        """Finds a replica that answers a call of the gateway's own."""
+        found = await self.reach(replica, fresh)
+        self.fleet.own_calls.append(
+            (self.fleet.site.clock(), id(self), found.instance)
+        )
+        self.say(found, replica, False)
+        return found
+
     async def send(
         self,
         replica: types.Replica,
@@ -584,13 +643,13 @@
 
     async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
         """Frees a KV cache."""
-        await self.reach(replica)
+        await self.take(replica)
 
     async def state(
         self, replica: types.Replica, fresh: bool = False
     ) -> types.State:
         """Asks an engine for its state."""
-        found = await self.reach(replica, fresh)
+        found = await self.take(replica, fresh)
         await asyncio.sleep(NETWORK)
         role = decision_types.Role.DECODE
         if found.stage == "prefill":
@@ -599,7 +658,7 @@
 
     async def cache_list(self, replica: types.Replica) -> types.CacheList:
         """Asks an engine which parts of prompts it keeps."""
-        await self.reach(replica)
+        await self.take(replica)
         return types.CacheList([])
 
     async def order(self, replica: types.Replica, order: types.Order) -> bool:
