Keep requests from replicas whose answers have said that they leave

Callers' requests were run by replicas that were about to end. Cause: what an answer says of its replica was not known to any decision; a replica left routing only with its entry in the store. Change: a departure is remembered by instance and start, so that neither an entry that says ready nor one that lapses and returns takes it back; a later start does. It makes the replica draining to everything that asks the directory, is checked once more when a request is sent, is told to the other gateways in their datagrams, and to the gateway for which this one answers.

--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -105,7 +105,11 @@
     """No endpoint can be sent the dispatch at the moment."""
 
 
-class EndpointLimited(EndpointNotStarted):
+class EndpointWithheld(EndpointNotStarted):
+    """This node sends the endpoint nothing at the moment, as it asked for."""
+
+
+class EndpointLimited(EndpointWithheld):
     """This node has no permit for an endpoint that limits its requests."""
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -15,6 +15,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import cluster_totals
+from gypsumfold.decisions import departures as departures_module
 from gypsumfold.decisions import health
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import rate_limits as rate_limits_module
@@ -61,6 +62,7 @@
         lapses_at: When a replica whose entry is missing is dropped.
         changing_until: Until when an engine changes its role and gets no work.
         draining_since: When this node learnt that a replica is draining.
+        departures: The replicas that have said that they leave.
         suspects: Replicas that did not answer a probe; they get no work.
         reachability: The replicas to which new connections fail; they get work
             only over open ones.
@@ -110,6 +112,8 @@
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
         self.rate_limits = rate_limits_module.RateLimits()
+        self.departures = departures_module.Departures()
+        self.departure_listeners: list[Callable[[str, int], None]] = []
         self.rate_limit_listeners: list[
             Callable[[str, float | None, float], None]
         ] = []
@@ -125,6 +129,10 @@
         ):
             self.replica_restarted(old, replica.started_at)
             old = None
+        departure = self.departures.find(replica.instance, replica.started_at)
+        if departure is not None:
+            replica = replica._replace(draining=True)
+            self.draining_since[replica.instance] = departure.since
         self.versions.add(replica.service, replica.version, now)
         if old is not None:
             self.versions.remove(old.service, old.version, now)
@@ -166,6 +174,7 @@
         self.versions.add(replica.service, None, time.monotonic())
         # Its software may have changed; the next registration says to what.
         self.replicas[instance] = replica._replace(
+            draining=False,
             started_at=state.started_at,
             role=state.role,
             orders=state.orders,
@@ -525,11 +534,7 @@
             statement: What the answer says.
         """
         if statement.leaving:
-            events.log(
-                events.REPLICA_LEAVING,
-                instance=replica.instance,
-                service=replica.service,
-            )
+            self.record_departure(replica)
         if statement.rest > 0:
             events.log(
                 events.REPLICA_RESTING,
@@ -541,6 +546,38 @@
             rate = None if math.isinf(statement.rate) else statement.rate
             self.record_rate_limit(replica, rate, statement.sent_at)
 
+    def record_departure(self, replica: types.Replica) -> None:
+        """Records that a replica's answer says that it leaves."""
+        if self.merge_departure(replica.instance, replica.started_at):
+            for listener in self.departure_listeners:
+                listener(replica.instance, replica.started_at)
+
+    def merge_departure(self, instance: str, started_at: int) -> bool:
+        """Records a departure that this node or another one has learnt.
+
+        Args:
+            instance: The replica.
+            started_at: Its start in Unix milliseconds; 0 if unknown.
+
+        Returns:
+            Whether it is news.
+        """
+        if not self.incarnations.observe(instance, started_at):
+            return False
+        now = time.monotonic()
+        if not self.departures.record(instance, started_at, now):
+            return False
+        replica = self.replicas.get(instance)
+        events.log(
+            events.REPLICA_LEAVING,
+            instance=instance,
+            service=replica.service if replica else "",
+            known=replica is not None and not replica.draining,
+        )
+        if replica is not None:
+            self.put(replica)
+        return True
+
     def record_rate_limit(
         self, replica: types.Replica, rate: float | None, sent_at: float
     ) -> None:
@@ -583,14 +620,30 @@
     def take_permit(self, replica: types.Replica) -> None:
         """Takes a permit for a request to a replica.
 
+        The replica may have been chosen a while ago.
+
         Raises:
-            exceptions.EndpointLimited: There is none.
+            exceptions.EndpointWithheld: The replica leaves.
+            exceptions.EndpointLimited: There is no permit.
         """
+        self.check_departure(replica)
         if not self.rate_limits.take(replica.instance, time.monotonic()):
             raise exceptions.EndpointLimited(
                 f"{replica.instance} limits its requests"
             )
 
+    def check_departure(self, replica: types.Replica) -> None:
+        """Checks that a request may still be sent to a replica.
+
+        Raises:
+            exceptions.EndpointWithheld: It leaves.
+        """
+        departure = self.departures.find(replica.instance, replica.started_at)
+        if departure is None:
+            return
+        if time.monotonic() - departure.since > DRAINING_USE_SECONDS:
+            raise exceptions.EndpointWithheld(f"{replica.instance} is leaving")
+
     def limited(
         self,
         service: str,
@@ -646,6 +699,8 @@
             error: What went wrong; None if it answered with a failure.
             now: The time.
         """
+        if isinstance(error, exceptions.EndpointWithheld):
+            return
         refused = isinstance(error, exceptions.EndpointRefused)
         silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -202,6 +202,10 @@
         self.forward_server = forward_server.ForwardServer(
             self.gossip.sealer, self.handler
         )
+        self.forward_server.find_departures = lambda: (
+            self.directory.departures.recent(time.monotonic())
+        )
+        self.forwarder.departure_listener = self.directory.merge_departure
         self.server = server_module.Server(self.handler, self.configurations)
         self.crash_records = crash_records_module.CrashRecords(
             self.store, self.quarantine, self.gossip.is_store_reader
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -34,6 +34,7 @@
 HANDLE_KEEPING_ERRORS = (
     exceptions.EndpointUnreachable,
     exceptions.EndpointMismatch,
+    exceptions.EndpointWithheld,
 )
 # Seconds between two checks for a decode engine.
 POLL_INTERVAL = 0.03
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_messages.py
@@ -77,11 +77,20 @@
 
 
 class Head(msgspec.Struct, array_like=True, tag="head"):
-    """The head of the replica's answer."""
+    """The head of the replica's answer.
+
+    Attributes:
+        status: HTTP status.
+        reason: HTTP reason phrase.
+        fields: Header fields to forward.
+        departures: Instance and start time of replicas that have told the
+            sender lately that they leave.
+    """
 
     status: int
     reason: str
     fields: list[tuple[bytes, bytes]]
+    departures: list[tuple[str, messages.Count]] = []
 
 
 class Data(msgspec.Struct, array_like=True, tag="data"):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forward_server.py
@@ -26,6 +26,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 
 Send = Callable[[forward_messages.Message], Awaitable[None]]
+# Returns the instance and start of replicas that were learnt to leave lately.
+FindDepartures = Callable[[], list[tuple[str, int]]]
 
 
 class Handler(Protocol):
@@ -51,8 +53,9 @@
 class PeerReply:
     """Sends the answer of a request to the node that forwarded it."""
 
-    def __init__(self, send: Send):
+    def __init__(self, send: Send, find_departures: FindDepartures):
         self.send_message = send
+        self.find_departures = find_departures
 
     async def send(
         self, status: int, reason: str, fields: types.Fields, body: bytes
@@ -67,7 +70,9 @@
         self, status: int, reason: str, fields: types.Fields, length: int | None
     ) -> None:
         """Sends the head of an answer whose body follows."""
-        head = forward_messages.Head(status, reason, list(fields))
+        head = forward_messages.Head(
+            status, reason, list(fields), self.find_departures()
+        )
         await self.send_message(head)
 
     async def write(self, data: bytes) -> None:
@@ -88,6 +93,7 @@
     Attributes:
         stopping: Whether new requests are declined.
         active: Number of requests in progress.
+        find_departures: What each answer's head tells of replicas that leave.
 
     >>> server = ForwardServer(sealer, handler)
     >>> await server.serve(frame, write)
@@ -98,6 +104,7 @@
         self.handler = handler
         self.stopping = False
         self.active = 0
+        self.find_departures: FindDepartures = list
         self.ended = asyncio.Event()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -169,7 +176,7 @@
                 request.version,
                 request.runs,
                 forward_messages.to_origin(request),
-                PeerReply(send),
+                PeerReply(send, self.find_departures),
             )
         except exceptions.PeerRefused as error:
             await send(forward_messages.Declined(str(error)))
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/forwarding.py
@@ -100,6 +100,8 @@
         find_members: Returns the other nodes.
         accepted_at: When another node last served a request.
         results: Number of requests by what became of them.
+        departure_listener: Called with the instance and start time of each
+            replica that another node's answer says to leave.
 
     >>> forwarder = Forwarder(link, sealer, choice, permits, find_members)
     >>> await forwarder.forward(route, "lm", 7, reply, progress)
@@ -120,6 +122,9 @@
         self.retry_permits = retry_permits
         self.find_members = find_members
         self.accepted_at = -math.inf
+        self.departure_listener: Callable[[str, int], object] = (
+            lambda instance, started_at: None
+        )
         self.results = {"served": 0, "declined": 0, "broken": 0}
 
     async def forward(
@@ -280,6 +285,8 @@
                 return True
             if isinstance(message, forward_messages.Head):
                 progress.answer_started = True
+                for departure in message.departures:
+                    self.departure_listener(*departure)
                 await reply.start(
                     message.status, message.reason, tuple(message.fields), None
                 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -19,6 +19,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import bandwidth
+from gypsumfold.decisions import departures
 from gypsumfold.decisions import members as members_module
 from gypsumfold.decisions import node_count as node_count_module
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
@@ -173,6 +174,7 @@
         directory.unreachable_listeners.append(self.report_unreachable)
         directory.removal_listeners.append(self.forget_replica)
         directory.rate_limit_listeners.append(self.announce_rate_limit)
+        directory.departure_listeners.append(self.announce_departure)
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
@@ -702,6 +704,13 @@
         if self.outbox.add_rate_limit(instance, rate, sent_at):
             self.changed.set()
 
+    def announce_departure(self, instance: str, started_at: int) -> None:
+        """Tells the other nodes that a replica has said that it leaves."""
+        until = self.clock() + departures.ANNOUNCED_SECONDS
+        if self.outbox.add_departure(instance, started_at, until):
+            self.urgent.set()
+        self.changed.set()
+
     def has_relay(self) -> bool:
         """Whether this node reports to a relay."""
         return not self.meshed and self.choice.relay is not None
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -103,6 +103,8 @@
             reported about an engine is void once it has started again.
         rate_limits: What replicas said of their rate limits: requests a
             second, None for no limit, and how many seconds ago.
+        departures: Replicas that have said that they leave: their start time,
+            0 if unknown, and for how many seconds that is to be passed on.
     """
 
     placements: list[Placement] = []
@@ -111,6 +113,7 @@
     unreachable: list[str] = []
     start_times: dict[str, int] = {}
     rate_limits: dict[str, tuple[Amount | None, Amount]] = {}
+    departures: dict[str, tuple[Count, Amount]] = {}
 
 
 class ChangedRegistration(msgspec.Struct, array_like=True):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
@@ -13,8 +13,8 @@
 class Outbox:
     """Collects updates to send.
 
-    Placements, unreachable replicas and rate limits are sent once. Closings and
-    roles are sent each time until they end.
+    Placements, unreachable replicas and rate limits are sent once. Closings,
+    roles and departures are sent each time until they end.
 
     >>> outbox = Outbox()
     >>> outbox.add_closing("i-1", until=4.5)
@@ -30,6 +30,7 @@
         self.start_times: dict[str, int] = {}
         self.rate_limits: dict[str, tuple[float | None, float]] = {}
         self.sent_rate_limits: dict[str, tuple[float | None, float]] = {}
+        self.departures: dict[str, tuple[int, float]] = {}
 
     def add_placement(self, placement: messages.Placement) -> None:
         """Adds a prompt that was sent to an engine."""
@@ -90,6 +91,25 @@
         self.rate_limits[instance] = (rate, sent_at)
         return True
 
+    def add_departure(
+        self, instance: str, started_at: int, until: float
+    ) -> bool:
+        """Adds a replica that has said that it leaves.
+
+        Args:
+            instance: The replica.
+            started_at: Its start in Unix milliseconds; 0 if unknown.
+            until: Until when this is sent.
+
+        Returns:
+            Whether it is news.
+        """
+        known_start, known_until = self.departures.get(instance, (0, 0.0))
+        if known_until >= until:
+            return False
+        self.departures[instance] = (max(started_at, known_start), until)
+        return known_until == 0.0
+
     def forget(self, engine: str) -> None:
         """Drops updates on an engine that was removed or has restarted."""
         self.rate_limits.pop(engine, None)
@@ -108,7 +128,8 @@
         """Adds another node's updates, to forward them.
 
         Returns:
-            Whether they close an engine that was open, which is urgent.
+            Whether they are urgent: they close an engine that was open, or a
+            replica leaves.
         """
         urgent = False
         for placement in updates.placements:
@@ -123,6 +144,8 @@
             self.add_unreachable(instance)
         for instance, (rate, age) in updates.rate_limits.items():
             self.add_rate_limit(instance, rate, now - age)
+        for instance, (started_at, seconds) in updates.departures.items():
+            urgent |= self.add_departure(instance, started_at, now + seconds)
         return urgent
 
     def take(
@@ -160,8 +183,20 @@
         for instance, (rate, sent_at) in self.rate_limits.items():
             rate_limits[instance] = (rate, round(max(0.0, now - sent_at), 3))
         self.rate_limits.clear()
+        departures = {}
+        for instance, (started_at, until) in list(self.departures.items()):
+            if until <= now:
+                del self.departures[instance]
+                continue
+            departures[instance] = (started_at, round(until - now, 3))
         return messages.Updates(
-            placements, closed, roles, unreachable, start_times, rate_limits
+            placements,
+            closed,
+            roles,
+            unreachable,
+            start_times,
+            rate_limits,
+            departures,
         )
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -35,6 +35,8 @@
                 self.directory.request_probe(instance)
         for instance, (rate, age) in updates.rate_limits.items():
             self.directory.merge_rate_limit(instance, rate, now - age)
+        for instance, (started_at, _) in updates.departures.items():
+            self.directory.merge_departure(instance, started_at)
         for placed in updates.placements:
             self.prefix_router.add_remote_prompt(
                 placed.engine, placed.prefix_hashes, placed.tokens
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -211,9 +211,9 @@
 
     def record_not_started(self, error: exceptions.EndpointNotStarted) -> None:
         """Records that an attempt did not start, and whether it was sent."""
-        if isinstance(error, exceptions.EndpointLimited):
-            return
         for each in (error, error.__cause__):
+            if isinstance(each, exceptions.EndpointWithheld):
+                return
             if isinstance(each, NOT_SENT_ERRORS):
                 self.missed = True
                 return
