Keep everything from a replica for the rest that it asks this node for

Callers' requests were sent to engines that had just asked for seconds of rest, tried them before one that served, and came back late or refused. Cause: Retry-After of a 503 was not known to any decision. A refusal paused its replica for a constant, and a paused one was used where no other could be; with an empty queue it was the first choice. Change: a rest is remembered by instance and start, for this node only. Calls, prefills, decodes, resumed streams, probes, reports, orders and the like are withheld where a connection is taken, once more after one was opened. A resting replica counts as reachable and sound: no failure, no witness, no change of its role. If all rest, callers are refused at once with the end as Retry-After if it is within their deadline. After a rest requests return over a second.

--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -461,6 +461,7 @@
         self.silent_until: dict[str, float] = {}
         self.kept: dict[str, int] = {}
         self.statement_listener = lambda replica, statement: None
+        self.admission = lambda replica: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a call would find a connection open."""
@@ -493,6 +494,7 @@
         self, replica: types.Replica, fresh: bool = False
     ) -> Replica:
         """Finds the process at a replica's address."""
+        self.admission(replica)
         if (
             replica.version in self.cut_versions
             or replica.address in self.cut_addresses
--- a/features/support/virtual_statements.py
+++ b/features/support/virtual_statements.py
@@ -44,12 +44,12 @@
     return sorted(found)
 
 
-def rest_ends(fleet, process):
-    """When the rest ends that each replica has asked of a gateway's process."""
+def rest_ends(fleet, process, at):
+    """When the rests end that replicas had asked of a process before a time."""
     found = {}
     for asked in fleet.rests:
-        if asked.process == process:
-            end = asked.at + asked.seconds
+        end = asked.at + asked.seconds
+        if asked.process == process and asked.at <= at < end:
             found[asked.instance] = max(end, found.get(asked.instance, end))
     return found
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -65,6 +65,7 @@
         waiting: Seconds of prompts that it has to prefill first.
         changing: Whether it is changing its role, on any node's order.
         version: Version of its software; a stream goes on at its own only.
+        resting: Whether it takes no orders now, though it serves again later.
     """
 
     name: str
@@ -73,6 +74,7 @@
     waiting: float = 0.0
     changing: bool = False
     version: str | None = ""
+    resting: bool = False
 
 
 class Load(NamedTuple):
@@ -353,10 +355,10 @@
     decoders = []
     prefill_engines = []
     for engine in engines:
-        if engine.role == types.Role.PREFILL:
-            prefill_engines.append(engine)
-        else:
+        if engine.role != types.Role.PREFILL:
             decoders.append(engine)
+        elif not engine.resting:
+            prefill_engines.append(engine)
     found = []
     while len(decoders) > desired:
         candidates = removable(decoders)
@@ -378,14 +380,15 @@
 def removable(decoders: list[EngineView]) -> list[EngineView]:
     """Returns the engines of which one may stop decoding.
 
-    The last decode engine that isn't changing stays: one that is changing may
-    have crashed, or may carry out its order seconds later, and until then there
-    would be none.
+    The last decode engine that serves stays: one that is changing may have
+    crashed, or may carry out its order seconds later, and until then there
+    would be none. Engines that rest take no orders.
     """
-    unchanging = [engine for engine in decoders if not engine.changing]
-    if len(unchanging) > 1:
-        return decoders
-    return [engine for engine in decoders if engine.changing]
+    able = [engine for engine in decoders if not engine.resting]
+    changing = [engine for engine in able if engine.changing]
+    if len(able) - len(changing) > 1:
+        return able
+    return changing
 
 
 def limit_changes(
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -295,6 +295,12 @@
             key = (address, instance)
             self.idle.setdefault(key, []).append(connection)
 
+    def put_back(
+        self, address: str, instance: str, connection: Connection
+    ) -> None:
+        """Returns a connection on which nothing was sent."""
+        self.idle.setdefault((address, instance), []).append(connection)
+
     def discard(self, address: str, instance: str) -> None:
         """Closes the idle connections to a replica."""
         for connection in self.idle.pop((address, instance), ()):
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -20,6 +20,7 @@
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import rate_limits as rate_limits_module
 from gypsumfold.decisions import reachability as reachability_module
+from gypsumfold.decisions import rests as rests_module
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
@@ -63,6 +64,7 @@
         changing_until: Until when an engine changes its role and gets no work.
         draining_since: When this node learnt that a replica is draining.
         departures: The replicas that have said that they leave.
+        rests: The replicas that have asked this node for rest.
         suspects: Replicas that did not answer a probe; they get no work.
         reachability: The replicas to which new connections fail; they get work
             only over open ones.
@@ -113,6 +115,7 @@
         self.versions = software_versions.SoftwareVersions()
         self.rate_limits = rate_limits_module.RateLimits()
         self.departures = departures_module.Departures()
+        self.rests = rests_module.Rests(rng)
         self.departure_listeners: list[Callable[[str, int], None]] = []
         self.rate_limit_listeners: list[
             Callable[[str, float | None, float], None]
@@ -129,6 +132,7 @@
         ):
             self.replica_restarted(old, replica.started_at)
             old = None
+        self.rests.observe_start(replica.instance, replica.started_at)
         departure = self.departures.find(replica.instance, replica.started_at)
         if departure is not None:
             replica = replica._replace(draining=True)
@@ -327,9 +331,10 @@
     ) -> list[types.Replica]:
         """Returns the replicas of a plain service that may get work now.
 
-        Those that refused, failed or fell silent recently are returned only
-        if there is no other; those that don't answer on new connections either
-        are left out, and those for which this node has no permit.
+        Those that refused, failed, rested or fell silent recently are returned
+        only if there is no other; those that don't answer on new connections
+        either are left out, those that rest, and those for which this node has
+        no permit.
 
         Args:
             service: The service.
@@ -341,6 +346,8 @@
         for replica in self.known(service):
             if replica.instance in avoid:
                 continue
+            if self.rests.is_resting(replica.instance, now):
+                continue
             if not self.rate_limits.is_open(replica.instance, now):
                 continue
             if self.is_healthy(replica.instance, now):
@@ -355,10 +362,12 @@
         return instance in self.suspects and instance in lost
 
     def is_usable(self, instance: str) -> bool:
-        """Whether a replica is known, and neither draining nor suspect."""
+        """Whether a replica is known and may be sent requests now."""
         replica = self.replicas.get(instance)
         if replica is None or replica.draining:
             return False
+        if self.rests.is_resting(instance, time.monotonic()):
+            return False
         return self.is_reachable(replica)
 
     def is_healthy(self, instance: str, now: float) -> bool:
@@ -368,6 +377,8 @@
             return False
         if self.paused_until.get(instance, -math.inf) > now:
             return False
+        if not self.rests.may_choose(instance, now):
+            return False
         return self.health.is_allowed(instance, now)
 
     def engines(
@@ -380,8 +391,8 @@
     ) -> list[types.Replica]:
         """Returns the prefill or the decode engines that may get work now.
 
-        Suspects, engines that change their role and those for which this node
-        has no permit are left out even if there is no other.
+        Suspects, engines that change their role, those that rest and those for
+        which this node has no permit are left out even if there is no other.
 
         Args:
             service: The service.
@@ -402,6 +413,8 @@
                 continue
             if self.changing_until.get(replica.instance, -math.inf) > now:
                 continue
+            if self.rests.is_resting(replica.instance, now):
+                continue
             if not self.rate_limits.is_open(replica.instance, now):
                 continue
             if self.is_healthy(replica.instance, now):
@@ -415,14 +428,23 @@
             self.decode_available_at[service] = now
         return found
 
-    def may_return(self, origin: stream_origins.Origin, now: float) -> bool:
-        """Whether a decode engine of a stream's version is known but unusable.
+    def may_return(
+        self, origin: stream_origins.Origin, now: float, until: float
+    ) -> bool:
+        """Whether a decode engine of a stream's version may be usable again.
 
         It may be silent, refuse work or change its role.
+
+        Args:
+            origin: What began the stream.
+            now: The time.
+            until: How long the stream may wait.
         """
         for replica in self.known(origin.service):
             if not origin.fits(replica.version):
                 continue
+            if self.rests.is_resting(replica.instance, until):
+                continue
             if not self.is_prefill(replica, now):
                 return True
         return False
@@ -460,6 +482,8 @@
                 continue
             if origin is not None and not origin.fits(replica.version):
                 continue
+            if self.rests.is_resting(instance, now):
+                continue
             if not self.rate_limits.is_open(instance, now):
                 continue
             if self.is_reachable(replica):
@@ -536,16 +560,68 @@
         if statement.leaving:
             self.record_departure(replica)
         if statement.rest > 0:
-            events.log(
-                events.REPLICA_RESTING,
-                instance=replica.instance,
-                service=replica.service,
-                seconds=round(statement.rest, 3),
-            )
+            self.record_rest(replica, statement.rest)
         if statement.rate is not None:
             rate = None if math.isinf(statement.rate) else statement.rate
             self.record_rate_limit(replica, rate, statement.sent_at)
 
+    def record_rest(self, replica: types.Replica, seconds: float) -> None:
+        """Records that a replica wants nothing from this node for a while."""
+        if not self.incarnations.observe(replica.instance, replica.started_at):
+            return
+        now = time.monotonic()
+        if not self.rests.record(
+            replica.instance, replica.started_at, now + seconds, now
+        ):
+            return
+        events.log(
+            events.REPLICA_RESTING,
+            instance=replica.instance,
+            service=replica.service,
+            seconds=round(seconds, 3),
+        )
+
+    def check_rest(self, replica: types.Replica) -> None:
+        """Checks that a replica may be sent anything now.
+
+        Raises:
+            exceptions.EndpointWithheld: It has asked for rest.
+        """
+        if self.rests.is_resting(replica.instance, time.monotonic()):
+            raise exceptions.EndpointWithheld(f"{replica.instance} rests")
+
+    def rest_end(
+        self,
+        service: str,
+        prefill: bool | None,
+        now: float,
+        origin: stream_origins.Origin | None = None,
+    ) -> float | None:
+        """Returns when the first rest ends, if all usable replicas rest.
+
+        Args:
+            service: The service.
+            prefill: Whether prefill or decode engines are meant; None for
+                replicas of a plain service.
+            now: The time.
+            origin: As in `engines`.
+        """
+        ends = []
+        for replica in self.responsive(service):
+            instance = replica.instance
+            if prefill is not None:
+                if self.is_prefill(replica, now) != prefill:
+                    continue
+                if self.changing_until.get(instance, -math.inf) > now:
+                    continue
+            if origin is not None and not origin.fits(replica.version):
+                continue
+            end = self.rests.end(instance, now)
+            if end is None:
+                return None
+            ends.append(end)
+        return min(ends, default=None)
+
     def record_departure(self, replica: types.Replica) -> None:
         """Records that a replica's answer says that it leaves."""
         if self.merge_departure(replica.instance, replica.started_at):
@@ -623,10 +699,11 @@
         The replica may have been chosen a while ago.
 
         Raises:
-            exceptions.EndpointWithheld: The replica leaves.
+            exceptions.EndpointWithheld: The replica leaves or rests.
             exceptions.EndpointLimited: There is no permit.
         """
         self.check_departure(replica)
+        self.check_rest(replica)
         if not self.rate_limits.take(replica.instance, time.monotonic()):
             raise exceptions.EndpointLimited(
                 f"{replica.instance} limits its requests"
@@ -702,6 +779,8 @@
         if isinstance(error, exceptions.EndpointWithheld):
             return
         refused = isinstance(error, exceptions.EndpointRefused)
+        if refused and self.rests.is_resting(instance, now):
+            return
         silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
         if isinstance(error, exceptions.EndpointUnreachable):
@@ -746,11 +825,16 @@
         asked = self.probe_requests.union(self.silence.check(now)) - lost
         self.probe_requests.clear()
         self.probe_requested.clear()
+        resting = {one for one in asked if self.rests.is_resting(one, now)}
+        self.probe_requests |= resting
+        asked -= resting
         if self.reachability.take_sweep(now):
-            others = self.replicas.keys() - lost
+            others = self.replicas.keys() - lost - resting
             self.fresh_probes |= others
             asked |= others
         for instance in lost:
+            if self.rests.is_resting(instance, now):
+                continue
             due, pause = self.next_probes.get(
                 instance, (now, FIRST_PROBE_INTERVAL_SECONDS)
             )
@@ -781,6 +865,8 @@
         for replica in self.replicas.values():
             if replica.instance == instance or replica.draining:
                 continue
+            if self.rests.is_resting(replica.instance, time.monotonic()):
+                continue
             if replica.instance in self.suspects:
                 continue
             if replica.instance not in self.reachability.unreachable:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -123,6 +123,7 @@
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.record_statement
+        self.endpoints.admission = self.directory.check_rest
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -189,6 +189,7 @@
                 outcomes.Outcome.NOT_RUN,
                 progress.retry_after(),
             )
+        self.check_rests(service, progress)
         await self.wait_for_decode_engine(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
@@ -251,6 +252,30 @@
             return False
         return not await self.rate_permits.borrow(limited)
 
+    def check_rests(
+        self, service: types.Service, progress: progress_module.Progress
+    ) -> None:
+        """Refuses a request at once if all decode engines rest.
+
+        A stream that goes on waits for its version's engines for a moment.
+
+        Raises:
+            exceptions.RequestError: They do.
+        """
+        if progress.origin is not None:
+            return
+        now = time.monotonic()
+        progress.rest_end = self.directory.rest_end(service.name, False, now)
+        if progress.rest_end is None:
+            return
+        if progress.may_have_run:
+            raise progress.final_error()
+        raise exceptions.Unavailable(
+            "all engines have asked for rest",
+            outcomes.Outcome.NOT_RUN,
+            progress.retry_after(),
+        )
+
     async def wait_for_decode_engine(
         self,
         route: routes.Route,
@@ -333,7 +358,9 @@
                     and not progress.answer_started
                 )
                 or progress.time_left() < VERSION_WAIT_SECONDS
-                or not self.directory.may_return(origin, now)
+                or not self.directory.may_return(
+                    origin, now, started + VERSION_WAIT_SECONDS
+                )
             ):
                 break
             await asyncio.sleep(POLL_INTERVAL)
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -58,6 +58,9 @@
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 state = await self.endpoints.state(replica, fresh)
+        except exceptions.EndpointWithheld:
+            # It asked for rest after the probe was due.
+            self.directory.request_probe(instance)
         except exceptions.EndpointMismatch:
             self.directory.process_ended(instance)
             self.directory.suspect(instance, time.monotonic())
@@ -155,7 +158,11 @@
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 await self.endpoints.state(witness, fresh=True)
-        except (exceptions.EndpointRefused, exceptions.RecordInvalid):
+        except (
+            exceptions.EndpointRefused,
+            exceptions.EndpointWithheld,
+            exceptions.RecordInvalid,
+        ):
             return True
         except (exceptions.EndpointError, TimeoutError):
             now = time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -75,6 +75,9 @@
                 progress, route, lambda: self.choose(service, progress)
             )
             if replica is None:
+                progress.rest_end = self.directory.rest_end(
+                    service, None, time.monotonic()
+                )
                 break
             if attempt:
                 progress.log_retry("the previous attempt failed")
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -154,6 +154,7 @@
                     waiting,
                     changing,
                     replica.version,
+                    self.directory.rests.is_resting(replica.instance, now),
                 )
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -279,9 +279,12 @@
     Attributes:
         statement_listener: Called with the replica, as the request was sent
             to it, and with what the head of its answer says of it.
+        admission: Called with the replica before anything is sent to it;
+            raises `EndpointWithheld` if nothing may be.
     """
 
     statement_listener: Callable[[Replica, Statement], None]
+    admission: Callable[[Replica], None]
 
     def is_connected(self, replica: Replica) -> bool:
         """Whether an idle connection to the replica is open."""
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -28,6 +28,7 @@
     Attributes:
         statement_listener: Called with what each answer says of its replica,
             as in `types.Endpoints`.
+        admission: Called before anything is sent to a replica.
 
     >>> replicas = Replicas(connections.Pool())
     >>> answer = await replicas.send(replica, call, instructions)
@@ -38,6 +39,7 @@
         self.statement_listener: Callable[
             [types.Replica, types.Statement], None
         ] = lambda replica, statement: None
+        self.admission: Callable[[types.Replica], None] = lambda replica: None
 
     def is_connected(self, replica: types.Replica) -> bool:
         """Whether a connection to the replica is open."""
@@ -209,13 +211,26 @@
         body: bytes | None,
         fresh: bool = False,
     ) -> connections.PooledAnswer:
-        """Sends one request and waits for the head of its answer."""
+        """Sends one request and waits for the head of its answer.
+
+        Raises:
+            exceptions.EndpointWithheld: The replica may be sent nothing now.
+            exceptions.EndpointNotStarted: Nothing of it can have run.
+            exceptions.AnswerBroken: It may have run.
+        """
         if body is not None:
             length = str(len(body)).encode()
             fields = [*fields, (b"Content-Length", length)]
+        self.admission(replica)
         connection = await self.pool.acquire(
             replica.address, replica.instance, fresh
         )
+        try:
+            # The replica may have asked for rest meanwhile.
+            self.admission(replica)
+        except exceptions.EndpointWithheld:
+            self.pool.put_back(replica.address, replica.instance, connection)
+            raise
         done = False
         sent_at = time.monotonic()
         try:
