Bound each body that is read whole, by size and by time

A replica in trouble may send bytes without end; a gateway kept all of them until it was killed for its memory. Cause: a body was joined whatever its length, and one that was not needed (a refusal, another instance's answer) was read to its end first. Change: bodies read whole are bounded each and together; what is not needed is drained for 0.1 s and 64 KB at most, and its refusal stands, as the head told it. Heads that only announce an answer are counted. The same for the store's, the platform's and other gateways' answers. Streams are passed on under back pressure, as before.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -20,6 +20,9 @@
       | a plain call     | in a chunk's extension   | 5       | 4    |
       | a plain call     | after a whole answer     | 5       | 4    |
       | a stream         | in one event             | 5       | 16   |
+      | a store read     | in its body              | 5       | 16   |
+      | a question       | in its body              | 5       | 20   |
+      | a usage report   | in its body              | 5       | 4    |
 
   Scenario Outline: A trickle without end holds a call: <call>, <place>
     Then <call> that gets a trickle without end <place> ends within <seconds> seconds after at most 1 MB
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+import aiohttp
 import behave
 
 from gypsumfold import exceptions
@@ -12,8 +13,12 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
+from gypsumfold.gateway.peers import queries
+from gypsumfold.gateway.peers import seals
 from gypsumfold.platform import names
+from gypsumfold.platform import operations as operations_module
 from gypsumfold.platform import replicas
+from gypsumfold.platform import store as store_module
 
 HOST = "127.0.0.1"
 PIECE = b"x" * 65536
@@ -161,6 +166,26 @@
         await stream.forward(answer, progress_module.Progress(call), Listener())
 
 
+async def ask_elsewhere(address, name):
+    """Asks the store, another gateway or the platform."""
+    host, _, port = address.rpartition(":")
+    if name == "a store read":
+        store = store_module.Store(address)
+        with contextlib.suppress(exceptions.PlatformError):
+            await store.read("keyed.op", 0, 0.0)
+        await store.close()
+    elif name == "a usage report":
+        operations = operations_module.Operations(address)
+        with contextlib.suppress(exceptions.OperationsUnavailable):
+            await operations.report_usage(b"{}", "edge-1", 1)
+        await operations.close()
+    else:
+        async with aiohttp.ClientSession() as session:
+            asking = queries.QueryClient(session, seals.Sealer([]))
+            with contextlib.suppress(exceptions.PeerError):
+                await asking.fetch((host, int(port)), queries.CACHES)
+
+
 async def make(client, replica, name):
     """Makes one kind of call, as the parts of a gateway do."""
     call = make_call()
@@ -174,6 +199,8 @@
         await client.order(replica, ORDER)
     elif name == "a refused run":
         await refuse(client, replica, call)
+    elif name in ("a store read", "a question", "a usage report"):
+        await ask_elsewhere(replica.address, name)
     elif name in ("a failed stream", "a stream"):
         await forward(client, replica, call)
     else:
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -225,6 +225,9 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    async def drain(self) -> None:
+        """Reads a body that is not needed."""
+
     def close(self) -> None:
         """Ends the exchange."""
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -219,6 +219,13 @@
     "info",
     "A replica's answer, or another node, says that it is shutting down.",
 )
+ANSWER_NOT_DRAINED = define(
+    344,
+    "answer-not-drained",
+    "info",
+    "The body of an answer whose head told all broke off or did not end in "
+    "time; its connection is closed.",
+)
 REPLICA_RESTING = define(
     343,
     "replica-resting",
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -14,6 +14,7 @@
 
 import h11
 
+from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.gateway import types
 
@@ -33,6 +34,15 @@
 IDLE_MARGIN_SECONDS = 0.6
 # Unread bytes of a body beyond which reading from the socket is paused.
 MAX_UNREAD_BYTES = 256 * 1024
+# Largest body that is read whole, and bytes of all such bodies together.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HELD_BYTES = 24 * 1024 * 1024
+# Bytes and seconds for the rest of an answer that is not needed, so that its
+# connection can be used again.
+MAX_DRAINED_BYTES = 65536
+DRAIN_SECONDS = 0.1
+# Largest number of informational heads before an answer.
+MAX_INFORMATIONAL_HEADS = 16
 # SO_LINGER with a timeout of zero: closing resets the connection and drops what
 # the kernel has not sent yet.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -61,6 +71,7 @@
         self.idle_timeout = IDLE_TIMEOUT_SECONDS
         self.last_received = 0.0
         self.unread_bytes = 0
+        self.informational_heads = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and sets the socket's options."""
@@ -175,11 +186,23 @@
                 await self.wait_for_data()
                 continue
             if isinstance(event, h11.InformationalResponse):
+                self.count_informational_head()
                 continue
             if isinstance(event, h11.Data):
                 self.consumed(len(event.data))
             return event
 
+    def count_informational_head(self) -> None:
+        """Counts a head that only announces an answer.
+
+        Raises:
+            exceptions.AnswerBroken: There are too many.
+        """
+        self.informational_heads += 1
+        if self.informational_heads > MAX_INFORMATIONAL_HEADS:
+            self.abort()
+            raise exceptions.AnswerBroken("heads come without an answer")
+
     def consumed(self, size: int) -> None:
         """Resumes reading once enough bytes have been consumed."""
         self.unread_bytes = max(0, self.unread_bytes - size)
@@ -217,6 +240,7 @@
             return False
         self.parser.start_next_cycle()
         self.unread_bytes = 0
+        self.informational_heads = 0
         self.idle = True
         self.idle_since = time.monotonic()
         return True
@@ -231,6 +255,9 @@
 class Pool:
     """A pool of idle connections by address and instance.
 
+    Attributes:
+        held_bytes: Bytes of the bodies that are being read whole.
+
     >>> pool = Pool()
     >>> connection = await pool.acquire("10.1.64.9:8080", "i-7f3a91c2")
     """
@@ -239,6 +266,7 @@
         self.local_address = (source, 0) if source else None
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.opened = 0
+        self.held_bytes = 0
 
     async def acquire(
         self, address: str, instance: str, fresh: bool = False
@@ -374,17 +402,50 @@
                 "the replica closed the connection before the end"
             )
 
-    async def read(self) -> bytes:
+    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
         """Reads the entire body.
 
+        Args:
+            limit: Largest number of bytes.
+
         Raises:
-            exceptions.AnswerBroken: It ended early.
+            exceptions.AnswerBroken: It ended early, or is too large by itself
+                or together with others that are being read.
         """
         parts = []
-        async for chunk in self.chunks():
-            parts.append(chunk)
+        size = 0
+        try:
+            async for chunk in self.chunks():
+                parts.append(chunk)
+                size += len(chunk)
+                self.pool.held_bytes += len(chunk)
+                if size > limit or self.pool.held_bytes > MAX_HELD_BYTES:
+                    self.connection.abort()
+                    raise exceptions.AnswerBroken(
+                        f"a body of over {size} bytes is too large"
+                    )
+        finally:
+            self.pool.held_bytes -= size
         return b"".join(parts)
 
+    async def drain(self) -> None:
+        """Reads a body that is not needed; closes a long or slow one."""
+        size = 0
+        try:
+            async with asyncio.timeout(DRAIN_SECONDS):
+                async for chunk in self.chunks():
+                    size += len(chunk)
+                    if size > MAX_DRAINED_BYTES:
+                        break
+        except (exceptions.AnswerBroken, TimeoutError) as error:
+            events.log(
+                events.ANSWER_NOT_DRAINED,
+                instance=self.replica.instance,
+                status=self.status,
+                reason=repr(error),
+            )
+        self.close()
+
     def close(self) -> None:
         """Ends the exchange; the replica cancels what still runs."""
         if not self.ended:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -504,7 +504,7 @@
         )
         try:
             if answer.not_run:
-                await answer.read()
+                await answer.drain()
                 raise exceptions.EndpointRefused(
                     f"the engine answered {answer.status}"
                 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/queries.py
@@ -123,7 +123,21 @@
                     raise exceptions.PeerRefused(
                         f"{path}: {response.status}, {length} bytes"
                     )
-                frame = await response.read()
+                frame = await read_frame(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise exceptions.PeerUnreachable(f"{path}: {error!r}") from error
         return self.sealer.open(frame)
+
+
+async def read_frame(response: aiohttp.ClientResponse) -> bytes:
+    """Reads an answer, which may not tell its length.
+
+    Raises:
+        exceptions.PeerRefused: It is too large.
+    """
+    frame = bytearray()
+    async for data in response.content.iter_any():
+        frame += data
+        if len(frame) > MAX_RESPONSE_BYTES:
+            raise exceptions.PeerRefused(f"{len(frame)} bytes: too many")
+    return bytes(frame)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -198,7 +198,7 @@
         answer = await self.endpoints.send(replica, progress.call, instructions)
         try:
             if answer.not_run:
-                await answer.read()
+                await answer.drain()
                 raise exceptions.EndpointRefused(
                     "the replica has no free capacity"
                 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -233,7 +233,13 @@
         """Yields the body; raises `AnswerBroken` if it ends early."""
 
     async def read(self) -> bytes:
-        """Reads the entire body; raises `AnswerBroken` if it ends early."""
+        """Reads the entire body.
+
+        Raises `AnswerBroken` if it ends early or is too large.
+        """
+
+    async def drain(self) -> None:
+        """Reads a body that is not needed; closes a long or slow one."""
 
     def close(self) -> None:
         """Ends the exchange and discards what has not been received."""
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -9,6 +9,7 @@
 
 # Time limit of one call in seconds.
 CALL_TIMEOUT_SECONDS = 1.5
+MAX_DRAINED_BYTES = 65536
 
 
 class UsageRecord(msgspec.Struct):
@@ -106,7 +107,8 @@
             async with self.session.post(
                 self.base + path, data=body, headers=headers, timeout=limit
             ) as response:
-                await response.read()
+                # The body tells nothing, so it need not be read to its end.
+                await response.content.read(MAX_DRAINED_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise exceptions.OperationsUnavailable(
                 f"{path}: {type(error).__name__}: {error}"
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -18,6 +18,10 @@
 # Header fields of an answer that are not forwarded: those of the connection,
 # and the length, which is set anew.
 NOT_FORWARDED = names.HOP_BY_HOP | {b"content-length"}
+# Largest body of a report, a handle or an order's answer, and of a list of
+# cached prefix blocks.
+MAX_REPORT_BYTES = 1024 * 1024
+MAX_LIST_BYTES = 8 * 1024 * 1024
 # Matches the timeout in seconds in a replica's Keep-Alive header.
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -74,7 +78,7 @@
             answer.close()
             raise exceptions.AnswerBroken("an answer to another request came")
         if answer.status == 421:
-            await answer.read()
+            await answer.drain()
             raise exceptions.EndpointMismatch(
                 f"{replica.instance} has another role or is gone"
             )
@@ -112,13 +116,14 @@
         """
         answer = await self.send(replica, call, instructions)
         try:
-            body = await answer.read()
+            if answer.status != 200:
+                await answer.drain()
+                raise exceptions.EndpointRefused(
+                    f"{replica.instance} answered {answer.status}"
+                )
+            body = await answer.read(MAX_REPORT_BYTES)
         finally:
             answer.close()
-        if answer.status != 200:
-            raise exceptions.EndpointRefused(
-                f"{replica.instance} answered {answer.status}"
-            )
         try:
             handle = decoding.decode_handle(body)
         except exceptions.RecordInvalid as error:
@@ -165,7 +170,9 @@
             exceptions.EndpointError: The engine does not report it.
             exceptions.RecordInvalid: The answer is malformed.
         """
-        status, body = await self.ask(replica, "GET", names.CACHE_LIST_PATH)
+        status, body = await self.ask(
+            replica, "GET", names.CACHE_LIST_PATH, limit=MAX_LIST_BYTES
+        )
         if status != 200:
             raise exceptions.EndpointRefused(f"a list ended with {status}")
         return decoding.decode_cache_list(body)
@@ -190,8 +197,21 @@
         path: str,
         body: bytes | None = None,
         fresh: bool = False,
+        limit: int = MAX_REPORT_BYTES,
     ) -> tuple[int, bytes]:
-        """Makes a call of the node's own; returns status and body."""
+        """Makes a call of the node's own; returns status and body.
+
+        Args:
+            replica: The replica.
+            method: HTTP method.
+            path: Path.
+            body: JSON to send, if any.
+            fresh: Whether to open a new connection in any case.
+            limit: Largest number of bytes of the answer's body.
+
+        Raises:
+            exceptions.EndpointError: It was not answered completely.
+        """
         fields = [
             (b"Host", replica.address.encode()),
             (names.EXPECTED_INSTANCE.encode(), replica.instance.encode()),
@@ -200,7 +220,7 @@
             fields.append((b"Content-Type", b"application/json"))
         answer = await self.exchange(replica, method, path, fields, body, fresh)
         with contextlib.closing(answer):
-            return answer.status, await answer.read()
+            return answer.status, await answer.read(limit)
 
     async def exchange(
         self,
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -24,6 +24,8 @@
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 # Size limit of one read; the registrations of 2,900 replicas fit in it.
 MAX_READ_KB = 1024
+# Largest answer: the newest records of a page come in base64.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Precedes the records of a page: the topic's end and its first offset.
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
@@ -354,6 +356,7 @@
         # takes longer than the store may take to begin it.
         limit = asyncio.timeout(wait + self.margin)
         parts = []
+        size = 0
         try:
             async with (
                 limit,
@@ -369,6 +372,11 @@
             ):
                 async for part in response.content.iter_any():
                     parts.append(part)
+                    size += len(part)
+                    if size > MAX_ANSWER_BYTES:
+                        raise exceptions.LogUnavailable(
+                            f"{path}: an answer of over {size} bytes"
+                        )
                     self.received_at = clocks.now()
                     self.extend(limit)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
