--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -300,6 +300,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.log = virtual_store.Log()
+        self.log.clock = self.clock
         self.nodes: dict[str, Node] = {}
         self.fleet: virtual_engines.Fleet | None = None
         self.platform: virtual_operations.Platform | None = None
@@ -444,6 +445,34 @@
         for name in nodes:
             self.nodes[name].path.silent = False
 
+    async def drill(
+        self, lost: float, away: float, spread: float = 0.0
+    ) -> None:
+        """Has the store be away and come back from an older copy.
+
+        Args:
+            lost: Seconds of what was written that the copy lacks.
+            away: Seconds for which the store refuses every gateway.
+            spread: Seconds over which operators and replicas write again.
+        """
+        again = self.log.go_back(lost)
+        since = self.clock()
+        for node in self.nodes.values():
+            node.path.refuses = True
+        await asyncio.sleep(away)
+        for node in self.nodes.values():
+            node.path.refuses = False
+        loop = asyncio.get_running_loop()
+        for topic, key, value in again:
+            loop.call_later(
+                self.rng.uniform(0.0, spread),
+                self.log.write_again,
+                topic,
+                key,
+                value,
+                since,
+            )
+
     def at(self, address: tuple) -> Node | None:
         """The gateway that runs at an address; None if there is none."""
         for node in self.nodes.values():
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from gypsumfold import exceptions
+from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
 # Seconds that a call takes.
@@ -16,23 +17,83 @@
 LOOK = 0.01
 
 
+# Topics that operators and replicas write, again after a drill.
+OUTSIDE_TOPICS = (names.CONFIGURATION_TOPIC, names.REGISTRATIONS_TOPIC)
+
+
 class Log:
-    """The store's topics, as their records came."""
+    """The store's topics, as their records came.
+
+    Attributes:
+        era: How often it has come back from an older copy.
+        clock: The time, to tell what a copy lacks.
+        written_at: When each record of a topic was written.
+        generations: When the group changed, and its generation from then on.
+    """
 
     def __init__(self):
         self.topics: dict[str, list[store_module.Record]] = {}
         self.joined: dict[str, float] = {}
         self.generation = 1
+        self.era = 1
+        self.clock: Callable[[], float] = lambda: 0.0
+        self.written_at: dict[str, list[float]] = {}
+        self.joined_at: dict[str, float] = {}
+        self.generations: list[tuple[float, int]] = [(0.0, 1)]
+
+    def go_back(self, seconds: float) -> list[tuple[str, str, Any]]:
+        """Returns to a copy that is some seconds old.
+
+        Returns:
+            Topic, key and value of what operators and replicas write again.
+        """
+        before = self.clock() - seconds
+        self.era += 1
+        again = []
+        for topic, records in self.topics.items():
+            times = self.written_at[topic]
+            kept = sum(at <= before for at in times)
+            lost = {record.key: record for record in records[kept:]}
+            del records[kept:]
+            del times[kept:]
+            if topic not in OUTSIDE_TOPICS:
+                continue
+            for record in lost.values():
+                value = json.loads(record.value) if record.value else None
+                again.append((topic, record.key, value))
+        while len(self.generations) > 1 and self.generations[-1][0] > before:
+            self.generations.pop()
+        self.generation = self.generations[-1][1]
+        for member, at in list(self.joined_at.items()):
+            if at > before:
+                self.joined.pop(member, None)
+                del self.joined_at[member]
+        return again
+
+    def write_again(self, topic: str, key: str, value: Any, since: float):
+        """Writes what a copy lacked, unless there is a newer value."""
+        records = self.topics.get(topic, [])
+        for record, at in zip(records, self.written_at[topic], strict=True):
+            if record.key == key and at >= since:
+                return
+        self.write(topic, key, value)
+
+    def change_group(self) -> None:
+        """Begins a new generation of the group."""
+        self.generation += 1
+        self.generations.append((self.clock(), self.generation))
 
     def join(self, member: str, life: float, now: float) -> bool:
         """Takes a member into the group; whether it holds its partition."""
         if member not in self.joined:
-            self.generation += 1
+            self.change_group()
+            self.joined_at[member] = self.clock()
         self.joined[member] = now + life
         for name, until in list(self.joined.items()):
             if until < now:
                 del self.joined[name]
-                self.generation += 1
+                self.joined_at.pop(name, None)
+                self.change_group()
         return member == next(iter(self.joined))
 
     def entered(self, topic: str) -> set[str]:
@@ -44,6 +105,7 @@
         records = self.topics.setdefault(topic, [])
         body = b"" if value is None else json.dumps(value).encode()
         records.append(store_module.Record(key, body, len(records)))
+        self.written_at.setdefault(topic, []).append(self.clock())
 
     def newest(self, topic: str) -> store_module.Page:
         """The newest record of each key that has one."""
@@ -53,8 +115,14 @@
         return store_module.Page(page, len(records))
 
     def since(self, topic: str, start: int) -> store_module.Page:
-        """The records from an offset on."""
+        """The records from an offset on.
+
+        Raises:
+            store_module.HistoryLost: The topic ends before it.
+        """
         records = self.topics.get(topic, [])
+        if start > len(records):
+            raise store_module.HistoryLost("410")
         return store_module.Page(records[start:], max(start, len(records)))
 
 
