Make the era of the store a part of each position

After a drill gateways used replicas that left for up to 10.9 s, and read from offsets that no longer exist or mean other records. Cause: positions, record order and reads rested on offsets, which go back in a drill and are given out again; a smaller one was taken for an older one, an equal one for the same, and a 410 for a failed call. Change: a position is one number of era and offset wherever it is compared, kept or sent; the store's client reads Store-Era in every answer, discards those of an earlier era, and voids positions, conditions and group generations of one. What is gone is read anew at once. After a return missing entries have the grace of a lost contact; a replica that drained stays so, and one that had gone and comes back with a copy must answer a probe first. Equal copies of two eras confirm nothing. Tokens of a group carry the era, too.

--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -12,9 +12,12 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import crash_types
+from gypsumfold.decisions import eras as eras_module
 from gypsumfold.decisions import metering
+from gypsumfold.gateway import topic_watches
 from gypsumfold.gateway import usage_reports
 from gypsumfold.platform import names
+from gypsumfold.platform import store as store_module
 
 SEED = 1
 SETTLING = 6.0
@@ -303,3 +306,69 @@
 
     site.play(story())
     assert not missing, missing
+
+
+@behave.then(
+    'after era 3 an answer whose Store-Era is "{value}" counts as era {era:d}'
+)
+def step_era(context, value, era):
+    eras = eras_module.Eras()
+    eras.observe(3)
+    headers = {} if value == "missing" else {names.STORE_ERA: value}
+    assert eras.observe(store_module.read_era(headers)) == era
+    assert eras.current == era
+
+
+@behave.then(
+    "an answer of era 2 that comes after one of era 3 is discarded, and a "
+    "read, a write and a token of era 2 are void"
+)
+def step_earlier(context):
+    async def story():
+        store = store_module.Store("127.0.0.1:1")
+        store.eras.observe(3)
+        assert store.eras.observe(2) is None
+        end = eras_module.position(2, 9)
+        with contextlib.suppress(store_module.HistoryLost):
+            await store.read(names.CONFIGURATION_TOPIC, end, 0.0)
+            raise AssertionError("a position of era 2 was read")
+        assert await store.put_at("keyed.x", "k", b"v", end) is None
+        await store.close()
+
+    asyncio.run(story())
+    old = eras_module.token(2, 9)
+    assert eras_module.generation_of(old, 3) == 0
+    assert eras_module.generation_of(old, 2) == 9
+    assert old < eras_module.token(3, 1)
+    assert eras_module.position(2, 99) < eras_module.position(3, 0)
+
+
+@behave.then(
+    "equal copies and ends of an earlier or later era confirm nothing to a "
+    "gateway that reads"
+)
+def step_equal(context):
+    site = virtual_gateways.Site(SEED)
+
+    async def story():
+        store = virtual_store.Store(site.log, virtual_store.Path())
+        store.eras.observe(3)
+        watch = topic_watches.TopicWatch(
+            store,
+            topic_watches.StoreState(3.0),
+            names.CONFIGURATION_TOPIC,
+            None,
+            lambda: 0.0,
+            lambda: 1.0,
+        )
+        for era in (2, 4):
+            watch.confirm_relayed(eras_module.position(era, 5), site.clock())
+        assert watch.position == 0
+        watch.confirm_relayed(eras_module.position(3, 5), site.clock())
+        assert watch.position == eras_module.position(3, 5)
+        watch.is_reader = lambda: False
+        later = eras_module.position(4, 1)
+        watch.confirm_relayed(later, site.clock())
+        assert watch.position == later
+
+    site.play(story())
--- a/features/store_drills.feature
+++ b/features/store_drills.feature
@@ -33,3 +33,22 @@
 
   Scenario: What gateways wrote is lost for good
     Then after a drill the entries of 6 gateways and their suspected requests are in the store again within 8 seconds
+
+  Scenario Outline: The era of the store is misread: <value>
+    Then after era 3 an answer whose Store-Era is "<value>" counts as era <era>
+
+    Examples:
+      | value   | era |
+      | 4       | 4   |
+      | 3       | 3   |
+      | missing | 3   |
+      | soon    | 3   |
+      | -1      | 3   |
+      | 1e9     | 3   |
+      | 9999999 | 3   |
+
+  Scenario: An answer of an earlier era is taken for the newest
+    Then an answer of era 2 that comes after one of era 3 is discarded, and a read, a write and a token of era 2 are void
+
+  Scenario: Two eras seem equal
+    Then equal copies and ends of an earlier or later era confirm nothing to a gateway that reads
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -459,7 +459,7 @@
         since = self.clock()
         for node in self.nodes.values():
             node.path.refuses = True
-        await asyncio.sleep(away)
+        await self.pass_time(away)
         for node in self.nodes.values():
             node.path.refuses = False
         loop = asyncio.get_running_loop()
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from gypsumfold import exceptions
+from gypsumfold.decisions import eras as eras_module
 from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
 
@@ -186,12 +187,14 @@
         path.idle.append(self.idle)
         self.calls: collections.Counter[str] = collections.Counter()
         self.received_at = float("-inf")
+        self.eras = eras_module.Eras()
 
     def reader(self, margin: float) -> "Store":
         """Makes a client with connections of its own."""
         found = Store(self.log, self.path)
         found.margin = margin
         found.calls = self.calls
+        found.eras = self.eras
         return found
 
     def take(self, now: float) -> Connection:
@@ -235,11 +238,15 @@
     ):
         """Waits for the answer to a call on one connection."""
         loop = asyncio.get_running_loop()
+        era = self.log.era
         await asyncio.sleep(CALL)
         if self.path.refuses:
             raise exceptions.LogUnavailable("503")
         while loop.time() < started + wait + self.margin:
+            if self.log.era != era:
+                raise exceptions.LogUnavailable("the connection was reset")
             if not self.path.silent and not connection.silent:
+                self.eras.observe(era)
                 found = answer(loop.time() >= started + wait)
                 if found is not None:
                     return found
@@ -250,7 +257,7 @@
 
     async def newest(self, topic: str) -> store_module.Page:
         """Reads the newest record of each key."""
-        return await self.call(lambda over: self.log.newest(topic))
+        return await self.call(lambda over: self.placed(self.log.newest(topic)))
 
     async def read(
         self, topic: str, start: int, wait: float
@@ -258,11 +265,23 @@
         """Reads from an offset on."""
 
         def answer(over: bool) -> store_module.Page | None:
-            page = self.log.since(topic, start)
+            if eras_module.era_of(start) != self.log.era:
+                raise store_module.HistoryLost(f"era {self.log.era}")
+            page = self.log.since(topic, eras_module.offset_of(start))
+            page = self.placed(page)
             return page if page.records or over else None
 
         return await self.call(answer, wait)
 
+    def placed(self, page: store_module.Page) -> store_module.Page:
+        """Adds the era to the offsets of a page."""
+        records = []
+        for record in page.records:
+            offset = eras_module.position(self.log.era, record.offset)
+            records.append(record._replace(offset=offset))
+        end = eras_module.position(self.log.era, page.end)
+        return store_module.Page(records, end)
+
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes a key."""
 
@@ -290,7 +309,7 @@
         """Writes a key if the topic ends at an offset."""
 
         def answer(over: bool) -> int:
-            if self.log.newest(topic).end != end:
+            if self.placed(self.log.newest(topic)).end != end:
                 return -1
             self.log.write(topic, key, json.loads(value))
             return end + 1
@@ -307,7 +326,8 @@
         def answer(over: bool) -> store_module.Membership:
             holds = self.log.join(member, life, loop.time())
             return store_module.Membership(
-                self.log.generation, frozenset([0] if holds else [])
+                eras_module.token(self.log.era, self.log.generation),
+                frozenset([0] if holds else []),
             )
 
         return await self.call(answer)
--- a/packages/gypsumfold/src/gypsumfold/decisions/contact.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/contact.py
@@ -95,6 +95,19 @@
         self.lost_at = None
         return seconds
 
+    def restart(self, now: float) -> None:
+        """Records that entries may be missing in the store for a while.
+
+        It has returned from an older copy, and what replicas wrote since then
+        is written again. What other nodes have confirmed concerns the log
+        before.
+        """
+        self.unanswered_at = now
+        self.confirmed_at = -math.inf
+        self.directly_confirmed_at = -math.inf
+        if self.connected_since is not None:
+            self.connected_since = now
+
     def confirm(self, direct: bool, now: float) -> None:
         """Records that another node had uninterrupted contact with the store.
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/registry.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/registry.py
@@ -4,7 +4,9 @@
 leaves, while 2,900 replicas write once a second and only one write in thousands
 changes anything. A few nodes read the topic and send the others what changed.
 Records are ordered by their offset in the log, so they may come from any node,
-in any order and more than once. Two nodes compare digests of the whole state to
+in any order and more than once; offsets are positions with the store's era, so
+that records from before the store has returned from a copy are older than those
+of after. Two nodes compare digests of the whole state to
 find out whether they know the same.
 """
 
@@ -13,6 +15,8 @@
 
 import xxhash
 
+from gypsumfold.decisions import eras
+
 # Seconds for which each message repeats a change: three or four times, so that
 # losing one datagram in forty doesn't matter.
 REPEAT_SECONDS = 0.35
@@ -26,7 +30,7 @@
 
     Attributes:
         key: The key.
-        offset: Offset of its record in the log.
+        offset: Position of its record in the log.
         value: The value; empty if the key was removed.
     """
 
@@ -61,6 +65,18 @@
             return offset < self.values[key][0]
         return offset < self.removed.get(key, -1)
 
+    def returns(self, change: Change) -> bool:
+        """Whether a record is the first of a known key in a later era.
+
+        It may have come with an old copy of the store.
+        """
+        known = self.removed.get(change.key)
+        if change.key in self.values:
+            known = self.values[change.key][0]
+        if known is None:
+            return False
+        return eras.era_of(known) < eras.era_of(change.offset)
+
     def put(self, change: Change, now: float) -> bool:
         """Applies a record unless a later one is known.
 
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -219,6 +219,27 @@
     "info",
     "A replica's answer, or another node, says that it is shutting down.",
 )
+TOPIC_BEHIND = define(
+    417,
+    "topic-behind",
+    "info",
+    "The store has no records where this node has read to; it reads the newest "
+    "record of every key.",
+)
+STORE_RETURNED = define(
+    418,
+    "store-returned",
+    "warning",
+    "The store has returned from an older copy, in a new era; positions of "
+    "earlier eras are void.",
+)
+STORE_ERA_REJECTED = define(
+    419,
+    "store-era-rejected",
+    "warning",
+    "An answer of the store names an era that cannot be read, or an earlier "
+    "one.",
+)
 ANSWER_NOT_DRAINED = define(
     344,
     "answer-not-drained",
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -161,6 +161,20 @@
             version=replica.version,
         )
 
+    def keep_draining(self, replica: types.Replica) -> None:
+        """Has a replica drain whatever a later entry says."""
+        since = self.draining_since.get(replica.instance, time.monotonic())
+        self.departures.record(replica.instance, replica.started_at, since)
+
+    def suspect_until_probed(self, instance: str) -> None:
+        """Keeps requests from a replica until it answers on a new connection.
+
+        Its entry was gone and is back; the replica may have left.
+        """
+        self.suspects.add(instance)
+        self.reachability.unreachable.add(instance)
+        self.request_probe(instance)
+
     def receive_state(self, instance: str, state: types.State) -> bool:
         """Detects a restart from the start time that a replica reports.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -113,6 +113,7 @@
         self.store_state = topic_watches.StoreState(
             settings.store.contact_ms / 1000
         )
+        self.store.eras.listeners.append(self.store_state.store_returned)
         rng = random.Random()
         self.directory = directory_module.Directory(rng)
         self.quarantine = quarantine_module.Quarantine(
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -96,10 +96,10 @@
                 self.skip(record, str(error))
                 continue
             value = ENCODER.encode(replica._replace(orders=0))
-            self.registry.put(
-                registry_module.Change(record.key, record.offset, value), now
-            )
-            self.directory.put(replica)
+            change = registry_module.Change(record.key, record.offset, value)
+            returns = self.registry.returns(change)
+            self.registry.put(change, now)
+            self.put(replica, returns)
 
     def merge(
         self, changes: list[registry_module.Change], grace: float
@@ -115,6 +115,7 @@
         now = clocks.now()
         grace = min(grace, self.state.grace())
         for change in changes:
+            returns = self.registry.returns(change)
             if not self.registry.put(change, now):
                 continue
             if not change.value:
@@ -125,7 +126,25 @@
             except msgspec.DecodeError as error:
                 events.log(events.FRAME_REFUSED, reason=str(error))
                 continue
+            self.put(replica, returns)
+
+    def put(self, replica: types.Replica, returns: bool) -> None:
+        """Adds or updates a replica in the directory.
+
+        Args:
+            replica: The replica.
+            returns: Whether an entry that is older than what was known of the
+                replica may have come back with a copy of the store.
+        """
+        if not returns:
             self.directory.put(replica)
+            return
+        known = self.directory.replicas.get(replica.instance)
+        if known is not None and known.draining:
+            self.directory.keep_draining(known)
+        self.directory.put(replica)
+        if known is None:
+            self.directory.suspect_until_probed(replica.instance)
 
     def merge_all(
         self, changes: list[registry_module.Change], end: int
--- a/packages/gypsumfold/src/gypsumfold/gateway/store_copy.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/store_copy.py
@@ -13,6 +13,7 @@
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import eras
 from gypsumfold.decisions import read_timeouts as read_timeouts_module
 from gypsumfold.decisions import registry as registry_module
 from gypsumfold.decisions import topic_staleness
@@ -37,6 +38,9 @@
         next_query_at: Earliest time to ask a peer for all registrations.
         fetch_needed: Set when a peer may have to be asked.
         was_stale: Whether the registrations were stale at the last check.
+        newest_era: The latest era of the store that another node has read.
+        on_newer_era: Called when another node has read a later era of the store
+            than this one.
 
     >>> copy = StoreCopy(
     ...     registrations, configurations, watches[0], watches[1],
@@ -69,6 +73,8 @@
         self.next_query_at = -math.inf
         self.fetch_needed = asyncio.Event()
         self.was_stale = False
+        self.newest_era = 0
+        self.on_newer_era: Callable[[], None] = lambda: None
         for watch in (registrations_watch, configuration_watch):
             watch.is_reader = is_reader
         registrations_watch.should_read = self.should_read_registrations
@@ -165,7 +171,9 @@
                     changed.key, changed.offset, changed.value
                 )
             )
-        if copy_state.grace <= 0:
+        era = eras.era_of(copy_state.end)
+        self.observe_era(era)
+        if copy_state.grace <= 0 and era >= watch.store_era():
             self.registrations.state.confirm_relayed(between_relays)
         self.registrations.merge(changes, copy_state.grace)
         if self.registrations.registry.digest == copy_state.digest:
@@ -178,6 +186,15 @@
                 self.fetch_needed.set()
         self.receive_configuration(copy_state, address, now)
 
+    def observe_era(self, era: int) -> None:
+        """Checks whether another node has read a later era of the store."""
+        if era <= max(self.newest_era, self.registrations_watch.store_era()):
+            return
+        self.newest_era = era
+        # What that node finds missing may be written again.
+        self.registrations.state.store_returned()
+        self.on_newer_era()
+
     def receive_configuration(
         self,
         copy_state: messages.CopyState,
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -11,12 +11,15 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import contact as contact_module
+from gypsumfold.decisions import eras
 from gypsumfold.decisions import polling
 from gypsumfold.decisions import topic_staleness as topic_staleness_module
 from gypsumfold.platform import store as store_module
 
 # Seconds until all keys are read again, in case a record was missed.
 REREAD_SECONDS = 20.0
+# Minimum seconds between two reads of all keys for records that are gone.
+MIN_REREAD_SECONDS = 0.2
 # Seconds between two checks of a node that follows a relay whether to read the
 # store itself: a tenth of the time within which it must have read.
 CHECK_INTERVAL_SECONDS = 0.2
@@ -58,6 +61,10 @@
         if seconds is not None:
             events.log(events.STORE_REGAINED, seconds=round(seconds, 3))
 
+    def store_returned(self) -> None:
+        """Records that the store has returned from an older copy."""
+        self.contact.restart(clocks.now())
+
     def contact_since(self) -> float:
         """Returns when the present contact began, by `clocks.now`."""
         since = self.contact.connected_since
@@ -101,7 +108,7 @@
         has_new_records: Whether the last read returned records.
         has_read_all: Whether the entire topic was read once.
         called_at: When the last call was made.
-        position: Offset of the next record.
+        position: Position of the next record, with the store's era.
         complete_at: When this copy was last complete; all keys are read again
             `REREAD_SECONDS` after that.
         is_suspect: Whether a read has failed since all keys were read. An
@@ -143,6 +150,7 @@
         self.position = 0
         self.complete_at = -math.inf
         self.is_suspect = False
+        self.history_lost_at = -math.inf
         self.staleness = topic_staleness_module.TopicStaleness(bound)
         self.direct_read_at = -math.inf
         self.should_read: Callable[[], bool] = lambda: True
@@ -160,6 +168,8 @@
                 await self.read_once()
             except exceptions.ReadOverdue as error:
                 self.read_failed(error)
+            except store_module.HistoryLost as error:
+                await self.history_lost(error)
             except exceptions.PlatformError as error:
                 self.state.call_failed(error, self.called_at)
                 self.failures += 1
@@ -168,6 +178,21 @@
                     polling.retry_delay(self.failures, random.random(), took)
                 )
 
+    async def history_lost(self, error: store_module.HistoryLost) -> None:
+        """Has all keys read at once: the store answers, but not from there."""
+        now = clocks.now()
+        if now - self.history_lost_at < MIN_REREAD_SECONDS:
+            await asyncio.sleep(MIN_REREAD_SECONDS)
+        self.history_lost_at = now
+        events.log(
+            events.TOPIC_BEHIND,
+            topic=self.topic,
+            reason=str(error),
+            position=eras.offset_of(self.position),
+            era=eras.era_of(self.position),
+        )
+        self.is_suspect = True
+
     def read_failed(self, error: exceptions.PlatformError) -> float:
         """Has all keys read again; returns the seconds of the failed read."""
         self.is_suspect = True
@@ -197,6 +222,10 @@
         if clocks.now() - last > limit:
             self.read_timeout.reschedule(asyncio.get_running_loop().time())
 
+    def store_era(self) -> int:
+        """Returns the store's newest era that this node has seen itself."""
+        return self.store.eras.current
+
     async def wait_for_check(self) -> None:
         """Waits until `should_read` is to be checked again."""
         with contextlib.suppress(TimeoutError):
@@ -275,9 +304,16 @@
         """Records the position and time of a relay with an equal copy.
 
         Args:
-            end: Offset up to which it has read.
+            end: Position up to which it has read. One of an earlier era says
+                nothing, nor one of a later era to a node that reads itself:
+                equal copies of two eras may lack different records.
             known_at: When its copy was up to date.
         """
+        era = eras.era_of(end)
+        if era < self.store_era():
+            return
+        if era > self.store_era() and self.is_reader():
+            return
         self.position = max(end, self.position)
         self.complete_at = max(known_at, self.complete_at)
         self.staleness.confirm(known_at)
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -95,6 +95,8 @@
 NEWEST_PATH = "/v1/log-newest"
 JOIN_PATH = "/v1/log-join"
 LEAVE_PATH = "/v1/log-leave"
+# Set in all answers of the store; rises when it returns from an older copy.
+STORE_ERA = "Store-Era"
 # Names of the calls in logs and metrics.
 STORE_CALL_NAMES = {
     APPEND_PATH: "write",
--- a/packages/gypsumfold/src/gypsumfold/platform/store.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/store.py
@@ -3,7 +3,9 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Mapping
 import math
+import re
 import struct
 from typing import NamedTuple
 
@@ -11,7 +13,9 @@
 import msgspec
 
 from gypsumfold import clocks
+from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import eras as eras_module
 from gypsumfold.platform import names
 
 # Seconds that a call may take beyond the time that the store was asked to wait.
@@ -29,6 +33,7 @@
 # Precedes the records of a page: the topic's end and its first offset.
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
+ERA = re.compile(r"[0-9]{1,6}")
 
 
 class Record(NamedTuple):
@@ -37,8 +42,8 @@
     Attributes:
         key: Its key.
         value: Its value; empty if the key was deleted.
-        offset: Its position in the log; later records of a key replace earlier
-            ones.
+        offset: Its position in the log, with the era (`decisions/eras.py`);
+            later records of a key replace earlier ones.
     """
 
     key: str
@@ -51,7 +56,7 @@
 
     Attributes:
         records: In log order.
-        end: The offset of the next record to read.
+        end: The position of the next record to read.
     """
 
     records: list[Record]
@@ -62,16 +67,27 @@
     """A member's share of a group.
 
     Attributes:
-        generation: Increases with each change of the group.
-        parts: Numbers of the partitions that this member holds.
+        generation: Increases with each change of the group, also over the
+            store's eras.
+        partitions: Numbers of the partitions that this member holds.
     """
 
     generation: int
     partitions: frozenset[int]
 
 
+class Answer(NamedTuple):
+    """The answer to one call, and the era in which it was given."""
+
+    body: bytes
+    era: int
+
+
 class HistoryLost(exceptions.PlatformError):
-    """The requested records were deleted; read the newest ones instead."""
+    """The requested records are gone; read the newest ones instead.
+
+    They were deleted, or the store has returned from an older copy.
+    """
 
 
 class ConditionFailed(exceptions.PlatformError):
@@ -161,6 +177,7 @@
         # Number of calls by name, including failed ones.
         self.calls: collections.Counter[str] = collections.Counter()
         self.readers: list[Store] = []
+        self.eras = eras_module.Eras()
 
     def reader(self, margin: float) -> "Store":
         """Creates a client for the reads of one topic.
@@ -176,6 +193,7 @@
         found = Store(self.address)
         found.margin = margin
         found.calls = self.calls
+        found.eras = self.eras
         self.readers.append(found)
         return found
 
@@ -189,49 +207,61 @@
         """Reads the newest record of each key of a keyed topic.
 
         Raises:
+            HistoryLost: The store has returned from a copy between two pages.
             exceptions.LogUnavailable: The store does not answer.
             exceptions.RecordInvalid: The answer is malformed.
         """
         records = []
+        era = None
         end = None
         after = ""
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            body = await self.call("GET", names.NEWEST_PATH, query)
-            page = _decode(body, NewestPage)
+            answer = await self.call("GET", names.NEWEST_PATH, query)
+            if era is not None and answer.era != era:
+                raise HistoryLost(f"{topic} is of era {answer.era} now")
+            era = answer.era
+            page = _decode(answer.body, NewestPage)
             # Later pages may hold newer records; records since the first page
             # are read again from the log.
             end = page.end if end is None else min(end, page.end)
             for item in page.items:
                 value = base64.b64decode(item.value)
-                records.append(Record(item.key, value, item.offset))
+                position = eras_module.position(era, item.offset)
+                records.append(Record(item.key, value, position))
             if not page.more or not page.items:
-                return Page(records, end)
+                return Page(records, eras_module.position(era, end))
             after = page.items[-1].key
 
     async def read(self, topic: str, start: int, wait: float) -> Page:
-        """Reads a keyed topic from an offset on; waits for a record if needed.
+        """Reads a keyed topic from a position on; waits for a record if needed.
 
         Args:
             topic: The topic.
-            start: Offset of the first record to read.
+            start: Position of the first record to read.
             wait: Seconds to wait for it; after that the page may be empty.
 
         Raises:
-            HistoryLost: The offset was deleted, or lies beyond the topic's end.
+            HistoryLost: The record was deleted, lies beyond the topic's end, or
+                is of another era than the store.
             exceptions.LogUnavailable: The store does not answer.
             exceptions.RecordInvalid: A record is malformed or missing.
         """
+        if eras_module.era_of(start) < self.eras.current:
+            raise HistoryLost(f"{topic} is of era {self.eras.current} now")
+        first_offset = eras_module.offset_of(start)
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(start),
+            "from": str(first_offset),
             "maxKb": str(MAX_READ_KB),
             "waitMs": str(int(wait * 1000)),
         }
-        body = await self.call("GET", names.READ_PATH, query, wait=wait)
+        body, era = await self.call("GET", names.READ_PATH, query, wait=wait)
+        if era != eras_module.era_of(start):
+            raise HistoryLost(f"{topic} is of era {era} now")
         if len(body) < PAGE_HEADER.size:
             raise exceptions.RecordInvalid("the page has no offsets")
         records = []
@@ -241,10 +271,12 @@
             offset = start + len(records)
             records.append(record._replace(offset=offset))
         end, first = PAGE_HEADER.unpack_from(body)
-        if first > start or end < start:
+        if first > first_offset or end < first_offset:
             raise HistoryLost(f"{topic} has records {first} to {end}")
-        if end > start and not records:
-            raise exceptions.RecordInvalid(f"{topic} lacks record {start}")
+        if end > first_offset and not records:
+            raise exceptions.RecordInvalid(
+                f"{topic} lacks record {first_offset}"
+            )
         return Page(records, start + len(records))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
@@ -270,13 +302,13 @@
     async def put_at(
         self, topic: str, key: str, value: bytes, end: int
     ) -> int | None:
-        """Writes a key only if the topic still ends at an offset.
+        """Writes a key only if the topic still ends at a position.
 
         Args:
             topic: The topic.
             key: The key.
             value: Its value.
-            end: The offset.
+            end: The position.
 
         Returns:
             The topic's new end; None if it ended elsewhere, so that nothing
@@ -285,13 +317,22 @@
         Raises:
             exceptions.LogUnavailable: It may or may not have been written.
         """
-        query = {"topic": topic, "part": "0", "at": str(end)}
+        if eras_module.era_of(end) < self.eras.current:
+            return None
+        offset = eras_module.offset_of(end)
+        query = {"topic": topic, "part": "0", "at": str(offset)}
         data = _encode_record(key, value)
         try:
-            body = await self.call("POST", names.APPEND_PATH, query, data)
+            answer = await self.call("POST", names.APPEND_PATH, query, data)
         except ConditionFailed:
             return None
-        return _decode(body, AppendAnswer).end
+        if answer.era != eras_module.era_of(end):
+            # The offset was met by chance: other records lie before it.
+            raise exceptions.LogUnavailable(
+                f"{topic} was written in era {answer.era}"
+            )
+        found = _decode(answer.body, AppendAnswer)
+        return eras_module.position(answer.era, found.end)
 
     async def join(
         self,
@@ -318,12 +359,16 @@
             "member": member,
             "topics": [topic],
             "ttlMs": int(session_timeout * 1000),
-            "generation": generation,
+            "generation": eras_module.generation_of(
+                generation, self.eras.current
+            ),
         }
-        body = await self.call("POST", names.JOIN_PATH, {}, request)
+        body, era = await self.call("POST", names.JOIN_PATH, {}, request)
         answer = _decode(body, JoinAnswer)
         held = {int(row[1]) for row in answer.parts if row[0] == topic}
-        return Membership(answer.generation, frozenset(held))
+        return Membership(
+            eras_module.token(era, answer.generation), frozenset(held)
+        )
 
     async def leave(self, group: str, member: str) -> None:
         """Leaves a group.
@@ -341,9 +386,11 @@
         query: dict[str, str],
         body: dict | bytes | None = None,
         wait: float = 0.0,
-    ) -> bytes:
+    ) -> Answer:
         """Makes one call.
 
+        Any answer tells the store's era, also one that refuses the call.
+
         Raises:
             HistoryLost: The store has deleted the requested records.
             ConditionFailed: The condition of a write does not hold.
@@ -387,13 +434,17 @@
                 f"{path}: {type(error).__name__}: {error} "
                 f"({trace.connection} connection)"
             ) from error
+        era = self.eras.observe(read_era(response.headers))
+        if era is None:
+            events.log(events.STORE_ERA_REJECTED, reason=f"{path}: earlier")
+            raise exceptions.LogUnavailable(f"{path}: of an earlier era")
         if response.status == 410:
             raise HistoryLost(path)
         if response.status == 412:
             raise ConditionFailed(path)
         if response.status != 200:
             raise exceptions.LogUnavailable(f"{path}: {response.status}")
-        return b"".join(parts)
+        return Answer(b"".join(parts), era)
 
     def extend(self, limit: asyncio.Timeout) -> None:
         """Extends a call's time limit after data was received."""
@@ -401,6 +452,18 @@
         limit.reschedule(now + self.margin)
 
 
+def read_era(headers: Mapping[str, str]) -> int | None:
+    """Returns the era that an answer names; None if none can be read."""
+    value = headers.get(names.STORE_ERA)
+    if value is None:
+        return None
+    if ERA.fullmatch(value.strip()) is None:
+        events.log(events.STORE_ERA_REJECTED, reason=value[:40])
+        return None
+    era = int(value)
+    return era if era <= eras_module.MAX_ERA else None
+
+
 def _encode_record(key: str, value: bytes) -> bytes:
     """Encodes a record of a keyed topic."""
     name = key.encode()
