Give up the authority when the store returns from a copy

Two nodes could order engines within a lease, or one with a token that was used before, as the group's members and generation go back in a drill. Change: a holder stops until it has joined anew, and a node that did not hold the authority before waits for a lease.

--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -75,10 +75,26 @@
         self.generation = 0
         self.valid_until = float("-inf")
         self.is_holder = False
+        # Until when another node may still hold the authority of an earlier
+        # era of the store.
+        self.waits_until = float("-inf")
+        store.eras.listeners.append(self.store_returned)
+
+    def store_returned(self) -> None:
+        """Gives up the authority, as the store has returned from a copy.
+
+        The group may have other members now. A node that holds the partition
+        for the first time waits for a lease: the holder of before may not know
+        yet.
+        """
+        now = time.monotonic()
+        if now >= self.valid_until:
+            self.waits_until = now + self.lease_seconds
+        self.valid_until = float("-inf")
 
     def token(self, now: float) -> int | None:
         """Returns the fencing token for orders, or None if not the holder."""
-        if now >= self.valid_until:
+        if now >= self.valid_until or now < self.waits_until:
             return None
         return self.generation
 
