Keep reported totals and first counts over a drill

A window was reported twice with other counts: its record was lost and the next leader totalled it again. Change: the leader writes its totals, and the services' first counts, again; what was reported once stays; a window that may have been totalled before the return is not totalled by a node that has no record of it. A node that starts after the return does not know when it was.

--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -62,6 +62,8 @@
         self.capacities: dict[str, capacity_module.Capacity] = {}
         self.growing_since: dict[str, float] = {}
         self.refused_tokens: dict[str, int] = {}
+        self.is_lost = False
+        store.eras.listeners.append(self.store_returned)
 
     async def run(self) -> None:
         """Orders replicas for as long as the node runs."""
@@ -105,6 +107,8 @@
         configuration = self.configurations.current
         if configuration is None:
             return
+        if self.is_lost:
+            await self.store_again()
         for service in configuration.services.values():
             if service.offer is None:
                 continue
@@ -118,6 +122,23 @@
             for order in capacity.plan(present, busy, service.offer, now):
                 await self.order(service, capacity, order)
 
+    def store_returned(self) -> None:
+        """Records that the store has returned from an older copy."""
+        self.is_lost = True
+
+    async def store_again(self) -> None:
+        """Writes the first counts again that the store may have lost.
+
+        Raises:
+            exceptions.PlatformError: The store does not answer.
+        """
+        for name, capacity in self.capacities.items():
+            if name in self.growing_since:
+                continue
+            value = operations_module.encode_capacity(capacity.first)
+            await self.store.put(names.CAPACITY_TOPIC, name, value)
+        self.is_lost = False
+
     async def find_capacity(
         self, service: types.Service
     ) -> capacity_module.Capacity:
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 import time
 
@@ -68,6 +69,17 @@
         self.confirmed: set[int] = set()
         self.position: int | None = None
         self.refused_token = -1
+        # Windows that may have been totalled before this Unix time, in records
+        # that the store has lost.
+        self.lost_before = -math.inf
+        self.is_lost = False
+        store.eras.listeners.append(self.store_returned)
+
+    def store_returned(self) -> None:
+        """Records that the store has returned from an older copy."""
+        self.position = None
+        self.lost_before = self.clock()
+        self.is_lost = bool(self.recorded)
 
     async def run(self) -> None:
         """Reports for as long as the node runs."""
@@ -112,20 +124,58 @@
             return
         if self.position is None:
             await self.read_recorded()
+        if self.is_lost:
+            await self.record_again()
         for step in steps:
             if step.index not in self.recorded:
+                if self.may_be_lost(step.index):
+                    continue
                 await self.record(step.index)
             await self.report(step.index)
 
-    async def read_recorded(self) -> None:
-        """Reads the totals that were recorded so far."""
+    def may_be_lost(self, index: int) -> bool:
+        """Whether another node may have reported a window without a record.
+
+        A second total may differ, and the platform accepts only one.
+        """
+        closed = metering.close_time(index, -math.inf, self.policy)
+        return closed <= self.lost_before
+
+    async def record_again(self) -> None:
+        """Writes the totals again that the store may have lost.
+
+        Raises:
+            exceptions.PlatformError: They may or may not be recorded.
+        """
+        known = dict(self.recorded)
+        stored = await self.read_recorded()
+        records = []
+        for index, value in known.items():
+            slot = str(index % RECORD_SLOTS)
+            if stored.get(slot, -1) < index:
+                records.append((slot, value))
+        if records:
+            await self.store.put_all(names.USAGE_TOTALS_TOPIC, records)
+            await self.read_recorded()
+        self.is_lost = False
+
+    async def read_recorded(self) -> dict[str, int]:
+        """Reads the totals that were recorded so far.
+
+        Returns:
+            The window of each record's key.
+        """
+        stored = {}
         page = await self.store.newest(names.USAGE_TOTALS_TOPIC)
         for record in page.records:
             if not record.value:
                 continue
             index = operations_module.window_of(record.value)
-            self.recorded[index] = record.value
+            stored[record.key] = index
+            # What was reported once stays, whatever a copy of the store says.
+            self.recorded.setdefault(index, record.value)
         self.position = page.end
+        return stored
 
     async def record(self, index: int) -> None:
         """Totals a window and records it, unless another node has.
