Write entries, counts and suspects again after a drill

Nodes' entries, stored counts of usage and suspected requests stayed lost. Change: each node writes its entry again within 3 s of learning of the new era, itself or from another node; counts count as not stored; nodes that read for others write suspects again.

--- a/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/crash_records.py
@@ -80,12 +80,20 @@
         self.pending: dict[int, bool] = {}
         self.pending_added = asyncio.Event()
         quarantine.store_crashes = self.schedule_write
+        store.eras.listeners.append(self.write_again)
 
     def schedule_write(self, fingerprint: int) -> None:
         """Schedules a write of a request's record; cleared ones are removed."""
         self.pending[fingerprint] = True
         self.pending_added.set()
 
+    def write_again(self) -> None:
+        """Schedules all records, as the store has returned from a copy."""
+        if not self.reads_store():
+            return
+        for fingerprint in self.quarantine.crash_log.suspected:
+            self.schedule_write(fingerprint)
+
     async def run(self) -> None:
         """Writes scheduled records while the node runs."""
         while True:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -301,6 +301,7 @@
             self.read_timeouts,
         )
         self.gossip.summaries.store_copy = self.store_copy
+        self.store_copy.on_newer_era = self.gossip.entries.renew_soon
         self.registrations.on_change = self.gossip.note_store_read
         self.configurations.listeners.append(
             lambda _: self.gossip.note_store_read()
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import math
+import random
 from typing import Protocol
 
 import msgspec
@@ -25,6 +26,9 @@
 RECENTLY_SEEN_SECONDS = 3.0
 # Seconds until a failed read or write of entries is tried again.
 RETRY_SECONDS = 0.3
+# Seconds over which nodes write their entries again once the store has
+# returned from a copy.
+RENEWAL_SECONDS = 3.0
 # Seconds between two checks of the entries.
 CHECK_INTERVAL_SECONDS = 1.0
 # Seconds between two checks after which this node itself has stalled, so that
@@ -86,6 +90,7 @@
         self.due = asyncio.Event()
         self.checked_at = -math.inf
         self.listening_since = math.inf
+        store.eras.listeners.append(self.renew_soon)
         self.on_readable: Callable[[], None] = lambda: None
         self.on_mesh_exceeded: Callable[[], None] = lambda: None
         self.on_node_removed: Callable[[str], None] = members.remove
@@ -156,6 +161,14 @@
             self.lost = True
             self.due.set()
 
+    def renew_soon(self) -> None:
+        """Has this node's entry written again, as the store may have lost it.
+
+        Hundreds of nodes that notice it at once spread their writes.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_later(random.uniform(0.0, RENEWAL_SECONDS), self.mark_lost)
+
     def can_read(self) -> bool:
         """Whether the entries of others may be read for the first time.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage.py
@@ -81,6 +81,7 @@
         self.policy = policy
         self.peers = peers
         self.copies = metering.UsageCopies(policy)
+        store.eras.listeners.append(self.store_again)
         self.clock = time.time
         self.sent: dict[int, int] = {}
 
@@ -161,6 +162,10 @@
                 )
             await asyncio.sleep(polling.retry_delay(failures, random.random()))
 
+    def store_again(self) -> None:
+        """Has all counts stored, as the store has returned from a copy."""
+        self.copies.stored.clear()
+
     def unstored_windows(self) -> set[int]:
         """Returns the ended windows with counts that are not stored yet."""
         current = self.policy.index(self.clock())
