--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from features.support import gateways
+from features.support import http as http_calls
 from features.support import processes
 from features.support import soak_arrivals
 from features.support import soak_callers
@@ -52,6 +53,11 @@
 # requests a replica rejects that is full for a while.
 RATE_LIMITS = (0.2, 0.5, 1.0, 2.0, 0.0)
 REJECTED = 40
+# Seconds of rest that replicas ask for, seconds that the copy of a store lacks,
+# and answers without end that a replica gives.
+RESTS = (0.8, 1.5, 2.5)
+LOST = (0.5, 6.0)
+ENDLESS = 2
 # Seconds of calm in which a fleet has to serve again. The bound is 12 s; three
 # times that leaves a loaded machine room, and the wait is on the condition.
 CALM = 36.0
@@ -224,6 +230,13 @@
             self.limit,
             self.limit,
             self.fill,
+            self.rest,
+            self.rest,
+            self.say_leaving,
+            self.say_leaving,
+            self.pour,
+            self.drill,
+            self.drill,
             self.kill_twice,
             self.configure,
         )
@@ -331,6 +344,58 @@
 
         return chosen[0], undo
 
+    def rest(self):
+        """Has one replica or a whole service turn away and ask for rest."""
+        service = self.random.choice((PLAINS, tuple(self.engines)))
+        chosen = self.random.choice((service, (self.random.choice(service),)))
+        seconds = self.random.choice(RESTS)
+        for name in chosen:
+            self.set_faults(name, rest=seconds)
+
+        def undo() -> None:
+            for name in chosen:
+                self.set_faults(name, rest=0.0)
+
+        return f"{', '.join(chosen)} {seconds}", undo
+
+    def say_leaving(self):
+        """Has an engine leave that only says so in its answers."""
+        name = self.random.choice(self.engines)
+        entry = self.fleet.entries.get(name)
+        if entry is None or not self.fleet[name].alive:
+            return f"{name} (not there)", lambda: None
+        self.set_faults(name, leaving=True)
+
+        def undo() -> None:
+            if self.fleet.entries.get(name) is not entry:
+                return
+            if not self.fleet[name].alive:
+                return
+            self.count(name)
+            self.fleet.crash(name)
+            self.start_engine(name, entry["instance"])
+
+        return name, undo
+
+    def pour(self):
+        """Has a replica give answers without end."""
+        name = self.random.choice((*PLAINS, *self.engines))
+        self.set_faults(name, endless=ENDLESS)
+        return name, lambda: None
+
+    def drill(self):
+        """Has the store return from an older copy, after a moment away."""
+        seconds = self.random.uniform(*LOST)
+        self.fleet["store"].faults(busy=True)
+        url = self.fleet["store"].url
+        answer = http_calls.post(f"{url}/_test/go_back?seconds={seconds}", b"")
+        assert answer.status == 200, answer
+
+        def undo() -> None:
+            self.fleet["store"].faults(busy=False)
+
+        return f"{seconds:.1f} s", undo
+
     def kill_twice(self):
         """Kills a gateway, starts it, and kills it once more."""
         process = self.fleet[self.random.choice(self.gateways)]
@@ -409,6 +474,7 @@
         if entry is None or entry["state"] == "draining":
             return f"{name} (not there)", lambda: None
         entry["state"] = "draining"
+        self.set_faults(name, leaving=True)
         self.fleet.write(names.REGISTRATIONS_TOPIC, entry["instance"], entry)
         # A release goes on, is rolled back, or stops half way.
         number = self.newest + self.random.choice((1, 0, 0, -1))
@@ -448,7 +514,8 @@
             if process.frozen:
                 process.thaw()
         for name in (*PLAINS, *self.engines):
-            self.set_faults(name, rate_limit=0.0)
+            self.set_faults(name, rate_limit=0.0, rest=0.0, endless=0)
+        self.replace_leaving()
         rng = random.Random(self.seed)
         limit = time.monotonic() + CALM
         wanted = {
@@ -469,6 +536,24 @@
                     wanted.discard((name, path))
         self.recovered = not wanted
 
+    def replace_leaving(self) -> None:
+        """Replaces the engines that have only said that they leave."""
+        for name in self.engines:
+            entry = self.fleet.entries.get(name)
+            if entry is None or not self.fleet[name].alive:
+                continue
+            try:
+                leaving = self.fleet[name].test("faults")["leaving"]
+            except (OSError, http.client.HTTPException):
+                if self.fleet[name].alive:
+                    raise
+                continue
+            if not leaving:
+                continue
+            self.count(name)
+            self.fleet.crash(name)
+            self.start_engine(name, entry["instance"])
+
     def call(self, rng: random.Random) -> None:
         """Asks for one thing after the other, on kept connections."""
         caller = soak_callers.Caller(self.fleet, rng)
@@ -528,6 +613,8 @@
                     row["attempt"],
                     row["prefilled"],
                     row["rate_limit"],
+                    row["leaving"],
+                    row["rest"],
                 )
             )
 
@@ -595,6 +682,8 @@
                 if not self.is_excused(gateway, arrival.at):
                     kept.append(arrival)
             found += soak_arrivals.over_limit(instance, kept)
+            for judge in (soak_arrivals.after_leaving, soak_arrivals.in_rest):
+                found += judge(instance, kept, gateways_by_attempt)
         for service in ("app", "lm"):
             arrivals = []
             for instance, some in self.arrivals.items():
--- a/features/support/soak_arrivals.py
+++ b/features/support/soak_arrivals.py
@@ -13,6 +13,13 @@
 LIMIT_WINDOW = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_SLACK = 5
+# The rule on leaving: seconds after an answer that says so; what a request may
+# take from its caller to the replica besides.
+LEAVING = 2.0
+TRAVEL = 1.0
+# The rule on rest: seconds after which it holds, and requests allowed in it.
+REST_BEGIN = 0.5
+REST_SLACK = 2
 
 
 class Arrival(NamedTuple):
@@ -23,12 +30,59 @@
         attempt: Its id.
         prefilled: Whether only its prefill was accepted.
         rate_limit: What the replica named; 0 for nothing.
+        leaving: Whether its answer said that the replica leaves.
+        rest: Seconds of rest that its answer asked for; 0 for none.
     """
 
     at: float
     attempt: str
     prefilled: bool
     rate_limit: float
+    leaving: bool = False
+    rest: float = 0.0
+
+
+def after_leaving(
+    instance: str, arrivals: list[Arrival], senders: dict[str, str]
+) -> list[str]:
+    """Lists requests sent too late to a replica that had said it leaves.
+
+    Args:
+        instance: The replica.
+        arrivals: What it got, without what is excused.
+        senders: The gateway that took each attempt.
+    """
+    told: dict[str, float] = {}
+    for arrival in sorted(arrivals):
+        gateway = senders.get(arrival.attempt)
+        if gateway is None:
+            continue
+        since = told.get(gateway)
+        if since is not None and arrival.at - since > LEAVING + TRAVEL:
+            late = arrival.at - since
+            return [f"{instance}: from {gateway} {late:.2f} s after leaving"]
+        if arrival.leaving:
+            told.setdefault(gateway, arrival.at)
+    return []
+
+
+def in_rest(
+    instance: str, arrivals: list[Arrival], senders: dict[str, str]
+) -> list[str]:
+    """Lists a rest in which a gateway sent a replica too many requests."""
+    asked: list[tuple[float, float, str | None]] = []
+    for arrival in sorted(arrivals):
+        gateway = senders.get(arrival.attempt)
+        if arrival.rest and gateway is not None:
+            asked.append((arrival.at, arrival.rest, gateway))
+    for at, seconds, gateway in asked:
+        number = 0
+        for arrival in arrivals:
+            if senders.get(arrival.attempt) == gateway:
+                number += at + REST_BEGIN <= arrival.at < at + seconds
+        if number > REST_SLACK:
+            return [f"{instance}: {number} from {gateway} in {seconds} s rest"]
+    return []
 
 
 def over_budget(
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -25,6 +25,10 @@
 )
 
 
+# One piece of an answer that never ends.
+POURED = b"x" * 65536
+
+
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """Switches for tests.
 
@@ -51,6 +55,9 @@
         orders_lost: Next orders carried out whose answer is dropped.
         rate_limit: Requests a second from all nodes, named in each answer to a
             request; none if 0.
+        leaving: Whether each answer says that the replica leaves.
+        rest: Seconds of rest for which each request is turned away; 0 for none.
+        endless: Next runs whose answer never ends.
     """
 
     seconds: float = 0.02
@@ -70,6 +77,9 @@
     silent: bool = False
     orders_lost: int = 0
     rate_limit: float = 0.0
+    leaving: bool = False
+    rest: float = 0.0
+    endless: int = 0
 
     def takes(self, name: str) -> bool:
         """Counts a fault down and says whether it strikes now."""
@@ -133,6 +143,8 @@
             "attempt": request.headers.get("Attempt-Id", ""),
             "prefilled": False,
             "rate_limit": self.faults.rate_limit,
+            "leaving": self.faults.leaving,
+            "rest": self.faults.rest,
         }
         self.arrival_log.append(row)
         body = await request.read()
@@ -143,6 +155,9 @@
             )
         if self.busy:
             self.while_busy.append(request.headers.get("Attempt-Id", ""))
+        if self.faults.rest:
+            headers = {"Not-Run": "1", "Retry-After": str(self.faults.rest)}
+            return web.Response(status=503, headers=headers)
         if self.faults.takes("refused") or self.busy:
             return web.Response(status=503, headers={"Not-Run": "1"})
         attempt = request.headers.get("Attempt-Id", "")
@@ -178,10 +193,12 @@
                 return True
         return False
 
-    async def name_limit(
+    async def state_needs(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        """Names the rate limit in an answer to a request."""
+        """Says in an answer what the replica wants of its callers."""
+        if self.faults.leaving:
+            response.headers["Server-Leaving"] = "1"
         if self.faults.rate_limit and "Attempt-Id" in request.headers:
             response.headers["Server-Limit"] = str(self.faults.rate_limit)
 
@@ -214,6 +231,8 @@
             del headers["Response-Seal"]
         if self.faults.takes("failing"):
             return web.Response(status=500, headers=headers, body=b"failed")
+        if self.faults.takes("endless"):
+            return await self.pour(request, headers)
         if request.headers.get("Accept") == "text/event-stream":
             return await self.stream(request, headers)
         await asyncio.sleep(self.faults.seconds)
@@ -230,6 +249,18 @@
             self.waits.add(asyncio.create_task(self.until_closed(request)))
         return response
 
+    async def pour(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Sends bytes without end until the caller closes."""
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        while request.transport is not None:
+            await response.write(POURED)
+            await asyncio.sleep(0)
+        return response
+
     async def halve(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -375,7 +406,7 @@
     app.router.add_post("/_test/restart", replica.restart)
     serving.add_faults(app, replica.faults)
     app.router.add_route("*", "/{path:.*}", replica.handle)
-    app.on_response_prepare.append(replica.name_limit)
+    app.on_response_prepare.append(replica.state_needs)
     return app
 
 
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
@@ -19,6 +19,8 @@
 LENGTH = struct.Struct(">I")
 HEADER = struct.Struct(">QQ")
 PARTITIONS = 12
+# Topics of operators and replicas, who write again what a copy lacks.
+WRITTEN_AGAIN = ("keyed.op", "keyed.servers")
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -46,6 +48,11 @@
         self.members: dict[str, tuple[float, float]] = {}
         self.generation = 0
         self.calls = 0
+        self.era = 1
+        # When each record of a topic was written, and the generations of the
+        # group from their beginnings on.
+        self.written_at: dict[str, list[float]] = {}
+        self.generations: list[tuple[float, int]] = [(0.0, 0)]
         self.changed = asyncio.Condition()
 
     async def guard(self, request: web.Request) -> web.Response | None:
@@ -89,8 +96,46 @@
         """Adds one record."""
         async with self.changed:
             self.topics.setdefault(topic, []).append((key, value))
+            self.written_at.setdefault(topic, []).append(time.monotonic())
             self.changed.notify_all()
 
+    async def go_back(self, request: web.Request) -> web.Response:
+        """Returns to a copy that is some seconds old.
+
+        What operators and replicas have written since then is written again.
+        """
+        before = time.monotonic() - float(request.query["seconds"])
+        self.era += 1
+        again = []
+        for topic, records in self.topics.items():
+            times = self.written_at[topic]
+            kept = sum(at <= before for at in times)
+            lost = dict(records[kept:])
+            del records[kept:]
+            del times[kept:]
+            if topic in WRITTEN_AGAIN:
+                again += [(topic, *record) for record in lost.items()]
+        for member, (since, _) in list(self.members.items()):
+            if since > before:
+                del self.members[member]
+        while self.generations[-1][0] > before:
+            self.generations.pop()
+        self.generation = self.generations[-1][1]
+        for record in again:
+            await self.put(*record)
+        return serving.answer({"era": self.era})
+
+    def change_group(self) -> None:
+        """Begins a new generation of the group."""
+        self.generation += 1
+        self.generations.append((time.monotonic(), self.generation))
+
+    async def name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Names the era in each answer."""
+        response.headers["Store-Era"] = str(self.era)
+
     async def read(self, request: web.Request) -> web.Response:
         """Reads records from an offset on; waits for one."""
         refused = await self.guard(request)
@@ -99,16 +144,24 @@
         topic = request.query["topic"]
         start = int(request.query["from"])
         wait = int(request.query.get("waitMs", "0")) / 1000
+        era = self.era
+        if start > len(self.topics.get(topic, ())):
+            return serving.answer({"first": self.faults.forgotten}, status=410)
         if start < self.faults.forgotten:
             first = {"first": self.faults.forgotten}
             return serving.answer(first, status=410)
         try:
             async with asyncio.timeout(wait), self.changed:
                 await self.changed.wait_for(
-                    lambda: len(self.topics.get(topic, ())) > start
+                    lambda: (
+                        self.era != era
+                        or len(self.topics.get(topic, ())) > start
+                    )
                 )
         except TimeoutError:
             pass
+        if self.era != era:
+            return serving.answer({"first": self.faults.forgotten}, status=410)
         records = self.topics.get(topic, [])
         body = HEADER.pack(len(records), self.faults.forgotten)
         for key, value in records[start:]:
@@ -146,10 +199,10 @@
         for name, (_, until) in list(self.members.items()):
             if until < now:
                 del self.members[name]
-                self.generation += 1
+                self.change_group()
         if member not in self.members:
             self.members[member] = (now, 0.0)
-            self.generation += 1
+            self.change_group()
         since, _ = self.members[member]
         self.members[member] = (since, now + body["ttlMs"] / 1000)
         oldest = min(self.members, key=lambda one: self.members[one][0])
@@ -171,7 +224,7 @@
             return refused
         body = msgspec.json.decode(await request.read())
         if self.members.pop(body["member"], None):
-            self.generation += 1
+            self.change_group()
         return serving.answer({})
 
     async def write(self, request: web.Request) -> web.Response:
@@ -204,7 +257,9 @@
     app.router.add_post("/v1/log-join", store.join)
     app.router.add_post("/v1/log-leave", store.leave)
     app.router.add_post("/_test/write", store.write)
+    app.router.add_post("/_test/go_back", store.go_back)
     app.router.add_get("/_test/record", store.record)
+    app.on_response_prepare.append(store.name_era)
     serving.add_faults(app, faults)
     return app
 
