Keep a connection whose request was withheld, and borrow nothing for replicas that rest

Cause: a connection on which nothing was sent went back without the time since when it is idle, so that the next request closed it; and permits were borrowed for limited replicas that rest. Measured: the scenario failed before (a second connection was opened).

--- a/features/answer_statements.feature
+++ b/features/answer_statements.feature
@@ -76,3 +76,6 @@
       | 503    | 3       |
       | 429    | 0       |
       | 200    | 0       |
+
+  Scenario: A connection is lost for a request that was withheld
+    Then a request that is withheld once its connection is open leaves the connection to the next one
--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -1,5 +1,7 @@
 """Steps on replicas whose answers say that they leave or ask for rest."""
 
+import asyncio
+import contextlib
 import email.utils
 import random
 import time
@@ -10,11 +12,14 @@
 from features.support import virtual_gateways
 from features.support import virtual_statements
 
+from gypsumfold import exceptions
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import connections
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
+from gypsumfold.platform import replicas as replicas_module
 from gypsumfold.platform import statements
 
 SEED = 1
@@ -334,3 +339,37 @@
 )
 def step_status(context, status, seconds):
     assert rest_of(status, "3") == seconds
+
+
+@behave.then(
+    "a request that is withheld once its connection is open leaves the "
+    "connection to the next one"
+)
+def step_put_back(context):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+
+    async def story():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        replica = REPLICA._replace(address=f"127.0.0.1:{port}")
+        client = replicas_module.Replicas(connections.Pool())
+        checks = []
+
+        def withhold(_):
+            checks.append(client.pool.opened)
+            if client.pool.opened and len(checks) == 2:
+                raise exceptions.EndpointWithheld("rests")
+
+        client.admission = withhold
+        with contextlib.suppress(exceptions.EndpointWithheld):
+            await client.ask(replica, "GET", "/")
+            raise AssertionError("the request was sent")
+        assert await client.ask(replica, "GET", "/") == (200, b"ok")
+        assert client.pool.opened == 1
+        client.pool.close()
+        server.close()
+
+    asyncio.run(story())
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -336,6 +336,7 @@
         self, address: str, instance: str, connection: Connection
     ) -> None:
         """Returns a connection on which nothing was sent."""
+        connection.idle_since = time.monotonic()
         self.idle.setdefault((address, instance), []).append(connection)
 
     def discard(self, address: str, instance: str) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -755,6 +755,8 @@
         for replica in self.responsive(service):
             if self.rate_limits.is_open(replica.instance, now):
                 continue
+            if self.rests.is_resting(replica.instance, now):
+                continue
             if prefill is not None:
                 if self.is_prefill(replica, now) != prefill:
                     continue
