--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -173,7 +173,7 @@
     directory = directory_module.Directory(random.Random(SEED))
     first = REPLICA._replace(started_at=1000)
     second = REPLICA._replace(started_at=2000)
-    said = types.Statement(time.monotonic(), leaving=True, rest=REST)
+    said = types.Statement(time.monotonic(), leaving=True, backoff=REST)
     directory.put(first)
     directory.record_statement(first, said)
     assert not directory.is_usable("i-1")
@@ -296,7 +296,7 @@
     for name in ("a", "b", "c"):
         views.append(
             role_split.EngineView(
-                name, "dc", decision_types.Role.PREFILL, resting=name != "c"
+                name, "dc", decision_types.Role.PREFILL, backing_off=name != "c"
             )
         )
     changes = role_split.plan_changes(views, 2)
@@ -304,7 +304,7 @@
     directory = directory_module.Directory(random.Random(SEED))
     directory.put(REPLICA)
     now = time.monotonic()
-    directory.record_statement(REPLICA, types.Statement(now, rest=REST))
+    directory.record_statement(REPLICA, types.Statement(now, backoff=REST))
     directory.request_probe("i-1")
     assert not directory.due_probes(now)
     assert directory.due_probes(now + 2 * REST) == {"i-1"}
@@ -316,7 +316,7 @@
 def rest_of(status, value):
     """The rest that an answer asks for."""
     fields = ((names.RETRY_AFTER.encode(), value.encode()),)
-    return statements.read("i-1", status, fields, 0.0).rest
+    return statements.read("i-1", status, fields, 0.0).backoff
 
 
 @behave.then(
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -585,7 +585,7 @@
         if replica.rest:
             fleet.rests.append(Asked(now, *key, replica.rest))
         statement = types.Statement(
-            now, rate=rate, leaving=replica.leaving, rest=replica.rest
+            now, rate=rate, leaving=replica.leaving, backoff=replica.rest
         )
         self.statement_listener(addressed, statement)
         if replica.rest:
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -65,7 +65,7 @@
         waiting: Seconds of prompts that it has to prefill first.
         changing: Whether it is changing its role, on any node's order.
         version: Version of its software; a stream goes on at its own only.
-        resting: Whether it takes no orders now, though it serves again later.
+        backing_off: Whether it takes no orders for a while, but will serve on.
     """
 
     name: str
@@ -74,7 +74,7 @@
     waiting: float = 0.0
     changing: bool = False
     version: str | None = ""
-    resting: bool = False
+    backing_off: bool = False
 
 
 class Load(NamedTuple):
@@ -357,7 +357,7 @@
     for engine in engines:
         if engine.role != types.Role.PREFILL:
             decoders.append(engine)
-        elif not engine.resting:
+        elif not engine.backing_off:
             prefill_engines.append(engine)
     found = []
     while len(decoders) > desired:
@@ -382,9 +382,9 @@
 
     The last decode engine that serves stays: one that is changing may have
     crashed, or may carry out its order seconds later, and until then there
-    would be none. Engines that rest take no orders.
+    would be none. Engines that back off take no orders.
     """
-    able = [engine for engine in decoders if not engine.resting]
+    able = [engine for engine in decoders if not engine.backing_off]
     changing = [engine for engine in able if engine.changing]
     if len(able) - len(changing) > 1:
         return able
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -210,7 +210,7 @@
     341,
     "statement-rejected",
     "warning",
-    "A replica's answer names a limit or a time of rest that cannot be read; "
+    "A replica's answer names a limit or a backoff that cannot be read; "
     "what was known before stays.",
 )
 REPLICA_LEAVING = define(
@@ -247,11 +247,11 @@
     "The body of an answer whose head told all broke off or did not end in "
     "time; its connection is closed.",
 )
-REPLICA_RESTING = define(
+REPLICA_BACKOFF = define(
     343,
-    "replica-resting",
+    "replica-backoff",
     "info",
-    "A replica turns a request away and wants none from this node for a while.",
+    "A replica turns a request away and asks this node to back off.",
 )
 FORWARD_BROKEN = define(
     235,
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -14,13 +14,13 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import backoffs as backoffs_module
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import departures as departures_module
 from gypsumfold.decisions import health
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import rate_limits as rate_limits_module
 from gypsumfold.decisions import reachability as reachability_module
-from gypsumfold.decisions import rests as rests_module
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
@@ -64,7 +64,7 @@
         changing_until: Until when an engine changes its role and gets no work.
         draining_since: When this node learnt that a replica is draining.
         departures: The replicas that have said that they leave.
-        rests: The replicas that have asked this node for rest.
+        backoffs: The replicas that have asked this node to back off.
         suspects: Replicas that did not answer a probe; they get no work.
         reachability: The replicas to which new connections fail; they get work
             only over open ones.
@@ -115,7 +115,7 @@
         self.versions = software_versions.SoftwareVersions()
         self.rate_limits = rate_limits_module.RateLimits()
         self.departures = departures_module.Departures()
-        self.rests = rests_module.Rests(rng)
+        self.backoffs = backoffs_module.Backoffs(rng)
         self.departure_listeners: list[Callable[[str, int], None]] = []
         self.rate_limit_listeners: list[
             Callable[[str, float | None, float], None]
@@ -132,7 +132,7 @@
         ):
             self.replica_restarted(old, replica.started_at)
             old = None
-        self.rests.observe_start(replica.instance, replica.started_at)
+        self.backoffs.observe_start(replica.instance, replica.started_at)
         departure = self.departures.find(replica.instance, replica.started_at)
         if departure is not None:
             replica = replica._replace(draining=True)
@@ -345,10 +345,10 @@
     ) -> list[types.Replica]:
         """Returns the replicas of a plain service that may get work now.
 
-        Those that refused, failed, rested or fell silent recently are returned
-        only if there is no other; those that don't answer on new connections
-        either are left out, those that rest, and those for which this node has
-        no permit.
+        Those that refused, failed or fell silent recently, or from which this
+        node has just backed off, are returned only if there is no other; those
+        that don't answer on new connections either are left out, those from
+        which it backs off now, and those for which it has no permit.
 
         Args:
             service: The service.
@@ -360,7 +360,7 @@
         for replica in self.known(service):
             if replica.instance in avoid:
                 continue
-            if self.rests.is_resting(replica.instance, now):
+            if self.backoffs.is_active(replica.instance, now):
                 continue
             if not self.rate_limits.is_open(replica.instance, now):
                 continue
@@ -380,7 +380,7 @@
         replica = self.replicas.get(instance)
         if replica is None or replica.draining:
             return False
-        if self.rests.is_resting(instance, time.monotonic()):
+        if self.backoffs.is_active(instance, time.monotonic()):
             return False
         return self.is_reachable(replica)
 
@@ -391,7 +391,7 @@
             return False
         if self.paused_until.get(instance, -math.inf) > now:
             return False
-        if not self.rests.may_choose(instance, now):
+        if not self.backoffs.may_choose(instance, now):
             return False
         return self.health.is_allowed(instance, now)
 
@@ -405,8 +405,9 @@
     ) -> list[types.Replica]:
         """Returns the prefill or the decode engines that may get work now.
 
-        Suspects, engines that change their role, those that rest and those for
-        which this node has no permit are left out even if there is no other.
+        Suspects, engines that change their role, those from which this node
+        backs off and those for which it has no permit are left out even if
+        there is no other.
 
         Args:
             service: The service.
@@ -427,7 +428,7 @@
                 continue
             if self.changing_until.get(replica.instance, -math.inf) > now:
                 continue
-            if self.rests.is_resting(replica.instance, now):
+            if self.backoffs.is_active(replica.instance, now):
                 continue
             if not self.rate_limits.is_open(replica.instance, now):
                 continue
@@ -457,7 +458,7 @@
         for replica in self.known(origin.service):
             if not origin.fits(replica.version):
                 continue
-            if self.rests.is_resting(replica.instance, until):
+            if self.backoffs.is_active(replica.instance, until):
                 continue
             if not self.is_prefill(replica, now):
                 return True
@@ -496,7 +497,7 @@
                 continue
             if origin is not None and not origin.fits(replica.version):
                 continue
-            if self.rests.is_resting(instance, now):
+            if self.backoffs.is_active(instance, now):
                 continue
             if not self.rate_limits.is_open(instance, now):
                 continue
@@ -573,45 +574,47 @@
         """
         if statement.leaving:
             self.record_departure(replica)
-        if statement.rest > 0:
-            self.record_rest(replica, statement.rest)
+        if statement.backoff > 0:
+            self.record_backoff(replica, statement.backoff)
         if statement.rate is not None:
             rate = None if math.isinf(statement.rate) else statement.rate
             self.record_rate_limit(replica, rate, statement.sent_at)
 
-    def record_rest(self, replica: types.Replica, seconds: float) -> None:
+    def record_backoff(self, replica: types.Replica, seconds: float) -> None:
         """Records that a replica wants nothing from this node for a while."""
         if not self.incarnations.observe(replica.instance, replica.started_at):
             return
         now = time.monotonic()
-        if not self.rests.record(
+        if not self.backoffs.record(
             replica.instance, replica.started_at, now + seconds, now
         ):
             return
         events.log(
-            events.REPLICA_RESTING,
+            events.REPLICA_BACKOFF,
             instance=replica.instance,
             service=replica.service,
             seconds=round(seconds, 3),
         )
 
-    def check_rest(self, replica: types.Replica) -> None:
+    def check_backoff(self, replica: types.Replica) -> None:
         """Checks that a replica may be sent anything now.
 
         Raises:
-            exceptions.EndpointWithheld: It has asked for rest.
+            exceptions.EndpointWithheld: It has asked this node to back off.
         """
-        if self.rests.is_resting(replica.instance, time.monotonic()):
-            raise exceptions.EndpointWithheld(f"{replica.instance} rests")
+        if self.backoffs.is_active(replica.instance, time.monotonic()):
+            raise exceptions.EndpointWithheld(
+                f"{replica.instance} has asked to back off"
+            )
 
-    def rest_end(
+    def backoff_end(
         self,
         service: str,
         prefill: bool | None,
         now: float,
         origin: stream_origins.Origin | None = None,
     ) -> float | None:
-        """Returns when the first rest ends, if all usable replicas rest.
+        """Returns when the first backoff ends, if it holds for all replicas.
 
         Args:
             service: The service.
@@ -630,7 +633,7 @@
                     continue
             if origin is not None and not origin.fits(replica.version):
                 continue
-            end = self.rests.end(instance, now)
+            end = self.backoffs.end(instance, now)
             if end is None:
                 return None
             ends.append(end)
@@ -713,11 +716,12 @@
         The replica may have been chosen a while ago.
 
         Raises:
-            exceptions.EndpointWithheld: The replica leaves or rests.
+            exceptions.EndpointWithheld: The replica leaves, or this node backs
+                off from it.
             exceptions.EndpointLimited: There is no permit.
         """
         self.check_departure(replica)
-        self.check_rest(replica)
+        self.check_backoff(replica)
         if not self.rate_limits.take(replica.instance, time.monotonic()):
             raise exceptions.EndpointLimited(
                 f"{replica.instance} limits its requests"
@@ -755,7 +759,7 @@
         for replica in self.responsive(service):
             if self.rate_limits.is_open(replica.instance, now):
                 continue
-            if self.rests.is_resting(replica.instance, now):
+            if self.backoffs.is_active(replica.instance, now):
                 continue
             if prefill is not None:
                 if self.is_prefill(replica, now) != prefill:
@@ -795,7 +799,7 @@
         if isinstance(error, exceptions.EndpointWithheld):
             return
         refused = isinstance(error, exceptions.EndpointRefused)
-        if refused and self.rests.is_resting(instance, now):
+        if refused and self.backoffs.is_active(instance, now):
             return
         silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
@@ -841,15 +845,17 @@
         asked = self.probe_requests.union(self.silence.check(now)) - lost
         self.probe_requests.clear()
         self.probe_requested.clear()
-        resting = {one for one in asked if self.rests.is_resting(one, now)}
-        self.probe_requests |= resting
-        asked -= resting
+        backing_off = {
+            one for one in asked if self.backoffs.is_active(one, now)
+        }
+        self.probe_requests |= backing_off
+        asked -= backing_off
         if self.reachability.take_sweep(now):
-            others = self.replicas.keys() - lost - resting
+            others = self.replicas.keys() - lost - backing_off
             self.fresh_probes |= others
             asked |= others
         for instance in lost:
-            if self.rests.is_resting(instance, now):
+            if self.backoffs.is_active(instance, now):
                 continue
             due, pause = self.next_probes.get(
                 instance, (now, FIRST_PROBE_INTERVAL_SECONDS)
@@ -881,7 +887,7 @@
         for replica in self.replicas.values():
             if replica.instance == instance or replica.draining:
                 continue
-            if self.rests.is_resting(replica.instance, time.monotonic()):
+            if self.backoffs.is_active(replica.instance, time.monotonic()):
                 continue
             if replica.instance in self.suspects:
                 continue
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -124,7 +124,7 @@
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.record_statement
-        self.endpoints.admission = self.directory.check_rest
+        self.endpoints.admission = self.directory.check_backoff
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -189,7 +189,7 @@
                 outcomes.Outcome.NOT_RUN,
                 progress.retry_after(),
             )
-        self.check_rests(service, progress)
+        self.check_backoffs(service, progress)
         await self.wait_for_decode_engine(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
@@ -252,10 +252,10 @@
             return False
         return not await self.rate_permits.borrow(limited)
 
-    def check_rests(
+    def check_backoffs(
         self, service: types.Service, progress: progress_module.Progress
     ) -> None:
-        """Refuses a request at once if all decode engines rest.
+        """Refuses a request at once if all decode engines want none.
 
         A stream that goes on waits for its version's engines for a moment.
 
@@ -265,13 +265,15 @@
         if progress.origin is not None:
             return
         now = time.monotonic()
-        progress.rest_end = self.directory.rest_end(service.name, False, now)
-        if progress.rest_end is None:
+        progress.backoff_end = self.directory.backoff_end(
+            service.name, False, now
+        )
+        if progress.backoff_end is None:
             return
         if progress.may_have_run:
             raise progress.final_error()
         raise exceptions.Unavailable(
-            "all engines have asked for rest",
+            "all engines have asked to back off",
             outcomes.Outcome.NOT_RUN,
             progress.retry_after(),
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -59,7 +59,7 @@
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 state = await self.endpoints.state(replica, fresh)
         except exceptions.EndpointWithheld:
-            # It asked for rest after the probe was due.
+            # It asked to back off after the probe was due.
             self.directory.request_probe(instance)
         except exceptions.EndpointMismatch:
             self.directory.process_ended(instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -75,7 +75,7 @@
                 progress, route, lambda: self.choose(service, progress)
             )
             if replica is None:
-                progress.rest_end = self.directory.rest_end(
+                progress.backoff_end = self.directory.backoff_end(
                     service, None, time.monotonic()
                 )
                 break
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -44,8 +44,8 @@
         may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
         avoid: Instances that failed to serve it.
-        rest_end: When the first replica that could serve it ends its rest; None
-            if not all of them rest.
+        backoff_end: When the first replica that could serve it may be asked
+            again; None if one may be now.
         prefill_address: Address of the engine that ran the prefill; empty
             before that.
         handle: KV cache of the prompt that is not fetched yet.
@@ -72,7 +72,7 @@
         self.may_forward = False
         self.runs = 0
         self.avoid: frozenset[str] = frozenset()
-        self.rest_end: float | None = None
+        self.backoff_end: float | None = None
         self.prefill_address = ""
         self.handle: types.Handle | None = None
         self.service = ""
@@ -131,10 +131,10 @@
         )
 
     def retry_after(self) -> float:
-        """Seconds until a retry makes sense if replicas are short or rest."""
+        """Seconds until a retry makes sense."""
         left = max(0.0, self.time_left())
-        if self.rest_end is not None:
-            wait = max(0.0, self.rest_end - time.monotonic())
+        if self.backoff_end is not None:
+            wait = max(0.0, self.backoff_end - time.monotonic())
             if wait <= left:
                 return wait
         return min(RETRY_AFTER_SECONDS, left / 3)
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -154,7 +154,7 @@
                     waiting,
                     changing,
                     replica.version,
-                    self.directory.rests.is_resting(replica.instance, now),
+                    self.directory.backoffs.is_active(replica.instance, now),
                 )
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -157,14 +157,14 @@
             for no limit, None if the answer doesn't tell.
         names_rate: Whether the answer has such a field, readable or not.
         leaving: Whether the replica is shutting down.
-        rest: Seconds for which it wants no request from this node.
+        backoff: Seconds for which it wants no request from this node.
     """
 
     sent_at: float
     rate: float | None = None
     names_rate: bool = False
     leaving: bool = False
-    rest: float = 0.0
+    backoff: float = 0.0
 
 
 class Handle(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -246,7 +246,7 @@
             replica.address, replica.instance, fresh
         )
         try:
-            # The replica may have asked for rest meanwhile.
+            # The replica may have asked to back off meanwhile.
             self.admission(replica)
         except exceptions.EndpointWithheld:
             self.pool.put_back(replica.address, replica.instance, connection)
--- a/packages/gypsumfold/src/gypsumfold/platform/statements.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/statements.py
@@ -17,11 +17,11 @@
 from gypsumfold.platform import names
 
 # Status of an answer whose Retry-After concerns the replica, not the request.
-REST_STATUS = 503
+BACKOFF_STATUS = 503
 # Seconds as a decimal number.
 SECONDS = re.compile(rb"[0-9]{1,18}(\.[0-9]{0,9})?")
-# A longer rest is heeded for this long; the replica may ask again.
-MAX_REST_SECONDS = 86_400.0
+# A longer time is heeded for this long; the replica may ask again.
+MAX_BACKOFF_SECONDS = 86_400.0
 
 Value = TypeVar("Value")
 
@@ -41,17 +41,17 @@
     """
     limits = find(fields, names.RATE_LIMIT)
     rates = decode_all(instance, limits, decoding.decode_rate)
-    rest = 0.0
-    if status == REST_STATUS:
+    backoff = 0.0
+    if status == BACKOFF_STATUS:
         values = find(fields, names.RETRY_AFTER)
-        rest = max(decode_all(instance, values, decode_rest), default=0.0)
+        backoff = max(decode_all(instance, values, decode_backoff), default=0.0)
     leaving = b"1" in find(fields, names.LEAVING)
     return types.Statement(
         sent_at,
         rate=min(rates, default=None),
         names_rate=bool(limits),
         leaving=leaving,
-        rest=rest,
+        backoff=backoff,
     )
 
 
@@ -76,14 +76,14 @@
     return found
 
 
-def decode_rest(value: bytes) -> float:
+def decode_backoff(value: bytes) -> float:
     """Returns the seconds of a Retry-After field, given in seconds or a date.
 
     Raises:
         exceptions.RecordInvalid: It is neither.
     """
     if SECONDS.fullmatch(value):
-        return min(float(value), MAX_REST_SECONDS)
+        return min(float(value), MAX_BACKOFF_SECONDS)
     try:
         at = email.utils.parsedate_to_datetime(value.decode("ascii"))
         seconds = at.timestamp() - time.time()
@@ -91,4 +91,4 @@
         raise exceptions.RecordInvalid(
             f"no time to retry after: {value[:40]!r}"
         ) from error
-    return min(max(0.0, seconds), MAX_REST_SECONDS)
+    return min(max(0.0, seconds), MAX_BACKOFF_SECONDS)
