--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -8,7 +8,6 @@
 
 import behave
 from features.support import virtual_callers
-from features.support import virtual_engines
 from features.support import virtual_gateways
 from features.support import virtual_statements
 
@@ -23,13 +22,11 @@
 from gypsumfold.platform import statements
 
 SEED = 1
-SETTLING = 5.0
 QUIET = 2.0
 # Seconds for which replicas leave or ask for rest.
 PLAYED = 8.0
 REST = 3.0
 RATE = 60.0
-STAGES = {"decode": "decode", "prefill": "prefill", "plain": ""}
 # Seconds until an entry lapses, and until it is back.
 LAPSED = 1.0
 REPLICA = types.Replica(
@@ -37,28 +34,6 @@
 )
 
 
-async def start_asking(site, nodes):
-    """Starts a site whose callers ask."""
-    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
-    callers = virtual_callers.Callers(site, site.fleet)
-    callers.configure(3)
-    site.fleet.start()
-    site.start(nodes, 3)
-    await site.pass_time(SETTLING)
-    callers.keep_asking(RATE)
-    await site.pass_time(QUIET)
-    return callers
-
-
-def choose(site, count, stage):
-    """The first replicas of a stage."""
-    found = []
-    for replica in site.fleet.replicas.values():
-        if replica.stage == STAGES[stage] and len(found) < count:
-            found.append(replica)
-    return found
-
-
 async def disturb(site, replicas, trouble):
     """Brings the trouble with the store or between gateways."""
     if trouble == "the store is silent":
@@ -86,8 +61,8 @@
     shares = []
 
     async def story():
-        callers = await start_asking(site, nodes)
-        replicas = choose(site, count, stage)
+        callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
+        replicas = site.fleet.first(count, stage)
         for replica in replicas:
             replica.leaving = True
         begin = site.clock()
@@ -111,8 +86,8 @@
     found = []
 
     async def story():
-        callers = await start_asking(site, nodes)
-        (replica,) = choose(site, 1, "plain")
+        callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
+        (replica,) = site.fleet.first(1, "plain")
         site.cut(list(site.nodes))
         # Only callers of one gateway ask until it has been told.
         callers.spread = 1
@@ -139,9 +114,9 @@
     found = []
 
     async def story():
-        callers = await start_asking(site, 2)
+        callers = await virtual_callers.start_asking(site, 2, RATE, QUIET)
         first = next(iter(site.nodes.values()))
-        replicas = choose(site, 4, "plain")
+        replicas = site.fleet.first(4, "plain")
         addresses = {replica.address for replica in replicas}
         first.endpoints.cut_addresses = set(addresses)
         await site.pass_time(QUIET)
@@ -195,8 +170,8 @@
     shares = []
 
     async def story():
-        callers = await start_asking(site, nodes)
-        replicas = choose(site, count, stage)
+        callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
+        replicas = site.fleet.first(count, stage)
         for replica in replicas:
             replica.rest = REST
         begin = site.clock()
@@ -220,8 +195,8 @@
     told = []
 
     async def story():
-        callers = await start_asking(site, 2)
-        replicas = choose(site, 9, stage)
+        callers = await virtual_callers.start_asking(site, 2, RATE, QUIET)
+        replicas = site.fleet.first(9, stage)
         for replica in replicas:
             replica.rest = REST
         await site.pass_time(0.5)
@@ -264,8 +239,8 @@
     counts = {}
 
     async def story():
-        await start_asking(site, 6)
-        (replica,) = choose(site, 1, "decode")
+        await virtual_callers.start_asking(site, 6, RATE, QUIET)
+        (replica,) = site.fleet.first(1, "decode")
         replica.rest = REST
         while not site.fleet.rests:
             await site.pass_time(0.1)
@@ -274,7 +249,7 @@
         await site.pass_time(REST - 0.5)
         begin = max(one.at + one.seconds for one in site.fleet.rests)
         await site.pass_time(begin + 1.0 - site.clock())
-        for one in choose(site, 9, "decode"):
+        for one in site.fleet.first(9, "decode"):
             counts[one is replica, one.instance] = 0
         for arrival in site.fleet.arrivals:
             for key in counts:
--- a/features/steps/cut_off_gateways_steps.py
+++ b/features/steps/cut_off_gateways_steps.py
@@ -2,14 +2,12 @@
 
 import behave
 from features.support import virtual_callers
-from features.support import virtual_engines
 from features.support import virtual_gateways
 
 from gypsumfold import exceptions
 
 # Seconds for which gateways learn what there is, and for which callers ask
 # before the cut.
-SETTLING = 5.0
 QUIET = 2.0
 # Seconds after a cut's begin from which its callers count, and of the cut.
 CONTACT = 3.0
@@ -57,22 +55,9 @@
             endpoints.cut = cut
 
 
-async def start_asking(site, nodes):
-    """Starts a site whose callers ask."""
-    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
-    callers = virtual_callers.Callers(site, site.fleet)
-    callers.configure(3)
-    site.fleet.start()
-    site.start(nodes, 3)
-    await site.pass_time(SETTLING)
-    callers.keep_asking(RATE)
-    await site.pass_time(QUIET)
-    return callers
-
-
 async def play_cut(site, nodes, cut, how, found):
     """Plays one cut and what follows; collects what is needed to judge it."""
-    callers = await start_asking(site, nodes)
+    callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
     names = pick(site, cut)
     begin = site.clock()
     change(site, names, how, True)
@@ -166,7 +151,7 @@
     site = virtual_gateways.Site(FIRST_SEED)
 
     async def story():
-        await start_asking(site, nodes)
+        await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         for address in list(site.fleet.replicas):
             for node in site.nodes.values():
                 until = site.clock() + SILENCE
@@ -187,7 +172,7 @@
     found = {}
 
     async def story():
-        callers = await start_asking(site, nodes)
+        callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         change(site, list(site.nodes), "silent", True)
         await site.pass_time(2 * CONTACT)
         found["since"] = site.clock() - CONTACT
@@ -215,7 +200,7 @@
     found = {}
 
     async def story():
-        callers = await start_asking(site, 3)
+        callers = await virtual_callers.start_asking(site, 3, RATE, QUIET)
         node = site.nodes["edge-0"]
         handler = node.gateway.handler
         call = callers.call(virtual_callers.LOOKUP, b"x", 1.0)
@@ -270,7 +255,7 @@
     crashed = []
 
     async def story():
-        await start_asking(site, nodes)
+        await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         names = pick(site, "1")
         directory = site.nodes[names[0]].gateway.directory
         directory.crash_listeners.append(crashed.append)
@@ -299,7 +284,7 @@
         return found
 
     async def story():
-        await start_asking(site, nodes)
+        await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         first = find_holders()
         assert len(first) == 1, first
         change(
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -2,7 +2,6 @@
 
 import behave
 from features.support import virtual_callers
-from features.support import virtual_engines
 from features.support import virtual_gateways
 from features.support import virtual_limits
 
@@ -10,11 +9,9 @@
 from gypsumfold.platform import names
 from gypsumfold.platform import statements
 
-SETTLING = 5.0
 QUIET = 3.0
 LIMITED = 15.0
 RATE = 130.0
-STAGES = {"decode": "decode", "prefill": "prefill", "plain": ""}
 LEAST_USED = 0.5
 SEED = 1
 # Seconds until a limit that has ended is known to have, and for which arrivals
@@ -23,28 +20,12 @@
 COMPARED = 5.0
 
 
-async def start_asking(site, nodes, spread=None):
-    """Starts a site whose callers ask."""
-    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
-    callers = virtual_callers.Callers(site, site.fleet)
-    callers.spread = spread
-    callers.configure(3)
-    site.fleet.start()
-    site.start(nodes, 3)
-    await site.pass_time(SETTLING)
-    callers.keep_asking(RATE)
-    await site.pass_time(QUIET)
-    return callers
-
-
 def limit(site, limited, rate):
     """Lets some replicas name a limit; returns them."""
     count, stage, _ = limited.split()
-    found = []
-    for replica in site.fleet.replicas.values():
-        if replica.stage == STAGES[stage] and len(found) < int(count):
-            replica.rate_limit = rate
-            found.append(replica)
+    found = site.fleet.first(int(count), stage)
+    for replica in found:
+        replica.rate_limit = rate
     return found
 
 
@@ -68,7 +49,7 @@
     found = []
 
     async def story():
-        await start_asking(site, nodes, spread)
+        await virtual_callers.start_asking(site, nodes, RATE, QUIET, spread)
         begin = site.clock()
         replicas = limit(site, limited, rate)
         await play_trouble(site, trouble)
@@ -112,7 +93,7 @@
     counts = {}
 
     async def story():
-        await start_asking(site, nodes)
+        await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         (replica,) = limit(site, limited, rate)
         await site.pass_time(LIMITED)
         replica.rate_limit = None
@@ -169,7 +150,7 @@
     refused = []
 
     async def story():
-        callers = await start_asking(site, nodes)
+        callers = await virtual_callers.start_asking(site, nodes, RATE, QUIET)
         limit(site, limited, rate)
         begin = site.clock() + virtual_limits.CONTACT
         await site.pass_time(LIMITED)
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -3,12 +3,10 @@
 import behave
 from features.support import virtual_budget
 from features.support import virtual_callers
-from features.support import virtual_engines
 from features.support import virtual_gateways
 
 # Seconds for which gateways learn what there is, for which callers ask before
 # the replicas reject, and for which they then do.
-SETTLING = 5.0
 QUIET = 6.0
 REJECTING = 24.0
 REJECTED_SHARE = 0.9
@@ -21,21 +19,6 @@
 SEED = 1
 
 
-async def start_asking(site, nodes, rate, spread=None):
-    """Starts a site whose callers ask and whose replicas then reject."""
-    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
-    callers = virtual_callers.Callers(site, site.fleet)
-    callers.spread = spread
-    callers.configure(3)
-    site.fleet.start()
-    site.start(nodes, 3)
-    await site.pass_time(SETTLING)
-    callers.keep_asking(rate)
-    await site.pass_time(QUIET)
-    site.fleet.refusing_share = REJECTED_SHARE
-    return callers
-
-
 async def cut_by_turns(site, count, seconds, how):
     """Lets gateways reach a part of the replicas only."""
     addresses = sorted(site.fleet.replicas)
@@ -110,7 +93,10 @@
     kept = []
 
     async def story():
-        callers = await start_asking(site, nodes, rate, spread)
+        callers = await virtual_callers.start_asking(
+            site, nodes, rate, QUIET, spread
+        )
+        site.fleet.refusing_share = REJECTED_SHARE
         kept.append(callers)
         await play_trouble(site, callers, trouble)
 
--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -19,6 +19,8 @@
 KINDS = (BRIEF, SWAP, LOOKUP)
 # The reason of a refusal of a request that has crashed replicas.
 CRASHES = exceptions.RequestQuarantined
+# Seconds until all gateways of a site know everything.
+SETTLING = 5.0
 # Shares of a caller's time left for which it waits as told.
 LONGEST_WAIT = 1 / 3
 
@@ -259,3 +261,27 @@
             if end.status in (429, 503) and end.attempt in ran:
                 found.append(end.attempt)
         return found
+
+
+async def start_asking(
+    site, nodes: int, rate: float, quiet: float, spread: int | None = None
+) -> Callers:
+    """Starts gateways and replicas whose callers ask.
+
+    Args:
+        site: The site.
+        nodes: Number of gateways.
+        rate: Requests a second.
+        quiet: Seconds until something else is to happen.
+        spread: How many of the gateways callers ask; None for all.
+    """
+    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
+    callers = Callers(site, site.fleet)
+    callers.spread = spread
+    callers.configure(3)
+    site.fleet.start()
+    site.start(nodes, 3)
+    await site.pass_time(SETTLING)
+    callers.keep_asking(rate)
+    await site.pass_time(quiet)
+    return callers
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -281,6 +281,12 @@
         for place, stage in enumerate(self.wanted, 1):
             self.launch(Replica(self, place, "lm" if stage else "app", stage))
 
+    def first(self, count: int, stage: str) -> list[Replica]:
+        """The first replicas of a stage, "plain" for those without."""
+        wanted = "" if stage == "plain" else stage
+        found = [one for one in self.replicas.values() if one.stage == wanted]
+        return found[:count]
+
     def launch(self, replica: Replica) -> None:
         """Runs one lifetime of a replica."""
         self.replicas[replica.address] = replica
