--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -317,7 +317,8 @@
 def step_read_fails(context):
     async def read():
         store = store_module.Store("127.0.0.1:1")
-        store.call = mock.AsyncMock(return_value=context.page)
+        answer = store_module.Answer(context.page, era=0)
+        store.call = mock.AsyncMock(return_value=answer)
         consumer = mock.Mock()
         state = topic_watches.StoreState(CONTACT)
         topic = names.CONFIGURATION_TOPIC
@@ -373,7 +374,8 @@
         store.margin = margin
         started = clocks.now()
         try:
-            found = await store.call("GET", names.READ_PATH, {})
+            answer = await store.call("GET", names.READ_PATH, {})
+            found = answer.body
         except exceptions.LogUnavailable:
             found = "fails"
         context.seconds = clocks.now() - started
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -9,6 +9,7 @@
 from features.support import relay_site
 
 from gypsumfold import clocks
+from gypsumfold.decisions import eras
 from gypsumfold.decisions import members
 from gypsumfold.decisions import read_timeouts as read_timeouts_module
 from gypsumfold.decisions import registry
@@ -369,7 +370,7 @@
     watches = []
     for _ in range(2):
         watch = topic_watches.TopicWatch(
-            mock.Mock(),
+            mock.Mock(eras=eras.Eras()),
             state,
             "",
             mock.Mock(),
@@ -465,6 +466,7 @@
     def __init__(self):
         self.newest_calls = 0
         self.read_calls = 0
+        self.eras = eras.Eras()
 
     async def newest(self, topic):
         self.newest_calls += 1
