Drop a replica whose entry is gone though its address names a later start

Cause: in the grace for a missing entry a report from the replica's address, where another one ran by then, named a later start; the directory took it for a restart and dropped the end of the grace with the rest of its state. Change: the end of the grace stays. Measured: the scenario failed before, holds now.

--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -14,7 +14,10 @@
 from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import eras as eras_module
 from gypsumfold.decisions import metering
+from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import topic_watches
+from gypsumfold.gateway import types
 from gypsumfold.gateway import usage_reports
 from gypsumfold.platform import names
 from gypsumfold.platform import store as store_module
@@ -372,3 +375,28 @@
         assert watch.position == later
 
     site.play(story())
+
+
+@behave.then(
+    "a replica whose entry lapses is dropped in time though a report from its "
+    "address names a later start"
+)
+def step_lapsing(context):
+    site = virtual_gateways.Site(SEED)
+    role = decision_types.Role.DECODE
+    replica = types.Replica(
+        "i-1", "lm", "10.0.0.1:80", "dc", 4, False, role, started_at=1000
+    )
+
+    async def story():
+        directory = directory_module.Directory(random.Random(SEED))
+        directory.put(replica)
+        directory.drop("i-1", 1.4, site.clock())
+        later = types.State(role, False, 0, 0, 0, started_at=2000)
+        assert directory.receive_state("i-1", later)
+        assert directory.is_usable("i-1")
+        await asyncio.sleep(1.5)
+        directory.expire(site.clock())
+        assert not directory.replicas
+
+    site.play(story())
--- a/features/store_drills.feature
+++ b/features/store_drills.feature
@@ -52,3 +52,6 @@
 
   Scenario: Two eras seem equal
     Then equal copies and ends of an earlier or later era confirm nothing to a gateway that reads
+
+  Scenario: A replica whose entry is gone stays, as a later one at its address answers a probe
+    Then a replica whose entry lapses is dropped in time though a report from its address names a later start
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -188,7 +188,11 @@
             state.started_at, replica.started_at
         ):
             return True
+        lapses_at = self.lapses_at.get(instance)
         self.replica_restarted(replica, state.started_at)
+        if lapses_at is not None:
+            # Its entry is gone: another replica may have its address by now.
+            self.lapses_at[instance] = lapses_at
         self.versions.add(replica.service, None, time.monotonic())
         # Its software may have changed; the next registration says to what.
         self.replicas[instance] = replica._replace(
