Judge what a run says of its replica in one place, and share failures among gateways

Cause: a decode engine that answers each run with 500 counted as healthy, since a stream that ended with a failure ended like a whole one. A prefill that ended with 500 counted as a refusal, which pauses an engine for a quarter of a second. Each gateway also had to lose four requests before it noticed, and there are dozens.

Change: gateway/run_results.py judges plain calls, prefills, streams and resumed streams. A stream that may be repeated is tried elsewhere after a failure; the engine's own answer is forwarded if no other serves it. decisions/failure_rates.py adds up the recent failures and answers of a replica over all gateways, which report them with their loads; a replica that fails most requests is used only if there is no other.

--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -133,6 +133,8 @@
         self.rate_limit: float | None = None
         # Whether its answers say that it leaves.
         self.leaving = False
+        # Whether it answers each run with a failure, at once.
+        self.failing = False
         # Seconds of rest that it asks for; it turns all away then.
         self.rest = 0.0
         self.place = place
@@ -190,10 +192,10 @@
         self.call = call
         self.first = first
         self.events = events
-        self.status = 200
+        self.status = 500 if replica.failing else 200
         self.reason = "OK"
         self.fields: types.Fields = ()
-        self.sealed = True
+        self.sealed = not replica.failing
         self.is_framed = True
         self.not_run = False
         self.length = None
@@ -202,6 +204,8 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """The body as it comes."""
         fleet = self.replica.fleet
+        if self.status != 200:
+            return
         crashes_after = fleet.begins(self.call)
         if crashes_after is not None:
             if fleet.output_before_crash:
--- a/packages/gypsumfold/src/gypsumfold/decisions/cluster_totals.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/cluster_totals.py
@@ -60,14 +60,11 @@
             self.expire(now)
         return self.own.get(engine, 0.0) + self.remote_totals.get(engine, 0.0)
 
-    def totals(self, now: float) -> dict[str, float]:
-        """Amounts of all nodes, by engine."""
+    def remote(self, now: float) -> dict[str, float]:
+        """Amounts of all other nodes, by engine."""
         if now >= self.next_expiry:
             self.expire(now)
-        found = dict(self.remote_totals)
-        for engine, amount in self.own.items():
-            found[engine] = found.get(engine, 0.0) + amount
-        return found
+        return self.remote_totals
 
     def clear_others(self) -> None:
         """Drops the amounts of all other nodes."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -17,6 +17,7 @@
 from gypsumfold.decisions import backoffs as backoffs_module
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import departures as departures_module
+from gypsumfold.decisions import failure_rates as failure_rates_module
 from gypsumfold.decisions import health
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import rate_limits as rate_limits_module
@@ -110,6 +111,7 @@
         self.streams = cluster_totals.ClusterTotals()
         self.decode_available_at: dict[str, float] = {}
         self.health = health.Health(rng)
+        self.failure_rates = failure_rates_module.FailureRates()
         self.removal_listeners = []
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
@@ -265,6 +267,7 @@
         self.fresh_probes.discard(instance)
         self.next_probes.pop(instance, None)
         self.health.forget(instance)
+        self.failure_rates.forget(instance)
         self.rate_limits.forget(instance)
         self.silence.forget(instance)
         for listener in self.removal_listeners:
@@ -397,6 +400,8 @@
             return False
         if not self.backoffs.may_choose(instance, now):
             return False
+        if self.failure_rates.is_failing(instance, now):
+            return False
         return self.health.is_allowed(instance, now)
 
     def engines(
@@ -921,15 +926,19 @@
     ) -> types.Replica | None:
         """Returns the replica with the fewest of this node's requests a slot.
 
+        One whose answers were failures lately counts as busier.
+
         Ties go to the given data centre, then are broken at random, so that
         the nodes do not all choose the same replica.
         """
+        now = time.monotonic()
         best = None
         best_key = None
         for replica in replicas:
             busy = self.silence.open_requests.get(replica.instance, 0)
+            failing = self.failure_rates.load(replica.instance, now)
             key = (
-                busy / max(1, replica.slots),
+                busy / max(1, replica.slots) + failing,
                 replica.data_centre != data_centre,
                 self.rng.random(),
             )
@@ -956,6 +965,7 @@
         best_key = math.inf
         for engine in engines:
             key = self.streams.total(engine.instance, now)
+            key += self.failure_rates.load(engine.instance, now)
             if engine.data_centre != data_centre:
                 key += OTHER_DATA_CENTRE_PENALTY
             if not connected(engine):
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -23,6 +23,7 @@
 from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import retry_permits as retry_permits_module
+from gypsumfold.gateway import run_results
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
@@ -36,6 +37,8 @@
     exceptions.EndpointMismatch,
     exceptions.EndpointWithheld,
 )
+# Status of an answer that was forwarded to its end.
+SUCCESS_STATUS = 200
 # Seconds between two checks for a decode engine.
 POLL_INTERVAL = 0.03
 # Maximum seconds to wait for an engine of a stream's version that is silent or
@@ -96,6 +99,7 @@
         quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
+        self.results = run_results.RunResults(directory)
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.retry_permits = retry_permits
@@ -124,6 +128,11 @@
         stream = streams.Stream(reply, route.resumable)
         try:
             await self.run_attempts(route, service, stream, progress)
+        except exceptions.RequestError:
+            if stream.failure is None:
+                raise
+            # The engine's own answer says more than this node's would.
+            await reply.send(*stream.failure)
         finally:
             self.prefills.release_handle(progress)
 
@@ -157,15 +166,29 @@
                 continue
             except exceptions.AnswerAbandoned:
                 raise
+            except exceptions.EndpointFailed:
+                progress.record_arrival()
+                if not self.can_retry(route, progress):
+                    break
+                # What fails at one replica and is suspected of crashes isn't
+                # tried at the next.
+                if not self.quarantine.is_unsuspected(progress):
+                    break
             except exceptions.AnswerBroken:
                 progress.record_arrival()
-                can_retry = route.resumable or route.repeatable
-                if not can_retry or progress.runs >= route.attempts:
+                if not self.can_retry(route, progress):
                     break
         if progress.answer_started:
             raise exceptions.AnswerBroken("no engine could resume the answer")
         raise progress.final_error()
 
+    def can_retry(
+        self, route: routes.Route, progress: progress_module.Progress
+    ) -> bool:
+        """Whether a request that may have run may run again."""
+        can_repeat = route.resumable or route.repeatable
+        return can_repeat and progress.runs < route.attempts
+
     async def attempt(
         self,
         route: routes.Route,
@@ -177,6 +200,7 @@
 
         Raises:
             exceptions.EndpointNotStarted: Nothing has run in this attempt.
+            exceptions.EndpointFailed: An engine ran it and failed.
             exceptions.AnswerBroken: An engine may have started to run it.
         """
         is_limited = await self.borrow_permit(service, False, progress)
@@ -424,6 +448,7 @@
 
         Raises:
             exceptions.EndpointNotStarted: It ran nothing.
+            exceptions.EndpointFailed: It ran it and failed.
             exceptions.AnswerBroken: Its answer ended early.
         """
         handle = progress.handle
@@ -458,16 +483,20 @@
         except exceptions.EndpointNotStarted as error:
             progress.record_not_run(replica)
             progress.record_failure(replica, str(error))
-            self.record_failure(replica, error)
+            self.results.failed(replica, error, time.monotonic())
             if not isinstance(error, HANDLE_KEEPING_ERRORS):
                 self.prefills.release_handle(progress)
             raise
+        except exceptions.EndpointFailed as error:
+            progress.record_failure(replica, str(error))
+            self.quarantine.record_completion(run)
+            self.results.failed(replica, error, time.monotonic())
+            self.prefills.release_handle(progress)
+            raise
         except exceptions.AnswerBroken as error:
             progress.record_failure(replica, str(error))
             self.quarantine.record_interruption(run)
-            self.directory.request_failed(
-                replica.instance, error, time.monotonic()
-            )
+            self.results.failed(replica, error, time.monotonic())
             self.prefills.release_handle(progress)
             raise
         finally:
@@ -476,17 +505,7 @@
             self.directory.streams.remove(replica.instance, share)
             self.prefix_router.notify_load_change()
         progress.handle = None
-        self.directory.health.succeeded(replica.instance, time.monotonic())
-
-    def record_failure(
-        self, replica: types.Replica, error: exceptions.EndpointNotStarted
-    ) -> None:
-        """Records that an engine refused or failed to take a request."""
-        now = time.monotonic()
-        if isinstance(error, exceptions.EndpointRefused):
-            self.directory.request_refused(replica.instance, error, now)
-            return
-        self.directory.request_failed(replica.instance, error, now)
+        self.results.answered(replica, SUCCESS_STATUS, time.monotonic())
 
     async def exchange(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
@@ -136,13 +136,8 @@
     """Splits a load delta in two."""
     first = []
     second = []
-    for amounts in (
-        load_delta.prompts,
-        load_delta.streams,
-        load_delta.late,
-        load_delta.demand,
-    ):
-        halves = split_dict(amounts)
+    for kind in load_delta.__struct_fields__:
+        halves = split_dict(getattr(load_delta, kind))
         first.append(halves[0])
         second.append(halves[1])
     return messages.LoadDelta(*first), messages.LoadDelta(*second)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -166,7 +166,7 @@
         self.resend_due = False
         self.choice = relays_module.Choice(None, None, [])
         self.last_sequences: dict[str, int] = {}
-        self.site_decoder = loads_module.new_decoder()
+        self.site_decoder = loads_module.LoadDeltaDecoder()
         self.announced_at = -math.inf
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
@@ -370,7 +370,7 @@
             known=len(self.members.known),
         )
         self.loads.clear_remote()
-        self.site_decoder = loads_module.new_decoder()
+        self.site_decoder = loads_module.LoadDeltaDecoder()
         self.announced_at = -math.inf
         if relay is None:
             until = now + loads_module.EXPIRY_SECONDS
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -67,12 +67,16 @@
         late: Seconds of prefill still to do for late prompts, by engine and
             urgency.
         demand: Number of engines that arriving prompts keep busy, by service.
+        failures: Recent failed answers, by replica.
+        answers: Recent answers of the replicas with failures.
     """
 
     prompts: dict[str, Amount] = {}
     streams: dict[str, Amount] = {}
     late: dict[str, Amount] = {}
     demand: dict[str, Amount] = {}
+    failures: dict[str, Amount] = {}
+    answers: dict[str, Amount] = {}
 
 
 class LoadDelta(msgspec.Struct, array_like=True):
@@ -87,6 +91,12 @@
     streams: dict[str, Thousandths] = {}
     late: dict[str, Thousandths] = {}
     demand: dict[str, Thousandths] = {}
+    failures: dict[str, Thousandths] = {}
+    answers: dict[str, Thousandths] = {}
+
+
+# The fields of `EngineLoads` and `LoadDelta`.
+LOAD_KINDS = EngineLoads.__struct_fields__
 
 
 class Updates(msgspec.Struct, array_like=True):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/relaying.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/relaying.py
@@ -28,7 +28,7 @@
 
     def __init__(self, member: members_module.Member):
         self.member = member
-        self.loads = messages.EngineLoads({}, {}, {}, {})
+        self.loads = messages.EngineLoads()
         self.level = messages.SUBSCRIBE_PRESENCE
         self.last_seen = 0.0
         self.heartbeat_sent_at = 0.0
@@ -39,7 +39,7 @@
 
     def __init__(self, member: members_module.Member):
         self.member = member
-        self.decoder = loads_module.new_decoder()
+        self.decoder = loads_module.LoadDeltaDecoder()
         self.node_count = 0
         self.last_seen = 0.0
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/reports.py
@@ -119,7 +119,7 @@
         """Returns this node's loads that the relay's totals contain by now."""
         if self.sent_loads:
             return self.sent_loads[0][1]
-        return messages.EngineLoads({}, {}, {}, {})
+        return messages.EngineLoads()
 
     def send(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
@@ -57,8 +57,8 @@
         self.sender = sender
         self.directory = directory
         self.store_copy: StoreCopy | None = None
-        self.node_encoder = loads_module.new_encoder()
-        self.relay_encoder = loads_module.new_encoder()
+        self.node_encoder = loads_module.LoadDeltaEncoder()
+        self.relay_encoder = loads_module.LoadDeltaEncoder()
         self.summary_count = 0
 
     def send_to_nodes(
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -13,6 +13,7 @@
 from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import replies
 from gypsumfold.gateway import retry_permits as retry_permits_module
+from gypsumfold.gateway import run_results
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
@@ -40,6 +41,7 @@
         quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
+        self.results = run_results.RunResults(directory)
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.retry_permits = retry_permits
@@ -93,8 +95,9 @@
                 break
             last_answer = found
             progress.record_arrival()
-            status = found[0]
-            if status < 500 or not self.can_retry(route, progress):
+            if not run_results.is_failure(found.status):
+                break
+            if not self.can_retry(route, progress):
                 break
         if last_answer is not None:
             await reply.send(*last_answer)
@@ -134,7 +137,7 @@
         replica: types.Replica,
         route: routes.Route,
         progress: progress_module.Progress,
-    ) -> tuple[int, str, types.Fields, bytes]:
+    ) -> types.WholeAnswer:
         """Sends a call to one replica and reads its complete answer.
 
         Raises:
@@ -166,9 +169,6 @@
         except exceptions.EndpointNotStarted as error:
             progress.record_not_run(replica)
             self.record_failure(replica, progress, str(error), error)
-            if isinstance(error, exceptions.EndpointRefused):
-                now = time.monotonic()
-                self.directory.request_refused(replica.instance, error, now)
             raise
         except exceptions.AnswerBroken as error:
             progress.record_begin(sent_at)
@@ -188,11 +188,11 @@
     ) -> None:
         """Records a replica's failure."""
         progress.record_failure(replica, reason)
-        self.directory.request_failed(replica.instance, error, time.monotonic())
+        self.results.failed(replica, error, time.monotonic())
 
     async def exchange(
         self, replica: types.Replica, progress: progress_module.Progress
-    ) -> tuple[int, str, types.Fields, bytes]:
+    ) -> types.WholeAnswer:
         """Sends a call to a replica and reads the answer to its end."""
         instructions = types.Instructions(progress.time_left())
         answer = await self.endpoints.send(replica, progress.call, instructions)
@@ -207,14 +207,12 @@
             answer.close()
         check_answer(answer)
         check_body(answer, body)
-        now = time.monotonic()
-        self.directory.record_activity(replica.instance, now)
-        if answer.status < 500:
-            self.directory.health.succeeded(replica.instance, now)
-        else:
-            progress.avoid |= {replica.instance}
-            self.directory.request_failed(replica.instance, None, now)
-        return answer.status, answer.reason, answer.fields, body
+        self.results.answered(replica, answer.status, time.monotonic())
+        if run_results.is_failure(answer.status):
+            progress.record_failure(replica, f"it answered {answer.status}")
+        return types.WholeAnswer(
+            answer.status, answer.reason, answer.fields, body
+        )
 
 
 def check_answer(answer: types.Answer) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -14,6 +14,7 @@
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import run_results
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
 
@@ -22,6 +23,8 @@
 # long prompts queues for about that long.
 PREFILL_TIMEOUT_FACTOR = 4.0
 MIN_PREFILL_TIMEOUT_SECONDS = 3.0
+# Status of a prefill that completed.
+SUCCESS_STATUS = 200
 # Seconds between two checks whether the engine is suspected to have failed.
 SUSPECT_CHECK_INTERVAL = 0.1
 # An engine frees an unused KV cache by itself after a few seconds.
@@ -43,6 +46,7 @@
         quarantine: quarantine_module.Quarantine,
     ):
         self.directory = directory
+        self.results = run_results.RunResults(directory)
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.prefix_router = prefix_router
@@ -171,8 +175,7 @@
             self.prefix_router.dropped(choice)
             raise
         now = time.monotonic()
-        self.directory.record_activity(choice.engine, now)
-        self.directory.health.succeeded(choice.engine, now)
+        self.results.answered(replica, SUCCESS_STATUS, now)
         self.prefix_router.done(choice, now - sent, now)
         return handle
 
@@ -192,16 +195,12 @@
         try:
             return await self.wait_for_prefill(prefill, choice)
         except TimeoutError as error:
-            self.directory.request_failed(
-                replica.instance, error, time.monotonic()
-            )
+            self.results.failed(replica, error, time.monotonic())
             raise exceptions.EndpointNotStarted(
                 "the engine is silent"
             ) from error
         except exceptions.EndpointRefused as error:
-            self.directory.request_refused(
-                replica.instance, error, time.monotonic()
-            )
+            self.results.failed(replica, error, time.monotonic())
             raise
         except exceptions.EndpointError as error:
             if isinstance(error, exceptions.AnswerBroken):
@@ -213,9 +212,7 @@
                         is_prefill=True,
                     )
                 )
-            self.directory.request_failed(
-                replica.instance, error, time.monotonic()
-            )
+            self.results.failed(replica, error, time.monotonic())
             raise exceptions.EndpointNotStarted(str(error)) from error
 
     async def wait_for_prefill(
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -8,6 +8,7 @@
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import replies
+from gypsumfold.gateway import run_results
 from gypsumfold.gateway import types
 
 EVENT_STREAM = b"text/event-stream"
@@ -36,6 +37,8 @@
 
     Attributes:
         last_event: Id of the last event forwarded completely.
+        failure: A replica's failure that was not forwarded; None if there is
+            none.
 
     >>> stream = Stream(reply, resumable=True)
     >>> await stream.forward(answer, progress, listener)
@@ -45,6 +48,7 @@
         self.reply = reply
         self.resumable = resumable
         self.last_event = ""
+        self.failure: types.WholeAnswer | None = None
         self.pending = b""
         self.boundaries = event_boundaries.EventBoundaries()
 
@@ -63,9 +67,11 @@
 
         Raises:
             exceptions.AnswerBroken: It ended early or is not valid.
+            exceptions.EndpointFailed: It says that the replica failed; nothing
+                was forwarded.
         """
         if answer.status >= 300:
-            await self.forward_failure(answer, progress)
+            await self.forward_error(answer, progress)
             return
         plain_calls.check_answer(answer)
         self.pending = b""
@@ -110,18 +116,32 @@
         if not whole:
             raise exceptions.AnswerBroken("the stream ended inside an event")
 
-    async def forward_failure(
+    async def forward_error(
         self, answer: types.Answer, progress: progress_module.Progress
     ) -> None:
-        """Forwards a replica's error answer, unless an answer has started."""
+        """Forwards a replica's error answer, or keeps its failure.
+
+        Raises:
+            exceptions.EndpointFailed: The replica failed; another one may
+                serve the request.
+            exceptions.AnswerBroken: The answer to the caller has started.
+        """
         body = await answer.read()
         plain_calls.check_answer(answer)
         plain_calls.check_body(answer, body)
+        found = types.WholeAnswer(
+            answer.status, answer.reason, answer.fields, body
+        )
+        if run_results.is_failure(answer.status):
+            self.failure = found
+            raise exceptions.EndpointFailed(
+                f"the engine answered {answer.status}"
+            )
         if progress.answer_started:
             raise exceptions.AnswerBroken(
                 f"the engine to resume the stream answered {answer.status}"
             )
-        await self.reply.send(answer.status, answer.reason, answer.fields, body)
+        await self.reply.send(*found)
 
     async def start_answer(
         self, answer: types.Answer, progress: progress_module.Progress
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -245,6 +245,22 @@
         """Ends the exchange and discards what has not been received."""
 
 
+class WholeAnswer(NamedTuple):
+    """A replica's answer that has been read to its end.
+
+    Attributes:
+        status: HTTP status.
+        reason: HTTP reason phrase.
+        fields: Header fields to forward.
+        body: The body.
+    """
+
+    status: int
+    reason: str
+    fields: Fields
+    body: bytes
+
+
 class State(NamedTuple):
     """An engine's reported state, some hundred milliseconds old."""
 
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -112,12 +112,17 @@
         Raises:
             exceptions.EndpointRefused: The engine refused it.
             exceptions.EndpointNotStarted: It cannot be reached.
+            exceptions.EndpointFailed: It failed.
             exceptions.AnswerBroken: Its result is unknown.
         """
         answer = await self.send(replica, call, instructions)
         try:
             if answer.status != 200:
                 await answer.drain()
+                if answer.status >= 500 and not answer.not_run:
+                    raise exceptions.EndpointFailed(
+                        f"{replica.instance} answered {answer.status}"
+                    )
                 raise exceptions.EndpointRefused(
                     f"{replica.instance} answered {answer.status}"
                 )
