Keep refusals of engines out of their health

A full engine refuses prompts while it runs others, so a burst paused it. Change: refusals pause an engine for a moment, as before.

--- a/packages/gypsumfold/src/gypsumfold/gateway/run_results.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/run_results.py
@@ -55,11 +55,9 @@
             return
         if isinstance(error, exceptions.EndpointRefused):
             self.directory.request_refused(instance, error, now)
-            if (
-                isinstance(error, exceptions.EndpointMismatch)
-                and replica.role is not None
-            ):
-                # Its role has changed; it serves on in the other one.
+            if replica.role is not None:
+                # A full engine refuses prompts while it runs others, and one
+                # that changes its role serves on afterwards.
                 return
         self.directory.request_failed(instance, error, now)
 
