Size model services by the load of a recent period

Cause: a service whose engines can be ordered keeps as many as it had at first, although the load keeps few of them busy.

Change: with follows_load in the section scaling, the leader takes the largest need of the last period_s seconds, for prefill and decode apart, from arriving prompts, running streams, waiting prompts and the prefixes in use. It grows at once and shrinks by a quarter in each period. The wanted total is kept in the store for the next leader. Reclaimable replicas are spread by price under the reserve for one data centre.

--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -10,6 +10,9 @@
 import math
 from typing import NamedTuple
 
+from gypsumfold.decisions import capacity_needs
+from gypsumfold.decisions import spreads
+
 # Seconds for which an order may stay without visible effect, beyond the time
 # that a replica takes to start: entries are renewed each second, and a call
 # without an answer may be carried out seconds later.
@@ -49,11 +52,16 @@
         headroom: Number of replicas relative to what the load keeps busy.
         least_share: Share of the replicas present at first that is always
             needed; the reserve comes on top.
+        follows_load: Whether engines are counted by what callers need instead,
+            and reclaimable ones spread by price.
+        period_seconds: Seconds of which the largest need counts then.
     """
 
     steady_share: float = 0.1
     headroom: float = 1.5
     least_share: float = 1.0
+    follows_load: bool = False
+    period_seconds: float = 20.0
 
 
 class Count(NamedTuple):
@@ -76,18 +84,6 @@
     count: int
 
 
-def spread(total: int, names: list[str], least: int, most: int) -> list[int]:
-    """Divides a number as evenly as possible, the first names getting more."""
-    if not names:
-        return []
-    share, rest = divmod(total, len(names))
-    found = []
-    for place in range(len(names)):
-        wanted = share + (1 if place < rest else 0)
-        found.append(max(least, min(most, wanted)))
-    return found
-
-
 def wanted_total(first: int, busy: float, offer: Offer, policy: Policy) -> int:
     """Returns the number of replicas that a service needs.
 
@@ -174,6 +170,7 @@
 
     Attributes:
         total: Number of replicas needed at present, without the reserve.
+        sizer: Follows the load with `total`; None if `plan` does.
         ordered: The last order of each data centre and kind, and when it was
             given.
 
@@ -186,6 +183,7 @@
         self.first = first
         self.policy = policy
         self.total = math.ceil(policy.least_share * first)
+        self.sizer: capacity_needs.Sizer | None = None
         self.lower_since: float | None = None
         self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
         self.unavailable_until: dict[str, float] = {}
@@ -211,19 +209,15 @@
             offer: What can be ordered.
             now: Seconds of a monotonic clock.
         """
-        self.update_total(busy, offer, now)
+        if self.sizer is None:
+            self.update_total(busy, offer, now)
         # More go to where they cost less.
         names = sorted(
             offer.prices, key=lambda name: (offer.prices[name], name)
         )
         floor = math.ceil(self.policy.steady_share * self.total)
-        floors = spread(floor, names, offer.least, offer.most)
-        spots = spread(
-            wanted_spots(self.total, offer, self.policy),
-            names,
-            0,
-            offer.most - max(floors, default=0),
-        )
+        floors = spreads.spread(floor, names, offer.least, offer.most)
+        spots = self.spread_spots(names, floors, offer)
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
             if now < self.unavailable_until.get(name, -math.inf):
@@ -238,7 +232,7 @@
         expected = self.expected_spots(present, spot_orders, offer, now)
         remaining = remaining_spots(expected)
         steady = wanted_steady(self.total, all_present, remaining, busy, floor)
-        steadies = spread(steady, names, offer.least, offer.most)
+        steadies = spreads.spread(steady, names, offer.least, offer.most)
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
@@ -247,6 +241,26 @@
             found += self.plan_kind(Order(name, False, count), have, offer, now)
         return found
 
+    def spread_spots(
+        self, names: list[str], floors: list[int], offer: Offer
+    ) -> list[int]:
+        """Divides reclaimable replicas over data centres, cheapest first."""
+        limit = offer.most - max(floors, default=0)
+        if self.sizer is not None and replaces_steady(offer):
+            return spreads.spread_by_price(
+                self.total - sum(floors), names, offer.prices, limit
+            )
+        count = wanted_spots(self.total, offer, self.policy)
+        return spreads.spread(count, names, 0, limit)
+
+    def is_settled(self, present: dict[str, Count]) -> bool:
+        """Whether the replicas that serve are those that were ordered."""
+        for (name, spot), (count, _) in self.ordered.items():
+            have = present.get(name, Count())
+            if count != (have.spot if spot else have.steady):
+                return False
+        return not self.unavailable_until
+
     def is_awaiting_first(
         self, present: dict[str, Count], offer: Offer, now: float
     ) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -20,6 +20,7 @@
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import prefill_demand
 from gypsumfold.decisions import prefill_rates
+from gypsumfold.decisions import prefix_usage
 
 # Engines compared for a prefix, in rendezvous order: all of a small fleet, and
 # enough of a large one that one of them is free (with 70 engines the chance
@@ -138,6 +139,7 @@
         self.demand = prefill_demand.PrefillDemand()
         self.cache_capacity = 0
         self.listener: LoadListener | None = None
+        self.usage: prefix_usage.PrefixUsage | None = None
 
     def prefill_estimator(self, engine: str) -> prefill_rates.PrefillEstimator:
         """Returns an engine's estimator, creating it if needed."""
@@ -324,6 +326,8 @@
         self.caches.add_hashes(choice.engine, hashes, tokens, cache_capacity)
         key = urgency_key(choice.engine, choice.urgency)
         self.waiting.add(key, choice.load)
+        if self.usage is not None:
+            self.usage.record(choice.engine, hashes, tokens)
         if self.listener is not None:
             self.listener.sent(choice.engine, hashes, tokens)
         return choice
@@ -363,6 +367,8 @@
         self, engine: str, hashes: list[int], tokens: list[int]
     ) -> None:
         """Records that another node sent a prompt to an engine."""
+        if self.usage is not None:
+            self.usage.record(engine, hashes, tokens)
         if self.cache_capacity:
             self.caches.add_hashes(engine, hashes, tokens, self.cache_capacity)
 
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
@@ -0,0 +1,59 @@
+"""Divides replicas over data centres.
+
+Load pattern: a platform that takes back all reclaimable replicas of a data
+centre at once. If most were in the cheapest one, its loss would leave too few;
+if all had the same number, the most expensive one would have more than the
+reserve asks for.
+"""
+
+import math
+
+
+def spread(total: int, names: list[str], least: int, most: int) -> list[int]:
+    """Divides a number as evenly as possible, the first names getting more."""
+    if not names:
+        return []
+    share, rest = divmod(total, len(names))
+    found = []
+    for place in range(len(names)):
+        wanted = share + (1 if place < rest else 0)
+        found.append(max(least, min(most, wanted)))
+    return found
+
+
+def spread_by_price(
+    needed: int, names: list[str], prices: dict[str, float], most: int
+) -> list[int]:
+    """Divides reclaimable replicas over data centres at the lowest price.
+
+    So many are left when any one data centre's are lost as are needed. The more
+    a single data centre has, the more are kept for its loss; the fewer, the
+    more go to expensive ones. All sizes of the largest one are compared.
+
+    Args:
+        needed: Replicas that must be left.
+        names: The data centres, cheapest first.
+        prices: Price of a replica-second by data centre.
+        most: Largest number in a data centre.
+
+    Returns:
+        The number for each name. If no division leaves enough, the largest.
+    """
+    best = [most] * len(names)
+    if needed <= 0:
+        return [0] * len(names)
+    best_price = math.inf
+    for largest in range(1, most + 1):
+        left = needed + largest
+        counts = []
+        for _ in names:
+            counts.append(min(largest, left))
+            left -= counts[-1]
+        if left:
+            continue
+        price = 0.0
+        for name, count in zip(names, counts, strict=True):
+            price += prices[name] * count
+        if price < best_price:
+            best, best_price = counts, price
+    return best
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -318,6 +318,20 @@
     "warning",
     "An order of replicas had no answer; it may be carried out later.",
 )
+CAPACITY_CHANGED = define(
+    643,
+    "capacity-changed",
+    "info",
+    "The number of engines that a service needs has changed: the load now, and "
+    "the most that each role needed in the recent period.",
+)
+CAPACITY_UNSTORED = define(
+    644,
+    "capacity-unstored",
+    "warning",
+    "The number of engines that a service needs could not be stored for a "
+    "later leader; retried.",
+)
 ENDPOINT_HEARD = define(
     300, "endpoint-heard", "info", "An endpoint answers its load polls."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/duties.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/duties.py
@@ -71,6 +71,8 @@
                 settings.scaling.policy,
                 settings.node.name,
             )
+            if self.scaler.follower is not None:
+                self.scaler.follower.is_complete = gossip.hears_most_nodes
 
     def tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Returns the tasks to run, by name."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -67,6 +67,9 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
+# Fraction of the nodes from which the loads must be known to count as those of
+# the site. With fewer, a part of the network is likely cut off.
+MIN_HEARD_FRACTION = 0.75
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -632,6 +635,13 @@
             return self.node_counter.partitioned
         return self.node_counter.is_partitioned(self.node_count(), self.clock())
 
+    def hears_most_nodes(self) -> bool:
+        """Whether the loads that this node knows are those of nearly all."""
+        if self.is_partitioned():
+            return False
+        known = self.site_node_count()
+        return self.node_count() > MIN_HEARD_FRACTION * known
+
     def is_relay(self) -> bool:
         """Whether this node forwards what other nodes send."""
         return not self.meshed and self.choice.relay is None
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -6,9 +6,11 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import capacity as capacity_module
+from gypsumfold.decisions import capacity_needs
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import engine_needs
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
@@ -32,6 +34,10 @@
 
     Attributes:
         capacities: State by service while this node leads.
+        stored_totals: The number of engines needed, by service, that a later
+            leader would start with.
+        follower: Follows the load with the number of engines; None if the
+            settings don't ask for it.
 
     >>> scaler = Scaler(
     ...     store, operations, leadership, configurations, directory,
@@ -62,6 +68,13 @@
         self.capacities: dict[str, capacity_module.Capacity] = {}
         self.growing_since: dict[str, float] = {}
         self.refused_tokens: dict[str, int] = {}
+        self.stored_totals: dict[str, int] = {}
+        self.store_after = 0.0
+        self.follower: engine_needs.LoadFollower | None = None
+        if policy.follows_load:
+            self.follower = engine_needs.LoadFollower(
+                prefix_router, directory, policy
+            )
         self.is_lost = False
         store.eras.listeners.append(self.store_returned)
 
@@ -100,9 +113,12 @@
             exceptions.PlatformError: A call failed; it may have taken effect.
         """
         now = time.monotonic()
+        if self.follower is not None:
+            self.follower.usage.expire(now)
         if self.leadership.token(now) is None:
             self.capacities.clear()
             self.growing_since.clear()
+            self.stored_totals.clear()
             return
         configuration = self.configurations.current
         if configuration is None:
@@ -118,9 +134,13 @@
             capacity = await self.find_capacity(service)
             if not await self.has_counted(service, capacity, present):
                 continue
+            if capacity.sizer is not None:
+                self.stored_totals.setdefault(service.name, capacity.total)
+                self.follower.follow(service, capacity, present, now)
             busy = self.busy(service, now)
             for order in capacity.plan(present, busy, service.offer, now):
                 await self.order(service, capacity, order)
+        await self.store_totals(now)
 
     def store_returned(self) -> None:
         """Records that the store has returned from an older copy."""
@@ -135,10 +155,43 @@
         for name, capacity in self.capacities.items():
             if name in self.growing_since:
                 continue
-            value = operations_module.encode_capacity(capacity.first)
-            await self.store.put(names.CAPACITY_TOPIC, name, value)
+            await self.store_capacity(name, capacity)
         self.is_lost = False
 
+    async def store_capacity(
+        self, name: str, capacity: capacity_module.Capacity
+    ) -> None:
+        """Stores what a later leader has to know of a service.
+
+        Raises:
+            exceptions.PlatformError: The store does not answer.
+        """
+        total = 0 if capacity.sizer is None else capacity.total
+        value = operations_module.encode_capacity(capacity.first, total)
+        await self.store.put(names.CAPACITY_TOPIC, name, value)
+        self.stored_totals[name] = total
+
+    async def store_totals(self, now: float) -> None:
+        """Stores the numbers of engines that have changed.
+
+        Orders don't wait for it: a later leader that finds an earlier number
+        raises it at once if the load needs more.
+        """
+        if now < self.store_after:
+            return
+        for name, total in list(self.stored_totals.items()):
+            capacity = self.capacities[name]
+            if capacity.sizer is None or capacity.total == total:
+                continue
+            try:
+                await self.store_capacity(name, capacity)
+            except exceptions.PlatformError as error:
+                self.store_after = now + RETRY_SECONDS
+                events.log(
+                    events.CAPACITY_UNSTORED, service=name, reason=str(error)
+                )
+                return
+
     async def find_capacity(
         self, service: types.Service
     ) -> capacity_module.Capacity:
@@ -154,10 +207,16 @@
         if found is None:
             page = await self.store.newest(names.CAPACITY_TOPIC)
             first = 0
+            total = 0
             for record in page.records:
                 if record.key == service.name and record.value:
-                    first = operations_module.decode_capacity(record.value)
+                    value = operations_module.decode_capacity(record.value)
+                    first, total = value.first, value.total
             found = capacity_module.Capacity(first, self.policy)
+            # Calls to plain services are not part of the load that is known.
+            if self.follower is not None and service.cache_tokens:
+                found.sizer = capacity_needs.Sizer()
+                found.total = total or found.total
             self.capacities[service.name] = found
             if not first:
                 self.growing_since[service.name] = time.monotonic()
@@ -185,8 +244,7 @@
             return False
         if now - since < SETTLED_SECONDS:
             return False
-        value = operations_module.encode_capacity(capacity.first)
-        await self.store.put(names.CAPACITY_TOPIC, service.name, value)
+        await self.store_capacity(service.name, capacity)
         del self.growing_since[service.name]
         return True
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -188,17 +188,27 @@
         headroom: Number of replicas relative to what the load keeps busy.
         least_share: Share of the replicas present at first that is always
             needed; the reserve comes on top.
+        follows_load: Whether the number of engines follows what callers need
+            instead of the number present at first.
+        period_s: Seconds of which the largest need counts; the number falls by
+            at most a quarter in each such period.
     """
 
     steady_share: float = 0.1
     headroom: float = 1.5
     least_share: float = 1.0
+    follows_load: bool = False
+    period_s: Seconds = 20.0
 
     @property
     def policy(self) -> capacity.Policy:
         """How much capacity is kept."""
         return capacity.Policy(
-            self.steady_share, self.headroom, self.least_share
+            self.steady_share,
+            self.headroom,
+            self.least_share,
+            self.follows_load,
+            self.period_s,
         )
 
 
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -28,10 +28,16 @@
     spot: bool = False
 
 
-class CapacityRecord(msgspec.Struct):
-    """The number of replicas that a service had at first."""
+class CapacityRecord(msgspec.Struct, omit_defaults=True):
+    """What leaders keep of a service's replicas.
+
+    Attributes:
+        first: The number that it had at first.
+        total: The number needed at last; 0 if it doesn't follow the load.
+    """
 
     first: int
+    total: int = 0
 
 
 class Operations:
@@ -124,19 +130,19 @@
     return msgspec.json.encode(UsageRecord(window, counts))
 
 
-def encode_capacity(first: int) -> bytes:
-    """Encodes the number of replicas that a service had at first."""
-    return msgspec.json.encode(CapacityRecord(first))
+def encode_capacity(first: int, total: int = 0) -> bytes:
+    """Encodes the first and the needed number of a service's replicas."""
+    return msgspec.json.encode(CapacityRecord(first, total))
 
 
-def decode_capacity(value: bytes) -> int:
-    """Decodes the number of replicas that a service had at first.
+def decode_capacity(value: bytes) -> CapacityRecord:
+    """Decodes the first and the needed number of a service's replicas.
 
     Raises:
         exceptions.RecordInvalid: It is malformed.
     """
     try:
-        return msgspec.json.decode(value, type=CapacityRecord).first
+        return msgspec.json.decode(value, type=CapacityRecord)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise exceptions.RecordInvalid(str(error)) from error
 
