--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -63,3 +63,8 @@
     When the leader orders replicas for 6 s
     Then its orders add up to 44 replicas, of which 30 remain without any one data centre
 
+  Scenario: A new leader orders all the engines of the start again
+    Given a leader that has reduced 30 replicas by what callers need
+    When another leader takes over
+    Then it starts with the number that the last one needed
+
--- /dev/null
+++ b/features/engine_needs.feature
@@ -0,0 +1,66 @@
+Feature: The number of engines follows what callers need
+
+  45 engines in 4 data centres, which serve 4 s after they were ordered. The load
+  keeps 1.6 of them busy with prefill and fills 0.8 with streams; its prompts share
+  prefixes of 1,500,000 tokens, and an engine caches 633,501.
+
+  Scenario Outline: Engines are paid for nothing, or too few are left: <trouble>
+    Given 45 engines whose number follows the load
+    When 240 s pass with <trouble>
+    Then at every moment the engines that serve were enough for the load
+    And the loss of any one data centre's reclaimable engines would have left enough
+    And the number needed never fell by more than a quarter in 20 s
+    And at the end <least> to <most> engines serve
+
+    Examples:
+      | trouble                                               | least | most |
+      | nothing wrong                                         | 8     | 16   |
+      | a mix that swings for 2.8 s inside phases of 14 s     | 8     | 22   |
+      | a data centre reclaimed, and none to be had for 10 s  | 8     | 22   |
+      | orders that are carried out 6 s late                  | 8     | 16   |
+      | a new leader each 50 s                                | 8     | 22   |
+      | a new leader each 15 s                                | 45    | 70   |
+      | a leader that hears few other nodes                   | 45    | 70   |
+      | no traffic for the first 50 s                         | 8     | 16   |
+
+  Scenario: Engines are given up in a pause of the load, and missing after it
+    Given 45 engines whose number follows the load
+    When 300 s pass with a mix that swings for 2.8 s inside phases of 14 s
+    Then the number needed never falls within a phase, once it fits the load
+
+  Scenario: A load that nothing foretold waits for engines until the next period
+    Given 45 engines whose number follows the load
+    When 200 s pass with nothing wrong
+    And 201 s pass with four times the load
+    Then 6 s later the engines that serve are enough for it
+
+  Scenario Outline: The first prompts find few engines, with nothing cached: after <idle> s
+    Given 45 engines whose number follows the load
+    When <idle> s pass without traffic
+    Then <least> to 70 engines serve
+
+    Examples:
+      | idle | least |
+      | 50   | 45    |
+      | 400  | 4     |
+
+  Scenario Outline: The most expensive data centre has as many as the others, or the cheapest too many: <needed>
+    When <needed> reclaimable engines must be left by the loss of a data centre
+    Then data centres at 0.8, 0.9, 1.0 and 1.25 get <counts>
+
+    Examples:
+      | needed | counts         |
+      | 0      | 0, 0, 0, 0     |
+      | 1      | 1, 1, 0, 0     |
+      | 4      | 2, 2, 2, 0     |
+      | 10     | 4, 4, 4, 2     |
+      | 40     | 14, 14, 14, 12 |
+
+  Scenario Outline: What no other prompt shares counts as a prefix in use: <prompts> prompts
+    When <prompts> prompts share 200 prefixes of 5,000 tokens, each with a block of its own
+    Then prefixes of 800,000 to 1,200,000 tokens are in use, and none 21 s later
+
+    Examples:
+      | prompts |
+      | 1000    |
+      | 100000  |
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -166,8 +166,8 @@
         token: The leader's fencing token.
     """
 
-    def __init__(self):
-        self.site = virtual_gateways.Site(seed=1)
+    def __init__(self, policy=POLICY, site=None):
+        self.site = site or virtual_gateways.Site(seed=1)
         self.platform = virtual_operations.Platform(random.Random(1))
         self.token = 3
         self.replicas = []
@@ -184,8 +184,12 @@
             builtin_types.SimpleNamespace(
                 known=lambda name: self.replicas, streams=load
             ),
-            builtin_types.SimpleNamespace(demand=load),
-            POLICY,
+            builtin_types.SimpleNamespace(
+                demand=load,
+                queued_seconds=lambda instance, now: 0.0,
+                median_rate=lambda: 40_000.0,
+            ),
+            policy,
             "edge-3",
         )
 
@@ -284,3 +288,31 @@
         call.token == 3 and not call.body.get("spot") for call in calls[9:]
     ), calls
     assert all(call.subject.startswith(names.SCALE_PATH) for call in calls)
+
+
+@behave.given(
+    "a leader that has reduced {count:d} replicas by what callers need"
+)
+def step_reduced(context, count):
+    context.lead = Lead(POLICY._replace(follows_load=True))
+    context.lead.busy = 0.1
+    for _ in range(count):
+        context.lead.register()
+    step_lead(context, 100)
+    context.total = context.lead.scaler.capacities["lm"].total
+    assert context.total < count
+
+
+@behave.when("another leader takes over")
+def step_another(context):
+    before = context.lead
+    context.lead = Lead(before.scaler.policy, before.site)
+    context.lead.replicas = before.replicas
+    context.lead.busy = before.busy
+    step_lead(context, 5)
+
+
+@behave.then("it starts with the number that the last one needed")
+def step_same_total(context):
+    found = context.lead.scaler.capacities["lm"]
+    assert (found.first, found.total) == (30, context.total), found.total
--- /dev/null
+++ b/features/steps/engine_needs_steps.py
@@ -0,0 +1,202 @@
+"""Steps on the number of engines that callers need."""
+
+import math
+import random
+
+import behave
+from features.support import virtual_replicas
+
+from gypsumfold.decisions import capacity
+from gypsumfold.decisions import capacity_needs
+from gypsumfold.decisions import prefix_usage
+from gypsumfold.decisions import spreads
+
+PRICES = {"dc-0": 1.0, "dc-1": 0.8, "dc-2": 1.25, "dc-3": 0.9}
+OFFER = capacity.Offer(1, 47, 4.0, 0.22, PRICES)
+POLICY = capacity.Policy(0.1, 1.5, 1.0, True, 20.0)
+ENGINE = capacity_needs.Engine(633_501, 112_000.0, 4.0)
+NEEDS = capacity_needs.Policy(1.5, 20.0, 4, 4 * 47)
+USUAL = capacity_needs.Load(1.6, 0.8, 0.0, 1_500_000.0)
+
+
+class Play(virtual_replicas.Play):
+    """Time passing before a leader that follows the load.
+
+    Attributes:
+        trouble: What happens.
+        totals: The number needed, by step.
+        rows: What served, what would be left, and what the load needs.
+    """
+
+    def __init__(self):
+        super().__init__(45, 1.0)
+        self.platform = virtual_replicas.Platform(45, list(PRICES))
+        self.offer = OFFER
+        self.trouble = ""
+        self.totals = []
+        self.rows = []
+        self.lead(45)
+
+    def lead(self, total: int) -> None:
+        """Has a new leader take over, which knows the last total."""
+        self.leader = capacity.Capacity(45, POLICY)
+        self.leader.sizer = capacity_needs.Sizer()
+        self.leader.total = total
+
+    def load(self) -> capacity_needs.Load:
+        """The load of this moment."""
+        demand, streams, _, tokens = USUAL
+        if self.trouble.startswith("no traffic") and self.now < 50.0:
+            return capacity_needs.Load()
+        if self.trouble.startswith("four times"):
+            demand *= 4
+            streams *= 4
+        if "swings" in self.trouble and self.now % 60.0 < 14.0:
+            # 1.8 times one kind and 0.4 times the other, and the other way.
+            swaps = 5.6 < self.now % 60.0 < 8.4
+            demand *= 0.4 if swaps else 1.8
+            streams *= 1.8 if swaps else 0.4
+        return capacity_needs.Load(demand, streams, 0.0, tokens)
+
+    def disturb(self, trouble: str) -> None:
+        """Causes a step's trouble."""
+        self.trouble = trouble
+        if self.trouble.startswith("a data centre") and self.now == 120.0:
+            for name in PRICES:
+                self.platform.dry_until[name] = 130.0
+            self.platform.reclaim("dc-1", 130.0)
+        if self.trouble.startswith("orders"):
+            self.platform.late = 6.0
+        for seconds in (50.0, 15.0):
+            due = self.now % seconds == 0.0
+            if due and f"leader each {seconds:g}" in self.trouble:
+                self.lead(self.leader.total)
+
+    def step(self) -> None:
+        """Passes one step."""
+        load = self.load()
+        self.leader.total = self.leader.sizer.update(
+            self.leader.total,
+            load,
+            ENGINE,
+            NEEDS,
+            self.now,
+            capacity_needs.Progress(
+                "hears few" not in self.trouble,
+                self.leader.is_settled(self.present()),
+            ),
+        )
+        super().step()
+        present = self.present().values()
+        spots = [count.spot for count in present]
+        served = sum(spots) + sum(count.steady for count in present)
+        # Engines of both roles, each enough by itself.
+        needed = math.ceil(load.demand) + math.ceil(load.streams)
+        self.rows.append((self.now, served, served - max(spots), needed))
+        self.totals.append(self.leader.total)
+
+
+@behave.given("45 engines whose number follows the load")
+def step_engines(context):
+    context.play = Play()
+
+
+@behave.when("{seconds:d} s pass without traffic")
+def step_idle(context, seconds):
+    context.play.load = capacity_needs.Load
+    while context.play.now < seconds:
+        context.play.step()
+
+
+@behave.then("at every moment the engines that serve were enough for the load")
+def step_enough_served(context):
+    for row in context.play.rows:
+        assert row[1] >= row[3], row
+
+
+@behave.then(
+    "the loss of any one data centre's reclaimable engines would have left "
+    "enough"
+)
+def step_left(context):
+    # While a lost data centre's engines are being replaced, the reserve is in
+    # use: none for 10 s, until they are ordered again and until they serve.
+    is_lost = context.play.trouble.startswith("a data centre")
+    for row in context.play.rows:
+        if not (is_lost and 120.0 <= row[0] < 142.0):
+            assert row[2] >= row[3], row
+
+
+@behave.then("the number needed never fell by more than a quarter in 20 s")
+def step_quarter(context):
+    totals = context.play.totals
+    steps = int(20.0 / virtual_replicas.STEP)
+    for before, after in zip(totals, totals[steps - 1 :], strict=False):
+        assert after >= before - max(1, before // 4), (before, after)
+
+
+@behave.then(
+    "the number needed never falls within a phase, once it fits the load"
+)
+def step_phase(context):
+    play = context.play
+    # From 45 engines down to what is needed, it takes seven periods.
+    steps = zip(play.rows, play.totals, play.totals[1:], strict=False)
+    for row, before, after in steps:
+        if row[0] >= 180.0 and row[0] % 60.0 < 14.0:
+            assert after >= before, (row, before, after)
+
+
+@behave.then("{seconds:d} s later the engines that serve are enough for it")
+def step_grown(context, seconds):
+    play = context.play
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+    row = play.rows[-1]
+    assert row[2] >= row[3], row
+
+
+@behave.then("at the end {least:d} to {most:d} engines serve")
+@behave.then("{least:d} to {most:d} engines serve")
+def step_at_end(context, least, most):
+    assert least <= context.play.rows[-1][1] <= most, context.play.rows[-9:]
+
+
+@behave.when(
+    "{needed:d} reclaimable engines must be left by the loss of a data centre"
+)
+def step_needed(context, needed):
+    names = sorted(PRICES, key=PRICES.get)
+    context.counts = spreads.spread_by_price(needed, names, PRICES, 47)
+
+
+@behave.then("data centres at 0.8, 0.9, 1.0 and 1.25 get {counts}")
+def step_counts(context, counts):
+    assert context.counts == [int(one) for one in counts.split(",")]
+
+
+@behave.when(
+    "{prompts:d} prompts share 200 prefixes of 5,000 tokens, each with a "
+    "block of its own"
+)
+def step_prompts(context, prompts):
+    rng = random.Random(1)
+    prefixes = [rng.getrandbits(64) for _ in range(200)]
+    context.usage = prefix_usage.PrefixUsage()
+    for place in range(prompts):
+        context.usage.expire(10.0 * place / prompts)
+        hashes = [prefixes[place % 200], rng.getrandbits(64)]
+        context.usage.record(f"i-{place % 9}", hashes, [5_000, 300])
+
+
+@behave.then(
+    "prefixes of 800,000 to 1,200,000 tokens are in use, and none 21 s later"
+)
+def step_in_use(context):
+    engines = {f"i-{place}" for place in range(9)}
+    found = context.usage.shared_tokens(engines)
+    assert 800_000 <= found <= 1_200_000, found
+    assert len(context.usage.uses) <= prefix_usage.MAX_PREFIXES
+    context.usage.expire(31.0)
+    assert context.usage.shared_tokens(engines) == 0
