Reduce the engines of one data centre after another

Cause: the platform chooses the engines that leave, possibly all decode engines of a data centre; reductions of all data centres at once could leave none for a role change of 3 s.

Change: with follows_load, 4 s pass between the reductions of two data centres, after a change of leader as well.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -10,6 +10,7 @@
     Then at every moment the engines that serve were enough for the load
     And the loss of any one data centre's reclaimable engines would have left enough
     And the number needed never fell by more than a quarter in 20 s
+    And no two data centres lost engines by orders within 3 s
     And at the end <least> to <most> engines serve
 
     Examples:
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -1,5 +1,6 @@
 """Steps on the number of engines that callers need."""
 
+import itertools
 import math
 import random
 
@@ -34,6 +35,7 @@
         self.offer = OFFER
         self.trouble = ""
         self.totals = []
+        self.reductions = []
         self.rows = []
         self.lead(45)
 
@@ -43,6 +45,10 @@
         self.leader.sizer = capacity_needs.Sizer()
         self.leader.total = total
 
+    def is_lost(self, name: str) -> bool:
+        """Whether the platform has taken a data centre's engines away."""
+        return self.now < self.platform.dry_until.get(name, 0.0)
+
     def load(self) -> capacity_needs.Load:
         """The load of this moment."""
         demand, streams, _, tokens = USUAL
@@ -86,7 +92,11 @@
                 self.leader.is_settled(self.present()),
             ),
         )
+        before = self.present()
         super().step()
+        for name, count in self.present().items():
+            if count.spot < before[name].spot and not self.is_lost(name):
+                self.reductions.append((self.now, name))
         present = self.present().values()
         spots = [count.spot for count in present]
         served = sum(spots) + sum(count.steady for count in present)
@@ -135,6 +145,14 @@
         assert after >= before - max(1, before // 4), (before, after)
 
 
+@behave.then("no two data centres lost engines by orders within 3 s")
+def step_one_by_one(context):
+    # A role change takes 3 s, and the platform may choose decode engines.
+    reductions = context.play.reductions
+    for (at, name), (later, other) in itertools.pairwise(reductions):
+        assert name == other or later - at > 3.0, (at, name, later, other)
+
+
 @behave.then(
     "the number needed never falls within a phase, once it fits the load"
 )
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -132,15 +132,6 @@
     return math.ceil(needed * reserve_factor(offer))
 
 
-def remaining_spots(spots: dict[str, int]) -> int:
-    """Counts the replicas left if the largest data centre's are reclaimed.
-
-    Args:
-        spots: Reclaimable replicas by data centre.
-    """
-    return sum(spots.values()) - max(spots.values(), default=0)
-
-
 def wanted_steady(
     total: int, present: Count, remaining: int, busy: float, floor: int
 ) -> int:
@@ -223,6 +214,8 @@
             if now < self.unavailable_until.get(name, -math.inf):
                 continue
             have = present.get(name, Count()).spot
+            if count < have and not self.may_reduce(name, now):
+                continue
             order = Order(name, True, count)
             spot_orders[name] = self.plan_kind(order, have, offer, now)
         all_present = Count(
@@ -230,7 +223,7 @@
             sum(count.spot for count in present.values()),
         )
         expected = self.expected_spots(present, spot_orders, offer, now)
-        remaining = remaining_spots(expected)
+        remaining = spreads.remaining(expected)
         steady = wanted_steady(self.total, all_present, remaining, busy, floor)
         steadies = spreads.spread(steady, names, offer.least, offer.most)
         found = []
@@ -253,6 +246,10 @@
         count = wanted_spots(self.total, offer, self.policy)
         return spreads.spread(count, names, 0, limit)
 
+    def may_reduce(self, name: str, now: float) -> bool:
+        """Whether a data centre may lose reclaimable replicas by an order."""
+        return self.sizer is None or self.sizer.may_reduce(name, now)
+
     def is_settled(self, present: dict[str, Count]) -> bool:
         """Whether the replicas that serve are those that were ordered."""
         for (name, spot), (count, _) in self.ordered.items():
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -33,6 +33,10 @@
 MIN_CLEARING_SECONDS = 1.0
 # The total is reduced by at most one in so many in each period.
 REDUCTION_DIVISOR = 4
+# Seconds between the reductions of two data centres. The platform chooses the
+# engines that leave, possibly all of a data centre's decode engines; a role
+# change takes 3 s.
+REDUCTION_GAP_SECONDS = 4.0
 # Periods without any traffic after which a service counts as idle. Until then
 # it may be about to receive its first prompts, with nothing cached.
 IDLE_PERIODS = 3
@@ -156,6 +160,9 @@
         self.traffic_since: float | None = None
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
+        self.reducing = ""
+        # A new leader doesn't know when its predecessor gave the last order.
+        self.reducing_since: float | None = None
         self.recent: collections.deque[tuple[float, Need]] = collections.deque()
 
     def update(
@@ -194,6 +201,22 @@
         self.reduced_at = now
         return max(wanted, total - max(1, total // REDUCTION_DIVISOR))
 
+    def may_reduce(self, data_centre: str, now: float) -> bool:
+        """Whether a data centre may get fewer engines now.
+
+        One data centre follows another, so that decode engines in the others
+        take the streams of those that leave.
+        """
+        if data_centre == self.reducing:
+            return True
+        if self.reducing_since is None:
+            self.reducing_since = now
+        if now - self.reducing_since < REDUCTION_GAP_SECONDS:
+            return False
+        self.reducing = data_centre
+        self.reducing_since = now
+        return True
+
     def observe(
         self, load: Load, engine: Engine, policy: Policy, now: float
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
@@ -57,3 +57,12 @@
         if price < best_price:
             best, best_price = counts, price
     return best
+
+
+def remaining(spots: dict[str, int]) -> int:
+    """Counts the replicas left if the largest data centre's are reclaimed.
+
+    Args:
+        spots: Reclaimable replicas by data centre.
+    """
+    return sum(spots.values()) - max(spots.values(), default=0)
