Judge by messages of 3 s whether the load of most gateways is known

Cause: the check counted gateways heard in the last 15 s, while the loads of a silent one are dropped after 3 s. A leader cut off from the others took its part of the load for all of it for 12 s.

Change: hears_most_nodes counts the gateways whose loads still count, and a relay those that relays report.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -65,3 +65,13 @@
       | prompts |
       | 1000    |
       | 100000  |
+
+  Scenario Outline: A leader that others can't reach takes a part of the load for all: <nodes> gateways
+    When <few> of <nodes> gateways are cut off from the others
+    Then no possible leader among them knows the load of most, until all are connected
+
+    Examples:
+      | few | nodes |
+      | 4   | 9     |
+      | 12  | 30    |
+
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -5,6 +5,7 @@
 import random
 
 import behave
+from features.support import virtual_gateways
 from features.support import virtual_replicas
 
 from gypsumfold.decisions import capacity
@@ -218,3 +219,32 @@
     assert len(context.usage.uses) <= prefix_usage.MAX_PREFIXES
     context.usage.expire(31.0)
     assert context.usage.shared_tokens(engines) == 0
+
+
+@behave.when("{few:d} of {count:d} gateways are cut off from the others")
+def step_cut_off(context, few, count):
+    site = virtual_gateways.Site(seed=1)
+    context.hears = []
+
+    async def story():
+        site.start(count)
+        await site.pass_time(8.0)
+        names = list(site.nodes)[:few]
+        for divided in ([], names, []):
+            site.divide(divided)
+            await site.pass_time(6.0)
+            gossips = [site.nodes[name].gateway.gossip for name in names]
+            leaders = [one for one in gossips if one.can_lead()]
+            context.hears.append([one.hears_most_nodes() for one in leaders])
+
+    site.play(story())
+
+
+@behave.then(
+    "no possible leader among them knows the load of most, until all are "
+    "connected"
+)
+def step_hears(context):
+    before, divided, after = context.hears
+    assert all(before) and all(after), context.hears
+    assert divided and not any(divided), context.hears
--- a/packages/gypsumfold/src/gypsumfold/decisions/node_count.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/node_count.py
@@ -46,9 +46,9 @@
         self.highest = 1
         self.highest_at = -math.inf
 
-    def count_recent(self, now: float) -> int:
-        """Counts the nodes seen in the last `RECENT_SECONDS`, with this one."""
-        start = now - RECENT_SECONDS
+    def count_recent(self, now: float, seconds: float = RECENT_SECONDS) -> int:
+        """Counts the nodes seen in the last seconds, with this one."""
+        start = now - seconds
         count = 1
         for name in self.members.known:
             if self.members.last_seen.get(name, -math.inf) > start:
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_usage.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_usage.py
@@ -11,9 +11,9 @@
 from collections.abc import Container
 
 # Seconds since its last use for which a prefix counts: longer than a phase of
-# the mix of 14 s. A prefix that is used less often than each 3 to 4 s takes less
-# of an engine's time to prefill again than its share of half a cache (633,501
-# tokens at 112 a ms, 480,119 at 61.8); the rest is for shorter waits.
+# the mix of 14 s. A prefix that is used less often than each 3 to 4 s takes
+# less of an engine's time to prefill again than its share of half a cache
+# (633,501 tokens at 112 a ms, 480,119 at 61.8); the rest shortens waits.
 RECENT_SECONDS = 20.0
 # Largest number of prefixes that are followed, about 4 MB. Beyond this, half of
 # them are dropped by their hash, and each of the rest counts twice: at 5,400
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -639,8 +639,16 @@
         """Whether the loads that this node knows are those of nearly all."""
         if self.is_partitioned():
             return False
-        known = self.site_node_count()
-        return self.node_count() > MIN_HEARD_FRACTION * known
+        if self.has_relay():
+            # The relay tells whether it is partitioned; a node whose relay is
+            # silent soon has another one or none.
+            return True
+        if self.meshed:
+            seconds = loads_module.EXPIRY_SECONDS
+            heard = self.node_counter.count_recent(self.clock(), seconds)
+        else:
+            heard = self.relaying.node_count()
+        return heard > MIN_HEARD_FRACTION * self.site_node_count()
 
     def is_relay(self) -> bool:
         """Whether this node forwards what other nodes send."""
