--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -67,6 +67,9 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
+# Fraction of the nodes from which the loads must be known to count as those of
+# the site. With fewer, a part of the network is likely cut off.
+MIN_HEARD_FRACTION = 0.75
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -632,6 +635,21 @@
             return self.node_counter.partitioned
         return self.node_counter.is_partitioned(self.node_count(), self.clock())
 
+    def hears_most_nodes(self) -> bool:
+        """Whether the loads that this node knows are those of nearly all."""
+        if self.is_partitioned():
+            return False
+        if self.has_relay():
+            # The relay tells whether it is partitioned; a node whose relay is
+            # silent soon has another one or none.
+            return True
+        if self.meshed:
+            seconds = loads_module.EXPIRY_SECONDS
+            heard = self.node_counter.count_recent(self.clock(), seconds)
+        else:
+            heard = self.relaying.node_count()
+        return heard > MIN_HEARD_FRACTION * self.site_node_count()
+
     def is_relay(self) -> bool:
         """Whether this node forwards what other nodes send."""
         return not self.meshed and self.choice.relay is None
