Move the choice of engines to change into role_changes

Change: EngineView, Change and the functions that pick engines are moved as they are; steps name the new module.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -12,7 +12,7 @@
 from features.support import virtual_statements
 
 from gypsumfold import exceptions
-from gypsumfold.decisions import role_split
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import directory as directory_module
@@ -270,11 +270,11 @@
     views = []
     for name in ("a", "b", "c"):
         views.append(
-            role_split.EngineView(
+            role_changes.EngineView(
                 name, "dc", decision_types.Role.PREFILL, backing_off=name != "c"
             )
         )
-    changes = role_split.plan_changes(views, 2)
+    changes = role_changes.plan_changes(views, 2)
     assert [change.engine for change in changes] == ["c"], changes
     directory = directory_module.Directory(random.Random(SEED))
     directory.put(REPLICA)
--- a/features/steps/gateway_split_steps.py
+++ b/features/steps/gateway_split_steps.py
@@ -6,6 +6,7 @@
 import behave
 from features.support import made_up
 
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import types
 from gypsumfold.gateway import role_planning
@@ -43,7 +44,7 @@
     while context.now < end:
         views = []
         for name, role in context.roles.items():
-            view = role_split.EngineView(
+            view = role_changes.EngineView(
                 name, "dc", role, changing=name == changing
             )
             views.append(view)
@@ -195,7 +196,7 @@
     context.found = []
     for changing in ("", readers[0]):
         views = [
-            role_split.EngineView(name, "dc", role, changing=name == changing)
+            role_changes.EngineView(name, "dc", role, changing=name == changing)
             for name, role in context.roles.items()
         ]
         load = role_split.Load(2.0, 0.8, 3.0)
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -13,7 +13,7 @@
 from features.support import virtual_gateways
 from features.support import virtual_streams
 
-from gypsumfold.decisions import role_split
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import types
@@ -319,7 +319,7 @@
     views = []
     for number, version in enumerate(versions.split(", ")):
         name = f"{role}-{number}"
-        views.append(role_split.EngineView(name, name, role, version=version))
+        views.append(role_changes.EngineView(name, name, role, version=version))
     return views
 
 
@@ -331,7 +331,7 @@
     views = engine_views(decoding, decision_types.Role.DECODE)
     views += engine_views(reading, decision_types.Role.PREFILL)
     roles = {view.name: view.role for view in views}
-    for change in role_split.plan_changes(views, wanted):
+    for change in role_changes.plan_changes(views, wanted):
         roles[change.engine] = change.role
     context.versions = []
     for view in views:
--- /dev/null
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_changes.py
@@ -0,0 +1,165 @@
+"""Picks the engines that change their roles.
+
+Load pattern: engines crash, are replaced and come back while requests use
+them. If any engines were picked, decode engines would gather in one data
+centre or in one software version, and the loss of that would interrupt all
+streams at once.
+"""
+
+from typing import NamedTuple
+
+from gypsumfold.decisions import types
+
+# The split may be off its target by one engine for each so many engines of a
+# service while the load permits it: none of six, seven of 70.
+ENGINES_PER_DEVIATION = 10
+
+
+class EngineView(NamedTuple):
+    """An engine as the planner sees it.
+
+    Attributes:
+        name: Its instance.
+        data_centre: Its data centre.
+        role: Its role, or its next role while it changes.
+        waiting: Seconds of prompts that it has to prefill first.
+        changing: Whether it is changing its role, on any node's order.
+        version: Version of its software; a stream goes on at its own only.
+        backing_off: Whether it takes no orders for a while, but will serve on.
+    """
+
+    name: str
+    data_centre: str
+    role: types.Role
+    waiting: float = 0.0
+    changing: bool = False
+    version: str | None = ""
+    backing_off: bool = False
+
+
+class Change(NamedTuple):
+    """An engine and its new role."""
+
+    engine: str
+    role: types.Role
+
+
+def count_decoders(engines: list[EngineView]) -> int:
+    """Counts the engines that decode."""
+    found = 0
+    for engine in engines:
+        if engine.role != types.Role.PREFILL:
+            found += 1
+    return found
+
+
+def plan_changes(engines: list[EngineView], desired: int) -> list[Change]:
+    """Picks the engines to change.
+
+    Each version that decodes should have two decode engines, so that streams
+    go on if one of them is lost. Decode engines are also spread over the data
+    centres, so that a KV cache rarely has to leave its own.
+    """
+    decoders = []
+    prefill_engines = []
+    for engine in engines:
+        if engine.role != types.Role.PREFILL:
+            decoders.append(engine)
+        elif not engine.backing_off:
+            prefill_engines.append(engine)
+    found = []
+    while len(decoders) > desired:
+        candidates = removable(decoders)
+        if not candidates:
+            break
+        leaving = max(candidates, key=lambda one: leave_order(one, decoders))
+        decoders.remove(leaving)
+        found.append(Change(leaving.name, types.Role.PREFILL))
+    while len(decoders) < desired and prefill_engines:
+        joining = min(
+            prefill_engines, key=lambda one: join_order(one, decoders)
+        )
+        prefill_engines.remove(joining)
+        decoders.append(joining)
+        found.append(Change(joining.name, types.Role.DECODE))
+    return found
+
+
+def removable(decoders: list[EngineView]) -> list[EngineView]:
+    """Returns the engines of which one may stop decoding.
+
+    The last decode engine that serves stays: one that is changing may have
+    crashed, or may carry out its order seconds later, and until then there
+    would be none. Engines that back off take no orders.
+    """
+    able = [engine for engine in decoders if not engine.backing_off]
+    changing = [engine for engine in able if engine.changing]
+    if len(able) - len(changing) > 1:
+        return able
+    return changing
+
+
+def limit_changes(
+    found: list[Change], engines: list[EngineView]
+) -> list[Change]:
+    """Postpones all but a few changes from decode to prefill.
+
+    Engines that crash come back as decode engines. If all of them were ordered
+    to prefill at once, most engines of a small fleet would be unavailable for a
+    role change, and streams refused. A lost decode engine is still replaced at
+    once.
+    """
+    limit = max(1, len(engines) // ENGINES_PER_DEVIATION)
+    for engine in engines:
+        if engine.changing:
+            limit -= 1
+    kept = []
+    for change in found:
+        if change.role == types.Role.PREFILL:
+            limit -= 1
+            if limit < 0:
+                continue
+        kept.append(change)
+    return kept
+
+
+def leave_order(
+    engine: EngineView, decoders: list[EngineView]
+) -> tuple[bool, int, str]:
+    """Returns the sort key for picking the engine that stops decoding.
+
+    One of two engines of a version is picked last.
+    """
+    is_pair = count_version(engine, decoders) == 2
+    return not is_pair, *crowding(engine, decoders)
+
+
+def count_version(engine: EngineView, decoders: list[EngineView]) -> int:
+    """Counts the decode engines of an engine's version."""
+    count = 0
+    for other in decoders:
+        count += other.version == engine.version
+    return count
+
+
+def join_order(
+    engine: EngineView, decoders: list[EngineView]
+) -> tuple[float, int, int, str]:
+    """Returns the sort key for picking the next decode engine.
+
+    If there is none, the engine with the least to prefill comes first, since
+    it changes its role only after that.
+    """
+    waiting = 0.0 if decoders else round(engine.waiting, 1)
+    # A second engine of a version comes first, the only one of it last.
+    missing = {1: 0, 0: 2}.get(count_version(engine, decoders), 1)
+    return waiting, missing, *crowding(engine, decoders)
+
+
+def crowding(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
+    """Returns a sort key: decoders in the data centre, then the name."""
+    near = 0
+    for other in decoders:
+        if other.data_centre == engine.data_centre:
+            near += 1
+    return near, engine.name
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -10,6 +10,7 @@
 import math
 from typing import NamedTuple
 
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import types
 
 # Engines of a service per decode engine before there is traffic: nothing is
@@ -48,35 +49,10 @@
 # waited meanwhile end some seconds later; a second engine must not change its
 # role for them.
 SETTLE_SECONDS = 8.0
-# The split may be off its target by one engine for each so many engines of a
-# service while the load permits it: none of six, seven of 70.
-ENGINES_PER_DEVIATION = 10
 # Seconds without traffic after which the initial split applies again.
 IDLE_SECONDS = 5.0
 
 
-class EngineView(NamedTuple):
-    """An engine as the planner sees it.
-
-    Attributes:
-        name: Its instance.
-        data_centre: Its data centre.
-        role: Its role, or its next role while it changes.
-        waiting: Seconds of prompts that it has to prefill first.
-        changing: Whether it is changing its role, on any node's order.
-        version: Version of its software; a stream goes on at its own only.
-        backing_off: Whether it takes no orders for a while, but will serve on.
-    """
-
-    name: str
-    data_centre: str
-    role: types.Role
-    waiting: float = 0.0
-    changing: bool = False
-    version: str | None = ""
-    backing_off: bool = False
-
-
 class Load(NamedTuple):
     """The load of all nodes on a service's engines.
 
@@ -96,13 +72,6 @@
     moving: float = 0.0
 
 
-class Change(NamedTuple):
-    """An engine and its new role."""
-
-    engine: str
-    role: types.Role
-
-
 class RoleSplit:
     """Tracks the load of one service and decides which engines change roles.
 
@@ -125,8 +94,8 @@
         self.ordered: set[str] = set()
 
     def plan(
-        self, engines: list[EngineView], load: Load, now: float
-    ) -> list[Change]:
+        self, engines: list[role_changes.EngineView], load: Load, now: float
+    ) -> list[role_changes.Change]:
         """Returns the engines to change, as few as possible.
 
         If engines that start or stop move the split off its target, it is
@@ -135,7 +104,7 @@
         self.observe(load, now)
         if len(engines) < 2:
             return []
-        current = count_decoders(engines)
+        current = role_changes.count_decoders(engines)
         if self.is_idle(now):
             self.target = initial_decoders(len(engines), load.moving)
         elif self.target is None:
@@ -146,9 +115,9 @@
             self.target += self.count_foreign_changes(engines)
         self.update_target(len(engines), now)
         self.target = max(1, min(self.target, len(engines) - 1))
-        found = plan_changes(engines, self.target)
+        found = role_changes.plan_changes(engines, self.target)
         if not self.is_idle(now):
-            found = limit_changes(found, engines)
+            found = role_changes.limit_changes(found, engines)
         self.record_roles(engines, found)
         return found
 
@@ -156,17 +125,21 @@
         """Whether there has been no traffic for a while, or none yet."""
         return now - self.busy_at > IDLE_SECONDS
 
-    def adopt_current(self, engines: list[EngineView], now: float) -> None:
+    def adopt_current(
+        self, engines: list[role_changes.EngineView], now: float
+    ) -> None:
         """Starts from the split that another node has left.
 
         That node's orders show only after the change, which takes three
         seconds; until then no other change is made.
         """
-        self.target = count_decoders(engines)
+        self.target = role_changes.count_decoders(engines)
         if any(engine.changing for engine in engines):
             self.changed_at = now
 
-    def count_foreign_changes(self, engines: list[EngineView]) -> int:
+    def count_foreign_changes(
+        self, engines: list[role_changes.EngineView]
+    ) -> int:
         """Returns the net number of decode engines added by other nodes.
 
         A change that a holder of authority ordered before it froze is carried
@@ -183,7 +156,9 @@
         return found
 
     def record_roles(
-        self, engines: list[EngineView], ordered: list[Change]
+        self,
+        engines: list[role_changes.EngineView],
+        ordered: list[role_changes.Change],
     ) -> None:
         """Records the current roles and which engines got an order."""
         self.ordered.update(change.engine for change in ordered)
@@ -198,7 +173,10 @@
         each change makes an engine unavailable for seconds.
         """
         deviation = current - self.target
-        if current < 1 or abs(deviation) > engines // ENGINES_PER_DEVIATION:
+        if (
+            current < 1
+            or abs(deviation) > engines // role_changes.ENGINES_PER_DEVIATION
+        ):
             return False
         if deviation < 0:
             return self.streams <= FULL_FRACTION * current
@@ -298,15 +276,6 @@
     return max(tokens / max(1, memory), 1 / max(1, slots))
 
 
-def count_decoders(engines: list[EngineView]) -> int:
-    """Counts the engines that decode."""
-    found = 0
-    for engine in engines:
-        if engine.role != types.Role.PREFILL:
-            found += 1
-    return found
-
-
 def initial_decoders(engines: int, moving: float = 0.0) -> int:
     """Returns the number of decode engines before there is traffic.
 
@@ -343,115 +312,3 @@
         * token_bytes
         / link_rate
     )
-
-
-def plan_changes(engines: list[EngineView], desired: int) -> list[Change]:
-    """Picks the engines to change.
-
-    Each version that decodes should have two decode engines, so that streams
-    go on if one of them is lost. Decode engines are also spread over the data
-    centres, so that a KV cache rarely has to leave its own.
-    """
-    decoders = []
-    prefill_engines = []
-    for engine in engines:
-        if engine.role != types.Role.PREFILL:
-            decoders.append(engine)
-        elif not engine.backing_off:
-            prefill_engines.append(engine)
-    found = []
-    while len(decoders) > desired:
-        candidates = removable(decoders)
-        if not candidates:
-            break
-        leaving = max(candidates, key=lambda one: leave_order(one, decoders))
-        decoders.remove(leaving)
-        found.append(Change(leaving.name, types.Role.PREFILL))
-    while len(decoders) < desired and prefill_engines:
-        joining = min(
-            prefill_engines, key=lambda one: join_order(one, decoders)
-        )
-        prefill_engines.remove(joining)
-        decoders.append(joining)
-        found.append(Change(joining.name, types.Role.DECODE))
-    return found
-
-
-def removable(decoders: list[EngineView]) -> list[EngineView]:
-    """Returns the engines of which one may stop decoding.
-
-    The last decode engine that serves stays: one that is changing may have
-    crashed, or may carry out its order seconds later, and until then there
-    would be none. Engines that back off take no orders.
-    """
-    able = [engine for engine in decoders if not engine.backing_off]
-    changing = [engine for engine in able if engine.changing]
-    if len(able) - len(changing) > 1:
-        return able
-    return changing
-
-
-def limit_changes(
-    found: list[Change], engines: list[EngineView]
-) -> list[Change]:
-    """Postpones all but a few changes from decode to prefill.
-
-    Engines that crash come back as decode engines. If all of them were ordered
-    to prefill at once, most engines of a small fleet would be unavailable for a
-    role change, and streams refused. A lost decode engine is still replaced at
-    once.
-    """
-    limit = max(1, len(engines) // ENGINES_PER_DEVIATION)
-    for engine in engines:
-        if engine.changing:
-            limit -= 1
-    kept = []
-    for change in found:
-        if change.role == types.Role.PREFILL:
-            limit -= 1
-            if limit < 0:
-                continue
-        kept.append(change)
-    return kept
-
-
-def leave_order(
-    engine: EngineView, decoders: list[EngineView]
-) -> tuple[bool, int, str]:
-    """Returns the sort key for picking the engine that stops decoding.
-
-    One of two engines of a version is picked last.
-    """
-    is_pair = count_version(engine, decoders) == 2
-    return not is_pair, *crowding(engine, decoders)
-
-
-def count_version(engine: EngineView, decoders: list[EngineView]) -> int:
-    """Counts the decode engines of an engine's version."""
-    count = 0
-    for other in decoders:
-        count += other.version == engine.version
-    return count
-
-
-def join_order(
-    engine: EngineView, decoders: list[EngineView]
-) -> tuple[float, int, int, str]:
-    """Returns the sort key for picking the next decode engine.
-
-    If there is none, the engine with the least to prefill comes first, since
-    it changes its role only after that.
-    """
-    waiting = 0.0 if decoders else round(engine.waiting, 1)
-    # A second engine of a version comes first, the only one of it last.
-    missing = {1: 0, 0: 2}.get(count_version(engine, decoders), 1)
-    return waiting, missing, *crowding(engine, decoders)
-
-
-def crowding(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
-    """Returns a sort key: decoders in the data centre, then the name."""
-    near = 0
-    for other in decoders:
-        if other.data_centre == engine.data_centre:
-            near += 1
-    return near, engine.name
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -9,6 +9,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import incarnations
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import configurations as configurations_module
@@ -147,7 +148,7 @@
                 self.directory.changing_until.get(replica.instance, 0.0) > now
             )
             views.append(
-                role_split.EngineView(
+                role_changes.EngineView(
                     replica.instance,
                     replica.data_centre,
                     role,
@@ -183,7 +184,7 @@
         return role_split.Load(prompts, streams, demand, moving)
 
     async def order(
-        self, service: types.Service, change: role_split.Change
+        self, service: types.Service, change: role_changes.Change
     ) -> None:
         """Gives one order.
 
