Keep spare decode engines that survive a planned loss

Cause: one or two decode engines serve a whole site; after their loss no prompt is placed for about four seconds. Change: decisions/decode_reserve.py adds spares to the split's target by the settings [roles] spare_decoders and survive_data_centre. With refuse_early a request is refused once the role changes under way show that no decode engine will be back in time. All are off by default.

--- a/packages/gypsumfold/src/gypsumfold/decisions/role_changes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_changes.py
@@ -44,6 +44,40 @@
     role: types.Role
 
 
+class RoleHistory:
+    """The roles that engines had at the last look, and who was ordered."""
+
+    def __init__(self):
+        self.roles: dict[str, types.Role] = {}
+        self.ordered: set[str] = set()
+
+    def count_foreign_changes(self, engines: list[EngineView]) -> int:
+        """Returns the net number of decode engines added by other nodes.
+
+        A change that a holder of authority ordered before it froze is carried
+        out under its successor, which must not take it for an error of the
+        split: undoing it and ordering it again makes the engine unavailable for
+        several role changes.
+        """
+        found = 0
+        for engine in engines:
+            before = self.roles.get(engine.name, engine.role)
+            if before == engine.role or engine.name in self.ordered:
+                continue
+            found += -1 if engine.role == types.Role.PREFILL else 1
+        return found
+
+    def record(
+        self,
+        engines: list[EngineView],
+        ordered: list[Change],
+    ) -> None:
+        """Records the current roles and which engines got an order."""
+        self.ordered.update(change.engine for change in ordered)
+        self.roles = {engine.name: engine.role for engine in engines}
+        self.ordered &= self.roles.keys()
+
+
 def count_decoders(engines: list[EngineView]) -> int:
     """Counts the engines that decode."""
     found = 0
@@ -53,12 +87,20 @@
     return found
 
 
-def plan_changes(engines: list[EngineView], desired: int) -> list[Change]:
+def plan_changes(
+    engines: list[EngineView], desired: int, spread: bool = False
+) -> list[Change]:
     """Picks the engines to change.
 
     Each version that decodes should have two decode engines, so that streams
     go on if one of them is lost. Decode engines are also spread over the data
     centres, so that a KV cache rarely has to leave its own.
+
+    Args:
+        engines: The engines of a service.
+        desired: The number of decode engines.
+        spread: Whether the last prefill engine of a data centre or version
+            changes its role only if all others are such, too.
     """
     decoders = []
     prefill_engines = []
@@ -77,7 +119,11 @@
         found.append(Change(leaving.name, types.Role.PREFILL))
     while len(decoders) < desired and prefill_engines:
         joining = min(
-            prefill_engines, key=lambda one: join_order(one, decoders)
+            prefill_engines,
+            key=lambda one: (
+                spread and bool(decoders) and is_sole(one, prefill_engines),
+                *join_order(one, decoders),
+            ),
         )
         prefill_engines.remove(joining)
         decoders.append(joining)
@@ -156,6 +202,14 @@
     return waiting, missing, *crowding(engine, decoders)
 
 
+def is_sole(engine: EngineView, others: list[EngineView]) -> bool:
+    """Whether an engine is the only one of its data centre or version."""
+    near = 0
+    for other in others:
+        near += other.data_centre == engine.data_centre
+    return near == 1 or count_version(engine, others) == 1
+
+
 def crowding(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
     """Returns a sort key: decoders in the data centre, then the name."""
     near = 0
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -10,8 +10,8 @@
 import math
 from typing import NamedTuple
 
+from gypsumfold.decisions import decode_reserve
 from gypsumfold.decisions import role_changes
-from gypsumfold.decisions import types
 
 # Engines of a service per decode engine before there is traffic: nothing is
 # cached then.
@@ -24,13 +24,13 @@
 TRANSFER_TIME_FACTOR = 1.67
 # Fraction of the decode engines that streams may fill before another one is
 # added: a full memory evicts streams midway.
-FULL_FRACTION = 0.6
+FULL_FRACTION = decode_reserve.FULL_FRACTION
 # Fraction from which a decode engine is added although prompts wait: behind a
 # full engine they wait as well, and its streams take several times as long.
 OVERFULL_FRACTION = 0.9
 # Fraction that adding engines aims at, and below which one engine fewer would
 # still be enough.
-TARGET_FRACTION = 0.5
+TARGET_FRACTION = decode_reserve.TARGET_FRACTION
 # Average seconds of prompts waiting at each prefill engine: below the first one
 # an engine can be spared, above the second one more is needed.
 SPARE_SECONDS = 0.35
@@ -44,7 +44,7 @@
 SMOOTHING_SECONDS = 0.8
 # Seconds for which the load must require the same split. Shifts of a second are
 # ignored, since a change makes an engine unavailable for three.
-STABLE_SECONDS = 1.2
+STABLE_SECONDS = decode_reserve.STABLE_SECONDS
 # Seconds between two changes. A role change takes three, and the streams that
 # waited meanwhile end some seconds later; a second engine must not change its
 # role for them.
@@ -75,12 +75,17 @@
 class RoleSplit:
     """Tracks the load of one service and decides which engines change roles.
 
+    Attributes:
+        target: Number of decode engines that the load needs; None at first.
+        reserve: The spare decode engines beyond these.
+
     >>> split = Split()
     >>> split.plan(engines, Load(0.0, 0.0), now=0.0)
     [Change(...)]
     """
 
     def __init__(self):
+        self.reserve = decode_reserve.Reserve()
         self.prompts = 0.0
         self.streams = 0.0
         self.demand = 0.0
@@ -90,8 +95,7 @@
         self.target: int | None = None
         self.desired = 0
         self.desired_since = -math.inf
-        self.roles: dict[str, types.Role] = {}
-        self.ordered: set[str] = set()
+        self.history = role_changes.RoleHistory()
 
     def plan(
         self, engines: list[role_changes.EngineView], load: Load, now: float
@@ -110,15 +114,19 @@
         elif self.target is None:
             self.adopt_current(engines, now)
         elif self.is_tolerable(current, len(engines)):
-            self.target = current
+            self.target = self.reserve.absorb(current, self.target)
         else:
-            self.target += self.count_foreign_changes(engines)
-        self.update_target(len(engines), now)
+            self.target += self.history.count_foreign_changes(engines)
+        self.update_target(engines, now)
         self.target = max(1, min(self.target, len(engines) - 1))
-        found = role_changes.plan_changes(engines, self.target)
+        found = role_changes.plan_changes(
+            engines,
+            min(self.target + self.reserve.spares, len(engines) - 1),
+            self.reserve.policy.is_on,
+        )
         if not self.is_idle(now):
             found = role_changes.limit_changes(found, engines)
-        self.record_roles(engines, found)
+        self.history.record(engines, found)
         return found
 
     def is_idle(self, now: float) -> bool:
@@ -137,34 +145,6 @@
         if any(engine.changing for engine in engines):
             self.changed_at = now
 
-    def count_foreign_changes(
-        self, engines: list[role_changes.EngineView]
-    ) -> int:
-        """Returns the net number of decode engines added by other nodes.
-
-        A change that a holder of authority ordered before it froze is carried
-        out under its successor, which must not take it for an error of the
-        split: undoing it and ordering it again makes the engine unavailable for
-        several role changes.
-        """
-        found = 0
-        for engine in engines:
-            before = self.roles.get(engine.name, engine.role)
-            if before == engine.role or engine.name in self.ordered:
-                continue
-            found += -1 if engine.role == types.Role.PREFILL else 1
-        return found
-
-    def record_roles(
-        self,
-        engines: list[role_changes.EngineView],
-        ordered: list[role_changes.Change],
-    ) -> None:
-        """Records the current roles and which engines got an order."""
-        self.ordered.update(change.engine for change in ordered)
-        self.roles = {engine.name: engine.role for engine in engines}
-        self.ordered &= self.roles.keys()
-
     def is_tolerable(self, current: int, engines: int) -> bool:
         """Whether a split that changed without an order may stay.
 
@@ -172,28 +152,66 @@
         correction of each loss would be taken back a few seconds later, and
         each change makes an engine unavailable for seconds.
         """
-        deviation = current - self.target
-        if (
-            current < 1
-            or abs(deviation) > engines // role_changes.ENGINES_PER_DEVIATION
-        ):
+        deviation = current - self.target - self.reserve.spares
+        allowed = engines // role_changes.ENGINES_PER_DEVIATION
+        if deviation < 0:
+            # The other decode engines have room until lost spares are back.
+            allowed = max(allowed, self.reserve.covered)
+        if current < 1 or abs(deviation) > allowed:
             return False
         if deviation < 0:
             return self.streams <= FULL_FRACTION * current
         return self.has_spare_prefill(max(1, engines - current))
 
-    def update_target(self, engines: int, now: float) -> None:
+    def update_target(
+        self, engines: list[role_changes.EngineView], now: float
+    ) -> None:
         """Changes the target once the load has required it for long enough."""
-        desired = self.desired_decoders(engines)
+        # The load rule judges the engines that prefill or are needed to decode.
+        desired = self.desired_decoders(
+            max(2, len(engines) - self.reserve.spares)
+        )
         if desired != self.desired:
             self.desired = desired
             self.desired_since = now
-        if desired == self.target or now - self.desired_since < STABLE_SECONDS:
-            return
-        if now - self.changed_at < SETTLE_SECONDS:
-            return
-        self.target = desired
-        self.changed_at = now
+        settled = now - self.changed_at >= SETTLE_SECONDS
+        is_due = (
+            desired != self.target
+            and now - self.desired_since >= STABLE_SECONDS
+            and settled
+        )
+        if is_due:
+            self.target = desired
+            self.changed_at = now
+        if self.update_reserve(engines, now, settled, is_due):
+            self.changed_at = now
+
+    def update_reserve(
+        self,
+        engines: list[role_changes.EngineView],
+        now: float,
+        settled: bool,
+        at_once: bool,
+    ) -> bool:
+        """Updates the spares; returns whether their number has changed."""
+        prefill_engines = len(engines) - self.target
+        with_all = prefill_engines - self.reserve.spares - self.reserve.missing
+        prefill = decode_reserve.Prefill(
+            self.is_prefill_overloaded(
+                max(1, prefill_engines - self.reserve.spares)
+            ),
+            self.has_spare_prefill(max(1, with_all)),
+            self.is_idle(now),
+        )
+        return self.reserve.update(
+            engines,
+            self.target,
+            self.streams,
+            prefill,
+            now,
+            settled or prefill.is_idle,
+            at_once or prefill.is_idle,
+        )
 
     def observe(self, load: Load, now: float) -> None:
         """Adds the load to the smoothed estimate."""
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -508,6 +508,20 @@
     "warning",
     "An order was not accepted, or it is not known whether it was.",
 )
+ROLE_RESERVE_KEPT = define(
+    614,
+    "role-reserve-kept",
+    "info",
+    "The number of spare decode engines of a service has changed; there are "
+    "as many as the settings ask for.",
+)
+ROLE_RESERVE_SHORT = define(
+    615,
+    "role-reserve-short",
+    "warning",
+    "A service has too few engines, or too much load, for the spare decode "
+    "engines that the settings ask for.",
+)
 LEASE_GRANTED = define(
     600, "lease-granted", "info", "This node holds the lease of a service."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -273,6 +273,7 @@
             self.gossip,
             self.prefix_router,
         )
+        self.apply_role_settings()
         if self.duties.scaler is not None:
             self.planner.is_replacing = self.duties.scaler.is_replacing
         self.liveness = liveness.LivenessChecks(self.directory, self.endpoints)
@@ -498,8 +499,14 @@
             return
         self.budget.policy = budget_policy(self.settings)
         self.authenticator.policy = self.settings.accounts.policy
+        self.apply_role_settings()
         events.log(events.SETTINGS_RELOADED)
 
+    def apply_role_settings(self) -> None:
+        """Passes the settings of the role split to those who act by them."""
+        self.planner.policy = self.settings.roles.policy
+        self.generations.waits.refuse_early = self.settings.roles.refuse_early
+
     async def shut_down(self) -> None:
         """Shuts down without interrupting a request.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -12,10 +12,10 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import outcomes
-from gypsumfold.decisions import outages
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import decode_waits
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
@@ -106,6 +106,7 @@
         self.rate_permits = rate_permits
         self.prefix_router = prefix_router
         self.notify_begin = lambda progress: None
+        self.waits = decode_waits.DecodeWaits(directory)
         self.prefills = prefills.Prefills(
             directory, endpoints, prefix_router, quarantine
         )
@@ -214,7 +215,7 @@
                 progress.retry_after(),
             )
         self.check_backoffs(service, progress)
-        await self.wait_for_decode_engine(route, service, progress)
+        await self.waits.wait(route, service, progress)
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
         if self.prefills.has_lost_handle(progress):
@@ -302,54 +303,6 @@
             progress.retry_after(),
         )
 
-    async def wait_for_decode_engine(
-        self,
-        route: routes.Route,
-        service: types.Service,
-        progress: progress_module.Progress,
-    ) -> None:
-        """Waits until there is a decode engine, if one is expected in time.
-
-        Raises:
-            exceptions.Unavailable: None is, and nothing has run.
-            exceptions.AnswerBroken: None is, and an engine may have run it.
-        """
-        held = False
-        while True:
-            now = time.monotonic()
-            if self.directory.engines(service.name, False, now):
-                return
-            since = self.directory.decode_available_at.setdefault(
-                service.name, now
-            )
-            age = now - progress.call.arrival
-            decision = outages.decide(
-                since,
-                service.switch_time,
-                route.remaining_wait(progress.time_left(), age),
-                progress.time_left(),
-                now,
-            )
-            if not decision.hold:
-                if progress.may_have_run:
-                    raise exceptions.AnswerBroken(
-                        "no decode engine is available"
-                    )
-                raise exceptions.Unavailable(
-                    "no engine generates",
-                    outcomes.Outcome.NOT_RUN,
-                    decision.retry_after,
-                )
-            if not held:
-                held = True
-                events.log(
-                    events.CALL_HELD,
-                    request=progress.call.id,
-                    since=round(now - since, 3),
-                    left=round(progress.time_left(), 3),
-                )
-            await asyncio.sleep(POLL_INTERVAL)
-
     async def wait_for_version(
         self, service: types.Service, progress: progress_module.Progress
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -7,6 +7,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import decode_reserve
 from gypsumfold.decisions import incarnations
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import role_changes
@@ -61,6 +62,7 @@
     Attributes:
         pending: Orders whose effect is not visible yet, by engine.
         splits: The planned split of roles of each service.
+        policy: What the decode engines of a service survive.
         is_replacing: Whether most engines of a service are about to be
             replaced, so that role changes before there is traffic are wasted.
 
@@ -87,6 +89,7 @@
         self.endpoints = endpoints
         self.pending: dict[str, PendingOrder] = {}
         self.splits: dict[str, role_split.RoleSplit] = {}
+        self.policy = decode_reserve.Policy()
         self.tasks: set[asyncio.Task] = set()
         self.is_replacing: Callable[[str], bool] = lambda service: False
         directory.removal_listeners.append(self.forget)
@@ -159,7 +162,11 @@
                 )
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
+        split.reserve.policy = self.policy
+        before = split.reserve.state()
         planned = split.plan(views, self.load(service, now), now)
+        if split.reserve.state() != before:
+            log_reserve(service, split)
         if split.is_idle(now) and self.is_replacing(service.name):
             return
         async with asyncio.TaskGroup() as group:
@@ -311,3 +318,18 @@
             self.directory.confirm_role(replica.instance, role, until)
             self.gossip.announce_role(replica.instance, role, CONFIRMED_SECONDS)
             return
+
+
+def log_reserve(service: types.Service, split: role_split.RoleSplit) -> None:
+    """Logs the spare decode engines of a service."""
+    reserve = split.reserve
+    events.log(
+        events.ROLE_RESERVE_SHORT
+        if reserve.missing
+        else events.ROLE_RESERVE_KEPT,
+        service=service.name,
+        needed=split.target,
+        spares=reserve.spares,
+        missing=reserve.missing,
+        streams=round(split.streams, 3),
+    )
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -5,6 +5,7 @@
 from gypsumfold import settings as settings_module
 from gypsumfold.decisions import capacity
 from gypsumfold.decisions import client_keys
+from gypsumfold.decisions import decode_reserve
 from gypsumfold.decisions import metering
 from gypsumfold.decisions import relays
 
@@ -150,6 +151,30 @@
     lease_ms: float = 3000.0
 
 
+class RolesSection(settings_module.Section):
+    """The split of engines between prefill and decode.
+
+    Attributes:
+        spare_decoders: Number of decode engines whose loss leaves room for
+            the running streams; 0 for no reserve.
+        survive_data_centre: Whether the loss of all decode engines in any one
+            data centre does.
+        refuse_early: Whether a request that waits for a decode engine is
+            refused once it is known that none will be back in time.
+    """
+
+    spare_decoders: int = 0
+    survive_data_centre: bool = False
+    refuse_early: bool = False
+
+    @property
+    def policy(self) -> decode_reserve.Policy:
+        """What the decode engines of a service survive."""
+        return decode_reserve.Policy(
+            self.spare_decoders, self.survive_data_centre
+        )
+
+
 class OperationsSection(settings_module.Section):
     """The platform's own API.
 
@@ -235,6 +260,7 @@
     accounts: AccountsSection = AccountsSection()
     retries: RetriesSection = RetriesSection()
     orders: OrdersSection = OrdersSection()
+    roles: RolesSection = RolesSection()
     operations: OperationsSection = OperationsSection()
     usage: UsageSection = UsageSection()
     scaling: ScalingSection = ScalingSection()
