--- a/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
@@ -30,6 +30,10 @@
 # Seconds for which spares must be missing before engines change their roles
 # for them: a crashed engine is back as a decode engine after about four.
 MISSING_SECONDS = 5.0
+# Seconds for which there must have been more spares than needed before these
+# are given up with a change of the split: otherwise the spares would follow
+# each swing of the streams, and add role changes to those of the load.
+SURPLUS_SECONDS = 60.0
 # Seconds for which more prefill engines than needed must have been idle before
 # a service with few engines gets a spare: longer than a phase of 14 s in which
 # the mix swings and returns.
@@ -83,6 +87,13 @@
             if engine.role != types.Role.PREFILL:
                 self.decoders[engine.data_centre] += 1
 
+    def copy(self) -> "Placement":
+        """Returns a copy with decode engines of its own."""
+        found = Placement([])
+        found.sizes = self.sizes
+        found.decoders = self.decoders.copy()
+        return found
+
     def resize(self, total: int) -> None:
         """Adds decode engines where there are fewest, or removes them."""
         while self.decoders.total() > total:
@@ -137,6 +148,8 @@
         # there is traffic.
         self.pressed_at: float | None = None
         self.quiet_seconds = QUIET_SECONDS
+        # When there were last no more spares than needed.
+        self.surplus_since = -math.inf
 
     def state(self) -> tuple[int, bool]:
         """Returns the number of spares, and whether too few are kept."""
@@ -182,15 +195,22 @@
             self.spares = self.missing = self.covered = 0
             return False
         self.observe_prefill(prefill, now)
-        short = self.shortage(engines, needed, streams, FULL_FRACTION)
-        wanted = self.spares
-        if at_once or short > self.spares:
-            wanted = self.shortage(engines, needed, streams, TARGET_FRACTION)
+        placement = Placement(engines)
+        self.covered = placement.worst_loss(self.policy)
+        short = self.shortage(placement, needed, streams / FULL_FRACTION)
+        enough = self.shortage(placement, needed, streams / TARGET_FRACTION)
+        if enough >= self.spares:
+            self.surplus_since = now
+        wanted = max(short, self.spares)
+        if at_once and (
+            prefill.is_idle or now - self.surplus_since >= SURPLUS_SECONDS
+        ):
+            wanted = enough
         wanted = min(wanted, self.limit(len(engines), needed, prefill, now))
         self.missing = max(0, short - wanted)
-        if count_surviving(self.policy, engines, 1, streams) is None:
+        survivors = max(1, math.ceil(streams / FULL_FRACTION))
+        if placement.max_survivors(self.policy) < survivors:
             self.missing = max(1, self.missing)
-        self.covered = Placement(engines).worst_loss(self.policy)
         if wanted != self.wanted:
             self.wanted = wanted
             self.wanted_since = now
@@ -235,33 +255,26 @@
         return min(half, max(always, self.spares))
 
     def shortage(
-        self,
-        engines: list[role_changes.EngineView],
-        needed: int,
-        streams: float,
-        fraction: float,
+        self, placement: Placement, needed: int, survivors: float
     ) -> int:
         """Returns how many spares the policy needs.
 
         If the loss of a data centre can't be survived, only the loss of single
         engines counts.
         """
+        least = max(1, math.ceil(survivors))
         for policy in (
             self.policy,
             self.policy._replace(survive_data_centre=False),
         ):
-            found = count_surviving(policy, engines, needed, streams, fraction)
+            found = count_surviving(policy, placement, needed, least)
             if found is not None:
                 return found - needed
-        return max(0, len(engines) - needed)
+        return max(0, placement.sizes.total() - needed)
 
 
 def count_surviving(
-    policy: Policy,
-    engines: list[role_changes.EngineView],
-    least: int,
-    streams: float,
-    fraction: float = FULL_FRACTION,
+    policy: Policy, placement: Placement, least: int, survivors: int
 ) -> int | None:
     """Returns the smallest number of decode engines that survives a loss.
 
@@ -270,20 +283,18 @@
 
     Args:
         policy: What is to be survived.
-        engines: The engines of the service.
+        placement: The engines of the service.
         least: The smallest number to consider.
-        streams: Number of engines that all running streams would fill.
-        fraction: Fraction of the remaining ones that streams may fill.
+        survivors: The number that must be left.
 
     Returns:
         The number; None if there are too few engines or data centres.
     """
-    survivors = max(1, math.ceil(streams / fraction))
-    placement = Placement(engines)
     if placement.max_survivors(policy) < survivors:
         return None
-    for total in range(least, len(engines) + 1):
-        placement.resize(total)
-        if total - placement.worst_loss(policy) >= survivors:
+    trial = placement.copy()
+    for total in range(least, placement.sizes.total() + 1):
+        trial.resize(total)
+        if total - trial.worst_loss(policy) >= survivors:
             return total
     return None
--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -167,10 +167,9 @@
         self, engines: list[role_changes.EngineView], now: float
     ) -> None:
         """Changes the target once the load has required it for long enough."""
-        # The load rule judges the engines that prefill or are needed to decode.
-        desired = self.desired_decoders(
-            max(2, len(engines) - self.reserve.spares)
-        )
+        # Judged as if there were no spares: the load alone moves the target,
+        # as often as it does without a reserve.
+        desired = self.desired_decoders(len(engines))
         if desired != self.desired:
             self.desired = desired
             self.desired_since = now
