Test the reserve through gateways whose engines change roles

Cause: the way from the settings to the orders was not covered. Change: fake engines change roles where a fleet says so; a scenario with six gateways loses one of two decode engines. Line 614 is worded for what it says.

--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -53,3 +53,8 @@
       | a change ends in time    | 9.0  | 1.5  | 2.4   | held                     |
       | a change ends too late   | 2.5  | 2.25 | 2.4   | told to come back by 2.25 |
       | a change takes too long  | 9.0  | -2.0 | 2.4   | told to come back by 3.0 |
+
+  Scenario: Gateways place prompts on after the loss of a decode engine
+    Given 6 gateways with a spare decode engine, of which engines change roles
+    When a decode engine crashes after 40 seconds
+    Then no request waits for a decode engine
--- a/features/steps/role_reserve_steps.py
+++ b/features/steps/role_reserve_steps.py
@@ -4,12 +4,16 @@
 import random
 
 import behave
+from features.support import virtual_callers
+from features.support import virtual_gateways
 
+from gypsumfold import events
 from gypsumfold.decisions import decode_reserve
 from gypsumfold.decisions import outages
 from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import types
+from gypsumfold.gateway import settings
 
 LOOK = 0.15
 SWITCH = 3.0
@@ -211,3 +215,35 @@
     context.verdict = outages.decide(
         since, context.change, waits, 8.0, now, expected
     )
+
+
+@behave.given(
+    "{nodes:d} gateways with a spare decode engine, of which engines change "
+    "roles"
+)
+def step_gateways(context, nodes):
+    context.site = virtual_gateways.Site(seed=1)
+    context.site.roles = settings.RolesSection(spare_decoders=1)
+    context.nodes = nodes
+
+
+@behave.when("a decode engine crashes after {seconds:d} seconds")
+def step_crash(context, seconds):
+    site = context.site
+
+    async def story():
+        await virtual_callers.start_asking(
+            site, context.nodes, 10.0, seconds, None, 1, 0.5
+        )
+        site.lines.clear()
+        site.fleet.kill("decode")
+        await site.pass_time(8)
+
+    site.play(story())
+
+
+@behave.then("no request waits for a decode engine")
+def step_none_held(context):
+    held = events.CALL_HELD.number
+    found = [line for line in context.site.lines if line[1] == held]
+    assert not found, found
--- a/features/support/virtual_callers.py
+++ b/features/support/virtual_callers.py
@@ -264,7 +264,13 @@
 
 
 async def start_asking(
-    site, nodes: int, rate: float, quiet: float, spread: int | None = None
+    site,
+    nodes: int,
+    rate: float,
+    quiet: float,
+    spread: int | None = None,
+    generators: int = 4,
+    switch_seconds: float | None = None,
 ) -> Callers:
     """Starts gateways and replicas whose callers ask.
 
@@ -274,8 +280,13 @@
         rate: Requests a second.
         quiet: Seconds until something else is to happen.
         spread: How many of the gateways callers ask; None for all.
+        generators: Number of decode engines.
+        switch_seconds: Seconds of a role change; None if engines make none.
     """
-    site.fleet = virtual_engines.Fleet(site, readers=6, generators=4, plain=4)
+    site.fleet = virtual_engines.Fleet(
+        site, readers=6, generators=generators, plain=4
+    )
+    site.fleet.switch_seconds = switch_seconds
     callers = Callers(site, site.fleet)
     callers.spread = spread
     callers.configure(3)
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -143,6 +143,8 @@
         self.instance = f"i-{next(fleet.numbers)}"
         self.address = f"10.9.0.{place}:8080"
         self.alive = True
+        # Whether it is changing its role.
+        self.busy = False
         self.free_at = 0.0
         # A dict keeps the order, so that a seed gives the same course.
         self.running: dict[asyncio.Future, bool] = {}
@@ -268,6 +270,8 @@
         self.late: list[tuple[str, float]] = []
         self.reset_share = 0.0
         self.refusing_share = 0.0
+        # Seconds of a role change; None where engines keep their roles.
+        self.switch_seconds: float | None = None
         # Time of the first answer with a limit, by gateway process and replica.
         self.told: dict[tuple[int, str], float] = {}
         # The same of the first answer that says that the replica leaves.
@@ -316,6 +320,13 @@
         await asyncio.sleep(3 * HEARTBEAT)
         self.site.log.write(topic, replica.instance, None)
 
+    async def switch(self, replica: Replica, role: str) -> None:
+        """Changes an engine's role."""
+        await asyncio.sleep(self.switch_seconds)
+        replica.stage, replica.busy = str(role), False
+        topic = names.REGISTRATIONS_TOPIC
+        self.site.log.write(topic, replica.instance, replica.registration(0))
+
     def crash(
         self,
         replica: Replica,
@@ -669,7 +680,7 @@
         role = decision_types.Role.DECODE
         if found.stage == "prefill":
             role = decision_types.Role.PREFILL
-        return types.State(role if found.stage else None, False, 0, 0, 0)
+        return types.State(role if found.stage else None, found.busy, 0, 0, 0)
 
     async def cache_list(self, replica: types.Replica) -> types.CacheList:
         """Asks an engine which parts of prompts it keeps."""
@@ -677,5 +688,10 @@
         return types.CacheList([])
 
     async def order(self, replica: types.Replica, order: types.Order) -> bool:
-        """Refuses every order: engines keep their roles here."""
-        raise exceptions.OrderRefused("engines keep their roles")
+        """Has an engine change its role, if those of this fleet do."""
+        if self.fleet.switch_seconds is None:
+            raise exceptions.OrderRefused("engines keep their roles")
+        found = await self.take(replica)
+        found.busy = True
+        self.fleet.spawn(self.fleet.switch(found, order.role))
+        return True
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -125,6 +125,7 @@
             store=settings_module.StoreSection("10.200.0.1:1"),
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
             replicas=settings_module.ReplicasSection(leaving_ms),
+            roles=site.roles,
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
@@ -202,6 +203,8 @@
             gateway.supervise(name, function)
         if self.site.fleet is not None:
             gateway.supervise("liveness", gateway.liveness.run)
+            if self.site.fleet.switch_seconds is not None:
+                gateway.supervise("planner", gateway.planner.run)
             gateway.supervise("crash-records", gateway.crash_records.run)
             if not self.first_start:
                 gateway.supervise(
@@ -305,6 +308,7 @@
         self.fleet: virtual_engines.Fleet | None = None
         self.platform: virtual_operations.Platform | None = None
         self.duties = [names.USAGE_DUTY]
+        self.roles = settings_module.RolesSection()
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -512,8 +512,8 @@
     614,
     "role-reserve-kept",
     "info",
-    "The number of spare decode engines of a service has changed; there are "
-    "as many as the settings ask for.",
+    "The spare decode engines of a service have changed; as many as the "
+    "settings ask for are allowed.",
 )
 ROLE_RESERVE_SHORT = define(
     615,
