--- a/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/role_split.py
@@ -10,7 +10,8 @@
 import math
 from typing import NamedTuple
 
-from gypsumfold.decisions import types
+from gypsumfold.decisions import decode_reserve
+from gypsumfold.decisions import role_changes
 
 # Engines of a service per decode engine before there is traffic: nothing is
 # cached then.
@@ -23,13 +24,13 @@
 TRANSFER_TIME_FACTOR = 1.67
 # Fraction of the decode engines that streams may fill before another one is
 # added: a full memory evicts streams midway.
-FULL_FRACTION = 0.6
+FULL_FRACTION = decode_reserve.FULL_FRACTION
 # Fraction from which a decode engine is added although prompts wait: behind a
 # full engine they wait as well, and its streams take several times as long.
 OVERFULL_FRACTION = 0.9
 # Fraction that adding engines aims at, and below which one engine fewer would
 # still be enough.
-TARGET_FRACTION = 0.5
+TARGET_FRACTION = decode_reserve.TARGET_FRACTION
 # Average seconds of prompts waiting at each prefill engine: below the first one
 # an engine can be spared, above the second one more is needed.
 SPARE_SECONDS = 0.35
@@ -43,40 +44,15 @@
 SMOOTHING_SECONDS = 0.8
 # Seconds for which the load must require the same split. Shifts of a second are
 # ignored, since a change makes an engine unavailable for three.
-STABLE_SECONDS = 1.2
+STABLE_SECONDS = decode_reserve.STABLE_SECONDS
 # Seconds between two changes. A role change takes three, and the streams that
 # waited meanwhile end some seconds later; a second engine must not change its
 # role for them.
 SETTLE_SECONDS = 8.0
-# The split may be off its target by one engine for each so many engines of a
-# service while the load permits it: none of six, seven of 70.
-ENGINES_PER_DEVIATION = 10
 # Seconds without traffic after which the initial split applies again.
 IDLE_SECONDS = 5.0
 
 
-class EngineView(NamedTuple):
-    """An engine as the planner sees it.
-
-    Attributes:
-        name: Its instance.
-        data_centre: Its data centre.
-        role: Its role, or its next role while it changes.
-        waiting: Seconds of prompts that it has to prefill first.
-        changing: Whether it is changing its role, on any node's order.
-        version: Version of its software; a stream goes on at its own only.
-        backing_off: Whether it takes no orders for a while, but will serve on.
-    """
-
-    name: str
-    data_centre: str
-    role: types.Role
-    waiting: float = 0.0
-    changing: bool = False
-    version: str | None = ""
-    backing_off: bool = False
-
-
 class Load(NamedTuple):
     """The load of all nodes on a service's engines.
 
@@ -96,22 +72,20 @@
     moving: float = 0.0
 
 
-class Change(NamedTuple):
-    """An engine and its new role."""
-
-    engine: str
-    role: types.Role
-
-
 class RoleSplit:
     """Tracks the load of one service and decides which engines change roles.
 
+    Attributes:
+        target: Number of decode engines that the load needs; None at first.
+        reserve: The spare decode engines beyond these.
+
     >>> split = Split()
     >>> split.plan(engines, Load(0.0, 0.0), now=0.0)
     [Change(...)]
     """
 
     def __init__(self):
+        self.reserve = decode_reserve.Reserve()
         self.prompts = 0.0
         self.streams = 0.0
         self.demand = 0.0
@@ -121,12 +95,11 @@
         self.target: int | None = None
         self.desired = 0
         self.desired_since = -math.inf
-        self.roles: dict[str, types.Role] = {}
-        self.ordered: set[str] = set()
+        self.history = role_changes.RoleHistory()
 
     def plan(
-        self, engines: list[EngineView], load: Load, now: float
-    ) -> list[Change]:
+        self, engines: list[role_changes.EngineView], load: Load, now: float
+    ) -> list[role_changes.Change]:
         """Returns the engines to change, as few as possible.
 
         If engines that start or stop move the split off its target, it is
@@ -135,61 +108,43 @@
         self.observe(load, now)
         if len(engines) < 2:
             return []
-        current = count_decoders(engines)
+        current = role_changes.count_decoders(engines)
         if self.is_idle(now):
             self.target = initial_decoders(len(engines), load.moving)
         elif self.target is None:
             self.adopt_current(engines, now)
         elif self.is_tolerable(current, len(engines)):
-            self.target = current
+            self.target = self.reserve.absorb(current, self.target)
         else:
-            self.target += self.count_foreign_changes(engines)
-        self.update_target(len(engines), now)
+            self.target += self.history.count_foreign_changes(engines)
+        self.update_target(engines, now)
         self.target = max(1, min(self.target, len(engines) - 1))
-        found = plan_changes(engines, self.target)
+        found = role_changes.plan_changes(
+            engines,
+            min(self.target + self.reserve.spares, len(engines) - 1),
+            self.reserve.policy.is_on,
+        )
         if not self.is_idle(now):
-            found = limit_changes(found, engines)
-        self.record_roles(engines, found)
+            found = role_changes.limit_changes(found, engines)
+        self.history.record(engines, found)
         return found
 
     def is_idle(self, now: float) -> bool:
         """Whether there has been no traffic for a while, or none yet."""
         return now - self.busy_at > IDLE_SECONDS
 
-    def adopt_current(self, engines: list[EngineView], now: float) -> None:
+    def adopt_current(
+        self, engines: list[role_changes.EngineView], now: float
+    ) -> None:
         """Starts from the split that another node has left.
 
         That node's orders show only after the change, which takes three
         seconds; until then no other change is made.
         """
-        self.target = count_decoders(engines)
+        self.target = role_changes.count_decoders(engines)
         if any(engine.changing for engine in engines):
             self.changed_at = now
 
-    def count_foreign_changes(self, engines: list[EngineView]) -> int:
-        """Returns the net number of decode engines added by other nodes.
-
-        A change that a holder of authority ordered before it froze is carried
-        out under its successor, which must not take it for an error of the
-        split: undoing it and ordering it again makes the engine unavailable for
-        several role changes.
-        """
-        found = 0
-        for engine in engines:
-            before = self.roles.get(engine.name, engine.role)
-            if before == engine.role or engine.name in self.ordered:
-                continue
-            found += -1 if engine.role == types.Role.PREFILL else 1
-        return found
-
-    def record_roles(
-        self, engines: list[EngineView], ordered: list[Change]
-    ) -> None:
-        """Records the current roles and which engines got an order."""
-        self.ordered.update(change.engine for change in ordered)
-        self.roles = {engine.name: engine.role for engine in engines}
-        self.ordered &= self.roles.keys()
-
     def is_tolerable(self, current: int, engines: int) -> bool:
         """Whether a split that changed without an order may stay.
 
@@ -197,25 +152,65 @@
         correction of each loss would be taken back a few seconds later, and
         each change makes an engine unavailable for seconds.
         """
-        deviation = current - self.target
-        if current < 1 or abs(deviation) > engines // ENGINES_PER_DEVIATION:
+        deviation = current - self.target - self.reserve.spares
+        allowed = engines // role_changes.ENGINES_PER_DEVIATION
+        if deviation < 0:
+            # The other decode engines have room until lost spares are back.
+            allowed = max(allowed, self.reserve.covered)
+        if current < 1 or abs(deviation) > allowed:
             return False
         if deviation < 0:
             return self.streams <= FULL_FRACTION * current
         return self.has_spare_prefill(max(1, engines - current))
 
-    def update_target(self, engines: int, now: float) -> None:
+    def update_target(
+        self, engines: list[role_changes.EngineView], now: float
+    ) -> None:
         """Changes the target once the load has required it for long enough."""
-        desired = self.desired_decoders(engines)
+        # Judged as if there were no spares: the load alone moves the target,
+        # as often as it does without a reserve.
+        desired = self.desired_decoders(len(engines))
         if desired != self.desired:
             self.desired = desired
             self.desired_since = now
-        if desired == self.target or now - self.desired_since < STABLE_SECONDS:
-            return
-        if now - self.changed_at < SETTLE_SECONDS:
-            return
-        self.target = desired
-        self.changed_at = now
+        settled = now - self.changed_at >= SETTLE_SECONDS
+        is_due = (
+            desired != self.target
+            and now - self.desired_since >= STABLE_SECONDS
+            and settled
+        )
+        if is_due:
+            self.target = desired
+            self.changed_at = now
+        if self.update_reserve(engines, now, settled, is_due):
+            self.changed_at = now
+
+    def update_reserve(
+        self,
+        engines: list[role_changes.EngineView],
+        now: float,
+        settled: bool,
+        at_once: bool,
+    ) -> bool:
+        """Updates the spares; returns whether their number has changed."""
+        prefill_engines = len(engines) - self.target
+        with_all = prefill_engines - self.reserve.spares - self.reserve.missing
+        prefill = decode_reserve.Prefill(
+            self.is_prefill_overloaded(
+                max(1, prefill_engines - self.reserve.spares)
+            ),
+            self.has_spare_prefill(max(1, with_all)),
+            self.is_idle(now),
+        )
+        return self.reserve.update(
+            engines,
+            self.target,
+            self.streams,
+            prefill,
+            now,
+            settled or prefill.is_idle,
+            at_once or prefill.is_idle,
+        )
 
     def observe(self, load: Load, now: float) -> None:
         """Adds the load to the smoothed estimate."""
@@ -298,15 +293,6 @@
     return max(tokens / max(1, memory), 1 / max(1, slots))
 
 
-def count_decoders(engines: list[EngineView]) -> int:
-    """Counts the engines that decode."""
-    found = 0
-    for engine in engines:
-        if engine.role != types.Role.PREFILL:
-            found += 1
-    return found
-
-
 def initial_decoders(engines: int, moving: float = 0.0) -> int:
     """Returns the number of decode engines before there is traffic.
 
@@ -343,115 +329,3 @@
         * token_bytes
         / link_rate
     )
-
-
-def plan_changes(engines: list[EngineView], desired: int) -> list[Change]:
-    """Picks the engines to change.
-
-    Each version that decodes should have two decode engines, so that streams
-    go on if one of them is lost. Decode engines are also spread over the data
-    centres, so that a KV cache rarely has to leave its own.
-    """
-    decoders = []
-    prefill_engines = []
-    for engine in engines:
-        if engine.role != types.Role.PREFILL:
-            decoders.append(engine)
-        elif not engine.backing_off:
-            prefill_engines.append(engine)
-    found = []
-    while len(decoders) > desired:
-        candidates = removable(decoders)
-        if not candidates:
-            break
-        leaving = max(candidates, key=lambda one: leave_order(one, decoders))
-        decoders.remove(leaving)
-        found.append(Change(leaving.name, types.Role.PREFILL))
-    while len(decoders) < desired and prefill_engines:
-        joining = min(
-            prefill_engines, key=lambda one: join_order(one, decoders)
-        )
-        prefill_engines.remove(joining)
-        decoders.append(joining)
-        found.append(Change(joining.name, types.Role.DECODE))
-    return found
-
-
-def removable(decoders: list[EngineView]) -> list[EngineView]:
-    """Returns the engines of which one may stop decoding.
-
-    The last decode engine that serves stays: one that is changing may have
-    crashed, or may carry out its order seconds later, and until then there
-    would be none. Engines that back off take no orders.
-    """
-    able = [engine for engine in decoders if not engine.backing_off]
-    changing = [engine for engine in able if engine.changing]
-    if len(able) - len(changing) > 1:
-        return able
-    return changing
-
-
-def limit_changes(
-    found: list[Change], engines: list[EngineView]
-) -> list[Change]:
-    """Postpones all but a few changes from decode to prefill.
-
-    Engines that crash come back as decode engines. If all of them were ordered
-    to prefill at once, most engines of a small fleet would be unavailable for a
-    role change, and streams refused. A lost decode engine is still replaced at
-    once.
-    """
-    limit = max(1, len(engines) // ENGINES_PER_DEVIATION)
-    for engine in engines:
-        if engine.changing:
-            limit -= 1
-    kept = []
-    for change in found:
-        if change.role == types.Role.PREFILL:
-            limit -= 1
-            if limit < 0:
-                continue
-        kept.append(change)
-    return kept
-
-
-def leave_order(
-    engine: EngineView, decoders: list[EngineView]
-) -> tuple[bool, int, str]:
-    """Returns the sort key for picking the engine that stops decoding.
-
-    One of two engines of a version is picked last.
-    """
-    is_pair = count_version(engine, decoders) == 2
-    return not is_pair, *crowding(engine, decoders)
-
-
-def count_version(engine: EngineView, decoders: list[EngineView]) -> int:
-    """Counts the decode engines of an engine's version."""
-    count = 0
-    for other in decoders:
-        count += other.version == engine.version
-    return count
-
-
-def join_order(
-    engine: EngineView, decoders: list[EngineView]
-) -> tuple[float, int, int, str]:
-    """Returns the sort key for picking the next decode engine.
-
-    If there is none, the engine with the least to prefill comes first, since
-    it changes its role only after that.
-    """
-    waiting = 0.0 if decoders else round(engine.waiting, 1)
-    # A second engine of a version comes first, the only one of it last.
-    missing = {1: 0, 0: 2}.get(count_version(engine, decoders), 1)
-    return waiting, missing, *crowding(engine, decoders)
-
-
-def crowding(engine: EngineView, decoders: list[EngineView]) -> tuple[int, str]:
-    """Returns a sort key: decoders in the data centre, then the name."""
-    near = 0
-    for other in decoders:
-        if other.data_centre == engine.data_centre:
-            near += 1
-    return near, engine.name
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -7,8 +7,10 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import decode_reserve
 from gypsumfold.decisions import incarnations
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import configurations as configurations_module
@@ -60,6 +62,7 @@
     Attributes:
         pending: Orders whose effect is not visible yet, by engine.
         splits: The planned split of roles of each service.
+        policy: What the decode engines of a service survive.
         is_replacing: Whether most engines of a service are about to be
             replaced, so that role changes before there is traffic are wasted.
 
@@ -86,6 +89,7 @@
         self.endpoints = endpoints
         self.pending: dict[str, PendingOrder] = {}
         self.splits: dict[str, role_split.RoleSplit] = {}
+        self.policy = decode_reserve.Policy()
         self.tasks: set[asyncio.Task] = set()
         self.is_replacing: Callable[[str], bool] = lambda service: False
         directory.removal_listeners.append(self.forget)
@@ -147,7 +151,7 @@
                 self.directory.changing_until.get(replica.instance, 0.0) > now
             )
             views.append(
-                role_split.EngineView(
+                role_changes.EngineView(
                     replica.instance,
                     replica.data_centre,
                     role,
@@ -158,7 +162,11 @@
                 )
             )
         split = self.splits.setdefault(service.name, role_split.RoleSplit())
+        split.reserve.policy = self.policy
+        before = split.reserve.state()
         planned = split.plan(views, self.load(service, now), now)
+        if split.reserve.state() != before:
+            log_reserve(service, split)
         if split.is_idle(now) and self.is_replacing(service.name):
             return
         async with asyncio.TaskGroup() as group:
@@ -183,7 +191,7 @@
         return role_split.Load(prompts, streams, demand, moving)
 
     async def order(
-        self, service: types.Service, change: role_split.Change
+        self, service: types.Service, change: role_changes.Change
     ) -> None:
         """Gives one order.
 
@@ -310,3 +318,18 @@
             self.directory.confirm_role(replica.instance, role, until)
             self.gossip.announce_role(replica.instance, role, CONFIRMED_SECONDS)
             return
+
+
+def log_reserve(service: types.Service, split: role_split.RoleSplit) -> None:
+    """Logs the spare decode engines of a service."""
+    reserve = split.reserve
+    events.log(
+        events.ROLE_RESERVE_SHORT
+        if reserve.missing
+        else events.ROLE_RESERVE_KEPT,
+        service=service.name,
+        needed=split.target,
+        spares=reserve.spares,
+        missing=reserve.missing,
+        streams=round(split.streams, 3),
+    )
