Let reclaimable engines meet the minimum of a data centre

Cause: with follows_load a data centre kept as many engines that can't be reclaimed as the operators' minimum, though the minimum counts both kinds together. Change: where reclaimable engines meet the minimum, only the steady share is ordered; where they are gone, the minimum holds as before.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -29,6 +29,11 @@
     When 300 s pass with a mix that swings for 2.8 s inside phases of 14 s
     Then the number needed never falls within a phase, once it fits the load
 
+  Scenario: Engines that can't be reclaimed meet a minimum that others meet
+    Given 45 engines whose number follows the load
+    When 240 s pass with nothing wrong
+    Then a tenth of the engines needed can't be reclaimed, and no more but where none else is
+
   Scenario: A load that nothing foretold waits for engines until the next period
     Given 45 engines whose number follows the load
     When 200 s pass with nothing wrong
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -248,3 +248,17 @@
     before, divided, after = context.hears
     assert all(before) and all(after), context.hears
     assert divided and not any(divided), context.hears
+
+
+@behave.then(
+    "a tenth of the engines needed can't be reclaimed, and no more but where "
+    "none else is"
+)
+def step_steady(context):
+    play = context.play
+    expected = math.ceil(POLICY.steady_share * play.leader.total)
+    alone = 0
+    for count in play.present().values():
+        alone += count.spot < OFFER.least
+        assert count.spot + count.steady >= OFFER.least
+    assert expected <= play.platform.count_steady() <= expected + alone
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -207,7 +207,9 @@
             offer.prices, key=lambda name: (offer.prices[name], name)
         )
         floor = math.ceil(self.policy.steady_share * self.total)
-        floors = spreads.spread(floor, names, offer.least, offer.most)
+        # Following the load, both kinds meet the minimum of a data centre.
+        least = offer.least if self.sizer is None else 0
+        floors = spreads.spread(floor, names, least, offer.most)
         spots = self.spread_spots(names, floors, offer)
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
@@ -225,13 +227,15 @@
         expected = self.expected_spots(present, spot_orders, offer, now)
         remaining = spreads.remaining(expected)
         steady = wanted_steady(self.total, all_present, remaining, busy, floor)
-        steadies = spreads.spread(steady, names, offer.least, offer.most)
+        steadies = spreads.spread(steady, names, least, offer.most)
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
             count = min(steadies[place], offer.most - spots[place])
-            have = present.get(name, Count()).steady
-            found += self.plan_kind(Order(name, False, count), have, offer, now)
+            have = present.get(name, Count())
+            count = max(count, offer.least - have.spot)
+            order = Order(name, False, count)
+            found += self.plan_kind(order, have.steady, offer, now)
         return found
 
     def spread_spots(
