Split the types and the ranking out of prefix_routing

Change: types of prompts and choices are in decisions/prompts.py, the rendezvous ranking is in decisions/rendezvous.py. No behaviour changes.

--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -11,6 +11,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import prompts as prompts_module
 from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import topic_watches
@@ -94,10 +95,8 @@
     call = ingress.decode("POST", "/a/1", fields, b"", 1.0)
     assert call.deadline >= 1.0
     homes = prefix_routing_module.PrefixRouter()
-    engine = prefix_routing_module.Engine("engine-1", "10.0.0.1:1")
-    prompt = prefix_routing_module.Prompt(
-        call.chain, call.model, call.prompt_tokens
-    )
+    engine = prompts_module.Engine("engine-1", "10.0.0.1:1")
+    prompt = prompts_module.Prompt(call.chain, call.model, call.prompt_tokens)
     homes.choose(prompt, [engine], [engine], 1e6, 0.0)
 
 
--- a/features/support/prompt_load.py
+++ b/features/support/prompt_load.py
@@ -14,6 +14,7 @@
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import lateness
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import prompts as prompts_module
 
 RATE = 38_000.0
 OVERHEAD = 0.03
@@ -80,7 +81,7 @@
 
     ask: Ask
     node: int
-    choice: prefix_routing_module.Choice
+    choice: prompts_module.Choice
     sent: float
 
 
@@ -133,7 +134,7 @@
         self.names = [f"engine-{number}" for number in range(engines)]
         self.engines = {name: Engine() for name in self.names}
         self.candidates = [
-            prefix_routing_module.Engine(name, name) for name in self.names
+            prompts_module.Engine(name, name) for name in self.names
         ]
         self.nodes = [
             prefix_routing_module.PrefixRouter() for _ in range(nodes)
@@ -197,7 +198,7 @@
         homes = self.nodes[node]
         tokens = sum(part.tokens for part in ask.chain)
         urgency = ask.urgency if self.policy.layered else LEAST_URGENT
-        prompt = prefix_routing_module.Prompt(ask.chain, "m", tokens, urgency)
+        prompt = prompts_module.Prompt(ask.chain, "m", tokens, urgency)
         if self.policy.homes:
             choice = homes.choose(
                 prompt, self.candidates, self.candidates, COPY_RATE, self.now
@@ -231,8 +232,8 @@
     def shortest(
         self,
         homes: prefix_routing_module.PrefixRouter,
-        prompt: prefix_routing_module.Prompt,
-    ) -> prefix_routing_module.Choice:
+        prompt: prompts_module.Prompt,
+    ) -> prompts_module.Choice:
         """The engine with the shortest queue, wherever parts are cached."""
         name = min(
             self.names,
@@ -240,7 +241,7 @@
         )
         reading = homes.prefill_estimator(name).prefill_seconds(prompt.tokens)
         total = homes.expected_wait(name, self.now) + reading
-        return prefix_routing_module.Choice(
+        return prompts_module.Choice(
             name, "", prompt.tokens, reading, total, reading
         )
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -11,15 +11,13 @@
 
 import math
 import statistics
-from typing import NamedTuple
-from typing import Protocol
-
-import xxhash
 
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import prefill_demand
 from gypsumfold.decisions import prefill_rates
+from gypsumfold.decisions import prompts
+from gypsumfold.decisions import rendezvous
 
 # Engines compared for a prefix, in rendezvous order: all of a small fleet, and
 # enough of a large one that one of them is free (with 70 engines the chance
@@ -32,8 +30,6 @@
 # Fraction of its load for which a late prompt delays others: it is queued
 # behind them, but they wait for the chunk of it that is being prefilled.
 LATE_LOAD_FRACTION = 0.2
-# Urgencies from 0 to this are counted separately; larger ones count as this.
-MAX_URGENCY = 3
 # Seconds for which a prompt in prefill delays a more urgent one: engines
 # prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. Short
 # prompts that overtake long ones do not wait for all of them.
@@ -44,84 +40,6 @@
 COPY_OVERHEAD_SECONDS = 0.008
 
 
-class Engine(NamedTuple):
-    """An engine that can prefill the prompt or has blocks of it to copy.
-
-    Attributes:
-        name: Its instance ID.
-        address: IP:PORT.
-    """
-
-    name: str
-    address: str
-
-
-class Prompt(NamedTuple):
-    """A prompt to prefill.
-
-    Attributes:
-        chain: Its prefix chain.
-        model: The requested model.
-        tokens: Length in tokens.
-        urgency: Urgency of its route; 0 is the most urgent.
-    """
-
-    chain: chains.Chain
-    model: str
-    tokens: int
-    urgency: int = 0
-
-
-class Holder(NamedTuple):
-    """An engine that caches a prompt prefix, and how many tokens of it."""
-
-    name: str
-    address: str
-    tokens: int
-
-
-class Choice(NamedTuple):
-    """The engine chosen for a prompt, with time estimates.
-
-    Attributes:
-        engine: The engine's instance ID.
-        peer: Address of the engine to copy cached blocks from; empty for
-            none.
-        tokens: Tokens left to prefill.
-        prefill_seconds: Seconds to prefill them.
-        total_seconds: Seconds until prefill is complete, including the wait.
-        load: Seconds for which the prompt delays later prompts.
-        late_ahead: Seconds of late prompts queued ahead if this one is late.
-        late_key: Key under which it counts among late prompts; empty if it
-            is on time.
-        late_load: Seconds for which it delays late prompts behind it.
-        urgency: Urgency under which it counts as waiting.
-    """
-
-    engine: str
-    peer: str
-    tokens: int
-    prefill_seconds: float
-    total_seconds: float
-    load: float
-    late_ahead: float = 0.0
-    late_key: str = ""
-    late_load: float = 0.0
-    urgency: int = 0
-
-
-class LoadListener(Protocol):
-    """Receives changes of this node's load, to send them to other nodes."""
-
-    def sent(
-        self, engine: str, prefix_hashes: list[int], tokens: list[int]
-    ) -> None:
-        """A prompt was sent to an engine."""
-
-    def done(self) -> None:
-        """A prompt or stream at an engine has ended."""
-
-
 class PrefixRouter:
     """Chooses prefill engines by preferred engine, wait and cached prefixes.
 
@@ -137,7 +55,7 @@
         self.late = cluster_totals.ClusterTotals()
         self.demand = prefill_demand.PrefillDemand()
         self.cache_capacity = 0
-        self.listener: LoadListener | None = None
+        self.listener: prompts.LoadListener | None = None
 
     def prefill_estimator(self, engine: str) -> prefill_rates.PrefillEstimator:
         """Returns an engine's estimator, creating it if needed."""
@@ -153,18 +71,18 @@
         return statistics.median(rates) if rates else prefill_rates.INITIAL_RATE
 
     def expected_wait(
-        self, engine: str, now: float, urgency: int = MAX_URGENCY
+        self, engine: str, now: float, urgency: int = prompts.MAX_URGENCY
     ) -> float:
         """Seconds that a prompt is expected to wait at an engine.
 
         Less urgent prompts delay it only by the chunk being prefilled.
         """
-        urgency = min(urgency, MAX_URGENCY)
+        urgency = min(urgency, prompts.MAX_URGENCY)
         seen = self.prefill_estimator(engine).recent_wait(now, urgency)
         before = 0.0
         after = 0.0
-        for other in range(MAX_URGENCY + 1):
-            amount = self.waiting.total(urgency_key(engine, other), now)
+        for other in range(prompts.MAX_URGENCY + 1):
+            amount = self.waiting.total(prompts.urgency_key(engine, other), now)
             if other <= urgency:
                 before += amount
             else:
@@ -174,18 +92,20 @@
     def queued_seconds(self, engine: str, now: float) -> float:
         """Seconds of waiting prompts of any urgency at an engine."""
         seconds = 0.0
-        for urgency in range(MAX_URGENCY + 1):
-            seconds += self.waiting.total(urgency_key(engine, urgency), now)
+        for urgency in range(prompts.MAX_URGENCY + 1):
+            seconds += self.waiting.total(
+                prompts.urgency_key(engine, urgency), now
+            )
         return seconds
 
     def choose(
         self,
-        prompt: Prompt,
-        engines: list[Engine],
-        holders: list[Engine],
+        prompt: prompts.Prompt,
+        engines: list[prompts.Engine],
+        holders: list[prompts.Engine],
         copy_rate: float,
         now: float,
-    ) -> Choice | None:
+    ) -> prompts.Choice | None:
         """Chooses the engine that would complete the prompt's prefill first.
 
         Args:
@@ -204,7 +124,7 @@
         shared = parts[:-1]
         shared_tokens = sum(part.tokens for part in shared)
         holder = self.best_holder(shared, holders)
-        ranked = rank_engines(routing_key(parts), engines)
+        ranked = rendezvous.rank_engines(rendezvous.routing_key(parts), engines)
         best = None
         best_cost = math.inf
         for place, engine in enumerate(ranked[:MAX_CONSIDERED_ENGINES]):
@@ -222,13 +142,13 @@
 
     def estimate(
         self,
-        engine: Engine,
+        engine: prompts.Engine,
         cached: int,
-        holder: Holder,
-        prompt: Prompt,
+        holder: prompts.Holder,
+        prompt: prompts.Prompt,
         copy_rate: float,
         now: float,
-    ) -> Choice:
+    ) -> prompts.Choice:
         """Estimates how long a prompt takes at one engine.
 
         Args:
@@ -257,7 +177,7 @@
         total = wait + copying + prefill_seconds
         late_ahead = self.late_ahead(engine.name, prompt.urgency, now)
         load = estimator.busy_seconds(tokens)
-        return Choice(
+        return prompts.Choice(
             engine.name,
             peer,
             tokens,
@@ -265,35 +185,35 @@
             total,
             load,
             late_ahead,
-            urgency=min(prompt.urgency, MAX_URGENCY),
+            urgency=min(prompt.urgency, prompts.MAX_URGENCY),
         )
 
     def late_ahead(self, engine: str, urgency: int, now: float) -> float:
         """Seconds of late prompts queued ahead of a late prompt."""
         seconds = 0.0
-        for other in range(min(urgency, MAX_URGENCY) + 1):
-            seconds += self.late.total(urgency_key(engine, other), now)
+        for other in range(min(urgency, prompts.MAX_URGENCY) + 1):
+            seconds += self.late.total(prompts.urgency_key(engine, other), now)
         return seconds
 
     def best_holder(
-        self, shared: list[chains.Part], holders: list[Engine]
-    ) -> Holder:
+        self, shared: list[chains.Part], holders: list[prompts.Engine]
+    ) -> prompts.Holder:
         """Finds the engine that caches most of a prompt's shared prefix."""
-        best = Holder("", "", 0)
+        best = prompts.Holder("", "", 0)
         for engine in holders:
             tokens = self.caches.count_cached(engine.name, shared)
             if tokens > best.tokens:
-                best = Holder(engine.name, engine.address, tokens)
+                best = prompts.Holder(engine.name, engine.address, tokens)
         return best
 
     def sent(
         self,
-        choice: Choice,
+        choice: prompts.Choice,
         chain: chains.Chain,
         model: str,
         cache_capacity: int,
         urgency: int | None,
-    ) -> Choice:
+    ) -> prompts.Choice:
         """Records that a prompt was sent to an engine, which then caches it.
 
         Args:
@@ -313,7 +233,7 @@
         if urgency is not None:
             choice = choice._replace(
                 load=choice.load * LATE_LOAD_FRACTION,
-                late_key=urgency_key(choice.engine, urgency),
+                late_key=prompts.urgency_key(choice.engine, urgency),
                 # It delays all prompts a little, even the most urgent.
                 urgency=0,
                 late_load=choice.load,
@@ -322,13 +242,13 @@
         hashes = chains.prefix_hashes(chain, model)
         tokens = [block.tokens for block in chain]
         self.caches.add_hashes(choice.engine, hashes, tokens, cache_capacity)
-        key = urgency_key(choice.engine, choice.urgency)
+        key = prompts.urgency_key(choice.engine, choice.urgency)
         self.waiting.add(key, choice.load)
         if self.listener is not None:
             self.listener.sent(choice.engine, hashes, tokens)
         return choice
 
-    def done(self, choice: Choice, seconds: float, now: float) -> None:
+    def done(self, choice: prompts.Choice, seconds: float, now: float) -> None:
         """Records a completed prefill and updates the engine's estimates."""
         self.remove(choice)
         if not choice.late_key:
@@ -342,14 +262,14 @@
             )
         self.notify_load_change()
 
-    def dropped(self, choice: Choice) -> None:
+    def dropped(self, choice: prompts.Choice) -> None:
         """Records that a prompt isn't prefilled where it was sent."""
         self.remove(choice)
         self.notify_load_change()
 
-    def remove(self, choice: Choice) -> None:
+    def remove(self, choice: prompts.Choice) -> None:
         """Removes a prompt from the waiting load."""
-        key = urgency_key(choice.engine, choice.urgency)
+        key = prompts.urgency_key(choice.engine, choice.urgency)
         self.waiting.remove(key, choice.load)
         if choice.late_key:
             self.late.remove(choice.late_key, choice.late_load)
@@ -370,37 +290,6 @@
         """Drops the state of an engine that was removed."""
         self.caches.forget(engine)
         self.prefill_estimators.pop(engine, None)
-        for urgency in range(MAX_URGENCY + 1):
-            self.waiting.forget(urgency_key(engine, urgency))
-            self.late.forget(urgency_key(engine, urgency))
-
-
-def urgency_key(engine: str, urgency: int) -> str:
-    """Key of an engine's prompts of one urgency."""
-    return f"{engine}/{min(urgency, MAX_URGENCY)}"
-
-
-def routing_key(parts: list[chains.Part]) -> int:
-    """Returns the key of a prompt's preferred engine.
-
-    It stands for the longest prefix that other prompts can share. The last
-    block belongs to the request itself. The first block alone would not spread
-    the load: a kind of request may have only four different ones, and all its
-    prompts would go to four engines.
-
-    Returns:
-        The key; 0 for a prompt without blocks.
-    """
-    if not parts:
-        return 0
-    return parts[-2].prefix if len(parts) > 1 else parts[-1].prefix
-
-
-def rank_engines(key: int, engines: list[Engine]) -> list[Engine]:
-    """Ranks engines for a prefix key; the first is the preferred engine."""
-    return sorted(engines, key=lambda one: -rendezvous_weight(key, one.name))
-
-
-def rendezvous_weight(key: int, name: str) -> int:
-    """Weight of an engine for a prefix key in rendezvous hashing."""
-    return xxhash.xxh3_64_intdigest(f"{key}\n{name}".encode())
+        for urgency in range(prompts.MAX_URGENCY + 1):
+            self.waiting.forget(prompts.urgency_key(engine, urgency))
+            self.late.forget(prompts.urgency_key(engine, urgency))
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -9,6 +9,7 @@
 from gypsumfold import outcomes
 from gypsumfold.decisions import incarnations
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
+from gypsumfold.decisions import prompts as prompts_module
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import fingerprints
@@ -57,7 +58,7 @@
         route: routes.Route,
         service: types.Service,
         progress: progress_module.Progress,
-    ) -> prefix_routing_module.Choice | None:
+    ) -> prompts_module.Choice | None:
         """Chooses the prefill engine; None if no prefill is sent."""
         call = progress.call
         if not call.prompt_tokens:
@@ -66,7 +67,7 @@
         if service.token_bytes:
             rate = service.link_rate / service.token_bytes
         return self.prefix_router.choose(
-            prefix_routing_module.Prompt(
+            prompts_module.Prompt(
                 call.chain, call.model, call.prompt_tokens, route.urgency
             ),
             self.prefill_engines(service, progress.avoid),
@@ -77,7 +78,7 @@
 
     def cache_holders(
         self, service: types.Service
-    ) -> list[prefix_routing_module.Engine]:
+    ) -> list[prompts_module.Engine]:
         """Engines that may have cached prefix blocks, also draining ones."""
         found = []
         for replica in self.directory.replicas.values():
@@ -85,21 +86,19 @@
                 continue
             if replica.instance not in self.directory.suspects:
                 found.append(
-                    prefix_routing_module.Engine(
-                        replica.instance, replica.address
-                    )
+                    prompts_module.Engine(replica.instance, replica.address)
                 )
         return found
 
     def prefill_engines(
         self, service: types.Service, avoid: frozenset[str]
-    ) -> list[prefix_routing_module.Engine]:
+    ) -> list[prompts_module.Engine]:
         """Engines that can run the prefill."""
         found = []
         now = time.monotonic()
         for replica in self.directory.engines(service.name, True, now, avoid):
             found.append(
-                prefix_routing_module.Engine(replica.instance, replica.address)
+                prompts_module.Engine(replica.instance, replica.address)
             )
         return found
 
@@ -114,7 +113,7 @@
 
     async def prefill(
         self,
-        choice: prefix_routing_module.Choice,
+        choice: prompts_module.Choice,
         route: routes.Route,
         service: types.Service,
         progress: progress_module.Progress,
@@ -182,7 +181,7 @@
     async def exchange(
         self,
         replica: types.Replica,
-        choice: prefix_routing_module.Choice,
+        choice: prompts_module.Choice,
         instructions: types.Instructions,
         progress: progress_module.Progress,
     ) -> types.Handle:
@@ -216,7 +215,7 @@
             raise exceptions.EndpointNotStarted(str(error)) from error
 
     async def wait_for_prefill(
-        self, prefill: Coroutine, choice: prefix_routing_module.Choice
+        self, prefill: Coroutine, choice: prompts_module.Choice
     ) -> types.Handle:
         """Waits for a prefill as long as its engine completes any.
 
@@ -306,7 +305,7 @@
 
 
 def deadline_refusal(
-    choice: prefix_routing_module.Choice,
+    choice: prompts_module.Choice,
     progress: progress_module.Progress,
     deferred_ahead: float,
 ) -> exceptions.Unavailable:
