Share the speed of engines among gateways and move waiting prompts

Cause: a gateway learns an engine's speed from its own prompts, 3 % for each, so that a slow spell of 0.6 s or 6 s is over before dozens of gateways know of it; a prompt stays where it was sent. Change: with [prefill] shared_speed, gateways report taken and expected seconds of engines that differ and multiply waits and prefill times by the ratio; with [prefill] moves, a prompt is taken back once from a slow or leaving engine. Both are off by default; empty kinds of load beyond the first six take no bytes.

--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -135,6 +135,8 @@
         self.leaving = False
         # Whether it answers each run with a failure, at once.
         self.failing = False
+        # How many times as long as usual it reads prompts.
+        self.slowness = 1.0
         # Seconds of rest that it asks for; it turns all away then.
         self.rest = 0.0
         self.place = place
@@ -651,7 +653,8 @@
                 found.cached.add(part.id)
                 tokens += part.tokens
         now = self.fleet.site.clock()
-        found.free_at = max(now, found.free_at) + tokens / READING
+        seconds = found.slowness * tokens / READING
+        found.free_at = max(now, found.free_at) + seconds
         if not await found.lasts(found.free_at - now):
             raise exceptions.AnswerBroken("the connection ended")
         return types.Handle(found.instance, found.address, call.id)
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -126,6 +126,7 @@
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
             replicas=settings_module.ReplicasSection(leaving_ms),
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
+            prefill=site.prefill,
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
             ),
@@ -305,6 +306,7 @@
         self.fleet: virtual_engines.Fleet | None = None
         self.platform: virtual_operations.Platform | None = None
         self.duties = [names.USAGE_DUTY]
+        self.prefill = settings_module.PrefillSection()
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
@@ -25,6 +25,10 @@
 # Relative change of the rate estimate per observation; 20 observations change
 # it by a third.
 RATE_STEP_FRACTION = 0.03
+# Observations from which an engine's own rate counts. With dozens of nodes, one
+# of them sends an engine a prompt every few seconds; the rate of all engines
+# together is learned sooner.
+MIN_OBSERVATIONS = 20
 # Shorter prompts say little about the rate: their tokens take less time than
 # the fixed overhead.
 MIN_TOKENS = 1500
@@ -52,6 +56,7 @@
 
     def __init__(self):
         self.rate = INITIAL_RATE
+        self.observations = 0
         self.waits: dict[int, ObservedWait] = {}
 
     def prefill_seconds(self, tokens: int) -> float:
@@ -85,12 +90,18 @@
         self.waits[urgency] = ObservedWait(wait, now)
         if tokens < MIN_TOKENS or seconds <= PROMPT_OVERHEAD_SECONDS:
             return
+        self.observations += 1
         rate = tokens / (seconds - PROMPT_OVERHEAD_SECONDS)
         if rate > self.rate:
             self.rate *= 1 + RATE_STEP_FRACTION * (1 - FAST_FRACTION)
         else:
             self.rate *= 1 - RATE_STEP_FRACTION * FAST_FRACTION
 
+    def start_from(self, usual: "PrefillEstimator") -> None:
+        """Takes over another rate until this engine's own one is known."""
+        if self.observations < MIN_OBSERVATIONS:
+            self.rate = usual.rate
+
     def recent_wait(self, now: float, urgency: int = 0) -> float:
         """Observed wait of prompts of one urgency, decayed by its age."""
         wait = self.waits.get(urgency)
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -9,7 +9,6 @@
 links, which takes milliseconds; prefilling it again takes tenths of a second.
 """
 
-import math
 import statistics
 
 from gypsumfold.decisions import chains
@@ -18,6 +17,7 @@
 from gypsumfold.decisions import prefill_rates
 from gypsumfold.decisions import prompts
 from gypsumfold.decisions import rendezvous
+from gypsumfold.decisions import slow_engines as slow_engines_module
 
 # Engines compared for a prefix, in rendezvous order: all of a small fleet, and
 # enough of a large one that one of them is free (with 70 engines the chance
@@ -51,17 +51,23 @@
     def __init__(self):
         self.caches = chains.PrefixCaches()
         self.prefill_estimators: dict[str, prefill_rates.PrefillEstimator] = {}
+        # The rate over all engines.
+        self.usual = prefill_rates.PrefillEstimator()
         self.waiting = cluster_totals.ClusterTotals()
         self.late = cluster_totals.ClusterTotals()
         self.demand = prefill_demand.PrefillDemand()
+        self.slow_engines = slow_engines_module.SlowEngines()
         self.cache_capacity = 0
         self.listener: prompts.LoadListener | None = None
 
     def prefill_estimator(self, engine: str) -> prefill_rates.PrefillEstimator:
         """Returns an engine's estimator, creating it if needed."""
-        return self.prefill_estimators.setdefault(
+        estimator = self.prefill_estimators.setdefault(
             engine, prefill_rates.PrefillEstimator()
         )
+        if self.slow_engines.enabled:
+            estimator.start_from(self.usual)
+        return estimator
 
     def median_rate(self) -> float:
         """Median prefill rate of the known engines, in tokens per second."""
@@ -125,8 +131,9 @@
         shared_tokens = sum(part.tokens for part in shared)
         holder = self.best_holder(shared, holders)
         ranked = rendezvous.rank_engines(rendezvous.routing_key(parts), engines)
-        best = None
-        best_cost = math.inf
+        self.slow_engines.compare([engine.name for engine in engines], now)
+        choices = []
+        costs = []
         for place, engine in enumerate(ranked[:MAX_CONSIDERED_ENGINES]):
             cached = self.caches.count_cached(engine.name, parts)
             choice = self.estimate(
@@ -136,9 +143,14 @@
             if place > 0:
                 rate = self.prefill_estimator(ranked[0].name).rate
                 cost += PREFERRED_WEIGHT * shared_tokens / rate
-            if cost < best_cost:
-                best, best_cost = choice, cost
-        return best
+            choices.append(choice)
+            costs.append(cost)
+        if not choices:
+            return None
+        best = costs.index(min(costs))
+        if best and self.slow_engines.factor(ranked[0].name, now) > 1.0:
+            best = self.slow_engines.pick(costs)
+        return choices[best]
 
     def estimate(
         self,
@@ -174,7 +186,9 @@
         estimator = self.prefill_estimator(engine.name)
         prefill_seconds = estimator.prefill_seconds(tokens)
         wait = self.expected_wait(engine.name, now, prompt.urgency)
-        total = wait + copying + prefill_seconds
+        expected = wait + copying + prefill_seconds
+        factor = self.slow_engines.factor(engine.name, now)
+        total = factor * (wait + prefill_seconds) + copying
         late_ahead = self.late_ahead(engine.name, prompt.urgency, now)
         load = estimator.busy_seconds(tokens)
         return prompts.Choice(
@@ -186,6 +200,7 @@
             load,
             late_ahead,
             urgency=min(prompt.urgency, prompts.MAX_URGENCY),
+            expected=expected,
         )
 
     def late_ahead(self, engine: str, urgency: int, now: float) -> float:
@@ -213,6 +228,7 @@
         model: str,
         cache_capacity: int,
         urgency: int | None,
+        now: float | None = None,
     ) -> prompts.Choice:
         """Records that a prompt was sent to an engine, which then caches it.
 
@@ -224,6 +240,8 @@
             urgency: Urgency of the route if the prompt is late: others are
                 served before it and hardly wait for it. None if it is on
                 time.
+            now: Current time; None if its duration says nothing of the
+                engine's speed.
 
         Returns:
             The choice with the load it counts for, to pass to `done` or
@@ -239,6 +257,11 @@
                 late_load=choice.load,
             )
             self.late.add(choice.late_key, choice.late_load)
+        elif now is not None:
+            choice = choice._replace(sent_at=now)
+            self.slow_engines.started(
+                choice.engine, slow_engines_module.Open(now, choice.expected)
+            )
         hashes = chains.prefix_hashes(chain, model)
         tokens = [block.tokens for block in chain]
         self.caches.add_hashes(choice.engine, hashes, tokens, cache_capacity)
@@ -252,19 +275,36 @@
         """Records a completed prefill and updates the engine's estimates."""
         self.remove(choice)
         if not choice.late_key:
-            estimator = self.prefill_estimator(choice.engine)
-            estimator.observe(
+            self.slow_engines.record(
+                choice.engine, seconds, choice.expected, now
+            )
+            # What a slow spell adds is neither a queue nor the usual rate.
+            factor = self.slow_engines.factor(choice.engine, now)
+            observed = (
                 choice.tokens,
                 choice.prefill_seconds,
-                seconds,
+                seconds / factor,
                 now,
                 choice.urgency,
             )
+            self.prefill_estimator(choice.engine).observe(*observed)
+            self.usual.observe(*observed)
         self.notify_load_change()
 
-    def dropped(self, choice: prompts.Choice) -> None:
-        """Records that a prompt isn't prefilled where it was sent."""
+    def dropped(self, choice: prompts.Choice, now: float | None = None) -> None:
+        """Records that a prompt isn't prefilled where it was sent.
+
+        Args:
+            choice: The engine.
+            now: Current time; None if the engine wasn't slow.
+        """
         self.remove(choice)
+        if now is not None and choice.sent_at is not None:
+            age = now - choice.sent_at
+            if age > choice.expected:
+                self.slow_engines.record(
+                    choice.engine, age, choice.expected, now
+                )
         self.notify_load_change()
 
     def remove(self, choice: prompts.Choice) -> None:
@@ -273,6 +313,11 @@
         self.waiting.remove(key, choice.load)
         if choice.late_key:
             self.late.remove(choice.late_key, choice.late_load)
+        if choice.sent_at is not None:
+            self.slow_engines.ended(
+                choice.engine,
+                slow_engines_module.Open(choice.sent_at, choice.expected),
+            )
 
     def notify_load_change(self) -> None:
         """Notifies the listener that this node's load has changed."""
@@ -290,6 +335,7 @@
         """Drops the state of an engine that was removed."""
         self.caches.forget(engine)
         self.prefill_estimators.pop(engine, None)
+        self.slow_engines.forget(engine)
         for urgency in range(prompts.MAX_URGENCY + 1):
             self.waiting.forget(prompts.urgency_key(engine, urgency))
             self.late.forget(prompts.urgency_key(engine, urgency))
--- a/packages/gypsumfold/src/gypsumfold/decisions/prompts.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prompts.py
@@ -61,6 +61,9 @@
             is on time.
         late_load: Seconds for which it delays late prompts behind it.
         urgency: Urgency under which it counts as waiting.
+        expected: Seconds until prefill is complete if the engine has its usual
+            speed, including the wait.
+        sent_at: When the prompt was sent; None where that isn't recorded.
     """
 
     engine: str
@@ -73,6 +76,8 @@
     late_key: str = ""
     late_load: float = 0.0
     urgency: int = 0
+    expected: float = 0.0
+    sent_at: float | None = None
 
 
 class LoadListener(Protocol):
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -199,6 +199,13 @@
     "info",
     "A node that was asked for a part of an allowance did not answer.",
 )
+PREFILL_MOVED = define(
+    240,
+    "prefill-moved",
+    "info",
+    "A prompt waited at an engine that is slow or leaving; it was taken back "
+    "and is sent to another one.",
+)
 RATE_LIMIT_CHANGED = define(
     340,
     "rate-limit-changed",
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -117,6 +117,10 @@
     """Nothing listens at the endpoint's address."""
 
 
+class PrefillMoved(EndpointNotStarted):
+    """A prompt was taken back from a prefill engine, to be sent elsewhere."""
+
+
 class EndpointUndetermined(EndpointError):
     """The endpoint may or may not have run the dispatch."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -121,6 +121,16 @@
             registry=self.registry,
         )
 
+        self.slow_engines = prometheus_client.Gauge(
+            "gypsumfold_slow_engines",
+            "Engines that prefill slowly at the moment, over all nodes.",
+            registry=self.registry,
+        )
+        self.moved_prompts = prometheus_client.Gauge(
+            "gypsumfold_moved_prompts",
+            "Prompts taken back from slow or leaving engines since the start.",
+            registry=self.registry,
+        )
         self.keys_refused = prometheus_client.Gauge(
             "gypsumfold_refused_keys",
             "Requests refused for their key since the start.",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -135,6 +135,9 @@
             retry_permits_module.lend_nothing, rng
         )
         self.prefix_router = prefix_routing_module.PrefixRouter()
+        slow_engines = self.prefix_router.slow_engines
+        slow_engines.enabled = settings.prefill.shared_speed
+        slow_engines.rng = rng
         self.counters = counters_module.Counters()
         self.generations = generations.Generations(
             self.directory,
@@ -144,6 +147,8 @@
             self.prefix_router,
             self.quarantine,
         )
+        if settings.prefill.moves:
+            self.generations.prefills.moves.budget = self.budget
         self.origins = origins_module.Origins(self.directory)
         self.generations.notify_begin = self.origins.begin
         self.configurations.listeners.append(self.origins.observe_configuration)
@@ -474,6 +479,10 @@
         self.counters.keys_refused.set(self.authenticator.refused)
         lost = self.directory.reachability.unreachable
         self.counters.unreachable.set(len(lost))
+        slow = self.prefix_router.slow_engines.slow(time.monotonic())
+        self.counters.slow_engines.set(len(slow))
+        moves = self.generations.prefills.moves
+        self.counters.moved_prompts.set(moves.count)
         for source, count in self.origins.results.items():
             self.counters.taken_up.labels(source).set(count)
         for result, count in self.forwarder.results.items():
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -157,7 +157,11 @@
                     break
                 progress.has_retry = True
             if attempt:
-                progress.log_retry("the previous attempt failed")
+                progress.log_retry(
+                    "the prompt was taken back"
+                    if progress.moved_from
+                    else "the previous attempt failed"
+                )
             try:
                 await self.attempt(route, service, stream, progress)
                 return
@@ -187,7 +191,9 @@
     ) -> bool:
         """Whether a request that may have run may run again."""
         can_repeat = route.resumable or route.repeatable
-        return can_repeat and progress.runs < route.attempts
+        # A second prefill counts as an attempt.
+        used = progress.runs + bool(progress.moved_from)
+        return can_repeat and used < route.attempts
 
     async def attempt(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
@@ -8,19 +8,40 @@
 ENCODER = msgspec.msgpack.Encoder()
 
 
+def pack(message: messages.Message) -> bytes:
+    """Encodes a message, without load kinds that no setting asks for."""
+    if isinstance(message, messages.Report):
+        loads = without_empty_kinds(message.loads)
+        message = msgspec.structs.replace(message, loads=loads)
+    elif isinstance(message, messages.Summary):
+        loads = without_empty_kinds(message.load_delta)
+        message = msgspec.structs.replace(message, load_delta=loads)
+    return ENCODER.encode(message)
+
+
+def without_empty_kinds(
+    loads: messages.EngineLoads | messages.LoadDelta,
+) -> tuple[dict, ...]:
+    """Returns the kinds of load up to the last that has to be sent."""
+    kinds = msgspec.structs.astuple(loads)
+    while len(kinds) > messages.ALWAYS_SENT_KINDS and not kinds[-1]:
+        kinds = kinds[:-1]
+    return kinds
+
+
 def encode(
     message: messages.Message,
     sealer: seals.Sealer,
 ) -> bytes:
     """Encodes a message as one datagram."""
-    return sealer.seal(ENCODER.encode(message))
+    return sealer.seal(pack(message))
 
 
 def fits_datagram(
     message: messages.Report | messages.Summary, sealer: seals.Sealer
 ) -> bool:
     """Whether a message fits into one datagram."""
-    size = len(ENCODER.encode(message)) + sealer.overhead
+    size = len(pack(message)) + sealer.overhead
     return size <= messages.MAX_DATAGRAM_BYTES
 
 
@@ -83,9 +104,9 @@
         ),
     ]
     halves[0].members = []
-    whole = len(ENCODER.encode(summary))
+    whole = len(pack(summary))
     for half in halves:
-        if len(ENCODER.encode(half)) >= whole:
+        if len(pack(half)) >= whole:
             return []
     return halves
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -8,6 +8,10 @@
 
 # Seconds after which the loads reported by a silent node no longer count.
 EXPIRY_SECONDS = 3.0
+# The same for the kinds that say which engines are slow at the moment: a spell
+# may last 0.6 s, and the report of a node that was killed must not outlast it.
+SLOW_EXPIRY_SECONDS = 0.6
+SLOW_KINDS = ("slow_taken", "slow_expected")
 
 
 class LoadDeltaEncoder:
@@ -72,11 +76,14 @@
             "demand": self.prefix_router.demand.node_totals,
             "failures": self.directory.failure_rates.failures,
             "answers": self.directory.failure_rates.answers,
+            "slow_taken": self.prefix_router.slow_engines.taken,
+            "slow_expected": self.prefix_router.slow_engines.expected,
         }
 
     def own(self, now: float) -> messages.EngineLoads:
         """Returns the work of this node alone."""
         failure_rates = self.directory.failure_rates
+        slow_engines = self.prefix_router.slow_engines
         return messages.EngineLoads(
             rounded(self.prefix_router.waiting.own),
             rounded(self.directory.streams.own),
@@ -84,6 +91,8 @@
             rounded(self.prefix_router.demand.own(now)),
             rounded(failure_rates.own_failures_now(now)),
             rounded(failure_rates.own_answers_now(now)),
+            rounded(slow_engines.own_taken_now(now)),
+            rounded(slow_engines.own_expected_now(now)),
         )
 
     def site_totals(self, now: float) -> messages.EngineLoads:
@@ -99,7 +108,10 @@
     ) -> None:
         """Replaces the loads reported by a source, valid until a time."""
         for kind, totals in self.totals_by_kind().items():
-            totals.set_remote(source, getattr(loads, kind), until)
+            end = until
+            if kind in SLOW_KINDS:
+                end = until - EXPIRY_SECONDS + SLOW_EXPIRY_SECONDS
+            totals.set_remote(source, getattr(loads, kind), end)
 
     def drop(self, source: str) -> None:
         """Drops the loads reported by a source."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -69,6 +69,9 @@
         demand: Number of engines that arriving prompts keep busy, by service.
         failures: Recent failed answers, by replica.
         answers: Recent answers of the replicas with failures.
+        slow_taken: Seconds that recent prefills took, by engine that differs
+            from the median, relative to the sender's median engine.
+        slow_expected: Seconds that they should have taken.
     """
 
     prompts: dict[str, Amount] = {}
@@ -77,6 +80,8 @@
     demand: dict[str, Amount] = {}
     failures: dict[str, Amount] = {}
     answers: dict[str, Amount] = {}
+    slow_taken: dict[str, Amount] = {}
+    slow_expected: dict[str, Amount] = {}
 
 
 class LoadDelta(msgspec.Struct, array_like=True):
@@ -93,10 +98,15 @@
     demand: dict[str, Thousandths] = {}
     failures: dict[str, Thousandths] = {}
     answers: dict[str, Thousandths] = {}
+    slow_taken: dict[str, Thousandths] = {}
+    slow_expected: dict[str, Thousandths] = {}
 
 
 # The fields of `EngineLoads` and `LoadDelta`.
 LOAD_KINDS = EngineLoads.__struct_fields__
+# The first of them are always sent; the others, which settings ask for, only
+# up to the last one that isn't empty.
+ALWAYS_SENT_KINDS = 6
 
 
 class Updates(msgspec.Struct, array_like=True):
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -1,20 +1,23 @@
 """Runs prefills: chooses the engine, sets the timeout, handles failures."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import time
 
 from gypsumfold import events
 from gypsumfold import exceptions
-from gypsumfold import outcomes
 from gypsumfold.decisions import incarnations
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import prompts as prompts_module
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import fingerprints
+from gypsumfold.gateway import prefill_moves
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
+from gypsumfold.gateway import refusals
 from gypsumfold.gateway import run_results
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
@@ -51,6 +54,9 @@
         self.quarantine = quarantine
         self.endpoints = endpoints
         self.prefix_router = prefix_router
+        self.moves = prefill_moves.PrefillMoves(
+            directory, prefix_router, quarantine
+        )
         self.tasks: set[asyncio.Task] = set()
 
     def place(
@@ -58,8 +64,10 @@
         route: routes.Route,
         service: types.Service,
         progress: progress_module.Progress,
+        avoid: frozenset[str] = frozenset(),
     ) -> prompts_module.Choice | None:
         """Chooses the prefill engine; None if no prefill is sent."""
+        avoid |= progress.avoid
         call = progress.call
         if not call.prompt_tokens:
             return None
@@ -70,20 +78,24 @@
             prompts_module.Prompt(
                 call.chain, call.model, call.prompt_tokens, route.urgency
             ),
-            self.prefill_engines(service, progress.avoid),
-            self.cache_holders(service),
+            self.prefill_engines(service, avoid),
+            self.cache_holders(service, avoid),
             rate,
             time.monotonic(),
         )
 
     def cache_holders(
-        self, service: types.Service
+        self, service: types.Service, avoid: frozenset[str]
     ) -> list[prompts_module.Engine]:
         """Engines that may have cached prefix blocks, also draining ones."""
         found = []
+        # What was prefilled at an engine is cached only once it completes.
+        avoid = avoid if self.moves.budget is not None else frozenset()
         for replica in self.directory.replicas.values():
             if replica.service != service.name or replica.role is None:
                 continue
+            if replica.instance in avoid:
+                continue
             if replica.instance not in self.directory.suspects:
                 found.append(
                     prompts_module.Engine(replica.instance, replica.address)
@@ -135,7 +147,7 @@
         )
         if rank.hopeless and not progress.may_have_run:
             deferred_ahead = choice.late_ahead if rank.deferred else 0.0
-            raise deadline_refusal(choice, progress, deferred_ahead)
+            raise refusals.deadline_refusal(choice, progress, deferred_ahead)
         events.log(
             events.PROMPT_PLACED,
             request=call.id,
@@ -161,17 +173,24 @@
             call.model,
             service.cache_tokens,
             route.urgency if rank.deferred else None,
+            sent,
+        )
+        check = functools.partial(
+            self.moves.check, choice, route, service, progress, self.place
         )
         try:
             handle = await self.exchange(
-                replica, choice, instructions, progress
+                replica, choice, instructions, progress, check
             )
+        except exceptions.PrefillMoved:
+            self.prefix_router.dropped(choice, time.monotonic())
+            raise
         except exceptions.EndpointNotStarted as error:
-            self.prefix_router.dropped(choice)
+            self.prefix_router.dropped(choice, time.monotonic())
             progress.record_failure(replica, str(error))
             raise
         except asyncio.CancelledError:
-            self.prefix_router.dropped(choice)
+            self.prefix_router.dropped(choice, time.monotonic())
             raise
         now = time.monotonic()
         self.results.answered(replica, SUCCESS_STATUS, now)
@@ -184,6 +203,7 @@
         choice: prompts_module.Choice,
         instructions: types.Instructions,
         progress: progress_module.Progress,
+        check: Callable[[], None],
     ) -> types.Handle:
         """Sends a prefill to an engine and records failures of the engine.
 
@@ -192,7 +212,9 @@
         """
         prefill = self.endpoints.prefill(replica, progress.call, instructions)
         try:
-            return await self.wait_for_prefill(prefill, choice)
+            return await self.wait_for_prefill(prefill, choice, check)
+        except exceptions.PrefillMoved:
+            raise
         except TimeoutError as error:
             self.results.failed(replica, error, time.monotonic())
             raise exceptions.EndpointNotStarted(
@@ -215,7 +237,10 @@
             raise exceptions.EndpointNotStarted(str(error)) from error
 
     async def wait_for_prefill(
-        self, prefill: Coroutine, choice: prompts_module.Choice
+        self,
+        prefill: Coroutine,
+        choice: prompts_module.Choice,
+        check: Callable[[], None],
     ) -> types.Handle:
         """Waits for a prefill as long as its engine completes any.
 
@@ -225,7 +250,7 @@
         Raises:
             TimeoutError: The engine has completed nothing for the timeout, or
                 is suspected to have failed.
-            exceptions.EndpointError: The prefill failed.
+            exceptions.EndpointError: The prefill failed or is to be moved.
         """
         timeout = max(
             MIN_PREFILL_TIMEOUT_SECONDS,
@@ -248,6 +273,7 @@
                 )
                 if done:
                     return task.result()
+                check()
         finally:
             self.directory.request_ended(choice.engine)
             task.cancel()
@@ -302,33 +328,3 @@
                 handle=handle.id,
                 reason=repr(error),
             )
-
-
-def deadline_refusal(
-    choice: prompts_module.Choice,
-    progress: progress_module.Progress,
-    deferred_ahead: float,
-) -> exceptions.Unavailable:
-    """Makes the refusal of a request that cannot start before its deadline.
-
-    The caller may retry once the prompts queued now have been processed.
-
-    Args:
-        choice: The engine that would have completed the prefill first.
-        progress: Progress of the request.
-        deferred_ahead: Seconds of deferred prefills queued ahead.
-    """
-    left = progress.time_left()
-    events.log(
-        events.CALL_HOPELESS,
-        request=progress.call.id,
-        instance=choice.engine,
-        expected=round(choice.total_seconds, 3),
-        behind=round(deferred_ahead, 3),
-        left=round(left, 3),
-    )
-    return exceptions.Unavailable(
-        "the engines have too much to read",
-        outcomes.Outcome.NOT_RUN,
-        min(choice.total_seconds + deferred_ahead, max(0.0, left / 3)),
-    )
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -46,6 +46,8 @@
         avoid: Instances that failed to serve it.
         backoff_end: When the first replica that could serve it may be asked
             again; None if one may be now.
+        moved_from: Instance from which its prompt was taken back to be sent to
+            another engine; empty if none was.
         prefill_address: Address of the engine that ran the prefill; empty
             before that.
         handle: KV cache of the prompt that is not fetched yet.
@@ -73,6 +75,7 @@
         self.runs = 0
         self.avoid: frozenset[str] = frozenset()
         self.backoff_end: float | None = None
+        self.moved_from = ""
         self.prefill_address = ""
         self.handle: types.Handle | None = None
         self.service = ""
@@ -219,6 +222,8 @@
 
     def record_not_started(self, error: exceptions.EndpointNotStarted) -> None:
         """Records that an attempt did not start, and whether it was sent."""
+        if isinstance(error, exceptions.PrefillMoved):
+            return
         for each in (error, error.__cause__):
             if isinstance(each, exceptions.EndpointWithheld):
                 return
@@ -227,6 +232,13 @@
                 return
         self.record_arrival()
 
+    def record_move(self, instance: str) -> None:
+        """Records that the prompt is taken back and a retry was taken."""
+        self.moved_from = instance
+        self.avoid |= {instance}
+        self.arrived = True
+        self.has_retry = True
+
     def record_arrival(self) -> None:
         """Records that a replica may have received an attempt."""
         self.arrived = True
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -202,6 +202,20 @@
         )
 
 
+class PrefillSection(settings_module.Section):
+    """Engines that prefill slowly at the moment.
+
+    Attributes:
+        shared_speed: Whether nodes tell each other which engines are slow, and
+            send them fewer prompts.
+        moves: Whether a prompt that waits at an engine that is slow or leaving
+            may be sent to another one, out of the retry budget.
+    """
+
+    shared_speed: bool = False
+    moves: bool = False
+
+
 class ShutdownSection(settings_module.Section):
     """The graceful shutdown.
 
@@ -238,6 +252,7 @@
     operations: OperationsSection = OperationsSection()
     usage: UsageSection = UsageSection()
     scaling: ScalingSection = ScalingSection()
+    prefill: PrefillSection = PrefillSection()
     shutdown: ShutdownSection = ShutdownSection()
     metrics: MetricsSection = MetricsSection()
 
