--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
@@ -9,8 +9,9 @@
 # Below it, prefilling the prompt again gains no time.
 MOVE_FACTOR = 1.5
 # Seconds that an overdue prompt is expected to still take, as a fraction of
-# its age: nothing is known but that it has taken this long.
-OVERDUE_FRACTION = 0.5
+# its age: nothing is known but that it has taken this long. With a half,
+# prompts at an engine that takes 20 times as long waited 0.4 s and more.
+OVERDUE_FRACTION = 1.0
 # What completion elsewhere has to gain: a fraction of the estimated time, for
 # its error, and at least the time of a usual prompt's prefill, as the move
 # repeats work that was begun.
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -240,8 +240,7 @@
             urgency: Urgency of the route if the prompt is late: others are
                 served before it and hardly wait for it. None if it is on
                 time.
-            now: Current time; None if its duration says nothing of the
-                engine's speed.
+            now: Current time; None if its duration is not measured.
 
         Returns:
             The choice with the load it counts for, to pass to `done` or
@@ -255,10 +254,12 @@
                 # It delays all prompts a little, even the most urgent.
                 urgency=0,
                 late_load=choice.load,
+                expected=choice.expected + choice.late_ahead,
             )
             self.late.add(choice.late_key, choice.late_load)
-        elif now is not None:
-            choice = choice._replace(sent_at=now)
+        choice = choice._replace(sent_at=now)
+        # How long a late prompt takes says little: others are served first.
+        if now is not None and not choice.late_key:
             self.slow_engines.started(
                 choice.engine, slow_engines_module.Open(now, choice.expected)
             )
@@ -299,7 +300,8 @@
             now: Current time; None if the engine wasn't slow.
         """
         self.remove(choice)
-        if now is not None and choice.sent_at is not None:
+        timed = choice.sent_at is not None and not choice.late_key
+        if now is not None and timed:
             age = now - choice.sent_at
             if age > choice.expected:
                 self.slow_engines.record(
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
@@ -82,7 +82,10 @@
         other = place(route, service, progress, frozenset([engine]))
         if other is None:
             return
-        if not prefill_moves.gains(here, other.total_seconds):
+        elsewhere = other.total_seconds
+        if choice.late_key:
+            elsewhere += other.late_ahead
+        if not prefill_moves.gains(here, elsewhere):
             return
         # The other engine may crash as well.
         if not self.quarantine.is_unsuspected(progress):
@@ -100,6 +103,6 @@
             factor=round(factor, 2),
             waited=round(now - choice.sent_at, 3),
             here=round(here, 3),
-            elsewhere=round(other.total_seconds, 3),
+            elsewhere=round(elsewhere, 3),
         )
         raise exceptions.PrefillMoved(f"{engine} is slow or leaving")
