Keep what a moved prompt says of its engine

Cause: a prompt that was moved counted with its age alone, so an engine from which prompts were moved looked normal (known to 0.2 to 0.3 of the gateways during the spell instead of 0.57), and prompts went there again. Change: a dropped prompt that is overdue counts with twice its age; prompts are moved from engines that take twice as long or more.

--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -659,7 +659,14 @@
         now = self.fleet.site.clock()
         seconds = found.slowness * tokens / READING
         found.free_at = max(now, found.free_at) + seconds
-        if not await found.lasts(found.free_at - now):
+        try:
+            lasts = await found.lasts(found.free_at - now)
+        except asyncio.CancelledError:
+            # It doesn't go on with what nobody waits for.
+            left = found.free_at - self.fleet.site.clock()
+            found.free_at -= max(0.0, min(seconds, left))
+            raise
+        if not lasts:
             raise exceptions.AnswerBroken("the connection ended")
         return types.Handle(found.instance, found.address, call.id)
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
@@ -6,12 +6,13 @@
 """
 
 # Ratio of taken to usual seconds from which an engine's prompts may be moved.
-# Below it, prefilling the prompt again gains no time.
-MOVE_FACTOR = 1.5
+# Below it, prefilling the prompt again gains no time, and where engines are
+# half busy, prompts that other nodes sent at the same moment look like this.
+MOVE_FACTOR = 2.0
 # Seconds that an overdue prompt is expected to still take, as a fraction of
 # its age: nothing is known but that it has taken this long. With a half,
 # prompts at an engine that takes 20 times as long waited 0.4 s and more.
-OVERDUE_FRACTION = 1.0
+OVERDUE_FRACTION = 0.5
 # What completion elsewhere has to gain: a fraction of the estimated time, for
 # its error, and at least the time of a usual prompt's prefill, as the move
 # repeats work that was begun.
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -34,6 +34,9 @@
 # prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. Short
 # prompts that overtake long ones do not wait for all of them.
 CHUNK_SECONDS = 0.032
+# Multiple of a dropped prompt's age that counts as the time it would have
+# taken: the least that is known is its age.
+UNANSWERED_WEIGHT = 2.0
 # Below this copying takes longer than prefill: 400 tokens take 10 ms.
 MIN_COPY_TOKENS = 400
 # Fixed time to copy cached blocks, in addition to the transfer of their bytes.
@@ -299,14 +302,16 @@
             choice: The engine.
             now: Current time; None if the engine wasn't slow.
         """
-        self.remove(choice)
         timed = choice.sent_at is not None and not choice.late_key
         if now is not None and timed:
+            # It would have taken longer: without this, moving prompts away
+            # from an engine would make it look normal.
             age = now - choice.sent_at
             if age > choice.expected:
                 self.slow_engines.record(
-                    choice.engine, age, choice.expected, now
+                    choice.engine, UNANSWERED_WEIGHT * age, choice.expected, now
                 )
+        self.remove(choice)
         self.notify_load_change()
 
     def remove(self, choice: prompts.Choice) -> None:
