--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -14,9 +14,7 @@
   Scenario Outline: Prompts are taken back from an engine that <trouble>
     Given 8 gateways with 6 engines that prefill, shared speed and moves
     When 1 of the engines takes 20 times as long and <trouble>
-    Then prompts are moved away from it, each once
-    And only prompts of routes with two attempts are moved
-    And what arrives again stays within the retry budget
+    Then prompts are moved away from it, each once, within the retry budget
     And every request with two attempts is answered and no refusal is false
 
     Examples:
@@ -24,17 +22,6 @@
       | stays      | 4    |
       | is leaving | 5    |
 
-  Scenario Outline: Nothing is moved <case>
-    Given a prompt that has waited 0.4 seconds of an expected 0.1
-    When its engine takes <factor> times as long, and another <elsewhere> seconds
-    Then with <attempts> attempts it is not moved
-
-    Examples:
-      | case                              | factor | elsewhere | attempts |
-      | from an engine of usual speed     | 1.0    | 0.05      | 2        |
-      | without another attempt           | 6.0    | 0.05      | 1        |
-      | where the caller gains nothing    | 6.0    | 0.18      | 2        |
-
   Scenario Outline: Only what differs from the other engines is slow: <case>
     Given a gateway whose prompts take <own> times as long at 6 engines
     And another gateway that reports <reported> times at <engines> of them
@@ -50,14 +37,9 @@
   Scenario: A spell is known before the first answer and forgotten soon
     Given a gateway that has sent a prompt to an engine that holds it
     Then the engine is slow 0.3 seconds later, before it answers
-    And 0.3 seconds after usual answers it is not
-    And 1 second without any prompt it is not
+    And 0.3 seconds after usual answers, or 1 without any, it is not
     And the report of a gateway that was killed counts for 0.6 seconds
 
-  Scenario: Gateways that learn of a slow engine at once take different others
-    Given 40 gateways that know the same costs of 8 engines
-    Then no engine is taken by more than half of them
-
   Scenario: Without the setting reports take the same bytes as before
     Given a report without slow engines
     Then its loads have six kinds on the wire, and with a slow engine eight
