--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -135,6 +135,8 @@
         self.leaving = False
         # Whether it answers each run with a failure, at once.
         self.failing = False
+        # How many times as long as usual it reads prompts.
+        self.slowness = 1.0
         # Seconds of rest that it asks for; it turns all away then.
         self.rest = 0.0
         self.place = place
@@ -656,14 +658,26 @@
         self.arrive(found, replica, call, False)
         if found.stage != "prefill":
             raise exceptions.EndpointMismatch("another role")
+        peer = self.fleet.replicas.get(instructions.cache_peer)
+        if peer is not None:
+            # It copies what the other engine has cached.
+            found.cached |= peer.cached & parts_of(call)
         tokens = 0
         for part in call.chain:
             if part.id not in found.cached:
                 found.cached.add(part.id)
                 tokens += part.tokens
         now = self.fleet.site.clock()
-        found.free_at = max(now, found.free_at) + tokens / READING
-        if not await found.lasts(found.free_at - now):
+        seconds = found.slowness * tokens / READING
+        found.free_at = max(now, found.free_at) + seconds
+        try:
+            lasts = await found.lasts(found.free_at - now)
+        except asyncio.CancelledError:
+            # It doesn't go on with what nobody waits for.
+            left = found.free_at - self.fleet.site.clock()
+            found.free_at -= max(0.0, min(seconds, left))
+            raise
+        if not lasts:
             raise exceptions.AnswerBroken("the connection ended")
         return types.Handle(found.instance, found.address, call.id)
 
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -127,6 +127,7 @@
             replicas=settings_module.ReplicasSection(leaving_ms),
             roles=site.roles,
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
+            prefill=site.prefill,
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
             ),
@@ -309,6 +310,7 @@
         self.platform: virtual_operations.Platform | None = None
         self.duties = [names.USAGE_DUTY]
         self.roles = settings_module.RolesSection()
+        self.prefill = settings_module.PrefillSection()
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -9,18 +9,16 @@
 links, which takes milliseconds; prefilling it again takes tenths of a second.
 """
 
-import math
 import statistics
-from typing import NamedTuple
-from typing import Protocol
-
-import xxhash
 
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import prefill_demand
 from gypsumfold.decisions import prefill_rates
 from gypsumfold.decisions import prefix_usage
+from gypsumfold.decisions import prompts
+from gypsumfold.decisions import rendezvous
+from gypsumfold.decisions import slow_engines as slow_engines_module
 
 # Engines compared for a prefix, in rendezvous order: all of a small fleet, and
 # enough of a large one that one of them is free (with 70 engines the chance
@@ -33,96 +31,19 @@
 # Fraction of its load for which a late prompt delays others: it is queued
 # behind them, but they wait for the chunk of it that is being prefilled.
 LATE_LOAD_FRACTION = 0.2
-# Urgencies from 0 to this are counted separately; larger ones count as this.
-MAX_URGENCY = 3
 # Seconds for which a prompt in prefill delays a more urgent one: engines
 # prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. Short
 # prompts that overtake long ones do not wait for all of them.
 CHUNK_SECONDS = 0.032
+# Multiple of a dropped prompt's age that counts as the time it would have
+# taken: the least that is known is its age.
+UNANSWERED_WEIGHT = 2.0
 # Below this copying takes longer than prefill: 400 tokens take 10 ms.
 MIN_COPY_TOKENS = 400
 # Fixed time to copy cached blocks, in addition to the transfer of their bytes.
 COPY_OVERHEAD_SECONDS = 0.008
 
 
-class Engine(NamedTuple):
-    """An engine that can prefill the prompt or has blocks of it to copy.
-
-    Attributes:
-        name: Its instance ID.
-        address: IP:PORT.
-    """
-
-    name: str
-    address: str
-
-
-class Prompt(NamedTuple):
-    """A prompt to prefill.
-
-    Attributes:
-        chain: Its prefix chain.
-        model: The requested model.
-        tokens: Length in tokens.
-        urgency: Urgency of its route; 0 is the most urgent.
-    """
-
-    chain: chains.Chain
-    model: str
-    tokens: int
-    urgency: int = 0
-
-
-class Holder(NamedTuple):
-    """An engine that caches a prompt prefix, and how many tokens of it."""
-
-    name: str
-    address: str
-    tokens: int
-
-
-class Choice(NamedTuple):
-    """The engine chosen for a prompt, with time estimates.
-
-    Attributes:
-        engine: The engine's instance ID.
-        peer: Address of the engine to copy cached blocks from; empty for
-            none.
-        tokens: Tokens left to prefill.
-        prefill_seconds: Seconds to prefill them.
-        total_seconds: Seconds until prefill is complete, including the wait.
-        load: Seconds for which the prompt delays later prompts.
-        late_ahead: Seconds of late prompts queued ahead if this one is late.
-        late_key: Key under which it counts among late prompts; empty if it
-            is on time.
-        late_load: Seconds for which it delays late prompts behind it.
-        urgency: Urgency under which it counts as waiting.
-    """
-
-    engine: str
-    peer: str
-    tokens: int
-    prefill_seconds: float
-    total_seconds: float
-    load: float
-    late_ahead: float = 0.0
-    late_key: str = ""
-    late_load: float = 0.0
-    urgency: int = 0
-
-
-class LoadListener(Protocol):
-    """Receives changes of this node's load, to send them to other nodes."""
-
-    def sent(
-        self, engine: str, prefix_hashes: list[int], tokens: list[int]
-    ) -> None:
-        """A prompt was sent to an engine."""
-
-    def done(self) -> None:
-        """A prompt or stream at an engine has ended."""
-
-
 class PrefixRouter:
     """Chooses prefill engines by preferred engine, wait and cached prefixes.
 
@@ -134,18 +55,24 @@
     def __init__(self):
         self.caches = chains.PrefixCaches()
         self.prefill_estimators: dict[str, prefill_rates.PrefillEstimator] = {}
+        # The rate over all engines.
+        self.usual = prefill_rates.PrefillEstimator()
         self.waiting = cluster_totals.ClusterTotals()
         self.late = cluster_totals.ClusterTotals()
         self.demand = prefill_demand.PrefillDemand()
+        self.slow_engines = slow_engines_module.SlowEngines()
         self.cache_capacity = 0
-        self.listener: LoadListener | None = None
+        self.listener: prompts.LoadListener | None = None
         self.usage: prefix_usage.PrefixUsage | None = None
 
     def prefill_estimator(self, engine: str) -> prefill_rates.PrefillEstimator:
         """Returns an engine's estimator, creating it if needed."""
-        return self.prefill_estimators.setdefault(
+        estimator = self.prefill_estimators.setdefault(
             engine, prefill_rates.PrefillEstimator()
         )
+        if self.slow_engines.enabled:
+            estimator.start_from(self.usual)
+        return estimator
 
     def median_rate(self) -> float:
         """Median prefill rate of the known engines, in tokens per second."""
@@ -155,18 +82,18 @@
         return statistics.median(rates) if rates else prefill_rates.INITIAL_RATE
 
     def expected_wait(
-        self, engine: str, now: float, urgency: int = MAX_URGENCY
+        self, engine: str, now: float, urgency: int = prompts.MAX_URGENCY
     ) -> float:
         """Seconds that a prompt is expected to wait at an engine.
 
         Less urgent prompts delay it only by the chunk being prefilled.
         """
-        urgency = min(urgency, MAX_URGENCY)
+        urgency = min(urgency, prompts.MAX_URGENCY)
         seen = self.prefill_estimator(engine).recent_wait(now, urgency)
         before = 0.0
         after = 0.0
-        for other in range(MAX_URGENCY + 1):
-            amount = self.waiting.total(urgency_key(engine, other), now)
+        for other in range(prompts.MAX_URGENCY + 1):
+            amount = self.waiting.total(prompts.urgency_key(engine, other), now)
             if other <= urgency:
                 before += amount
             else:
@@ -176,18 +103,20 @@
     def queued_seconds(self, engine: str, now: float) -> float:
         """Seconds of waiting prompts of any urgency at an engine."""
         seconds = 0.0
-        for urgency in range(MAX_URGENCY + 1):
-            seconds += self.waiting.total(urgency_key(engine, urgency), now)
+        for urgency in range(prompts.MAX_URGENCY + 1):
+            seconds += self.waiting.total(
+                prompts.urgency_key(engine, urgency), now
+            )
         return seconds
 
     def choose(
         self,
-        prompt: Prompt,
-        engines: list[Engine],
-        holders: list[Engine],
+        prompt: prompts.Prompt,
+        engines: list[prompts.Engine],
+        holders: list[prompts.Engine],
         copy_rate: float,
         now: float,
-    ) -> Choice | None:
+    ) -> prompts.Choice | None:
         """Chooses the engine that would complete the prompt's prefill first.
 
         Args:
@@ -206,9 +135,10 @@
         shared = parts[:-1]
         shared_tokens = sum(part.tokens for part in shared)
         holder = self.best_holder(shared, holders)
-        ranked = rank_engines(routing_key(parts), engines)
-        best = None
-        best_cost = math.inf
+        ranked = rendezvous.rank_engines(rendezvous.routing_key(parts), engines)
+        self.slow_engines.compare([engine.name for engine in engines], now)
+        choices = []
+        costs = []
         for place, engine in enumerate(ranked[:MAX_CONSIDERED_ENGINES]):
             cached = self.caches.count_cached(engine.name, parts)
             choice = self.estimate(
@@ -218,19 +148,24 @@
             if place > 0:
                 rate = self.prefill_estimator(ranked[0].name).rate
                 cost += PREFERRED_WEIGHT * shared_tokens / rate
-            if cost < best_cost:
-                best, best_cost = choice, cost
-        return best
+            choices.append(choice)
+            costs.append(cost)
+        if not choices:
+            return None
+        best = costs.index(min(costs))
+        if best and self.slow_engines.factor(ranked[0].name, now) > 1.0:
+            best = self.slow_engines.pick(costs)
+        return choices[best]
 
     def estimate(
         self,
-        engine: Engine,
+        engine: prompts.Engine,
         cached: int,
-        holder: Holder,
-        prompt: Prompt,
+        holder: prompts.Holder,
+        prompt: prompts.Prompt,
         copy_rate: float,
         now: float,
-    ) -> Choice:
+    ) -> prompts.Choice:
         """Estimates how long a prompt takes at one engine.
 
         Args:
@@ -256,10 +191,12 @@
         estimator = self.prefill_estimator(engine.name)
         prefill_seconds = estimator.prefill_seconds(tokens)
         wait = self.expected_wait(engine.name, now, prompt.urgency)
-        total = wait + copying + prefill_seconds
+        expected = wait + copying + prefill_seconds
+        factor = self.slow_engines.factor(engine.name, now)
+        total = factor * (wait + prefill_seconds) + copying
         late_ahead = self.late_ahead(engine.name, prompt.urgency, now)
         load = estimator.busy_seconds(tokens)
-        return Choice(
+        return prompts.Choice(
             engine.name,
             peer,
             tokens,
@@ -267,35 +204,37 @@
             total,
             load,
             late_ahead,
-            urgency=min(prompt.urgency, MAX_URGENCY),
+            urgency=min(prompt.urgency, prompts.MAX_URGENCY),
+            expected=expected,
         )
 
     def late_ahead(self, engine: str, urgency: int, now: float) -> float:
         """Seconds of late prompts queued ahead of a late prompt."""
         seconds = 0.0
-        for other in range(min(urgency, MAX_URGENCY) + 1):
-            seconds += self.late.total(urgency_key(engine, other), now)
+        for other in range(min(urgency, prompts.MAX_URGENCY) + 1):
+            seconds += self.late.total(prompts.urgency_key(engine, other), now)
         return seconds
 
     def best_holder(
-        self, shared: list[chains.Part], holders: list[Engine]
-    ) -> Holder:
+        self, shared: list[chains.Part], holders: list[prompts.Engine]
+    ) -> prompts.Holder:
         """Finds the engine that caches most of a prompt's shared prefix."""
-        best = Holder("", "", 0)
+        best = prompts.Holder("", "", 0)
         for engine in holders:
             tokens = self.caches.count_cached(engine.name, shared)
             if tokens > best.tokens:
-                best = Holder(engine.name, engine.address, tokens)
+                best = prompts.Holder(engine.name, engine.address, tokens)
         return best
 
     def sent(
         self,
-        choice: Choice,
+        choice: prompts.Choice,
         chain: chains.Chain,
         model: str,
         cache_capacity: int,
         urgency: int | None,
-    ) -> Choice:
+        now: float | None = None,
+    ) -> prompts.Choice:
         """Records that a prompt was sent to an engine, which then caches it.
 
         Args:
@@ -306,6 +245,7 @@
             urgency: Urgency of the route if the prompt is late: others are
                 served before it and hardly wait for it. None if it is on
                 time.
+            now: Current time; None if its duration is not measured.
 
         Returns:
             The choice with the load it counts for, to pass to `done` or
@@ -315,16 +255,23 @@
         if urgency is not None:
             choice = choice._replace(
                 load=choice.load * LATE_LOAD_FRACTION,
-                late_key=urgency_key(choice.engine, urgency),
+                late_key=prompts.urgency_key(choice.engine, urgency),
                 # It delays all prompts a little, even the most urgent.
                 urgency=0,
                 late_load=choice.load,
+                expected=choice.expected + choice.late_ahead,
             )
             self.late.add(choice.late_key, choice.late_load)
+        choice = choice._replace(sent_at=now)
+        # How long a late prompt takes says little: others are served first.
+        if now is not None and not choice.late_key:
+            self.slow_engines.started(
+                choice.engine, slow_engines_module.Open(now, choice.expected)
+            )
         hashes = chains.prefix_hashes(chain, model)
         tokens = [block.tokens for block in chain]
         self.caches.add_hashes(choice.engine, hashes, tokens, cache_capacity)
-        key = urgency_key(choice.engine, choice.urgency)
+        key = prompts.urgency_key(choice.engine, choice.urgency)
         self.waiting.add(key, choice.load)
         if self.usage is not None:
             self.usage.record(choice.engine, hashes, tokens)
@@ -332,31 +279,56 @@
             self.listener.sent(choice.engine, hashes, tokens)
         return choice
 
-    def done(self, choice: Choice, seconds: float, now: float) -> None:
+    def done(self, choice: prompts.Choice, seconds: float, now: float) -> None:
         """Records a completed prefill and updates the engine's estimates."""
         self.remove(choice)
         if not choice.late_key:
-            estimator = self.prefill_estimator(choice.engine)
-            estimator.observe(
+            self.slow_engines.record(
+                choice.engine, seconds, choice.expected, now
+            )
+            # What a slow spell adds is neither a queue nor the usual rate.
+            factor = self.slow_engines.factor(choice.engine, now)
+            observed = (
                 choice.tokens,
                 choice.prefill_seconds,
-                seconds,
+                seconds / factor,
                 now,
                 choice.urgency,
             )
+            self.prefill_estimator(choice.engine).observe(*observed)
+            self.usual.observe(*observed)
         self.notify_load_change()
 
-    def dropped(self, choice: Choice) -> None:
-        """Records that a prompt isn't prefilled where it was sent."""
+    def dropped(self, choice: prompts.Choice, now: float | None = None) -> None:
+        """Records that a prompt isn't prefilled where it was sent.
+
+        Args:
+            choice: The engine.
+            now: Current time; None if the engine wasn't slow.
+        """
+        timed = choice.sent_at is not None and not choice.late_key
+        if now is not None and timed:
+            # It would have taken longer: without this, moving prompts away
+            # from an engine would make it look normal.
+            age = now - choice.sent_at
+            if age > choice.expected:
+                self.slow_engines.record(
+                    choice.engine, UNANSWERED_WEIGHT * age, choice.expected, now
+                )
         self.remove(choice)
         self.notify_load_change()
 
-    def remove(self, choice: Choice) -> None:
+    def remove(self, choice: prompts.Choice) -> None:
         """Removes a prompt from the waiting load."""
-        key = urgency_key(choice.engine, choice.urgency)
+        key = prompts.urgency_key(choice.engine, choice.urgency)
         self.waiting.remove(key, choice.load)
         if choice.late_key:
             self.late.remove(choice.late_key, choice.late_load)
+        if choice.sent_at is not None:
+            self.slow_engines.ended(
+                choice.engine,
+                slow_engines_module.Open(choice.sent_at, choice.expected),
+            )
 
     def notify_load_change(self) -> None:
         """Notifies the listener that this node's load has changed."""
@@ -376,37 +348,7 @@
         """Drops the state of an engine that was removed."""
         self.caches.forget(engine)
         self.prefill_estimators.pop(engine, None)
-        for urgency in range(MAX_URGENCY + 1):
-            self.waiting.forget(urgency_key(engine, urgency))
-            self.late.forget(urgency_key(engine, urgency))
-
-
-def urgency_key(engine: str, urgency: int) -> str:
-    """Key of an engine's prompts of one urgency."""
-    return f"{engine}/{min(urgency, MAX_URGENCY)}"
-
-
-def routing_key(parts: list[chains.Part]) -> int:
-    """Returns the key of a prompt's preferred engine.
-
-    It stands for the longest prefix that other prompts can share. The last
-    block belongs to the request itself. The first block alone would not spread
-    the load: a kind of request may have only four different ones, and all its
-    prompts would go to four engines.
-
-    Returns:
-        The key; 0 for a prompt without blocks.
-    """
-    if not parts:
-        return 0
-    return parts[-2].prefix if len(parts) > 1 else parts[-1].prefix
-
-
-def rank_engines(key: int, engines: list[Engine]) -> list[Engine]:
-    """Ranks engines for a prefix key; the first is the preferred engine."""
-    return sorted(engines, key=lambda one: -rendezvous_weight(key, one.name))
-
-
-def rendezvous_weight(key: int, name: str) -> int:
-    """Weight of an engine for a prefix key in rendezvous hashing."""
-    return xxhash.xxh3_64_intdigest(f"{key}\n{name}".encode())
+        self.slow_engines.forget(engine)
+        for urgency in range(prompts.MAX_URGENCY + 1):
+            self.waiting.forget(prompts.urgency_key(engine, urgency))
+            self.late.forget(prompts.urgency_key(engine, urgency))
