Send second copies of slow idempotent calls

Cause: a call that meets a slow replica waits for it while others are idle. Change: with [copies] share, a call without an answer for longer than the 95th percentile of its route is sent to a second replica, within the limits of the operators, the site's retry budget and the route's attempts. The unused hedge of the older path is removed. Result: not measured yet.

--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -99,6 +99,15 @@
     seconds: float
 
 
+class Worked(NamedTuple):
+    """A call on which a plain replica worked, until its end or a cut."""
+
+    attempt: str
+    instance: str
+    started: float
+    ended: float
+
+
 class Crashed(NamedTuple):
     """A replica that ended.
 
@@ -133,6 +142,8 @@
         self.rate_limit: float | None = None
         # Whether its answers say that it leaves.
         self.leaving = False
+        # Seconds that a plain replica works on a call.
+        self.work = WORK
         # Whether it answers each run with a failure, at once.
         self.failing = False
         # Seconds of rest that it asks for; it turns all away then.
@@ -273,6 +284,7 @@
         # The same of the first answer that says that the replica leaves.
         self.told_leaving: dict[tuple[int, str], float] = {}
         self.rests: list[Asked] = []
+        self.worked: list[Worked] = []
         # Reports, orders and the like, as time, process and instance.
         self.own_calls: list[tuple[float, int, str]] = []
         self.replicas: dict[str, Replica] = {}
@@ -624,8 +636,15 @@
         self.arrive(found, replica, call, True)
         if not found.stage:
             answer = Answer(found, call, 1)
-            if not await found.lasts(WORK):
-                raise exceptions.AnswerBroken("the connection ended")
+            started = self.fleet.site.clock()
+            try:
+                if not await found.lasts(found.work):
+                    raise exceptions.AnswerBroken("the connection ended")
+            finally:
+                ended = self.fleet.site.clock()
+                self.fleet.worked.append(
+                    Worked(call.id, found.instance, started, ended)
+                )
             return answer
         if found.stage != "decode":
             raise exceptions.EndpointMismatch("another role")
--- a/packages/gypsumfold/src/gypsumfold/decisions/retries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retries.py
@@ -1,4 +1,4 @@
-"""Decides whether and when work is retried or hedged.
+"""Decides whether and when work is retried.
 
 Load pattern: an outage or a slow fleet, in which every failed attempt is
 retried. Without a budget retries multiply the load just when the fleet can
@@ -22,9 +22,6 @@
 MAX_DELAY_SECONDS = 2.0
 # Attempts of one request, the first included.
 MAX_ATTEMPTS = 3
-# Multiple of the expected time to first token after which an urgent repeatable
-# request is sent to a second replica: about its 99th percentile.
-HEDGE_RATIO = 4.0
 
 
 class Retries(Protocol):
@@ -38,11 +35,6 @@
     ) -> float | None:
         """Returns the seconds until the next attempt; None for no attempt."""
 
-    def hedge(
-        self, request: types.Request, silent: float, expected: float
-    ) -> bool:
-        """Whether to send a second copy of a request without an answer yet."""
-
 
 class BudgetedRetries:
     """Retries with jitter, within a share of the traffic and the deadline.
@@ -81,17 +73,6 @@
         self.budget -= 1
         return delay
 
-    def hedge(
-        self, request: types.Request, silent: float, expected: float
-    ) -> bool:
-        """Hedges only urgent repeatable work, within the same budget."""
-        if not request.repeatable or request.urgency > 0:
-            return False
-        if silent < HEDGE_RATIO * expected or self.budget < 1:
-            return False
-        self.budget -= 1
-        return True
-
 
 class AlwaysRetry:
     """The baseline: retries at once, up to the same number of attempts."""
@@ -104,9 +85,3 @@
     ) -> float | None:
         """Returns 0 until all attempts are used."""
         return 0.0 if attempt < MAX_ATTEMPTS else None
-
-    def hedge(
-        self, request: types.Request, silent: float, expected: float
-    ) -> bool:
-        """Never hedges."""
-        return False
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -199,6 +199,18 @@
     "info",
     "A node that was asked for a part of an allowance did not answer.",
 )
+COPY_STARTED = define(
+    239,
+    "copy-started",
+    "info",
+    "A second copy of a slow request is sent to another replica.",
+)
+COPIES_ENDED = define(
+    223,
+    "copies-ended",
+    "info",
+    "One of the two copies of a request has won, or none has.",
+)
 RATE_LIMIT_CHANGED = define(
     340,
     "rate-limit-changed",
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -107,6 +107,13 @@
             ("service", "result"),
             registry=self.registry,
         )
+        self.copies = prometheus_client.Gauge(
+            "gypsumfold_copies",
+            "Second copies of slow requests since the start that were started "
+            "or won, and those that a limit refused, by its name.",
+            ("service", "result"),
+            registry=self.registry,
+        )
         self.taken_up = prometheus_client.Gauge(
             "gypsumfold_taken_up_streams",
             "Streams that callers have taken up since the start, by how the "
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -22,6 +22,7 @@
 from gypsumfold.decisions import incarnations as incarnations_module
 from gypsumfold.decisions import rate_limits as rate_limits_module
 from gypsumfold.decisions import reachability as reachability_module
+from gypsumfold.decisions import second_copies as second_copies_module
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
@@ -112,6 +113,7 @@
         self.decode_available_at: dict[str, float] = {}
         self.health = health.Health(rng)
         self.failure_rates = failure_rates_module.FailureRates()
+        self.second_copies = second_copies_module.SecondCopies()
         self.removal_listeners = []
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -125,6 +125,7 @@
         self.directory.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.record_statement
         self.endpoints.admission = self.directory.check_backoff
+        self.directory.second_copies.change(settings.copies.policy)
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
         )
@@ -182,17 +183,18 @@
             self.retry_permits,
             self.gossip.find_others,
         )
+        self.plain_calls = plain_calls.PlainCalls(
+            self.directory,
+            self.endpoints,
+            self.retry_permits,
+            self.rate_permits,
+            settings.node.data_centre,
+            self.quarantine,
+        )
         self.handler = handling.Handler(
             self.configurations,
             self.budget,
-            plain_calls.PlainCalls(
-                self.directory,
-                self.endpoints,
-                self.retry_permits,
-                self.rate_permits,
-                settings.node.data_centre,
-                self.quarantine,
-            ),
+            self.plain_calls,
             self.generations,
             self.counters,
             self.authenticator,
@@ -455,6 +457,7 @@
         )
         self.budget.nodes = nodes
         self.budget.partitioned = apart
+        self.directory.second_copies.is_site_known = nodes > 0 and not apart
 
     def update_gauges(self) -> None:
         """Updates the gauges of nodes, relays, crashes and store calls."""
@@ -482,6 +485,8 @@
             self.counters.retries.labels(service, "allowed").set(count)
         for service, count in self.budget.refused.items():
             self.counters.retries.labels(service, "refused").set(count)
+        for (service, result), count in self.plain_calls.copies.results.items():
+            self.counters.copies.labels(service, result).set(count)
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
@@ -498,6 +503,7 @@
             return
         self.budget.policy = budget_policy(self.settings)
         self.authenticator.policy = self.settings.accounts.policy
+        self.directory.second_copies.change(self.settings.copies.policy)
         events.log(events.SETTINGS_RELOADED)
 
     async def shut_down(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -123,7 +123,9 @@
         call = call._replace(deadline=limit)
         progress = progress_module.Progress(call, self.usage)
         progress.service = route.pick_service(call.id)
-        self.budget.record_request(progress.service, time.monotonic())
+        now = time.monotonic()
+        self.budget.record_request(progress.service, now)
+        self.directory.second_copies.record_request(progress.service, now)
         await self.run(
             configuration, route, reply, progress, self.serve_or_forward
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -69,6 +69,7 @@
         demand: Number of engines that arriving prompts keep busy, by service.
         failures: Recent failed answers, by replica.
         answers: Recent answers of the replicas with failures.
+        copies: What limits second copies, as in `decisions/second_copies.py`.
     """
 
     prompts: dict[str, Amount] = {}
@@ -77,6 +78,7 @@
     demand: dict[str, Amount] = {}
     failures: dict[str, Amount] = {}
     answers: dict[str, Amount] = {}
+    copies: dict[str, Amount] = {}
 
 
 class LoadDelta(msgspec.Struct, array_like=True):
@@ -93,6 +95,7 @@
     demand: dict[str, Thousandths] = {}
     failures: dict[str, Thousandths] = {}
     answers: dict[str, Thousandths] = {}
+    copies: dict[str, Thousandths] = {}
 
 
 # The fields of `EngineLoads` and `LoadDelta`.
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -1,12 +1,15 @@
 """Serves calls to plain services, with retries on other replicas."""
 
 import asyncio
+from collections.abc import Callable
+import functools
 import time
 
 import msgspec
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import copies as copies_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
@@ -47,6 +50,9 @@
         self.retry_permits = retry_permits
         self.rate_permits = rate_permits
         self.data_centre = data_centre
+        self.copies = copies_module.Copies(
+            directory, retry_permits, quarantine, data_centre
+        )
 
     async def serve(
         self,
@@ -84,7 +90,8 @@
             if attempt:
                 progress.log_retry("the previous attempt failed")
             try:
-                found = await self.attempt(replica, route, progress)
+                send = functools.partial(self.attempt, route, progress)
+                found = await self.copies.run(replica, route, progress, send)
             except exceptions.EndpointNotStarted as error:
                 progress.record_not_started(error)
                 continue
@@ -134,12 +141,20 @@
 
     async def attempt(
         self,
-        replica: types.Replica,
         route: routes.Route,
         progress: progress_module.Progress,
+        replica: types.Replica,
+        notify_head: Callable[[], None],
     ) -> types.WholeAnswer:
         """Sends a call to one replica and reads its complete answer.
 
+        Args:
+            route: The call's route.
+            progress: Its progress.
+            replica: The replica.
+            notify_head: Called once the head of an answer that isn't a failure
+                has come.
+
         Raises:
             exceptions.EndpointNotStarted: The replica ran nothing of it.
             exceptions.AnswerBroken: It may have run.
@@ -159,7 +174,7 @@
         sent_at = time.time()
         try:
             async with asyncio.timeout(limit):
-                answer = await self.exchange(replica, progress)
+                answer = await self.exchange(replica, progress, notify_head)
             progress.record_begin(sent_at)
             self.quarantine.record_completion(run)
             return answer
@@ -189,9 +204,13 @@
         """Records a replica's failure."""
         progress.record_failure(replica, reason)
         self.results.failed(replica, error, time.monotonic())
+        self.copies.record_failure(replica, error)
 
     async def exchange(
-        self, replica: types.Replica, progress: progress_module.Progress
+        self,
+        replica: types.Replica,
+        progress: progress_module.Progress,
+        notify_head: Callable[[], None],
     ) -> types.WholeAnswer:
         """Sends a call to a replica and reads the answer to its end."""
         instructions = types.Instructions(progress.time_left())
@@ -202,6 +221,8 @@
                 raise exceptions.EndpointRefused(
                     "the replica has no free capacity"
                 )
+            if not run_results.is_failure(answer.status):
+                notify_head()
             body = await answer.read()
         finally:
             answer.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -1,12 +1,16 @@
 """Settings of a gateway: one TOML file, checked as a whole."""
 
 import pathlib
+from typing import Annotated
+
+import msgspec
 
 from gypsumfold import settings as settings_module
 from gypsumfold.decisions import capacity
 from gypsumfold.decisions import client_keys
 from gypsumfold.decisions import metering
 from gypsumfold.decisions import relays
+from gypsumfold.decisions import second_copies
 
 Seconds = settings_module.Seconds
 
@@ -140,6 +144,24 @@
     slack: float = 0.0
 
 
+class CopiesSection(settings_module.Section):
+    """Second copies of slow requests.
+
+    Attributes:
+        share: Copies as a fraction of the requests of a service in a window,
+            over all nodes; 0 for none.
+        window_s: Length of a window in seconds.
+    """
+
+    share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
+    window_s: Seconds = 10.0
+
+    @property
+    def policy(self) -> second_copies.Policy:
+        """How many copies are sent."""
+        return second_copies.Policy(self.share, self.window_s)
+
+
 class OrdersSection(settings_module.Section):
     """Authority to give orders to engines.
 
@@ -234,6 +256,7 @@
     replicas: ReplicasSection = ReplicasSection()
     accounts: AccountsSection = AccountsSection()
     retries: RetriesSection = RetriesSection()
+    copies: CopiesSection = CopiesSection()
     orders: OrdersSection = OrdersSection()
     operations: OperationsSection = OperationsSection()
     usage: UsageSection = UsageSection()
