--- /dev/null
+++ b/features/steps/second_copies_steps.py
@@ -0,0 +1,411 @@
+"""Steps on second copies of slow requests."""
+
+import asyncio
+import collections
+import itertools
+import math
+import random
+import time
+from unittest import mock
+
+import behave
+from features.support import virtual_budget
+from features.support import virtual_callers
+from features.support import virtual_engines
+from features.support import virtual_gateways
+
+from gypsumfold import exceptions
+from gypsumfold.decisions import canaries as canaries_module
+from gypsumfold.decisions import retry_budget
+from gypsumfold.decisions import routes
+from gypsumfold.decisions import second_copies
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_calls
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import rate_permits
+from gypsumfold.gateway import retry_permits
+from gypsumfold.gateway import runs
+from gypsumfold.gateway import types
+
+RATE = 60.0
+OBJECTIVE = 0.2
+SLOW_WORK = 0.3
+# Share of requests that are slow, just below that which stops all copies.
+SLOW_SHARE = 0.45
+# Seconds between two spells of a slow replica, and of one spell.
+PAUSE = 6.0
+SPELL = 0.6
+# Seconds after the winner's answer in which the other copy has to end, and for
+# which two copies may run.
+CUT = 0.05
+LONGEST_OVERLAP = 0.4
+
+
+@behave.given("{nodes:d} gateways that may copy {share:d} in 100 requests")
+def step_site(context, nodes, share):
+    context.site = virtual_gateways.Site(1)
+    context.site.copies = share / 100
+    context.nodes = nodes
+
+
+async def spoil(site, trouble):
+    """Makes one kind of trouble for a moment."""
+    replicas = site.fleet.first(4, "plain")
+    if trouble == "replicas crash by turns":
+        site.fleet.kill("")
+    if trouble == "gateways start again by turns":
+        await site.restart_one(site.rng.choice(sorted(site.nodes)))
+    if trouble == "replicas refuse as full":
+        site.fleet.refusing_share = 0.5
+    slow = replicas if trouble == "all replicas are slow" else replicas[:1]
+    slow = slow if len(slow) > 1 else [site.rng.choice(replicas)]
+    for replica in slow:
+        replica.work = SLOW_WORK
+    await site.pass_time(SPELL)
+    site.fleet.refusing_share = 0.0
+    for replica in slow:
+        replica.work = virtual_engines.WORK
+
+
+async def ask_lookups(callers, leave):
+    """Sends idempotent calls; some callers leave before the answer."""
+    site = callers.site
+    for number in range(10**6):
+        await asyncio.sleep(site.rng.expovariate(RATE))
+        body = f"lookup {number}".encode()
+        callers.fleet.spawn(callers.ask(virtual_callers.LOOKUP, body))
+        if leave and number % 5 == 0:
+            node = site.nodes[site.rng.choice(sorted(site.nodes))]
+            for task in list(node.calls):
+                task.cancel()
+
+
+@behave.when("callers ask for {seconds:d} seconds while {trouble}")
+def step_ask(context, seconds, trouble):
+    site = context.site
+
+    async def story():
+        context.callers = await virtual_callers.start_asking(
+            site, context.nodes, 1e-6, 0.0
+        )
+        leave = trouble == "callers leave early"
+        site.fleet.spawn(ask_lookups(context.callers, leave))
+        end = site.clock() + seconds
+        while site.clock() < end:
+            await site.pass_time(PAUSE - SPELL)
+            await spoil(site, trouble)
+        await virtual_gateways.cancelled(list(site.fleet.tasks))
+        await site.pass_time(2.0)
+        for node in site.nodes.values():
+            directory = node.gateway.directory
+            assert not directory.silence.open_requests, node.name
+
+    site.play(story())
+
+
+@behave.then("at least {share:d} in 100 answers come within the objective")
+def step_fast(context, share):
+    ends = context.callers.ends
+    fast = 0
+    for end in ends:
+        fast += end.status == 200 and end.seconds <= OBJECTIVE
+    assert fast >= share / 100 * len(ends), (fast, len(ends))
+
+
+@behave.then("copies stay within the limits")
+def step_limits(context):
+    site, callers = context.site, context.callers
+    copies = [at for at, number, _ in site.lines if number == 239]
+    assert copies, "no copy was sent"
+    sent = sorted(callers.sent.values())
+    for start in copies:
+        before = max(start - virtual_budget.WINDOW, start - 5.0, sent[0])
+        allowed = max(
+            virtual_budget.count(sent, before),
+            virtual_budget.count(sent, start),
+        )
+        count = virtual_budget.count(copies, start)
+        assert count <= site.copies * allowed, (start, count, allowed)
+    worst = virtual_budget.worst(site, callers, "app")
+    assert worst.extra <= worst.allowed, worst
+    ran = {one.attempt for one in site.fleet.worked}
+    for end in callers.ends:
+        assert end.status not in (429, 503) or end.attempt not in ran, end
+    by_attempt = collections.defaultdict(list)
+    for one in site.fleet.worked:
+        by_attempt[one.attempt].append(one)
+    for worked in by_attempt.values():
+        assert len({one.instance for one in worked}) <= 2, worked
+        for one, other in itertools.pairwise(worked):
+            overlap = min(one.ended, other.ended) - max(
+                one.started, other.started
+            )
+            assert overlap <= LONGEST_OVERLAP, worked
+            if overlap > 0:
+                assert abs(one.ended - other.ended) <= CUT, worked
+
+
+def exchange(nodes, now, parts):
+    """Lets nodes of the same part know each other's counts."""
+    for part in range(parts):
+        group = nodes[part::parts]
+        total = collections.Counter()
+        for node in group:
+            total.update(node.own(now))
+        for node in group:
+            rest = total.copy()
+            rest.subtract(node.own(now))
+            node.others.set_remote("others", +rest, now + 3.0)
+
+
+@behave.then(
+    "{nodes:d} nodes at {rate:d} requests a second, many slow, keep to "
+    "{share:d} copies in 100 while {trouble}"
+)
+def step_together(context, nodes, rate, share, trouble):
+    rng = random.Random(nodes)
+    policy = second_copies.Policy(share / 100)
+    known = [second_copies.SecondCopies(policy) for _ in range(nodes)]
+    sent, copies = [], []
+    now = reported = restarted = 0.0
+    while now < 60.0:
+        now += rng.expovariate(rate)
+        if now - reported > 0.25:
+            exchange(known, now, 2 if "split" in trouble and now > 30 else 1)
+            reported = now
+        if "restart" in trouble and now - restarted > 0.4:
+            known[rng.randrange(nodes)] = second_copies.SecondCopies(policy)
+            restarted = now
+        node = rng.choice(known)
+        # Nodes notice within a few seconds that they are cut off.
+        split = "split" in trouble and now > 33.0
+        node.is_site_known = now > 5.0 and not split
+        node.record_request("app", now)
+        sent.append(now)
+        slow = rng.random() < SLOW_SHARE
+        node.record_speed("app", "lookups", slow, now)
+        if slow and not node.refusal("app", "lookups", now):
+            node.record_copy("app", now)
+            copies.append(now)
+    assert copies
+    for start in copies:
+        count = virtual_budget.count(copies, start)
+        allowed = max(
+            virtual_budget.count(sent, start),
+            virtual_budget.count(sent, start - 5.0),
+        )
+        assert count <= share / 100 * allowed, (start, count, allowed)
+
+
+def learn(limits, count, cut):
+    """Sees answers of which 6 in 100 are slow, and perhaps cut short."""
+    now = 100.0
+    for number in range(count):
+        now += 0.02
+        seconds = 0.2 if number % 50 in (0, 17, 34) else 0.02
+        threshold = limits.threshold("lookups", now)
+        if cut and threshold is not None and seconds > threshold:
+            seconds = threshold * 1.01
+        limits.record_answer("lookups", seconds, now)
+    return limits.read_quantile("lookups", second_copies.QUANTILE, now)
+
+
+@behave.given(
+    "a node that has seen 1000 answers of which 6 in 100 take 10 times as long"
+)
+def step_seen(context):
+    policy = second_copies.Policy(0.05)
+    context.uncut = learn(second_copies.SecondCopies(policy), 1000, False)
+
+
+@behave.when("the slow ones are cut short at the threshold {count:d} times")
+def step_cut(context, count):
+    limits = second_copies.SecondCopies(second_copies.Policy(0.05))
+    context.cut = learn(limits, count, True)
+
+
+@behave.then(
+    "the threshold has not sunk below that of answers that are not cut"
+)
+def step_kept(context):
+    assert context.cut >= 0.9 * context.uncut, (context.cut, context.uncut)
+
+
+class Answer:
+    """The head of a replica's answer."""
+
+    reason, fields, length = "", (), None
+    is_framed, not_run = True, False
+
+    def __init__(self, status, name):
+        self.status = status
+        self.sealed = status == 200
+        self.name = name
+
+    async def read(self):
+        """The name of the replica that answered."""
+        return self.name.encode()
+
+    def close(self):
+        """Ends the exchange."""
+
+
+class Endpoints:
+    """Replicas that answer as they are told; all others answer at once."""
+
+    def __init__(self, *ways):
+        self.ways = list(ways)
+        self.names = []
+
+    async def send(self, replica, call, instructions):
+        """Gives one answer, or the way in which there is none."""
+        self.names.append(replica.instance)
+        number = len(self.names)
+        way = self.ways[number - 1] if number <= len(self.ways) else "answers"
+        if way == "hangs":
+            await asyncio.sleep(60.0)
+        if "late" in way:
+            await asyncio.sleep(0.15 if "later" in way else 0.1)
+        if way.startswith("refuses"):
+            raise exceptions.EndpointRefused("full")
+        if way.startswith("breaks"):
+            raise exceptions.AnswerBroken("the connection ended")
+        return Answer(500 if way.startswith("fails") else 200, str(number))
+
+
+@behave.given(
+    "a slow first replica that {first} and a second one that {second}"
+)
+def step_replicas(context, first, second):
+    directory = directory_module.Directory(random.Random(1))
+    context.directory = directory
+    for instance in ("i-1", "i-2", "i-3"):
+        directory.put(
+            types.Replica(instance, "app", f"{instance}:1", "dc", 6, False)
+        )
+    limits = directory.second_copies
+    limits.policy = second_copies.Policy(0.05)
+    limits.is_site_known = True
+    budget = retry_budget.RetryBudget(retry_budget.Policy(0.2, 10.0, 50.0))
+    budget.nodes = 1
+    now = time.monotonic()
+    for _ in range(200):
+        limits.record_request("app", now)
+        limits.record_answer("r", 0.02, now)
+    context.quarantine = quarantine.Quarantine(runs.InterruptedRuns(directory))
+    context.endpoints = Endpoints(first, second)
+    context.calls = plain_calls.PlainCalls(
+        directory,
+        context.endpoints,
+        retry_permits.RetryPermits(budget),
+        rate_permits.RatePermits(retry_permits.lend_nothing, random.Random(1)),
+        "dc",
+        context.quarantine,
+    )
+    context.usage = mock.Mock()
+    call = types.Call("a", "GET", "/", "h", (), None, now, now + 3.0)
+    context.progress = progress_module.Progress(call, context.usage)
+    context.route = routes.Route(
+        "r", "h", "/", routes.Kind.IDEMPOTENT, 5.0, 1.0, 0, 2, ()
+    )
+
+
+def hinder(context, obstacle, others):
+    """Makes one obstacle to copies once the first copy is under way."""
+    directory, limits = context.directory, context.directory.second_copies
+    now = time.monotonic()
+    if obstacle == "the request is suspected":
+        canary = canaries_module.Canary(
+            context.progress.fingerprint, 1, 1, "i-9", now + 1.0
+        )
+        context.quarantine.canaries.merge(canary, now)
+    for _ in range(20):
+        if "slow" in obstacle:
+            limits.record_speed("app", "r", True, now)
+        if "share is used" in obstacle:
+            limits.record_copy("app", now)
+    if "retry budget" in obstacle:
+        while context.calls.retry_permits.budget.allow("app", now):
+            pass
+    for instance in others:
+        replica = directory.replicas[instance]
+        if "backoff" in obstacle:
+            directory.record_backoff(replica, 9.0)
+        if "draining" in obstacle:
+            directory.put(replica._replace(draining=True))
+        if "leave" in obstacle:
+            directory.record_departure(replica)
+        if "permits" in obstacle:
+            directory.record_rate_limit(replica, 0.001, now)
+        if "full" in obstacle:
+            for _ in range(3):
+                context.calls.copies.record_failure(
+                    replica, exceptions.EndpointRefused("full")
+                )
+
+
+@behave.given("copies meet an obstacle: {obstacle}")
+def step_obstacle(context, obstacle):
+    limits = context.directory.second_copies
+    route = context.route
+    if "setting" in obstacle:
+        limits.policy = second_copies.OFF
+    if "not idempotent" in obstacle:
+        context.route = route._replace(kind=routes.Kind.NON_IDEMPOTENT)
+    if "one attempt" in obstacle:
+        context.route = route._replace(attempts=1)
+    if "unknown" in obstacle:
+        limits.is_site_known = False
+        limits.counts["requests/app"].slices.clear()
+    send = context.endpoints.send
+
+    async def hindered(replica, call, instructions):
+        others = {"i-1", "i-2", "i-3"} - {replica.instance}
+        hinder(context, obstacle, others)
+        return await send(replica, call, instructions)
+
+    context.endpoints.send = hindered
+
+
+@behave.when("a call with time for {seconds} seconds is sent")
+def step_call(context, seconds):
+    async def story():
+        serve = context.calls.serve(
+            context.route, "app", context.reply, context.progress
+        )
+        leaves = seconds == "leaving"
+        async with asyncio.timeout(0.2 if leaves else float(seconds)):
+            await serve
+
+    context.reply = mock.AsyncMock()
+    try:
+        asyncio.run(story())
+        sent = context.reply.send.call_args.args
+        context.status = f"{sent[0]} of {sent[3].decode()}"
+        if sent[0] != 200:
+            context.status = str(sent[0])
+    except exceptions.RequestError as error:
+        context.status = str(error.status)
+    except TimeoutError:
+        context.status = "cancelled"
+
+
+@behave.then("its caller gets {status} and it counts as {runs:d} runs")
+def step_status(context, status, runs):
+    assert context.status == status, context.status
+    assert context.progress.runs == runs, context.progress.runs
+
+
+@behave.then("it is metered {metered:d} times and leaves nothing open")
+def step_closed(context, metered):
+    assert context.usage.add.call_count == metered
+    assert not context.directory.silence.open_requests
+    for canary in context.quarantine.canaries.known.values():
+        assert canary.until < math.inf, canary
+
+
+@behave.then("the refusal counts as {result}")
+def step_result(context, result):
+    found = {name for _, name in context.calls.copies.results}
+    assert found == set(result.replace("none", "").split()), found
--- a/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
@@ -13,7 +13,8 @@
 are exchanged with the other nodes. A node sends a copy out of the share of its
 own requests, or, if that is less than one copy in a window, one in a window out
 of what all nodes together leave. What others have sent is known a report late,
-so only `POOLED_FRACTION` of the limit is used in the second way.
+so in the second way only `POOLED_FRACTION` of the limit is used, less the
+copies that others may have sent since.
 """
 
 import collections
@@ -53,9 +54,11 @@
 # Fraction of the limit that nodes use out of their own requests; the rest
 # covers requests that are counted in another window than their copies.
 USED_FRACTION = 0.85
-# Fraction of the limit up to which nodes use what others leave. The rest covers
-# the copies that several nodes send before they know of each other's.
+# Fraction of the limit up to which nodes use what others leave: what they know
+# of each other may be out of date when links break.
 POOLED_FRACTION = 0.7
+# Seconds after which all nodes know of a copy; a report takes about 0.25 s.
+REPORT_SECONDS = 0.3
 # Seconds of the recent requests that show that all are slow, or that replicas
 # are full: about a spell of one slow replica, and longer than a report takes.
 RECENT_SECONDS = 2.0
@@ -164,11 +167,14 @@
         bucket = min(bucket, BUCKETS - 1)
         self.count(f"{bucket}/{route}", ANSWERS_SECONDS, now)
 
-    def record_speed(self, route: str, is_slow: bool, now: float) -> None:
+    def record_speed(
+        self, service: str, route: str, is_slow: bool, now: float
+    ) -> None:
         """Counts a recent request that was slow, or was answered in time."""
         self.count(f"recent/{route}", RECENT_SECONDS, now)
         if is_slow:
             self.count(f"slow/{route}", RECENT_SECONDS, now)
+            self.count(f"late/{service}", RECENT_SECONDS, now)
 
     def count(self, key: str, window: float, now: float) -> None:
         """Counts one event if copies are sent at all."""
@@ -269,7 +275,10 @@
             return owned
         if not owned and copies:
             return False
-        fraction = USED_FRACTION if owned else POOLED_FRACTION
         everything = self.total(f"requests/{service}", now)
         sent = self.total(f"copies/{service}", now, extra=1)
-        return sent + 1 <= fraction * share * everything
+        if owned:
+            return sent + 1 <= USED_FRACTION * share * everything
+        slow_rate = self.total(f"late/{service}", now) / RECENT_SECONDS
+        unknown = slow_rate * REPORT_SECONDS
+        return sent + 1 + unknown <= POOLED_FRACTION * share * everything
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -206,7 +206,7 @@
     "A second copy of a slow request is sent to another replica.",
 )
 COPIES_ENDED = define(
-    223,
+    219,
     "copies-ended",
     "info",
     "One of the two copies of a request has won, or none has.",
--- a/packages/gypsumfold/src/gypsumfold/gateway/copies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/copies.py
@@ -239,8 +239,12 @@
         has_head = self.first.has_head
         self.is_slow = not has_head and not self.first.task.done()
         if self.is_slow or has_head:
-            now = time.monotonic()
-            self.limits.record_speed(self.route.name, self.is_slow, now)
+            self.limits.record_speed(
+                self.first.replica.service,
+                self.route.name,
+                self.is_slow,
+                time.monotonic(),
+            )
 
     def start_second(self, replica: types.Replica) -> None:
         """Starts the second copy if it may be."""
@@ -273,7 +277,7 @@
             for copy in (self.first, self.second):
                 if copy.is_usable:
                     self.log_end(copy)
-                    return copy.answer
+                    return copy.task.result()
             overlap = None
             if not done:
                 waiting = {self.give_up_one().task}
