Send second copies of slow prefills, where a further setting asks for it

Cause: a prompt that was sent waits for an engine that is slow for a moment. Change: [copies] prefills; a copy counts as one of the route's attempts, is sent only to an engine that is expected to end it while both may run, and the KV cache of an unused answer is freed.

--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -27,6 +27,17 @@
       | all replicas are slow         |
       | replicas refuse as full       |
 
+  Scenario Outline: A prefill waits for a slow engine, or its copy is kept: <trouble>
+    Given 6 gateways that may copy 5 in 100 requests
+    And they may copy prefills as well
+    When callers ask for 40 seconds while <trouble>
+    Then copies stay within the limits
+
+    Examples:
+      | trouble                             |
+      | single replicas are slow by turns   |
+      | callers leave early                 |
+
   Scenario Outline: All gateways together send more copies than operators allow: <nodes>, <trouble>
     Then <nodes> nodes at <rate> requests a second, many slow, keep to 5 copies in 100 while <trouble>
 
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -31,6 +31,7 @@
 RATE = 60.0
 OBJECTIVE = 0.2
 SLOW_WORK = 0.3
+SLOW_READING = 4000.0
 # Share of requests that are slow, just below that which stops all copies.
 SLOW_SHARE = 0.45
 # Seconds between two spells of a slow replica, and of one spell.
@@ -45,10 +46,15 @@
 @behave.given("{nodes:d} gateways that may copy {share:d} in 100 requests")
 def step_site(context, nodes, share):
     context.site = virtual_gateways.Site(1)
-    context.site.copies = share / 100
+    context.site.copies = (share / 100,)
     context.nodes = nodes
 
 
+@behave.given("they may copy prefills as well")
+def step_prefills(context):
+    context.site.copies = (*context.site.copies, virtual_budget.WINDOW, True)
+
+
 async def spoil(site, trouble):
     """Makes one kind of trouble for a moment."""
     replicas = site.fleet.first(4, "plain")
@@ -62,19 +68,22 @@
     slow = slow if len(slow) > 1 else [site.rng.choice(replicas)]
     for replica in slow:
         replica.work = SLOW_WORK
+    reader = site.rng.choice(site.fleet.first(6, "prefill"))
+    reader.reading = SLOW_READING
     await site.pass_time(SPELL)
     site.fleet.refusing_share = 0.0
     for replica in slow:
         replica.work = virtual_engines.WORK
+    reader.reading = virtual_engines.READING
 
 
-async def ask_lookups(callers, leave):
-    """Sends idempotent calls; some callers leave before the answer."""
+async def ask_often(callers, leave, kind):
+    """Sends requests; some callers leave before the answer."""
     site = callers.site
     for number in range(10**6):
         await asyncio.sleep(site.rng.expovariate(RATE))
-        body = f"lookup {number}".encode()
-        callers.fleet.spawn(callers.ask(virtual_callers.LOOKUP, body))
+        body = f"request {number}".encode()
+        callers.fleet.spawn(callers.ask(kind, body))
         if leave and number % 5 == 0:
             node = site.nodes[site.rng.choice(sorted(site.nodes))]
             for task in list(node.calls):
@@ -90,13 +99,17 @@
             site, context.nodes, 1e-6, 0.0
         )
         leave = trouble == "callers leave early"
-        site.fleet.spawn(ask_lookups(context.callers, leave))
+        kind = virtual_callers.LOOKUP
+        if len(site.copies) > 1:
+            kind = virtual_callers.SWAP
+        site.fleet.spawn(ask_often(context.callers, leave, kind))
         end = site.clock() + seconds
         while site.clock() < end:
             await site.pass_time(PAUSE - SPELL)
             await spoil(site, trouble)
         await virtual_gateways.cancelled(list(site.fleet.tasks))
         await site.pass_time(2.0)
+        assert not site.fleet.kept_caches
         for node in site.nodes.values():
             directory = node.gateway.directory
             assert not directory.silence.open_requests, node.name
@@ -126,9 +139,10 @@
             virtual_budget.count(sent, start),
         )
         count = virtual_budget.count(copies, start)
-        assert count <= site.copies * allowed, (start, count, allowed)
-    worst = virtual_budget.worst(site, callers, "app")
-    assert worst.extra <= worst.allowed, worst
+        assert count <= site.copies[0] * allowed, (start, count, allowed)
+    for service in virtual_budget.SERVICES:
+        worst = virtual_budget.worst(site, callers, service)
+        assert worst.extra <= worst.allowed, worst
     ran = {one.attempt for one in site.fleet.worked}
     for end in callers.ends:
         assert end.status not in (429, 503) or end.attempt not in ran, end
@@ -407,5 +421,5 @@
 
 @behave.then("the refusal counts as {result}")
 def step_result(context, result):
-    found = {name for _, name in context.calls.copies.results}
+    found = {name for _, name in context.directory.second_copies.results}
     assert found == set(result.replace("none", "").split()), found
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -144,6 +144,8 @@
         self.leaving = False
         # Seconds that a plain replica works on a call.
         self.work = WORK
+        # Prompt tokens that it reads in a second.
+        self.reading = READING
         # Whether it answers each run with a failure, at once.
         self.failing = False
         # Seconds of rest that it asks for; it turns all away then.
@@ -285,6 +287,8 @@
         self.told_leaving: dict[tuple[int, str], float] = {}
         self.rests: list[Asked] = []
         self.worked: list[Worked] = []
+        # KV caches that no engine has fetched, by engine and id.
+        self.kept_caches: dict[tuple[str, str], bool] = {}
         # Reports, orders and the like, as time, process and instance.
         self.own_calls: list[tuple[float, int, str]] = []
         self.replicas: dict[str, Replica] = {}
@@ -648,6 +652,9 @@
             return answer
         if found.stage != "decode":
             raise exceptions.EndpointMismatch("another role")
+        if instructions.handle is not None:
+            handle = instructions.handle
+            self.fleet.kept_caches.pop((handle.engine, handle.id), None)
         events = max(1, call.output_tokens)
         last = instructions.last_event or call.last_event
         return Answer(found, call, events, int(last) + 1 if last else 0)
@@ -670,14 +677,16 @@
                 found.cached.add(part.id)
                 tokens += part.tokens
         now = self.fleet.site.clock()
-        found.free_at = max(now, found.free_at) + tokens / READING
+        found.free_at = max(now, found.free_at) + tokens / found.reading
         if not await found.lasts(found.free_at - now):
             raise exceptions.AnswerBroken("the connection ended")
+        self.fleet.kept_caches[found.instance, call.id] = True
         return types.Handle(found.instance, found.address, call.id)
 
     async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
         """Frees a KV cache."""
-        await self.take(replica)
+        found = await self.take(replica)
+        self.fleet.kept_caches.pop((found.instance, handle.id), None)
 
     async def state(
         self, replica: types.Replica, fresh: bool = False
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -126,7 +126,7 @@
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
             replicas=settings_module.ReplicasSection(leaving_ms),
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
-            copies=settings_module.CopiesSection(site.copies),
+            copies=settings_module.CopiesSection(*site.copies),
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
             ),
@@ -309,8 +309,8 @@
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
-        # Share of the requests of which second copies are sent.
-        self.copies = 0.0
+        # Share, window and more of the settings of second copies.
+        self.copies: tuple = ()
         self.divided: set[tuple] = set()
         # Addresses of VMs without power, where questions hang.
         self.dark: set[tuple] = set()
--- a/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
@@ -31,10 +31,12 @@
         share: Copies as a share of the requests of a service in a window; 0
             sends none.
         window: Length of the window in seconds.
+        prefills: Whether prefills are copied, beside idempotent calls.
     """
 
     share: float = 0.0
     window: float = 10.0
+    prefills: bool = False
 
 
 OFF = Policy()
@@ -122,6 +124,8 @@
         others: What other nodes have counted, as `own` returns it.
         is_site_known: Whether the other nodes that share the limit are known
             and count this one.
+        results: Numbers of copies since the start, by service and result:
+            started, won, or what refused one.
 
     >>> copies = SecondCopies(Policy(share=0.05))
     >>> copies.record_request("app", now=0.0)
@@ -133,6 +137,9 @@
         self.policy = policy
         self.others = cluster_totals.ClusterTotals()
         self.is_site_known = False
+        self.results: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         # By kind of count and by service, route, or bucket and route.
         self.counts: dict[str, SlidingCount] = {}
         self.quantiles: dict[tuple[str, float], tuple[float, float | None]] = {}
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -485,7 +485,10 @@
             self.counters.retries.labels(service, "allowed").set(count)
         for service, count in self.budget.refused.items():
             self.counters.retries.labels(service, "refused").set(count)
-        for (service, result), count in self.plain_calls.copies.results.items():
+        for (
+            service,
+            result,
+        ), count in self.directory.second_copies.results.items():
             self.counters.copies.labels(service, result).set(count)
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -16,7 +16,9 @@
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import copies
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import prefill_copies
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
@@ -109,6 +111,10 @@
         self.prefills = prefills.Prefills(
             directory, endpoints, prefix_router, quarantine
         )
+        self.prefill_copies = prefill_copies.PrefillCopies(
+            copies.Copies(directory, retry_permits, quarantine, ""),
+            self.prefills,
+        )
 
     async def serve(
         self,
@@ -187,7 +193,7 @@
     ) -> bool:
         """Whether a request that may have run may run again."""
         can_repeat = route.resumable or route.repeatable
-        return can_repeat and progress.runs < route.attempts
+        return can_repeat and progress.attempts_used < route.attempts
 
     async def attempt(
         self,
@@ -228,7 +234,7 @@
             await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
         if choice is not None:
-            handle = await self.prefills.prefill(
+            handle = await self.prefill_copies.run(
                 choice, route, service, progress
             )
             progress.handle = handle
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -57,6 +57,7 @@
         route: routes.Route,
         service: types.Service,
         progress: progress_module.Progress,
+        avoid: frozenset[str] = frozenset(),
     ) -> prefix_routing_module.Choice | None:
         """Chooses the prefill engine; None if no prefill is sent."""
         call = progress.call
@@ -69,7 +70,7 @@
             prefix_routing_module.Prompt(
                 call.chain, call.model, call.prompt_tokens, route.urgency
             ),
-            self.prefill_engines(service, progress.avoid),
+            self.prefill_engines(service, progress.avoid | avoid),
             self.cache_holders(service),
             rate,
             time.monotonic(),
@@ -280,8 +281,11 @@
     def release_handle(self, progress: progress_module.Progress) -> None:
         """Frees an unused KV cache in the background."""
         handle, progress.handle = progress.handle, None
-        if handle is None:
-            return
+        if handle is not None:
+            self.free(handle)
+
+    def free(self, handle: types.Handle) -> None:
+        """Frees a KV cache in the background."""
         replica = self.directory.replicas.get(handle.engine)
         if replica is None:
             return
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -43,6 +43,7 @@
         missed: Whether an attempt reached no replica.
         may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
+        extra_prefills: Number of copies of its prefill that were sent.
         avoid: Instances that failed to serve it.
         backoff_end: When the first replica that could serve it may be asked
             again; None if one may be now.
@@ -71,6 +72,7 @@
         self.missed = False
         self.may_forward = False
         self.runs = 0
+        self.extra_prefills = 0
         self.avoid: frozenset[str] = frozenset()
         self.backoff_end: float | None = None
         self.prefill_address = ""
@@ -85,6 +87,11 @@
         """What may be at fault if it crashes replicas."""
         return (*self.parts, self.fingerprint)
 
+    @property
+    def attempts_used(self) -> int:
+        """How many of its route's attempts are used."""
+        return self.runs + self.extra_prefills
+
     def time_left(self) -> float:
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -151,15 +151,17 @@
         share: Copies as a fraction of the requests of a service in a window,
             over all nodes; 0 for none.
         window_s: Length of a window in seconds.
+        prefills: Whether prefills are copied, beside idempotent plain calls.
     """
 
     share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     window_s: Seconds = 10.0
+    prefills: bool = False
 
     @property
     def policy(self) -> second_copies.Policy:
         """How many copies are sent."""
-        return second_copies.Policy(self.share, self.window_s)
+        return second_copies.Policy(self.share, self.window_s, self.prefills)
 
 
 class OrdersSection(settings_module.Section):
