--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -16,7 +16,7 @@
 
   Scenario Outline: A copy outlives what it was sent for: <trouble>
     Given 6 gateways that may copy 5 in 100 requests
-    When callers ask for 40 seconds while <trouble>
+    When callers ask for 30 seconds while <trouble>
     Then copies stay within the limits
 
     Examples:
@@ -30,7 +30,7 @@
   Scenario Outline: A prefill waits for a slow engine, or its copy is kept: <trouble>
     Given 6 gateways that may copy 5 in 100 requests
     And they may copy prefills as well
-    When callers ask for 40 seconds while <trouble>
+    When callers ask for 30 seconds while <trouble>
     Then copies stay within the limits
 
     Examples:
