--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -160,17 +160,23 @@
                 assert abs(one.ended - other.ended) <= CUT, worked
 
 
-def exchange(nodes, now, parts):
-    """Lets nodes of the same part know each other's counts."""
-    for part in range(parts):
-        group = nodes[part::parts]
-        total = collections.Counter()
-        for node in group:
+def exchange(nodes, now, is_split):
+    """Lets nodes know the counts of their half, and of the other if they can.
+
+    What they know of the other half lives on for 3 s.
+    """
+    halves = nodes[::2], nodes[1::2]
+    totals = collections.Counter(), collections.Counter()
+    for half, total in zip(halves, totals, strict=True):
+        for node in half:
             total.update(node.own(now))
-        for node in group:
-            rest = total.copy()
-            rest.subtract(node.own(now))
-            node.others.set_remote("others", +rest, now + 3.0)
+    for place, half in enumerate(halves):
+        for node in half:
+            near = totals[place].copy()
+            near.subtract(node.own(now))
+            node.others.set_remote("near", +near, now + 3.0)
+            if not is_split:
+                node.others.set_remote("far", totals[1 - place], now + 3.0)
 
 
 @behave.then(
@@ -183,10 +189,10 @@
     known = [second_copies.SecondCopies(policy) for _ in range(nodes)]
     sent, copies = [], []
     now = reported = restarted = 0.0
-    while now < 60.0:
+    while now < 50.0:
         now += rng.expovariate(rate)
         if now - reported > 0.25:
-            exchange(known, now, 2 if "split" in trouble and now > 30 else 1)
+            exchange(known, now, "split" in trouble and now > 30)
             reported = now
         if "restart" in trouble and now - restarted > 0.4:
             known[rng.randrange(nodes)] = second_copies.SecondCopies(policy)
