Send the counts of second copies with the load answers

Cause: a further kind of load takes a byte of each report though it is empty; a node at 48 sent 24,014 to 24,022 bytes a second, and 24,000 are allowed (features/relays.feature:15). Change: the counts travel in the load answers, under keys that hold a slash.

--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -114,6 +114,8 @@
         self.health = health.Health(rng)
         self.failure_rates = failure_rates_module.FailureRates()
         self.second_copies = second_copies_module.SecondCopies()
+        # Both travel in the same kind of load.
+        self.second_copies.others = self.failure_rates.answers
         self.removal_listeners = []
         self.incarnations = incarnations_module.Incarnations()
         self.versions = software_versions.SoftwareVersions()
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -72,7 +72,6 @@
             "demand": self.prefix_router.demand.node_totals,
             "failures": self.directory.failure_rates.failures,
             "answers": self.directory.failure_rates.answers,
-            "copies": self.directory.second_copies.others,
         }
 
     def own(self, now: float) -> messages.EngineLoads:
@@ -84,8 +83,10 @@
             rounded(self.prefix_router.late.own),
             rounded(self.prefix_router.demand.own(now)),
             rounded(failure_rates.own_failures_now(now)),
-            rounded(failure_rates.own_answers_now(now)),
-            self.directory.second_copies.own(now),
+            {
+                **rounded(failure_rates.own_answers_now(now)),
+                **self.directory.second_copies.own(now),
+            },
         )
 
     def site_totals(self, now: float) -> messages.EngineLoads:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -68,8 +68,9 @@
             urgency.
         demand: Number of engines that arriving prompts keep busy, by service.
         failures: Recent failed answers, by replica.
-        answers: Recent answers of the replicas with failures.
-        copies: What limits second copies, as in `decisions/second_copies.py`.
+        answers: Recent answers of the replicas with failures. Also the counts
+            of `decisions/second_copies.py`, whose keys hold a slash: a field
+            of their own would take a byte of each report where it is empty.
     """
 
     prompts: dict[str, Amount] = {}
@@ -78,7 +79,6 @@
     demand: dict[str, Amount] = {}
     failures: dict[str, Amount] = {}
     answers: dict[str, Amount] = {}
-    copies: dict[str, Amount] = {}
 
 
 class LoadDelta(msgspec.Struct, array_like=True):
@@ -95,7 +95,6 @@
     demand: dict[str, Thousandths] = {}
     failures: dict[str, Thousandths] = {}
     answers: dict[str, Thousandths] = {}
-    copies: dict[str, Thousandths] = {}
 
 
 # The fields of `EngineLoads` and `LoadDelta`.
