--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -99,6 +99,15 @@
     seconds: float
 
 
+class Worked(NamedTuple):
+    """A call on which a plain replica worked, until its end or a cut."""
+
+    attempt: str
+    instance: str
+    started: float
+    ended: float
+
+
 class Crashed(NamedTuple):
     """A replica that ended.
 
@@ -133,6 +142,10 @@
         self.rate_limit: float | None = None
         # Whether its answers say that it leaves.
         self.leaving = False
+        # Seconds that a plain replica works on a call.
+        self.work = WORK
+        # Prompt tokens that it reads in a second.
+        self.reading = READING
         # Whether it answers each run with a failure, at once.
         self.failing = False
         # How many times as long as usual it reads prompts.
@@ -279,6 +292,9 @@
         # The same of the first answer that says that the replica leaves.
         self.told_leaving: dict[tuple[int, str], float] = {}
         self.rests: list[Asked] = []
+        self.worked: list[Worked] = []
+        # KV caches that no engine has fetched, by engine and id.
+        self.kept_caches: dict[tuple[str, str], bool] = {}
         # Reports, orders and the like, as time, process and instance.
         self.own_calls: list[tuple[float, int, str]] = []
         self.replicas: dict[str, Replica] = {}
@@ -637,11 +653,21 @@
         self.arrive(found, replica, call, True)
         if not found.stage:
             answer = Answer(found, call, 1)
-            if not await found.lasts(WORK):
-                raise exceptions.AnswerBroken("the connection ended")
+            started = self.fleet.site.clock()
+            try:
+                if not await found.lasts(found.work):
+                    raise exceptions.AnswerBroken("the connection ended")
+            finally:
+                ended = self.fleet.site.clock()
+                self.fleet.worked.append(
+                    Worked(call.id, found.instance, started, ended)
+                )
             return answer
         if found.stage != "decode":
             raise exceptions.EndpointMismatch("another role")
+        if instructions.handle is not None:
+            handle = instructions.handle
+            self.fleet.kept_caches.pop((handle.engine, handle.id), None)
         events = max(1, call.output_tokens)
         last = instructions.last_event or call.last_event
         return Answer(found, call, events, int(last) + 1 if last else 0)
@@ -668,7 +694,7 @@
                 found.cached.add(part.id)
                 tokens += part.tokens
         now = self.fleet.site.clock()
-        seconds = found.slowness * tokens / READING
+        seconds = found.slowness * tokens / found.reading
         found.free_at = max(now, found.free_at) + seconds
         try:
             lasts = await found.lasts(found.free_at - now)
@@ -679,11 +705,13 @@
             raise
         if not lasts:
             raise exceptions.AnswerBroken("the connection ended")
+        self.fleet.kept_caches[found.instance, call.id] = True
         return types.Handle(found.instance, found.address, call.id)
 
     async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
         """Frees a KV cache."""
-        await self.take(replica)
+        found = await self.take(replica)
+        self.fleet.kept_caches.pop((found.instance, handle.id), None)
 
     async def state(
         self, replica: types.Replica, fresh: bool = False
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -128,6 +128,7 @@
             roles=site.roles,
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
             prefill=site.prefill,
+            copies=settings_module.CopiesSection(*site.copies),
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
             ),
@@ -314,6 +315,8 @@
         self.beats: dict[str, asyncio.Task] = {}
         # Repeats of the site in a window beyond the share.
         self.spare = 58.0
+        # Share, window and more of the settings of second copies.
+        self.copies: tuple = ()
         self.divided: set[tuple] = set()
         # Addresses of VMs without power, where questions hang.
         self.dark: set[tuple] = set()
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_rates.py
@@ -37,6 +37,8 @@
 WAIT_HALF_LIFE_SECONDS = 0.6
 # Weight of one observed wait.
 WAIT_SMOOTHING = 0.5
+# Fixed time to copy cached blocks, in addition to the transfer of their bytes.
+COPY_OVERHEAD_SECONDS = 0.008
 
 
 class ObservedWait(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -35,13 +35,8 @@
 # prefill in chunks of 1,024 to 2,048 tokens at 38 to 64 tokens per ms. Short
 # prompts that overtake long ones do not wait for all of them.
 CHUNK_SECONDS = 0.032
-# Multiple of a dropped prompt's age that counts as the time it would have
-# taken: the least that is known is its age.
-UNANSWERED_WEIGHT = 2.0
 # Below this copying takes longer than prefill: 400 tokens take 10 ms.
 MIN_COPY_TOKENS = 400
-# Fixed time to copy cached blocks, in addition to the transfer of their bytes.
-COPY_OVERHEAD_SECONDS = 0.008
 
 
 class PrefixRouter:
@@ -185,7 +180,7 @@
             and holder.name != engine.name
         ):
             peer = holder.address
-            copying = COPY_OVERHEAD_SECONDS + gained / copy_rate
+            copying = prefill_rates.COPY_OVERHEAD_SECONDS + gained / copy_rate
             cached = holder.tokens
         tokens = max(0, prompt.tokens - cached)
         estimator = self.prefill_estimator(engine.name)
@@ -313,7 +308,10 @@
             age = now - choice.sent_at
             if age > choice.expected:
                 self.slow_engines.record(
-                    choice.engine, UNANSWERED_WEIGHT * age, choice.expected, now
+                    choice.engine,
+                    slow_engines_module.UNANSWERED_WEIGHT * age,
+                    choice.expected,
+                    now,
                 )
         self.remove(choice)
         self.notify_load_change()
--- a/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
@@ -50,6 +50,9 @@
 # fraction, but no less than this many seconds, of the best one's time.
 NEAR_FRACTION = 0.1
 NEAR_SECONDS = 0.015
+# Multiple of a dropped prompt's age that counts as the time it would have
+# taken: the least that is known is its age.
+UNANSWERED_WEIGHT = 2.0
 
 
 class Open(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -206,6 +206,18 @@
     "A prompt waited at an engine that is slow or leaving; it was taken back "
     "and is sent to another one.",
 )
+COPY_STARTED = define(
+    239,
+    "copy-started",
+    "info",
+    "A second copy of a slow request is sent to another replica.",
+)
+COPIES_ENDED = define(
+    219,
+    "copies-ended",
+    "info",
+    "One of the two copies of a request has won, or none has.",
+)
 RATE_LIMIT_CHANGED = define(
     340,
     "rate-limit-changed",
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -15,8 +15,10 @@
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import role_split
 from gypsumfold.decisions import routes
+from gypsumfold.gateway import copies
 from gypsumfold.gateway import decode_waits
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import prefill_copies
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
@@ -110,6 +112,10 @@
         self.prefills = prefills.Prefills(
             directory, endpoints, prefix_router, quarantine
         )
+        self.prefill_copies = prefill_copies.PrefillCopies(
+            copies.Copies(directory, retry_permits, quarantine, ""),
+            self.prefills,
+        )
 
     async def serve(
         self,
@@ -192,9 +198,7 @@
     ) -> bool:
         """Whether a request that may have run may run again."""
         can_repeat = route.resumable or route.repeatable
-        # A second prefill counts as an attempt.
-        used = progress.runs + bool(progress.moved_from)
-        return can_repeat and used < route.attempts
+        return can_repeat and progress.attempts_used < route.attempts
 
     async def attempt(
         self,
@@ -235,7 +239,7 @@
             await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
         if choice is not None:
-            handle = await self.prefills.prefill(
+            handle = await self.prefill_copies.run(
                 choice, route, service, progress
             )
             progress.handle = handle
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -90,7 +90,10 @@
             rounded(self.prefix_router.late.own),
             rounded(self.prefix_router.demand.own(now)),
             rounded(failure_rates.own_failures_now(now)),
-            rounded(failure_rates.own_answers_now(now)),
+            {
+                **rounded(failure_rates.own_answers_now(now)),
+                **self.directory.second_copies.own(now),
+            },
             rounded(slow_engines.own_taken_now(now)),
             rounded(slow_engines.own_expected_now(now)),
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -68,7 +68,9 @@
             urgency.
         demand: Number of engines that arriving prompts keep busy, by service.
         failures: Recent failed answers, by replica.
-        answers: Recent answers of the replicas with failures.
+        answers: Recent answers of the replicas with failures. Also the counts
+            of `decisions/second_copies.py`, whose keys hold a slash: a field
+            of their own would take a byte of each report where it is empty.
         slow_taken: Seconds that recent prefills took, by engine that differs
             from the median, relative to the sender's median engine.
         slow_expected: Seconds that they should have taken.
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
@@ -64,9 +64,11 @@
         if self.budget is None or choice.sent_at is None:
             return
         # A request that failed or missed an engine before has used its second
-        # prefill, or may have no attempt left.
+        # prefill, or may have no attempt left. So has one with a second copy.
         if progress.arrived or progress.missed or progress.moved_from:
             return
+        if progress.extra_prefills:
+            return
         now = time.monotonic()
         engine = choice.engine
         replica = self.directory.replicas.get(engine)
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -305,8 +305,11 @@
     def release_handle(self, progress: progress_module.Progress) -> None:
         """Frees an unused KV cache in the background."""
         handle, progress.handle = progress.handle, None
-        if handle is None:
-            return
+        if handle is not None:
+            self.free(handle)
+
+    def free(self, handle: types.Handle) -> None:
+        """Frees a KV cache in the background."""
         replica = self.directory.replicas.get(handle.engine)
         if replica is None:
             return
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -43,6 +43,7 @@
         missed: Whether an attempt reached no replica.
         may_forward: Whether another node is asked if this one can't serve it.
         runs: Number of replicas that may have run it.
+        extra_prefills: Number of copies of its prefill that were sent.
         avoid: Instances that failed to serve it.
         backoff_end: When the first replica that could serve it may be asked
             again; None if one may be now.
@@ -73,6 +74,7 @@
         self.missed = False
         self.may_forward = False
         self.runs = 0
+        self.extra_prefills = 0
         self.avoid: frozenset[str] = frozenset()
         self.backoff_end: float | None = None
         self.moved_from = ""
@@ -88,6 +90,11 @@
         """What may be at fault if it crashes replicas."""
         return (*self.parts, self.fingerprint)
 
+    @property
+    def attempts_used(self) -> int:
+        """How many of its route's attempts are used."""
+        return self.runs + self.extra_prefills + bool(self.moved_from)
+
     def time_left(self) -> float:
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
