--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -174,11 +174,8 @@
         peer = ""
         copying = 0.0
         gained = holder.tokens - cached
-        if (
-            copy_rate > 0
-            and gained >= MIN_COPY_TOKENS
-            and holder.name != engine.name
-        ):
+        can_copy = copy_rate > 0 and gained >= MIN_COPY_TOKENS
+        if can_copy and holder.name != engine.name:
             peer = holder.address
             copying = prefill_rates.COPY_OVERHEAD_SECONDS + gained / copy_rate
             cached = holder.tokens
