Place plain calls by the totals of all gateways, and queue them

Cause: each gateway counts only its own open calls, 0 or 1 at each replica behind dozens of gateways, so the choice is random and nothing waits. Change: gateways exchange open and waiting calls and the times of slow replicas; a queue at each gateway sends calls at its share of the site's rate.

--- /dev/null
+++ b/features/plain_calls.feature
@@ -0,0 +1,44 @@
+Feature: Plain calls are balanced by the totals of all gateways
+
+  Scenario Outline: Calls avoid a replica that is slow for a while: <nodes> gateways
+    Given <nodes> gateways in front of 4 plain replicas of 6 slots, seed <seed>
+    When 78 calls a second come and one replica takes 5 times as long for 6 seconds
+    Then at most 1 in 20 calls miss their objective of 0.42 seconds
+    And nothing is left behind, run twice or refused untruly
+
+    Examples:
+      | nodes | seed |
+      | 6     | 1    |
+      | 40    | 2    |
+      | 88    | 3    |
+
+  Scenario Outline: Calls wait in order when there are too many: <nodes> gateways
+    Given <nodes> gateways in front of 4 plain replicas of 6 slots, seed <seed>
+    When half as many calls again as they can run come for 6 seconds
+    Then the replicas run 8 in 10 of what they can
+    And they turn away at most 1 in 10 of the calls that reach them
+    And 9 in 10 of the answers meet their objective of 0.42 seconds
+    And no call is refused later than its deadline allows
+    And each client account is served at least a quarter as often as all
+    And urgent calls are served more often than others, which don't starve
+    And nothing is left behind, run twice or refused untruly
+
+    Examples:
+      | nodes | seed |
+      | 6     | 4    |
+      | 40    | 5    |
+
+  Scenario Outline: Nothing is lost when <event> while calls wait
+    Given 6 gateways in front of 4 plain replicas of 6 slots, seed 6
+    When half as many calls again as they can run come and <event>
+    Then what waited has not run and is answered at once
+    And nothing is left behind, run twice or refused untruly
+
+    Examples:
+      | event                 |
+      | callers leave         |
+      | a gateway stops       |
+      | a gateway is killed   |
+      | datagrams are lost    |
+      | two replicas crash    |
+      | all replicas crash    |
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -26,6 +26,9 @@
 READING = 40_000.0
 # Seconds that a plain replica works on a call.
 WORK = 0.02
+# Calls that wait at a plain replica with a limited number of slots; it turns
+# away others.
+QUEUED = 2
 # Seconds from the begin of a run until a crashing request crashes its replica.
 CRASH_AFTER = (0.02, 0.07)
 # Seconds from a crash until the replica serves again, under a new instance.
@@ -146,6 +149,9 @@
         self.free_at = 0.0
         # A dict keeps the order, so that a seed gives the same course.
         self.running: dict[asyncio.Future, bool] = {}
+        # When each slot of a plain replica is free; none are counted if empty.
+        self.slot_ends = [] if stage else [0.0] * fleet.plain_slots
+        self.work = fleet.plain_work
         self.cached: set[str] = set()
 
     def registration(self, order: int) -> dict:
@@ -156,7 +162,7 @@
             "addr": self.address,
             "zone": f"dc-{self.place % DATA_CENTRES}",
             "version": self.version,
-            "slots": SLOTS,
+            "slots": len(self.slot_ends) or SLOTS,
             "state": "draining" if self.draining else "ready",
             "stage": self.stage,
             "seq": order,
@@ -174,6 +180,21 @@
             del self.running[broken]
         return self.alive
 
+    def is_full(self) -> bool:
+        """Whether all slots are used and as many calls wait as may."""
+        now = self.fleet.site.clock()
+        waiting = [end - now > self.work for end in self.slot_ends]
+        return sum(waiting) >= QUEUED
+
+    def call_seconds(self) -> float:
+        """Takes a slot; returns the seconds until a call has run there."""
+        if not self.slot_ends:
+            return self.work
+        now = self.fleet.site.clock()
+        place = self.slot_ends.index(min(self.slot_ends))
+        self.slot_ends[place] = max(now, self.slot_ends[place]) + self.work
+        return self.slot_ends[place] - now
+
     def end(self) -> None:
         """Ends at once, with all that runs."""
         self.alive = False
@@ -279,6 +300,9 @@
         self.tasks: dict[asyncio.Task, bool] = {}
         wanted = ["prefill"] * readers + ["decode"] * generators + [""] * plain
         self.wanted = wanted
+        # Slots of each plain replica, 0 for any number, and seconds of a call.
+        self.plain_slots = 0
+        self.plain_work = WORK
 
     def start(self) -> None:
         """Starts and registers all replicas."""
@@ -621,10 +645,13 @@
         """Sends a request and waits for the head of its answer."""
         await self.cross(call)
         found = await self.reach(replica)
+        if found.is_full():
+            self.arrive(found, replica, call, False)
+            raise exceptions.EndpointRefused("full")
         self.arrive(found, replica, call, True)
         if not found.stage:
             answer = Answer(found, call, 1)
-            if not await found.lasts(WORK):
+            if not await found.lasts(found.call_seconds()):
                 raise exceptions.AnswerBroken("the connection ended")
             return answer
         if found.stage != "decode":
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -126,6 +126,7 @@
             peers=settings_module.PeersSection(f"{host}:{PORT}"),
             replicas=settings_module.ReplicasSection(leaving_ms),
             retries=settings_module.RetriesSection(0.2, 10.0, site.spare),
+            plain_calls=settings_module.PlainCallsSection(site.shares_calls),
             operations=settings_module.OperationsSection(
                 *(("10.200.0.2:1", site.duties) if site.platform else ())
             ),
@@ -313,6 +314,8 @@
         self.dark: set[tuple] = set()
         # Bytes a second of each gateway's link.
         self.link_rate = 1000e6 / 8
+        # Whether plain calls are placed by the totals of all gateways.
+        self.shares_calls = False
         # Share of the datagrams that are lost.
         self.loss = 0.0
         self.lines: list[tuple[float, int, dict]] = []
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -265,6 +265,20 @@
     "info",
     "A stream with neither a length nor chunks has ended with its connection.",
 )
+CALL_WAITED = define(
+    245,
+    "call-waited",
+    "info",
+    "A call to a plain service has waited while all replicas were full, and "
+    "was sent or refused, or its caller left.",
+)
+CALL_NOT_QUEUED = define(
+    246,
+    "call-not-queued",
+    "info",
+    "A call to a plain service was refused as not run, as its turn would have "
+    "come too late, too many calls wait or the node is stopping.",
+)
 CALL_ENDED = define(
     224, "call-ended", "info", "A request has its final answer."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -3,6 +3,8 @@
 from aiohttp import web
 import prometheus_client
 
+from gypsumfold.gateway import plain_queue
+
 # Upper bounds of the latency buckets: finer around the objectives of urgent
 # requests (0.1 to 0.8 s) than beyond.
 LATENCY_BUCKETS_SECONDS = (
@@ -121,6 +123,25 @@
             registry=self.registry,
         )
 
+        self.waiting_calls = prometheus_client.Gauge(
+            "gypsumfold_waiting_calls",
+            "Calls to plain services that wait, as all replicas are full.",
+            ("service",),
+            registry=self.registry,
+        )
+        self.waited_calls = prometheus_client.Gauge(
+            "gypsumfold_waited_calls",
+            "Calls to plain services that have waited since the start.",
+            ("service",),
+            registry=self.registry,
+        )
+        self.backlog_refusals = prometheus_client.Gauge(
+            "gypsumfold_backlog_refusals",
+            "Calls to plain services refused since the start instead of "
+            "waiting longer.",
+            ("service",),
+            registry=self.registry,
+        )
         self.keys_refused = prometheus_client.Gauge(
             "gypsumfold_refused_keys",
             "Requests refused for their key since the start.",
@@ -132,6 +153,16 @@
         self.requests.labels(route, outcome).inc()
         self.seconds.labels(route).observe(seconds)
 
+    def update_plain_calls(self, queue: plain_queue.PlainQueue) -> None:
+        """Updates the gauges of calls that wait for plain services."""
+        for service in queue.services:
+            waiting = queue.count_waiting(service)
+            self.waiting_calls.labels(service).set(waiting)
+        for service, count in queue.waited.items():
+            self.waited_calls.labels(service).set(count)
+        for service, count in queue.refused.items():
+            self.backlog_refusals.labels(service).set(count)
+
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Serves all metrics as text."""
         return web.Response(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -36,6 +36,7 @@
 from gypsumfold.gateway import liveness
 from gypsumfold.gateway import origins as origins_module
 from gypsumfold.gateway import plain_calls
+from gypsumfold.gateway import plain_queue
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import registrations as registrations_module
@@ -201,6 +202,14 @@
             self.forwarder,
             self.origins,
         )
+        if settings.plain_calls.shared:
+            self.handler.plain_calls.shared = plain_queue.PlainQueue(
+                self.directory,
+                self.gossip.loads.plain,
+                settings.plain_calls,
+                settings.node.data_centre,
+                rng,
+            )
         self.forward_server = forward_server.ForwardServer(
             self.gossip.sealer, self.handler
         )
@@ -318,6 +327,7 @@
         """Drops what is kept for a removed replica."""
         self.pool.discard(replica.address, replica.instance)
         self.prefix_router.forget(replica.instance)
+        self.gossip.loads.plain.forget(replica.instance)
 
     def is_cut_off(self) -> bool:
         """Whether other nodes reach replicas that this one doesn't.
@@ -478,6 +488,8 @@
             self.counters.taken_up.labels(source).set(count)
         for result, count in self.forwarder.results.items():
             self.counters.forwarded.labels(result).set(count)
+        if self.handler.plain_calls.shared is not None:
+            self.counters.update_plain_calls(self.handler.plain_calls.shared)
         for service, count in self.budget.taken.items():
             self.counters.retries.labels(service, "allowed").set(count)
         for service, count in self.budget.refused.items():
@@ -511,6 +523,8 @@
         events.log(events.NODE_STOPPING, requests=len(self.server.busy))
         self.server.stopping = True
         self.forward_server.stopping = True
+        if self.handler.plain_calls.shared is not None:
+            self.handler.plain_calls.shared.stop()
         await asyncio.gather(
             self.leadership.leave(), self.gossip.entries.withdraw()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -2,6 +2,7 @@
 
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import load_deltas
+from gypsumfold.decisions import plain_placement
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway.peers import messages
@@ -50,6 +51,9 @@
 class Loads:
     """This node's work at engines and the work that others report.
 
+    Attributes:
+        plain: Calls at the replicas of plain services.
+
     >>> loads = Loads(prefix_router, directory)
     >>> loads.own(now=0.0)
     EngineLoads(...)
@@ -62,6 +66,7 @@
     ):
         self.prefix_router = prefix_router
         self.directory = directory
+        self.plain = plain_placement.PlainLoads()
 
     def totals_by_kind(self) -> dict[str, cluster_totals.ClusterTotals]:
         """The totals of each kind of work."""
@@ -72,6 +77,8 @@
             "demand": self.prefix_router.demand.node_totals,
             "failures": self.directory.failure_rates.failures,
             "answers": self.directory.failure_rates.answers,
+            "calls": self.plain.calls,
+            "call_seconds": self.plain.call_seconds,
         }
 
     def own(self, now: float) -> messages.EngineLoads:
@@ -84,6 +91,8 @@
             rounded(self.prefix_router.demand.own(now)),
             rounded(failure_rates.own_failures_now(now)),
             rounded(failure_rates.own_answers_now(now)),
+            rounded(self.plain.calls.own),
+            rounded(self.plain.own_seconds(now)),
         )
 
     def site_totals(self, now: float) -> messages.EngineLoads:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -69,6 +69,9 @@
         demand: Number of engines that arriving prompts keep busy, by service.
         failures: Recent failed answers, by replica.
         answers: Recent answers of the replicas with failures.
+        calls: Open calls by replica of a plain service, and waiting calls by
+            service and urgency.
+        call_seconds: Seconds of recent calls by slow replica, and their number.
     """
 
     prompts: dict[str, Amount] = {}
@@ -77,6 +80,8 @@
     demand: dict[str, Amount] = {}
     failures: dict[str, Amount] = {}
     answers: dict[str, Amount] = {}
+    calls: dict[str, Amount] = {}
+    call_seconds: dict[str, Amount] = {}
 
 
 class LoadDelta(msgspec.Struct, array_like=True):
@@ -93,6 +98,8 @@
     demand: dict[str, Thousandths] = {}
     failures: dict[str, Thousandths] = {}
     answers: dict[str, Thousandths] = {}
+    calls: dict[str, Thousandths] = {}
+    call_seconds: dict[str, Thousandths] = {}
 
 
 # The fields of `EngineLoads` and `LoadDelta`.
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -8,6 +8,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_queue
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import rate_permits as rate_permits_module
@@ -28,6 +29,10 @@
 class PlainCalls:
     """Sends a call to the least busy replica and retries it if allowed.
 
+    Attributes:
+        shared: Chooses replicas by the load of all nodes; None if only this
+            node's own calls count.
+
     >>> await plain_calls.serve(route, service, reply, progress)
     """
 
@@ -47,6 +52,7 @@
         self.retry_permits = retry_permits
         self.rate_permits = rate_permits
         self.data_centre = data_centre
+        self.shared: plain_queue.PlainQueue | None = None
 
     async def serve(
         self,
@@ -61,6 +67,7 @@
             exceptions.RequestError: No replica answered.
         """
         last_answer = None
+        refusal = None
         for attempt in range(MAX_ATTEMPTS):
             if last_answer is not None and not self.quarantine.is_unsuspected(
                 progress
@@ -73,6 +80,10 @@
                     break
                 progress.has_retry = True
             await self.borrow_permit(service, progress)
+            if self.shared is not None:
+                refusal = await self.shared.wait(service, route, progress)
+                if refusal is not None:
+                    break
             replica = await self.quarantine.place(
                 progress, route, lambda: self.choose(service, progress)
             )
@@ -102,7 +113,7 @@
         if last_answer is not None:
             await reply.send(*last_answer)
             return
-        raise progress.final_error()
+        raise refusal or progress.final_error()
 
     async def borrow_permit(
         self, service: str, progress: progress_module.Progress
@@ -121,6 +132,8 @@
         self, service: str, progress: progress_module.Progress
     ) -> types.Replica | None:
         """Chooses a replica that has not failed this call."""
+        if self.shared is not None:
+            return self.shared.choose(service, progress.avoid)
         ready = self.directory.ready(
             service, time.monotonic(), avoid=progress.avoid
         )
@@ -157,9 +170,14 @@
         )
         self.quarantine.record_start(run)
         sent_at = time.time()
+        open_call = self.shared.begin(replica) if self.shared else None
         try:
             async with asyncio.timeout(limit):
                 answer = await self.exchange(replica, progress)
+            if open_call is not None:
+                open_call.is_answered = not run_results.is_failure(
+                    answer.status
+                )
             progress.record_begin(sent_at)
             self.quarantine.record_completion(run)
             return answer
@@ -176,6 +194,8 @@
             self.record_failure(replica, progress, str(error), error)
             raise
         finally:
+            if open_call is not None:
+                self.shared.end(open_call)
             self.quarantine.end_canary(run)
             self.directory.request_ended(replica.instance)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -179,6 +179,21 @@
         return metering.Policy(self.window_s, self.due_s)
 
 
+class PlainCallsSection(settings_module.Section):
+    """Load balancing of calls to plain services.
+
+    Attributes:
+        shared: Whether replicas are chosen by the open calls of all nodes, and
+            calls wait while all replicas are full; otherwise each node counts
+            its own calls alone and nothing waits.
+        max_waiting: Maximum number of calls that wait for a service at this
+            node.
+    """
+
+    shared: bool = False
+    max_waiting: settings_module.Count = 256
+
+
 class ScalingSection(settings_module.Section):
     """Orders of replicas that are paid by the second.
 
@@ -238,6 +253,7 @@
     operations: OperationsSection = OperationsSection()
     usage: UsageSection = UsageSection()
     scaling: ScalingSection = ScalingSection()
+    plain_calls: PlainCallsSection = PlainCallsSection()
     shutdown: ShutdownSection = ShutdownSection()
     metrics: MetricsSection = MetricsSection()
 
