Pace waiting plain calls by the site's rate

Cause: reports are a quarter of a second old, longer than a call, so gateways that took them for the present state all sent to the same free slots. Change: reports count less for short calls; each gateway sends waiting calls at its share of what the replicas serve, corrected by the free slots; reports go out at most each 0.1 s while calls begin and end.

--- a/packages/gypsumfold/src/gypsumfold/decisions/call_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_queue.py
@@ -9,6 +9,7 @@
 advances with each of its calls, and the account with the least goes first.
 """
 
+from collections.abc import Callable
 import math
 
 # Time constant after which an account's earlier calls count for little.
@@ -29,8 +30,8 @@
         account: Its client account; empty for none.
         urgency: 0 is the most urgent.
         arrival: When it arrived.
-        due: When it has to be sent for its answer to be in time.
-        latest: When it is refused at the latest.
+        due: When it has to be sent for its answer to be in time; it waits no
+            longer.
     """
 
     def __init__(
@@ -39,13 +40,11 @@
         urgency: int,
         arrival: float,
         due: float,
-        latest: float,
     ):
         self.account = account
         self.urgency = min(max(0, urgency), MAX_URGENCY)
         self.arrival = arrival
         self.due = due
-        self.latest = latest
 
     def level(self, now: float) -> int:
         """Returns the urgency that it is served with."""
@@ -66,7 +65,7 @@
     """The calls that wait for one service at one node.
 
     >>> queue = CallQueue()
-    >>> call = WaitingCall("north", 2, arrival=0.0, due=0.3, latest=1.0)
+    >>> call = WaitingCall("north", 2, arrival=0.0, due=0.3)
     >>> queue.push(call, now=0.0)
     >>> queue.pop(now=0.1) is call
     True
@@ -172,7 +171,9 @@
 
 
 def hopeless(
-    calls: list[WaitingCall], rate: float, now: float
+    calls: list[WaitingCall],
+    seconds: Callable[[WaitingCall], float],
+    now: float,
 ) -> list[WaitingCall]:
     """Returns the calls whose turn comes too late.
 
@@ -180,13 +181,13 @@
 
     Args:
         calls: The waiting calls in order.
-        rate: Calls a second that this node may send.
+        seconds: Returns the seconds between two calls that this node may send.
         now: The time.
     """
     found = []
     ahead = 0
     for call in calls:
-        if now + (ahead + 1) / rate > call.latest:
+        if now + (ahead + 1) * seconds(call) > call.due:
             found.append(call)
             continue
         ahead += 1
@@ -219,6 +220,10 @@
             self.credit = min(limit, self.credit + rate * passed)
         self.updated = now
 
+    def restart(self) -> None:
+        """Accrues nothing for the time until now, in which nothing waited."""
+        self.updated = None
+
     def take(self) -> bool:
         """Takes the credit of one call; False if there isn't enough."""
         if self.credit < 1.0:
--- a/packages/gypsumfold/src/gypsumfold/decisions/plain_placement.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/plain_placement.py
@@ -52,9 +52,11 @@
 # Least rate of waiting calls, as a share of what the replicas serve: stale
 # totals may show all replicas full for 3 s.
 MIN_RATE_SHARE = 0.1
-# Share of free slots at which calls that other gateways report as waiting are
-# known to wait no more: they would have been sent.
-IDLE_SHARE = 0.5
+# Share of free slots up to which the calls that other gateways report as
+# waiting count in full, and share from which they are known to wait no more:
+# they would have been sent.
+BUSY_SHARE = 0.25
+IDLE_SHARE = 0.75
 # How many times as much a waiting call counts as one of the next urgency.
 URGENCY_WEIGHT = 4.0
 MAX_URGENCY = 9
@@ -249,13 +251,47 @@
         """Returns the open calls of all nodes at a replica."""
         return self.calls.total(instance, now)
 
-    def set_waiting(self, service: str, counts: Sequence[int]) -> None:
-        """Replaces the number of calls that wait here, by urgency."""
+    def estimate(
+        self, service: str, slots: dict[str, int], now: float
+    ) -> dict[str, float]:
+        """Estimates the open calls of all nodes at replicas by now.
+
+        Calls reported by others have ended since with a probability that
+        follows from their usual time, and others have begun, as many at each
+        slot. So short calls are spread evenly, long ones by the reports. If
+        all nodes took reports of short calls for the present state, they would
+        all send to the replica that was least busy a quarter of a second ago.
+
+        Args:
+            service: The service.
+            slots: Slots by replica.
+            now: The time.
+        """
+        remote = self.calls.remote(now)
+        total = sum(remote.get(instance, 0.0) for instance in slots)
+        mean = total / max(1, sum(slots.values()))
+        left = math.exp(-REPORT_SECONDS / self.usual_seconds(service))
+        found = {}
+        for instance, count in slots.items():
+            average = mean * count
+            reported = remote.get(instance, 0.0)
+            estimated = average + left * (reported - average)
+            found[instance] = estimated + self.calls.own.get(instance, 0.0)
+        return found
+
+    def set_waiting(self, service: str, counts: Sequence[int]) -> bool:
+        """Replaces the number of calls that wait here, by urgency.
+
+        Returns:
+            Whether any has changed.
+        """
+        has_changed = False
         for urgency, count in enumerate(counts):
             key = waiting_key(service, urgency)
-            self.calls.own.pop(key, None)
+            has_changed |= self.calls.own.pop(key, 0.0) != count
             if count:
                 self.calls.own[key] = float(count)
+        return has_changed
 
     def waiting_elsewhere(self, service: str, now: float) -> list[float]:
         """Returns how many calls wait at other nodes, by urgency."""
@@ -354,7 +390,8 @@
     Reports of a node that has ended or has sent its calls are counted less the
     more slots are free.
     """
-    share = min(1.0, max(0.0, 1 - free_share(candidates) / IDLE_SHARE))
+    idle = (free_share(candidates) - BUSY_SHARE) / (IDLE_SHARE - BUSY_SHARE)
+    share = min(1.0, max(0.0, 1 - idle))
     return [share * count for count in waiting]
 
 
@@ -372,6 +409,26 @@
     return mine / total if total else 1.0
 
 
+def turn_seconds(
+    urgency: int, own: int, others: Sequence[float], rate: float
+) -> float:
+    """Returns the seconds between two calls that a node may send.
+
+    Urgent calls that wait elsewhere go first but are gone soon, so each counts
+    as one call. Less urgent ones count for their part of the share.
+
+    Args:
+        urgency: Urgency of the calls that the node sends.
+        own: Calls that wait at this node.
+        others: Calls that wait at the other nodes, by urgency.
+        rate: Calls a second that the replicas serve.
+    """
+    ahead = 0.0
+    for level, count in enumerate(others):
+        ahead += count * min(1.0, URGENCY_WEIGHT ** (urgency - level))
+    return (1 + ahead / max(1, own)) / rate
+
+
 def weigh(counts: Sequence[float]) -> float:
     """Adds up waiting calls, weighted by urgency."""
     total = 0.0
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -210,6 +210,7 @@
                 settings.node.data_centre,
                 rng,
             )
+            self.handler.plain_calls.shared.notify_change = self.gossip.done
         self.forward_server = forward_server.ForwardServer(
             self.gossip.sealer, self.handler
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -1,6 +1,8 @@
 """Places plain calls by the site's totals and queues them if all are full."""
 
 import asyncio
+from collections.abc import Callable
+import math
 import random
 import time
 
@@ -18,12 +20,16 @@
 # Seconds between two looks at the totals while calls wait: a fifth of the
 # shortest time of a call, and well below the 0.1 s between two reports.
 TICK_SECONDS = 0.01
+# Seconds between two reports of changes: a report at each change would take
+# several times as much of the link.
+REPORT_INTERVAL_SECONDS = 0.1
 # Seconds between two checks for calls whose turn comes too late.
 REVIEW_SECONDS = 0.1
 # Usual times of a call that must be left until its deadline when it is sent.
 LEAST_TIMES_LEFT = 2.0
-# Calls beyond its slots that a replica may be sent from a queue: a slot that
-# becomes free is known elsewhere only a quarter of a second later.
+# The same until its objective: some calls take a little longer than usual.
+OBJECTIVE_TIMES_LEFT = 1.25
+# Calls beyond its slots for which a replica counts that has just refused one.
 QUEUED_AT_REPLICA = 1.0
 
 
@@ -63,6 +69,7 @@
     Attributes:
         waited: Calls that have waited since the start, by service.
         refused: Calls refused because of the backlog, by service.
+        notify_change: Called when other nodes should learn this node's loads.
 
     >>> refusal = await plain_queue.wait("app", route, progress)
     >>> replica = plain_queue.choose("app", frozenset())
@@ -86,6 +93,9 @@
         self.refused: dict[str, int] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
+        self.notify_change: Callable[[], None] = lambda: None
+        self.reported_at = -math.inf
+        self.is_report_due = False
 
     def candidates(
         self, service: str, avoid: frozenset[str], now: float
@@ -96,9 +106,13 @@
         """
         directory = self.directory
         found = []
-        for replica in directory.ready(service, now, avoid):
+        ready = directory.ready(service, now, avoid)
+        estimated = self.loads.estimate(
+            service, {one.instance: max(1, one.slots) for one in ready}, now
+        )
+        for replica in ready:
             slots = max(1, replica.slots)
-            calls = self.loads.open_calls(replica.instance, now)
+            calls = estimated[replica.instance]
             if directory.paused_until.get(replica.instance, now) > now:
                 calls = max(calls, slots + QUEUED_AT_REPLICA)
             found.append(
@@ -126,6 +140,7 @@
 
     def begin(self, replica: types.Replica) -> plain_placement.OpenCall:
         """Counts a call that is sent to a replica."""
+        self.report_soon()
         return self.loads.begin(
             replica.instance, replica.service, time.monotonic()
         )
@@ -133,6 +148,7 @@
     def end(self, call: plain_placement.OpenCall) -> None:
         """Counts the end of a call; a waiting one may take its slot."""
         self.loads.end(call, time.monotonic())
+        self.report_soon()
         if call.service in self.services:
             self.dispatch(call.service)
 
@@ -165,6 +181,8 @@
         if self.is_stopping:
             return self.refuse(service, progress, candidates, now)
         waiter = Waiter(call, progress)
+        if not line.waiters:
+            line.pace.restart()
         line.queue.push(call, now)
         line.waiters[call] = waiter
         self.admit(service, line, waiter, candidates, now)
@@ -195,18 +213,19 @@
     ) -> call_queue.WaitingCall:
         """Returns when a call has to be sent.
 
-        It is taken up if it is expected to meet its objective, or its deadline
-        if the objective is out of reach already. Once taken up it may wait as
-        long as the deadline permits: a late answer is better than none.
+        That is in time for its objective, or for its deadline if the objective
+        is out of reach already: while replicas are full, a late answer takes
+        the slot of one that would be in time.
         """
         call = progress.call
         usual = self.loads.usual_seconds(service)
         latest = call.deadline - LEAST_TIMES_LEFT * usual
-        due = call.arrival + route.objective - usual
+        objective = call.arrival + route.objective
+        due = objective - OBJECTIVE_TIMES_LEFT * usual
         if due <= now:
             due = latest
         return call_queue.WaitingCall(
-            call.account, route.urgency, call.arrival, min(due, latest), latest
+            call.account, route.urgency, call.arrival, min(due, latest)
         )
 
     def may_send(
@@ -222,8 +241,9 @@
         """
         if line.waiters:
             return False
-        others = self.others(service, candidates, now)
-        return sum(others) < 0.5 and has_room(candidates, line.granted, 0.0)
+        if sum(self.others(service, candidates, now)) >= 0.5:
+            return False
+        return has_room(candidates, line.granted)
 
     def others(
         self,
@@ -235,18 +255,21 @@
         reported = self.loads.waiting_elsewhere(service, now)
         return plain_placement.credible_waiting(reported, candidates)
 
-    def own_rate(
+    def turns(
         self,
         service: str,
         line: ServiceQueue,
         candidates: list[plain_placement.Candidate],
         now: float,
-    ) -> float:
-        """Returns the calls a second that this node may send while all wait."""
+    ) -> Callable[[call_queue.WaitingCall], float]:
+        """Returns the seconds between two calls that this node may send."""
         others = self.others(service, candidates, now)
-        share = plain_placement.own_share(line.queue.counts, others)
         usual = self.loads.usual_seconds(service)
-        return share * plain_placement.service_rate(candidates, usual)
+        rate = plain_placement.service_rate(candidates, usual)
+        own = len(line.queue)
+        return lambda call: plain_placement.turn_seconds(
+            call.level(now), own, others, rate
+        )
 
     def admit(
         self,
@@ -266,9 +289,9 @@
             self.end_wait(service, line, last, candidates, now)
             if last is waiter:
                 return
-        rate = self.own_rate(service, line, candidates, now)
+        turns = self.turns(service, line, candidates, now)
         position = ordered.index(waiter.call) + 1
-        if now + position / rate > waiter.call.due:
+        if now + position * turns(waiter.call) > waiter.call.due:
             self.end_wait(service, line, waiter, candidates, now)
 
     def end_wait(
@@ -341,15 +364,15 @@
                 self.end_wait(service, line, waiter, [], now)
             return
         others = self.others(service, everywhere, now)
-        alone = sum(others) < 0.5
+        alone = sum(others) < 0.5 and has_room(everywhere, line.granted)
         usual = self.loads.usual_seconds(service)
         rate = plain_placement.dispatch_rate(everywhere, usual)
         share = plain_placement.own_share(line.queue.counts, others)
         line.pace.accrue(rate * share, now)
-        beyond = 0.0 if alone else QUEUED_AT_REPLICA
-        while line.queue and has_room(everywhere, line.granted, beyond):
+        while line.queue:
             if not alone and not line.pace.take():
                 break
+            alone = alone and has_room(everywhere, line.granted + 1)
             waiter = line.waiters.pop(line.queue.pop(now))
             candidates = everywhere
             if waiter.progress.avoid:
@@ -374,13 +397,29 @@
         if now - line.reviewed < REVIEW_SECONDS or not line.waiters:
             return
         line.reviewed = now
-        rate = self.own_rate(service, line, candidates, now)
-        for call in call_queue.hopeless(line.queue.ordered(now), rate, now):
+        turns = self.turns(service, line, candidates, now)
+        for call in call_queue.hopeless(line.queue.ordered(now), turns, now):
             self.end_wait(service, line, line.waiters[call], candidates, now)
 
     def update(self, service: str, line: ServiceQueue) -> None:
         """Reports how many calls wait here."""
-        self.loads.set_waiting(service, line.queue.counts)
+        if self.loads.set_waiting(service, line.queue.counts):
+            self.report_soon()
+
+    def report_soon(self) -> None:
+        """Has this node's loads reported, at most once in an interval."""
+        if self.is_report_due:
+            return
+        wait = self.reported_at + REPORT_INTERVAL_SECONDS - time.monotonic()
+        self.is_report_due = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, wait), self.report)
+
+    def report(self) -> None:
+        """Has this node's loads reported now."""
+        self.is_report_due = False
+        self.reported_at = time.monotonic()
+        self.notify_change()
 
     def schedule(self) -> None:
         """Looks at the totals again soon, as long as calls wait."""
@@ -440,17 +479,14 @@
     return waiter.end.result() is None
 
 
-def has_room(
-    candidates: list[plain_placement.Candidate], granted: int, beyond: float
-) -> bool:
-    """Whether some replica has a free slot.
+def has_room(candidates: list[plain_placement.Candidate], granted: int) -> bool:
+    """Whether more slots are free than the reserve and those about to be taken.
 
     Args:
         candidates: The replicas.
         granted: Calls about to be sent, each of which takes a slot.
-        beyond: Calls beyond its slots that each replica may be sent.
     """
-    room = 0
-    for one in candidates:
-        room += max(0, int(one.free + beyond))
-    return room > granted
+    slots = sum(one.slots for one in candidates)
+    reserve = plain_placement.RESERVE * slots
+    free = sum(max(0.0, one.free) for one in candidates)
+    return free - granted >= max(1.0, reserve)
