--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -37,6 +37,7 @@
 from gypsumfold.gateway import origins as origins_module
 from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import plain_queue
+from gypsumfold.gateway import plain_replicas
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import registrations as registrations_module
@@ -203,14 +204,16 @@
             self.origins,
         )
         if settings.plain_calls.shared:
-            self.handler.plain_calls.shared = plain_queue.PlainQueue(
+            plain = plain_replicas.PlainReplicas(
                 self.directory,
                 self.gossip.loads.plain,
-                settings.plain_calls,
                 settings.node.data_centre,
                 rng,
             )
-            self.handler.plain_calls.shared.notify_change = self.gossip.done
+            plain.notify_change = self.gossip.done
+            self.handler.plain_calls.shared = plain_queue.PlainQueue(
+                plain, settings.plain_calls
+            )
         self.forward_server = forward_server.ForwardServer(
             self.gossip.sealer, self.handler
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -2,7 +2,7 @@
 
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import load_deltas
-from gypsumfold.decisions import plain_placement
+from gypsumfold.decisions import plain_loads
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway.peers import messages
@@ -66,7 +66,7 @@
     ):
         self.prefix_router = prefix_router
         self.directory = directory
-        self.plain = plain_placement.PlainLoads()
+        self.plain = plain_loads.PlainLoads()
 
     def totals_by_kind(self) -> dict[str, cluster_totals.ClusterTotals]:
         """The totals of each kind of work."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -135,7 +135,7 @@
     ) -> types.Replica | None:
         """Chooses a replica that has not failed this call."""
         if self.shared is not None:
-            return self.shared.choose(service, progress.avoid)
+            return self.shared.replicas.choose(service, progress.avoid)
         ready = self.directory.ready(
             service, time.monotonic(), avoid=progress.avoid
         )
@@ -172,7 +172,7 @@
         )
         self.quarantine.record_start(run)
         sent_at = time.time()
-        open_call = self.shared.begin(replica) if self.shared else None
+        open_call = self.shared.replicas.begin(replica) if self.shared else None
         try:
             async with asyncio.timeout(limit):
                 answer = await self.exchange(replica, progress)
