--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -42,4 +42,4 @@
 
   Scenario: Without the setting reports take the same bytes as before
     Given a report without slow engines
-    Then its loads have six kinds on the wire, and with a slow engine eight
+    Then its loads have six kinds on the wire, and with a slow engine ten
--- a/packages/gypsumfold/src/gypsumfold/gateway/copies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/copies.py
@@ -9,6 +9,7 @@
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import copy_races
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_replicas
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import retry_permits as retry_permits_module
@@ -27,6 +28,8 @@
 
     Attributes:
         limits: Decides when a copy may be sent, and counts copies.
+        shared: Places copies by the load of all gateways; None if this node
+            counts only its own calls.
 
     >>> answer = await copies.run(replica, route, progress, send)
     """
@@ -43,6 +46,7 @@
         self.retry_permits = retry_permits
         self.quarantine = quarantine
         self.data_centre = data_centre
+        self.shared: plain_replicas.PlainReplicas | None = None
 
     def record_failure(self, replica: types.Replica, error: Exception) -> None:
         """Counts a request that a replica refused as it is full."""
@@ -104,6 +108,8 @@
         ):
             if self.is_fit(replica):
                 found.append(replica)
+        if self.shared is not None:
+            return self.shared.choose_free(first.service, found)
         return self.directory.least_busy(found, self.data_centre)
 
     def is_fit(self, replica: types.Replica) -> bool:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -36,6 +36,8 @@
 from gypsumfold.gateway import liveness
 from gypsumfold.gateway import origins as origins_module
 from gypsumfold.gateway import plain_calls
+from gypsumfold.gateway import plain_queue
+from gypsumfold.gateway import plain_replicas
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import rate_permits as rate_permits_module
 from gypsumfold.gateway import registrations as registrations_module
@@ -208,6 +210,18 @@
             self.forwarder,
             self.origins,
         )
+        if settings.plain_calls.shared:
+            plain = plain_replicas.PlainReplicas(
+                self.directory,
+                self.gossip.loads.plain,
+                settings.node.data_centre,
+                rng,
+            )
+            plain.notify_change = self.gossip.done
+            self.handler.plain_calls.shared = plain_queue.PlainQueue(
+                plain, settings.plain_calls
+            )
+            self.handler.plain_calls.copies.shared = plain
         self.forward_server = forward_server.ForwardServer(
             self.gossip.sealer, self.handler
         )
@@ -326,6 +340,7 @@
         """Drops what is kept for a removed replica."""
         self.pool.discard(replica.address, replica.instance)
         self.prefix_router.forget(replica.instance)
+        self.gossip.loads.plain.forget(replica.instance)
 
     def is_cut_off(self) -> bool:
         """Whether other nodes reach replicas that this one doesn't.
@@ -491,6 +506,8 @@
             self.counters.taken_up.labels(source).set(count)
         for result, count in self.forwarder.results.items():
             self.counters.forwarded.labels(result).set(count)
+        if self.handler.plain_calls.shared is not None:
+            self.counters.update_plain_calls(self.handler.plain_calls.shared)
         for service, count in self.budget.taken.items():
             self.counters.retries.labels(service, "allowed").set(count)
         for service, count in self.budget.refused.items():
@@ -536,6 +553,8 @@
         events.log(events.NODE_STOPPING, requests=len(self.server.busy))
         self.server.stopping = True
         self.forward_server.stopping = True
+        if self.handler.plain_calls.shared is not None:
+            self.handler.plain_calls.shared.stop()
         await asyncio.gather(
             self.leadership.leave(), self.gossip.entries.withdraw()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -2,6 +2,7 @@
 
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import load_deltas
+from gypsumfold.decisions import plain_loads
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway.peers import messages
@@ -54,6 +55,9 @@
 class Loads:
     """This node's work at engines and the work that others report.
 
+    Attributes:
+        plain: Calls at the replicas of plain services.
+
     >>> loads = Loads(prefix_router, directory)
     >>> loads.own(now=0.0)
     EngineLoads(...)
@@ -66,6 +70,7 @@
     ):
         self.prefix_router = prefix_router
         self.directory = directory
+        self.plain = plain_loads.PlainLoads()
 
     def totals_by_kind(self) -> dict[str, cluster_totals.ClusterTotals]:
         """The totals of each kind of work."""
@@ -76,6 +81,8 @@
             "demand": self.prefix_router.demand.node_totals,
             "failures": self.directory.failure_rates.failures,
             "answers": self.directory.failure_rates.answers,
+            "calls": self.plain.calls,
+            "call_seconds": self.plain.call_seconds,
             "slow_taken": self.prefix_router.slow_engines.taken,
             "slow_expected": self.prefix_router.slow_engines.expected,
         }
@@ -94,6 +101,8 @@
                 **rounded(failure_rates.own_answers_now(now)),
                 **self.directory.second_copies.own(now),
             },
+            rounded(self.plain.calls.own),
+            rounded(self.plain.own_seconds(now)),
             rounded(slow_engines.own_taken_now(now)),
             rounded(slow_engines.own_expected_now(now)),
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/messages.py
@@ -71,6 +71,9 @@
         answers: Recent answers of the replicas with failures. Also the counts
             of `decisions/second_copies.py`, whose keys hold a slash: a field
             of their own would take a byte of each report where it is empty.
+        calls: Open calls by replica of a plain service, and waiting calls by
+            service and urgency.
+        call_seconds: Seconds of recent calls by slow replica, and their number.
         slow_taken: Seconds that recent prefills took, by engine that differs
             from the median, relative to the sender's median engine.
         slow_expected: Seconds that they should have taken.
@@ -82,6 +85,8 @@
     demand: dict[str, Amount] = {}
     failures: dict[str, Amount] = {}
     answers: dict[str, Amount] = {}
+    calls: dict[str, Amount] = {}
+    call_seconds: dict[str, Amount] = {}
     slow_taken: dict[str, Amount] = {}
     slow_expected: dict[str, Amount] = {}
 
@@ -100,6 +105,8 @@
     demand: dict[str, Thousandths] = {}
     failures: dict[str, Thousandths] = {}
     answers: dict[str, Thousandths] = {}
+    calls: dict[str, Thousandths] = {}
+    call_seconds: dict[str, Thousandths] = {}
     slow_taken: dict[str, Thousandths] = {}
     slow_expected: dict[str, Thousandths] = {}
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -11,6 +11,7 @@
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import copies as copies_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_queue
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import rate_permits as rate_permits_module
@@ -31,6 +32,10 @@
 class PlainCalls:
     """Sends a call to the least busy replica and retries it if allowed.
 
+    Attributes:
+        shared: Chooses replicas by the load of all nodes; None if only this
+            node's own calls count.
+
     >>> await plain_calls.serve(route, service, reply, progress)
     """
 
@@ -53,6 +58,7 @@
         self.copies = copies_module.Copies(
             directory, retry_permits, quarantine, data_centre
         )
+        self.shared: plain_queue.PlainQueue | None = None
 
     async def serve(
         self,
@@ -67,6 +73,7 @@
             exceptions.RequestError: No replica answered.
         """
         last_answer = None
+        refusal = None
         for attempt in range(MAX_ATTEMPTS):
             if last_answer is not None and not self.quarantine.is_unsuspected(
                 progress
@@ -79,6 +86,10 @@
                     break
                 progress.has_retry = True
             await self.borrow_permit(service, progress)
+            if self.shared is not None:
+                refusal = await self.shared.wait(service, route, progress)
+                if refusal is not None:
+                    break
             replica = await self.quarantine.place(
                 progress, route, lambda: self.choose(service, progress)
             )
@@ -109,7 +120,9 @@
         if last_answer is not None:
             await reply.send(*last_answer)
             return
-        raise progress.final_error()
+        if refusal is None and self.shared is not None:
+            refusal = self.shared.final_error(service, progress)
+        raise refusal or progress.final_error()
 
     async def borrow_permit(
         self, service: str, progress: progress_module.Progress
@@ -128,6 +141,8 @@
         self, service: str, progress: progress_module.Progress
     ) -> types.Replica | None:
         """Chooses a replica that has not failed this call."""
+        if self.shared is not None:
+            return self.shared.replicas.choose(service, progress.avoid)
         ready = self.directory.ready(
             service, time.monotonic(), avoid=progress.avoid
         )
@@ -172,9 +187,14 @@
         )
         self.quarantine.record_start(run)
         sent_at = time.time()
+        open_call = self.shared.replicas.begin(replica) if self.shared else None
         try:
             async with asyncio.timeout(limit):
                 answer = await self.exchange(replica, progress, notify_head)
+            if open_call is not None:
+                open_call.is_answered = not run_results.is_failure(
+                    answer.status
+                )
             progress.record_begin(sent_at)
             self.quarantine.record_completion(run)
             return answer
@@ -191,6 +211,8 @@
             self.record_failure(replica, progress, str(error), error)
             raise
         finally:
+            if open_call is not None:
+                self.shared.end(open_call)
             self.quarantine.end_canary(run)
             self.directory.request_ended(replica.instance)
 
