Check a configuration before it is sent

Operators learned only from a gateway's log that a configuration can't be decoded, and not at all that a route is shadowed or a service misspelt. gypsumfoldctl check takes a configuration in JSON besides files of statements, decodes it as gateways do, and prints findings and differences without keys.

--- a/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/main.py
@@ -4,7 +4,6 @@
 from collections.abc import Coroutine
 import os
 import pathlib
-import sys
 from typing import Any
 from typing import TextIO
 
@@ -18,6 +17,7 @@
 from gypsumfold.operators import language
 from gypsumfold.operators import statements
 from gypsumfoldctl import burns
+from gypsumfoldctl import checking
 from gypsumfoldctl import client as client_module
 from gypsumfoldctl import exceptions
 from gypsumfoldctl import explaining
@@ -101,10 +101,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(work)
     except exceptions.CommandError as error:
-        click.echo(f"{type(error).__name__}: {error.reason}", err=True)
-        for line in error.lines:
-            click.echo(f"  {line}", err=True)
-        sys.exit(error.exit_code)
+        output.fail(error)
 
 
 @main.command(epilog=EXIT_CODES)
@@ -192,17 +189,8 @@
     return found
 
 
-@main.command("check", epilog=EXIT_CODES)
-@FILES
-def check_files(files: tuple[pathlib.Path, ...]) -> None:
-    """Check FILES as a whole, without asking any node."""
-
-    async def work() -> None:
-        declared = planning.read(files)
-        planning.check(declared)
-        click.echo(f"{len(declared)} declarations are valid")
-
-    finish(work())
+checking.check.epilog = EXIT_CODES
+main.add_command(checking.check)
 
 
 @main.command(epilog=EXIT_CODES)
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/output.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/output.py
@@ -1,11 +1,16 @@
-"""Prints the result of a query as a table, as JSON or as CSV."""
+"""Prints results as a table, as JSON or as CSV, and failures."""
 
 import csv
 import io
+import sys
 from typing import Any
+from typing import NoReturn
 
+import click
 import msgspec
 
+from gypsumfoldctl import exceptions
+
 FORMATS = ("table", "json", "csv")
 
 
@@ -55,3 +60,11 @@
     if isinstance(value, bool):
         return "true" if value else "false"
     return str(value)
+
+
+def fail(error: exceptions.CommandError) -> NoReturn:
+    """Prints a failure and ends the process with its exit code."""
+    click.echo(f"{type(error).__name__}: {error.reason}", err=True)
+    for line in error.lines:
+        click.echo(f"  {line}", err=True)
+    sys.exit(error.exit_code)
