--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
@@ -268,4 +268,4 @@
     level: findings.Level = ERROR,
 ) -> None:
     if not value > 0:
-        report.contradiction(level, path, f"{value:g} isn't above 0")
+        report.contradiction(level, path, f"{value} isn't above 0")
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/json_positions.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/json_positions.py
@@ -92,10 +92,15 @@
 
 
 def error_path(reason: str) -> Path:
-    """Returns the path that a decoding error of msgspec names."""
+    """Returns the path that a decoding error of msgspec names.
+
+    The path ends before the member of a mapping, which msgspec doesn't name
+    ("[...]").
+    """
     match = PATH.search(reason)
+    steps = match[1].partition("[...]")[0] if match else ""
     found: list[str | int] = []
-    for name, index in STEP.findall(match[1] if match else ""):
+    for name, index in STEP.findall(steps):
         found.append(name or int(index))
     return tuple(found)
 
