--- a/packages/gypsumfoldctl/src/gypsumfoldctl/checking.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/checking.py
@@ -124,7 +124,7 @@
     if differences == []:
         lines.append("no difference")
     errors = sum(one.level == findings.Level.ERROR for one in found)
-    summary = f"{errors} errors, {len(found) - errors} warnings"
+    summary = f"errors: {errors}, warnings: {len(found) - errors}"
     if as_json:
         click.echo(json.dumps(_report(text, found, differences), indent=2))
     else:
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
@@ -5,6 +5,7 @@
 
 import math
 
+from gypsumfold.decisions import routes
 from gypsumfold.platform import decoding
 from gypsumfold.platform import names
 from gypsumfoldctl import configuration_findings as findings
@@ -156,7 +157,7 @@
     if route.urgency < 0:
         sentence = f"{route.urgency} is below 0, the highest priority"
         report.contradiction(ERROR, (*path, "priority"), sentence)
-    if route.kind not in names.ROUTE_KINDS or route.kind == "streaming":
+    if names.ROUTE_KINDS[route.kind] == routes.Kind.STREAMING:
         return
     for field, is_set in (
         ("resumable", route.resumable),
