--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -228,9 +228,7 @@
     context.report = messages.Report(contact, 1, 0, loads, messages.Updates())
 
 
-@behave.then(
-    "its loads have six kinds on the wire, and with a slow engine ten"
-)
+@behave.then("its loads have six kinds on the wire, and with a slow engine ten")
 def step_kinds(context):
     report = context.report
     for expected in ({}, {"engine-1": 0.1}):
