Send plain calls at once while no replica responds

The queue divided by the rate that no responsive replica serves. The call stayed in the queue, its turn was never given back, and its caller got 502.

--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -42,3 +42,14 @@
       | datagrams are lost    |
       | two replicas crash    |
       | all replicas crash    |
+
+  # A division by the rate of no replicas left the call in the queue for ever.
+  Scenario Outline: Calls don't wait while no replica responds: a call <moment>
+    Given a gateway that knows 2 full plain replicas
+    When a call <moment> all replicas become silent
+    Then it is sent at once and nothing is left in the queue
+
+    Examples:
+      | moment       |
+      | waits and    |
+      | comes after  |
--- /dev/null
+++ b/features/steps/plain_queue_steps.py
@@ -0,0 +1,80 @@
+"""Steps on the queue of plain calls at one gateway."""
+
+import asyncio
+import random
+import time
+from unittest import mock
+
+import behave
+
+from gypsumfold.decisions import plain_loads
+from gypsumfold.decisions import routes
+from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_queue
+from gypsumfold.gateway import plain_replicas
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import types
+
+SERVICE = "app"
+SLOTS = 6
+OBJECTIVE, LIMIT = 0.42, 1.59
+
+
+@behave.given("a gateway that knows {count:d} full plain replicas")
+def step_full(context, count):
+    rng = random.Random(1)
+    context.directory = directory = directory_module.Directory(rng)
+    loads = plain_loads.PlainLoads()
+    for place in range(count):
+        instance = f"app-{place}"
+        directory.replicas[instance] = types.Replica(
+            instance, SERVICE, f"10.0.0.1:{9000 + place}", "north", SLOTS, False
+        )
+        for _ in range(SLOTS + 2):
+            loads.begin(instance, SERVICE, time.monotonic())
+    replicas = plain_replicas.PlainReplicas(directory, loads, "north", rng)
+    context.queue = plain_queue.PlainQueue(
+        replicas, settings_module.PlainCallsSection(shared=True)
+    )
+
+
+def new_call(number: int = 0) -> progress_module.Progress:
+    """Makes a call that has just arrived."""
+    now = time.monotonic()
+    call = types.Call(
+        f"call-{number}", "POST", "/seats/1", "h", (), b"", now, now + LIMIT
+    )
+    return progress_module.Progress(call)
+
+
+def start(context, progress) -> asyncio.Task:
+    """Has a call wait for its turn."""
+    route = mock.Mock(
+        spec=routes.Route, urgency=2, objective=OBJECTIVE, repeatable=True
+    )
+    return asyncio.ensure_future(context.queue.wait(SERVICE, route, progress))
+
+
+@behave.when("a call {moment} all replicas become silent")
+def step_silent(context, moment):
+    async def story():
+        waiting = start(context, new_call()) if moment == "waits and" else None
+        await asyncio.sleep(0)
+        if waiting is not None:
+            assert len(context.queue.services[SERVICE].queue) == 1
+        context.directory.suspects |= set(context.directory.replicas)
+        if waiting is None:
+            waiting = start(context, new_call())
+        else:
+            context.queue.dispatch(SERVICE)
+        context.answer = await asyncio.wait_for(waiting, OBJECTIVE)
+
+    asyncio.run(story())
+
+
+@behave.then("it is sent at once and nothing is left in the queue")
+def step_sent(context):
+    line = context.queue.services[SERVICE]
+    assert context.answer is None, context.answer
+    assert not line.granted and not line.queue and not line.waiters
--- a/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Sequence
+import math
 
 from gypsumfold.decisions import plain_loads
 from gypsumfold.decisions import plain_placement
@@ -104,7 +105,12 @@
         own: Calls that wait at this node.
         others: Calls that wait at the other nodes, by urgency.
         rate: Calls a second that the replicas serve.
+
+    Returns:
+        The seconds; infinity if the replicas serve nothing.
     """
+    if rate <= 0:
+        return math.inf
     ahead = 0.0
     for level, count in enumerate(others):
         ahead += count * min(1.0, URGENCY_WEIGHT ** (urgency - level))
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -211,10 +211,11 @@
             self.record_failure(replica, progress, str(error), error)
             raise
         finally:
-            if open_call is not None:
-                self.shared.end(open_call)
+            # Before the queue's, so that a failure there leaves none open.
             self.quarantine.end_canary(run)
             self.directory.request_ended(replica.instance)
+            if open_call is not None:
+                self.shared.end(open_call)
 
     def record_failure(
         self,
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -80,10 +80,13 @@
             line = self.services[service] = plain_waiters.ServiceQueue(
                 self.replicas.rng
             )
-        if not self.is_open(service, progress.avoid, now) or self.has_turn(
-            service, line, progress, serving, now
+        if (
+            not serving
+            or not self.is_open(service, progress.avoid, now)
+            or self.has_turn(service, line, progress, serving, now)
         ):
-            # Without a replica the caller is refused for that reason.
+            # Without a replica the caller is refused for that reason. If none
+            # is known to respond, nothing says when a turn would come.
             line.queue.charge(call.account, now)
             return None
         if self.is_stopping:
@@ -91,11 +94,11 @@
         waiter = plain_waiters.Waiter(call, progress)
         if not line.waiters:
             line.pace.restart()
-        line.queue.push(call, now)
-        line.waiters[call] = waiter
-        self.admit(service, line, waiter, serving, now)
         outcome = "left"
         try:
+            line.queue.push(call, now)
+            line.waiters[call] = waiter
+            self.admit(service, line, waiter, serving, now)
             if not waiter.end.done():
                 self.update(service, line)
                 self.dispatch(service)
@@ -273,6 +276,10 @@
             for waiter in list(line.waiters.values()):
                 self.end_wait(service, line, waiter, [], now)
             return
+        if not everywhere:
+            while line.queue:
+                self.grant(line, now)
+            return
         others = self.others(service, everywhere, now)
         alone = sum(others) < 0.5 and call_rates.has_room(
             everywhere, line.granted
@@ -285,12 +292,16 @@
             if not alone and not line.pace.take():
                 break
             alone = alone and call_rates.has_room(everywhere, line.granted + 1)
-            waiter = line.waiters.pop(line.queue.pop(now))
-            if not waiter.end.done():
-                line.granted += 1
-                waiter.end.set_result(None)
+            self.grant(line, now)
         self.review(service, line, everywhere, now)
 
+    def grant(self, line: plain_waiters.ServiceQueue, now: float) -> None:
+        """Gives the next waiting call its turn."""
+        waiter = line.waiters.pop(line.queue.pop(now))
+        if not waiter.end.done():
+            line.granted += 1
+            waiter.end.set_result(None)
+
     def review(
         self,
         service: str,
