Guarantee each waiting priority of plain calls a share of the turns

Where urgent calls alone exceeded what the replicas run, calls with an objective below the aging time of 0.4 s were refused before they aged: 1 in 100 of the others were served.

--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -28,6 +28,20 @@
       | 6     | 4    |
       | 40    | 5    |
 
+  # Calls that were refused before they had waited for 0.4 s never aged.
+  Scenario Outline: No urgency starves behind too many urgent calls: <nodes> gateways
+    Given <nodes> gateways in front of 4 plain replicas of 6 slots, seed <seed>
+    When urgent calls come half as often again as they can run, and half as many others
+    Then the others are served at least a quarter as often as all
+    And 9 in 10 of the answers meet their objective of 0.42 seconds
+    And nothing is left behind, run twice or refused untruly
+
+    Examples:
+      | nodes | seed |
+      | 1     | 7    |
+      | 6     | 8    |
+      | 40    | 9    |
+
   Scenario Outline: Nothing is lost when <event> while calls wait
     Given 6 gateways in front of 4 plain replicas of 6 slots, seed 6
     When half as many calls again as they can run come and <event>
--- a/features/steps/plain_calls_steps.py
+++ b/features/steps/plain_calls_steps.py
@@ -50,6 +50,7 @@
         self.asked: list[Asked] = []
         self.tasks: dict[asyncio.Task, str] = {}
         self.leaving = False
+        self.urgent_share = URGENT_SHARE
 
     def configure(self) -> None:
         """Writes routes of two urgencies to one service."""
@@ -76,7 +77,7 @@
         while self.site.clock() < end:
             await asyncio.sleep(rng.expovariate(rate))
             [account] = rng.choices(list(ACCOUNTS), list(ACCOUNTS.values()))
-            path = URGENT if rng.random() < URGENT_SHARE else PLAIN
+            path = URGENT if rng.random() < self.urgent_share else PLAIN
             self.site.fleet.spawn(self.ask(account, path))
 
     async def ask(self, account: str, path: str) -> None:
@@ -190,6 +191,15 @@
     play(context, 1.5 * capacity(), 6.0)
 
 
+@behave.when(
+    "urgent calls come half as often again as they can run, and half as many "
+    "others"
+)
+def step_urgent_overload(context):
+    context.load.urgent_share = 2 / 3
+    play(context, 2.25 * capacity(), 4.0)
+
+
 @behave.when("half as many calls again as they can run come and {event}")
 def step_event(context, event):
     async def callers_leave(context):
@@ -289,6 +299,12 @@
     assert others >= 0.25 * context.load.answered(), (urgent, others)
 
 
+@behave.then("the others are served at least a quarter as often as all")
+def step_others(context):
+    others = context.load.answered(path=PLAIN)
+    assert others >= 0.25 * context.load.answered(), others
+
+
 @behave.then("what waited has not run and is answered at once")
 def step_waited(context):
     load = context.load
--- a/packages/gypsumfold/src/gypsumfold/decisions/call_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_queue.py
@@ -7,8 +7,11 @@
 
 Accounts take turns by start-time fair queueing: each has a virtual time that
 advances with each of its calls, and the account with the least goes first.
+Each fourth turn goes to the urgency that has had none for longest: where urgent
+calls alone are more than the replicas can run, the others would get none.
 """
 
+import collections
 from collections.abc import Callable
 import math
 
@@ -18,6 +21,9 @@
 # so that a flood of urgent calls delays the others but doesn't starve them:
 # the shortest time limits of callers are about 1.1 s.
 AGING_SECONDS = 0.4
+# One of so many turns goes to the urgency that has had none for longest. Aging
+# alone serves no call whose objective is shorter than the aging time.
+RESERVED_TURN = 4
 # Number of accounts known above which idle ones are dropped.
 MAX_IDLE_ACCOUNTS = 512
 MAX_URGENCY = 9
@@ -64,6 +70,11 @@
 class CallQueue:
     """The calls that wait for one service at one node.
 
+    Attributes:
+        counts: Number of waiting calls by urgency.
+        turns: Number of turns given.
+        last_turns: Number of the last turn of each urgency.
+
     >>> queue = CallQueue()
     >>> call = WaitingCall("north", 2, arrival=0.0, due=0.3)
     >>> queue.push(call, now=0.0)
@@ -76,6 +87,8 @@
         self.virtual_time = 0.0
         self.counts = [0] * (MAX_URGENCY + 1)
         self.size = 0
+        self.turns = 0
+        self.last_turns = [0] * (MAX_URGENCY + 1)
 
     def __len__(self) -> int:
         return self.size
@@ -134,6 +147,8 @@
             return None
         account = self.accounts[call.account]
         self.remove(call)
+        self.turns += 1
+        self.last_turns[call.urgency] = self.turns
         self.virtual_time = max(self.virtual_time, account.tag)
         account.tag += 1.0
         account.updated = now
@@ -141,10 +156,16 @@
 
     def head(self, now: float) -> WaitingCall | None:
         """Returns the next call: the most urgent, then the fairest."""
+        reserved = None
+        if is_reserved(self.turns) and self.size:
+            waiting = [one for one, count in enumerate(self.counts) if count]
+            reserved = min(waiting, key=lambda one: self.last_turns[one])
         best = None
         best_key = None
         for account in self.accounts.values():
             for call in first_by_urgency(account.calls):
+                if reserved is not None and call.urgency != reserved:
+                    continue
                 key = (call.level(now), account.tag, call.arrival)
                 if best_key is None or key < best_key:
                     best, best_key = call, key
@@ -159,7 +180,40 @@
                 key = (call.level(now), account.tag + place, call.arrival)
                 ranked.append((key, call))
         ranked.sort(key=lambda entry: entry[0])
-        return [call for _, call in ranked]
+        return self.with_reserved([call for _, call in ranked])
+
+    def with_reserved(self, ranked: list[WaitingCall]) -> list[WaitingCall]:
+        """Moves calls forward that get a reserved turn."""
+        by_urgency: dict[int, collections.deque[WaitingCall]] = {}
+        for call in ranked:
+            line = by_urgency.setdefault(call.urgency, collections.deque())
+            line.append(call)
+        if len(by_urgency) < 2:
+            return ranked
+        last_turns = list(self.last_turns)
+        rest = collections.deque(ranked)
+        taken: set[WaitingCall] = set()
+        found = []
+        for turn in range(self.turns, self.turns + len(ranked)):
+            if is_reserved(turn):
+                urgency = min(by_urgency, key=lambda one: last_turns[one])
+                call = by_urgency[urgency][0]
+            else:
+                while rest[0] in taken:
+                    rest.popleft()
+                call = rest.popleft()
+            by_urgency[call.urgency].popleft()
+            if not by_urgency[call.urgency]:
+                del by_urgency[call.urgency]
+            taken.add(call)
+            last_turns[call.urgency] = turn + 1
+            found.append(call)
+        return found
+
+
+def is_reserved(turn: int) -> bool:
+    """Whether a turn goes to the urgency that has had none for longest."""
+    return turn % RESERVED_TURN == RESERVED_TURN - 1
 
 
 def first_by_urgency(calls: list[WaitingCall]) -> list[WaitingCall]:
--- a/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Sequence
 import math
+import statistics
 
+from gypsumfold.decisions import call_queue
 from gypsumfold.decisions import plain_loads
 from gypsumfold.decisions import plain_placement
 
@@ -30,6 +32,12 @@
 IDLE_SHARE = 0.75
 # How many times as much a waiting call counts as one of the next urgency.
 URGENCY_WEIGHT = 4.0
+# Share of the rate that is split evenly between the urgencies that wait. It is
+# that of the turns which the queue of each gateway reserves for them: a gateway
+# where no urgent call waits would otherwise have hardly any share.
+EVEN_SHARE = 1 / call_queue.RESERVED_TURN
+# Calls of an urgency from which it counts as waiting; reports are old.
+MIN_WAITING = 0.5
 
 
 def free_share(candidates: Sequence[plain_placement.Candidate]) -> float:
@@ -81,7 +89,8 @@
 def own_share(own: Sequence[float], others: Sequence[float]) -> float:
     """Returns a node's share of the calls to send, by what waits where.
 
-    Urgent calls count more, and no urgency counts nothing.
+    Urgent calls count more, and each waiting urgency has a share whatever
+    waits of the others.
 
     Args:
         own: Calls that wait at this node, by urgency.
@@ -89,21 +98,29 @@
     """
     mine = weigh(own)
     total = mine + weigh(others)
-    return mine / total if total else 1.0
+    if not total:
+        return 1.0
+    shares = []
+    for here, elsewhere in zip(own, others, strict=True):
+        if here + elsewhere >= MIN_WAITING:
+            shares.append(here / (here + elsewhere))
+    even = statistics.fmean(shares) if shares else mine / total
+    return (1 - EVEN_SHARE) * mine / total + EVEN_SHARE * even
 
 
 def turn_seconds(
-    urgency: int, own: int, others: Sequence[float], rate: float
+    urgency: int, own: Sequence[float], others: Sequence[float], rate: float
 ) -> float:
     """Returns the seconds between two calls that a node may send.
 
     Urgent calls that wait elsewhere go first but are gone soon, so each counts
-    as one call. Less urgent ones count for their part of the share.
+    as one call. Less urgent ones count for their part of the share. The node
+    sends at least its share.
 
     Args:
         urgency: Urgency of the calls that the node sends.
-        own: Calls that wait at this node.
-        others: Calls that wait at the other nodes, by urgency.
+        own: Calls that wait at this node, by urgency.
+        others: The same at the other nodes.
         rate: Calls a second that the replicas serve.
 
     Returns:
@@ -114,7 +131,9 @@
     ahead = 0.0
     for level, count in enumerate(others):
         ahead += count * min(1.0, URGENCY_WEIGHT ** (urgency - level))
-    return (1 + ahead / max(1, own)) / rate
+    calls = 1 + ahead / max(1, sum(own))
+    share = own_share(own, others)
+    return (min(calls, 1 / share) if share else calls) / rate
 
 
 def weigh(counts: Sequence[float]) -> float:
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -162,7 +162,7 @@
         others = self.others(service, candidates, now)
         usual = self.loads.usual_seconds(service)
         rate = call_rates.service_rate(candidates, usual)
-        own = len(line.queue)
+        own = list(line.queue.counts)
         return lambda call: call_rates.turn_seconds(
             call.level(now), own, others, rate
         )
