--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -67,3 +67,8 @@
       | moment       |
       | waits and    |
       | comes after  |
+
+  # A replica counted as slow for 3 s after a spell of 0.6 s.
+  Scenario: A slow spell ends though the gateway that reported it was killed
+    Given a gateway to which another one reports slow calls at a replica
+    Then the replica is slow 0.5 seconds later but not after 0.61 seconds
--- a/features/steps/plain_queue_steps.py
+++ b/features/steps/plain_queue_steps.py
@@ -8,6 +8,7 @@
 import behave
 
 from gypsumfold.decisions import plain_loads
+from gypsumfold.decisions import prefix_routing
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import plain_queue
@@ -15,6 +16,8 @@
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
+from gypsumfold.gateway.peers import loads as loads_module
+from gypsumfold.gateway.peers import messages
 
 SERVICE = "app"
 SLOTS = 6
@@ -78,3 +81,22 @@
     line = context.queue.services[SERVICE]
     assert context.answer is None, context.answer
     assert not line.granted and not line.queue and not line.waiters
+
+
+@behave.given("a gateway to which another one reports slow calls at a replica")
+def step_slow_report(context):
+    directory = directory_module.Directory(random.Random(1))
+    loads = loads_module.Loads(prefix_routing.PrefixRouter(), directory)
+    loads.plain.record_answer(SERVICE, 0.1)
+    seconds = {"app-0": 5.0, plain_loads.count_key("app-0"): 10.0}
+    report = messages.EngineLoads(call_seconds=seconds)
+    loads.set_remote("edge-2", report, loads_module.EXPIRY_SECONDS)
+    context.plain = loads.plain
+
+
+@behave.then(
+    "the replica is slow {early:g} seconds later but not after {late:g} seconds"
+)
+def step_slow_until(context, early, late):
+    assert context.plain.slowness("app-0", SERVICE, early) > 2.0
+    assert context.plain.slowness("app-0", SERVICE, late) == 1.0
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/loads.py
@@ -11,8 +11,10 @@
 EXPIRY_SECONDS = 3.0
 # The same for the kinds that say which engines are slow at the moment: a spell
 # may last 0.6 s, and the report of a node that was killed must not outlast it.
+# Relays report each 0.1 s. A node of a mesh reports each change, and the times
+# of calls that it last reported fade within 0.5 s if there is none.
 SLOW_EXPIRY_SECONDS = 0.6
-SLOW_KINDS = ("slow_taken", "slow_expected")
+SLOW_KINDS = ("slow_taken", "slow_expected", "call_seconds")
 
 
 class LoadDeltaEncoder:
