--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -102,3 +102,9 @@
       | the share is used up                   | share    |
       | the retry budget is used up            | retries  |
       | the others' shares are unknown         | share    |
+
+  # The missing engine raised KeyError, so that the caller got an error.
+  Scenario: An engine that leaves before a prefill is sent breaks the request
+    Given a gateway that may copy prefills
+    When the engine chosen for a prefill is removed before it is sent
+    Then the prefill is reported as not started
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefill_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefill_copies.py
@@ -64,7 +64,12 @@
 
         def target(chosen: prompts.Choice) -> copy_races.Target:
             async def send(notify_head) -> types.Handle:
-                replica = self.copies.directory.replicas[chosen.engine]
+                # Runs after the choice, when the engine may have left.
+                replica = self.copies.directory.replicas.get(chosen.engine)
+                if replica is None:
+                    raise exceptions.EndpointUnavailable(
+                        "the engine has left since it was chosen"
+                    )
                 try:
                     handle = await self.prefills.prefill(
                         chosen, route, service, progress
