--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -72,3 +72,9 @@
   Scenario: A slow spell ends though the gateway that reported it was killed
     Given a gateway to which another one reports slow calls at a replica
     Then the replica is slow 0.5 seconds later but not after 0.61 seconds
+
+  # All waiting calls were refused in a moment without a permit.
+  Scenario: Calls wait on while their gateway has no permit for any replica
+    Given a gateway that knows 2 full plain replicas
+    When all permits are used while a call waits, and slots and permits come
+    Then it is sent at once and nothing is left in the queue
--- a/features/steps/plain_queue_steps.py
+++ b/features/steps/plain_queue_steps.py
@@ -76,6 +76,35 @@
     asyncio.run(story())
 
 
+@behave.when(
+    "all permits are used while a call waits, and slots and permits come"
+)
+def step_permits(context):
+    queue, directory = context.queue, context.directory
+
+    async def story():
+        waiting = start(context, new_call())
+        await asyncio.sleep(0)
+        with mock.patch.object(
+            directory.rate_limits, "is_open", return_value=False
+        ):
+            queue.dispatch(SERVICE)
+            await asyncio.sleep(0)
+            assert not waiting.done()
+        free_slots(context)
+        queue.dispatch(SERVICE)
+        context.answer = await asyncio.wait_for(waiting, OBJECTIVE)
+
+    asyncio.run(story())
+
+
+def free_slots(context) -> None:
+    """Ends the calls at all replicas."""
+    for calls in list(context.queue.loads.open.values()):
+        for call in list(calls):
+            context.queue.loads.end(call, time.monotonic())
+
+
 @behave.then("it is sent at once and nothing is left in the queue")
 def step_sent(context):
     line = context.queue.services[SERVICE]
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -273,6 +273,10 @@
         now = time.monotonic()
         everywhere = self.replicas.serving(service, now)
         if not self.is_open(service, frozenset(), now):
+            if self.replicas.directory.limited(service, None, now):
+                # Permits for replicas that limit requests come by time.
+                self.review(service, line, everywhere, now)
+                return
             for waiter in list(line.waiters.values()):
                 self.end_wait(service, line, waiter, [], now)
             return
