Take the retry of a plain call when its turn has come

A call that was refused while it waited lost the retry taken before. Without any left here it is taken first, so that the call is refused at once.

--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -78,3 +78,9 @@
     Given a gateway that knows 2 full plain replicas
     When all permits are used while a call waits, and slots and permits come
     Then it is sent at once and nothing is left in the queue
+
+  # The permit was taken before the wait, and lost with the refusal.
+  Scenario: A call refused while it waits to be sent again uses no retry
+    Given a gateway that knows 2 full plain replicas
+    When a call that a replica refused is refused while it waits
+    Then no retry is taken from the budget
--- a/features/steps/plain_queue_steps.py
+++ b/features/steps/plain_queue_steps.py
@@ -7,13 +7,17 @@
 
 import behave
 
+from gypsumfold import exceptions
 from gypsumfold.decisions import plain_loads
 from gypsumfold.decisions import prefix_routing
+from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import plain_queue
 from gypsumfold.gateway import plain_replicas
 from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import loads as loads_module
@@ -129,3 +133,41 @@
 def step_slow_until(context, early, late):
     assert context.plain.slowness("app-0", SERVICE, early) > 2.0
     assert context.plain.slowness("app-0", SERVICE, late) == 1.0
+
+
+@behave.when("a call that a replica refused is refused while it waits")
+def step_refused_again(context):
+    context.budget = retry_budget.RetryBudget(
+        retry_budget.Policy(0.2, 10.0, 52.0)
+    )
+    context.budget.nodes = 1
+    calls = plain_calls.PlainCalls(
+        context.directory,
+        mock.Mock(),
+        retry_permits.RetryPermits(context.budget),
+        mock.Mock(),
+        "north",
+        mock.Mock(),
+    )
+    calls.shared = context.queue
+    context.queue.section = settings_module.PlainCallsSection(
+        shared=True, max_waiting=0
+    )
+    progress = new_call()
+    progress.record_arrival()
+    route = mock.Mock(spec=routes.Route, urgency=2, objective=OBJECTIVE)
+
+    async def story():
+        try:
+            await calls.serve(route, SERVICE, mock.Mock(), progress)
+        except exceptions.Unavailable:
+            return
+        raise AssertionError("it was not refused")
+
+    asyncio.run(story())
+
+
+@behave.then("no retry is taken from the budget")
+def step_no_retry(context):
+    assert sum(context.queue.refused.values()) == 1
+    assert not context.budget.taken[SERVICE]
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -80,16 +80,17 @@
             ):
                 break
             self.quarantine.admit(progress)
-            if progress.needs_retry():
-                if not await self.retry_permits.take(service):
-                    progress.log_retry_refused(service)
-                    break
-                progress.has_retry = True
+            if not self.may_take_later(service) and not await self.take_retry(
+                service, progress
+            ):
+                break
             await self.borrow_permit(service, progress)
             if self.shared is not None:
                 refusal = await self.shared.wait(service, route, progress)
                 if refusal is not None:
                     break
+                if not await self.take_retry(service, progress):
+                    break
             replica = await self.quarantine.place(
                 progress, route, lambda: self.choose(service, progress)
             )
@@ -124,6 +125,29 @@
             refusal = self.shared.final_error(service, progress)
         raise refusal or progress.final_error()
 
+    def may_take_later(self, service: str) -> bool:
+        """Whether a retry is taken from the budget after the wait for a turn.
+
+        A call that is refused there then uses none. If none is left here, the
+        call isn't to wait before it is refused for that.
+        """
+        if self.shared is None:
+            return False
+        budget = self.retry_permits.budget
+        return budget.remaining(service, time.monotonic()) >= 1.0
+
+    async def take_retry(
+        self, service: str, progress: progress_module.Progress
+    ) -> bool:
+        """Takes a retry from the budget if the next attempt needs one."""
+        if not progress.needs_retry():
+            return True
+        if not await self.retry_permits.take(service):
+            progress.log_retry_refused(service)
+            return False
+        progress.has_retry = True
+        return True
+
     async def borrow_permit(
         self, service: str, progress: progress_module.Progress
     ) -> None:
