--- a/features/plain_calls.feature
+++ b/features/plain_calls.feature
@@ -84,3 +84,10 @@
     Given a gateway that knows 2 full plain replicas
     When a call that a replica refused is refused while it waits
     Then no retry is taken from the budget
+
+  # The call was refused although slots came free within its objective.
+  Scenario: A call that all replicas refused as full waits for a free slot
+    Given a gateway that knows 2 full plain replicas
+    When all replicas refuse a call as full and slots come free later
+    Then it is sent at once and nothing is left in the queue
+    And a replica may be chosen for it
--- a/features/steps/plain_queue_steps.py
+++ b/features/steps/plain_queue_steps.py
@@ -171,3 +171,25 @@
 def step_no_retry(context):
     assert sum(context.queue.refused.values()) == 1
     assert not context.budget.taken[SERVICE]
+
+
+@behave.when("all replicas refuse a call as full and slots come free later")
+def step_refused_by_all(context):
+    context.progress = progress = new_call()
+    progress.record_arrival()
+    progress.avoid = frozenset(context.directory.replicas)
+    progress.refused_as_full = progress.avoid
+
+    async def story():
+        waiting = start(context, progress)
+        await asyncio.sleep(0)
+        free_slots(context)
+        context.answer = await asyncio.wait_for(waiting, OBJECTIVE)
+
+    asyncio.run(story())
+
+
+@behave.then("a replica may be chosen for it")
+def step_choice(context):
+    avoid = context.progress.avoid
+    assert context.queue.replicas.choose(SERVICE, avoid) is not None, avoid
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -250,6 +250,10 @@
     ) -> None:
         """Records a replica's failure."""
         progress.record_failure(replica, reason)
+        if isinstance(error, exceptions.EndpointRefused) and not isinstance(
+            error, exceptions.EndpointMismatch
+        ):
+            progress.refused_as_full |= {replica.instance}
         self.results.failed(replica, error, time.monotonic())
         self.copies.record_failure(replica, error)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -80,9 +80,10 @@
             line = self.services[service] = plain_waiters.ServiceQueue(
                 self.replicas.rng
             )
+        failed = progress.avoid - progress.refused_as_full
         if (
             not serving
-            or not self.is_open(service, progress.avoid, now)
+            or not self.is_open(service, failed, now)
             or self.has_turn(service, line, progress, serving, now)
         ):
             # Without a replica the caller is refused for that reason. If none
@@ -104,6 +105,10 @@
                 self.dispatch(service)
                 self.schedule()
             refusal = await waiter.end
+            if refusal is None:
+                # Replicas that were full may have free slots by now.
+                progress.avoid = failed
+                progress.refused_as_full = frozenset()
             outcome = "sent" if refusal is None else "refused"
             return refusal
         finally:
@@ -133,6 +138,10 @@
         It may not overtake calls that wait here or at other nodes, unless a
         full replica has refused it on its turn: another one may have room.
         """
+        if not self.is_open(service, progress.avoid, now):
+            # All have refused it, so that the totals show free slots wrongly.
+            line.paced_until = now + plain_loads.REPORT_SECONDS
+            return False
         if len(progress.avoid) == 1 and not progress.may_have_run:
             return True
         if line.waiters:
@@ -285,8 +294,10 @@
                 self.grant(line, now)
             return
         others = self.others(service, everywhere, now)
-        alone = sum(others) < 0.5 and call_rates.has_room(
-            everywhere, line.granted
+        alone = (
+            now >= line.paced_until
+            and sum(others) < 0.5
+            and call_rates.has_room(everywhere, line.granted)
         )
         usual = self.loads.usual_seconds(service)
         rate = call_rates.dispatch_rate(everywhere, usual)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_waiters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_waiters.py
@@ -34,6 +34,7 @@
 
     Attributes:
         granted: Calls that may be sent and whose tasks have not run since.
+        paced_until: Until when calls are paced though slots seem free.
     """
 
     def __init__(self, rng: random.Random):
@@ -44,6 +45,7 @@
         self.waiters: dict[call_queue.WaitingCall, Waiter] = {}
         self.granted = 0
         self.reviewed = 0.0
+        self.paced_until = 0.0
 
 
 def waiting_call(
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -45,6 +45,8 @@
         runs: Number of replicas that may have run it.
         extra_prefills: Number of copies of its prefill that were sent.
         avoid: Instances that failed to serve it.
+        refused_as_full: Those of them that refused it as they were full, until
+            it has waited for its turn.
         backoff_end: When the first replica that could serve it may be asked
             again; None if one may be now.
         moved_from: Instance from which its prompt was taken back to be sent to
@@ -76,6 +78,7 @@
         self.runs = 0
         self.extra_prefills = 0
         self.avoid: frozenset[str] = frozenset()
+        self.refused_as_full: frozenset[str] = frozenset()
         self.backoff_end: float | None = None
         self.moved_from = ""
         self.prefill_address = ""
