--- a/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
@@ -136,6 +136,19 @@
     return (min(calls, 1 / share) if share else calls) / rate
 
 
+def backlog_seconds(
+    waiting: float,
+    candidates: Sequence[plain_placement.Candidate],
+    usual: float,
+) -> float:
+    """Returns the seconds in which replicas serve the calls that wait.
+
+    It is at least the time of one call, in which slots become free.
+    """
+    rate = service_rate(candidates, usual)
+    return max(usual, waiting / rate) if rate else usual
+
+
 def weigh(counts: Sequence[float]) -> float:
     """Adds up waiting calls, weighted by urgency."""
     total = 0.0
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -74,7 +74,7 @@
         call = plain_waiters.waiting_call(
             route, progress, self.loads.usual_seconds(service), now
         )
-        serving = self.replicas.serving(service, now)
+        serving = self.replicas.responsive_with_loads(service, now)
         line = self.services.get(service)
         if line is None:
             line = self.services[service] = plain_waiters.ServiceQueue(
@@ -83,7 +83,7 @@
         failed = progress.avoid - progress.refused_as_full
         if (
             not serving
-            or not self.is_open(service, failed, now)
+            or not self.has_ready_replica(service, failed, now)
             or self.has_turn(service, line, progress, serving, now)
         ):
             # Without a replica the caller is refused for that reason. If none
@@ -93,12 +93,9 @@
         if self.is_stopping:
             return self.refuse(service, progress, serving, now)
         waiter = plain_waiters.Waiter(call, progress)
-        if not line.waiters:
-            line.pace.restart()
         outcome = "left"
         try:
-            line.queue.push(call, now)
-            line.waiters[call] = waiter
+            line.push(waiter, now)
             self.admit(service, line, waiter, serving, now)
             if not waiter.end.done():
                 self.update(service, line)
@@ -112,16 +109,14 @@
             outcome = "sent" if refusal is None else "refused"
             return refusal
         finally:
-            line.waiters.pop(call, None)
-            line.queue.remove(call)
-            if plain_waiters.was_granted(waiter):
-                # Either it is sent at once or its caller has left meanwhile.
-                line.granted -= 1
+            line.leave(waiter)
             self.update(service, line)
             self.waited[service] = self.waited.get(service, 0) + 1
             plain_waiters.log_wait(service, progress, now, outcome)
 
-    def is_open(self, service: str, avoid: frozenset[str], now: float) -> bool:
+    def has_ready_replica(
+        self, service: str, avoid: frozenset[str], now: float
+    ) -> bool:
         """Whether any replica may be sent a call."""
         return bool(self.replicas.directory.ready(service, now, avoid))
 
@@ -138,7 +133,7 @@
         It may not overtake calls that wait here or at other nodes, unless a
         full replica has refused it on its turn: another one may have room.
         """
-        if not self.is_open(service, progress.avoid, now):
+        if not self.has_ready_replica(service, progress.avoid, now):
             # All have refused it, so that the totals show free slots wrongly.
             line.paced_until = now + plain_loads.REPORT_SECONDS
             return False
@@ -250,7 +245,7 @@
             return None
         if progress.backoff_end is not None:
             return None
-        serving = self.replicas.serving(service, time.monotonic())
+        serving = self.replicas.responsive_with_loads(service, time.monotonic())
         if not serving:
             return None
         return self.refuse(service, progress, serving, time.monotonic())
@@ -261,18 +256,12 @@
         candidates: list[plain_placement.Candidate],
         now: float,
     ) -> float:
-        """Returns the seconds in which all calls that wait anywhere are sent.
-
-        It is at least the time of one call, in which slots become free.
-        """
-        usual = self.loads.usual_seconds(service)
-        rate = call_rates.service_rate(candidates, usual)
-        if not rate:
-            return usual
+        """Returns the seconds in which all waiting calls are sent."""
         waiting = sum(self.others(service, candidates, now))
         if service in self.services:
             waiting += len(self.services[service].queue)
-        return max(usual, waiting / rate)
+        usual = self.loads.usual_seconds(service)
+        return call_rates.backlog_seconds(waiting, candidates, usual)
 
     def dispatch(self, service: str) -> None:
         """Lets calls go whose turn it is, while there is room for them."""
@@ -280,8 +269,8 @@
         if not line.waiters:
             return
         now = time.monotonic()
-        everywhere = self.replicas.serving(service, now)
-        if not self.is_open(service, frozenset(), now):
+        everywhere = self.replicas.responsive_with_loads(service, now)
+        if not self.has_ready_replica(service, frozenset(), now):
             if self.replicas.directory.limited(service, None, now):
                 # Permits for replicas that limit requests come by time.
                 self.review(service, line, everywhere, now)
@@ -291,7 +280,7 @@
             return
         if not everywhere:
             while line.queue:
-                self.grant(line, now)
+                line.grant(now)
             return
         others = self.others(service, everywhere, now)
         alone = (
@@ -307,16 +296,9 @@
             if not alone and not line.pace.take():
                 break
             alone = alone and call_rates.has_room(everywhere, line.granted + 1)
-            self.grant(line, now)
+            line.grant(now)
         self.review(service, line, everywhere, now)
 
-    def grant(self, line: plain_waiters.ServiceQueue, now: float) -> None:
-        """Gives the next waiting call its turn."""
-        waiter = line.waiters.pop(line.queue.pop(now))
-        if not waiter.end.done():
-            line.granted += 1
-            waiter.end.set_result(None)
-
     def review(
         self,
         service: str,
@@ -359,7 +341,7 @@
         now = time.monotonic()
         for service, line in self.services.items():
             for waiter in list(line.waiters.values()):
-                candidates = self.replicas.serving(service, now)
+                candidates = self.replicas.responsive_with_loads(service, now)
                 self.end_wait(service, line, waiter, candidates, now)
             self.update(service, line)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
@@ -49,12 +49,14 @@
         ready = self.directory.ready(service, now, avoid)
         return self.with_loads(service, ready, now)
 
-    def serving(
+    def responsive_with_loads(
         self, service: str, now: float
     ) -> list[plain_placement.Candidate]:
-        """Returns the replicas that serve calls, with their loads.
+        """Returns the replicas that respond, with their loads.
 
-        One that has just refused a call of this node is among them.
+        One that has just refused a call of this node is among them. There may
+        be none although `directory.ready` returns some: where all are silent,
+        it returns those that may still answer on a new connection.
         """
         return self.with_loads(service, self.directory.responsive(service), now)
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_waiters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_waiters.py
@@ -47,6 +47,28 @@
         self.reviewed = 0.0
         self.paced_until = 0.0
 
+    def push(self, waiter: Waiter, now: float) -> None:
+        """Adds a waiting call."""
+        if not self.waiters:
+            self.pace.restart()
+        self.queue.push(waiter.call, now)
+        self.waiters[waiter.call] = waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Removes a call whose wait has ended, and counts its turn no more."""
+        self.waiters.pop(waiter.call, None)
+        self.queue.remove(waiter.call)
+        if was_granted(waiter):
+            # Either it is sent at once or its caller has left meanwhile.
+            self.granted -= 1
+
+    def grant(self, now: float) -> None:
+        """Gives the next waiting call its turn."""
+        waiter = self.waiters.pop(self.queue.pop(now))
+        if not waiter.end.done():
+            self.granted += 1
+            waiter.end.set_result(None)
+
 
 def waiting_call(
     route: routes.Route,
