Choose no prefill engine where there is none, and drop failed prompts

The median over engines was taken of an empty list if no engine was left while some were known, so that each request failed. Any unexpected exception of a prefill left its prompt in the waiting load.

--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -43,3 +43,19 @@
   Scenario: Without the setting reports take the same bytes as before
     Given a report without slow engines
     Then its loads have six kinds on the wire, and with a slow engine ten
+
+  Scenario: No engine is left while some are known to be slow
+    Given a gateway with 0 engines that prefill and one that it knows as slow
+    Then it chooses no engine for a prompt
+
+  Scenario Outline: A prompt no longer counts as waiting: <end>
+    Given a gateway with 1 engines that prefill and one that it knows as slow
+    When a prefill ends with <end>
+    Then no prompt counts as waiting
+
+    Examples:
+      | end            |
+      | RuntimeError   |
+      | CancelledError |
+      | AnswerBroken   |
+      | TimeoutError   |
--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -1,9 +1,13 @@
 """Steps on engines that prefill slowly for a moment."""
 
+import asyncio
+import builtins
 import collections
 import itertools
 import math
 import random
+import time
+from unittest import mock
 
 import behave
 from features.support import virtual_callers
@@ -12,10 +16,20 @@
 import msgspec
 
 from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold.decisions import chains
 from gypsumfold.decisions import prefix_routing
+from gypsumfold.decisions import prompts
+from gypsumfold.decisions import routes
 from gypsumfold.decisions import slow_engines as slow_engines_module
+from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import prefills
+from gypsumfold.gateway import progress as progress_module
+from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import runs
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import frames
 from gypsumfold.gateway.peers import loads as loads_module
 from gypsumfold.gateway.peers import messages
@@ -29,6 +43,20 @@
 ENGINES = [f"engine-{number}" for number in range(6)]
 USUAL = 0.1
 START = 1000.0
+CHAIN = (chains.Block("shared", 13_000), chains.Block("own", 800))
+PROMPT = prompts.Prompt(CHAIN, "m", 13_800)
+SERVICE = types.Service("lm", 100, 400_000, 18_432, 1e9, 5.0, 3.0)
+ROUTE = routes.Route(
+    "briefs",
+    "desk.example",
+    "/briefs/",
+    routes.Kind.IDEMPOTENT,
+    9.0,
+    3.0,
+    0,
+    2,
+    (routes.Target("lm", 1),),
+)
 
 
 @behave.given(
@@ -228,9 +256,7 @@
     context.report = messages.Report(contact, 1, 0, loads, messages.Updates())
 
 
-@behave.then(
-    "its loads have six kinds on the wire, and with a slow engine ten"
-)
+@behave.then("its loads have six kinds on the wire, and with a slow engine ten")
 def step_kinds(context):
     report = context.report
     for expected in ({}, {"engine-1": 0.1}):
@@ -239,3 +265,70 @@
         kinds = msgspec.msgpack.decode(data)[4]
         assert len(kinds) == (10 if expected else 6)
         assert messages.decode_message(data) == report
+
+
+def new_progress():
+    """A request with a long prompt."""
+    now = time.monotonic()
+    call = types.Call(
+        "a", "POST", "/", "h", (), None, now, now + 9.0, "m", CHAIN, 13_800, 9
+    )
+    return progress_module.Progress(call)
+
+
+@behave.given(
+    "a gateway with {count:d} engines that prefill and one that it knows as "
+    "slow"
+)
+def step_engines(context, count):
+    context.directory = directory_module.Directory(random.Random(1))
+    for engine in ENGINES[:count]:
+        replica = types.Replica(engine, "lm", f"{engine}:1", "dc", 6, False)
+        role = decision_types.Role.PREFILL
+        context.directory.put(replica._replace(role=role))
+    context.router = prefix_routing.PrefixRouter()
+    context.router.slow_engines.enabled = True
+    now = time.monotonic()
+    context.router.slow_engines.record(ENGINES[0], 9.0, USUAL, now)
+    context.quarantine = quarantine.Quarantine(
+        runs.InterruptedRuns(context.directory)
+    )
+    context.endpoints = mock.AsyncMock()
+    context.prefills = prefills.Prefills(
+        context.directory,
+        context.endpoints,
+        context.router,
+        context.quarantine,
+    )
+
+
+@behave.then("it chooses no engine for a prompt")
+def step_none(context):
+    now = time.monotonic()
+    assert context.router.choose(PROMPT, [], [], 0.0, now) is None
+    # Guards against the median of no engines.
+    context.router.slow_engines.compare([], now)
+    assert context.router.slow_engines.shared == 1.0
+
+
+@behave.when("a prefill ends with {end}")
+def step_end(context, end):
+    kind = getattr(builtins, end, None) or getattr(exceptions, end, None)
+    kind = kind or asyncio.CancelledError
+    context.endpoints.prefill.side_effect = kind("x")
+    progress = new_progress()
+    choice = context.prefills.place(ROUTE, SERVICE, progress)
+    prefill = context.prefills.prefill(choice, ROUTE, SERVICE, progress)
+    try:
+        asyncio.run(prefill)
+    except (Exception, asyncio.CancelledError) as error:
+        context.error = error
+
+
+@behave.then("no prompt counts as waiting")
+def step_not_waiting(context):
+    now = time.monotonic()
+    # Guards against prompts that stay in the waiting load after a fault.
+    assert context.router.queued_seconds(ENGINES[0], now) == 0.0
+    assert not context.router.slow_engines.open
+    assert context.error
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefix_routing.py
@@ -126,6 +126,8 @@
         Returns:
             The choice, or None if there is no engine.
         """
+        if not engines:
+            return None
         parts = chains.parts(prompt.chain, prompt.model)
         shared = parts[:-1]
         shared_tokens = sum(part.tokens for part in shared)
@@ -145,8 +147,6 @@
                 cost += PREFERRED_WEIGHT * shared_tokens / rate
             choices.append(choice)
             costs.append(cost)
-        if not choices:
-            return None
         best = costs.index(min(costs))
         if best and self.slow_engines.factor(ranked[0].name, now) > 1.0:
             best = self.slow_engines.pick(costs)
--- a/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
@@ -253,7 +253,7 @@
             now: The time.
         """
         self.shared = 1.0
-        if not self.enabled:
+        if not self.enabled or not engines:
             return
         known = self.completed.keys() | self.open.keys()
         known |= self.taken.remote(now).keys()
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -182,6 +182,8 @@
             handle = await self.exchange(
                 replica, choice, instructions, progress, check
             )
+            now = time.monotonic()
+            self.results.answered(replica, SUCCESS_STATUS, now)
         except exceptions.PrefillMoved:
             self.prefix_router.dropped(choice, time.monotonic())
             raise
@@ -189,11 +191,9 @@
             self.prefix_router.dropped(choice, time.monotonic())
             progress.record_failure(replica, str(error))
             raise
-        except asyncio.CancelledError:
+        except BaseException:
             self.prefix_router.dropped(choice, time.monotonic())
             raise
-        now = time.monotonic()
-        self.results.answered(replica, SUCCESS_STATUS, now)
         self.prefix_router.done(choice, now - sent, now)
         return handle
 
