--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -59,3 +59,16 @@
       | CancelledError |
       | AnswerBroken   |
       | TimeoutError   |
+
+  Scenario Outline: A prompt is moved only where it gains: <case>
+    Given a gateway with 2 engines that prefill and one that it knows as slow
+    And a prompt of a route with <objective> s that waits there, for callers that stay <stay> s
+    When late prompts of <late> s wait at the other engine and the prompt is checked
+    Then it is moved <moves> times
+
+    Examples:
+      | case                               | objective | stay | late | moves |
+      | on time elsewhere                  | 3.0       | 8    | 4.0  | 1     |
+      | deferred behind no prompts         | 0.1       | 8    | 0.0  | 1     |
+      | deferred behind late prompts       | 0.1       | 8    | 2.0  | 0     |
+      | refused elsewhere as hopeless      | 0.1       | 0.5  | 0.0  | 0     |
--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -20,6 +20,7 @@
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import prefix_routing
 from gypsumfold.decisions import prompts
+from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import slow_engines as slow_engines_module
 from gypsumfold.decisions import types as decision_types
@@ -332,3 +333,56 @@
     assert context.router.queued_seconds(ENGINES[0], now) == 0.0
     assert not context.router.slow_engines.open
     assert context.error
+
+
+@behave.given(
+    "a prompt of a route with {objective:f} s that waits there, for callers "
+    "that stay {stay:g} s"
+)
+def step_waits(context, objective, stay):
+    context.route = ROUTE._replace(objective=objective, abandon_timeout=stay)
+    context.progress = new_progress()
+    now = time.monotonic()
+    avoid = frozenset(ENGINES[1:])
+    choice = context.prefills.place(
+        context.route, SERVICE, context.progress, avoid
+    )
+    choice = context.router.sent(choice, CHAIN, "m", 400_000, None, now)
+    context.router.slow_engines.compare(ENGINES[:2], now)
+    context.choice = choice
+    context.moves = context.prefills.moves
+    context.moves.budget = retry_budget.RetryBudget(
+        retry_budget.Policy(0.2, 10.0, 50.0)
+    )
+    context.moves.budget.nodes = 1
+
+
+def check(context):
+    """Checks the waiting prompt once, and counts the choices of an engine."""
+    context.place = mock.Mock(side_effect=context.prefills.place)
+    try:
+        context.moves.check(
+            context.choice,
+            context.route,
+            SERVICE,
+            context.progress,
+            context.place,
+        )
+    except exceptions.PrefillMoved:
+        assert context.progress.moved_from == ENGINES[0]
+
+
+@behave.when(
+    "late prompts of {late:f} s wait at the other engine and the prompt is "
+    "checked"
+)
+def step_late(context, late):
+    context.router.late.add(prompts.urgency_key(ENGINES[1], 0), late)
+    check(context)
+
+
+@behave.then("it is moved {times:d} times")
+def step_moves(context, times):
+    # Guards against retries for prompts that wait no less elsewhere.
+    assert context.moves.count == times
+    assert context.place.called
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
@@ -84,8 +84,14 @@
         other = place(route, service, progress, frozenset([engine]))
         if other is None:
             return
+        # It is ranked again where it is sent, by its age then.
+        rank = progress.rank(
+            route, other.total_seconds, other.late_ahead, other.load
+        )
+        if rank.hopeless:
+            return
         elsewhere = other.total_seconds
-        if choice.late_key:
+        if rank.deferred:
             elsewhere += other.late_ahead
         if not prefill_moves.gains(here, elsewhere):
             return
