--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -72,3 +72,22 @@
       | deferred behind no prompts         | 0.1       | 8    | 0.0  | 1     |
       | deferred behind late prompts       | 0.1       | 8    | 2.0  | 0     |
       | refused elsewhere as hopeless      | 0.1       | 0.5  | 0.0  | 0     |
+
+  Scenario Outline: No other engine is looked for in vain: <obstacle>
+    Given a gateway with 2 engines that prefill and one that it knows as slow
+    And a prompt of a route with 3.0 s that waits there, for callers that stay 8 s
+    When the prompt is checked although <obstacle>
+    Then <count> engines are looked for
+
+    Examples:
+      | obstacle                           | count |
+      | nothing is against it              | 1     |
+      | it is about to complete            | 0     |
+      | the retry budget is used up        | 0     |
+      | only a loan of the budget is left  | 0     |
+      | the request is suspected           | 0     |
+
+  Scenario: The baseline of a gateway isn't computed for each prompt
+    Given a gateway whose prompts take 4,1,1,1,1,1 times as long at 6 engines
+    When it sends and checks 100 prompts within 0.1 seconds
+    Then it computes its baseline at most 6 times
--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -17,6 +17,7 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import chains
 from gypsumfold.decisions import prefix_routing
 from gypsumfold.decisions import prompts
@@ -386,3 +387,49 @@
     # Guards against retries for prompts that wait no less elsewhere.
     assert context.moves.count == times
     assert context.place.called
+
+
+@behave.when("the prompt is checked although {obstacle}")
+def step_obstacle(context, obstacle):
+    now = time.monotonic()
+    budget = context.moves.budget
+    if obstacle == "it is about to complete":
+        context.choice = context.choice._replace(
+            expected=0.0, sent_at=now - 0.06
+        )
+    elif "budget" in obstacle:
+        budget.policy = retry_budget.Policy(0.0, 10.0, 0.0)
+        if "loan" in obstacle:
+            budget.borrow("lm", 1, now)
+    elif obstacle == "the request is suspected":
+        canary = canaries_module.Canary(
+            context.progress.fingerprint, 1, 1, "i-9", now + 1.0
+        )
+        context.quarantine.canaries.merge(canary, now)
+    check(context)
+
+
+@behave.then("{count:d} engines are looked for")
+def step_looked(context, count):
+    # Guards against a choice of an engine per waiting prompt and 0.1 s.
+    assert context.place.call_count == count
+    assert context.moves.count == count
+
+
+@behave.when("it sends and checks {count:d} prompts within 0.1 seconds")
+def step_checks(context, count):
+    slow = context.gateway
+    slow.recent_ratios = mock.Mock(side_effect=slow.recent_ratios)
+    for number in range(count):
+        now = START + 0.1 * number / count
+        prompt = slow_engines_module.Open(now, USUAL)
+        slow.started(ENGINES[number % 6], prompt)
+        slow.factor(ENGINES[0], now)
+        if number % 2:
+            slow.ended(ENGINES[number % 6], prompt)
+
+
+@behave.then("it computes its baseline at most {count:d} times")
+def step_computed(context, count):
+    # Guards against work that grows with prompts times engines.
+    assert 1 <= context.gateway.recent_ratios.call_count <= count
--- a/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/prefill_moves.py
@@ -49,6 +49,15 @@
     return runs + 2 <= attempts
 
 
+def can_gain(here: float) -> bool:
+    """Whether a move can gain at all, wherever the prompt is sent.
+
+    Args:
+        here: Seconds until it completes where it is.
+    """
+    return here > MARGIN_SECONDS
+
+
 def gains(here: float, elsewhere: float) -> bool:
     """Whether a prompt completes so much sooner elsewhere that it is moved.
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
@@ -44,6 +44,9 @@
 # Relative change of a node's usual ratio per prompt. Steps of equal size up and
 # down lead to the median, which a few slow engines don't move.
 USUAL_STEP = 0.03
+# Seconds for which a baseline is used: each choice and check needs it, and it
+# is taken over all engines. It is short against `MEMORY_SECONDS`.
+BASELINE_SECONDS = 0.02
 # Amounts below this say nothing and aren't reported.
 MIN_SECONDS = 0.005
 # Another engine takes a slow one's prompts if it completes them within this
@@ -128,7 +131,6 @@
         """Records that a prompt was sent to an engine."""
         if self.enabled:
             self.open.setdefault(engine, []).append(prompt)
-            self.baseline_at = -math.inf
 
     def ended(self, engine: str, prompt: Open) -> None:
         """Records that a prompt is no longer at an engine."""
@@ -137,7 +139,6 @@
             prompts.remove(prompt)
         if not prompts:
             self.open.pop(engine, None)
-        self.baseline_at = -math.inf
 
     def record(
         self, engine: str, taken: float, expected: float, now: float
@@ -154,7 +155,6 @@
             return
         seconds = self.completed.setdefault(engine, FadingSeconds())
         seconds.add(taken, expected, now)
-        self.baseline_at = -math.inf
         if Seconds(taken, expected).ratio() > self.usual:
             self.usual *= 1 + USUAL_STEP
         else:
@@ -186,8 +186,11 @@
         return ratios
 
     def baseline(self, now: float) -> float:
-        """What this node's seconds are divided by before they are compared."""
-        if now != self.baseline_at:
+        """What this node's seconds are divided by before they are compared.
+
+        It is computed at most once per `BASELINE_SECONDS`.
+        """
+        if now - self.baseline_at >= BASELINE_SECONDS:
             ratios = self.recent_ratios(now)
             self.last_baseline = self.usual
             if len(ratios) >= MIN_COMPARED:
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefill_moves.py
@@ -81,6 +81,14 @@
         here = prefill_moves.remaining_seconds(
             choice.expected, factor, now - choice.sent_at
         )
+        # Choosing an engine for each waiting prompt is the expensive part.
+        if not prefill_moves.can_gain(here):
+            return
+        if self.budget.remaining(service.name, now) < 1:
+            return
+        # The other engine may crash as well.
+        if not self.quarantine.is_unsuspected(progress):
+            return
         other = place(route, service, progress, frozenset([engine]))
         if other is None:
             return
@@ -95,9 +103,6 @@
             elsewhere += other.late_ahead
         if not prefill_moves.gains(here, elsewhere):
             return
-        # The other engine may crash as well.
-        if not self.quarantine.is_unsuspected(progress):
-            return
         if not self.budget.allow(service.name, now):
             return
         self.count += 1
