Send no third prefill after a move

After a refused second prefill, or a restart of its engine, a third one went out beyond the route's attempts. The decode engine processes the prompt.

--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -91,3 +91,13 @@
     Given a gateway whose prompts take 4,1,1,1,1,1 times as long at 6 engines
     When it sends and checks 100 prompts within 0.1 seconds
     Then it computes its baseline at most 6 times
+
+  Scenario Outline: After a move there is no third prefill: <trouble>
+    Given a gateway with 5 engines that prefill and one that it knows as slow
+    When a prompt is moved and the second engine <trouble>
+    Then 2 prefills were sent and the decode engine got the prompt without a cache
+
+    Examples:
+      | trouble                     |
+      | refuses it                  |
+      | restarts after its prefill  |
--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -26,9 +26,12 @@
 from gypsumfold.decisions import slow_engines as slow_engines_module
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import generations
 from gypsumfold.gateway import prefills
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import quarantine
+from gypsumfold.gateway import rate_permits
+from gypsumfold.gateway import retry_permits
 from gypsumfold.gateway import runs
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import types
@@ -269,6 +272,13 @@
         assert messages.decode_message(data) == report
 
 
+def spare_retries():
+    """A retry budget with retries left."""
+    budget = retry_budget.RetryBudget(retry_budget.Policy(0.2, 10.0, 50.0))
+    budget.nodes = 1
+    return budget
+
+
 def new_progress():
     """A request with a long prompt."""
     now = time.monotonic()
@@ -352,10 +362,7 @@
     context.router.slow_engines.compare(ENGINES[:2], now)
     context.choice = choice
     context.moves = context.prefills.moves
-    context.moves.budget = retry_budget.RetryBudget(
-        retry_budget.Policy(0.2, 10.0, 50.0)
-    )
-    context.moves.budget.nodes = 1
+    context.moves.budget = spare_retries()
 
 
 def check(context):
@@ -433,3 +440,88 @@
 def step_computed(context, count):
     # Guards against work that grows with prompts times engines.
     assert 1 <= context.gateway.recent_ratios.call_count <= count
+
+
+class FailingEndpoints:
+    """Engines of which the first that prefills turns slow and others fail.
+
+    Attributes:
+        prefills: Number of prefills that were sent.
+        runs: Instructions of each run.
+    """
+
+    def __init__(self, context, trouble: str):
+        self.context = context
+        self.trouble = trouble
+        self.prefills = 0
+        self.runs: list[types.Instructions] = []
+
+    def is_connected(self, replica: types.Replica) -> bool:
+        """Whether a call would find a connection open."""
+        return True
+
+    async def prefill(
+        self, replica: types.Replica, call: types.Call, instructions
+    ) -> types.Handle:
+        """Holds the first prompt, and refuses or prefills the others."""
+        self.prefills += 1
+        if self.prefills == 1:
+            slow = self.context.router.slow_engines
+            slow.record(replica.instance, 9.0, USUAL, time.monotonic())
+            await asyncio.sleep(9.0)
+        if self.trouble == "refuses it":
+            raise exceptions.EndpointRefused("it is full")
+        return types.Handle(replica.instance, replica.address, "h", 1)
+
+    async def send(
+        self, replica: types.Replica, call: types.Call, instructions
+    ) -> types.Answer:
+        """Runs nothing; the prefill engine restarts after the first run."""
+        self.runs.append(instructions)
+        handle = instructions.handle
+        if handle is not None:
+            old = self.context.directory.replicas[handle.engine]
+            self.context.directory.put(old._replace(started_at=2))
+        raise exceptions.EndpointMismatch("it has another role")
+
+    async def drop(self, replica: types.Replica, handle: types.Handle) -> None:
+        """Frees a KV cache."""
+
+
+@behave.when("a prompt is moved and the second engine {trouble}")
+def step_second(context, trouble):
+    context.endpoints = FailingEndpoints(context, trouble)
+    context.directory.put(
+        types.Replica(
+            "decode", "lm", "d:1", "dc", 6, False, decision_types.Role.DECODE
+        )
+    )
+    budget = spare_retries()
+    serving = generations.Generations(
+        context.directory,
+        context.endpoints,
+        retry_permits.RetryPermits(budget),
+        rate_permits.RatePermits(retry_permits.lend_nothing, random.Random(1)),
+        context.router,
+        context.quarantine,
+    )
+    serving.prefills.moves.budget = budget
+    context.progress = new_progress()
+    try:
+        asyncio.run(
+            serving.serve(ROUTE, SERVICE, mock.AsyncMock(), context.progress)
+        )
+    except exceptions.Unavailable as error:
+        context.error = error
+
+
+@behave.then(
+    "{count:d} prefills were sent and the decode engine got the prompt "
+    "without a cache"
+)
+def step_prefills(context, count):
+    assert context.progress.moved_from
+    # Guards against more prefills than the route's attempts allow.
+    assert context.endpoints.prefills == count, context.endpoints.prefills
+    assert context.endpoints.runs[-1].handle is None
+    assert context.error
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -229,21 +229,24 @@
         if progress.origin is not None:
             await self.wait_for_version(service, progress)
         if self.prefills.has_lost_handle(progress):
-            may_repeat = await self.retry_permits.take(service.name)
+            may_repeat = progress.may_prefill
+            if may_repeat:
+                may_repeat = await self.retry_permits.take(service.name)
             self.prefills.discard_handle(progress, may_repeat)
         choice = None
         # The decode engine processes the prompt of a recurring suspect itself,
-        # so that nothing of it arrives anywhere before its turn.
+        # so that nothing of it arrives anywhere before its turn, and that of a
+        # moved prompt whose second prefill failed.
         is_suspect = self.quarantine.is_recurring_suspect(progress)
-        if not progress.prefill_address and not is_suspect:
+        may_prefill = progress.may_prefill and not is_suspect
+        if not progress.prefill_address and may_prefill:
             await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
         if choice is not None:
             handle = await self.prefill_copies.run(
                 choice, route, service, progress
             )
-            progress.handle = handle
-            progress.prefill_address = handle.address
+            progress.record_prefill(handle)
             await self.borrow_permit(service, False, progress)
         self.quarantine.admit(progress)
         decoder = await self.quarantine.place(
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -295,7 +295,7 @@
 
         Args:
             progress: Progress of the request.
-            may_repeat: Whether the retry budget allows another prefill; if
+            may_repeat: Whether another prefill may be sent; if
                 not, the decode engine processes the prompt itself.
         """
         progress.handle = None
--- a/packages/gypsumfold/src/gypsumfold/gateway/progress.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/progress.py
@@ -49,6 +49,9 @@
             again; None if one may be now.
         moved_from: Instance from which its prompt was taken back to be sent to
             another engine; empty if none was.
+        may_prefill: Whether a further prefill may be sent: after a move none is
+            once an engine got the prompt again, as the route's attempts allow
+            for two prefills and the run.
         prefill_address: Address of the engine that ran the prefill; empty
             before that.
         handle: KV cache of the prompt that is not fetched yet.
@@ -78,6 +81,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.backoff_end: float | None = None
         self.moved_from = ""
+        self.may_prefill = True
         self.prefill_address = ""
         self.handle: types.Handle | None = None
         self.service = ""
@@ -250,6 +254,13 @@
         """Records that a replica may have received an attempt."""
         self.arrived = True
         self.has_retry = False
+        self.may_prefill = not self.moved_from
+
+    def record_prefill(self, handle: types.Handle) -> None:
+        """Records that an engine completed the prefill."""
+        self.handle = handle
+        self.prefill_address = handle.address
+        self.may_prefill = not self.moved_from
 
     def needs_retry(self) -> bool:
         """Whether the next attempt has to be taken from the retry budget."""
