--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -101,3 +101,7 @@
       | trouble                     |
       | refuses it                  |
       | restarts after its prefill  |
+
+  Scenario: Gateways that learn of a slow engine at once choose different others
+    Given 60 gateways that know the preferred one of 6 engines as slow
+    Then none of them chooses it, and no other is chosen by more than 20
--- a/features/steps/slow_engines_steps.py
+++ b/features/steps/slow_engines_steps.py
@@ -525,3 +525,32 @@
     assert context.endpoints.prefills == count, context.endpoints.prefills
     assert context.endpoints.runs[-1].handle is None
     assert context.error
+
+
+@behave.given(
+    "{nodes:d} gateways that know the preferred one of {count:d} engines as "
+    "slow"
+)
+def step_near_equals(context, nodes, count):
+    engines = [prompts.Engine(name, f"{name}:1") for name in ENGINES[:count]]
+    # Nothing of the prompt is shared, so the other engines are equal.
+    prompt = PROMPT._replace(chain=CHAIN[1:])
+    context.chosen = collections.Counter()
+    for seed in range(nodes):
+        router = prefix_routing.PrefixRouter()
+        router.slow_engines.rng = random.Random(seed)
+        router.slow_engines.enabled = True
+        first = router.choose(prompt, engines, [], 0.0, START)
+        context.preferred = first.engine
+        router.slow_engines.record(first.engine, 9.0, USUAL, START + 1)
+        later = router.choose(prompt, engines, [], 0.0, START + 1)
+        context.chosen[later.engine] += 1
+
+
+@behave.then(
+    "none of them chooses it, and no other is chosen by more than {most:d}"
+)
+def step_spread(context, most):
+    # Guards against all gateways choosing the same second engine.
+    assert context.preferred not in context.chosen, context.chosen
+    assert max(context.chosen.values()) <= most, context.chosen
