--- a/features/slow_engines.feature
+++ b/features/slow_engines.feature
@@ -43,3 +43,65 @@
   Scenario: Without the setting reports take the same bytes as before
     Given a report without slow engines
     Then its loads have six kinds on the wire, and with a slow engine ten
+
+  Scenario: No engine is left while some are known to be slow
+    Given a gateway with 0 engines that prefill and one that it knows as slow
+    Then it chooses no engine for a prompt
+
+  Scenario Outline: A prompt no longer counts as waiting: <end>
+    Given a gateway with 1 engines that prefill and one that it knows as slow
+    When a prefill ends with <end>
+    Then no prompt counts as waiting
+
+    Examples:
+      | end            |
+      | RuntimeError   |
+      | CancelledError |
+      | AnswerBroken   |
+      | TimeoutError   |
+
+  Scenario Outline: A prompt is moved only where it gains: <case>
+    Given a gateway with 2 engines that prefill and one that it knows as slow
+    And a prompt of a route with <objective> s that waits there, for callers that stay <stay> s
+    When late prompts of <late> s wait at the other engine and the prompt is checked
+    Then it is moved <moves> times
+
+    Examples:
+      | case                               | objective | stay | late | moves |
+      | on time elsewhere                  | 3.0       | 8    | 4.0  | 1     |
+      | deferred behind no prompts         | 0.1       | 8    | 0.0  | 1     |
+      | deferred behind late prompts       | 0.1       | 8    | 2.0  | 0     |
+      | refused elsewhere as hopeless      | 0.1       | 0.5  | 0.0  | 0     |
+
+  Scenario Outline: No other engine is looked for in vain: <obstacle>
+    Given a gateway with 2 engines that prefill and one that it knows as slow
+    And a prompt of a route with 3.0 s that waits there, for callers that stay 8 s
+    When the prompt is checked although <obstacle>
+    Then <count> engines are looked for
+
+    Examples:
+      | obstacle                           | count |
+      | nothing is against it              | 1     |
+      | it is about to complete            | 0     |
+      | the retry budget is used up        | 0     |
+      | only a loan of the budget is left  | 0     |
+      | the request is suspected           | 0     |
+
+  Scenario: The baseline of a gateway isn't computed for each prompt
+    Given a gateway whose prompts take 4,1,1,1,1,1 times as long at 6 engines
+    When it sends and checks 100 prompts within 0.1 seconds
+    Then it computes its baseline at most 6 times
+
+  Scenario Outline: After a move there is no third prefill: <trouble>
+    Given a gateway with 5 engines that prefill and one that it knows as slow
+    When a prompt is moved and the second engine <trouble>
+    Then 2 prefills were sent and the decode engine got the prompt without a cache
+
+    Examples:
+      | trouble                     |
+      | refuses it                  |
+      | restarts after its prefill  |
+
+  Scenario: Gateways that learn of a slow engine at once choose different others
+    Given 60 gateways that know the preferred one of 6 engines as slow
+    Then none of them chooses it, and no other is chosen by more than 20
