Take a refused order of fewer steady engines for a refused number

Where reclaimable engines meet the minimum of a data centre, a leader orders fewer steady ones than that, which the platform may refuse. It then gave no further order for the service. It now orders the minimum there instead.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -68,3 +68,7 @@
     When another leader takes over
     Then it starts with the number that the last one needed
 
+  Scenario: A refused order of fewer engines ends all orders of a leader that has not lost its authority
+    Given a platform that refuses fewer than one steady engine anywhere
+    When the leader orders replicas for 90 s
+    Then it orders one in each data centre once it was refused fewer
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -316,3 +316,27 @@
 def step_same_total(context):
     found = context.lead.scaler.capacities["lm"]
     assert (found.first, found.total) == (30, context.total), found.total
+
+
+@behave.given("a platform that refuses fewer than one steady engine anywhere")
+def step_refusing(context):
+    context.lead = Lead(POLICY._replace(follows_load=True))
+    context.lead.platform.least_steady = 1
+    context.lead.busy = 0.0
+    context.count, context.gap = 0, 0.0
+    for place in range(12):
+        context.lead.register()
+        newest = context.lead.replicas.pop()
+        context.lead.replicas.append(newest._replace(spot=place >= 3))
+
+
+@behave.then("it orders one in each data centre once it was refused fewer")
+def step_one_each(context):
+    platform = context.lead.platform
+    steady = {}
+    for call in platform.duties.calls:
+        if call.accepted and not call.body["spot"]:
+            steady[call.body["zone"]] = call.body["desired"]
+    # The cheapest data centre keeps its only one, so it needs no order.
+    assert steady == dict.fromkeys(DATA_CENTRES[1:], 1), steady
+    assert platform.refused == len(steady), platform.refused
--- a/features/support/virtual_operations.py
+++ b/features/support/virtual_operations.py
@@ -19,6 +19,9 @@
         silent: Whether nothing is answered or carried out.
         late_share: Share of the calls that are not answered and are carried
             out some seconds later.
+        least_steady: Fewer replicas of a data centre that can't be reclaimed
+            are refused.
+        refused: Number of orders refused for it.
     """
 
     def __init__(self, rng, fenced: bool = True):
@@ -26,6 +29,8 @@
         self.duties = duties_module.Duties(fenced)
         self.silent = False
         self.late_share = 0.0
+        self.least_steady = 0
+        self.refused = 0
         self.tasks: set[asyncio.Task] = set()
 
     async def call(
@@ -60,6 +65,9 @@
 
     async def order_replicas(self, service, order, holder, token) -> None:
         """Takes an order of replicas."""
+        if not order.spot and order.count < self.least_steady:
+            self.refused += 1
+            raise exceptions.DutyFenced(names.SCALE_PATH)
         body = {
             "service": service,
             "zone": order.data_centre,
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -132,30 +132,6 @@
     return math.ceil(needed * reserve_factor(offer))
 
 
-def wanted_steady(
-    total: int, present: Count, remaining: int, busy: float, floor: int
-) -> int:
-    """Returns how many of the replicas shall not be reclaimable.
-
-    Reclaimable replicas take the place of the others once they serve. While a
-    data centre's are gone, others are ordered at once so that the next loss
-    leaves enough as well: nobody knows when there are reclaimable ones again.
-
-    Args:
-        total: Number of replicas that are needed.
-        present: Replicas that serve, in all data centres.
-        remaining: Reclaimable replicas, those on their way included, that
-            remain if any one data centre's are reclaimed.
-        busy: Number of replicas that the load keeps busy.
-        floor: The least number.
-    """
-    missing = total - remaining
-    kept = 0
-    if busy > 0:
-        kept = min(present.steady, total - present.spot)
-    return max(floor, missing, kept)
-
-
 class Capacity:
     """Tracks one service's orders and decides the next ones.
 
@@ -164,6 +140,8 @@
         sizer: Follows the load with `total`; None if `plan` does.
         ordered: The last order of each data centre and kind, and when it was
             given.
+        steady_minimum: Data centres whose minimum is met by replicas that are not
+            reclaimable, as the platform has refused fewer of them.
 
     >>> capacity = Capacity(first=70, policy=Policy())
     >>> capacity.plan(present, busy=12.0, offer=offer, now=0.0)
@@ -178,6 +156,7 @@
         self.lower_since: float | None = None
         self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
         self.unavailable_until: dict[str, float] = {}
+        self.steady_minimum: set[str] = set()
 
     def record_first(self, count: int) -> None:
         """Records the number of replicas that were there at first."""
@@ -210,6 +189,9 @@
         # Following the load, both kinds meet the minimum of a data centre.
         least = offer.least if self.sizer is None else 0
         floors = spreads.spread(floor, names, least, offer.most)
+        for place, name in enumerate(names):
+            if name in self.steady_minimum:
+                floors[place] = max(floors[place], offer.least)
         spots = self.spread_spots(names, floors, offer)
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
@@ -226,14 +208,16 @@
         )
         expected = self.expected_spots(present, spot_orders, offer, now)
         remaining = spreads.remaining(expected)
-        steady = wanted_steady(self.total, all_present, remaining, busy, floor)
+        steady = spreads.wanted_steady(
+            self.total, *all_present, remaining, busy, floor
+        )
         steadies = spreads.spread(steady, names, least, offer.most)
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
             count = min(steadies[place], offer.most - spots[place])
             have = present.get(name, Count())
-            count = max(count, offer.least - have.spot)
+            count = max(count, floors[place], offer.least - have.spot)
             order = Order(name, False, count)
             found += self.plan_kind(order, have.steady, offer, now)
         return found
@@ -346,3 +330,18 @@
         if order.spot:
             until = now + UNAVAILABLE_SECONDS
             self.unavailable_until[order.data_centre] = until
+
+    def record_refused(self, order: Order, have: int, now: float) -> bool:
+        """Records that an order of not reclaimable replicas was refused.
+
+        Returns:
+            Whether its number may be the reason. Otherwise only a higher token
+            can be.
+        """
+        if self.sizer is None or order.count >= have:
+            self.record_unavailable(order, now)
+            return False
+        self.steady_minimum.add(order.data_centre)
+        # The same number is not ordered again at once.
+        self.record_order(order, now)
+        return True
--- a/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
@@ -59,6 +59,36 @@
     return best
 
 
+def wanted_steady(
+    total: int,
+    present_steady: int,
+    present_spot: int,
+    remaining: int,
+    busy: float,
+    floor: int,
+) -> int:
+    """Returns how many of the replicas shall not be reclaimable.
+
+    Reclaimable replicas take the place of the others once they serve. While a
+    data centre's are gone, others are ordered at once so that the next loss
+    leaves enough as well: nobody knows when there are reclaimable ones again.
+
+    Args:
+        total: Number of replicas that are needed.
+        present_steady: Replicas that serve and are not reclaimable.
+        present_spot: Reclaimable replicas that serve.
+        remaining: Reclaimable replicas, those on their way included, that
+            remain if any one data centre's are reclaimed.
+        busy: Number of replicas that the load keeps busy.
+        floor: The least number.
+    """
+    missing = total - remaining
+    kept = 0
+    if busy > 0:
+        kept = min(present_steady, total - present_spot)
+    return max(floor, missing, kept)
+
+
 def remaining(spots: dict[str, int]) -> int:
     """Counts the replicas left if the largest data centre's are reclaimed.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -292,8 +292,11 @@
                 service.name, order, self.node, token
             )
         except exceptions.DutyFenced as error:
-            capacity.record_unavailable(order, now)
-            if not order.spot:
+            present = self.count_present(service)
+            have = present.get(order.data_centre, capacity_module.Count())
+            if order.spot:
+                capacity.record_unavailable(order, now)
+            elif not capacity.record_refused(order, have.steady, now):
                 # Only reclaimable replicas may be unavailable.
                 self.refused_tokens[service.name] = token
             events.log(
