Keep the orders of a data centre within its maximum

Steady engines that met the minimum of a data centre after a loss came on top of the reclaimable ones that were ordered again: 9 + 3 with a maximum of 10.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -34,6 +34,17 @@
     When 240 s pass with nothing wrong
     Then a tenth of the engines needed can't be reclaimed, and no more but where none else is
 
+  Scenario Outline: A data centre is ordered more engines than it may have: <needed> needed
+    Given 45 engines whose number follows the load
+    When <needed> engines are needed, of 3 to 10 a data centre, and one has lost its reclaimable ones
+    Then each data centre is ordered 3 to 10 engines
+
+    Examples:
+      | needed |
+      | 12     |
+      | 28     |
+      | 36     |
+
   Scenario: A load that nothing foretold waits for engines until the next period
     Given 45 engines whose number follows the load
     When 200 s pass with nothing wrong
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -262,3 +262,28 @@
         alone += count.spot < OFFER.least
         assert count.spot + count.steady >= OFFER.least
     assert expected <= play.platform.count_steady() <= expected + alone
+
+
+@behave.when(
+    "{needed:d} engines are needed, of 3 to 10 a data centre, and one has lost "
+    "its reclaimable ones"
+)
+def step_bounds(context, needed):
+    leader = context.play.leader
+    leader.total = needed
+    leader.sizer.is_watched = True
+    offer = OFFER._replace(least=3, most=10)
+    present = dict.fromkeys(PRICES, capacity.Count(1, 9))
+    present["dc-1"] = capacity.Count(1, 0)
+    context.orders = {}
+    for name, count in present.items():
+        context.orders[name, False], context.orders[name, True] = count
+    for order in leader.plan(present, 1.0, offer, 0.0):
+        context.orders[order.data_centre, order.spot] = order.count
+
+
+@behave.then("each data centre is ordered {least:d} to {most:d} engines")
+def step_in_bounds(context, least, most):
+    for name in PRICES:
+        count = context.orders[name, False] + context.orders[name, True]
+        assert least <= count <= most, context.orders
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -98,38 +98,10 @@
     return min(limit, max(least, math.ceil(policy.headroom * busy)))
 
 
-def reserve_factor(offer: Offer) -> float:
-    """Returns how many replicas to keep for one that must remain.
-
-    With as many in each data centre, the loss of any one leaves enough.
-    """
-    data_centres = len(offer.prices)
-    if data_centres < 2:
-        return math.inf
-    return data_centres / (data_centres - 1)
-
-
 def replaces_steady(offer: Offer) -> bool:
     """Whether reclaimable replicas with their reserve cost less than others."""
-    return offer.spot_price * reserve_factor(offer) < 1.0
-
-
-def wanted_spots(total: int, offer: Offer, policy: Policy) -> int:
-    """Returns how many reclaimable replicas to keep.
-
-    They include a reserve, so that the loss of any one data centre's leaves as
-    many as are needed. With fewer data centres or a smaller difference in price
-    the reserve costs more than it saves.
-
-    Args:
-        total: Number of replicas that are needed.
-        offer: What can be ordered.
-        policy: How much capacity is kept.
-    """
-    if not replaces_steady(offer):
-        return 0
-    needed = total - math.ceil(policy.steady_share * total)
-    return math.ceil(needed * reserve_factor(offer))
+    factor = spreads.reserve_factor(len(offer.prices))
+    return offer.spot_price * factor < 1.0
 
 
 class Capacity:
@@ -140,8 +112,8 @@
         sizer: Follows the load with `total`; None if `plan` does.
         ordered: The last order of each data centre and kind, and when it was
             given.
-        steady_minimum: Data centres whose minimum is met by replicas that are not
-            reclaimable, as the platform has refused fewer of them.
+        steady_minimum: Data centres whose minimum is met by replicas that are
+            not reclaimable, as the platform has refused fewer of them.
 
     >>> capacity = Capacity(first=70, policy=Policy())
     >>> capacity.plan(present, busy=12.0, offer=offer, now=0.0)
@@ -192,7 +164,7 @@
         for place, name in enumerate(names):
             if name in self.steady_minimum:
                 floors[place] = max(floors[place], offer.least)
-        spots = self.spread_spots(names, floors, offer)
+        spots = self.spread_spots(names, floors, present, offer)
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
             if now < self.unavailable_until.get(name, -math.inf):
@@ -215,24 +187,43 @@
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
-            count = min(steadies[place], offer.most - spots[place])
             have = present.get(name, Count())
-            count = max(count, floors[place], offer.least - have.spot)
+            count = min(steadies[place], offer.most - spots[place])
+            count = max(count, offer.least - have.spot)
+            if self.sizer is not None:
+                # An order of fewer reclaimable ones may have to wait.
+                spot = max(spots[place], have.spot)
+                count = min(max(count, floors[place]), offer.most - spot)
+                count = max(0, count)
             order = Order(name, False, count)
             found += self.plan_kind(order, have.steady, offer, now)
         return found
 
     def spread_spots(
-        self, names: list[str], floors: list[int], offer: Offer
+        self,
+        names: list[str],
+        floors: list[int],
+        present: dict[str, Count],
+        offer: Offer,
     ) -> list[int]:
         """Divides reclaimable replicas over data centres, cheapest first."""
         limit = offer.most - max(floors, default=0)
-        if self.sizer is not None and replaces_steady(offer):
-            return spreads.spread_by_price(
-                self.total - sum(floors), names, offer.prices, limit
-            )
-        count = wanted_spots(self.total, offer, self.policy)
-        return spreads.spread(count, names, 0, limit)
+        if not replaces_steady(offer):
+            return [0] * len(names)
+        if self.sizer is None:
+            floor = math.ceil(self.policy.steady_share * self.total)
+            factor = spreads.reserve_factor(len(names))
+            count = math.ceil((self.total - floor) * factor)
+            return spreads.spread(count, names, 0, limit)
+        found = spreads.spread_by_price(
+            self.total - sum(floors), names, offer.prices, limit
+        )
+        for place, name in enumerate(names):
+            # The others meet the minimum until enough of these serve.
+            have = present.get(name, Count()).spot
+            missing = max(0, offer.least - have)
+            found[place] = min(found[place], offer.most - missing)
+        return found
 
     def may_reduce(self, name: str, now: float) -> bool:
         """Whether a data centre may lose reclaimable replicas by an order."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
@@ -59,6 +59,18 @@
     return best
 
 
+def reserve_factor(data_centres: int) -> float:
+    """Returns how many replicas to keep for one that must remain.
+
+    With as many in each data centre, the loss of any one leaves enough. With
+    fewer data centres or a smaller difference in price the reserve costs more
+    than it saves.
+    """
+    if data_centres < 2:
+        return math.inf
+    return data_centres / (data_centres - 1)
+
+
 def wanted_steady(
     total: int,
     present_steady: int,
