Order fewer engines only once the load has been watched for a period

A new leader, or one that is cut off from the others, replaced steady engines and gave up reclaimable ones by a number that it had not checked. It now keeps what serves, and orders reclaimable engines in the place of steady ones, only once it has known the load for a period.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -34,6 +34,19 @@
     When 240 s pass with nothing wrong
     Then a tenth of the engines needed can't be reclaimed, and no more but where none else is
 
+  Scenario Outline: A leader orders fewer engines before it knows the load: after <start> s, <trouble>
+    Given 45 engines whose number follows the load
+    When <start> s pass with nothing wrong
+    And a new leader finds 5 engines in the store, and <seconds> s pass with <trouble>
+    Then no engine is gone
+
+    Examples:
+      | start | seconds | trouble                           |
+      | 0     | 19      | nothing wrong                       |
+      | 0     | 100     | a leader that hears few other nodes |
+      | 100   | 19      | nothing wrong                       |
+      | 100   | 100     | a leader that hears few other nodes |
+
   Scenario Outline: A data centre is ordered more engines than it may have: <needed> needed
     Given 45 engines whose number follows the load
     When <needed> engines are needed, of 3 to 10 a data centre, and one has lost its reclaimable ones
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -287,3 +287,25 @@
     for name in PRICES:
         count = context.orders[name, False] + context.orders[name, True]
         assert least <= count <= most, context.orders
+
+
+@behave.when(
+    "a new leader finds {total:d} engines in the store, and {seconds:d} s pass "
+    "with {trouble}"
+)
+def step_new_leader(context, total, seconds, trouble):
+    play = context.play
+    play.lead(total)
+    play.trouble = trouble
+    context.before = play.present()
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+
+
+@behave.then("no engine is gone")
+def step_none_gone(context):
+    for name, count in context.play.present().items():
+        before = context.before[name]
+        assert count.steady >= before.steady, (name, before, count)
+        assert count.spot >= before.spot, (name, before, count)
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -161,9 +161,13 @@
         # Following the load, both kinds meet the minimum of a data centre.
         least = offer.least if self.sizer is None else 0
         floors = spreads.spread(floor, names, least, offer.most)
+        is_kept = self.sizer is not None and not self.sizer.is_watched
         for place, name in enumerate(names):
             if name in self.steady_minimum:
                 floors[place] = max(floors[place], offer.least)
+            if is_kept:
+                have = present.get(name, Count()).steady
+                floors[place] = max(floors[place], have)
         spots = self.spread_spots(names, floors, present, offer)
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
@@ -184,6 +188,8 @@
             self.total, *all_present, remaining, busy, floor
         )
         steadies = spreads.spread(steady, names, least, offer.most)
+        if is_kept and steady <= sum(floors):
+            steadies = floors
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
@@ -194,7 +200,7 @@
                 # An order of fewer reclaimable ones may have to wait.
                 spot = max(spots[place], have.spot)
                 count = min(max(count, floors[place]), offer.most - spot)
-                count = max(0, count)
+                count = max(have.steady if is_kept else 0, count)
             order = Order(name, False, count)
             found += self.plan_kind(order, have.steady, offer, now)
         return found
@@ -207,7 +213,7 @@
         offer: Offer,
     ) -> list[int]:
         """Divides reclaimable replicas over data centres, cheapest first."""
-        limit = offer.most - max(floors, default=0)
+        limit = max(0, offer.most - max(floors, default=0))
         if not replaces_steady(offer):
             return [0] * len(names)
         if self.sizer is None:
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -148,6 +148,9 @@
         watching_since: Since when the load is known without a gap; None if it
             isn't known.
         traffic_since: When there was traffic first; None if there was none.
+        is_watched: Whether the load was known for long enough to order fewer
+            engines, and has not become unknown since. A new leader doesn't know
+            what its predecessor kept engines for.
 
     >>> sizer = Sizer()
     >>> sizer.update(45, Load(1.6), engine, policy, 0.0, Progress())
@@ -158,6 +161,7 @@
         self.need = Need(MIN_ENGINES_PER_ROLE, MIN_ENGINES_PER_ROLE)
         self.watching_since: float | None = None
         self.traffic_since: float | None = None
+        self.is_watched = False
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
         self.reducing = ""
@@ -189,10 +193,13 @@
         """
         period = policy.period_seconds
         self.observe(load, engine, policy, now)
+        reducible = self.has_watched(period, now, progress.is_complete)
+        # Traffic after an idle time starts the period again for the total only.
+        kept = self.is_watched and progress.is_complete
+        self.is_watched = reducible or kept
         wanted = min(policy.limit, self.need.total)
         if wanted > total:
             return wanted
-        reducible = self.has_watched(period, now, progress.is_complete)
         settled = self.has_settled(period, now, progress.is_settled)
         if wanted == total or not reducible or not settled:
             return total
@@ -202,11 +209,14 @@
         return max(wanted, total - max(1, total // REDUCTION_DIVISOR))
 
     def may_reduce(self, data_centre: str, now: float) -> bool:
-        """Whether a data centre may get fewer engines now.
+        """Whether a data centre may get fewer reclaimable engines now.
 
-        One data centre follows another, so that decode engines in the others
-        take the streams of those that leave.
+        None may before the load is known. Then one data centre follows another,
+        so that decode engines in the others take the streams of those that
+        leave.
         """
+        if not self.is_watched:
+            return False
         if data_centre == self.reducing:
             return True
         if self.reducing_since is None:
