--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -23,6 +23,7 @@
       | a new leader each 15 s                                | 45    | 70   |
       | a leader that hears few other nodes                   | 45    | 70   |
       | no traffic for the first 50 s                         | 8     | 16   |
+      | none to be had in the cheapest data centre            | 8     | 22   |
 
   Scenario: Engines are given up in a pause of the load, and missing after it
     Given 45 engines whose number follows the load
@@ -47,6 +48,13 @@
       | 100   | 19      | nothing wrong                       |
       | 100   | 100     | a leader that hears few other nodes |
 
+  Scenario: The dearest data centre gives an engine up before the others have theirs
+    Given 45 engines whose number follows the load
+    When 300 s pass while streams fill 2 engines
+    And 4 s pass while streams fill 2.3 engines
+    Then no engine is gone
+    And 8 s later dc-2 has one reclaimable engine fewer, and the others one more
+
   Scenario Outline: A data centre is ordered more engines than it may have: <needed> needed
     Given 45 engines whose number follows the load
     When <needed> engines are needed, of 3 to 10 a data centre, and one has lost its reclaimable ones
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -72,6 +72,8 @@
             for name in PRICES:
                 self.platform.dry_until[name] = 130.0
             self.platform.reclaim("dc-1", 130.0)
+        if self.trouble.startswith("none to be had"):
+            self.platform.dry_until["dc-1"] = math.inf
         if self.trouble.startswith("orders"):
             self.platform.late = 6.0
         for seconds in (50.0, 15.0):
@@ -309,3 +311,27 @@
         before = context.before[name]
         assert count.steady >= before.steady, (name, before, count)
         assert count.spot >= before.spot, (name, before, count)
+
+
+@behave.when("{seconds:d} s pass while streams fill {streams:g} engines")
+def step_streams(context, seconds, streams):
+    play = context.play
+    play.load = lambda: USUAL._replace(streams=streams)
+    context.before = play.present()
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+
+
+@behave.then(
+    "{seconds:d} s later {name} has one reclaimable engine fewer, and the "
+    "others one more"
+)
+def step_moved(context, seconds, name):
+    play = context.play
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+    for other, count in play.present().items():
+        change = -1 if other == name else 1
+        assert count.spot == context.before[other].spot + change, (other, count)
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -169,12 +169,15 @@
                 have = present.get(name, Count()).steady
                 floors[place] = max(floors[place], have)
         spots = self.spread_spots(names, floors, present, offer)
+        is_growing = False
+        for name, count in zip(names, spots, strict=True):
+            is_growing |= count > present.get(name, Count()).spot
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
             if now < self.unavailable_until.get(name, -math.inf):
                 continue
             have = present.get(name, Count()).spot
-            if count < have and not self.may_reduce(name, now):
+            if count < have and not self.may_reduce(name, is_growing, now):
                 continue
             order = Order(name, True, count)
             spot_orders[name] = self.plan_kind(order, have, offer, now)
@@ -231,9 +234,11 @@
             found[place] = min(found[place], offer.most - missing)
         return found
 
-    def may_reduce(self, name: str, now: float) -> bool:
+    def may_reduce(self, name: str, is_growing: bool, now: float) -> bool:
         """Whether a data centre may lose reclaimable replicas by an order."""
-        return self.sizer is None or self.sizer.may_reduce(name, now)
+        if self.sizer is None:
+            return True
+        return self.sizer.may_reduce(name, is_growing, now)
 
     def is_settled(self, present: dict[str, Count]) -> bool:
         """Whether the replicas that serve are those that were ordered."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -151,6 +151,8 @@
         is_watched: Whether the load was known for long enough to order fewer
             engines, and has not become unknown since. A new leader doesn't know
             what its predecessor kept engines for.
+        is_stuck: Whether the replicas have differed from what was ordered for
+            so long that the difference counts as permanent.
 
     >>> sizer = Sizer()
     >>> sizer.update(45, Load(1.6), engine, policy, 0.0, Progress())
@@ -162,6 +164,7 @@
         self.watching_since: float | None = None
         self.traffic_since: float | None = None
         self.is_watched = False
+        self.is_stuck = False
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
         self.reducing = ""
@@ -197,10 +200,11 @@
         # Traffic after an idle time starts the period again for the total only.
         kept = self.is_watched and progress.is_complete
         self.is_watched = reducible or kept
+        settled = self.has_settled(period, now, progress.is_settled)
+        self.is_stuck = settled and not progress.is_settled
         wanted = min(policy.limit, self.need.total)
         if wanted > total:
             return wanted
-        settled = self.has_settled(period, now, progress.is_settled)
         if wanted == total or not reducible or not settled:
             return total
         if now - self.reduced_at < period:
@@ -208,14 +212,22 @@
         self.reduced_at = now
         return max(wanted, total - max(1, total // REDUCTION_DIVISOR))
 
-    def may_reduce(self, data_centre: str, now: float) -> bool:
+    def may_reduce(
+        self, data_centre: str, is_growing: bool, now: float
+    ) -> bool:
         """Whether a data centre may get fewer reclaimable engines now.
 
-        None may before the load is known. Then one data centre follows another,
-        so that decode engines in the others take the streams of those that
-        leave.
+        None may before the load is known, nor before the engines serve that
+        others get: a division of more engines may have fewer in one. Then one
+        data centre follows another, so that decode engines in the others take
+        the streams of those that leave.
+
+        Args:
+            data_centre: The data centre.
+            is_growing: Whether a data centre has fewer than it shall have.
+            now: Seconds of a monotonic clock.
         """
-        if not self.is_watched:
+        if not self.is_watched or (is_growing and not self.is_stuck):
             return False
         if data_centre == self.reducing:
             return True
