--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -23,6 +23,7 @@
       | a new leader each 15 s                                | 45    | 70   |
       | a leader that hears few other nodes                   | 45    | 70   |
       | no traffic for the first 50 s                         | 8     | 16   |
+      | none to be had in the cheapest data centre            | 8     | 22   |
 
   Scenario: Engines are given up in a pause of the load, and missing after it
     Given 45 engines whose number follows the load
@@ -34,6 +35,37 @@
     When 240 s pass with nothing wrong
     Then a tenth of the engines needed can't be reclaimed, and no more but where none else is
 
+  Scenario Outline: A leader orders fewer engines before it knows the load: after <start> s, <trouble>
+    Given 45 engines whose number follows the load
+    When <start> s pass with nothing wrong
+    And a new leader finds 5 engines in the store, and <seconds> s pass with <trouble>
+    Then no engine is gone
+
+    Examples:
+      | start | seconds | trouble                           |
+      | 0     | 19      | nothing wrong                       |
+      | 0     | 100     | a leader that hears few other nodes |
+      | 100   | 19      | nothing wrong                       |
+      | 100   | 100     | a leader that hears few other nodes |
+
+  Scenario: The dearest data centre gives an engine up before the others have theirs
+    Given 45 engines whose number follows the load
+    When 300 s pass while streams fill 2 engines
+    And 4 s pass while streams fill 2.3 engines
+    Then no engine is gone
+    And 8 s later dc-2 has one reclaimable engine fewer, and the others one more
+
+  Scenario Outline: A data centre is ordered more engines than it may have: <needed> needed
+    Given 45 engines whose number follows the load
+    When <needed> engines are needed, of 3 to 10 a data centre, and one has lost its reclaimable ones
+    Then each data centre is ordered 3 to 10 engines
+
+    Examples:
+      | needed |
+      | 12     |
+      | 28     |
+      | 36     |
+
   Scenario: A load that nothing foretold waits for engines until the next period
     Given 45 engines whose number follows the load
     When 200 s pass with nothing wrong
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -72,6 +72,8 @@
             for name in PRICES:
                 self.platform.dry_until[name] = 130.0
             self.platform.reclaim("dc-1", 130.0)
+        if self.trouble.startswith("none to be had"):
+            self.platform.dry_until["dc-1"] = math.inf
         if self.trouble.startswith("orders"):
             self.platform.late = 6.0
         for seconds in (50.0, 15.0):
@@ -262,3 +264,74 @@
         alone += count.spot < OFFER.least
         assert count.spot + count.steady >= OFFER.least
     assert expected <= play.platform.count_steady() <= expected + alone
+
+
+@behave.when(
+    "{needed:d} engines are needed, of 3 to 10 a data centre, and one has lost "
+    "its reclaimable ones"
+)
+def step_bounds(context, needed):
+    leader = context.play.leader
+    leader.total = needed
+    leader.sizer.is_watched = True
+    offer = OFFER._replace(least=3, most=10)
+    present = dict.fromkeys(PRICES, capacity.Count(1, 9))
+    present["dc-1"] = capacity.Count(1, 0)
+    context.orders = {}
+    for name, count in present.items():
+        context.orders[name, False], context.orders[name, True] = count
+    for order in leader.plan(present, 1.0, offer, 0.0):
+        context.orders[order.data_centre, order.spot] = order.count
+
+
+@behave.then("each data centre is ordered {least:d} to {most:d} engines")
+def step_in_bounds(context, least, most):
+    for name in PRICES:
+        count = context.orders[name, False] + context.orders[name, True]
+        assert least <= count <= most, context.orders
+
+
+@behave.when(
+    "a new leader finds {total:d} engines in the store, and {seconds:d} s pass "
+    "with {trouble}"
+)
+def step_new_leader(context, total, seconds, trouble):
+    play = context.play
+    play.lead(total)
+    play.trouble = trouble
+    context.before = play.present()
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+
+
+@behave.then("no engine is gone")
+def step_none_gone(context):
+    for name, count in context.play.present().items():
+        before = context.before[name]
+        assert count.steady >= before.steady, (name, before, count)
+        assert count.spot >= before.spot, (name, before, count)
+
+
+@behave.when("{seconds:d} s pass while streams fill {streams:g} engines")
+def step_streams(context, seconds, streams):
+    play = context.play
+    play.load = lambda: USUAL._replace(streams=streams)
+    context.before = play.present()
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+
+
+@behave.then(
+    "{seconds:d} s later {name} has one reclaimable engine fewer, and the "
+    "others one more"
+)
+def step_moved(context, seconds, name):
+    play = context.play
+    end = play.now + seconds
+    while play.now < end:
+        play.step()
+    for other, count in play.present().items():
+        change = -1 if other == name else 1
+        assert count.spot == context.before[other].spot + change, (other, count)
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -98,62 +98,10 @@
     return min(limit, max(least, math.ceil(policy.headroom * busy)))
 
 
-def reserve_factor(offer: Offer) -> float:
-    """Returns how many replicas to keep for one that must remain.
-
-    With as many in each data centre, the loss of any one leaves enough.
-    """
-    data_centres = len(offer.prices)
-    if data_centres < 2:
-        return math.inf
-    return data_centres / (data_centres - 1)
-
-
 def replaces_steady(offer: Offer) -> bool:
     """Whether reclaimable replicas with their reserve cost less than others."""
-    return offer.spot_price * reserve_factor(offer) < 1.0
-
-
-def wanted_spots(total: int, offer: Offer, policy: Policy) -> int:
-    """Returns how many reclaimable replicas to keep.
-
-    They include a reserve, so that the loss of any one data centre's leaves as
-    many as are needed. With fewer data centres or a smaller difference in price
-    the reserve costs more than it saves.
-
-    Args:
-        total: Number of replicas that are needed.
-        offer: What can be ordered.
-        policy: How much capacity is kept.
-    """
-    if not replaces_steady(offer):
-        return 0
-    needed = total - math.ceil(policy.steady_share * total)
-    return math.ceil(needed * reserve_factor(offer))
-
-
-def wanted_steady(
-    total: int, present: Count, remaining: int, busy: float, floor: int
-) -> int:
-    """Returns how many of the replicas shall not be reclaimable.
-
-    Reclaimable replicas take the place of the others once they serve. While a
-    data centre's are gone, others are ordered at once so that the next loss
-    leaves enough as well: nobody knows when there are reclaimable ones again.
-
-    Args:
-        total: Number of replicas that are needed.
-        present: Replicas that serve, in all data centres.
-        remaining: Reclaimable replicas, those on their way included, that
-            remain if any one data centre's are reclaimed.
-        busy: Number of replicas that the load keeps busy.
-        floor: The least number.
-    """
-    missing = total - remaining
-    kept = 0
-    if busy > 0:
-        kept = min(present.steady, total - present.spot)
-    return max(floor, missing, kept)
+    factor = spreads.reserve_factor(len(offer.prices))
+    return offer.spot_price * factor < 1.0
 
 
 class Capacity:
@@ -164,6 +112,8 @@
         sizer: Follows the load with `total`; None if `plan` does.
         ordered: The last order of each data centre and kind, and when it was
             given.
+        steady_minimum: Data centres whose minimum is met by replicas that are
+            not reclaimable, as the platform has refused fewer of them.
 
     >>> capacity = Capacity(first=70, policy=Policy())
     >>> capacity.plan(present, busy=12.0, offer=offer, now=0.0)
@@ -178,6 +128,7 @@
         self.lower_since: float | None = None
         self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
         self.unavailable_until: dict[str, float] = {}
+        self.steady_minimum: set[str] = set()
 
     def record_first(self, count: int) -> None:
         """Records the number of replicas that were there at first."""
@@ -210,13 +161,23 @@
         # Following the load, both kinds meet the minimum of a data centre.
         least = offer.least if self.sizer is None else 0
         floors = spreads.spread(floor, names, least, offer.most)
-        spots = self.spread_spots(names, floors, offer)
+        is_kept = self.sizer is not None and not self.sizer.is_watched
+        for place, name in enumerate(names):
+            if name in self.steady_minimum:
+                floors[place] = max(floors[place], offer.least)
+            if is_kept:
+                have = present.get(name, Count()).steady
+                floors[place] = max(floors[place], have)
+        spots = self.spread_spots(names, floors, present, offer)
+        is_growing = False
+        for name, count in zip(names, spots, strict=True):
+            is_growing |= count > present.get(name, Count()).spot
         spot_orders = {}
         for name, count in zip(names, spots, strict=True):
             if now < self.unavailable_until.get(name, -math.inf):
                 continue
             have = present.get(name, Count()).spot
-            if count < have and not self.may_reduce(name, now):
+            if count < have and not self.may_reduce(name, is_growing, now):
                 continue
             order = Order(name, True, count)
             spot_orders[name] = self.plan_kind(order, have, offer, now)
@@ -226,33 +187,58 @@
         )
         expected = self.expected_spots(present, spot_orders, offer, now)
         remaining = spreads.remaining(expected)
-        steady = wanted_steady(self.total, all_present, remaining, busy, floor)
+        steady = spreads.wanted_steady(
+            self.total, *all_present, remaining, busy, floor
+        )
         steadies = spreads.spread(steady, names, least, offer.most)
+        if is_kept and steady <= sum(floors):
+            steadies = floors
         found = []
         for place, name in enumerate(names):
             found += spot_orders.get(name, [])
-            count = min(steadies[place], offer.most - spots[place])
             have = present.get(name, Count())
+            count = min(steadies[place], offer.most - spots[place])
             count = max(count, offer.least - have.spot)
+            if self.sizer is not None:
+                # An order of fewer reclaimable ones may have to wait.
+                spot = max(spots[place], have.spot)
+                count = min(max(count, floors[place]), offer.most - spot)
+                count = max(have.steady if is_kept else 0, count)
             order = Order(name, False, count)
             found += self.plan_kind(order, have.steady, offer, now)
         return found
 
     def spread_spots(
-        self, names: list[str], floors: list[int], offer: Offer
+        self,
+        names: list[str],
+        floors: list[int],
+        present: dict[str, Count],
+        offer: Offer,
     ) -> list[int]:
         """Divides reclaimable replicas over data centres, cheapest first."""
-        limit = offer.most - max(floors, default=0)
-        if self.sizer is not None and replaces_steady(offer):
-            return spreads.spread_by_price(
-                self.total - sum(floors), names, offer.prices, limit
-            )
-        count = wanted_spots(self.total, offer, self.policy)
-        return spreads.spread(count, names, 0, limit)
-
-    def may_reduce(self, name: str, now: float) -> bool:
+        limit = max(0, offer.most - max(floors, default=0))
+        if not replaces_steady(offer):
+            return [0] * len(names)
+        if self.sizer is None:
+            floor = math.ceil(self.policy.steady_share * self.total)
+            factor = spreads.reserve_factor(len(names))
+            count = math.ceil((self.total - floor) * factor)
+            return spreads.spread(count, names, 0, limit)
+        found = spreads.spread_by_price(
+            self.total - sum(floors), names, offer.prices, limit
+        )
+        for place, name in enumerate(names):
+            # The others meet the minimum until enough of these serve.
+            have = present.get(name, Count()).spot
+            missing = max(0, offer.least - have)
+            found[place] = min(found[place], offer.most - missing)
+        return found
+
+    def may_reduce(self, name: str, is_growing: bool, now: float) -> bool:
         """Whether a data centre may lose reclaimable replicas by an order."""
-        return self.sizer is None or self.sizer.may_reduce(name, now)
+        if self.sizer is None:
+            return True
+        return self.sizer.may_reduce(name, is_growing, now)
 
     def is_settled(self, present: dict[str, Count]) -> bool:
         """Whether the replicas that serve are those that were ordered."""
@@ -346,3 +332,18 @@
         if order.spot:
             until = now + UNAVAILABLE_SECONDS
             self.unavailable_until[order.data_centre] = until
+
+    def record_refused(self, order: Order, have: int, now: float) -> bool:
+        """Records that an order of not reclaimable replicas was refused.
+
+        Returns:
+            Whether its number may be the reason. Otherwise only a higher token
+            can be.
+        """
+        if self.sizer is None or order.count >= have:
+            self.record_unavailable(order, now)
+            return False
+        self.steady_minimum.add(order.data_centre)
+        # The same number is not ordered again at once.
+        self.record_order(order, now)
+        return True
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -148,6 +148,11 @@
         watching_since: Since when the load is known without a gap; None if it
             isn't known.
         traffic_since: When there was traffic first; None if there was none.
+        is_watched: Whether the load was known for long enough to order fewer
+            engines, and has not become unknown since. A new leader doesn't know
+            what its predecessor kept engines for.
+        is_stuck: Whether the replicas have differed from what was ordered for
+            so long that the difference counts as permanent.
 
     >>> sizer = Sizer()
     >>> sizer.update(45, Load(1.6), engine, policy, 0.0, Progress())
@@ -158,6 +163,8 @@
         self.need = Need(MIN_ENGINES_PER_ROLE, MIN_ENGINES_PER_ROLE)
         self.watching_since: float | None = None
         self.traffic_since: float | None = None
+        self.is_watched = False
+        self.is_stuck = False
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
         self.reducing = ""
@@ -189,11 +196,15 @@
         """
         period = policy.period_seconds
         self.observe(load, engine, policy, now)
+        reducible = self.has_watched(period, now, progress.is_complete)
+        # Traffic after an idle time starts the period again for the total only.
+        kept = self.is_watched and progress.is_complete
+        self.is_watched = reducible or kept
+        settled = self.has_settled(period, now, progress.is_settled)
+        self.is_stuck = settled and not progress.is_settled
         wanted = min(policy.limit, self.need.total)
         if wanted > total:
             return wanted
-        reducible = self.has_watched(period, now, progress.is_complete)
-        settled = self.has_settled(period, now, progress.is_settled)
         if wanted == total or not reducible or not settled:
             return total
         if now - self.reduced_at < period:
@@ -201,12 +212,23 @@
         self.reduced_at = now
         return max(wanted, total - max(1, total // REDUCTION_DIVISOR))
 
-    def may_reduce(self, data_centre: str, now: float) -> bool:
-        """Whether a data centre may get fewer engines now.
+    def may_reduce(
+        self, data_centre: str, is_growing: bool, now: float
+    ) -> bool:
+        """Whether a data centre may get fewer reclaimable engines now.
 
-        One data centre follows another, so that decode engines in the others
-        take the streams of those that leave.
+        None may before the load is known, nor before the engines serve that
+        others get: a division of more engines may have fewer in one. Then one
+        data centre follows another, so that decode engines in the others take
+        the streams of those that leave.
+
+        Args:
+            data_centre: The data centre.
+            is_growing: Whether a data centre has fewer than it shall have.
+            now: Seconds of a monotonic clock.
         """
+        if not self.is_watched or (is_growing and not self.is_stuck):
+            return False
         if data_centre == self.reducing:
             return True
         if self.reducing_since is None:
