Move the schedule of probes out of the directory

The directory keeps which replicas are known and usable; ProbeSchedule, its attribute probes, keeps which of them to probe, and when. No behaviour changes.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -280,9 +280,9 @@
     directory.put(REPLICA)
     now = time.monotonic()
     directory.record_statement(REPLICA, types.Statement(now, backoff=REST))
-    directory.request_probe("i-1")
-    assert not directory.due_probes(now)
-    assert directory.due_probes(now + 2 * REST) == {"i-1"}
+    directory.probes.request("i-1")
+    assert not directory.probes.due(now)
+    assert directory.probes.due(now + 2 * REST) == {"i-1"}
     assert "i-1" not in directory.health.failure_rates
     assert directory.count_usable("lm")["replicas"] == 1
     assert not directory.is_cut_off("lm")
--- a/packages/gypsumfold/src/gypsumfold/gateway/copy_races.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/copy_races.py
@@ -258,7 +258,7 @@
             self.record_time()
         if self.second is not None and not self.first.has_ended:
             # Its requests end too soon to show that a replica is silent.
-            self.directory.request_probe(self.first.instance)
+            self.directory.probes.request(self.first.instance)
         copies = [self.first]
         if self.second is not None:
             copies.append(self.second)
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -5,7 +5,6 @@
 So the directory also tracks failures, silence and role changes.
 """
 
-import asyncio
 import collections
 from collections.abc import Callable
 import math
@@ -27,6 +26,7 @@
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
 from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import probe_schedule
 from gypsumfold.gateway import types
 
 # Seconds without new requests for an engine that refused one as not run: it is
@@ -35,13 +35,6 @@
 # Seconds without new requests for a replica that reports another instance or
 # role than its entry, which is corrected after 1 to 3 s.
 MISTAKEN_PAUSE_SECONDS = 2.0
-# Seconds between two probes of a silent replica, at first and at most. Without
-# the backoff 73 nodes that probe 18 lost engines ten times a second make 13,000
-# calls a second.
-FIRST_PROBE_INTERVAL_SECONDS = 0.1
-MAX_PROBE_INTERVAL_SECONDS = 1.0
-# Maximum number of replicas probed in one check; the others follow in the next.
-MAX_PROBES_PER_CHECK = 20
 # Fraction of an engine by which one in another data centre must be less loaded
 # to be chosen.
 OTHER_DATA_CENTRE_PENALTY = 0.1
@@ -75,10 +68,7 @@
         is_connected: Whether an idle connection to a replica is open.
         has_interrupted_runs: Whether runs on a replica were interrupted and it
             isn't known yet whether it crashed.
-        probe_requests: Replicas to probe at the next check.
-        fresh_probes: Those to probe over a new connection.
-        probe_requested: Set when there are any.
-        next_probes: When a suspect is probed next, and the interval after it.
+        probes: Which replicas are probed next.
         confirmed_roles: Roles known before the entries show them, and until
             when each is valid.
         decode_available_at: When a service last had a decode engine.
@@ -100,10 +90,6 @@
         self.reachability = reachability_module.Reachability()
         self.is_connected: Callable[[types.Replica], bool] = lambda _: False
         self.has_interrupted_runs: Callable[[str], bool] = lambda _: False
-        self.probe_requests: set[str] = set()
-        self.fresh_probes: set[str] = set()
-        self.probe_requested = asyncio.Event()
-        self.next_probes: dict[str, tuple[float, float]] = {}
         self.unreachable_listeners = []
         self.crash_listeners: list[Callable[[types.Replica], None]] = []
         self.alive_listeners: list[Callable[[str], None]] = []
@@ -122,6 +108,14 @@
         self.rate_limits = rate_limits_module.RateLimits()
         self.departures = departures_module.Departures()
         self.backoffs = backoffs_module.Backoffs(rng)
+        self.probes = probe_schedule.ProbeSchedule(
+            self.replicas,
+            self.suspects,
+            self.reachability,
+            self.silence,
+            self.backoffs,
+            rng,
+        )
         self.departure_listeners: list[Callable[[str, int], None]] = []
         self.rate_limit_listeners: list[
             Callable[[str, float | None, float], None]
@@ -179,7 +173,7 @@
         """
         self.suspects.add(instance)
         self.reachability.unreachable.add(instance)
-        self.request_probe(instance)
+        self.probes.request(instance)
 
     def receive_state(self, instance: str, state: types.State) -> bool:
         """Detects a restart from the start time that a replica reports.
@@ -267,9 +261,7 @@
         self.streams.forget(instance)
         self.suspects.discard(instance)
         self.reachability.reached(instance)
-        self.probe_requests.discard(instance)
-        self.fresh_probes.discard(instance)
-        self.next_probes.pop(instance, None)
+        self.probes.forget(instance)
         self.health.forget(instance)
         self.failure_rates.forget(instance)
         self.rate_limits.forget(instance)
@@ -528,7 +520,7 @@
         if instance in self.suspects:
             self.suspects.discard(instance)
             if instance not in self.reachability.unreachable:
-                self.next_probes.pop(instance, None)
+                self.probes.reset_interval(instance)
             events.log(events.REPLICA_HEARD, instance=instance)
 
     def suspect(self, instance: str, now: float) -> None:
@@ -569,7 +561,7 @@
         if instance not in self.reachability.unreachable:
             return
         self.reachability.reached(instance)
-        self.next_probes.pop(instance, None)
+        self.probes.reset_interval(instance)
         events.log(
             events.REPLICA_REACHED,
             instance=instance,
@@ -817,11 +809,10 @@
         silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
         self.health.failed(instance, silent and not refused, now)
         if isinstance(error, exceptions.EndpointUnreachable):
-            self.fresh_probes.add(instance)
-            self.request_probe(instance)
+            self.probes.request_fresh(instance)
             self.report_unreachable(instance)
         elif isinstance(error, exceptions.AnswerBroken | TimeoutError):
-            self.request_probe(instance)
+            self.probes.request(instance)
 
     def report_unreachable(self, instance: str) -> None:
         """Has the other nodes probe a replica, unless this one is cut off."""
@@ -831,12 +822,6 @@
         for listener in self.unreachable_listeners:
             listener(instance)
 
-    def request_probe(self, instance: str) -> None:
-        """Has a replica probed at the next liveness check."""
-        if instance in self.replicas:
-            self.probe_requests.add(instance)
-            self.probe_requested.set()
-
     def request_refused(
         self, instance: str, error: exceptions.EndpointRefused, now: float
     ) -> None:
@@ -848,66 +833,6 @@
             MISTAKEN_PAUSE_SECONDS if mistaken else REFUSAL_PAUSE_SECONDS,
         )
 
-    def due_probes(self, now: float) -> set[str]:
-        """Returns the replicas to probe now.
-
-        Suspects are probed less and less often. All are probed once it seems
-        that this node has lost its links.
-        """
-        lost = self.suspects | self.reachability.unreachable
-        asked = self.probe_requests.union(self.silence.check(now)) - lost
-        self.probe_requests.clear()
-        self.probe_requested.clear()
-        backing_off = {
-            one for one in asked if self.backoffs.is_active(one, now)
-        }
-        self.probe_requests |= backing_off
-        asked -= backing_off
-        if self.reachability.take_sweep(now):
-            others = self.replicas.keys() - lost - backing_off
-            self.fresh_probes |= others
-            asked |= others
-        for instance in lost:
-            if self.backoffs.is_active(instance, now):
-                continue
-            due, pause = self.next_probes.get(
-                instance, (now, FIRST_PROBE_INTERVAL_SECONDS)
-            )
-            if now >= due:
-                asked.add(instance)
-                longer = min(2 * pause, MAX_PROBE_INTERVAL_SECONDS)
-                self.next_probes[instance] = (now + pause, longer)
-        if len(asked) <= MAX_PROBES_PER_CHECK:
-            return asked
-        chosen = set(self.rng.sample(sorted(asked), MAX_PROBES_PER_CHECK))
-        left = asked - chosen
-        self.probe_requests |= left
-        for instance in left & lost:
-            self.next_probes.pop(instance, None)
-        return chosen
-
-    def needs_fresh_probe(self, instance: str) -> bool:
-        """Whether a replica is probed over a new connection this time."""
-        requested = instance in self.fresh_probes
-        self.fresh_probes.discard(instance)
-        if requested or instance in self.suspects:
-            return True
-        return instance in self.reachability.unreachable
-
-    def find_witness(self, instance: str) -> types.Replica | None:
-        """Returns another replica that this node should be able to reach."""
-        found = []
-        for replica in self.replicas.values():
-            if replica.instance == instance or replica.draining:
-                continue
-            if self.backoffs.is_active(replica.instance, time.monotonic()):
-                continue
-            if replica.instance in self.suspects:
-                continue
-            if replica.instance not in self.reachability.unreachable:
-                found.append(replica)
-        return self.rng.choice(found) if found else None
-
     def confirm_role(
         self, instance: str, role: decision_types.Role, until: float
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -38,8 +38,8 @@
             await asyncio.sleep(MIN_CHECK_INTERVAL_SECONDS)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_INTERVAL_SECONDS):
-                    await self.directory.probe_requested.wait()
-            asked = self.directory.due_probes(time.monotonic())
+                    await self.directory.probes.requested.wait()
+            asked = self.directory.probes.due(time.monotonic())
             async with asyncio.TaskGroup() as group:
                 for instance in asked:
                     group.create_task(self.probe(instance))
@@ -54,13 +54,13 @@
         if replica is None:
             self.directory.suspects.discard(instance)
             return
-        fresh = self.directory.needs_fresh_probe(instance)
+        fresh = self.directory.probes.needs_fresh(instance)
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 state = await self.endpoints.state(replica, fresh)
         except exceptions.EndpointWithheld:
             # It asked to back off after the probe was due.
-            self.directory.request_probe(instance)
+            self.directory.probes.request(instance)
         except exceptions.EndpointMismatch:
             self.directory.process_ended(instance)
             self.directory.suspect(instance, time.monotonic())
@@ -146,7 +146,7 @@
         if len(self.directory.replicas) <= 1:
             return True
         for _ in range(witnesses):
-            witness = self.directory.find_witness(instance)
+            witness = self.directory.probes.find_witness(instance)
             if witness is None:
                 return False
             if await self.is_answering(witness):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -32,7 +32,7 @@
                 self.apply_role(engine, role, now + seconds)
         for instance in updates.unreachable:
             if instance not in self.directory.suspects:
-                self.directory.request_probe(instance)
+                self.directory.probes.request(instance)
         for instance, (rate, age) in updates.rate_limits.items():
             self.directory.merge_rate_limit(instance, rate, now - age)
         for instance, (started_at, _) in updates.departures.items():
