Move what isn't a step out of the steps on second copies

The faults, callers and replicas are in features/support/second_copy_parts.py now, unchanged except for the names of inject_fault and add_obstacle.

--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -9,13 +9,12 @@
 from unittest import mock
 
 import behave
+from features.support import second_copy_parts
 from features.support import virtual_budget
 from features.support import virtual_callers
-from features.support import virtual_engines
 from features.support import virtual_gateways
 
 from gypsumfold import exceptions
-from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import retry_budget
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import second_copies
@@ -28,15 +27,11 @@
 from gypsumfold.gateway import runs
 from gypsumfold.gateway import types
 
-RATE = 60.0
 OBJECTIVE = 0.2
-SLOW_WORK = 0.3
-SLOW_READING = 4000.0
 # Share of requests that are slow, just below that which stops all copies.
 SLOW_SHARE = 0.45
-# Seconds between two spells of a slow replica, and of one spell.
+# Seconds between two spells of a slow replica.
 PAUSE = 6.0
-SPELL = 0.6
 # Seconds after the winner's answer in which the other copy has to end, and for
 # which two copies may run.
 CUT = 0.05
@@ -55,41 +50,6 @@
     context.site.copies = (*context.site.copies, virtual_budget.WINDOW, True)
 
 
-async def spoil(site, trouble):
-    """Makes one kind of trouble for a moment."""
-    replicas = site.fleet.first(4, "plain")
-    if trouble == "replicas crash by turns":
-        site.fleet.kill("")
-    if trouble == "gateways start again by turns":
-        await site.restart_one(site.rng.choice(sorted(site.nodes)))
-    if trouble == "replicas refuse as full":
-        site.fleet.refusing_share = 0.5
-    slow = replicas if trouble == "all replicas are slow" else replicas[:1]
-    slow = slow if len(slow) > 1 else [site.rng.choice(replicas)]
-    for replica in slow:
-        replica.work = SLOW_WORK
-    reader = site.rng.choice(site.fleet.first(6, "prefill"))
-    reader.reading = SLOW_READING
-    await site.pass_time(SPELL)
-    site.fleet.refusing_share = 0.0
-    for replica in slow:
-        replica.work = virtual_engines.WORK
-    reader.reading = virtual_engines.READING
-
-
-async def ask_often(callers, leave, kind):
-    """Sends requests; some callers leave before the answer."""
-    site = callers.site
-    for number in range(10**6):
-        await asyncio.sleep(site.rng.expovariate(RATE))
-        body = f"request {number}".encode()
-        callers.fleet.spawn(callers.ask(kind, body))
-        if leave and number % 5 == 0:
-            node = site.nodes[site.rng.choice(sorted(site.nodes))]
-            for task in list(node.calls):
-                task.cancel()
-
-
 @behave.when("callers ask for {seconds:d} seconds while {trouble}")
 def step_ask(context, seconds, trouble):
     site = context.site
@@ -102,11 +62,13 @@
         kind = virtual_callers.LOOKUP
         if len(site.copies) > 1:
             kind = virtual_callers.SWAP
-        site.fleet.spawn(ask_often(context.callers, leave, kind))
+        site.fleet.spawn(
+            second_copy_parts.ask_often(context.callers, leave, kind)
+        )
         end = site.clock() + seconds
         while site.clock() < end:
-            await site.pass_time(PAUSE - SPELL)
-            await spoil(site, trouble)
+            await site.pass_time(PAUSE - second_copy_parts.SPELL)
+            await second_copy_parts.inject_fault(site, trouble)
         await virtual_gateways.cancelled(list(site.fleet.tasks))
         await site.pass_time(2.0)
         assert not site.fleet.kept_caches
@@ -160,25 +122,6 @@
                 assert abs(one.ended - other.ended) <= CUT, worked
 
 
-def exchange(nodes, now, is_split):
-    """Lets nodes know the counts of their half, and of the other if they can.
-
-    What they know of the other half lives on for 3 s.
-    """
-    halves = nodes[::2], nodes[1::2]
-    totals = collections.Counter(), collections.Counter()
-    for half, total in zip(halves, totals, strict=True):
-        for node in half:
-            total.update(node.own(now))
-    for place, half in enumerate(halves):
-        for node in half:
-            near = totals[place].copy()
-            near.subtract(node.own(now))
-            node.others.set_remote("near", +near, now + 3.0)
-            if not is_split:
-                node.others.set_remote("far", totals[1 - place], now + 3.0)
-
-
 @behave.then(
     "{nodes:d} nodes at {rate:d} requests a second, many slow, keep to "
     "{share:d} copies in 100 while {trouble}"
@@ -192,7 +135,9 @@
     while now < 50.0:
         now += rng.expovariate(rate)
         if now - reported > 0.25:
-            exchange(known, now, "split" in trouble and now > 30)
+            second_copy_parts.exchange(
+                known, now, "split" in trouble and now > 30
+            )
             reported = now
         if "restart" in trouble and now - restarted > 0.4:
             known[rng.randrange(nodes)] = second_copies.SecondCopies(policy)
@@ -218,31 +163,20 @@
         assert count <= share / 100 * allowed, (start, count, allowed)
 
 
-def learn(limits, count, cut):
-    """Sees answers of which 6 in 100 are slow, and perhaps cut short."""
-    now = 100.0
-    for number in range(count):
-        now += 0.02
-        seconds = 0.2 if number % 50 in (0, 17, 34) else 0.02
-        threshold = limits.threshold("lookups", now)
-        if cut and threshold is not None and seconds > threshold:
-            seconds = threshold * 1.01
-        limits.record_answer("lookups", seconds, now)
-    return limits.read_quantile("lookups", second_copies.QUANTILE, now)
-
-
 @behave.given(
     "a node that has seen 1000 answers of which 6 in 100 take 10 times as long"
 )
 def step_seen(context):
     policy = second_copies.Policy(0.05)
-    context.uncut = learn(second_copies.SecondCopies(policy), 1000, False)
+    context.uncut = second_copy_parts.learn(
+        second_copies.SecondCopies(policy), 1000, False
+    )
 
 
 @behave.when("the slow ones are cut short at the threshold {count:d} times")
 def step_cut(context, count):
     limits = second_copies.SecondCopies(second_copies.Policy(0.05))
-    context.cut = learn(limits, count, True)
+    context.cut = second_copy_parts.learn(limits, count, True)
 
 
 @behave.then(
@@ -252,48 +186,6 @@
     assert context.cut >= 0.9 * context.uncut, (context.cut, context.uncut)
 
 
-class Answer:
-    """The head of a replica's answer."""
-
-    reason, fields, length = "", (), None
-    is_framed, not_run = True, False
-
-    def __init__(self, status, name):
-        self.status = status
-        self.sealed = status == 200
-        self.name = name
-
-    async def read(self):
-        """The name of the replica that answered."""
-        return self.name.encode()
-
-    def close(self):
-        """Ends the exchange."""
-
-
-class Endpoints:
-    """Replicas that answer as they are told; all others answer at once."""
-
-    def __init__(self, *ways):
-        self.ways = list(ways)
-        self.names = []
-
-    async def send(self, replica, call, instructions):
-        """Gives one answer, or the way in which there is none."""
-        self.names.append(replica.instance)
-        number = len(self.names)
-        way = self.ways[number - 1] if number <= len(self.ways) else "answers"
-        if way == "hangs":
-            await asyncio.sleep(60.0)
-        if "late" in way:
-            await asyncio.sleep(0.15 if "later" in way else 0.1)
-        if way.startswith("refuses"):
-            raise exceptions.EndpointRefused("full")
-        if way.startswith("breaks"):
-            raise exceptions.AnswerBroken("the connection ended")
-        return Answer(500 if way.startswith("fails") else 200, str(number))
-
-
 @behave.given(
     "a slow first replica that {first} and a second one that {second}"
 )
@@ -314,7 +206,7 @@
         limits.record_request("app", now)
         limits.record_answer("r", 0.02, now)
     context.quarantine = quarantine.Quarantine(runs.InterruptedRuns(directory))
-    context.endpoints = Endpoints(first, second)
+    context.endpoints = second_copy_parts.Endpoints(first, second)
     context.calls = plain_calls.PlainCalls(
         directory,
         context.endpoints,
@@ -331,40 +223,6 @@
     )
 
 
-def hinder(context, obstacle, others):
-    """Makes one obstacle to copies once the first copy is under way."""
-    directory, limits = context.directory, context.directory.second_copies
-    now = time.monotonic()
-    if obstacle == "the request is suspected":
-        canary = canaries_module.Canary(
-            context.progress.fingerprint, 1, 1, "i-9", now + 1.0
-        )
-        context.quarantine.canaries.merge(canary, now)
-    for _ in range(20):
-        if "slow" in obstacle:
-            limits.record_speed("app", "r", True, now)
-        if "share is used" in obstacle:
-            limits.record_copy("app", now)
-    if "retry budget" in obstacle:
-        while context.calls.retry_permits.budget.allow("app", now):
-            pass
-    for instance in others:
-        replica = directory.replicas[instance]
-        if "backoff" in obstacle:
-            directory.record_backoff(replica, 9.0)
-        if "draining" in obstacle:
-            directory.put(replica._replace(draining=True))
-        if "leave" in obstacle:
-            directory.record_departure(replica)
-        if "permits" in obstacle:
-            directory.record_rate_limit(replica, 0.001, now)
-        if "full" in obstacle:
-            for _ in range(3):
-                context.calls.copies.record_failure(
-                    replica, exceptions.EndpointRefused("full")
-                )
-
-
 @behave.given("copies meet an obstacle: {obstacle}")
 def step_obstacle(context, obstacle):
     limits = context.directory.second_copies
@@ -382,7 +240,7 @@
 
     async def hindered(replica, call, instructions):
         others = {"i-1", "i-2", "i-3"} - {replica.instance}
-        hinder(context, obstacle, others)
+        second_copy_parts.add_obstacle(context, obstacle, others)
         return await send(replica, call, instructions)
 
     context.endpoints.send = hindered
