--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -361,7 +361,7 @@
         directory.put(engine)
         if engine.version == "v2":
             directory.streams.add(engine.instance, difference)
-    return directory.least_loaded(engines, "dc").version
+    return directory.choice.least_loaded(engines, "dc").version
 
 
 @behave.then(
--- a/features/support/connection_load.py
+++ b/features/support/connection_load.py
@@ -64,7 +64,7 @@
             return now - last < KEPT or not prefer
 
         near = f"dc-{rng.randrange(DATA_CENTRES)}"
-        chosen = directory.least_loaded(engines, near, connected)
+        chosen = directory.choice.least_loaded(engines, near, connected)
         last = used.get((node, chosen.instance), -KEPT)
         opened += now - last >= KEPT
         used[node, chosen.instance] = now + STREAM
--- a/packages/gypsumfold/src/gypsumfold/gateway/copies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/copies.py
@@ -110,7 +110,7 @@
                 found.append(replica)
         if self.shared is not None:
             return self.shared.choose_free(first.service, found)
-        return self.directory.least_busy(found, self.data_centre)
+        return self.directory.choice.least_busy(found, self.data_centre)
 
     def is_fit(self, replica: types.Replica) -> bool:
         """Whether a copy may be sent to a replica.
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -5,7 +5,6 @@
 So the directory also tracks failures, silence and role changes.
 """
 
-import collections
 from collections.abc import Callable
 import math
 import random
@@ -27,6 +26,7 @@
 from gypsumfold.decisions import stream_origins
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import probe_schedule
+from gypsumfold.gateway import replica_choice
 from gypsumfold.gateway import types
 
 # Seconds without new requests for an engine that refused one as not run: it is
@@ -35,15 +35,6 @@
 # Seconds without new requests for a replica that reports another instance or
 # role than its entry, which is corrected after 1 to 3 s.
 MISTAKEN_PAUSE_SECONDS = 2.0
-# Fraction of an engine by which one in another data centre must be less loaded
-# to be chosen.
-OTHER_DATA_CENTRE_PENALTY = 0.1
-# The same for an engine without an open connection. Hundreds of nodes that each
-# use every engine open 0.55 connections for each request, and each engine gets
-# them from all nodes.
-UNCONNECTED_PENALTY = 0.1
-# The same for the only decode engine of its software version.
-SOLE_ENGINE_PENALTY = 0.2
 # Seconds for which a draining decode engine is still used if there is no other:
 # it goes on serving for two seconds, and a role change takes three.
 DRAINING_USE_SECONDS = 0.9
@@ -69,6 +60,7 @@
         has_interrupted_runs: Whether runs on a replica were interrupted and it
             isn't known yet whether it crashed.
         probes: Which replicas are probed next.
+        choice: Chooses among replicas that may get work.
         confirmed_roles: Roles known before the entries show them, and until
             when each is valid.
         decode_available_at: When a service last had a decode engine.
@@ -99,6 +91,9 @@
         self.decode_available_at: dict[str, float] = {}
         self.health = health.Health(rng)
         self.failure_rates = failure_rates_module.FailureRates()
+        self.choice = replica_choice.ReplicaChoice(
+            self.silence, self.streams, self.failure_rates, rng
+        )
         self.second_copies = second_copies_module.SecondCopies()
         # Both travel in the same kind of load.
         self.second_copies.others = self.failure_rates.answers
@@ -850,62 +845,6 @@
             return role
         return replica.role
 
-    def least_busy(
-        self, replicas: list[types.Replica], data_centre: str = ""
-    ) -> types.Replica | None:
-        """Returns the replica with the fewest of this node's requests a slot.
-
-        One whose answers were failures lately counts as busier.
-
-        Ties go to the given data centre, then are broken at random, so that
-        the nodes do not all choose the same replica.
-        """
-        now = time.monotonic()
-        best = None
-        best_key = None
-        for replica in replicas:
-            busy = self.silence.open_requests.get(replica.instance, 0)
-            failing = self.failure_rates.load(replica.instance, now)
-            key = (
-                busy / max(1, replica.slots) + failing,
-                replica.data_centre != data_centre,
-                self.rng.random(),
-            )
-            if best_key is None or key < best_key:
-                best, best_key = replica, key
-        return best
-
-    def least_loaded(
-        self,
-        engines: list[types.Replica],
-        data_centre: str,
-        connected: Callable[[types.Replica], bool] = lambda replica: True,
-    ) -> types.Replica | None:
-        """Returns the decode engine least loaded by all nodes together.
-
-        An engine of the given data centre is preferred to others that are up
-        to a tenth less loaded: a KV transfer between data centres takes twice
-        as long. So is an engine with an open connection, and one whose streams
-        could go on at another engine of its version.
-        """
-        now = time.monotonic()
-        versions = collections.Counter(engine.version for engine in engines)
-        best = None
-        best_key = math.inf
-        for engine in engines:
-            key = self.streams.total(engine.instance, now)
-            key += self.failure_rates.load(engine.instance, now)
-            if engine.data_centre != data_centre:
-                key += OTHER_DATA_CENTRE_PENALTY
-            if not connected(engine):
-                key += UNCONNECTED_PENALTY
-            if versions[engine.version] == 1 and len(versions) > 1:
-                key += SOLE_ENGINE_PENALTY
-            key += self.rng.random() * 1e-3
-            if key < best_key:
-                best, best_key = engine, key
-        return best
-
     def pause(self, instance: str, now: float, seconds: float) -> None:
         """Sends a replica no work for some seconds while there are others."""
         self.paused_until[instance] = now + seconds
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -392,7 +392,7 @@
         found = found or self.directory.engines(
             service.name, False, now, origin=origin
         )
-        return self.directory.least_loaded(
+        return self.directory.choice.least_loaded(
             found, data_centre, self.endpoints.is_connected
         )
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -146,7 +146,7 @@
         ready = self.directory.ready(
             service, time.monotonic(), avoid=progress.avoid
         )
-        return self.directory.least_busy(ready, self.data_centre)
+        return self.directory.choice.least_busy(ready, self.data_centre)
 
     def can_retry(
         self, route: routes.Route, progress: progress_module.Progress
