--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -112,3 +112,12 @@
       | 4   | 9     |
       | 12  | 30    |
 
+  Scenario: An order that was refused and isn't wanted any more stops all reductions
+    Given 45 engines whose number follows the load
+    When an order of more engines is refused, which are not needed any more
+    Then the engines count as those that were ordered after 9 s, and not after 5 s
+
+  Scenario: An engine that has no room for any prefix ends the leader's checks
+    When the engines needed are counted by engines without a cache
+    Then as many are needed as prefixes have tokens, twice over
+
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -2,15 +2,12 @@
 
 import itertools
 import math
-import random
 
 import behave
-from features.support import virtual_gateways
 from features.support import virtual_replicas
 
 from gypsumfold.decisions import capacity
 from gypsumfold.decisions import capacity_needs
-from gypsumfold.decisions import prefix_usage
 from gypsumfold.decisions import spreads
 
 PRICES = {"dc-0": 1.0, "dc-1": 0.8, "dc-2": 1.25, "dc-3": 0.9}
@@ -92,7 +89,7 @@
             self.now,
             capacity_needs.Progress(
                 "hears few" not in self.trouble,
-                self.leader.is_settled(self.present()),
+                self.leader.is_settled(self.present(), self.now),
             ),
         )
         before = self.present()
@@ -197,61 +194,6 @@
     assert context.counts == [int(one) for one in counts.split(",")]
 
 
-@behave.when(
-    "{prompts:d} prompts share 200 prefixes of 5,000 tokens, each with a "
-    "block of its own"
-)
-def step_prompts(context, prompts):
-    rng = random.Random(1)
-    prefixes = [rng.getrandbits(64) for _ in range(200)]
-    context.usage = prefix_usage.PrefixUsage()
-    for place in range(prompts):
-        context.usage.expire(10.0 * place / prompts)
-        hashes = [prefixes[place % 200], rng.getrandbits(64)]
-        context.usage.record(f"i-{place % 9}", hashes, [5_000, 300])
-
-
-@behave.then(
-    "prefixes of 800,000 to 1,200,000 tokens are in use, and none 21 s later"
-)
-def step_in_use(context):
-    engines = {f"i-{place}" for place in range(9)}
-    found = context.usage.shared_tokens(engines)
-    assert 800_000 <= found <= 1_200_000, found
-    assert len(context.usage.uses) <= prefix_usage.MAX_PREFIXES
-    context.usage.expire(31.0)
-    assert context.usage.shared_tokens(engines) == 0
-
-
-@behave.when("{few:d} of {count:d} gateways are cut off from the others")
-def step_cut_off(context, few, count):
-    site = virtual_gateways.Site(seed=1)
-    context.hears = []
-
-    async def story():
-        site.start(count)
-        await site.pass_time(8.0)
-        names = list(site.nodes)[:few]
-        for divided in ([], names, []):
-            site.divide(divided)
-            await site.pass_time(6.0)
-            gossips = [site.nodes[name].gateway.gossip for name in names]
-            leaders = [one for one in gossips if one.can_lead()]
-            context.hears.append([one.hears_most_nodes() for one in leaders])
-
-    site.play(story())
-
-
-@behave.then(
-    "no possible leader among them knows the load of most, until all are "
-    "connected"
-)
-def step_hears(context):
-    before, divided, after = context.hears
-    assert all(before) and all(after), context.hears
-    assert divided and not any(divided), context.hears
-
-
 @behave.then(
     "a tenth of the engines needed can't be reclaimed, and no more but where "
     "none else is"
@@ -335,3 +277,34 @@
     for other, count in play.present().items():
         change = -1 if other == name else 1
         assert count.spot == context.before[other].spot + change, (other, count)
+
+
+@behave.when(
+    "an order of more engines is refused, which are not needed any more"
+)
+def step_refused(context):
+    order = capacity.Order("dc-1", True, 9)
+    context.play.leader.record_unavailable(order, 0.0)
+
+
+@behave.then(
+    "the engines count as those that were ordered after {late:d} s, and not "
+    "after {early:d} s"
+)
+def step_settled(context, late, early):
+    leader = context.play.leader
+    present = context.play.present()
+    # The refused order would be given again after 4 s.
+    assert not leader.is_settled(present, float(early))
+    assert leader.is_settled(present, float(late))
+
+
+@behave.when("the engines needed are counted by engines without a cache")
+def step_no_cache(context):
+    engine = ENGINE._replace(cache_tokens=0)
+    context.need = capacity_needs.engines_needed(USUAL, engine, NEEDS)
+
+
+@behave.then("as many are needed as prefixes have tokens, twice over")
+def step_twice(context):
+    assert context.need.prefill == 2 * USUAL.prefix_tokens, context.need
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -234,19 +234,19 @@
             found[place] = min(found[place], offer.most - missing)
         return found
 
-    def may_reduce(self, name: str, is_growing: bool, now: float) -> bool:
+    def may_reduce(self, name: str, growing: bool, now: float) -> bool:
         """Whether a data centre may lose reclaimable replicas by an order."""
-        if self.sizer is None:
-            return True
-        return self.sizer.may_reduce(name, is_growing, now)
+        return self.sizer is None or self.sizer.may_reduce(name, growing, now)
 
-    def is_settled(self, present: dict[str, Count]) -> bool:
+    def is_settled(self, present: dict[str, Count], now: float) -> bool:
         """Whether the replicas that serve are those that were ordered."""
         for (name, spot), (count, _) in self.ordered.items():
             have = present.get(name, Count())
             if count != (have.spot if spot else have.steady):
                 return False
-        return not self.unavailable_until
+        until = max(self.unavailable_until.values(), default=-math.inf)
+        # A refused order that is still wanted is repeated by then.
+        return now >= until + UNAVAILABLE_SECONDS
 
     def is_awaiting_first(
         self, present: dict[str, Count], offer: Offer, now: float
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -132,7 +132,8 @@
     lost_tokens = load.prefix_tokens / max(1, policy.data_centres)
     refill = lost_tokens / max(1.0, engine.prefill_rate) / REFILL_SECONDS
     working = policy.headroom * load.demand + load.prompts / clearing + refill
-    caching = load.prefix_tokens / (CACHE_FRACTION * engine.cache_tokens)
+    room = CACHE_FRACTION * max(1, engine.cache_tokens)
+    caching = load.prefix_tokens / room
     decoding = policy.headroom * load.streams / STREAMS_FRACTION
     return Need(
         max(MIN_ENGINES_PER_ROLE, math.ceil(max(working, caching))),
--- a/packages/gypsumfold/src/gypsumfold/gateway/engine_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/engine_needs.py
@@ -79,7 +79,7 @@
             service.offer.most * data_centres,
         )
         progress = capacity_needs.Progress(
-            self.is_complete(), capacity.is_settled(present)
+            self.is_complete(), capacity.is_settled(present, now)
         )
         before = capacity.total
         capacity.total = capacity.sizer.update(
