Add spares although the number that is missing changes

Cause: the time for which spares must be missing restarted at each change of the wanted number, also between two numbers above the present one. A load near a limit thus kept spares from being added, and no shortage was reported. Change: the time restarts with another direction only, and the smallest number of that time is taken; `missing` counts from the spares that are kept.

--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -36,6 +36,14 @@
       | 45      | yes  | 2    |
       | 90      | yes  | 2    |
 
+  Scenario: Spares are added although the number that is missing changes
+    Given 45 engines in 4 data centres, 2 spares and data centres that may be lost: no
+    And streams that fill 1.1 and 1.3 engines in turn, for 2 seconds each
+    When 2 decode engines are lost for good after 60 seconds
+    And the split is planned for 90 seconds
+    Then there are 1 spares
+    And a shortage was reported
+
   Scenario: Spares add no role changes to a load that swings
     When a load swings for 300 seconds before 45 engines, seeds 1 to 3
     Then with 1 spare there are at most 4 more role changes of a seed, the first ones included
--- a/features/steps/role_reserve_steps.py
+++ b/features/steps/role_reserve_steps.py
@@ -37,7 +37,7 @@
                 DECODE if number < decoders else PREFILL,
             )
         self.ready, self.late = {}, {}
-        self.serving = []
+        self.serving, self.missing = [], []
         self.take_over()
 
     def take_over(self):
@@ -68,6 +68,7 @@
                     continue
                 self.change(change.engine, change.role)
             self.serving.append(len(self.decoders()))
+            self.missing.append(self.split.reserve.missing)
             self.now += LOOK
 
     def change(self, name, role):
@@ -114,6 +115,37 @@
     context.play.load = lambda now: (busy, streams, busy)
 
 
+@behave.given(
+    "streams that fill {low:f} and {high:f} engines in turn, for {seconds:d} "
+    "seconds each"
+)
+def step_flicker(context, low, high, seconds):
+    play = context.play
+    busy = len(play.engines)
+    play.load = lambda now: (
+        busy,
+        low if int(now / seconds) % 2 else high,
+        busy,
+    )
+
+
+@behave.when(
+    "{count:d} decode engines are lost for good after {seconds:d} seconds"
+)
+def step_gone(context, count, seconds):
+    play = context.play
+    play.run(seconds)
+    for one in play.decoders()[:count]:
+        del play.engines[one.name]
+    play.missing.clear()
+
+
+@behave.then("a shortage was reported")
+def step_short(context):
+    # The shortage must show from the loss until the spares are added.
+    assert max(context.play.missing) > 0, context.play.missing
+
+
 @behave.when('the failure is "{failure}"')
 def step_failure(context, failure):
     play = context.play
--- a/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
@@ -128,8 +128,9 @@
     Attributes:
         policy: What is to be survived.
         spares: Decode engines kept beyond those that the load needs.
-        missing: Further ones that the policy needs and the rule does not
-            allow; at least one if no number would be enough.
+        missing: Further ones that the policy needs and that are not kept,
+            because the rule does not allow them or they are not due yet; at
+            least one if no number would be enough.
         covered: Number of decode engines whose loss is planned for.
 
     >>> reserve = Reserve(Policy(spare_decoders=1))
@@ -142,6 +143,9 @@
         self.spares = 0
         self.missing = 0
         self.covered = 0
+        # 1 while more spares are wanted than kept, -1 while fewer are, else 0;
+        # since when, and the smallest number wanted in that time.
+        self.direction = 0
         self.wanted = 0
         self.wanted_since = -math.inf
         # When prefill last had no room for the missing spares; None before
@@ -164,7 +168,7 @@
         deviation = abs(current - target - self.spares)
         if deviation:
             self.spares = max(0, self.spares - deviation)
-            self.wanted = self.spares
+            self.direction = 0
         return current - self.spares
 
     def update(
@@ -207,22 +211,55 @@
         ):
             wanted = enough
         wanted = min(wanted, self.limit(len(engines), needed, prefill, now))
-        self.missing = max(0, short - wanted)
+        is_changed = self.change_spares(
+            wanted, prefill.is_overloaded, now, settled, at_once
+        )
+        self.missing = max(0, short - self.spares)
         survivors = max(1, math.ceil(streams / FULL_FRACTION))
         if placement.max_survivors(self.policy) < survivors:
             self.missing = max(1, self.missing)
-        if wanted != self.wanted:
+        return is_changed
+
+    def change_spares(
+        self,
+        wanted: int,
+        is_overloaded: bool,
+        now: float,
+        settled: bool,
+        at_once: bool,
+    ) -> bool:
+        """Changes the number of spares once that is due.
+
+        A load near a limit makes the wanted number flicker, for example from 1
+        to 2 and back. The time restarts only with another direction, since the
+        spares that are wanted throughout would otherwise never be added.
+
+        Args:
+            wanted: Number of spares wanted now.
+            is_overloaded: Whether prefill has too few engines.
+            now: The time.
+            settled: Whether the last change of the split was long enough ago.
+            at_once: Whether the split changes anyway.
+
+        Returns:
+            Whether the number of spares has changed.
+        """
+        direction = (wanted > self.spares) - (wanted < self.spares)
+        if direction != self.direction:
+            self.direction = direction
             self.wanted = wanted
             self.wanted_since = now
-        if wanted == self.spares:
+        self.wanted = min(self.wanted, wanted)
+        if direction == 0:
             return False
-        stable = MISSING_SECONDS if wanted > self.spares else STABLE_SECONDS
+        stable = MISSING_SECONDS if direction > 0 else STABLE_SECONDS
         is_due = settled and now - self.wanted_since >= stable
         if not is_due and not at_once:
             return False
-        if wanted < self.spares and prefill.is_overloaded:
+        if direction < 0 and is_overloaded:
             self.quiet_seconds = min(MAX_QUIET_SECONDS, 2 * self.quiet_seconds)
-        self.spares = wanted
+        self.spares = wanted if at_once else self.wanted
+        self.direction = 0
         return True
 
     def observe_prefill(self, prefill: Prefill, now: float) -> None:
