Bound the number of spare decode engines in the settings

Cause: `spare_decoders` had no bounds; with 5000 a plan ran for minutes. Change: 0 to 64, checked when the settings are loaded.

--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -48,6 +48,9 @@
     When 4 of 2900 engines are picked with and without spreading
     Then spreading takes at most 5 times as long
 
+  Scenario: A number of spares out of bounds is refused
+    Then settings with 0 or 64 spares are valid, with -1, 65 or 5000 not
+
   Scenario: Spares add no role changes to a load that swings
     When a load swings for 300 seconds before 45 engines, seeds 1 to 3
     Then with 1 spare there are at most 4 more role changes of a seed, the first ones included
--- a/features/steps/role_reserve_steps.py
+++ b/features/steps/role_reserve_steps.py
@@ -7,6 +7,7 @@
 import behave
 from features.support import virtual_callers
 from features.support import virtual_gateways
+import msgspec
 
 from gypsumfold import events
 from gypsumfold.decisions import decode_reserve
@@ -170,6 +171,20 @@
     assert context.taken[True] <= factor * context.taken[False], context.taken
 
 
+@behave.then("settings with 0 or 64 spares are valid, with -1, 65 or 5000 not")
+def step_bounds(context):
+    # Thousands of spares made a plan run for minutes.
+    valid = []
+    for spares in (-1, 0, 64, 65, 5000):
+        section = {"spare_decoders": spares}
+        try:
+            msgspec.convert(section, settings.RolesSection)
+        except msgspec.ValidationError:
+            continue
+        valid.append(spares)
+    assert valid == [0, 64], valid
+
+
 @behave.when('the failure is "{failure}"')
 def step_failure(context, failure):
     play = context.play
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -180,14 +180,15 @@
 
     Attributes:
         spare_decoders: Number of decode engines whose loss leaves room for
-            the running streams; 0 for no reserve.
+            the running streams, up to 64; 0 for no reserve. The time of a
+            plan grows with it.
         survive_data_centre: Whether the loss of all decode engines in any one
             data centre does.
         refuse_early: Whether a request that waits for a decode engine is
             refused once it is known that none will be back in time.
     """
 
-    spare_decoders: int = 0
+    spare_decoders: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
     survive_data_centre: bool = False
     refuse_early: bool = False
 
