--- a/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
@@ -48,7 +48,7 @@
 # Seconds for which an answer counts: long enough that an idempotent route with
 # a few requests a second has enough answers.
 ANSWERS_SECONDS = 30.0
-# Shortest time that is told from others, in seconds, and ratio of the ends of a
+# Shortest time that differs from others, in seconds, and ratio of the ends of a
 # bucket of times: the quantile is at most this much too long.
 SHORTEST = 0.001
 BUCKET_RATIO = 1.15
@@ -277,7 +277,7 @@
         copies = self.own_count(f"copies/{service}", now, extra=1)
         owned = copies + 1 <= USED_FRACTION * share * requests
         if not self.is_site_known:
-            # Others may send copies that this node doesn't hear of, but none
+            # Others may send copies that are unknown to this node, but none
             # out of this node's requests.
             return owned
         if not owned and copies:
--- a/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/slow_engines.py
@@ -27,9 +27,8 @@
 PRIOR_SECONDS = 0.08
 # Ratio of taken to expected seconds from which an engine is reported and
 # counts as slow. Expected times are off by up to a third without any fault: a
-# prompt that another node sent less than 0.25 s ago isn't in the totals yet.
-# With 1.5, 40 and 120 nodes learned of a spell later than 0.5 s after its first
-# prompt (features/slow_engines.feature).
+# prompt that another node sent less than 0.25 s ago isn't in the totals yet. A
+# larger ratio needs more prompts until a spell is known.
 SLOW_RATIO = 1.4
 # Ratio in the reports of others from which a node also reports normal answers,
 # to correct a report that is outdated or wrong. It is lower, so that the
