Have calls that a full replica refused wait for their turn

Each urgent call that wasn't served had been refused by one or two full replicas and then found no retry in the budget, or was refused by four in a row within some milliseconds. A call refused by one replica was sent to another at once, which in an overload is full as well: 390 to 443 repeats in 6 s.

Change: such a call waits for its turn like any other; it is sent at once only where the totals show free slots and nothing waits.

--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -130,15 +130,15 @@
     ) -> bool:
         """Whether a call needn't wait.
 
-        It may not overtake calls that wait here or at other nodes, unless a
-        full replica has refused it on its turn: another one may have room.
+        It may not overtake calls that wait here or at other nodes. This holds
+        as well for one that a full replica has refused: if it were sent to
+        another one at once, that would often be full too, and the retries that
+        urgent calls need would be used up.
         """
         if not self.has_ready_replica(service, progress.avoid, now):
             # All have refused it, so that the totals show free slots wrongly.
             line.paced_until = now + plain_loads.REPORT_SECONDS
             return False
-        if len(progress.avoid) == 1 and not progress.may_have_run:
-            return True
         if line.waiters:
             return False
         if sum(self.others(service, candidates, now)) >= 0.5:
