Replace steady engines before the load is known

Cause: with `follows_load`, a leader that had not watched the load for a period kept all steady engines as they were. 45 steady engines were paid for during the first period, although reclaimable ones at 0.22 of the price could serve in their place without a smaller number.

Change: until the load was watched, reclaimable engines are ordered first. As many steady ones stay as are missing to the number needed when any one data centre's reclaimable engines that serve are lost. No reclaimable engine is given up. If the number needed is smaller than what the leader found, all steady engines stay as before: the predecessor was reducing them, and its orders may still be carried out. Steady engines that an earlier order takes away don't count as serving.

Measured: engine_needs.feature passes with 40 scenarios; 5 of the 6 new examples failed with the earlier capacity.py (45 steady engines at 19 s in place of 5 or 19), the sixth guards that they stay where no reclaimable ones are to be had. The scenario on an earlier order fails with the line that regards it removed.

--- a/features/engine_needs.feature
+++ b/features/engine_needs.feature
@@ -48,6 +48,26 @@
       | 100   | 19      | nothing wrong                       |
       | 100   | 100     | a leader that hears few other nodes |
 
+  Scenario Outline: Steady engines are paid for a period, or gone before others serve: <trouble>
+    Given 45 engines whose number follows the load
+    When 19 s pass with <trouble>
+    Then 45 engines were left at every moment, whichever data centre's were reclaimed
+    And <steady> engines can't be reclaimed
+
+    Examples:
+      | trouble                                     | steady |
+      | nothing wrong                               | 5      |
+      | a leader that hears few other nodes         | 5      |
+      | orders that are carried out 6 s late        | 5      |
+      | a new leader each 2.5 s                     | 5      |
+      | none to be had in the cheapest data centre  | 19     |
+      | no reclaimable ones to be had anywhere      | 45     |
+
+  Scenario: Engines are given up for others that an earlier order takes away
+    Given 45 engines whose number follows the load
+    When 4 reclaimable ones serve for 4 in dc-1 that an order takes away
+    Then no other data centre is ordered fewer steady engines
+
   Scenario: The dearest data centre gives an engine up before the others have theirs
     Given 45 engines whose number follows the load
     When 300 s pass while streams fill 2 engines
--- a/features/steps/engine_needs_steps.py
+++ b/features/steps/engine_needs_steps.py
@@ -71,9 +71,11 @@
             self.platform.reclaim("dc-1", 130.0)
         if self.trouble.startswith("none to be had"):
             self.platform.dry_until["dc-1"] = math.inf
+        if self.trouble.startswith("no reclaimable"):
+            self.platform.dry_until = dict.fromkeys(PRICES, math.inf)
         if self.trouble.startswith("orders"):
             self.platform.late = 6.0
-        for seconds in (50.0, 15.0):
+        for seconds in (50.0, 15.0, 2.5):
             due = self.now % seconds == 0.0
             if due and f"leader each {seconds:g}" in self.trouble:
                 self.lead(self.leader.total)
@@ -106,6 +108,45 @@
         self.totals.append(self.leader.total)
 
 
+@behave.then(
+    "{left:d} engines were left at every moment, whichever data centre's were "
+    "reclaimed"
+)
+def step_always_left(context, left):
+    for row in context.play.rows:
+        assert row[2] >= left, row
+
+
+@behave.then("{steady:d} engines can't be reclaimed")
+def step_count_steady(context, steady):
+    found = context.play.platform.count_steady()
+    assert found == steady, found
+
+
+@behave.when(
+    "{count:d} reclaimable ones serve for {fewer:d} in {name} that an order "
+    "takes away"
+)
+def step_leaving(context, count, fewer, name):
+    leader = context.play.leader
+    context.present = context.play.present()
+    leader.plan(context.present, 1.0, OFFER, 0.0)
+    left = context.present[name].steady - fewer
+    leader.record_order(capacity.Order(name, False, left), 0.0)
+    for other in ("dc-0", "dc-3"):
+        had = context.present[other]
+        context.present[other] = had._replace(spot=count)
+    context.orders = leader.plan(context.present, 1.0, OFFER, 0.5)
+
+
+@behave.then("no other data centre is ordered fewer steady engines")
+def step_none_fewer(context):
+    for order in context.orders:
+        steady = context.present[order.data_centre].steady
+        fewer = not order.spot and order.count < steady
+        assert order.data_centre == "dc-1" or not fewer, context.orders
+
+
 @behave.given("45 engines whose number follows the load")
 def step_engines(context):
     context.play = Play()
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from gypsumfold.decisions import capacity_needs
+from gypsumfold.decisions import delayed_reductions
 from gypsumfold.decisions import spreads
 
 # Seconds for which an order may stay without visible effect, beyond the time
@@ -21,9 +22,6 @@
 ARRIVAL_SECONDS = 2.5
 # Seconds until replicas of a kind are ordered again where there were none.
 UNAVAILABLE_SECONDS = 4.0
-# Seconds for which fewer replicas must be enough before any is given up, and
-# between two reductions.
-SHRINK_AFTER_SECONDS = 6.0
 
 
 class Offer(NamedTuple):
@@ -125,7 +123,7 @@
         self.policy = policy
         self.total = math.ceil(policy.least_share * first)
         self.sizer: capacity_needs.Sizer | None = None
-        self.lower_since: float | None = None
+        self.reduction = delayed_reductions.DelayedReduction()
         self.ordered: dict[tuple[str, bool], tuple[int, float]] = {}
         self.unavailable_until: dict[str, float] = {}
         self.steady_minimum: set[str] = set()
@@ -152,7 +150,8 @@
             now: Seconds of a monotonic clock.
         """
         if self.sizer is None:
-            self.update_total(busy, offer, now)
+            needed = wanted_total(self.first, busy, offer, self.policy)
+            self.total = self.reduction.update(self.total, needed, now)
         # More go to where they cost less.
         names = sorted(
             offer.prices, key=lambda name: (offer.prices[name], name)
@@ -162,13 +161,16 @@
         least = offer.least if self.sizer is None else 0
         floors = spreads.spread(floor, names, least, offer.most)
         is_kept = self.sizer is not None and not self.sizer.is_watched
+        kept = [0] * len(names)
+        if is_kept:
+            kept = self.kept_steady(names, present, floor)
         for place, name in enumerate(names):
             if name in self.steady_minimum:
                 floors[place] = max(floors[place], offer.least)
-            if is_kept:
-                have = present.get(name, Count()).steady
-                floors[place] = max(floors[place], have)
+            if is_kept and not self.sizer.may_replace(self.total):
+                floors[place] = max(floors[place], kept[place])
         spots = self.spread_spots(names, floors, present, offer)
+        floors = [max(pair) for pair in zip(floors, kept, strict=True)]
         is_growing = False
         for name, count in zip(names, spots, strict=True):
             is_growing |= count > present.get(name, Count()).spot
@@ -203,11 +205,23 @@
                 # An order of fewer reclaimable ones may have to wait.
                 spot = max(spots[place], have.spot)
                 count = min(max(count, floors[place]), offer.most - spot)
-                count = max(have.steady if is_kept else 0, count)
+                count = max(kept[place], count)
             order = Order(name, False, count)
             found += self.plan_kind(order, have.steady, offer, now)
         return found
 
+    def kept_steady(
+        self, names: list[str], present: dict[str, Count], floor: int
+    ) -> list[int]:
+        """Divides the steady engines to keep until the load was watched."""
+        counts = [present.get(name, Count()).steady for name in names]
+        spots = {name: count.spot for name, count in present.items()}
+        left = spreads.remaining(spots)
+        ordered = []
+        for name, count in zip(names, counts, strict=True):
+            ordered.append(self.ordered.get((name, False), (count, 0.0))[0])
+        return self.sizer.kept_steady(self.total, counts, ordered, left, floor)
+
     def spread_spots(
         self,
         names: list[str],
@@ -221,17 +235,17 @@
             return [0] * len(names)
         if self.sizer is None:
             floor = math.ceil(self.policy.steady_share * self.total)
-            factor = spreads.reserve_factor(len(names))
-            count = math.ceil((self.total - floor) * factor)
-            return spreads.spread(count, names, 0, limit)
+            return spreads.spread_reserved(self.total - floor, names, limit)
         found = spreads.spread_by_price(
             self.total - sum(floors), names, offer.prices, limit
         )
         for place, name in enumerate(names):
-            # The others meet the minimum until enough of these serve.
-            have = present.get(name, Count()).spot
-            missing = max(0, offer.least - have)
-            found[place] = min(found[place], offer.most - missing)
+            # Others meet the minimum or stay until enough of these serve.
+            have = present.get(name, Count())
+            others = max(0, offer.least - have.spot)
+            if not self.sizer.is_watched:
+                others = max(others, min(offer.most, have.steady))
+            found[place] = min(found[place], offer.most - others)
         return found
 
     def may_reduce(self, name: str, growing: bool, now: float) -> bool:
@@ -306,19 +320,6 @@
             return [order]
         return []
 
-    def update_total(self, busy: float, offer: Offer, now: float) -> None:
-        """Raises the number of replicas at once and lowers it slowly."""
-        needed = wanted_total(self.first, busy, offer, self.policy)
-        if needed >= self.total:
-            self.total = needed
-            self.lower_since = None
-            return
-        if self.lower_since is None:
-            self.lower_since = now
-        if now - self.lower_since >= SHRINK_AFTER_SECONDS:
-            self.total = needed
-            self.lower_since = None
-
     def record_order(self, order: Order, now: float) -> None:
         """Records an order that was accepted or that may have been."""
         key = (order.data_centre, order.spot)
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -16,6 +16,8 @@
 import math
 from typing import NamedTuple
 
+from gypsumfold.decisions import spreads
+
 # Engines of each role that a service has at least, so that one of each is left
 # when another one is lost: a role change takes 3 s.
 MIN_ENGINES_PER_ROLE = 2
@@ -154,6 +156,8 @@
             what its predecessor kept engines for.
         is_stuck: Whether the replicas have differed from what was ordered for
             so long that the difference counts as permanent.
+        found: Engines that the loss of a data centre's reclaimable ones would
+            have left when the leader took over; 0 once the load was watched.
 
     >>> sizer = Sizer()
     >>> sizer.update(45, Load(1.6), engine, policy, 0.0, Progress())
@@ -166,6 +170,7 @@
         self.traffic_since: float | None = None
         self.is_watched = False
         self.is_stuck = False
+        self.found = 0
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
         self.reducing = ""
@@ -201,6 +206,8 @@
         # Traffic after an idle time starts the period again for the total only.
         kept = self.is_watched and progress.is_complete
         self.is_watched = reducible or kept
+        if self.is_watched:
+            self.found = 0
         settled = self.has_settled(period, now, progress.is_settled)
         self.is_stuck = settled and not progress.is_settled
         wanted = min(policy.limit, self.need.total)
@@ -240,6 +247,49 @@
         self.reducing_since = now
         return True
 
+    def kept_steady(
+        self,
+        total: int,
+        counts: list[int],
+        ordered: list[int],
+        remaining: int,
+        floor: int,
+    ) -> list[int]:
+        """Returns which engines stay steady until the load was watched.
+
+        Reclaimable engines that serve take the place of the others. Those that
+        are only ordered don't count, as there may be none. Steady engines that
+        an order will take away don't count either: others would be given up
+        for them.
+
+        Args:
+            total: The number that is needed.
+            counts: Steady engines that serve, by data centre.
+            ordered: The last orders of steady engines.
+            remaining: Reclaimable engines that serve and remain if any one data
+                centre's are reclaimed.
+            floor: The least number.
+        """
+        if not self.found:
+            self.found = sum(counts) + remaining
+        # Steady engines that register late were there as well.
+        self.found = max(self.found, sum(counts))
+        if not self.may_replace(total):
+            return counts
+        lasting = [min(pair) for pair in zip(counts, ordered, strict=True)]
+        return spreads.reduce_evenly(lasting, max(floor, total - remaining))
+
+    def may_replace(self, total: int) -> bool:
+        """Whether reclaimable engines may replace steady ones unwatched.
+
+        If fewer are needed than were found, the predecessor was reducing them,
+        and its orders may still be carried out.
+
+        Args:
+            total: The number that is needed.
+        """
+        return total >= self.found
+
     def observe(
         self, load: Load, engine: Engine, policy: Policy, now: float
     ) -> None:
--- a/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/spreads.py
@@ -21,6 +21,22 @@
     return found
 
 
+def reduce_evenly(counts: list[int], total: int) -> list[int]:
+    """Lowers the largest numbers, of equal ones the last, down to a total.
+
+    None rises: what one data centre gives up would be missing until it serves
+    in another.
+    """
+    found = list(counts)
+    while sum(found) > total:
+        largest = max(found)
+        place = max(
+            place for place, count in enumerate(found) if count == largest
+        )
+        found[place] -= 1
+    return found
+
+
 def spread_by_price(
     needed: int, names: list[str], prices: dict[str, float], most: int
 ) -> list[int]:
@@ -71,6 +87,12 @@
     return data_centres / (data_centres - 1)
 
 
+def spread_reserved(needed: int, names: list[str], most: int) -> list[int]:
+    """Divides reclaimable replicas evenly, with what is kept for a loss."""
+    count = math.ceil(needed * reserve_factor(len(names)))
+    return spread(count, names, 0, most)
+
+
 def wanted_steady(
     total: int,
     present_steady: int,
