Move replicas' statements out of the directory

The directory kept which replicas are known and usable, and also what their answers say: departures, backoffs and rate limits. ReplicaStatements, its attribute statements, now records these and checks requests against them. Callers use it directly.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -150,12 +150,12 @@
     second = REPLICA._replace(started_at=2000)
     said = types.Statement(time.monotonic(), leaving=True, backoff=REST)
     directory.put(first)
-    directory.record_statement(first, said)
+    directory.statements.record(first, said)
     assert not directory.is_usable("i-1")
     directory.put(first)
     assert not directory.is_usable("i-1"), "the entry took it back"
     directory.put(second)
-    directory.record_statement(first, said)
+    directory.statements.record(first, said)
     assert directory.is_usable("i-1")
     assert directory.engines("lm", False, time.monotonic())
 
@@ -279,7 +279,7 @@
     directory = directory_module.Directory(random.Random(SEED))
     directory.put(REPLICA)
     now = time.monotonic()
-    directory.record_statement(REPLICA, types.Statement(now, backoff=REST))
+    directory.statements.record(REPLICA, types.Statement(now, backoff=REST))
     directory.probes.request("i-1")
     assert not directory.probes.due(now)
     assert directory.probes.due(now + 2 * REST) == {"i-1"}
--- a/features/support/second_copy_parts.py
+++ b/features/support/second_copy_parts.py
@@ -148,13 +148,13 @@
     for instance in others:
         replica = directory.replicas[instance]
         if "backoff" in obstacle:
-            directory.record_backoff(replica, 9.0)
+            directory.statements.record_backoff(replica, 9.0)
         if "draining" in obstacle:
             directory.put(replica._replace(draining=True))
         if "leave" in obstacle:
-            directory.record_departure(replica)
+            directory.statements.record_departure(replica)
         if "permits" in obstacle:
-            directory.record_rate_limit(replica, 0.001, now)
+            directory.statements.record_rate_limit(replica, 0.001, now)
         if "full" in obstacle:
             for _ in range(3):
                 context.calls.copies.record_failure(
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -125,8 +125,8 @@
         self.pool = connections.Pool(settings.replicas.source)
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.is_connected = self.endpoints.is_connected
-        self.endpoints.statement_listener = self.directory.record_statement
-        self.endpoints.admission = self.directory.check_backoff
+        self.endpoints.statement_listener = self.directory.statements.record
+        self.endpoints.admission = self.directory.statements.check_backoff
         self.directory.second_copies.change(settings.copies.policy)
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
@@ -228,7 +228,9 @@
         self.forward_server.find_departures = lambda: (
             self.directory.departures.recent(time.monotonic())
         )
-        self.forwarder.departure_listener = self.directory.merge_departure
+        self.forwarder.departure_listener = (
+            self.directory.statements.merge_departure
+        )
         self.server = server_module.Server(self.handler, self.configurations)
         self.crash_records = crash_records_module.CrashRecords(
             self.store, self.quarantine, self.gossip.is_store_reader
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -429,7 +429,7 @@
             else self.prefills.cache_peer(progress.prefill_address),
             last_event=stream.last_event,
         )
-        self.directory.take_permit(replica)
+        self.directory.statements.take_permit(replica)
         share = stream_share(replica, service, progress.call)
         self.directory.request_started(replica.instance, time.monotonic())
         self.directory.streams.add(replica.instance, share)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -176,8 +176,10 @@
         prefix_router.listener = self
         directory.unreachable_listeners.append(self.report_unreachable)
         directory.removal_listeners.append(self.forget_replica)
-        directory.rate_limit_listeners.append(self.announce_rate_limit)
-        directory.departure_listeners.append(self.announce_departure)
+        directory.statements.rate_limit_listeners.append(
+            self.announce_rate_limit
+        )
+        directory.statements.departure_listeners.append(self.announce_departure)
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -34,9 +34,11 @@
             if instance not in self.directory.suspects:
                 self.directory.probes.request(instance)
         for instance, (rate, age) in updates.rate_limits.items():
-            self.directory.merge_rate_limit(instance, rate, now - age)
+            self.directory.statements.merge_rate_limit(
+                instance, rate, now - age
+            )
         for instance, (started_at, _) in updates.departures.items():
-            self.directory.merge_departure(instance, started_at)
+            self.directory.statements.merge_departure(instance, started_at)
         for placed in updates.placements:
             self.prefix_router.add_remote_prompt(
                 placed.engine, placed.prefix_hashes, placed.tokens
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -203,7 +203,7 @@
         limit = None
         if route.repeatable and progress.runs + 1 < route.attempts:
             limit = ATTEMPT_TIMEOUT_FACTOR * route.objective
-        self.directory.take_permit(replica)
+        self.directory.statements.take_permit(replica)
         self.directory.request_started(replica.instance, time.monotonic())
         progress.record_sent(replica, route=route.name)
         run = runs_module.Run(
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -159,7 +159,7 @@
             urgency=rank.urgency,
             left=round(progress.time_left(), 3),
         )
-        self.directory.take_permit(replica)
+        self.directory.statements.take_permit(replica)
         instructions = types.Instructions(
             progress.time_left(),
             urgency=rank.urgency,
