Move the roles of engines out of the directory

The roles of engines, and which engines change theirs, were mixed with what the directory knows of all replicas. EngineRoles, the directory's attribute roles, now keeps them; callers use it directly. A confirmed role still ends a pause of its engine, so the directory passes its pauses.

In full_links_steps.py the stand-in of the directory has the attribute under its new name.

--- a/features/steps/full_links_steps.py
+++ b/features/steps/full_links_steps.py
@@ -160,7 +160,7 @@
         context.relaying,
         mock.Mock(site_totals=lambda now: messages.EngineLoads({}, {}, {}, {})),
         sender,
-        mock.Mock(changing_until={}),
+        mock.Mock(**{"roles.changing_until": {}}),
         context.bandwidth,
     )
     for number in range(nodes):
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -281,7 +281,7 @@
         node.gossip.directory.replicas[ENGINE] = replica
     relay = next(iter(site.relays()["dc-0"]))
     gossip = site.nodes[relay].gossip
-    gossip.directory.close_until(ENGINE, site.now + 4)
+    gossip.directory.roles.close_until(ENGINE, site.now + 4)
     gossip.announce_closing(ENGINE, 4)
 
 
@@ -290,7 +290,7 @@
     site = context.site
     site.run(seconds)
     for node in site.nodes.values():
-        until = node.gossip.directory.changing_until.get(ENGINE, 0.0)
+        until = node.gossip.directory.roles.changing_until.get(ENGINE, 0.0)
         assert until > site.now, node.name
 
 
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -142,8 +142,8 @@
 def step_recorded(context):
     now = time.monotonic()
     directory = context.directory
-    directory.confirm_role(ENGINE, decision_types.Role.PREFILL, now + 60)
-    directory.close_until(ENGINE, now + 60)
+    directory.roles.confirm(ENGINE, decision_types.Role.PREFILL, now + 60)
+    directory.roles.close_until(ENGINE, now + 60)
     directory.pause(ENGINE, now, 60)
     directory.health.failed(ENGINE, True, now)
     directory.health.failed(ENGINE, True, now)
@@ -162,8 +162,8 @@
     now = time.monotonic()
     directory = context.directory
     found = {
-        "role": ENGINE in directory.confirmed_roles,
-        "closed": directory.changing_until.get(ENGINE, -math.inf) > now,
+        "role": ENGINE in directory.roles.confirmed,
+        "closed": directory.roles.changing_until.get(ENGINE, -math.inf) > now,
         "paused": directory.paused_until.get(ENGINE, -math.inf) > now,
         "failing": not directory.health.is_allowed(ENGINE, now),
         "streams": directory.streams.total(ENGINE, now) > 0,
--- a/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
@@ -96,9 +96,10 @@
             return None
         before = self.change_ends.get(service.name, {})
         ends = {}
+        roles = self.directory.roles
         for replica in self.directory.responsive(service.name):
-            until = self.directory.changing_until.get(replica.instance, 0.0)
-            if until <= now or not self.directory.is_prefill(replica, now):
+            until = roles.changing_until.get(replica.instance, 0.0)
+            if until <= now or not roles.is_prefill(replica, now):
                 continue
             end = until - role_planning.CLOSED_SECONDS
             first = before.get(replica.instance, end)
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -25,6 +25,7 @@
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
 from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import engine_roles
 from gypsumfold.gateway import probe_schedule
 from gypsumfold.gateway import replica_choice
 from gypsumfold.gateway import replica_statements
@@ -45,7 +46,6 @@
         replicas: Registered replicas by instance, including draining ones.
         paused_until: Until when a replica gets work only if no other can.
         lapses_at: When a replica whose entry is missing is dropped.
-        changing_until: Until when an engine changes its role and gets no work.
         draining_since: When this node learnt that a replica is draining.
         departures: The replicas that have said that they leave.
         backoffs: The replicas that have asked this node to back off.
@@ -58,10 +58,9 @@
         has_interrupted_runs: Whether runs on a replica were interrupted and it
             isn't known yet whether it crashed.
         probes: Which replicas are probed next.
+        roles: The roles of engines, and which engines change theirs.
         choice: Chooses among replicas that may get work.
         statements: What replicas' answers say of the replicas.
-        confirmed_roles: Roles known before the entries show them, and until
-            when each is valid.
         decode_available_at: When a service last had a decode engine.
 
     >>> directory = Directory(random.Random(1))
@@ -75,7 +74,7 @@
         self.replicas: dict[str, types.Replica] = {}
         self.paused_until: dict[str, float] = {}
         self.lapses_at: dict[str, float] = {}
-        self.changing_until: dict[str, float] = {}
+        self.roles = engine_roles.EngineRoles(self.paused_until)
         self.draining_since: dict[str, float] = {}
         self.suspects: set[str] = set()
         self.reachability = reachability_module.Reachability()
@@ -84,7 +83,6 @@
         self.unreachable_listeners = []
         self.crash_listeners: list[Callable[[types.Replica], None]] = []
         self.alive_listeners: list[Callable[[str], None]] = []
-        self.confirmed_roles: dict[str, tuple[decision_types.Role, float]] = {}
         self.silence = silence_module.SilenceDetector()
         self.streams = cluster_totals.ClusterTotals()
         self.decode_available_at: dict[str, float] = {}
@@ -143,7 +141,7 @@
         if replica.draining:
             self.draining_since.setdefault(replica.instance, time.monotonic())
         if old is not None and old.role != replica.role:
-            self.changing_until.pop(replica.instance, None)
+            self.roles.changing_until.pop(replica.instance, None)
             self.paused_until.pop(replica.instance, None)
         if old is not None and old._replace(orders=0) == replica._replace(
             orders=0
@@ -253,9 +251,8 @@
         self.versions.remove(known.service, known.version, time.monotonic())
         self.lapses_at.pop(instance, None)
         self.paused_until.pop(instance, None)
-        self.changing_until.pop(instance, None)
         self.draining_since.pop(instance, None)
-        self.confirmed_roles.pop(instance, None)
+        self.roles.forget(instance)
         self.streams.forget(instance)
         self.suspects.discard(instance)
         self.reachability.reached(instance)
@@ -299,7 +296,7 @@
         now = time.monotonic()
         counts = {}
         for replica in self.known(service):
-            role = self.role(replica, now)
+            role = self.roles.of(replica, now)
             reachable, known = counts.get(role, (0, 0))
             reachable += self.is_reachable(replica)
             counts[role] = (reachable, known + 1)
@@ -423,13 +420,13 @@
         healthy = []
         unhealthy = []
         for replica in self.responsive(service):
-            if self.is_prefill(replica, now) != prefill:
+            if self.roles.is_prefill(replica, now) != prefill:
                 continue
             if origin is not None and not origin.fits(replica.version):
                 continue
             if replica.instance in avoid:
                 continue
-            if self.changing_until.get(replica.instance, -math.inf) > now:
+            if self.roles.changing_until.get(replica.instance, -math.inf) > now:
                 continue
             if self.backoffs.is_active(replica.instance, now):
                 continue
@@ -463,7 +460,7 @@
                 continue
             if self.backoffs.is_active(replica.instance, until):
                 continue
-            if not self.is_prefill(replica, now):
+            if not self.roles.is_prefill(replica, now):
                 return True
         return False
 
@@ -473,17 +470,13 @@
         for replica in self.known(origin.service):
             if not origin.fits(replica.version):
                 continue
-            if self.is_prefill(replica, now):
+            if self.roles.is_prefill(replica, now):
                 continue
             if self.is_reachable(replica):
                 return False
             found = True
         return found
 
-    def is_prefill(self, replica: types.Replica, now: float) -> bool:
-        """Whether an engine is a prefill engine."""
-        return self.role(replica, now) == decision_types.Role.PREFILL
-
     def recently_draining(
         self,
         service: str,
@@ -499,7 +492,7 @@
                 or now - since > replica_statements.DRAINING_USE_SECONDS
             ):
                 continue
-            if self.is_prefill(replica, now):
+            if self.roles.is_prefill(replica, now):
                 continue
             if origin is not None and not origin.fits(replica.version):
                 continue
@@ -511,10 +504,6 @@
                 found.append(replica)
         return found
 
-    def close_until(self, instance: str, until: float) -> None:
-        """Sends an engine no work until a time, as it changes its role."""
-        self.changing_until[instance] = until
-
     def record_activity(self, instance: str, now: float) -> None:
         """Records a sign of life; the replica is no longer suspect."""
         self.silence.received(instance, now)
@@ -589,9 +578,9 @@
         for replica in self.responsive(service):
             instance = replica.instance
             if prefill is not None:
-                if self.is_prefill(replica, now) != prefill:
+                if self.roles.is_prefill(replica, now) != prefill:
                     continue
-                if self.changing_until.get(instance, -math.inf) > now:
+                if self.roles.changing_until.get(instance, -math.inf) > now:
                     continue
             if origin is not None and not origin.fits(replica.version):
                 continue
@@ -624,7 +613,7 @@
             if self.backoffs.is_active(replica.instance, now):
                 continue
             if prefill is not None:
-                if self.is_prefill(replica, now) != prefill:
+                if self.roles.is_prefill(replica, now) != prefill:
                     continue
                 if origin is not None and not origin.fits(replica.version):
                     continue
@@ -690,23 +679,6 @@
             MISTAKEN_PAUSE_SECONDS if mistaken else REFUSAL_PAUSE_SECONDS,
         )
 
-    def confirm_role(
-        self, instance: str, role: decision_types.Role, until: float
-    ) -> None:
-        """Sets an engine's role until its entry shows it."""
-        self.confirmed_roles[instance] = (role, until)
-        self.changing_until.pop(instance, None)
-        self.paused_until.pop(instance, None)
-
-    def role(
-        self, replica: types.Replica, now: float
-    ) -> decision_types.Role | None:
-        """Returns an engine's role: the confirmed one, else its entry's."""
-        role, until = self.confirmed_roles.get(replica.instance, (None, 0.0))
-        if role is not None and now < until:
-            return role
-        return replica.role
-
     def pause(self, instance: str, now: float, seconds: float) -> None:
         """Sends a replica no work for some seconds while there are others."""
         self.paused_until[instance] = now + seconds
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -354,7 +354,7 @@
 
     def take_updates(self, now: float) -> messages.Updates:
         """Returns this node's own updates to send now."""
-        self.outbox.retain_closings(self.directory.changing_until)
+        self.outbox.retain_closings(self.directory.roles.changing_until)
         return self.outbox.take(now)
 
     def choose_relay(self, now: float) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -26,7 +26,7 @@
         """Takes in what happened elsewhere."""
         for engine, seconds in updates.closed.items():
             if self.is_newest_incarnation(engine, updates):
-                self.directory.close_until(engine, now + seconds)
+                self.directory.roles.close_until(engine, now + seconds)
         for engine, (role, seconds) in updates.roles.items():
             if self.is_newest_incarnation(engine, updates):
                 self.apply_role(engine, role, now + seconds)
@@ -60,4 +60,4 @@
         except ValueError as error:
             events.log(events.FRAME_REFUSED, reason=str(error))
             return
-        self.directory.confirm_role(engine, found, until)
+        self.directory.roles.confirm(engine, found, until)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/summaries.py
@@ -104,7 +104,7 @@
             self.send(sign, [one.member for one in due.heartbeats], now)
         if due.full:
             self.relaying.node_outbox.retain_closings(
-                self.directory.changing_until
+                self.directory.roles.changing_until
             )
             summary = messages.Summary(
                 self.sender.own_contact(),
@@ -127,7 +127,7 @@
         if not targets:
             return
         self.relaying.relay_outbox.retain_closings(
-            self.directory.changing_until
+            self.directory.roles.changing_until
         )
         loads = self.relaying.data_centre_loads(self.loads.own(now))
         summary = messages.Summary(
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -125,7 +125,7 @@
             replica = self.directory.replicas.get(instance)
             if (
                 replica is None
-                or self.directory.role(replica, now) == pending.role
+                or self.directory.roles.of(replica, now) == pending.role
             ):
                 del self.pending[instance]
                 continue
@@ -142,13 +142,14 @@
             pending = self.pending.get(replica.instance)
             if pending is not None and not pending.accepted:
                 continue
-            role = self.directory.role(replica, now)
+            role = self.directory.roles.of(replica, now)
             role = pending.role if pending else role
             waiting = self.prefix_router.queued_seconds(replica.instance, now)
             # A pending order may never be carried out: its engine may have
             # crashed since.
             changing = pending is not None or (
-                self.directory.changing_until.get(replica.instance, 0.0) > now
+                self.directory.roles.changing_until.get(replica.instance, 0.0)
+                > now
             )
             views.append(
                 role_changes.EngineView(
@@ -222,7 +223,9 @@
                 await asyncio.sleep(ORDER_DELAY_SECONDS)
                 token = self.leadership.token(time.monotonic())
                 if token is None:
-                    self.directory.close_until(change.engine, time.monotonic())
+                    self.directory.roles.close_until(
+                        change.engine, time.monotonic()
+                    )
                     return
                 order = types.Order(
                     change.role, self.leadership.member, token, state.orders
@@ -263,7 +266,7 @@
         The other nodes learn of it from the next datagram and then send no
         requests that the engine would have to refuse.
         """
-        self.directory.close_until(instance, time.monotonic() + seconds)
+        self.directory.roles.close_until(instance, time.monotonic() + seconds)
         self.gossip.announce_closing(instance, seconds)
 
     def follow_role_change(
@@ -315,7 +318,7 @@
                 self.close_engine(replica.instance, CLOSED_SECONDS)
                 continue
             until = time.monotonic() + CONFIRMED_SECONDS
-            self.directory.confirm_role(replica.instance, role, until)
+            self.directory.roles.confirm(replica.instance, role, until)
             self.gossip.announce_role(replica.instance, role, CONFIRMED_SECONDS)
             return
 
