Move the liveness of replicas out of the directory

The directory also recorded which replicas are silent or can't be connected to, and told from that whether this node is cut off. ReplicaLiveness, its attribute liveness, now does this; callers use it directly. The directory keeps the sets of suspects and unreachable replicas, which ProbeSchedule shares, and passes known as find_known.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -284,8 +284,8 @@
     assert not directory.probes.due(now)
     assert directory.probes.due(now + 2 * REST) == {"i-1"}
     assert "i-1" not in directory.health.failure_rates
-    assert directory.count_usable("lm")["replicas"] == 1
-    assert not directory.is_cut_off("lm")
+    assert directory.liveness.count_usable("lm")["replicas"] == 1
+    assert not directory.liveness.is_cut_off("lm")
 
 
 def rest_of(status, value):
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -149,7 +149,7 @@
     directory.health.failed(ENGINE, True, now)
     directory.streams.add(ENGINE, 0.5)
     directory.request_started(ENGINE, now - 1)
-    directory.suspect(ENGINE, now)
+    directory.liveness.suspect(ENGINE, now)
     context.homes.caches.add(ENGINE, CHAIN, "m", MEMORY)
     context.planner.pending[ENGINE] = role_planning.PendingOrder(
         decision_types.Role.PREFILL, now + 60
--- a/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
@@ -97,7 +97,7 @@
         before = self.change_ends.get(service.name, {})
         ends = {}
         roles = self.directory.roles
-        for replica in self.directory.responsive(service.name):
+        for replica in self.directory.liveness.responsive(service.name):
             until = roles.changing_until.get(replica.instance, 0.0)
             if until <= now or not roles.is_prefill(replica, now):
                 continue
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -24,10 +24,10 @@
 from gypsumfold.decisions import silence as silence_module
 from gypsumfold.decisions import software_versions
 from gypsumfold.decisions import stream_origins
-from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import engine_roles
 from gypsumfold.gateway import probe_schedule
 from gypsumfold.gateway import replica_choice
+from gypsumfold.gateway import replica_liveness
 from gypsumfold.gateway import replica_statements
 from gypsumfold.gateway import types
 
@@ -54,11 +54,11 @@
             only over open ones.
         versions: The software versions of each service.
         rate_limits: The rate limits that replicas name.
-        is_connected: Whether an idle connection to a replica is open.
         has_interrupted_runs: Whether runs on a replica were interrupted and it
             isn't known yet whether it crashed.
         probes: Which replicas are probed next.
         roles: The roles of engines, and which engines change theirs.
+        liveness: Which replicas answer this node.
         choice: Chooses among replicas that may get work.
         statements: What replicas' answers say of the replicas.
         decode_available_at: When a service last had a decode engine.
@@ -78,7 +78,6 @@
         self.draining_since: dict[str, float] = {}
         self.suspects: set[str] = set()
         self.reachability = reachability_module.Reachability()
-        self.is_connected: Callable[[types.Replica], bool] = lambda _: False
         self.has_interrupted_runs: Callable[[str], bool] = lambda _: False
         self.unreachable_listeners = []
         self.crash_listeners: list[Callable[[types.Replica], None]] = []
@@ -108,6 +107,15 @@
             self.backoffs,
             rng,
         )
+        self.liveness = replica_liveness.ReplicaLiveness(
+            self.replicas,
+            self.suspects,
+            self.reachability,
+            self.silence,
+            self.probes,
+            self.roles,
+            self.known,
+        )
         self.statements = replica_statements.ReplicaStatements(
             self.replicas,
             self.incarnations,
@@ -162,15 +170,6 @@
         since = self.draining_since.get(replica.instance, time.monotonic())
         self.departures.record(replica.instance, replica.started_at, since)
 
-    def suspect_until_probed(self, instance: str) -> None:
-        """Keeps requests from a replica until it answers on a new connection.
-
-        Its entry was gone and is back; the replica may have left.
-        """
-        self.suspects.add(instance)
-        self.reachability.unreachable.add(instance)
-        self.probes.request(instance)
-
     def receive_state(self, instance: str, state: types.State) -> bool:
         """Detects a restart from the start time that a replica reports.
 
@@ -281,60 +280,6 @@
                 found.append(replica)
         return found
 
-    def is_reachable(self, replica: types.Replica) -> bool:
-        """Whether a replica answers and a request could be sent to it."""
-        if replica.instance in self.suspects:
-            return False
-        if replica.instance not in self.reachability.unreachable:
-            return True
-        return self.is_connected(replica)
-
-    def count_reachable(
-        self, service: str
-    ) -> dict[decision_types.Role | None, tuple[int, int]]:
-        """Counts the reachable replicas of a service and all, by role."""
-        now = time.monotonic()
-        counts = {}
-        for replica in self.known(service):
-            role = self.roles.of(replica, now)
-            reachable, known = counts.get(role, (0, 0))
-            reachable += self.is_reachable(replica)
-            counts[role] = (reachable, known + 1)
-        return counts
-
-    def count_usable(self, service: str) -> dict[str, int]:
-        """Counts the usable replicas of a service and all, for log lines."""
-        usable = len(self.responsive(service))
-        return {"usable": usable, "replicas": len(self.known(service))}
-
-    def is_cut_off(self, service: str) -> bool:
-        """Whether this node reaches too few replicas of a service."""
-        if not self.suspects and not self.reachability.unreachable:
-            return False
-        counts = self.count_reachable(service)
-        return reachability_module.is_cut_off(list(counts.values()))
-
-    def is_cut_off_from_most(self) -> bool:
-        """Whether this node reaches too few of all replicas."""
-        if not self.suspects and not self.reachability.unreachable:
-            return False
-        known = 0
-        reachable = 0
-        for replica in self.replicas.values():
-            if replica.draining:
-                continue
-            known += 1
-            reachable += self.is_reachable(replica)
-        return reachability_module.is_cut_off([(reachable, known)])
-
-    def responsive(self, service: str) -> list[types.Replica]:
-        """Returns the replicas of a service neither draining nor suspect."""
-        found = []
-        for replica in self.known(service):
-            if self.is_reachable(replica):
-                found.append(replica)
-        return found
-
     def ready(
         self,
         service: str,
@@ -364,15 +309,10 @@
                 continue
             if self.is_healthy(replica.instance, now):
                 healthy.append(replica)
-            elif not self.is_lost(replica.instance):
+            elif not self.liveness.is_lost(replica.instance):
                 unhealthy.append(replica)
         return healthy or unhealthy
 
-    def is_lost(self, instance: str) -> bool:
-        """Whether a replica answers neither on open nor on new connections."""
-        lost = self.reachability.unreachable
-        return instance in self.suspects and instance in lost
-
     def is_usable(self, instance: str) -> bool:
         """Whether a replica is known and may be sent requests now."""
         replica = self.replicas.get(instance)
@@ -380,12 +320,12 @@
             return False
         if self.backoffs.is_active(instance, time.monotonic()):
             return False
-        return self.is_reachable(replica)
+        return self.liveness.is_reachable(replica)
 
     def is_healthy(self, instance: str, now: float) -> bool:
         """Whether a replica is reachable, and neither paused nor failing."""
         replica = self.replicas.get(instance)
-        if replica is None or not self.is_reachable(replica):
+        if replica is None or not self.liveness.is_reachable(replica):
             return False
         if self.paused_until.get(instance, -math.inf) > now:
             return False
@@ -419,7 +359,7 @@
         """
         healthy = []
         unhealthy = []
-        for replica in self.responsive(service):
+        for replica in self.liveness.responsive(service):
             if self.roles.is_prefill(replica, now) != prefill:
                 continue
             if origin is not None and not origin.fits(replica.version):
@@ -472,7 +412,7 @@
                 continue
             if self.roles.is_prefill(replica, now):
                 continue
-            if self.is_reachable(replica):
+            if self.liveness.is_reachable(replica):
                 return False
             found = True
         return found
@@ -500,64 +440,10 @@
                 continue
             if not self.rate_limits.is_open(instance, now):
                 continue
-            if self.is_reachable(replica):
+            if self.liveness.is_reachable(replica):
                 found.append(replica)
         return found
 
-    def record_activity(self, instance: str, now: float) -> None:
-        """Records a sign of life; the replica is no longer suspect."""
-        self.silence.received(instance, now)
-        if instance in self.suspects:
-            self.suspects.discard(instance)
-            if instance not in self.reachability.unreachable:
-                self.probes.reset_interval(instance)
-            events.log(events.REPLICA_HEARD, instance=instance)
-
-    def suspect(self, instance: str, now: float) -> None:
-        """Marks a replica as silent; it gets no work until it answers."""
-        if instance in self.suspects or instance not in self.replicas:
-            return
-        self.suspects.add(instance)
-        events.log(
-            events.REPLICA_SILENT,
-            instance=instance,
-            seconds=round(
-                now - self.silence.last_byte_at.get(instance, now), 3
-            ),
-            requests=self.silence.open_requests.get(instance, 0),
-        )
-
-    def connection_failed(self, instance: str, now: float) -> bool:
-        """Records that a new connection to a replica got no answer.
-
-        Returns:
-            Whether the last one before it had been answered.
-        """
-        if instance in self.reachability.unreachable:
-            return False
-        if instance not in self.replicas:
-            return False
-        self.reachability.lost(instance, now)
-        events.log(
-            events.REPLICA_UNREACHABLE,
-            instance=instance,
-            unreachable=len(self.reachability.unreachable),
-            replicas=len(self.replicas),
-        )
-        return True
-
-    def connection_answered(self, instance: str) -> None:
-        """Records that a replica answered on a new connection."""
-        if instance not in self.reachability.unreachable:
-            return
-        self.reachability.reached(instance)
-        self.probes.reset_interval(instance)
-        events.log(
-            events.REPLICA_REACHED,
-            instance=instance,
-            unreachable=len(self.reachability.unreachable),
-        )
-
     def backoff_end(
         self,
         service: str,
@@ -575,7 +461,7 @@
             origin: As in `engines`.
         """
         ends = []
-        for replica in self.responsive(service):
+        for replica in self.liveness.responsive(service):
             instance = replica.instance
             if prefill is not None:
                 if self.roles.is_prefill(replica, now) != prefill:
@@ -607,7 +493,7 @@
             origin: As in `engines`.
         """
         found = []
-        for replica in self.responsive(service):
+        for replica in self.liveness.responsive(service):
             if self.rate_limits.is_open(replica.instance, now):
                 continue
             if self.backoffs.is_active(replica.instance, now):
@@ -663,7 +549,7 @@
     def report_unreachable(self, instance: str) -> None:
         """Has the other nodes probe a replica, unless this one is cut off."""
         replica = self.replicas.get(instance)
-        if replica is None or self.is_cut_off(replica.service):
+        if replica is None or self.liveness.is_cut_off(replica.service):
             return
         for listener in self.unreachable_listeners:
             listener(instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -124,7 +124,7 @@
         self.configurations = configurations_module.Configurations()
         self.pool = connections.Pool(settings.replicas.source)
         self.endpoints = replicas.Replicas(self.pool)
-        self.directory.is_connected = self.endpoints.is_connected
+        self.directory.liveness.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.statements.record
         self.endpoints.admission = self.directory.statements.check_backoff
         self.directory.second_copies.change(settings.copies.policy)
@@ -353,7 +353,7 @@
         since = time.monotonic() - self.forwarder.accepted_at
         if since > CUT_OFF_EVIDENCE_SECONDS:
             return False
-        return self.directory.is_cut_off_from_most()
+        return self.directory.liveness.is_cut_off_from_most()
 
     def is_ready(self) -> bool:
         """Whether the balancer should send connections here."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -67,7 +67,7 @@
 
     def bytes_received(self) -> None:
         """Records that the engine is alive."""
-        self.directory.record_activity(
+        self.directory.liveness.record_activity(
             self.run.replica.instance, time.monotonic()
         )
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -165,7 +165,7 @@
         service = route.pick_service(call.id)
         if origin is not None:
             service = origin.service
-        if self.directory.is_cut_off(service):
+        if self.directory.liveness.is_cut_off(service):
             raise exceptions.PeerRefused("the node is cut off as well")
         route = self.authenticator.apply_account(configuration, route, call)
         progress = progress_module.Progress(call, self.usage)
@@ -204,7 +204,9 @@
             self.origins.end(progress)
             replicas = {}
             if outcome != "complete":
-                replicas = self.directory.count_usable(progress.service)
+                replicas = self.directory.liveness.count_usable(
+                    progress.service
+                )
             seconds = time.monotonic() - call.arrival
             if serve == self.serve_or_forward:
                 self.observer.count_answer(route.name, outcome, seconds)
@@ -288,7 +290,7 @@
         """
         service = progress.service
         version = configuration.version
-        asked = self.directory.is_cut_off(service)
+        asked = self.directory.liveness.is_cut_off(service)
         if asked and await self.forwarder.forward(
             route, service, version, reply, progress
         ):
@@ -299,7 +301,9 @@
         except exceptions.RequestQuarantined:
             raise
         except exceptions.Unavailable:
-            missed = progress.missed or self.directory.is_cut_off(service)
+            missed = progress.missed or self.directory.liveness.is_cut_off(
+                service
+            )
             if asked or not missed:
                 raise
             if not await self.forwarder.forward(
--- a/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/liveness.py
@@ -63,7 +63,7 @@
             self.directory.probes.request(instance)
         except exceptions.EndpointMismatch:
             self.directory.process_ended(instance)
-            self.directory.suspect(instance, time.monotonic())
+            self.directory.liveness.suspect(instance, time.monotonic())
         except exceptions.EndpointNotListening:
             await self.handle_refused(instance)
         except (exceptions.EndpointRefused, exceptions.RecordInvalid):
@@ -77,9 +77,9 @@
     def handle_answer(self, instance: str, fresh: bool) -> None:
         """Records that a replica answered a probe."""
         if fresh:
-            self.directory.connection_answered(instance)
+            self.directory.liveness.connection_answered(instance)
         self.directory.replica_answered(instance)
-        self.directory.record_activity(instance, time.monotonic())
+        self.directory.liveness.record_activity(instance, time.monotonic())
 
     async def handle_silence(
         self, instance: str, fresh: bool, error: Exception
@@ -87,10 +87,10 @@
         """Records that a probe was not answered."""
         now = time.monotonic()
         if not fresh and not isinstance(error, exceptions.EndpointUnreachable):
-            self.directory.suspect(instance, now)
+            self.directory.liveness.suspect(instance, now)
             return
         self.suspect_unless_active(instance, now)
-        if self.directory.connection_failed(instance, now):
+        if self.directory.liveness.connection_failed(instance, now):
             await self.check_links(instance, now)
 
     async def check_links(self, instance: str, now: float) -> None:
@@ -109,7 +109,7 @@
         One that sends data on open connections goes on with what it runs.
         """
         if not self.directory.silence.is_active(instance, now):
-            self.directory.suspect(instance, now)
+            self.directory.liveness.suspect(instance, now)
 
     async def handle_refused(self, instance: str) -> None:
         """Records that a connection was refused.
@@ -121,7 +121,7 @@
         """
         now = time.monotonic()
         self.suspect_unless_active(instance, now)
-        newly = self.directory.connection_failed(instance, now)
+        newly = self.directory.liveness.connection_failed(instance, now)
         if not self.directory.has_interrupted_runs(instance):
             if newly:
                 await self.check_links(instance, now)
@@ -167,6 +167,6 @@
         except (exceptions.EndpointError, TimeoutError):
             now = time.monotonic()
             self.suspect_unless_active(witness.instance, now)
-            self.directory.connection_failed(witness.instance, now)
+            self.directory.liveness.connection_failed(witness.instance, now)
             return False
         return True
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
@@ -58,7 +58,9 @@
         be none although `directory.ready` returns some: where all are silent,
         it returns those that may still answer on a new connection.
         """
-        return self.with_loads(service, self.directory.responsive(service), now)
+        return self.with_loads(
+            service, self.directory.liveness.responsive(service), now
+        )
 
     def with_loads(
         self, service: str, ready: list[types.Replica], now: float
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -144,7 +144,7 @@
             self.directory.keep_draining(known)
         self.directory.put(replica)
         if known is None:
-            self.directory.suspect_until_probed(replica.instance)
+            self.directory.liveness.suspect_until_probed(replica.instance)
 
     def merge_all(
         self, changes: list[registry_module.Change], end: int
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -136,7 +136,7 @@
         """Plans one service and gives the orders."""
         views = []
         now = time.monotonic()
-        for replica in self.directory.responsive(service.name):
+        for replica in self.directory.liveness.responsive(service.name):
             if replica.role is None:
                 continue
             pending = self.pending.get(replica.instance)
--- a/packages/gypsumfold/src/gypsumfold/gateway/run_results.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/run_results.py
@@ -31,7 +31,7 @@
             status: HTTP status of the answer.
             now: The time.
         """
-        self.directory.record_activity(replica.instance, now)
+        self.directory.liveness.record_activity(replica.instance, now)
         failed = is_failure(status)
         self.directory.failure_rates.record(replica.instance, failed, now)
         if failed:
