Move the list of eligible replicas out of the directory

Which replicas may get work follows from entries, liveness, roles, pauses, backoffs and rate limits; the directory combined them itself. EligibleReplicas, its attribute eligible, now does this, with backoff_end and limited, which say why there are none. Callers use it directly. decode_available_at, which only this list sets, goes with it.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -151,13 +151,13 @@
     said = types.Statement(time.monotonic(), leaving=True, backoff=REST)
     directory.put(first)
     directory.statements.record(first, said)
-    assert not directory.is_usable("i-1")
+    assert not directory.eligible.is_usable("i-1")
     directory.put(first)
-    assert not directory.is_usable("i-1"), "the entry took it back"
+    assert not directory.eligible.is_usable("i-1"), "the entry took it back"
     directory.put(second)
     directory.statements.record(first, said)
-    assert directory.is_usable("i-1")
-    assert directory.engines("lm", False, time.monotonic())
+    assert directory.eligible.is_usable("i-1")
+    assert directory.eligible.engines("lm", False, time.monotonic())
 
 
 @behave.then(
--- a/features/steps/failing_engines_steps.py
+++ b/features/steps/failing_engines_steps.py
@@ -97,7 +97,9 @@
     for number in range(count):
         now = 1000.0 + number * 0.02
         with mock.patch("time.monotonic", lambda now=now: now):
-            chosen = directory.choice.least_busy(directory.ready("app", now))
+            chosen = directory.choice.least_busy(
+                directory.eligible.ready("app", now)
+            )
         context.counts[chosen.instance] += 1
         status = 500 if chosen.instance == INSTANCES[0] else 200
         context.results.answered(chosen, status, now)
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -358,7 +358,7 @@
 @behave.then("the engine is used")
 def step_used(context):
     now = time.monotonic()
-    found = context.directory.engines("lm", False, now)
+    found = context.directory.eligible.engines("lm", False, now)
     assert [one.instance for one in found] == [ENGINE], found
 
 
--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -394,7 +394,7 @@
         directory.drop("i-1", 1.4, site.clock())
         later = types.State(role, False, 0, 0, 0, started_at=2000)
         assert directory.receive_state("i-1", later)
-        assert directory.is_usable("i-1")
+        assert directory.eligible.is_usable("i-1")
         await asyncio.sleep(1.5)
         directory.expire(site.clock())
         assert not directory.replicas
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -283,7 +283,7 @@
     def uses(self, service: str) -> set[str]:
         """The replicas to which this gateway would send a call now."""
         now = self.site.clock()
-        found = self.gateway.directory.ready(service, now)
+        found = self.gateway.directory.eligible.ready(service, now)
         return {replica.instance for replica in found}
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/copies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/copies.py
@@ -103,7 +103,7 @@
         """Chooses the replica for a copy; None if none is fit."""
         now = time.monotonic()
         found = []
-        for replica in self.directory.ready(
+        for replica in self.directory.eligible.ready(
             first.service, now, avoid=progress.avoid | {first.instance}
         ):
             if self.is_fit(replica):
@@ -118,9 +118,11 @@
         Unlike a request, a copy gets none that is paused, fails, leaves or
         comes back from a backoff.
         """
-        if not self.directory.is_healthy(replica.instance, time.monotonic()):
+        if not self.directory.eligible.is_healthy(
+            replica.instance, time.monotonic()
+        ):
             return False
-        if not self.directory.is_usable(replica.instance):
+        if not self.directory.eligible.is_usable(replica.instance):
             return False
         departure = self.directory.departures.find(
             replica.instance, replica.started_at
--- a/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
@@ -50,9 +50,9 @@
         held = False
         while True:
             now = time.monotonic()
-            if self.directory.engines(service.name, False, now):
+            if self.directory.eligible.engines(service.name, False, now):
                 return
-            since = self.directory.decode_available_at.setdefault(
+            since = self.directory.eligible.decode_available_at.setdefault(
                 service.name, now
             )
             age = now - progress.call.arrival
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -257,7 +257,7 @@
             ),
         )
         if decoder is None:
-            if self.directory.limited(
+            if self.directory.eligible.limited(
                 service.name, False, time.monotonic(), progress.origin
             ):
                 raise exceptions.EndpointLimited(
@@ -283,9 +283,13 @@
             return False
         now = time.monotonic()
         origin = None if prefill else progress.origin
-        if self.directory.engines(service.name, prefill, now, origin=origin):
+        if self.directory.eligible.engines(
+            service.name, prefill, now, origin=origin
+        ):
             return False
-        limited = self.directory.limited(service.name, prefill, now, origin)
+        limited = self.directory.eligible.limited(
+            service.name, prefill, now, origin
+        )
         if not limited:
             return False
         return not await self.rate_permits.borrow(limited)
@@ -303,7 +307,7 @@
         if progress.origin is not None:
             return
         now = time.monotonic()
-        progress.backoff_end = self.directory.backoff_end(
+        progress.backoff_end = self.directory.eligible.backoff_end(
             service.name, False, now
         )
         if progress.backoff_end is None:
@@ -332,7 +336,7 @@
         while True:
             now = time.monotonic()
             origin = progress.origin
-            found = self.directory.engines(
+            found = self.directory.eligible.engines(
                 service.name, False, now, origin=origin
             )
             waited = now - started
@@ -340,7 +344,7 @@
                 if self.quarantine.is_last_engine(found, progress):
                     break
                 return
-            lost = self.directory.lost_version(origin, now)
+            lost = self.directory.eligible.lost_version(origin, now)
             progress.missed |= lost
             if (
                 waited >= VERSION_WAIT_SECONDS
@@ -350,7 +354,7 @@
                     and not progress.answer_started
                 )
                 or progress.time_left() < VERSION_WAIT_SECONDS
-                or not self.directory.may_return(
+                or not self.directory.eligible.may_return(
                     origin, now, started + VERSION_WAIT_SECONDS
                 )
             ):
@@ -388,11 +392,11 @@
         data_centre = ""
         if handle is not None and handle.engine in self.directory.replicas:
             data_centre = self.directory.replicas[handle.engine].data_centre
-        found = self.directory.engines(
+        found = self.directory.eligible.engines(
             service.name, False, now, progress.avoid, origin
         )
         # A failed stream does not exclude the only engine.
-        found = found or self.directory.engines(
+        found = found or self.directory.eligible.engines(
             service.name, False, now, origin=origin
         )
         return self.directory.choice.least_loaded(
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -95,7 +95,7 @@
                 progress, route, lambda: self.choose(service, progress)
             )
             if replica is None:
-                progress.backoff_end = self.directory.backoff_end(
+                progress.backoff_end = self.directory.eligible.backoff_end(
                     service, None, time.monotonic()
                 )
                 break
@@ -155,9 +155,9 @@
         if not self.directory.rate_limits.named:
             return
         now = time.monotonic()
-        if self.directory.ready(service, now, avoid=progress.avoid):
+        if self.directory.eligible.ready(service, now, avoid=progress.avoid):
             return
-        limited = self.directory.limited(service, None, now)
+        limited = self.directory.eligible.limited(service, None, now)
         if limited:
             await self.rate_permits.borrow(limited)
 
@@ -167,7 +167,7 @@
         """Chooses a replica that has not failed this call."""
         if self.shared is not None:
             return self.shared.replicas.choose(service, progress.avoid)
-        ready = self.directory.ready(
+        ready = self.directory.eligible.ready(
             service, time.monotonic(), avoid=progress.avoid
         )
         return self.directory.choice.least_busy(ready, self.data_centre)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_queue.py
@@ -118,7 +118,7 @@
         self, service: str, avoid: frozenset[str], now: float
     ) -> bool:
         """Whether any replica may be sent a call."""
-        return bool(self.replicas.directory.ready(service, now, avoid))
+        return bool(self.replicas.directory.eligible.ready(service, now, avoid))
 
     def has_turn(
         self,
@@ -271,7 +271,7 @@
         now = time.monotonic()
         everywhere = self.replicas.responsive_with_loads(service, now)
         if not self.has_ready_replica(service, frozenset(), now):
-            if self.replicas.directory.limited(service, None, now):
+            if self.replicas.directory.eligible.limited(service, None, now):
                 # Permits for replicas that limit requests come by time.
                 self.review(service, line, everywhere, now)
                 return
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_replicas.py
@@ -46,7 +46,7 @@
         self, service: str, avoid: frozenset[str], now: float
     ) -> list[plain_placement.Candidate]:
         """Returns the replicas that may be sent a call, with their loads."""
-        ready = self.directory.ready(service, now, avoid)
+        ready = self.directory.eligible.ready(service, now, avoid)
         return self.with_loads(service, ready, now)
 
     def responsive_with_loads(
@@ -55,8 +55,8 @@
         """Returns the replicas that respond, with their loads.
 
         One that has just refused a call of this node is among them. There may
-        be none although `directory.ready` returns some: where all are silent,
-        it returns those that may still answer on a new connection.
+        be none although `directory.eligible.ready` returns some: where all are
+        silent, it returns those that may still answer on a new connection.
         """
         return self.with_loads(
             service, self.directory.liveness.responsive(service), now
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -108,7 +108,9 @@
         """Engines that can run the prefill."""
         found = []
         now = time.monotonic()
-        for replica in self.directory.engines(service.name, True, now, avoid):
+        for replica in self.directory.eligible.engines(
+            service.name, True, now, avoid
+        ):
             found.append(
                 prompts_module.Engine(replica.instance, replica.address)
             )
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -241,7 +241,7 @@
             await asyncio.sleep(self.propagation_time())
             now = time.monotonic()
             self.admit(progress)
-            alone = self.runs.directory.is_usable(replica.instance)
+            alone = self.runs.directory.eligible.is_usable(replica.instance)
             for subject in suspects:
                 if self.canaries.must_yield(subject, now):
                     alone = False
--- a/packages/gypsumfold/src/gypsumfold/gateway/replica_choice.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/replica_choice.py
@@ -25,7 +25,7 @@
 class ReplicaChoice:
     """Chooses the replica with the least load that is known here.
 
-    >>> ready = directory.ready("seats", now=0.0)
+    >>> ready = directory.eligible.ready("seats", now=0.0)
     >>> directory.choice.least_busy(ready)
     Replica(...)
     """
