--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -2,7 +2,8 @@
 
 A registration in the store isn't proof of life: an entry may lapse while its
 replica lives, and a replica may be dead for seconds before its entry expires.
-So the directory also tracks failures, silence and role changes.
+So failures, silence and role changes are tracked as well, by the objects that
+the directory holds.
 """
 
 from collections.abc import Callable
@@ -10,7 +11,6 @@
 import time
 
 from gypsumfold import events
-from gypsumfold import exceptions
 from gypsumfold.decisions import backoffs as backoffs_module
 from gypsumfold.decisions import cluster_totals
 from gypsumfold.decisions import departures as departures_module
@@ -30,13 +30,6 @@
 from gypsumfold.gateway import replica_statements
 from gypsumfold.gateway import types
 
-# Seconds without new requests for an engine that refused one as not run: it is
-# full or changing its role.
-REFUSAL_PAUSE_SECONDS = 0.25
-# Seconds without new requests for a replica that reports another instance or
-# role than its entry, which is corrected after 1 to 3 s.
-MISTAKEN_PAUSE_SECONDS = 2.0
-
 
 class Directory:
     """Known replicas, their state and this node's open requests at each.
@@ -78,7 +71,6 @@
         self.suspects: set[str] = set()
         self.reachability = reachability_module.Reachability()
         self.has_interrupted_runs: Callable[[str], bool] = lambda _: False
-        self.unreachable_listeners = []
         self.crash_listeners: list[Callable[[types.Replica], None]] = []
         self.alive_listeners: list[Callable[[str], None]] = []
         self.silence = silence_module.SilenceDetector()
@@ -300,52 +292,6 @@
         for listener in self.alive_listeners:
             listener(instance)
 
-    def request_failed(
-        self, instance: str, error: Exception | None, now: float
-    ) -> None:
-        """Records a failed request.
-
-        If the connection ended or could not be opened, the replica is probed:
-        the entry of a crashed one stays for up to four seconds, in which every
-        request sent there would be lost.
-
-        Args:
-            instance: The replica.
-            error: What went wrong; None if it answered with a failure.
-            now: The time.
-        """
-        if isinstance(error, exceptions.EndpointWithheld):
-            return
-        refused = isinstance(error, exceptions.EndpointRefused)
-        if refused and self.backoffs.is_active(instance, now):
-            return
-        silent = isinstance(error, exceptions.EndpointNotStarted | TimeoutError)
-        self.health.failed(instance, silent and not refused, now)
-        if isinstance(error, exceptions.EndpointUnreachable):
-            self.probes.request_fresh(instance)
-            self.report_unreachable(instance)
-        elif isinstance(error, exceptions.AnswerBroken | TimeoutError):
-            self.probes.request(instance)
-
-    def report_unreachable(self, instance: str) -> None:
-        """Has the other nodes probe a replica, unless this one is cut off."""
-        replica = self.replicas.get(instance)
-        if replica is None or self.liveness.is_cut_off(replica.service):
-            return
-        for listener in self.unreachable_listeners:
-            listener(instance)
-
-    def request_refused(
-        self, instance: str, error: exceptions.EndpointRefused, now: float
-    ) -> None:
-        """Pauses a replica that refused a request."""
-        mistaken = isinstance(error, exceptions.EndpointMismatch)
-        self.pause(
-            instance,
-            now,
-            MISTAKEN_PAUSE_SECONDS if mistaken else REFUSAL_PAUSE_SECONDS,
-        )
-
     def pause(self, instance: str, now: float, seconds: float) -> None:
         """Sends a replica no work for some seconds while there are others."""
         self.paused_until[instance] = now + seconds
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -174,7 +174,7 @@
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
         prefix_router.listener = self
-        directory.unreachable_listeners.append(self.report_unreachable)
+        directory.liveness.unreachable_listeners.append(self.report_unreachable)
         directory.removal_listeners.append(self.forget_replica)
         directory.statements.rate_limit_listeners.append(
             self.announce_rate_limit
--- a/packages/gypsumfold/src/gypsumfold/gateway/replica_liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/replica_liveness.py
@@ -26,6 +26,8 @@
             only over open ones.
         find_known: Returns the replicas of a service that are not draining.
         is_connected: Whether an idle connection to a replica is open.
+        unreachable_listeners: Are told of a replica that other nodes should
+            probe.
 
     >>> directory.liveness.suspect("i-1", now)
     >>> directory.liveness.responsive("seats")
@@ -50,6 +52,7 @@
         self.roles = roles
         self.find_known = find_known
         self.is_connected: Callable[[types.Replica], bool] = lambda _: False
+        self.unreachable_listeners: list[Callable[[str], None]] = []
 
     def is_reachable(self, replica: types.Replica) -> bool:
         """Whether a replica answers and a request could be sent to it."""
@@ -172,3 +175,11 @@
             instance=instance,
             unreachable=len(self.reachability.unreachable),
         )
+
+    def report_unreachable(self, instance: str) -> None:
+        """Has the other nodes probe a replica, unless this one is cut off."""
+        replica = self.replicas.get(instance)
+        if replica is None or self.is_cut_off(replica.service):
+            return
+        for listener in self.unreachable_listeners:
+            listener(instance)
