--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -150,14 +150,14 @@
     second = REPLICA._replace(started_at=2000)
     said = types.Statement(time.monotonic(), leaving=True, backoff=REST)
     directory.put(first)
-    directory.record_statement(first, said)
-    assert not directory.is_usable("i-1")
+    directory.statements.record(first, said)
+    assert not directory.eligible.is_usable("i-1")
     directory.put(first)
-    assert not directory.is_usable("i-1"), "the entry took it back"
+    assert not directory.eligible.is_usable("i-1"), "the entry took it back"
     directory.put(second)
-    directory.record_statement(first, said)
-    assert directory.is_usable("i-1")
-    assert directory.engines("lm", False, time.monotonic())
+    directory.statements.record(first, said)
+    assert directory.eligible.is_usable("i-1")
+    assert directory.eligible.engines("lm", False, time.monotonic())
 
 
 @behave.then(
@@ -279,13 +279,13 @@
     directory = directory_module.Directory(random.Random(SEED))
     directory.put(REPLICA)
     now = time.monotonic()
-    directory.record_statement(REPLICA, types.Statement(now, backoff=REST))
+    directory.statements.record(REPLICA, types.Statement(now, backoff=REST))
     directory.probes.request("i-1")
     assert not directory.probes.due(now)
     assert directory.probes.due(now + 2 * REST) == {"i-1"}
     assert "i-1" not in directory.health.failure_rates
-    assert directory.count_usable("lm")["replicas"] == 1
-    assert not directory.is_cut_off("lm")
+    assert directory.liveness.count_usable("lm")["replicas"] == 1
+    assert not directory.liveness.is_cut_off("lm")
 
 
 def rest_of(status, value):
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -142,14 +142,14 @@
 def step_recorded(context):
     now = time.monotonic()
     directory = context.directory
-    directory.confirm_role(ENGINE, decision_types.Role.PREFILL, now + 60)
-    directory.close_until(ENGINE, now + 60)
+    directory.roles.confirm(ENGINE, decision_types.Role.PREFILL, now + 60)
+    directory.roles.close_until(ENGINE, now + 60)
     directory.pause(ENGINE, now, 60)
     directory.health.failed(ENGINE, True, now)
     directory.health.failed(ENGINE, True, now)
     directory.streams.add(ENGINE, 0.5)
     directory.request_started(ENGINE, now - 1)
-    directory.suspect(ENGINE, now)
+    directory.liveness.suspect(ENGINE, now)
     context.homes.caches.add(ENGINE, CHAIN, "m", MEMORY)
     context.planner.pending[ENGINE] = role_planning.PendingOrder(
         decision_types.Role.PREFILL, now + 60
@@ -162,8 +162,8 @@
     now = time.monotonic()
     directory = context.directory
     found = {
-        "role": ENGINE in directory.confirmed_roles,
-        "closed": directory.changing_until.get(ENGINE, -math.inf) > now,
+        "role": ENGINE in directory.roles.confirmed,
+        "closed": directory.roles.changing_until.get(ENGINE, -math.inf) > now,
         "paused": directory.paused_until.get(ENGINE, -math.inf) > now,
         "failing": not directory.health.is_allowed(ENGINE, now),
         "streams": directory.streams.total(ENGINE, now) > 0,
@@ -358,7 +358,7 @@
 @behave.then("the engine is used")
 def step_used(context):
     now = time.monotonic()
-    found = context.directory.engines("lm", False, now)
+    found = context.directory.eligible.engines("lm", False, now)
     assert [one.instance for one in found] == [ENGINE], found
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
@@ -50,9 +50,9 @@
         held = False
         while True:
             now = time.monotonic()
-            if self.directory.engines(service.name, False, now):
+            if self.directory.eligible.engines(service.name, False, now):
                 return
-            since = self.directory.decode_available_at.setdefault(
+            since = self.directory.eligible.decode_available_at.setdefault(
                 service.name, now
             )
             age = now - progress.call.arrival
@@ -96,9 +96,10 @@
             return None
         before = self.change_ends.get(service.name, {})
         ends = {}
-        for replica in self.directory.responsive(service.name):
-            until = self.directory.changing_until.get(replica.instance, 0.0)
-            if until <= now or not self.directory.is_prefill(replica, now):
+        roles = self.directory.roles
+        for replica in self.directory.liveness.responsive(service.name):
+            until = roles.changing_until.get(replica.instance, 0.0)
+            if until <= now or not roles.is_prefill(replica, now):
                 continue
             end = until - role_planning.CLOSED_SECONDS
             first = before.get(replica.instance, end)
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -124,9 +124,9 @@
         self.configurations = configurations_module.Configurations()
         self.pool = connections.Pool(settings.replicas.source)
         self.endpoints = replicas.Replicas(self.pool)
-        self.directory.is_connected = self.endpoints.is_connected
-        self.endpoints.statement_listener = self.directory.record_statement
-        self.endpoints.admission = self.directory.check_backoff
+        self.directory.liveness.is_connected = self.endpoints.is_connected
+        self.endpoints.statement_listener = self.directory.statements.record
+        self.endpoints.admission = self.directory.statements.check_backoff
         self.directory.second_copies.change(settings.copies.policy)
         self.budget = retry_budget.RetryBudget(
             budget_policy(settings), rng.random()
@@ -228,7 +228,9 @@
         self.forward_server.find_departures = lambda: (
             self.directory.departures.recent(time.monotonic())
         )
-        self.forwarder.departure_listener = self.directory.merge_departure
+        self.forwarder.departure_listener = (
+            self.directory.statements.merge_departure
+        )
         self.server = server_module.Server(self.handler, self.configurations)
         self.crash_records = crash_records_module.CrashRecords(
             self.store, self.quarantine, self.gossip.is_store_reader
@@ -351,7 +353,7 @@
         since = time.monotonic() - self.forwarder.accepted_at
         if since > CUT_OFF_EVIDENCE_SECONDS:
             return False
-        return self.directory.is_cut_off_from_most()
+        return self.directory.liveness.is_cut_off_from_most()
 
     def is_ready(self) -> bool:
         """Whether the balancer should send connections here."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -174,10 +174,12 @@
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
         prefix_router.listener = self
-        directory.unreachable_listeners.append(self.report_unreachable)
+        directory.liveness.unreachable_listeners.append(self.report_unreachable)
         directory.removal_listeners.append(self.forget_replica)
-        directory.rate_limit_listeners.append(self.announce_rate_limit)
-        directory.departure_listeners.append(self.announce_departure)
+        directory.statements.rate_limit_listeners.append(
+            self.announce_rate_limit
+        )
+        directory.statements.departure_listeners.append(self.announce_departure)
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
@@ -352,7 +354,7 @@
 
     def take_updates(self, now: float) -> messages.Updates:
         """Returns this node's own updates to send now."""
-        self.outbox.retain_closings(self.directory.changing_until)
+        self.outbox.retain_closings(self.directory.roles.changing_until)
         return self.outbox.take(now)
 
     def choose_relay(self, now: float) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/remote_state.py
@@ -26,7 +26,7 @@
         """Takes in what happened elsewhere."""
         for engine, seconds in updates.closed.items():
             if self.is_newest_incarnation(engine, updates):
-                self.directory.close_until(engine, now + seconds)
+                self.directory.roles.close_until(engine, now + seconds)
         for engine, (role, seconds) in updates.roles.items():
             if self.is_newest_incarnation(engine, updates):
                 self.apply_role(engine, role, now + seconds)
@@ -34,9 +34,11 @@
             if instance not in self.directory.suspects:
                 self.directory.probes.request(instance)
         for instance, (rate, age) in updates.rate_limits.items():
-            self.directory.merge_rate_limit(instance, rate, now - age)
+            self.directory.statements.merge_rate_limit(
+                instance, rate, now - age
+            )
         for instance, (started_at, _) in updates.departures.items():
-            self.directory.merge_departure(instance, started_at)
+            self.directory.statements.merge_departure(instance, started_at)
         for placed in updates.placements:
             self.prefix_router.add_remote_prompt(
                 placed.engine, placed.prefix_hashes, placed.tokens
@@ -58,4 +60,4 @@
         except ValueError as error:
             events.log(events.FRAME_REFUSED, reason=str(error))
             return
-        self.directory.confirm_role(engine, found, until)
+        self.directory.roles.confirm(engine, found, until)
--- a/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/prefills.py
@@ -108,7 +108,9 @@
         """Engines that can run the prefill."""
         found = []
         now = time.monotonic()
-        for replica in self.directory.engines(service.name, True, now, avoid):
+        for replica in self.directory.eligible.engines(
+            service.name, True, now, avoid
+        ):
             found.append(
                 prompts_module.Engine(replica.instance, replica.address)
             )
@@ -159,7 +161,7 @@
             urgency=rank.urgency,
             left=round(progress.time_left(), 3),
         )
-        self.directory.take_permit(replica)
+        self.directory.statements.take_permit(replica)
         instructions = types.Instructions(
             progress.time_left(),
             urgency=rank.urgency,
