Take a retry of a generation once an engine has been chosen

Cause: run_attempts took a retry from the site's budget before the wait for a decode engine and counted a wait that ended with AnswerBroken as an arrival. A request that broke off at the only decode engine took three retries though nothing more was sent, and one that was refused as not run took one. Change: with [roles] refuse_early, the end of such a wait ends the request with its final answer, and the retry is taken once an engine has been chosen. Before the wait it is only checked that a retry is left, with a loan if need be. Without refuse_early the order is as before. Result: with nine retries left, the request that broke off took 3 and takes 0, the refused one took 1 and takes 0, and one for which another engine comes back takes 1 for its second arrival as before.

--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -69,6 +69,15 @@
       | a change ends too late   | 2.5  | 2.25 | 2.4   | told to come back by 2.25 |
       | a change takes too long  | 9.0  | -2.0 | 2.4   | told to come back by 3.0 |
 
+  Scenario Outline: A retry is taken only for an attempt that reaches an engine: <error>, for <waits> s
+    Then a caller that waits <waits> s for an engine that fails with <error> takes <taken> retries, and <runs> runs end in <end>
+
+    Examples:
+      | waits | error           | taken | runs | end          |
+      | 2     | AnswerBroken    | 0     | 1    | AnswerFailed |
+      | 2     | EndpointRefused | 0     | 1    | Unavailable  |
+      | 8     | AnswerBroken    | 1     | 2    | AnswerFailed |
+
   Scenario: Gateways place prompts on after the loss of a decode engine
     Given 6 gateways with a spare decode engine, of which engines change roles
     When a decode engine crashes after 40 seconds
--- a/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/retry_budget.py
@@ -129,8 +129,7 @@
             service: The service that is called again.
             now: The time.
         """
-        enough = self.chance if self.is_recently_restarted(now) else 1.0
-        if self.remaining(service, now) >= enough:
+        if self.has_share_left(service, now):
             self.retries[service].append(now)
             self.taken[service] += 1
             return True
@@ -141,6 +140,17 @@
             return True
         return False
 
+    def has_left(self, service: str, now: float) -> bool:
+        """Whether `allow` would permit a retry."""
+        if self.has_share_left(service, now):
+            return True
+        return trim_and_count(self.loans.get(service), now) > 0
+
+    def has_share_left(self, service: str, now: float) -> bool:
+        """Whether a retry is left of this node's own share."""
+        enough = self.chance if self.is_recently_restarted(now) else 1.0
+        return self.remaining(service, now) >= enough
+
     def remaining(self, service: str, now: float) -> float:
         """Returns what is left of this node's share, without loans."""
         retries = self.retries.setdefault(service, collections.deque())
--- a/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/decode_waits.py
@@ -44,7 +44,7 @@
         """Waits until there is a decode engine, if one is expected in time.
 
         Raises:
-            exceptions.Unavailable: None is, and nothing has run.
+            exceptions.RequestError: None is.
             exceptions.AnswerBroken: None is, and an engine may have run it.
         """
         held = False
@@ -65,15 +65,7 @@
                 self.find_return(service, since, now),
             )
             if not decision.hold:
-                if progress.may_have_run:
-                    raise exceptions.AnswerBroken(
-                        "no decode engine is available"
-                    )
-                raise exceptions.Unavailable(
-                    "no engine generates",
-                    outcomes.Outcome.NOT_RUN,
-                    decision.retry_after,
-                )
+                raise self.refusal(progress, decision)
             if not held:
                 held = True
                 events.log(
@@ -84,6 +76,26 @@
                 )
             await asyncio.sleep(POLL_INTERVAL)
 
+    def refusal(
+        self, progress: progress_module.Progress, decision: outages.Decision
+    ) -> exceptions.GypsumfoldError:
+        """Makes the error that ends a wait.
+
+        With `refuse_early` it also ends a request that may have run: a further
+        attempt would find no engine either.
+        """
+        if not progress.may_have_run:
+            return exceptions.Unavailable(
+                "no engine generates",
+                outcomes.Outcome.NOT_RUN,
+                decision.retry_after,
+            )
+        if not self.refuse_early:
+            return exceptions.AnswerBroken("no decode engine is available")
+        if progress.answer_started:
+            return exceptions.AnswerAbandoned("no decode engine is available")
+        return progress.final_error()
+
     def find_return(
         self, service: types.Service, since: float, now: float
     ) -> outages.Return | None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -158,11 +158,11 @@
         """
         for attempt in range(MAX_ATTEMPTS):
             self.quarantine.admit(progress)
-            if progress.needs_retry():
-                if not await self.retry_permits.take(service.name):
-                    progress.log_retry_refused(service.name)
-                    break
-                progress.has_retry = True
+            if not await self.retry_permits.may_attempt(
+                service.name, progress, self.waits.refuse_early
+            ):
+                progress.log_retry_refused(service.name)
+                break
             if attempt:
                 progress.log_retry(
                     "the prompt was taken back"
@@ -243,6 +243,7 @@
             await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
         if choice is not None:
+            await self.retry_permits.take_for(service.name, progress)
             handle = await self.prefill_copies.run(
                 choice, route, service, progress
             )
@@ -266,6 +267,7 @@
             raise exceptions.EndpointUnavailable(
                 "no decode engine is available"
             )
+        await self.retry_permits.take_for(service.name, progress)
         await self.run(decoder, route, service, stream, progress)
 
     async def borrow_permit(
--- a/packages/gypsumfold/src/gypsumfold/gateway/retry_permits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/retry_permits.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 import time
 
+from gypsumfold import exceptions
 from gypsumfold.decisions import retry_budget
+from gypsumfold.gateway import progress as progress_module
 
 # Kind of the allowances of which nodes lend each other parts.
 KIND = "retries"
@@ -38,11 +40,54 @@
 
     async def take(self, service: str) -> bool:
         """Takes a retry out of this node's share, or out of a loan."""
-        if self.budget.allow(service, time.monotonic()):
+        if not await self.is_available(service):
+            return False
+        return self.budget.allow(service, time.monotonic())
+
+    async def is_available(self, service: str) -> bool:
+        """Whether a retry is left; asks for a loan if none is."""
+        if self.budget.has_left(service, time.monotonic()):
             return True
-        if await self.request_loan(KIND, service) and self.budget.allow(
+        if await self.request_loan(KIND, service) and self.budget.has_left(
             service, time.monotonic()
         ):
             return True
         self.budget.refused[service] += 1
         return False
+
+    async def may_attempt(
+        self, service: str, progress: progress_module.Progress, is_late: bool
+    ) -> bool:
+        """Whether a request may make its next attempt.
+
+        Args:
+            service: The service.
+            progress: Progress of the request.
+            is_late: Whether a retry is taken by `take_for` only, as the attempt
+                may end before a replica is chosen.
+        """
+        if not progress.needs_retry():
+            return True
+        if is_late:
+            return await self.is_available(service)
+        progress.has_retry = await self.take(service)
+        return progress.has_retry
+
+    async def take_for(
+        self, service: str, progress: progress_module.Progress
+    ) -> None:
+        """Takes the retry of an attempt for which a replica was chosen.
+
+        Raises:
+            exceptions.RequestError: It needs one and none is left.
+            exceptions.AnswerAbandoned: The same, and the answer has started.
+        """
+        if not progress.needs_retry():
+            return
+        progress.has_retry = await self.take(service)
+        if progress.has_retry:
+            return
+        progress.log_retry_refused(service)
+        if progress.answer_started:
+            raise exceptions.AnswerAbandoned("no retry is left")
+        raise progress.final_error()
