Confirm a shortage of spares that comes and goes

Cause: the 5 s for which spares must be missing began anew whenever there were enough for a moment. With streams near a limit, a spare that was missing most of the time was never added. Change: decisions/shortages.py adds up the time in which spares were missing. A spare is also added once it was missing for 18 of the last 30 s since the split last changed. A need that is there half of the time isn't confirmed: the scenario 'Spares are added although the number that is missing changes' asks for one spare where a second one is needed half of the time.

--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -44,6 +44,17 @@
     Then there are 1 spares
     And a shortage was reported
 
+  Scenario Outline: A spare is added if the need for it keeps coming back: <seconds> of every <period> s
+    Given 45 engines in 4 data centres, 1 spares and data centres that may be lost: no
+    And streams that fill 0.7 engines for <seconds> of every <period> seconds from second 60, else 0.5
+    When the split is planned for 90 seconds
+    Then there are <kept> spares
+
+    Examples:
+      | seconds | period | kept |
+      | 4.5     | 6.5    | 2    |
+      | 4.0     | 8.0    | 1    |
+
   Scenario: Spreading does not make a plan slow
     When 4 of 2900 engines are picked with and without spreading
     Then spreading takes at most 5 times as long
--- a/features/steps/role_reserve_steps.py
+++ b/features/steps/role_reserve_steps.py
@@ -131,6 +131,19 @@
     )
 
 
+@behave.given(
+    "streams that fill 0.7 engines for {seconds:f} of every {period:f} seconds "
+    "from second 60, else 0.5"
+)
+def step_return(context, seconds, period):
+    # Guards against a need that is never confirmed as it comes and goes.
+    context.play.load = lambda now: (
+        45,
+        0.7 if now >= 60 and (now - 60) % period < seconds else 0.5,
+        45,
+    )
+
+
 @behave.when(
     "{count:d} decode engines are lost for good after {seconds:d} seconds"
 )
--- a/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/decode_reserve.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from gypsumfold.decisions import role_changes
+from gypsumfold.decisions import shortages as shortages_module
 from gypsumfold.decisions import types
 
 # Fraction of the remaining decode engines that the running streams may fill
@@ -148,6 +149,7 @@
         self.direction = 0
         self.wanted = 0
         self.wanted_since = -math.inf
+        self.shortages = shortages_module.RecentShortages()
         # When prefill last had no room for the missing spares; None before
         # there is traffic.
         self.pressed_at: float | None = None
@@ -232,7 +234,8 @@
 
         A load near a limit makes the wanted number flicker, for example from 1
         to 2 and back. The time restarts only with another direction, since the
-        spares that are wanted throughout would otherwise never be added.
+        spares that are wanted throughout would otherwise never be added. Those
+        that are wanted again and again are due after enough time in all.
 
         Args:
             wanted: Number of spares wanted now.
@@ -250,16 +253,25 @@
             self.wanted = wanted
             self.wanted_since = now
         self.wanted = min(self.wanted, wanted)
+        if at_once:
+            # The spares are set to what is wanted now.
+            self.shortages.clear()
+        self.shortages.record(wanted - self.spares, now)
         if direction == 0:
             return False
         stable = MISSING_SECONDS if direction > 0 else STABLE_SECONDS
         is_due = settled and now - self.wanted_since >= stable
+        confirmed = self.shortages.confirmed()
+        if direction > 0 and settled and not is_due and confirmed:
+            is_due = True
+            self.wanted = min(wanted, self.spares + confirmed)
         if not is_due and not at_once:
             return False
         if direction < 0 and is_overloaded:
             self.quiet_seconds = min(MAX_QUIET_SECONDS, 2 * self.quiet_seconds)
         self.spares = wanted if at_once else self.wanted
         self.direction = 0
+        self.shortages.clear()
         return True
 
     def observe_prefill(self, prefill: Prefill, now: float) -> None:
