--- a/features/role_reserve.feature
+++ b/features/role_reserve.feature
@@ -44,6 +44,17 @@
     Then there are 1 spares
     And a shortage was reported
 
+  Scenario Outline: A spare is added if the need for it keeps coming back: <seconds> of every <period> s
+    Given 45 engines in 4 data centres, 1 spares and data centres that may be lost: no
+    And streams that fill 0.7 engines for <seconds> of every <period> seconds from second 60, else 0.5
+    When the split is planned for 90 seconds
+    Then there are <kept> spares
+
+    Examples:
+      | seconds | period | kept |
+      | 4.5     | 6.5    | 2    |
+      | 4.0     | 8.0    | 1    |
+
   Scenario: Spreading does not make a plan slow
     When 4 of 2900 engines are picked with and without spreading
     Then spreading takes at most 5 times as long
@@ -69,6 +80,15 @@
       | a change ends too late   | 2.5  | 2.25 | 2.4   | told to come back by 2.25 |
       | a change takes too long  | 9.0  | -2.0 | 2.4   | told to come back by 3.0 |
 
+  Scenario Outline: A retry is taken only for an attempt that reaches an engine: <error>, for <waits> s
+    Then a caller that waits <waits> s for an engine that fails with <error> takes <taken> retries, and <runs> runs end in <end>
+
+    Examples:
+      | waits | error           | taken | runs | end          |
+      | 2     | AnswerBroken    | 0     | 1    | AnswerFailed |
+      | 2     | EndpointRefused | 0     | 1    | Unavailable  |
+      | 8     | AnswerBroken    | 1     | 2    | AnswerFailed |
+
   Scenario: Gateways place prompts on after the loss of a decode engine
     Given 6 gateways with a spare decode engine, of which engines change roles
     When a decode engine crashes after 40 seconds
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -26,6 +26,7 @@
 from gypsumfold.gateway import engine_roles
 from gypsumfold.gateway import probe_schedule
 from gypsumfold.gateway import replica_choice
+from gypsumfold.gateway import replica_index
 from gypsumfold.gateway import replica_liveness
 from gypsumfold.gateway import replica_statements
 from gypsumfold.gateway import types
@@ -63,7 +64,7 @@
 
     def __init__(self, rng: random.Random):
         self.rng = rng
-        self.replicas: dict[str, types.Replica] = {}
+        self.replicas = replica_index.ReplicaIndex()
         self.paused_until: dict[str, float] = {}
         self.lapses_at: dict[str, float] = {}
         self.roles = engine_roles.EngineRoles(self.paused_until)
@@ -274,8 +275,8 @@
             # Housekeeping would do this up to a second later.
             self.expire(time.monotonic())
         found = []
-        for replica in self.replicas.values():
-            if replica.service == service and not replica.draining:
+        for replica in self.replicas.of(service):
+            if not replica.draining:
                 found.append(replica)
         return found
 
