End canaries of parts that were answered, and judge parts by version

The logs show no placement at all after a canary had broken off: its shared beginning had become sound at its gateway meanwhile, so that it was neither held nor ended, and the gateway told the others for good that it runs. Two more causes kept the shared beginning suspected: crashes of one software version were only cleared by an answer of that version, whose last engine is chosen least; and a canary went on for the whole answer although its parts were cleared after 1 s.

An interrupted run is a canary no more, and neither is a run for its parts once they are sound. A part that the version of the chosen engine has answered needs no turn there; if the chosen engine has another version and its turn is taken, a request goes to an engine of a version that has answered its parts. A copy that ends doesn't end the canary of another replica. Log lines and the count of independent crashes have modules of their own.

On the code before, five of the six new examples of "Sound requests begin again" and both new direct scenarios failed; the example with 2 engines of 1 version passed there as well.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -35,6 +35,28 @@
       | 9     | replicas that are killed often   | 1     |
       | 9     | all gateways started again       | 1     |
 
+  Scenario Outline: Sound requests begin again after a crashing part that came first: <engines> decode engines of <versions> versions, <answers> answers
+    Then in each of <plays> plays before <nodes> gateways with <engines> decode engines of <versions> versions and <answers> answers sound requests begin again after a crashing part that came first
+
+    Examples:
+      | nodes | engines | versions | answers     | plays |
+      | 3     | 2       | 2        | short       | 4     |
+      | 3     | 3       | 3        | short       | 4     |
+      | 3     | 2       | 2        | long        | 3     |
+      | 3     | 4       | 2        | long        | 1     |
+      | 3     | 2       | 1        | interrupted | 1     |
+      | 3     | 3       | 3        | interrupted | 4     |
+
+  Scenario: A canary of a part that was answered ends with its replica
+    Given a canary of a part that has crashed 2 replicas
+    When it gives output for 2 seconds and its replica ends
+    Then the part is free once it is known how the replica ended
+
+  Scenario: A part isn't refused for two replicas that ended under it and a crash of another part
+    Given a part in 1 crash that is attributed to another part
+    When 2 replicas of version "v1" end under it one after the other
+    Then requests with the part run as canaries
+
   Scenario: Replicas that end together count once for a part
     Given a part of which 5 replicas ended within a second
     Then requests with the part are not refused
--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -90,15 +90,25 @@
         )
         self.pending_sends[place] = SEND_TIMES
 
-    def end(self, fingerprint: int, now: float) -> bool:
+    def end(
+        self, fingerprint: int, now: float, instance: str | None = None
+    ) -> bool:
         """Records the end of a canary of this node.
 
+        Args:
+            fingerprint: The request's fingerprint.
+            now: The time.
+            instance: Its replica, as a copy may end beside the canary of a
+                replica with other software; None for any.
+
         Returns:
             Whether one was running.
         """
         found = self.known.get((fingerprint, self.owner))
         if found is None or found.until <= now:
             return False
+        if instance is not None and found.instance != instance:
+            return False
         self.known[fingerprint, self.owner] = found._replace(until=now)
         self.pending_sends[fingerprint, self.owner] = SEND_TIMES
         return True
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -21,6 +21,7 @@
 from collections.abc import Iterable
 import math
 
+from gypsumfold.decisions import crash_counts
 from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import sound_parts
 from gypsumfold.decisions import subjects as subjects_module
@@ -37,8 +38,6 @@
 SOLE_CRASHES = 2
 # Crashes after which that is so without any of them.
 CERTAIN_CRASHES = 5
-# Crashes within this time may have one cause, such as a data centre's loss.
-TOGETHER_SECONDS = 1.0
 # Length of the first quarantine. One run is tried after it, since a new version
 # of the service may handle the request.
 QUARANTINE_SECONDS = 600.0
@@ -218,7 +217,7 @@
         for replica in self.suspicions(fingerprint):
             crash = self.crashes[replica]
             runs.append((crash.at, fingerprint in crash.alone))
-        return count_independent(runs)
+        return crash_counts.count_independent(runs)
 
     def max_crashes(self, fingerprint: int, now: float) -> int:
         """Returns after how many crashes a subject goes into quarantine.
@@ -327,15 +326,23 @@
 
         They don't if other subjects, which a request doesn't hold, explain them
         as well: several parts that crash replicas may come with one beginning.
-        Nor do they if the part was hardly ever a request's only suspect.
+        Nor do they if the part was hardly ever a request's only suspect, or if
+        too few are left without those that are attributed to another subject:
+        replicas may end by themselves while the part runs on them.
 
         Args:
             part: The part.
             held: The subjects of the request, this part included.
         """
         sole = 0
+        runs = []
         for replica in self.suspicions(part):
-            sole += self.is_sole_suspect(self.crashes[replica], part)
+            crash = self.crashes[replica]
+            sole += self.is_sole_suspect(crash, part)
+            if crash.cause is None or crash.cause in held:
+                runs.append((crash.at, part in crash.alone))
+        if crash_counts.count_independent(runs) < MAX_CRASHES:
+            return False
         certain = self.evidence(part) >= CERTAIN_CRASHES
         if sole < SOLE_CRASHES and not certain:
             return False
@@ -383,12 +390,19 @@
         for replica in suspected:
             crash = self.crashes[replica]
             runs.append((crash.at, subject in crash.alone))
-        return count_independent(runs) > 1
+        return crash_counts.count_independent(runs) > 1
 
     def count(self, fingerprint: int) -> int:
         """Counts the crashes of which a subject is suspected."""
         return len(self.suspicions(fingerprint))
 
+    def any_repeated(self, parts: Iterable[int]) -> bool:
+        """Whether requests with one of some parts have crashed replicas.
+
+        Once is no reason: each crash interrupts many requests.
+        """
+        return any(self.count(part) >= MAX_CRASHES - 1 for part in parts)
+
     def count_before_output(self, fingerprint: int) -> int:
         """Counts the crashes that interrupted a request before it gave output.
 
@@ -424,12 +438,18 @@
         return crash_types.Decision.CANARY
 
     def judge(
-        self, subjects: Iterable[int], now: float
+        self, subjects: Iterable[int], now: float, version: int = 0
     ) -> crash_types.Judgement:
         """Decides how a request may be sent, from all its subjects.
 
         It is refused for a part only if it holds all that may have caused the
         part's crashes. Otherwise it runs as a canary, which tells them apart.
+
+        Args:
+            subjects: The subjects.
+            now: The time.
+            version: Digest of the software version that would run it; 0 for
+                any. Parts that are sound with it are no reason for a canary.
         """
         subjects = frozenset(subjects)
         suspects = []
@@ -437,13 +457,13 @@
             decision = self.decide(subject, now)
             if decision == crash_types.Decision.FREE:
                 continue
-            suspects.append(subject)
-            if decision == crash_types.Decision.CANARY:
-                continue
-            is_part = subjects_module.is_part(subject)
-            if not is_part or self.is_conclusive(subject, subjects):
-                until = self.quarantined[subject]
-                return crash_types.Judgement(decision, (), subject, until)
+            if decision == crash_types.Decision.QUARANTINED:
+                is_part = subjects_module.is_part(subject)
+                if not is_part or self.is_conclusive(subject, subjects):
+                    until = self.quarantined[subject]
+                    return crash_types.Judgement(decision, (), subject, until)
+            if not self.sound.is_sound(subject, version):
+                suspects.append(subject)
         if suspects:
             return crash_types.Judgement(
                 crash_types.Decision.CANARY, tuple(suspects)
@@ -524,22 +544,3 @@
                 elif now - crash.at < RECENT_SECONDS:
                     single.append((replica, fingerprint))
         self.repeats.extend(single)
-
-
-def count_independent(runs: list[tuple[float, bool]]) -> int:
-    """Counts crashes, those at about the same time once.
-
-    Args:
-        runs: When each crash was, and whether its suspect ran alone. Those
-            that ran alone all count: only one copy was running.
-    """
-    count = 0
-    together_until = -math.inf
-    for at, alone in sorted(runs):
-        if alone:
-            count += 1
-            continue
-        if at >= together_until:
-            together_until = at + TOGETHER_SECONDS
-            count += 1
-    return count
--- a/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
@@ -65,6 +65,11 @@
     return tuple(found)
 
 
+def version_of(replica: types.Replica | None) -> int:
+    """Hashes a replica's software version; 0 if there is no replica."""
+    return subjects.version_digest(replica.version) if replica else 0
+
+
 def to_hex(value: int) -> str:
     """Formats a fingerprint as in log lines."""
     return f"{value:0{2 * DIGEST_BYTES}x}"
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import time
 
 from gypsumfold import events
@@ -237,7 +238,7 @@
         # The decode engine processes the prompt of a recurring suspect itself,
         # so that nothing of it arrives anywhere before its turn, and that of a
         # moved prompt whose second prefill failed.
-        is_suspect = self.quarantine.is_recurring_suspect(progress)
+        is_suspect = self.quarantine.crash_log.any_repeated(progress.parts)
         may_prefill = progress.may_prefill and not is_suspect
         if not progress.prefill_address and may_prefill:
             await self.borrow_permit(service, True, progress)
@@ -252,9 +253,7 @@
         decoder = await self.quarantine.place(
             progress,
             route,
-            lambda: self.choose_decode_engine(
-                service, progress.handle, progress
-            ),
+            functools.partial(self.choose_decode_engine, service, progress),
         )
         if decoder is None:
             if self.directory.limited(
@@ -379,11 +378,12 @@
     def choose_decode_engine(
         self,
         service: types.Service,
-        handle: types.Handle | None,
         progress: progress_module.Progress,
+        fits: Callable[[types.Replica], bool],
     ) -> types.Replica | None:
-        """Chooses the decode engine, for a stream one of its version."""
+        """Chooses a decode engine that fits, for a stream of its version."""
         now = time.monotonic()
+        handle = progress.handle
         origin = progress.origin
         data_centre = ""
         if handle is not None and handle.engine in self.directory.replicas:
@@ -395,8 +395,9 @@
         found = found or self.directory.engines(
             service.name, False, now, origin=origin
         )
+        fitting = [engine for engine in found if fits(engine)]
         return self.directory.choice.least_loaded(
-            found, data_centre, self.endpoints.is_connected
+            fitting, data_centre, self.endpoints.is_connected
         )
 
     async def run(
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -92,7 +92,9 @@
                 if not await self.take_retry(service, progress):
                     break
             replica = await self.quarantine.place(
-                progress, route, lambda: self.choose(service, progress)
+                progress,
+                route,
+                functools.partial(self.choose, service, progress),
             )
             if replica is None:
                 progress.backoff_end = self.directory.backoff_end(
@@ -162,15 +164,20 @@
             await self.rate_permits.borrow(limited)
 
     def choose(
-        self, service: str, progress: progress_module.Progress
+        self,
+        service: str,
+        progress: progress_module.Progress,
+        fits: Callable[[types.Replica], bool],
     ) -> types.Replica | None:
-        """Chooses a replica that has not failed this call."""
+        """Chooses a replica that has not failed this call, if it fits."""
         if self.shared is not None:
-            return self.shared.replicas.choose(service, progress.avoid)
-        ready = self.directory.ready(
-            service, time.monotonic(), avoid=progress.avoid
-        )
-        return self.directory.choice.least_busy(ready, self.data_centre)
+            found = self.shared.replicas.choose(service, progress.avoid)
+        else:
+            ready = self.directory.ready(
+                service, time.monotonic(), avoid=progress.avoid
+            )
+            found = self.directory.choice.least_busy(ready, self.data_centre)
+        return found if found is not None and fits(found) else None
 
     def can_retry(
         self, route: routes.Route, progress: progress_module.Progress
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import math
 import random
 import time
@@ -23,6 +24,7 @@
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import runs as runs_module
+from gypsumfold.gateway import suspect_events
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import crash_updates
 from gypsumfold.gateway.peers import messages
@@ -38,6 +40,9 @@
 # sound: a part that crashes replicas does so when an answer begins.
 SOUND_AFTER_SECONDS = 1.0
 
+# Chooses a replica among those for which a check holds.
+Choose = Callable[[Callable[[types.Replica], bool]], types.Replica | None]
+
 
 class Quarantine:
     """Decides whether and where a request may run, from its previous crashes.
@@ -104,22 +109,26 @@
         self,
         progress: progress_module.Progress,
         route: routes.Route,
-        choose: Callable[[], types.Replica | None],
+        choose: Choose,
     ) -> types.Replica | None:
         """Waits until a request may run on the replica that is chosen then.
 
+        While another request with the same parts is the canary of a software
+        version, it runs on a replica of a version that has answered them.
+
         Args:
             progress: Progress of the request.
             route: Its route.
-            choose: Chooses a replica; returns None if there is none.
+            choose: Chooses among the replicas that fit; returns None if there
+                is none.
 
         Raises:
             exceptions.RequestError: It may not run soon enough.
             exceptions.AnswerAbandoned: It may not run soon enough, and its
                 answer has started.
         """
-        replica = choose()
-        if replica is None or self.is_unsuspected(progress):
+        replica = choose(lambda replica: True)
+        if replica is None or self.is_unsuspected(progress, replica):
             return replica
         started = time.monotonic()
         age = 0.0
@@ -129,16 +138,20 @@
             progress.time_left(), age
         )
         while replica is not None:
+            crashes = self.most_crashes(progress.subjects)
             if await self.reserve(progress, replica):
                 held = time.monotonic() - started
-                self.log_held(progress, held, True)
+                suspect_events.log_held(progress, crashes, held, True)
                 return replica
+            other = choose(functools.partial(self.is_unsuspected, progress))
+            if other is not None:
+                return other
             await asyncio.sleep(POLL_INTERVAL * random.uniform(0.5, 1.5))
             self.admit(progress)
-            replica = choose()
+            replica = choose(lambda replica: True)
             held = time.monotonic() - started
             if held >= max_hold:
-                self.log_held(progress, held, False)
+                suspect_events.log_held(progress, crashes, held, False)
                 if progress.answer_started:
                     raise exceptions.AnswerAbandoned(
                         "no replica is free for the request"
@@ -169,44 +182,28 @@
             left += engine.instance not in crashed | progress.avoid
         return left <= 1
 
-    def is_recurring_suspect(self, progress: progress_module.Progress) -> bool:
-        """Whether requests with a part of a prompt have crashed replicas.
-
-        Once is no reason: each crash interrupts many requests.
-        """
-        for part in progress.parts:
-            if self.crash_log.count(part) >= crashes_module.MAX_CRASHES - 1:
-                return True
-        return False
-
-    def log_held(
-        self, progress: progress_module.Progress, held: float, placed: bool
-    ) -> None:
-        """Logs how long a suspected request was held, and whether it runs."""
-        events.log(
-            events.SUSPECT_HELD,
-            request=progress.call.id,
-            fingerprint=fingerprints.to_hex(progress.fingerprint),
-            crashes=self.most_crashes(progress.subjects),
-            seconds=round(held, 3),
-            placed=placed,
-        )
-
     def most_crashes(self, subjects_held: tuple[int, ...]) -> int:
         """Counts the crashes of the most suspected of some subjects."""
         return max(self.crash_log.count(subject) for subject in subjects_held)
 
-    def is_unsuspected(self, progress: progress_module.Progress) -> bool:
-        """Whether a request may be sent to any replica."""
+    def is_unsuspected(
+        self,
+        progress: progress_module.Progress,
+        replica: types.Replica | None = None,
+    ) -> bool:
+        """Whether a request may be sent to a replica; to any one if None."""
         now = time.monotonic()
+        version = fingerprints.version_of(replica)
         for subject in progress.subjects:
-            if self.is_blocked(subject, now):
+            if self.is_blocked(subject, now, version):
                 return False
-        judgement = self.crash_log.judge(progress.subjects, now)
+        judgement = self.crash_log.judge(progress.subjects, now, version)
         return judgement.decision == crash_types.Decision.FREE
 
-    def is_blocked(self, subject: int, now: float) -> bool:
+    def is_blocked(self, subject: int, now: float, version: int) -> bool:
         """Whether a copy of a subject runs as a canary or may have crashed."""
+        if self.crash_log.sound.is_sound(subject, version):
+            return False
         known = self.crash_log.sound.is_known(subject)
         if known and not self.crash_log.suspicions(subject):
             return False
@@ -230,7 +227,9 @@
         if not self.can_run(progress, replica):
             return False
         now = time.monotonic()
-        suspects = self.crash_log.judge(progress.subjects, now).suspects
+        suspects = self.crash_log.judge(
+            progress.subjects, now, fingerprints.version_of(replica)
+        ).suspects
         if not self.needs_reservation(suspects):
             return True
         for subject in suspects:
@@ -247,7 +246,7 @@
                     alone = False
         finally:
             if not alone:
-                self.end_canaries(suspects)
+                self.end_canaries(suspects, replica)
         return alone
 
     def needs_reservation(self, suspects: tuple[int, ...]) -> bool:
@@ -264,24 +263,27 @@
     ) -> bool:
         """Whether a request may run on a replica now."""
         now = time.monotonic()
+        version = fingerprints.version_of(replica)
         for subject in progress.subjects:
-            if self.is_blocked(subject, now):
+            if self.is_blocked(subject, now, version):
                 return False
-        suspects = self.crash_log.judge(progress.subjects, now).suspects
-        if not suspects:
+        judgement = self.crash_log.judge(progress.subjects, now, version)
+        if not judgement.suspects:
             return True
         return self.canaries.is_unused(replica.instance, now)
 
     def record_start(self, run: runs_module.Run) -> None:
         """Records that a request starts to run."""
         now = time.monotonic()
-        run.suspects = self.crash_log.judge(run.subjects, now).suspects
+        run.suspects = self.crash_log.judge(
+            run.subjects, now, fingerprints.version_of(run.replica)
+        ).suspects
         for subject in run.subjects:
             if subject in run.suspects:
                 self.canaries.start(subject, run.replica.instance)
                 continue
             # It may have been cleared since it was reserved.
-            self.canaries.end(subject, now)
+            self.canaries.end(subject, now, run.replica.instance)
         if run.suspects:
             self.notify_peers()
 
@@ -304,15 +306,20 @@
             self.end_canary(run)
 
     def record_sound_parts(self, run: runs_module.Run) -> None:
-        """Records that a run has passed the point at which parts crash."""
-        version = subjects.version_digest(run.replica.version)
+        """Records that a run has passed the point at which parts crash.
+
+        It is no canary for these parts any more: nodes that have not seen them
+        answered would wait for its end, however long its answer is.
+        """
+        version = fingerprints.version_of(run.replica)
+        self.end_canary(run, run.parts)
         for part in run.parts:
             crashes = self.crash_log.answered(part, version)
             if not crashes:
                 continue
             if crashes > 1:
                 self.store_crashes(part)
-            self.log_cleared(part, run)
+            suspect_events.log_cleared(part, run.replica)
             self.notify_peers()
 
     def record_completion(self, run: runs_module.Run) -> None:
@@ -322,28 +329,31 @@
         if self.crash_log.count(run.fingerprint) > 1:
             self.store_crashes(run.fingerprint)
         if self.crash_log.completed(run.fingerprint):
-            self.log_cleared(run.fingerprint, run)
+            suspect_events.log_cleared(run.fingerprint, run.replica)
 
-    def log_cleared(self, subject: int, run: runs_module.Run) -> None:
-        """Logs that a subject is suspected no more."""
-        events.log(
-            events.SUSPECT_CLEARED,
-            fingerprint=fingerprints.to_hex(subject),
-            part=subjects.is_part(subject),
-            instance=run.replica.instance,
-        )
-
-    def end_canary(self, run: runs_module.Run) -> None:
-        """Records that a run has ended, completed or not."""
-        suspects, run.suspects = run.suspects, ()
-        self.end_canaries(suspects)
+    def end_canary(
+        self, run: runs_module.Run, cleared: tuple[int, ...] | None = None
+    ) -> None:
+        """Records that a run is no canary any more.
 
-    def end_canaries(self, suspects: tuple[int, ...]) -> None:
-        """Ends canaries and holds of this node."""
+        Args:
+            run: The run.
+            cleared: The subjects for which it is none; None for all.
+        """
+        ended = run.suspects
+        if cleared is not None:
+            ended = tuple(one for one in run.suspects if one in cleared)
+        run.suspects = tuple(one for one in run.suspects if one not in ended)
+        self.end_canaries(ended, run.replica)
+
+    def end_canaries(
+        self, suspects: tuple[int, ...], replica: types.Replica
+    ) -> None:
+        """Ends canaries and holds of this node at a replica."""
         now = time.monotonic()
         ended = False
         for subject in suspects:
-            ended |= self.canaries.end(subject, now)
+            ended |= self.canaries.end(subject, now, replica.instance)
         if ended:
             self.notify_peers()
 
@@ -352,9 +362,11 @@
         if not self.runs.add(run):
             return
         run.was_canary = bool(run.suspects)
-        run.suspects = ()
+        # A part that has become sound is not held below, and its canary would
+        # run forever.
+        self.end_canary(run)
         now = time.monotonic()
-        version = subjects.version_digest(run.replica.version)
+        version = fingerprints.version_of(run.replica)
         for subject in run.subjects:
             if self.crash_log.sound.is_sound(subject, version):
                 continue
@@ -366,7 +378,7 @@
     def record_survival(self, interrupted: list[runs_module.Run]) -> None:
         """Records that a replica did not crash: its connections were reset."""
         for run in interrupted:
-            self.end_canaries(run.subjects)
+            self.end_canaries(run.subjects, run.replica)
 
     def record_crash(self, crash: runs_module.Crash) -> None:
         """Records a crash that interrupted runs of this node.
@@ -377,7 +389,7 @@
         silent = []
         others = []
         for run in crash.runs:
-            self.end_canaries(run.subjects)
+            self.end_canaries(run.subjects, run.replica)
             later = run.has_output or run.is_prefill
             (others if later else silent).append(run)
         for run in silent + others:
@@ -389,7 +401,7 @@
         replica = crash_types.Incarnation(
             run.replica.instance, run.replica.started_at
         )
-        version = subjects.version_digest(run.replica.version)
+        version = fingerprints.version_of(run.replica)
         for subject in run.subjects:
             if run.is_prefill and subjects.is_part(subject):
                 continue
@@ -401,30 +413,13 @@
                 run.was_canary,
                 version,
             )
-            self.log_quarantine(subject, quarantined, replica)
+            if quarantined:
+                suspect_events.log_quarantine(
+                    subject, replica, self.crash_log.suspicions(subject)
+                )
             if self.crash_log.count(subject) > 1:
                 self.store_crashes(subject)
 
-    def log_quarantine(
-        self,
-        fingerprint: int,
-        quarantined: bool,
-        replica: crash_types.Incarnation,
-    ) -> None:
-        """Logs that a quarantine starts, if it does."""
-        if not quarantined:
-            return
-        crashes = []
-        for suspicion in self.crash_log.suspicions(fingerprint):
-            crashes.append(suspicion.instance)
-        events.log(
-            events.QUARANTINE_BEGUN,
-            fingerprint=fingerprints.to_hex(fingerprint),
-            part=subjects.is_part(fingerprint),
-            instance=replica.instance,
-            crashes=sorted(crashes),
-        )
-
     def updates(self, limit: int) -> crash_updates.UpdateBatch:
         """Updates to send to other nodes next, canaries first.
 
@@ -459,10 +454,14 @@
         quarantined_any = False
         for suspicion in suspicions:
             quarantined = self.crash_log.merge(suspicion, forward, now)
-            self.log_quarantine(
-                suspicion.fingerprint, quarantined, suspicion.replica
+            if not quarantined:
+                continue
+            quarantined_any = True
+            suspect_events.log_quarantine(
+                suspicion.fingerprint,
+                suspicion.replica,
+                self.crash_log.suspicions(suspicion.fingerprint),
             )
-            quarantined_any |= quarantined
         return quarantined_any
 
     def merge_message(self, message: messages.CrashUpdate) -> None:
