--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -256,12 +256,12 @@
             version: Digest of the replica's software version.
 
         Returns:
-            Of how many crashes it was suspected by any node.
+            Of how many crashes it was suspected by any node; 0 if that clears
+            it of none of them.
         """
         crashes = len(self.suspected.get(part, ()))
         self.sound.answered(part, version)
-        self.completed(part, version)
-        return crashes
+        return crashes if self.completed(part, version) else 0
 
     def completed(self, fingerprint: int, version: int = 0) -> bool:
         """Clears a subject that has completed.
