--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -256,8 +256,7 @@
             version: Digest of the replica's software version.
 
         Returns:
-            Of how many crashes it was suspected by any node; 0 if that clears
-            it of none of them.
+            Of how many crashes any node suspected it; 0 if none is cleared.
         """
         crashes = len(self.suspected.get(part, ()))
         self.sound.answered(part, version)
