Mend what the review of the merged changes found

Cause, found by reading: a request placed on a replica that has started again and whose registration hasn't been read failed with an internal error, as its software version is None. A canary that was placed could end unsent, for want of a retry or of a permit of the replica, and ran for ever for the others. An engine could leave while a gateway waited for a loan, after it was chosen. Crashes attributed to a request no longer counted against its parts, though only those attributed to other parts were meant to be left out. A long report left out the counts that limit second copies as well.

Change: an unknown version has the digest 0 and clears no part; the retry is taken before the turn, and a canary without a permit ends; the engine is chosen again after the wait; only crashes of other parts are left out; the counts of copies, slow requests and refusals stay in the report.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -53,6 +53,17 @@
     When it gives output for 2 seconds and its replica ends
     Then the part is free once it is known how the replica ended
 
+  # Each request to a replica that had started again failed with an internal error.
+  Scenario: A replica whose software version isn't known yet runs requests
+    Given a canary of a part that has crashed 0 replicas
+    When its replica starts again, and its version isn't known
+    Then a request may run there, and its answer clears no part
+
+  # The canary ran for ever, and requests with the same part waited for it.
+  Scenario: A canary ends that the replica's rate limit keeps from being sent
+    Given a canary of a part that has crashed 2 replicas
+    Then it is not running after a call that finds no permit for its replica
+
   Scenario: A part isn't refused for two replicas that ended under it and a crash of another part
     Given a part in 1 crash that is attributed to another part
     When 2 replicas of version "v1" end under it one after the other
--- a/features/second_copies.feature
+++ b/features/second_copies.feature
@@ -115,6 +115,6 @@
     Then its report has all prompts, and <counts> counts for copies within a datagram
 
     Examples:
-      | routes | counts |
-      | 5      | all    |
-      | 120    | no     |
+      | routes | counts   |
+      | 5      | all      |
+      | 120    | limiting |
--- a/features/steps/second_copies_steps.py
+++ b/features/steps/second_copies_steps.py
@@ -324,5 +324,8 @@
     assert len(frame) <= messages.MAX_DATAGRAM_BYTES, len(frame)
     found = messages.decode_message(seals.Sealer(["key"]).open(frame))
     assert found.updates == context.report.updates
-    expected = context.counts if known == "all" else {}
+    expected = {}
+    for key, count in context.counts.items():
+        if known == "all" or key.startswith(("slow/", "late/")):
+            expected[key] = count
     assert found.loads.answers == expected, len(frame)
--- a/features/steps/serving_after_crashes_steps.py
+++ b/features/steps/serving_after_crashes_steps.py
@@ -1,8 +1,10 @@
 """Steps on serving again once a part that crashes replicas comes no more."""
 
 import asyncio
+import contextlib
 import random
 import time
+from unittest import mock
 
 import behave
 from features.steps import crashing_parts_steps as parts_steps
@@ -11,11 +13,13 @@
 from features.support import virtual_gateways
 from features.support import virtual_parts
 
+from gypsumfold import exceptions
 from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import crash_types
 from gypsumfold.decisions import crashes as crashes_module
 from gypsumfold.decisions import subjects
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import plain_calls
 from gypsumfold.gateway import quarantine as quarantine_module
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import types
@@ -166,9 +170,10 @@
             True,
             version,
         )
+    context.directory = directory
     context.run = runs_module.Run(7, (PART,), REPLICA, is_prefill=False)
     context.quarantine.record_start(context.run)
-    assert PART in context.run.suspects
+    assert (PART in context.run.suspects) == (count > 0)
 
 
 @behave.when("it gives output for {seconds:d} seconds and its replica ends")
@@ -185,6 +190,47 @@
     assert not context.quarantine.canaries.is_running(PART, known)
 
 
+@behave.when("its replica starts again, and its version isn't known")
+def step_started_again(context):
+    context.directory.put(REPLICA._replace(started_at=1000))
+    state = types.State(None, False, 0, 0, 0, started_at=2000)
+    assert context.directory.receive_state(REPLICA.instance, state)
+
+
+@behave.then("a request may run there, and its answer clears no part")
+def step_runs_there(context):
+    replica = context.directory.replicas[REPLICA.instance]
+    assert replica.version is None
+    progress = mock.Mock(subjects=(PART, 8))
+    assert context.quarantine.is_unsuspected(progress, replica)
+    context.run.replica = replica
+    context.quarantine.record_completion(context.run)
+    assert not context.quarantine.crash_log.sound.is_known(PART)
+
+
+@behave.then(
+    "it is not running after a call that finds no permit for its replica"
+)
+def step_no_permit(context):
+    calls = plain_calls.PlainCalls(
+        context.directory,
+        mock.Mock(),
+        mock.Mock(),
+        mock.Mock(),
+        "north",
+        context.quarantine,
+    )
+    now = time.monotonic()
+    context.directory.statements.merge_rate_limit(REPLICA.instance, 0.0, now)
+    progress = mock.Mock(runs=0, subjects=(PART, 7))
+    attempt = calls.attempt(
+        mock.Mock(repeatable=False), progress, REPLICA, None
+    )
+    with contextlib.suppress(exceptions.EndpointLimited):
+        asyncio.run(attempt)
+    assert not context.quarantine.canaries.is_running(PART, time.monotonic())
+
+
 @behave.given("a part in {count:d} crash that is attributed to another part")
 def step_attributed(context, count):
     context.log = crashes_module.CrashLog()
--- a/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/canaries.py
@@ -98,8 +98,8 @@
         Args:
             fingerprint: The request's fingerprint.
             now: The time.
-            instance: Its replica, as a copy may end beside the canary of a
-                replica with other software; None for any.
+            instance: The only replica at which a canary is ended, since runs
+                at replicas of other versions may end meanwhile; None for any.
 
         Returns:
             Whether one was running.
--- a/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/capacity_needs.py
@@ -156,8 +156,9 @@
             what its predecessor kept engines for.
         is_stuck: Whether the replicas have differed from what was ordered for
             so long that the difference counts as permanent.
-        found: Engines that the loss of a data centre's reclaimable ones would
-            have left when the leader took over; 0 once the load was watched.
+        survivors_at_takeover: Engines that the loss of a data centre's
+            reclaimable ones would have left when the leader took over; 0 once
+            the load was watched.
 
     >>> sizer = Sizer()
     >>> sizer.update(45, Load(1.6), engine, policy, 0.0, Progress())
@@ -170,7 +171,7 @@
         self.traffic_since: float | None = None
         self.is_watched = False
         self.is_stuck = False
-        self.found = 0
+        self.survivors_at_takeover = 0
         self.unsettled_since: float | None = None
         self.reduced_at = -math.inf
         self.reducing = ""
@@ -207,7 +208,7 @@
         kept = self.is_watched and progress.is_complete
         self.is_watched = reducible or kept
         if self.is_watched:
-            self.found = 0
+            self.survivors_at_takeover = 0
         settled = self.has_settled(period, now, progress.is_settled)
         self.is_stuck = settled and not progress.is_settled
         wanted = min(policy.limit, self.need.total)
@@ -255,7 +256,10 @@
         remaining: int,
         floor: int,
     ) -> list[int]:
-        """Returns which engines stay steady until the load was watched.
+        """Returns how many steady engines each data centre keeps.
+
+        This holds until the load has been watched for a period. It also records
+        what the leader found at its takeover.
 
         Reclaimable engines that serve take the place of the others. Those that
         are only ordered don't count, as there may be none. Steady engines that
@@ -270,10 +274,12 @@
                 centre's are reclaimed.
             floor: The least number.
         """
-        if not self.found:
-            self.found = sum(counts) + remaining
+        if not self.survivors_at_takeover:
+            self.survivors_at_takeover = sum(counts) + remaining
         # Steady engines that register late were there as well.
-        self.found = max(self.found, sum(counts))
+        self.survivors_at_takeover = max(
+            self.survivors_at_takeover, sum(counts)
+        )
         if not self.may_replace(total):
             return counts
         lasting = [min(pair) for pair in zip(counts, ordered, strict=True)]
@@ -288,7 +294,7 @@
         Args:
             total: The number that is needed.
         """
-        return total >= self.found
+        return total >= self.survivors_at_takeover
 
     def observe(
         self, load: Load, engine: Engine, policy: Policy, now: float
--- a/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/crashes.py
@@ -326,7 +326,7 @@
         They don't if other subjects, which a request doesn't hold, explain them
         as well: several parts that crash replicas may come with one beginning.
         Nor do they if the part was hardly ever a request's only suspect, or if
-        too few are left without those that are attributed to another subject:
+        too few are left without those that are attributed to another part:
         replicas may end by themselves while the part runs on them.
 
         Args:
@@ -338,7 +338,12 @@
         for replica in self.suspicions(part):
             crash = self.crashes[replica]
             sole += self.is_sole_suspect(crash, part)
-            if crash.cause is None or crash.cause in held:
+            cause = crash.cause
+            if (
+                cause is None
+                or cause in held
+                or not subjects_module.is_part(cause)
+            ):
                 runs.append((crash.at, part in crash.alone))
         if crash_counts.count_independent(runs) < MAX_CRASHES:
             return False
@@ -395,7 +400,7 @@
         """Counts the crashes of which a subject is suspected."""
         return len(self.suspicions(fingerprint))
 
-    def any_repeated(self, parts: Iterable[int]) -> bool:
+    def has_repeated_crashes(self, parts: Iterable[int]) -> bool:
         """Whether requests with one of some parts have crashed replicas.
 
         Once is no reason: each crash interrupts many requests.
--- a/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
@@ -88,7 +88,7 @@
 # other reports of a node. Too few known requests only permit fewer copies.
 REPORT_INTERVAL_SECONDS = 1.0
 # Kinds of counts that are reported at once, as they stop or limit copies.
-PROMPT_KINDS = frozenset({"copies", "slow", "late", "refused"})
+IMMEDIATE_KINDS = frozenset({"copies", "slow", "late", "refused"})
 
 
 @functools.lru_cache(maxsize=4096)
@@ -221,15 +221,15 @@
         """
         if now - self.reported_at >= REPORT_INTERVAL_SECONDS:
             self.reported_at = now
-            self.reported = self.read_counts(now, prompt=False)
-        return {**self.reported, **self.read_counts(now, prompt=True)}
+            self.reported = self.read_counts(now, immediate=False)
+        return {**self.reported, **self.read_counts(now, immediate=True)}
 
-    def read_counts(self, now: float, prompt: bool) -> dict[str, int]:
+    def read_counts(self, now: float, immediate: bool) -> dict[str, int]:
         """Returns the counts that are reported at once, or the others."""
         found = {}
         for key, count in list(self.counts.items()):
             kind, _, _ = key.partition("/")
-            if (kind in PROMPT_KINDS) != prompt:
+            if (kind in IMMEDIATE_KINDS) != immediate:
                 continue
             value = count.read(now, extra=int(kind == "copies"))
             if value:
--- a/packages/gypsumfold/src/gypsumfold/decisions/shortages.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/shortages.py
@@ -15,8 +15,8 @@
 # there half of the time, for less than five seconds each, reaches at most 16;
 # a few crashes, after each of which an engine is back after four, less.
 CONFIRMING_SECONDS = 18.0
-# Largest part of the time between two looks that counts: a holder of authority
-# looks every 0.15 s, and one that didn't look for longer knows nothing of it.
+# Largest part of the time between two updates that counts: the leader updates
+# every 0.15 s, and one that didn't for longer knows nothing of that time.
 MAX_GAP_SECONDS = 1.0
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/directory.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/directory.py
@@ -275,7 +275,7 @@
             # Housekeeping would do this up to a second later.
             self.expire(time.monotonic())
         found = []
-        for replica in self.replicas.of(service):
+        for replica in self.replicas.in_service(service):
             if not replica.draining:
                 found.append(replica)
         return found
--- a/packages/gypsumfold/src/gypsumfold/gateway/engine_roles.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/engine_roles.py
@@ -15,7 +15,7 @@
 
     >>> directory.roles.close_until("i-1", now + 3.0)
     >>> directory.roles.confirm("i-1", decision_types.Role.DECODE, now + 10.0)
-    >>> directory.roles.of(replica, now)
+    >>> directory.roles.role_of(replica, now)
     <Role.DECODE: 'decode'>
     """
 
@@ -24,7 +24,7 @@
         self.confirmed: dict[str, tuple[decision_types.Role, float]] = {}
         self.changing_until: dict[str, float] = {}
 
-    def of(
+    def role_of(
         self, replica: types.Replica, now: float
     ) -> decision_types.Role | None:
         """Returns an engine's role: the confirmed one, else its entry's."""
@@ -35,7 +35,7 @@
 
     def is_prefill(self, replica: types.Replica, now: float) -> bool:
         """Whether an engine is a prefill engine."""
-        return self.of(replica, now) == decision_types.Role.PREFILL
+        return self.role_of(replica, now) == decision_types.Role.PREFILL
 
     def confirm(
         self, instance: str, role: decision_types.Role, until: float
--- a/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/fingerprints.py
@@ -66,8 +66,15 @@
 
 
 def version_of(replica: types.Replica | None) -> int:
-    """Hashes a replica's software version; 0 if there is no replica."""
-    return subjects.version_digest(replica.version) if replica else 0
+    """Hashes a replica's software version.
+
+    Returns:
+        The digest; 0 if there is no replica, or if it has started again and its
+        new registration hasn't been read yet.
+    """
+    if replica is None or replica.version is None:
+        return 0
+    return subjects.version_digest(replica.version)
 
 
 def to_hex(value: int) -> str:
--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -238,19 +238,28 @@
         # The decode engine processes the prompt of a recurring suspect itself,
         # so that nothing of it arrives anywhere before its turn, and that of a
         # moved prompt whose second prefill failed.
-        is_suspect = self.quarantine.crash_log.any_repeated(progress.parts)
+        is_suspect = self.quarantine.crash_log.has_repeated_crashes(
+            progress.parts
+        )
         may_prefill = progress.may_prefill and not is_suspect
         if not progress.prefill_address and may_prefill:
             await self.borrow_permit(service, True, progress)
             choice = self.prefills.place(route, service, progress)
-        if choice is not None:
+        if choice is not None and progress.needs_retry():
             await self.retry_permits.take_for(service.name, progress)
+            # The engine may have left while this node waited for a loan.
+            choice = self.prefills.place(route, service, progress)
+        if choice is not None:
             handle = await self.prefill_copies.run(
                 choice, route, service, progress
             )
             progress.record_prefill(handle)
             await self.borrow_permit(service, False, progress)
+        if self.choose_decode_engine(service, progress, lambda engine: True):
+            await self.retry_permits.take_for(service.name, progress)
         self.quarantine.admit(progress)
+        # Nothing may wait from here until the run begins: the request may be a
+        # canary, which others wait for.
         decoder = await self.quarantine.place(
             progress,
             route,
@@ -266,7 +275,6 @@
             raise exceptions.EndpointUnavailable(
                 "no decode engine is available"
             )
-        await self.retry_permits.take_for(service.name, progress)
         await self.run(decoder, route, service, stream, progress)
 
     async def borrow_permit(
@@ -436,7 +444,11 @@
             else self.prefills.cache_peer(progress.prefill_address),
             last_event=stream.last_event,
         )
-        self.directory.statements.take_permit(replica)
+        try:
+            self.directory.statements.take_permit(replica)
+        except exceptions.EndpointWithheld:
+            self.quarantine.end_canaries(progress.subjects, replica)
+            raise
         share = stream_share(replica, service, progress.call)
         self.directory.request_started(replica.instance, time.monotonic())
         self.directory.streams.add(replica.instance, share)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/frames.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from gypsumfold.decisions import second_copies
 from gypsumfold.gateway.peers import messages
 from gypsumfold.gateway.peers import seals
 
@@ -50,9 +51,9 @@
 
     A report replaces the sender's previous one, so it cannot be split. Changed
     registrations are left out first: a receiver that cannot read them in the
-    store sees that the digest differs and asks for them. Then the counts for
-    second copies are left out: the others send fewer copies as long as they
-    don't know them. At last the oldest prompts are left out.
+    store sees that the digest differs and asks for them. Then the counts
+    that permit second copies are left out: the others send fewer of them as
+    long as they don't know these. At last the oldest prompts are left out.
     """
     if report.copy_state is not None and not fits_datagram(report, sealer):
         copy_state = msgspec.structs.replace(report.copy_state, changed=[])
@@ -69,10 +70,11 @@
 
 
 def without_copy_counts(report: messages.Report) -> messages.Report:
-    """Leaves out the counts of requests and of their second copies."""
+    """Leaves out the counts that permit second copies, not those that limit."""
     answers = {}
     for key, value in report.loads.answers.items():
-        if "/" not in key:
+        kind, slash, _ = key.partition("/")
+        if not slash or kind in second_copies.IMMEDIATE_KINDS:
             answers[key] = value
     loads = msgspec.structs.replace(report.loads, answers=answers)
     return msgspec.structs.replace(report, loads=loads)
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -210,7 +210,11 @@
         limit = None
         if route.repeatable and progress.runs + 1 < route.attempts:
             limit = ATTEMPT_TIMEOUT_FACTOR * route.objective
-        self.directory.statements.take_permit(replica)
+        try:
+            self.directory.statements.take_permit(replica)
+        except exceptions.EndpointWithheld:
+            self.quarantine.end_canaries(progress.subjects, replica)
+            raise
         self.directory.request_started(replica.instance, time.monotonic())
         progress.record_sent(replica, route=route.name)
         run = runs_module.Run(
--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -114,7 +114,8 @@
         """Waits until a request may run on the replica that is chosen then.
 
         While another request with the same parts is the canary of a software
-        version, it runs on a replica of a version that has answered them.
+        version, the request runs on a replica of a version that has answered
+        them.
 
         Args:
             progress: Progress of the request.
@@ -312,6 +313,8 @@
         answered would wait for its end, however long its answer is.
         """
         version = fingerprints.version_of(run.replica)
+        if not version:
+            return
         self.end_canary(run, run.parts)
         for part in run.parts:
             crashes = self.crash_log.answered(part, version)
@@ -349,7 +352,11 @@
     def end_canaries(
         self, suspects: tuple[int, ...], replica: types.Replica
     ) -> None:
-        """Ends canaries and holds of this node at a replica."""
+        """Ends canaries and holds of this node at a replica.
+
+        A request that was placed and isn't sent has to end its own, as other
+        requests with the same parts wait for that.
+        """
         now = time.monotonic()
         ended = False
         for subject in suspects:
--- a/packages/gypsumfold/src/gypsumfold/gateway/replica_index.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/replica_index.py
@@ -13,7 +13,7 @@
 
     >>> replicas = ReplicaIndex()
     >>> replicas["i-1"] = replica
-    >>> list(replicas.of("seats"))
+    >>> list(replicas.in_service("seats"))
     [Replica(...)]
     """
 
@@ -49,6 +49,6 @@
         if not members:
             del self.by_service[replica.service]
 
-    def of(self, service: str) -> abc.Collection[types.Replica]:
+    def in_service(self, service: str) -> abc.Collection[types.Replica]:
         """Returns the replicas of a service, in the order of their arrival."""
         return self.by_service.get(service, {}).values()
--- a/packages/gypsumfold/src/gypsumfold/gateway/replica_liveness.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/replica_liveness.py
@@ -82,7 +82,7 @@
         now = time.monotonic()
         counts = {}
         for replica in self.find_known(service):
-            role = self.roles.of(replica, now)
+            role = self.roles.role_of(replica, now)
             reachable, known = counts.get(role, (0, 0))
             reachable += self.is_reachable(replica)
             counts[role] = (reachable, known + 1)
--- a/packages/gypsumfold/src/gypsumfold/gateway/retry_permits.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/retry_permits.py
@@ -56,19 +56,19 @@
         return False
 
     async def may_attempt(
-        self, service: str, progress: progress_module.Progress, is_late: bool
+        self, service: str, progress: progress_module.Progress, take_later: bool
     ) -> bool:
         """Whether a request may make its next attempt.
 
         Args:
             service: The service.
             progress: Progress of the request.
-            is_late: Whether a retry is taken by `take_for` only, as the attempt
-                may end before a replica is chosen.
+            take_later: Whether a retry is taken by `take_for` only, as the
+                attempt may end before a replica is chosen.
         """
         if not progress.needs_retry():
             return True
-        if is_late:
+        if take_later:
             return await self.is_available(service)
         progress.has_retry = await self.take(service)
         return progress.has_retry
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -125,7 +125,7 @@
             replica = self.directory.replicas.get(instance)
             if (
                 replica is None
-                or self.directory.roles.of(replica, now) == pending.role
+                or self.directory.roles.role_of(replica, now) == pending.role
             ):
                 del self.pending[instance]
                 continue
@@ -142,7 +142,7 @@
             pending = self.pending.get(replica.instance)
             if pending is not None and not pending.accepted:
                 continue
-            role = self.directory.roles.of(replica, now)
+            role = self.directory.roles.role_of(replica, now)
             role = pending.role if pending else role
             waiting = self.prefix_router.queued_seconds(replica.instance, now)
             # A pending order may never be carried out: its engine may have
