Choose a decode engine twice only where a retry has to be taken

Cause: the check before the retry drew from the random numbers that choose among engines for every request, also without refuse_early.

Change: the check is made only if the request needs a retry that isn't taken yet.

--- a/packages/gypsumfold/src/gypsumfold/gateway/generations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/generations.py
@@ -255,7 +255,9 @@
             )
             progress.record_prefill(handle)
             await self.borrow_permit(service, False, progress)
-        if self.choose_decode_engine(service, progress, lambda engine: True):
+        if progress.needs_retry() and self.choose_decode_engine(
+            service, progress, lambda engine: True
+        ):
             await self.retry_permits.take_for(service.name, progress)
         self.quarantine.admit(progress)
         # Nothing may wait from here until the run begins: the request may be a
