--- a/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/call_rates.py
@@ -19,8 +19,7 @@
 RESERVE = 0.1
 # Open calls beyond its slots up to which a replica is filled out of queues, so
 # that its slots are in use although the totals are old and calls spend time on
-# the way. In trials with 40 gateways and 4 replicas of 6 slots it ran 0.93 of
-# what it could with 2 and 0.88 with none.
+# the way.
 QUEUED = 2.0
 # Least rate of waiting calls, as a share of what the replicas serve: stale
 # totals may show all replicas full for 3 s.
--- a/packages/gypsumfold/src/gypsumfold/decisions/plain_loads.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/plain_loads.py
@@ -21,7 +21,7 @@
 # Multiple of the usual time from which a replica counts as slow. Only the times
 # of slow replicas are reported to others.
 SLOW_FACTOR = 1.5
-# Upper bound of the factor, so that a replica is tried again soon.
+# Upper bound of the factor, so that a replica gets calls again soon after.
 MAX_SLOWNESS = 10.0
 # Counts below this are not reported.
 MIN_CALLS = 0.05
--- a/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/second_copies.py
@@ -83,9 +83,8 @@
 # Bytes of the digest that stands for a route's name in a report. If two routes
 # have the same one, they share their quantile.
 ROUTE_DIGEST_BYTES = 3
-# Seconds between two reports of counts that change with each request. They are
-# of 2 to 30 s; reported at once they took half as much again of the link as all
-# other reports of a node. Too few known requests only permit fewer copies.
+# Seconds between two reports of counts that change with each request. They
+# cover 2 to 30 s, and too few known requests only permit fewer copies.
 REPORT_INTERVAL_SECONDS = 1.0
 # Kinds of counts that are reported at once, as they stop or limit copies.
 IMMEDIATE_KINDS = frozenset({"copies", "slow", "late", "refused"})
