Log where a rejection came, which incarnation leads, and count task failures

247 names connection, exchange and seconds; 610 and 611 the member; 105 and gypsumfold_task_failures count failures by task. Supervision of tasks has its own module, as gateway.py has too many jobs already.

--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -287,7 +287,7 @@
         await settle(site, nodes)
         first = next(iter(site.nodes.values()))
         gateway = first.gateway
-        gateway.supervise("crash-records", gateway.crash_records.run)
+        gateway.supervisor.start("crash-records", gateway.crash_records.run)
         suspected = []
         for instance in ("i-x", "i-y"):
             replica = crash_types.Incarnation(instance)
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -190,33 +190,33 @@
     def start(self) -> None:
         """Starts the tasks that learn what the store and others say."""
         gateway = self.gateway
-        gateway.supervise(
+        gateway.supervisor.start(
             "entries", lambda: gateway.gossip.entries.run(gateway.gossip)
         )
-        gateway.supervise("gossip", gateway.gossip.run)
-        gateway.supervise("relay", gateway.gossip.run_relay)
-        gateway.supervise("crash-news", gateway.gossip.crash_updates.run)
-        gateway.supervise("origins", gateway.gossip.origin_updates.run)
+        gateway.supervisor.start("gossip", gateway.gossip.run)
+        gateway.supervisor.start("relay", gateway.gossip.run_relay)
+        gateway.supervisor.start("crash-news", gateway.gossip.crash_updates.run)
+        gateway.supervisor.start("origins", gateway.gossip.origin_updates.run)
         for name, function in gateway.watches.tasks().items():
-            gateway.supervise(name, function)
-        gateway.supervise("fetch", gateway.store_copy.fetch)
-        gateway.supervise("leadership", gateway.leadership.run)
-        gateway.supervise("housekeeping", gateway.housekeeping)
+            gateway.supervisor.start(name, function)
+        gateway.supervisor.start("fetch", gateway.store_copy.fetch)
+        gateway.supervisor.start("leadership", gateway.leadership.run)
+        gateway.supervisor.start("housekeeping", gateway.housekeeping)
         for name, function in gateway.duties.tasks().items():
-            gateway.supervise(name, function)
+            gateway.supervisor.start(name, function)
         if self.site.fleet is not None:
-            gateway.supervise("liveness", gateway.liveness.run)
+            gateway.supervisor.start("liveness", gateway.liveness.run)
             if self.site.fleet.switch_seconds is not None:
-                gateway.supervise("planner", gateway.planner.run)
-            gateway.supervise("crash-records", gateway.crash_records.run)
+                gateway.supervisor.start("planner", gateway.planner.run)
+            gateway.supervisor.start("crash-records", gateway.crash_records.run)
             if not self.first_start:
-                gateway.supervise(
+                gateway.supervisor.start(
                     "crash-records-read", gateway.crash_records.read
                 )
 
     async def stop(self) -> None:
         """Ends at once."""
-        await cancelled([*self.calls, *self.gateway.tasks.values()])
+        await cancelled([*self.calls, *self.gateway.supervisor.tasks.values()])
         # Calls that end so have the memory of their prompts freed.
         await cancelled(list(self.gateway.generations.prefills.tasks))
         await self.gateway.session.close()
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -117,6 +117,13 @@
     "warning",
     "An attempt to run a request on a replica failed.",
 )
+RUN_REJECTED = define(
+    247,
+    "run-rejected",
+    "info",
+    "A replica answered that it has not run a request: on which connection, "
+    "as which exchange there, and how long after the request.",
+)
 CALL_REPEATED = define(223, "call-repeated", "info", "A request is sent again.")
 CALL_HELD = define(
     225,
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import itertools
 import socket
 import struct
 import time
@@ -48,16 +49,23 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Statuses of answers that never have a body.
 BODILESS_STATUSES = (204, 304)
+NUMBERS = itertools.count(1)
 
 
 class Connection(asyncio.Protocol):
     """One connection, used by one request at a time.
 
+    Attributes:
+        number: Number of this connection among all of the process.
+        exchanges: Requests sent on it so far.
+
     >>> connection = await pool.acquire(address, instance)
     >>> connection.request(method, target, fields, body)
     """
 
     def __init__(self):
+        self.number = next(NUMBERS)
+        self.exchanges = 0
         self.parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -162,6 +170,7 @@
             self.abort()
             raise exceptions.EndpointNotStarted(str(error)) from error
         self.idle = False
+        self.exchanges += 1
         self.transport.write(data)
 
     async def next_event(self):
--- a/packages/gypsumfold/src/gypsumfold/gateway/counters.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counters.py
@@ -129,7 +129,12 @@
             ("call",),
             registry=self.registry,
         )
-
+        self.task_failures = prometheus_client.Gauge(
+            "gypsumfold_task_failures",
+            "Failures of a part of the node since the start; it was restarted.",
+            ("task",),
+            registry=self.registry,
+        )
         self.slow_engines = prometheus_client.Gauge(
             "gypsumfold_slow_engines",
             "Engines that prefill slowly at the moment, over all nodes.",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -47,6 +47,7 @@
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import store_copy as store_copy_module
+from gypsumfold.gateway import supervision
 from gypsumfold.gateway import topic_watches
 from gypsumfold.gateway import traffic_log
 from gypsumfold.gateway import types
@@ -62,8 +63,6 @@
 from gypsumfold.platform import replicas
 from gypsumfold.platform import store as store_module
 
-# Seconds until a failed task is restarted, plus up to as much at random.
-RESTART_SECONDS = 0.2
 # Seconds between two checks of the settings file, log lines and gauges.
 HOUSEKEEPING_SECONDS = 1.0
 # Seconds for which a stopping node goes on listening: the balancer checks once
@@ -104,7 +103,7 @@
         self.stop = asyncio.Event()
         self.reload = asyncio.Event()
         self.settings_modified_at = modified_at(path)
-        self.tasks: dict[str, asyncio.Task] = {}
+        self.supervisor = supervision.Supervisor()
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=16, force_close=True)
         )
@@ -370,24 +369,26 @@
     async def start(self) -> None:
         """Starts all tasks and servers."""
         await self.gossip.start()
-        self.supervise("entries", lambda: self.gossip.entries.run(self.gossip))
-        self.supervise("gossip", self.gossip.run)
-        self.supervise("relay", self.gossip.run_relay)
-        self.supervise("crash-news", self.gossip.crash_updates.run)
-        self.supervise("origins", self.gossip.origin_updates.run)
+        self.supervisor.start(
+            "entries", lambda: self.gossip.entries.run(self.gossip)
+        )
+        self.supervisor.start("gossip", self.gossip.run)
+        self.supervisor.start("relay", self.gossip.run_relay)
+        self.supervisor.start("crash-news", self.gossip.crash_updates.run)
+        self.supervisor.start("origins", self.gossip.origin_updates.run)
         for name, function in self.watches.tasks().items():
-            self.supervise(name, function)
-        self.supervise("fetch", self.store_copy.fetch)
-        self.supervise("leadership", self.leadership.run)
-        self.supervise("planner", self.planner.run)
-        self.supervise("housekeeping", self.housekeeping)
-        self.supervise("liveness", self.liveness.run)
-        self.supervise("crash-records", self.crash_records.run)
+            self.supervisor.start(name, function)
+        self.supervisor.start("fetch", self.store_copy.fetch)
+        self.supervisor.start("leadership", self.leadership.run)
+        self.supervisor.start("planner", self.planner.run)
+        self.supervisor.start("housekeeping", self.housekeeping)
+        self.supervisor.start("liveness", self.liveness.run)
+        self.supervisor.start("crash-records", self.crash_records.run)
         if not self.settings.node.first_start:
-            self.supervise("cache-lists", self.cache_lists.run)
-            self.supervise("crash-records-read", self.crash_records.read)
+            self.supervisor.start("cache-lists", self.cache_lists.run)
+            self.supervisor.start("crash-records-read", self.crash_records.read)
         for name, function in self.duties.tasks().items():
-            self.supervise(name, function)
+            self.supervisor.start(name, function)
         await self.serve(self.answer_peer, self.settings.peers.address)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
@@ -417,26 +418,6 @@
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
 
-    def supervise(
-        self, name: str, function: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Runs a task until the node stops; restarts it if it fails."""
-        self.tasks[name] = asyncio.create_task(
-            self.keep_running(name, function)
-        )
-
-    async def keep_running(
-        self, name: str, function: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Runs a function until it returns; restarts it if it raises."""
-        while True:
-            try:
-                return await function()
-            except Exception as error:
-                # No error of one part may stop the node.
-                events.log(events.TASK_FAILED, task=name, error=repr(error))
-            await asyncio.sleep(RESTART_SECONDS * (1 + random.random()))
-
     async def housekeeping(self) -> None:
         """Maintains settings, log lines, gauges and the retry budget."""
         reported = 0
@@ -519,6 +500,8 @@
             result,
         ), count in self.directory.second_copies.results.items():
             self.counters.copies.labels(service, result).set(count)
+        for name, count in self.supervisor.failures.items():
+            self.counters.task_failures.labels(name).set(count)
         for call, count in self.store.calls.items():
             self.counters.store_calls.labels(call).set(count)
 
@@ -568,9 +551,7 @@
             self.forward_server.wait_until_idle(end - time.monotonic()),
         )
         await self.duties.flush()
-        for task in self.tasks.values():
-            task.cancel()
-        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        await self.supervisor.cancel_all()
         self.pool.close()
         await self.session.close()
         await self.loans.close()
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -151,7 +151,7 @@
         if holds != self.is_holder:
             self.is_holder = holds
             event = events.ORDERS_GAINED if holds else events.ORDERS_LOST
-            events.log(event, token=place.generation)
+            events.log(event, token=place.generation, member=self.member)
 
     async def leave(self) -> None:
         """Leaves the group and gives up the authority."""
@@ -159,7 +159,9 @@
         self.joined = False
         if self.is_holder:
             self.is_holder = False
-            events.log(events.ORDERS_LOST, token=self.generation)
+            events.log(
+                events.ORDERS_LOST, token=self.generation, member=self.member
+            )
         asked = clocks.now()
         try:
             await self.store.leave(GROUP, self.member)
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import types
@@ -94,6 +95,16 @@
             raise exceptions.AnswerBroken("the answer is encoded")
         answer.sealed = names.SEAL.lower().encode() in found
         answer.not_run = names.NOT_RUN.lower().encode() in found
+        if answer.not_run:
+            events.log(
+                events.RUN_REJECTED,
+                request=call.id,
+                instance=replica.instance,
+                status=answer.status,
+                connection=answer.connection.number,
+                exchange=answer.connection.exchanges,
+                seconds=round(time.monotonic() - answer.statement.sent_at, 4),
+            )
         answer.fields = tuple(
             (name, value)
             for name, value in answer.fields
