Don't identify an answer by an id that its connection carried before

A replica may repeat its answer where the next one is due.

Each connection now keeps what was sent on it, and is passed over for a request whose answer couldn't be told from a late one to an earlier request: the same attempt, or one of the node's own calls after another kind of call. Orders never share, as a repeated answer would be a wrong result. An answer is checked before its statements are heeded. So a repetition is either refused, as its id is another one, or can't be due on the connection at all.

The stand-in's refusals name their attempt, as the protocol has it. The pool and pooled answers have modules of their own.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -183,3 +183,11 @@
     When a caller posts "boom" to "/seats/7" at both gateways by turns until three replicas have crashed
     Then both gateways refuse "boom" to "/seats/7" at once, as not run
     And both gateways pass "hold" to "/seats/7" on to a replica that is left
+
+  # The rejection's repetition bears the attempt's id, so it was taken for the
+  # answer to the attempt's next send, and the attempt was sent once more.
+  Scenario: A stream does not run twice where its rejection comes a second time
+    Given the engine that generates rejects the next stream and repeats that answer late
+    When a caller asks "/briefs/1" for a stream with the prompt "aa:4000,bb:300"
+    Then the caller gets all events of one engine in order
+    And the attempt has run once in all
--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -14,7 +14,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import role_changes
 from gypsumfold.decisions import types as decision_types
-from gypsumfold.gateway import connections
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
@@ -330,7 +330,7 @@
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         replica = REPLICA._replace(address=f"127.0.0.1:{port}")
-        client = replicas_module.Replicas(connections.Pool())
+        client = replicas_module.Replicas(connection_pool.Pool())
         checks = []
 
         def withhold(_):
--- a/features/steps/broken_off_answers_steps.py
+++ b/features/steps/broken_off_answers_steps.py
@@ -10,7 +10,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import event_boundaries
-from gypsumfold.gateway import connections
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
@@ -157,7 +157,7 @@
 
 async def forward(address, size, resumable):
     """Forwards one stream; returns what its caller has received."""
-    endpoints = replicas.Replicas(connections.Pool())
+    endpoints = replicas.Replicas(connection_pool.Pool())
     replica = types.Replica("i-1", "lm", address, "north", 64, False)
     fields = ((b"Host", HOST.encode()),)
     call = types.Call("a", "GET", f"/{size}", HOST, fields, None, 0.0, LIMIT)
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -9,7 +9,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import types as decision_types
-from gypsumfold.gateway import connections
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import progress as progress_module
 from gypsumfold.gateway import streams
 from gypsumfold.gateway import types
@@ -217,7 +217,7 @@
 async def measure(pouring):
     """Makes a call; returns its seconds."""
     server, replica = await serve(pouring)
-    client = replicas.Replicas(connections.Pool())
+    client = replicas.Replicas(connection_pool.Pool())
     begin = time.monotonic()
     with contextlib.suppress(exceptions.EndpointError, TimeoutError):
         # The handler ends each request at its deadline, and each call of the
@@ -251,7 +251,7 @@
     async def story():
         pouring = Pouring("a plain call", "in its body")
         server, replica = await serve(pouring)
-        client = replicas.Replicas(connections.Pool())
+        client = replicas.Replicas(connection_pool.Pool())
         tasks = []
         for _ in range(count):
             tasks.append(
@@ -292,7 +292,7 @@
         server = await asyncio.start_server(answer, HOST, 0)
         address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
         replica = types.Replica("i-1", "s", address, "dc", 4, False)
-        client = replicas.Replicas(connections.Pool())
+        client = replicas.Replicas(connection_pool.Pool())
         async with asyncio.timeout(60.0):
             await forward(client, replica, make_call(), reply)
         server.close()
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -234,6 +234,16 @@
             assert meant == record["instance"], (name, run)
 
 
+@behave.given(
+    "the engine that generates rejects the next stream and repeats that answer "
+    "late"
+)
+def step_late_rejection(context):
+    context.fleet.until_sharing("edge-1")
+    context.fault = ("decoder-1", "late")
+    context.fleet["decoder-1"].faults(refused=1, late=1)
+
+
 @behave.given("a second engine generates")
 def step_second_decoder(context):
     context.fleet.start_replica("decoder-2", "lm", "decode")
--- a/features/steps/given_up_requests_steps.py
+++ b/features/steps/given_up_requests_steps.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from gypsumfold.gateway import connections
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import types
 from gypsumfold.platform import replicas
 
@@ -21,7 +21,7 @@
     context.listener = socket.create_server((HOST, 0))
     context.add_cleanup(context.listener.close)
     context.address = f"{HOST}:{context.listener.getsockname()[1]}"
-    context.pool = connections.Pool()
+    context.pool = connection_pool.Pool()
 
 
 @behave.when("a request of {megabytes:d} megabytes is sent to it and {how}")
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -37,6 +37,8 @@
         event_seconds: Seconds between two events of a stream.
         events: Events of a stream.
         refused: Next requests that are refused as not run.
+        late: Next refusals that come a second time, where the next answer on
+            their connection is due.
         reset: Next requests that run and whose connection is reset.
         crossed: Next answers that name another attempt.
         stray: Next answers that are followed by a second one.
@@ -64,6 +66,7 @@
     event_seconds: float = 0.02
     events: int = 5
     refused: int = 0
+    late: int = 0
     reset: int = 0
     crossed: int = 0
     stray: int = 0
@@ -126,6 +129,8 @@
         self.arrivals = 0
         self.arrival_log: list[dict[str, Any]] = []
         self.while_busy: list[str] = []
+        # Second answers by the connection on which they are to come.
+        self.late: dict[object, bytes] = {}
         self.strays = 0
         self.strays_closed = 0
         self.waits: set[asyncio.Task] = set()
@@ -148,6 +153,9 @@
         }
         self.arrival_log.append(row)
         body = await request.read()
+        late = self.late.pop(request.protocol, b"")
+        if late:
+            request.transport.write(late)
         wanted = request.headers.get("Expect-Instance", self.instance)
         if wanted != self.instance:
             return web.Response(
@@ -158,9 +166,9 @@
         if self.faults.rest:
             headers = {"Not-Run": "1", "Retry-After": str(self.faults.rest)}
             return web.Response(status=503, headers=headers)
-        if self.faults.takes("refused") or self.busy:
-            return web.Response(status=503, headers={"Not-Run": "1"})
         attempt = request.headers.get("Attempt-Id", "")
+        if self.faults.takes("refused") or self.busy:
+            return self.refuse(request, attempt)
         if request.headers.get("Stage") == "prefill":
             row["prefilled"] = self.stage == "prefill"
             return await self.prefill(request, attempt)
@@ -186,6 +194,16 @@
             self.left.append(attempt)
             raise
 
+    def refuse(self, request: web.Request, attempt: str) -> web.Response:
+        """Refuses a request as not run; a second answer may follow late."""
+        if self.faults.takes("late"):
+            self.late[request.protocol] = (
+                f"HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\n"
+                "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            ).encode()
+        headers = {"Not-Run": "1", "Attempt-Id": attempt}
+        return web.Response(status=503, headers=headers)
+
     def crashes_on(self, chain: str) -> bool:
         """Whether a part of a prompt, not its last one, ends the process."""
         for part in chain.split(",")[:-1]:
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
 import itertools
 import socket
 import struct
@@ -15,14 +14,10 @@
 
 import h11
 
-from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import answer_identity
 from gypsumfold.gateway import types
 
-# A VM accepts within a few milliseconds, even if slowed down ten times. Nothing
-# has been sent yet, so another replica can be tried before a lost packet would
-# be retransmitted (one second).
-CONNECT_TIMEOUT_SECONDS = 0.3
 # Largest head of an answer.
 MAX_HEAD_BYTES = 65536
 # Time after which the kernel closes a connection with unacknowledged bytes.
@@ -35,20 +30,11 @@
 IDLE_MARGIN_SECONDS = 0.6
 # Unread bytes of a body beyond which reading from the socket is paused.
 MAX_UNREAD_BYTES = 256 * 1024
-# Largest body that is read whole, and bytes of all such bodies together.
-MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_HELD_BYTES = 24 * 1024 * 1024
-# Bytes and seconds for the rest of an answer that is not needed, so that its
-# connection can be used again.
-MAX_DRAINED_BYTES = 65536
-DRAIN_SECONDS = 0.1
 # Largest number of informational heads before an answer.
 MAX_INFORMATIONAL_HEADS = 16
 # SO_LINGER with a timeout of zero: closing resets the connection and drops what
 # the kernel has not sent yet.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# Statuses of answers that never have a body.
-BODILESS_STATUSES = (204, 304)
 NUMBERS = itertools.count(1)
 
 
@@ -57,7 +43,7 @@
 
     Attributes:
         number: Number of this connection among all of the process.
-        exchanges: Requests sent on it so far.
+        sent: The requests sent on it so far.
 
     >>> connection = await pool.acquire(address, instance)
     >>> connection.request(method, target, fields, body)
@@ -65,7 +51,7 @@
 
     def __init__(self):
         self.number = next(NUMBERS)
-        self.exchanges = 0
+        self.sent = answer_identity.SentRequests()
         self.parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -151,7 +137,12 @@
         self.transport.abort()
 
     def request(
-        self, method: str, target: str, fields: types.Fields, body: bytes
+        self,
+        method: str,
+        target: str,
+        fields: types.Fields,
+        body: bytes,
+        identity: answer_identity.Identity = answer_identity.ANONYMOUS,
     ) -> None:
         """Sends a complete request.
 
@@ -170,7 +161,7 @@
             self.abort()
             raise exceptions.EndpointNotStarted(str(error)) from error
         self.idle = False
-        self.exchanges += 1
+        self.sent.record(identity)
         self.transport.write(data)
 
     async def next_event(self):
@@ -244,7 +235,8 @@
         if not done or self.parser.our_state is not h11.DONE or self.lost:
             self.abort()
             return False
-        if self.parser.trailing_data[0] or not self.usable:
+        has_more = bool(self.parser.trailing_data[0])
+        if has_more or not self.usable or not self.sent.may_continue:
             self.abort()
             return False
         self.parser.start_next_cycle()
@@ -259,218 +251,3 @@
         if not self.usable or self.lost or self.transport.is_closing():
             return False
         return now - self.idle_since < self.idle_timeout
-
-
-class Pool:
-    """A pool of idle connections by address and instance.
-
-    Attributes:
-        held_bytes: Bytes of the bodies that are being read whole.
-
-    >>> pool = Pool()
-    >>> connection = await pool.acquire("10.1.64.9:8080", "i-7f3a91c2")
-    """
-
-    def __init__(self, source: str = ""):
-        self.local_address = (source, 0) if source else None
-        self.idle: dict[tuple[str, str], list[Connection]] = {}
-        self.opened = 0
-        self.held_bytes = 0
-
-    async def acquire(
-        self, address: str, instance: str, fresh: bool = False
-    ) -> Connection:
-        """Returns an idle connection or opens one.
-
-        Args:
-            address: IP:PORT of the replica.
-            instance: Its instance id.
-            fresh: Whether to open one in any case.
-
-        Raises:
-            exceptions.EndpointUnreachable: The address cannot be reached.
-        """
-        if fresh:
-            return await self.open(address)
-        kept = self.idle.get((address, instance), [])
-        now = time.monotonic()
-        while kept:
-            connection = kept.pop()
-            if connection.is_reusable(now):
-                return connection
-            connection.abort()
-        return await self.open(address)
-
-    def is_connected(self, replica: types.Replica) -> bool:
-        """Whether an idle connection to a replica is open."""
-        kept = self.idle.get((replica.address, replica.instance))
-        return bool(kept) and kept[-1].is_reusable(time.monotonic())
-
-    async def open(self, address: str) -> Connection:
-        """Opens a connection.
-
-        Raises:
-            exceptions.EndpointUnreachable: The address cannot be reached.
-        """
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    Connection,
-                    host,
-                    int(port),
-                    local_addr=self.local_address,
-                )
-        except ConnectionRefusedError as error:
-            raise exceptions.EndpointNotListening(
-                f"{address} cannot be reached: {error!r}"
-            ) from error
-        except (OSError, TimeoutError) as error:
-            raise exceptions.EndpointUnreachable(
-                f"{address} cannot be reached: {error!r}"
-            ) from error
-        self.opened += 1
-        return connection
-
-    def release(
-        self, address: str, instance: str, connection: Connection
-    ) -> None:
-        """Returns a connection to the pool after its answer, if reusable."""
-        if connection.reset_for_reuse():
-            key = (address, instance)
-            self.idle.setdefault(key, []).append(connection)
-
-    def put_back(
-        self, address: str, instance: str, connection: Connection
-    ) -> None:
-        """Returns a connection on which nothing was sent."""
-        connection.idle_since = time.monotonic()
-        self.idle.setdefault((address, instance), []).append(connection)
-
-    def discard(self, address: str, instance: str) -> None:
-        """Closes the idle connections to a replica."""
-        for connection in self.idle.pop((address, instance), ()):
-            connection.abort()
-
-    def close(self) -> None:
-        """Closes all idle connections."""
-        for address, instance in list(self.idle):
-            self.discard(address, instance)
-
-
-class PooledAnswer:
-    """An answer on a pooled connection whose head has been received.
-
-    Attributes:
-        is_framed: Whether the end of the body is marked by a length or chunks,
-            or there is never a body; otherwise it ends with its connection.
-        statement: What its head says of the replica.
-    """
-
-    def __init__(
-        self,
-        pool: Pool,
-        replica: types.Replica,
-        connection: Connection,
-        method: str,
-        head: h11.Response,
-    ):
-        self.pool = pool
-        self.replica = replica
-        self.connection = connection
-        self.status = head.status_code
-        self.reason = head.reason.decode("latin-1")
-        self.fields: types.Fields = tuple(head.headers.raw_items())
-        self.sealed = False
-        self.not_run = False
-        self.statement: types.Statement | None = None
-        self.length = _length(head)
-        has_no_body = method == "HEAD" or self.status in BODILESS_STATUSES
-        self.is_framed = has_no_body or _is_framed(head)
-        self.ended = False
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body as it is received.
-
-        Raises:
-            exceptions.AnswerBroken: It ended early.
-        """
-        while True:
-            event = await self.connection.next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                self.ended = True
-                self.pool.release(
-                    self.replica.address, self.replica.instance, self.connection
-                )
-                return
-            self.connection.abort()
-            raise exceptions.AnswerBroken(
-                "the replica closed the connection before the end"
-            )
-
-    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
-        """Reads the entire body.
-
-        Args:
-            limit: Largest number of bytes.
-
-        Raises:
-            exceptions.AnswerBroken: It ended early, or is too large by itself
-                or together with others that are being read.
-        """
-        parts = []
-        size = 0
-        try:
-            async for chunk in self.chunks():
-                parts.append(chunk)
-                size += len(chunk)
-                self.pool.held_bytes += len(chunk)
-                if size > limit or self.pool.held_bytes > MAX_HELD_BYTES:
-                    self.connection.abort()
-                    raise exceptions.AnswerBroken(
-                        f"a body of over {size} bytes is too large"
-                    )
-        finally:
-            self.pool.held_bytes -= size
-        return b"".join(parts)
-
-    async def drain(self) -> None:
-        """Reads a body that is not needed; closes a long or slow one."""
-        size = 0
-        try:
-            async with asyncio.timeout(DRAIN_SECONDS):
-                async for chunk in self.chunks():
-                    size += len(chunk)
-                    if size > MAX_DRAINED_BYTES:
-                        break
-        except (exceptions.AnswerBroken, TimeoutError) as error:
-            events.log(
-                events.ANSWER_NOT_DRAINED,
-                instance=self.replica.instance,
-                status=self.status,
-                reason=repr(error),
-            )
-        self.close()
-
-    def close(self) -> None:
-        """Ends the exchange; the replica cancels what still runs."""
-        if not self.ended:
-            self.connection.abort()
-
-
-def _length(head: h11.Response) -> int | None:
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-    return None
-
-
-def _is_framed(head: h11.Response) -> bool:
-    for name, _ in head.headers:
-        if name in (b"content-length", b"transfer-encoding"):
-            return True
-    return False
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -24,7 +24,7 @@
 from gypsumfold.gateway import authentication
 from gypsumfold.gateway import cache_lists
 from gypsumfold.gateway import configurations as configurations_module
-from gypsumfold.gateway import connections
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import counters as counters_module
 from gypsumfold.gateway import crash_records as crash_records_module
 from gypsumfold.gateway import directory as directory_module
@@ -121,7 +121,7 @@
             runs_module.InterruptedRuns(self.directory)
         )
         self.configurations = configurations_module.Configurations()
-        self.pool = connections.Pool(settings.replicas.source)
+        self.pool = connection_pool.Pool(settings.replicas.source)
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.liveness.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.statements.record
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -10,10 +10,14 @@
 
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import answer_identity
+from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import connections
+from gypsumfold.gateway import pooled_answers
 from gypsumfold.gateway import types
 from gypsumfold.platform import decoding
 from gypsumfold.platform import names
+from gypsumfold.platform import request_fields
 from gypsumfold.platform import statements
 
 # Header fields of an answer that are not forwarded: those of the connection,
@@ -25,6 +29,14 @@
 MAX_LIST_BYTES = 8 * 1024 * 1024
 # Matches the timeout in seconds in a replica's Keep-Alive header.
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
+ATTEMPT_FIELD = names.ATTEMPT.lower().encode()
+# The node's own calls. An earlier report or list is only a moment old, and
+# nothing is read from the answer to a dropped handle; an earlier answer to an
+# order would be a wrong one.
+REPORT = answer_identity.Identity(call="report", is_repeatable=True)
+CACHE_LIST = answer_identity.Identity(call="cache-list", is_repeatable=True)
+DROP = answer_identity.Identity(call="drop", is_repeatable=True)
+ORDER = answer_identity.Identity(call="order")
 
 
 class Replicas:
@@ -35,11 +47,11 @@
             as in `types.Endpoints`.
         admission: Called before anything is sent to a replica.
 
-    >>> replicas = Replicas(connections.Pool())
+    >>> replicas = Replicas(connection_pool.Pool())
     >>> answer = await replicas.send(replica, call, instructions)
     """
 
-    def __init__(self, pool: connections.Pool):
+    def __init__(self, pool: connection_pool.Pool):
         self.pool = pool
         self.statement_listener: Callable[
             [types.Replica, types.Statement], None
@@ -65,19 +77,19 @@
         fields = list(call.fields)
         if instructions.last_event:
             # If the caller has resumed, its own field names an earlier event.
-            fields = remove_field(fields, names.LAST_EVENT)
-        fields += instruction_fields(replica, instructions)
+            fields = request_fields.remove_field(fields, names.LAST_EVENT)
+        fields += request_fields.instruction_fields(replica, instructions)
         if call.account:
             fields.append((names.ACCOUNT.encode(), call.account.encode()))
         answer = await self.exchange(
-            replica, call.method, call.target, fields, call.body
+            replica,
+            call.method,
+            call.target,
+            fields,
+            call.body,
+            answer_identity.Identity(attempt=call.id),
         )
         found = {name.lower(): value for name, value in answer.fields}
-        echoed = found.get(names.ATTEMPT.lower().encode(), b"")
-        if echoed and echoed != call.id.encode():
-            # Left over from an earlier request on this connection.
-            answer.close()
-            raise exceptions.AnswerBroken("an answer to another request came")
         if answer.status == 421:
             await answer.drain()
             raise exceptions.EndpointMismatch(
@@ -102,7 +114,7 @@
                 instance=replica.instance,
                 status=answer.status,
                 connection=answer.connection.number,
-                exchange=answer.connection.exchanges,
+                exchange=answer.connection.sent.count,
                 seconds=round(time.monotonic() - answer.statement.sent_at, 4),
             )
         answer.fields = tuple(
@@ -155,7 +167,7 @@
             exceptions.EndpointError: The engine could not be reached.
         """
         path = names.HANDLE_PATH + handle.id
-        await self.ask(replica, "DELETE", path)
+        await self.ask(replica, DROP, "DELETE", path)
 
     async def state(
         self, replica: types.Replica, fresh: bool = False
@@ -171,7 +183,7 @@
             exceptions.RecordInvalid: The answer is malformed.
         """
         status, body = await self.ask(
-            replica, "GET", names.REPORT_PATH, fresh=fresh
+            replica, REPORT, "GET", names.REPORT_PATH, fresh=fresh
         )
         if status == 421:
             raise exceptions.EndpointMismatch(f"{replica.instance} is gone")
@@ -187,7 +199,11 @@
             exceptions.RecordInvalid: The answer is malformed.
         """
         status, body = await self.ask(
-            replica, "GET", names.CACHE_LIST_PATH, limit=MAX_LIST_BYTES
+            replica,
+            CACHE_LIST,
+            "GET",
+            names.CACHE_LIST_PATH,
+            limit=MAX_LIST_BYTES,
         )
         if status != 200:
             raise exceptions.EndpointRefused(f"a list ended with {status}")
@@ -201,7 +217,9 @@
             exceptions.EndpointError: Its result is unknown.
         """
         body = decoding.encode_order(order)
-        status, _ = await self.ask(replica, "POST", names.ORDER_PATH, body)
+        status, _ = await self.ask(
+            replica, ORDER, "POST", names.ORDER_PATH, body
+        )
         if status not in (200, 202):
             raise exceptions.OrderRefused(f"an order ended with {status}")
         return status == 202
@@ -209,6 +227,7 @@
     async def ask(
         self,
         replica: types.Replica,
+        identity: answer_identity.Identity,
         method: str,
         path: str,
         body: bytes | None = None,
@@ -219,6 +238,7 @@
 
         Args:
             replica: The replica.
+            identity: The kind of call.
             method: HTTP method.
             path: Path.
             body: JSON to send, if any.
@@ -234,7 +254,9 @@
         ]
         if body is not None:
             fields.append((b"Content-Type", b"application/json"))
-        answer = await self.exchange(replica, method, path, fields, body, fresh)
+        answer = await self.exchange(
+            replica, method, path, fields, body, identity, fresh
+        )
         with contextlib.closing(answer):
             return answer.status, await answer.read(limit)
 
@@ -245,8 +267,9 @@
         target: str,
         fields: list[tuple[bytes, bytes]],
         body: bytes | None,
+        identity: answer_identity.Identity = answer_identity.ANONYMOUS,
         fresh: bool = False,
-    ) -> connections.PooledAnswer:
+    ) -> pooled_answers.PooledAnswer:
         """Sends one request and waits for the head of its answer.
 
         Raises:
@@ -259,7 +282,7 @@
             fields = [*fields, (b"Content-Length", length)]
         self.admission(replica)
         connection = await self.pool.acquire(
-            replica.address, replica.instance, fresh
+            replica.address, replica.instance, fresh, identity
         )
         try:
             # The replica may have asked to back off meanwhile.
@@ -270,7 +293,9 @@
         done = False
         sent_at = time.monotonic()
         try:
-            connection.request(method, target, tuple(fields), body or b"")
+            connection.request(
+                method, target, tuple(fields), body or b"", identity
+            )
             event = await connection.next_event()
             done = isinstance(event, h11.Response)
         finally:
@@ -278,10 +303,20 @@
                 connection.abort()
         if not done:
             raise exceptions.AnswerBroken("the replica closed unanswered")
+        attempt = ""
         for name, value in event.headers:
             if name == b"keep-alive":
                 connection.idle_timeout = parse_idle_timeout(value)
-        answer = connections.PooledAnswer(
+            elif name == ATTEMPT_FIELD:
+                attempt = value.decode("latin-1")
+        mismatch = connection.sent.find_mismatch(identity, attempt)
+        if mismatch:
+            connection.abort()
+            raise exceptions.AnswerBroken(
+                f"{mismatch} (connection {connection.number}, "
+                f"exchange {connection.sent.count})"
+            )
+        answer = pooled_answers.PooledAnswer(
             self.pool, replica, connection, method, event
         )
         answer.statement = statements.read(
@@ -293,36 +328,6 @@
         return answer
 
 
-def remove_field(
-    fields: list[tuple[bytes, bytes]], name: str
-) -> list[tuple[bytes, bytes]]:
-    """Returns the header fields except those of one name."""
-    key = name.lower().encode()
-    return [field for field in fields if field[0].lower() != key]
-
-
-def instruction_fields(
-    replica: types.Replica, instructions: types.Instructions
-) -> list[tuple[bytes, bytes]]:
-    """Returns the header fields that a node adds to a caller's request."""
-    found = [
-        (names.EXPECTED_INSTANCE, replica.instance),
-        (names.TIME_LEFT, str(max(1, int(instructions.time_left * 1000)))),
-    ]
-    if instructions.urgency is not None:
-        found.append((names.URGENCY, str(min(9, instructions.urgency))))
-    if instructions.prefill:
-        found.append((names.STAGE, "prefill"))
-    if instructions.handle is not None:
-        handle = instructions.handle
-        found.append((names.CACHE_HANDLE, f"{handle.address}/{handle.id}"))
-    if instructions.cache_peer:
-        found.append((names.CACHE_PEER, instructions.cache_peer))
-    if instructions.last_event:
-        found.append((names.LAST_EVENT, instructions.last_event))
-    return [(name.encode(), value.encode()) for name, value in found]
-
-
 def parse_idle_timeout(value: bytes) -> float:
     """Returns the idle timeout of a connection from its Keep-Alive header."""
     found = KEEP_ALIVE_PATTERN.search(value)
