Let no entry of another writer end the read of all registrations

Values from outside now have types that every later step can carry: whole numbers within 2^53, names of 256 characters, tokens that fit into a header (platform/bounds.py), for registrations, reports, cache lists, handles and the configuration. What an entry does in a later step ends that entry alone, also where a relay passes it on; a digest of it is remembered in place of its bytes. A gateway whose part that follows the store fails each time it is restarted isn't ready.

The records of the configuration have a module of their own.

--- a/features/fuzzing.feature
+++ b/features/fuzzing.feature
@@ -47,3 +47,47 @@
       | no address        |
       | bytes             |
       | a start as text   |
+      | slots beyond 64 bits       |
+      | a start beyond 64 bits     |
+      | a start before 1970        |
+      | a version of 4000 digits   |
+      | a service of a megabyte    |
+      | a data centre of a megabyte |
+      | a version of a megabyte    |
+
+  # A number that decoding let through ended the read of all registrations.
+  Scenario Outline: What is decoded can be passed on to other nodes: <kind>
+    When made-up <kind> are decoded and encoded for other nodes
+    Then each is decoded or refused
+
+    Examples:
+      | kind                |
+      | registrations       |
+      | configurations      |
+      | reports of engines  |
+      | lists of caches     |
+      | handles of caches   |
+
+  Scenario: An entry that fails in a later step ends neither a read nor a relay's message
+    Given a directory that follows registrations and fails at "i-bad"
+    When a registration with nothing wrong comes between two good ones
+    Then the two good ones are known and the other one is not
+    And it was counted once, however often it was read
+    And the same holds where a relay passes the three on
+
+  Scenario: Entries that can't be read take no memory
+    Given a directory that follows registrations
+    When 256 entries of 100 kilobytes that can't be read come
+    Then at most 100 kilobytes are kept of them
+
+  Scenario Outline: A gateway whose view no longer moves is not ready: <failures> failures, <seconds> s apart
+    When a part that follows the store fails <failures> times, <seconds> s after each start
+    Then the gateway is <readiness> at once
+    And the gateway is ready 5 seconds later
+
+    Examples:
+      | failures | seconds | readiness |
+      | 2        | 0.1     | ready     |
+      | 3        | 0.1     | not ready |
+      | 9        | 0.1     | not ready |
+      | 9        | 30      | ready     |
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -191,3 +191,12 @@
     When a caller asks "/briefs/1" for a stream with the prompt "aa:4000,bb:300"
     Then the caller gets all events of one engine in order
     And the attempt has run once in all
+
+  # The read of all registrations ended at the entry, again and again.
+  Scenario: An entry that is out of range keeps no gateway from knowing which replica leaves
+    Given another writer's entry has 340282366920938463463374607431768211455 slots
+    When "app-1" is marked as leaving and the gateway knows
+    And 12 callers in turn post to "/seats/7"
+    Then each of them got the sealed answer to its own attempt
+    And "app-1" got none of them
+    And a gateway that starts now gets ready
--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -1,5 +1,6 @@
 """Steps that decode made-up messages from outside."""
 
+import functools
 import json
 import math
 import pathlib
@@ -8,13 +9,18 @@
 import behave
 from features.support import made_up
 import hypothesis
+from hypothesis import strategies
+import msgspec
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import prefix_routing as prefix_routing_module
 from gypsumfold.decisions import prompts as prompts_module
+from gypsumfold.decisions import registry as registry_module
 from gypsumfold.gateway import registrations as registrations_module
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import supervision
 from gypsumfold.gateway import topic_watches
+from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import frames
 from gypsumfold.gateway.peers import messages
 from gypsumfold.platform import decoding
@@ -23,6 +29,7 @@
 
 # Examples of each kind; 300 take about a second.
 EXAMPLES = 300
+MEGABYTE = 1 << 20
 SETTINGS = hypothesis.settings(
     max_examples=EXAMPLES,
     derandomize=True,
@@ -59,6 +66,32 @@
 }
 
 
+def encode(found):
+    """Encodes what was decoded, as messages and metrics have it."""
+    if isinstance(found, types.Configuration):
+        counts = [found.version, found.limits.body_bytes]
+        for service in found.services.values():
+            counts += [service.connections, service.cache_tokens]
+        msgspec.msgpack.encode(counts)
+        return
+    msgspec.msgpack.encode(found)
+
+
+@behave.when("made-up {kind} are decoded and encoded for other nodes")
+def step_encode(context, kind):
+    valid, decoder = DECODERS[kind]
+    if kind == "registrations":
+        decoder = functools.partial(decoding.decode_replica, "i-1")
+    decode_all(
+        context,
+        strategies.one_of(
+            made_up.messages(valid),
+            strategies.sampled_from(made_up.with_large_numbers(valid)),
+        ),
+        lambda value: encode(decoder(value)),
+    )
+
+
 @behave.when("made-up {kind} are decoded")
 def step_decode(context, kind):
     if kind == "headers of requests":
@@ -159,6 +192,14 @@
     "slots as text": {"slots": "24"},
     "no address": {"addr": "somewhere"},
     "a start as text": {"born": "1764726000000"},
+    "slots beyond 64 bits": {"slots": 2**128 - 1},
+    "a start beyond 64 bits": {"born": 2**64},
+    "a start before 1970": {"born": -1},
+    "a version of 4000 digits": {"version": 10**3999},
+    "a service of a megabyte": {"service": "x" * MEGABYTE},
+    "a data centre of a megabyte": {"zone": "x" * MEGABYTE},
+    "a version of a megabyte": {"version": "x" * MEGABYTE},
+    "nothing wrong": {},
 }
 
 
@@ -197,6 +238,75 @@
     assert sorted(context.directory.replicas) == ["i-1", "i-2"]
 
 
+@behave.given('a directory that follows registrations and fails at "{name}"')
+def step_failing_directory(context, name):
+    step_directory(context)
+    put = context.directory.put
+
+    def fail_at(replica):
+        if replica.instance == name:
+            raise OverflowError("it is too large")
+        put(replica)
+
+    context.directory.put = fail_at
+
+
+@behave.then("the same holds where a relay passes the three on")
+def step_relayed(context):
+    changes = []
+    for number, name in enumerate(("i-1", "i-bad", "i-2")):
+        replica = decoding.decode_replica(name, changed({}))
+        value = registrations_module.ENCODER.encode(replica)
+        changes.append(registry_module.Change(name, number, value))
+    follower = registrations_module.Registrations(
+        context.directory, topic_watches.StoreState(3.0)
+    )
+    context.directory.replicas.clear()
+    follower.merge(changes, 0.0)
+    step_good_known(context)
+
+
+@behave.when("{count:d} entries of {size:d} kilobytes that can't be read come")
+def step_large_entries(context, count, size):
+    value = b"x" * (size << 10)
+    records = []
+    for number in range(count):
+        own = value + str(number).encode()
+        records.append(store_module.Record(f"i-{number}", own))
+    context.registrations.replace(records)
+
+
+@behave.then("at most {size:d} kilobytes are kept of them")
+def step_kept(context, size):
+    kept = sum(map(len, context.registrations.skipped.values()))
+    assert kept <= size << 10, kept
+
+
+@behave.when(
+    "a part that follows the store fails {failures:d} times, {seconds:g} s "
+    "after each start"
+)
+def step_failing_part(context, failures, seconds):
+    context.supervisor = supervision.Supervisor()
+    now = 0.0
+    for _ in range(failures):
+        context.supervisor.record_failure("watch", now, now + seconds)
+        now += seconds + supervision.RESTART_SECONDS
+    context.now = now
+
+
+@behave.then("the gateway is {readiness} at once")
+def step_readiness(context, readiness):
+    failing = context.supervisor.is_failing("watch", context.now)
+    assert failing == (readiness == "not ready"), failing
+
+
+@behave.then("the gateway is ready {seconds:d} seconds later")
+def step_ready_later(context, seconds):
+    later = context.now + seconds
+    assert not context.supervisor.is_failing("watch", later)
+
+
 @behave.then("it was counted once, however often it was read")
 def step_counted(context):
     assert context.registrations.unreadable == 1
--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -13,6 +13,19 @@
 from gypsumfold.platform import names
 
 
+@behave.given("another writer's entry has {slots:d} slots")
+def step_foreign_entry(context, slots):
+    entry = {**context.fleet.entries["app-1"], "service": "other"}
+    context.fleet.write(
+        names.REGISTRATIONS_TOPIC, "i-other", {**entry, "slots": slots}
+    )
+
+
+@behave.then("a gateway that starts now gets ready")
+def step_starts(context):
+    context.fleet.start_gateway("edge-2")
+
+
 @behave.when('"{name}" is marked as leaving and the gateway knows')
 def step_draining(context, name):
     context.fleet.register(name, "app", state="draining")
--- a/features/support/made_up.py
+++ b/features/support/made_up.py
@@ -104,6 +104,7 @@
 slack = 52
 """
 
+LARGE_NUMBERS = (2**53, 2**64, 2**128 - 1, -(2**63) - 1)
 SCALARS = strategies.one_of(
     strategies.none(),
     strategies.booleans(),
@@ -112,6 +113,8 @@
     strategies.text(max_size=8),
     strategies.just("9" * 5000),
     strategies.just(10**400),
+    strategies.sampled_from(LARGE_NUMBERS),
+    strategies.just("x" * 2000),
     strategies.sampled_from(ODD_ADDRESSES),
 )
 VALUES = strategies.recursive(
@@ -289,3 +292,25 @@
     )
     made.sender.transport = mock.Mock()
     return made
+
+
+def with_large_numbers(valid):
+    """Valid messages in which one value is a number that few types hold."""
+    found = []
+    for change in replaced(valid):
+        found.append(json.dumps(change).encode())
+    return found
+
+
+def replaced(value):
+    """Yields a value with each part replaced by each large number."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            for other in replaced(inner):
+                yield {**value, name: other}
+    elif isinstance(value, list):
+        for place, inner in enumerate(value):
+            for other in replaced(inner):
+                yield [*value[:place], other, *value[place + 1 :]]
+    else:
+        yield from LARGE_NUMBERS
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -358,6 +358,10 @@
         """Whether the balancer should send connections here."""
         if self.stop.is_set() or self.configurations.current is None:
             return False
+        now = time.monotonic()
+        for name in self.watches.tasks():
+            if self.supervisor.is_failing(name, now):
+                return False
         return self.watches.registrations.has_read_all
 
     async def run(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -1,6 +1,7 @@
 """This node's copy of the replicas' registrations in the store."""
 
 from collections.abc import Callable
+import hashlib
 import time
 
 import msgspec
@@ -35,7 +36,7 @@
 
     Attributes:
         registry: The newest entry of each key, to be sent to other nodes.
-        skipped: The last invalid entry of each key.
+        skipped: Digest of the last invalid entry of each key.
         unreadable: Number of invalid entries seen.
         on_change: Called after a read that changed the registry.
     """
@@ -84,22 +85,32 @@
         for record in records:
             if self.registry.is_stale(record.key, record.offset):
                 continue
-            if not record.value:
-                self.registry.put(
-                    registry_module.Change(record.key, record.offset, b""), now
-                )
-                self.drop(record.key, self.state.grace())
-                continue
             try:
-                replica = decoding.decode_replica(record.key, record.value)
+                self.apply_record(record, now)
             except exceptions.RecordInvalid as error:
                 self.skip(record, str(error))
-                continue
-            value = ENCODER.encode(replica._replace(orders=0))
-            change = registry_module.Change(record.key, record.offset, value)
-            returns = self.registry.returns(change)
-            self.registry.put(change, now)
-            self.put(replica, returns)
+            except Exception as error:
+                # No entry may keep the others from being read.
+                self.skip(record, repr(error))
+
+    def apply_record(self, record: store_module.Record, now: float) -> None:
+        """Applies one record.
+
+        Raises:
+            exceptions.RecordInvalid: It is malformed.
+        """
+        if not record.value:
+            self.registry.put(
+                registry_module.Change(record.key, record.offset, b""), now
+            )
+            self.drop(record.key, self.state.grace())
+            return
+        replica = decoding.decode_replica(record.key, record.value)
+        value = ENCODER.encode(replica._replace(orders=0))
+        change = registry_module.Change(record.key, record.offset, value)
+        returns = self.registry.returns(change)
+        self.registry.put(change, now)
+        self.put(replica, returns)
 
     def merge(
         self, changes: list[registry_module.Change], grace: float
@@ -122,11 +133,11 @@
                 self.drop(change.key, grace)
                 continue
             try:
-                replica = DECODER.decode(change.value)
-            except msgspec.DecodeError as error:
-                events.log(events.FRAME_REFUSED, reason=str(error))
-                continue
-            self.put(replica, returns)
+                self.put(DECODER.decode(change.value), returns)
+            except Exception as error:
+                events.log(
+                    events.FRAME_REFUSED, key=change.key, reason=repr(error)
+                )
 
     def put(self, replica: types.Replica, returns: bool) -> None:
         """Adds or updates a replica in the directory.
@@ -161,11 +172,12 @@
 
     def skip(self, record: store_module.Record, reason: str) -> None:
         """Counts an invalid entry; logs each one once."""
-        if self.skipped.get(record.key) == record.value:
+        digest = hashlib.blake2b(record.value, digest_size=8).digest()
+        if self.skipped.get(record.key) == digest:
             return
         if len(self.skipped) >= MAX_SKIPPED:
             self.skipped.clear()
-        self.skipped[record.key] = record.value
+        self.skipped[record.key] = digest
         self.unreadable += 1
         events.log(events.RECORD_SKIPPED, key=record.key, reason=reason)
 
--- a/packages/gypsumfold/src/gypsumfold/platform/decoding.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/decoding.py
@@ -12,6 +12,8 @@
 from gypsumfold.decisions import client_keys
 from gypsumfold.decisions import routes
 from gypsumfold.gateway import types
+from gypsumfold.platform import bounds
+from gypsumfold.platform import configuration_records
 from gypsumfold.platform import names
 
 # Raised when decoding malformed bytes; RecursionError comes from lists nested
@@ -25,108 +27,22 @@
 MAX_RATE = 1e6
 
 
-class TargetRecord(msgspec.Struct):
-    """One service of a split route."""
-
-    service: str
-    weight: float = 1.0
-
-
-class RouteRecord(msgspec.Struct):
-    """A route in the operators' configuration."""
-
-    name: str
-    host: str
-    kind: str
-    prefix: str = msgspec.field(name="pathPrefix")
-    limit_ms: float = msgspec.field(name="timeoutMs")
-    objective_ms: float = msgspec.field(name="goalMs", default=0.0)
-    urgency: int = msgspec.field(name="priority", default=5)
-    attempts: int = 1
-    service: str = ""
-    split: list[TargetRecord] | None = None
-    resumable: bool = False
-    # Longest pause between events of a stream that still counts as on time.
-    pause_ms: float = msgspec.field(name="gapAimMs", default=0.0)
-    public: bool = False
-
-
-class EngineRecord(msgspec.Struct):
-    """Capabilities of the model engines of a service."""
-
-    cache_tokens: int = msgspec.field(name="kvTokens", default=0)
-    token_bytes: int = msgspec.field(name="tokenKvBytes", default=0)
-    link_mbps: float = msgspec.field(name="linkMbps", default=0.0)
-    handle_s: float = msgspec.field(name="handleTtlS", default=0.0)
-    switch_s: float = msgspec.field(name="stageSwitchS", default=0.0)
-
-
-class ScaleRecord(msgspec.Struct):
-    """How many replicas of a service may be ordered, and their prices."""
-
-    least: int = msgspec.field(name="min", default=0)
-    most: int = msgspec.field(name="max", default=0)
-    start_s: float = msgspec.field(name="bootS", default=0.0)
-    spot_price: float = msgspec.field(name="spotPrice", default=1.0)
-    prices: dict[str, float] = msgspec.field(
-        name="zonePrices", default_factory=dict
-    )
-
-
-class ServiceRecord(msgspec.Struct):
-    """A service in the operators' configuration."""
-
-    name: str
-    connections: int = msgspec.field(name="maxConns", default=0)
-    engine: EngineRecord | None = None
-    scale: ScaleRecord | None = None
-
-
-class LimitsRecord(msgspec.Struct):
-    """Limits on callers' requests in the operators' configuration."""
-
-    body_bytes: int = msgspec.field(name="maxBodyBytes", default=4194304)
-    header_ms: float = msgspec.field(name="headerTimeoutMs", default=10000.0)
-    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=60000.0)
-
-
-class AccountRecord(msgspec.Struct):
-    """A client account in the operators' configuration."""
-
-    name: str
-    keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
-    urgency: int | None = msgspec.field(name="priority", default=None)
-
-
-class ConfigurationRecord(msgspec.Struct):
-    """The complete configuration that operators declare."""
-
-    version: int
-    routes: list[RouteRecord]
-    services: list[ServiceRecord] = []
-    limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
-    # Absent where requests need no key.
-    accounts: list[AccountRecord] | None = msgspec.field(
-        name="tenants", default=None
-    )
-
-
 class ReplicaRecord(msgspec.Struct):
     """A replica's registration."""
 
-    service: str
-    address: str = msgspec.field(name="addr")
-    data_centre: str = msgspec.field(name="zone")
-    slots: int
-    state: str
+    service: bounds.Name
+    address: bounds.Name = msgspec.field(name="addr")
+    data_centre: bounds.Name = msgspec.field(name="zone")
+    slots: bounds.Count
+    state: bounds.Name
     # Version of the replica's software, not of its weights.
-    version: str | int = ""
-    stage: str = ""
+    version: bounds.Name | bounds.Whole = ""
+    stage: bounds.Name = ""
     # Start time in Unix milliseconds; some replicas leave it out.
-    born: int | None = None
+    born: bounds.Count | None = None
     # Number of accepted orders if the replica has a stage; otherwise a counter
     # without meaning.
-    orders: int = msgspec.field(name="seq", default=0)
+    orders: bounds.Count = msgspec.field(name="seq", default=0)
     spot: bool = False
 
 
@@ -136,7 +52,7 @@
     Raises:
         exceptions.RecordInvalid: The value is malformed.
     """
-    record = convert(value, ConfigurationRecord)
+    record = convert(value, configuration_records.ConfigurationRecord)
     found = []
     for route in record.routes:
         if route.kind not in names.ROUTE_KINDS:
@@ -194,10 +110,8 @@
         raise exceptions.RecordInvalid(f"unknown state: {record.state!r}")
     if record.stage and record.stage not in names.ROLES:
         raise exceptions.RecordInvalid(f"unknown role: {record.stage!r}")
-    if record.slots < 1 or record.orders < 0:
-        raise exceptions.RecordInvalid(
-            f"slots {record.slots} or seq {record.orders} is too low"
-        )
+    if record.slots < 1:
+        raise exceptions.RecordInvalid("it has no slots")
     if not ADDRESS.fullmatch(record.address):
         raise exceptions.RecordInvalid(
             f"address is not IP:PORT: {record.address!r}"
@@ -207,18 +121,18 @@
 class StateRecord(msgspec.Struct):
     """The state that an engine reports."""
 
-    stage: str = ""
+    stage: bounds.Name = ""
     busy: bool = False
-    orders: int = msgspec.field(name="seq", default=0)
-    queued: int = 0
-    running: int = 0
-    born: int | None = None
+    orders: bounds.Count = msgspec.field(name="seq", default=0)
+    queued: bounds.Count = 0
+    running: bounds.Count = 0
+    born: bounds.Count | None = None
 
 
 class HandleRecord(msgspec.Struct):
     """An engine's answer to a finished prefill."""
 
-    handle: str
+    handle: bounds.Token
 
 
 def decode_state(value: bytes) -> types.State:
@@ -257,8 +171,8 @@
         born: Start time of the engine in Unix milliseconds.
     """
 
-    held: list[tuple[str, str, int, str]]
-    born: int | None = None
+    held: list[tuple[str, bounds.Name, bounds.Count, str]]
+    born: bounds.Count | None = None
 
 
 def decode_cache_list(value: bytes) -> types.CacheList:
@@ -302,7 +216,7 @@
         raise exceptions.RecordInvalid(str(error)) from error
 
 
-def _route(record: RouteRecord) -> routes.Route:
+def _route(record: configuration_records.RouteRecord) -> routes.Route:
     targets = []
     for target in record.split or ():
         targets.append(routes.Target(target.service, target.weight))
@@ -324,7 +238,7 @@
     )
 
 
-def _abandon_timeout(record: RouteRecord) -> float:
+def _abandon_timeout(record: configuration_records.RouteRecord) -> float:
     if names.ROUTE_KINDS[record.kind] != routes.Kind.STREAMING:
         return 0.0
     return max(
@@ -335,7 +249,7 @@
 
 
 def _keys(
-    records: list[AccountRecord] | None,
+    records: list[configuration_records.AccountRecord] | None,
 ) -> client_keys.KeyTable | None:
     if records is None:
         return None
@@ -346,8 +260,8 @@
     return client_keys.KeyTable(accounts)
 
 
-def _service(record: ServiceRecord) -> types.Service:
-    engine = record.engine or EngineRecord()
+def _service(record: configuration_records.ServiceRecord) -> types.Service:
+    engine = record.engine or configuration_records.EngineRecord()
     return types.Service(
         record.name,
         record.connections,
@@ -361,7 +275,9 @@
     )
 
 
-def _offer(record: ScaleRecord | None) -> capacity.Offer | None:
+def _offer(
+    record: configuration_records.ScaleRecord | None,
+) -> capacity.Offer | None:
     if record is None:
         return None
     return capacity.Offer(
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_checks.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_checks.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gypsumfold import exceptions
+from gypsumfold.platform import configuration_records
 from gypsumfold.platform import decoding
 from gypsumfold.platform import names
 from gypsumfoldctl import configuration_differences
@@ -18,14 +19,14 @@
 
 # Records of the configuration by where they stand; "*" is any index.
 RECORDS: dict[tuple[str, ...], type[msgspec.Struct]] = {
-    (): decoding.ConfigurationRecord,
-    ("routes", "*"): decoding.RouteRecord,
-    ("routes", "*", "split", "*"): decoding.TargetRecord,
-    ("services", "*"): decoding.ServiceRecord,
-    ("services", "*", "engine"): decoding.EngineRecord,
-    ("services", "*", "scale"): decoding.ScaleRecord,
-    ("limits",): decoding.LimitsRecord,
-    ("tenants", "*"): decoding.AccountRecord,
+    (): configuration_records.ConfigurationRecord,
+    ("routes", "*"): configuration_records.RouteRecord,
+    ("routes", "*", "split", "*"): configuration_records.TargetRecord,
+    ("services", "*"): configuration_records.ServiceRecord,
+    ("services", "*", "engine"): configuration_records.EngineRecord,
+    ("services", "*", "scale"): configuration_records.ScaleRecord,
+    ("limits",): configuration_records.LimitsRecord,
+    ("tenants", "*"): configuration_records.AccountRecord,
 }
 # The names of their fields in the text.
 FIELDS = {
@@ -37,7 +38,7 @@
 def check(
     text: findings.Text,
     printer: configuration_differences.Printer,
-    in_force: decoding.ConfigurationRecord | None = None,
+    in_force: configuration_records.ConfigurationRecord | None = None,
 ) -> list[findings.Finding]:
     """Checks a configuration.
 
@@ -106,7 +107,9 @@
         sections = decoding.convert(report.text.value, dict[str, msgspec.Raw])
     except exceptions.RecordInvalid:
         sections = {}
-    for field in msgspec.structs.fields(decoding.ConfigurationRecord):
+    for field in msgspec.structs.fields(
+        configuration_records.ConfigurationRecord
+    ):
         name = field.encode_name
         if name not in sections:
             if sections and field.required:
@@ -208,8 +211,8 @@
 
 def _check_version(
     report: findings.Report,
-    record: decoding.ConfigurationRecord,
-    in_force: decoding.ConfigurationRecord,
+    record: configuration_records.ConfigurationRecord,
+    in_force: configuration_records.ConfigurationRecord,
 ) -> None:
     """Finds a version that gateways would ignore."""
     if record.version > in_force.version or record == in_force:
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_differences.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_differences.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gypsumfold.platform import decoding
+from gypsumfold.platform import configuration_records
 
 # Stands for a string that is the key of a client account.
 HIDDEN = "(a key)"
@@ -55,7 +55,7 @@
         return value
 
 
-def keys(record: decoding.ConfigurationRecord) -> set[str]:
+def keys(record: configuration_records.ConfigurationRecord) -> set[str]:
     """Returns the keys of all client accounts."""
     found = set()
     for account in record.accounts or ():
@@ -64,8 +64,8 @@
 
 
 def compare(
-    old: decoding.ConfigurationRecord,
-    new: decoding.ConfigurationRecord,
+    old: configuration_records.ConfigurationRecord,
+    new: configuration_records.ConfigurationRecord,
     printer: Printer,
 ) -> list[Difference]:
     """Compares a configuration with the one in force.
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_findings.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_findings.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from gypsumfold import exceptions
+from gypsumfold.platform import configuration_records
 from gypsumfold.platform import decoding
 from gypsumfoldctl import configuration_differences
 from gypsumfoldctl import json_positions
@@ -71,11 +72,13 @@
     def __init__(self, value: bytes):
         self.value = value
         self.reason = ""
-        self.record: decoding.ConfigurationRecord | None = None
+        self.record: configuration_records.ConfigurationRecord | None = None
         self.is_json = True
         try:
             decoding.decode_configuration(value)
-            self.record = decoding.convert(value, decoding.ConfigurationRecord)
+            self.record = decoding.convert(
+                value, configuration_records.ConfigurationRecord
+            )
         except exceptions.RecordInvalid as error:
             self.reason = str(error)
             # The gateway stops at a wrong type before it sees wrong syntax
--- a/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
+++ b/packages/gypsumfoldctl/src/gypsumfoldctl/configuration_rules.py
@@ -6,7 +6,7 @@
 import math
 
 from gypsumfold.decisions import routes
-from gypsumfold.platform import decoding
+from gypsumfold.platform import configuration_records
 from gypsumfold.platform import names
 from gypsumfoldctl import configuration_findings as findings
 from gypsumfoldctl import json_positions
@@ -16,7 +16,7 @@
 
 
 def check(
-    report: findings.Report, record: decoding.ConfigurationRecord
+    report: findings.Report, record: configuration_records.ConfigurationRecord
 ) -> None:
     """Checks a whole configuration."""
     _check_names(report)
@@ -63,7 +63,7 @@
 
 
 def _check_shadows(
-    report: findings.Report, found: list[decoding.RouteRecord]
+    report: findings.Report, found: list[configuration_records.RouteRecord]
 ) -> None:
     """Finds routes that no request can match.
 
@@ -94,7 +94,7 @@
             report.unused(ERROR, (*path, "host"), sentence)
 
 
-def _targets(route: decoding.RouteRecord) -> list[str]:
+def _targets(route: configuration_records.RouteRecord) -> list[str]:
     """Returns the services that a route leads to, as gateways decode it."""
     if route.split:
         return [target.service for target in route.split]
@@ -104,7 +104,7 @@
 def _check_targets(
     report: findings.Report,
     path: json_positions.Path,
-    route: decoding.RouteRecord,
+    route: configuration_records.RouteRecord,
     replicas: dict[str, float],
 ) -> None:
     """Checks the services of a route and their weights."""
@@ -138,7 +138,7 @@
 def _check_times(
     report: findings.Report,
     path: json_positions.Path,
-    route: decoding.RouteRecord,
+    route: configuration_records.RouteRecord,
 ) -> None:
     """Checks the objectives and time limits of a route."""
     _check_positive(report, (*path, "timeoutMs"), route.limit_ms)
@@ -171,7 +171,7 @@
 def _check_attempts(
     report: findings.Report,
     path: json_positions.Path,
-    route: decoding.RouteRecord,
+    route: configuration_records.RouteRecord,
     replicas: dict[str, float],
 ) -> None:
     """Checks the number of replicas that may run one request."""
@@ -189,7 +189,7 @@
         report.contradiction(WARNING, path, sentence)
 
 
-def _most_replicas(service: decoding.ServiceRecord) -> float:
+def _most_replicas(service: configuration_records.ServiceRecord) -> float:
     """Returns the most replicas that a service can have; inf if unknown.
 
     `max` counts in each data centre, and replicas are ordered in those that
@@ -203,7 +203,7 @@
 def _check_scale(
     report: findings.Report,
     path: json_positions.Path,
-    service: decoding.ServiceRecord,
+    service: configuration_records.ServiceRecord,
 ) -> None:
     """Checks how many replicas of a service may be ordered."""
     scale = service.scale
@@ -225,7 +225,7 @@
 
 
 def _check_accounts(
-    report: findings.Report, record: decoding.ConfigurationRecord
+    report: findings.Report, record: configuration_records.ConfigurationRecord
 ) -> None:
     """Checks the client accounts and who holds each key."""
     holders: dict[str, int] = {}
