End a stopping gateway's leadership for good

A gateway left the group at SIGTERM, but the task that renews its membership went on until the process ended and joined again within seconds.

Stopping is final now: no token and no join from then on; a join or an order that is under way is answered before the leave, and without an answer the membership is left to expire. An entry of a stopping node isn't written again either.

--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -5,6 +5,7 @@
 import types as builtin_types
 
 import behave
+from features.support import fixed_leader
 from features.support import virtual_gateways
 from features.support import virtual_operations
 from features.support import virtual_replicas
@@ -163,13 +164,13 @@
 
     Attributes:
         replicas: The service's registered replicas.
-        token: The leader's fencing token.
+        leader: Holds the fencing token.
     """
 
     def __init__(self, policy=POLICY, site=None):
         self.site = site or virtual_gateways.Site(seed=1)
         self.platform = virtual_operations.Platform(random.Random(1))
-        self.token = 3
+        self.leader = fixed_leader.FixedLeader(3)
         self.replicas = []
         self.busy = 8.0
         service = types.Service("lm", 860, 400_000, offer=OFFER)
@@ -177,7 +178,7 @@
         self.scaler = scaling.Scaler(
             virtual_store.Store(self.site.log, virtual_store.Path()),
             self.platform,
-            builtin_types.SimpleNamespace(token=lambda now: self.token),
+            self.leader,
             builtin_types.SimpleNamespace(
                 current=builtin_types.SimpleNamespace(services={"lm": service})
             ),
@@ -228,7 +229,7 @@
         task = asyncio.create_task(lead.scaler.run())
         await asyncio.sleep(seconds)
         context.fenced = len(platform.duties.calls) - 6
-        lead.token = 10
+        lead.leader.held = 10
         await asyncio.sleep(seconds)
         task.cancel()
 
--- a/features/steps/store_drills_steps.py
+++ b/features/steps/store_drills_steps.py
@@ -5,6 +5,7 @@
 import random
 
 import behave
+from features.support import fixed_leader
 from features.support import virtual_drills
 from features.support import virtual_gateways
 from features.support import virtual_operations
@@ -244,23 +245,12 @@
     assert duties.contradictions() == [], bodies
 
 
-class Leader:
-    """Stands for a gateway that holds the authority with some token."""
-
-    def __init__(self, held):
-        self.held = held
-
-    def token(self, now):
-        """The fencing token."""
-        return self.held
-
-
 def reporter(site, platform, token):
     """Makes what reports usage, for one gateway."""
     found = usage_reports.UsageReporter(
         virtual_store.Store(site.log, virtual_store.Path()),
         platform,
-        Leader(token),
+        fixed_leader.FixedLeader(token),
         POLICY,
         f"edge-{token}",
         lambda: 0.0,
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -6,6 +6,7 @@
 import types
 
 import behave
+from features.support import fixed_leader
 from features.support import gateway_calls as callers
 from features.support import gateways
 from features.support import virtual_gateways
@@ -281,22 +282,16 @@
         play.check(missed)
 
 
-class Leader:
-    """Stands for a gateway that holds the authority with some token."""
-
-    def __init__(self, token: int):
-        self.held = token
-
-    def token(self, now: float) -> int:
-        """The fencing token."""
-        return self.held
-
-
 def reporter(log, platform, token, clock):
     """Makes what reports, for one gateway in virtual time."""
     store = virtual_store.Store(log, virtual_store.Path())
     found = usage_reports.UsageReporter(
-        store, platform, Leader(token), POLICY, f"edge-{token}", lambda: 0.0
+        store,
+        platform,
+        fixed_leader.FixedLeader(token),
+        POLICY,
+        f"edge-{token}",
+        lambda: 0.0,
     )
     found.clock = clock
     return found
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -553,6 +553,13 @@
 ORDERS_LOST = define(
     611, "orders-lost", "info", "This node may no longer send orders."
 )
+LEADERSHIP_LAPSES = define(
+    616,
+    "leadership-lapses",
+    "warning",
+    "A stopping node doesn't leave the group, as an order of it has not been "
+    "answered; its membership expires.",
+)
 ROLE_ORDERED = define(
     612, "role-ordered", "info", "An engine was ordered to change its role."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -545,7 +545,7 @@
         if self.handler.plain_calls.shared is not None:
             self.handler.plain_calls.shared.stop()
         await asyncio.gather(
-            self.leadership.leave(), self.gossip.entries.withdraw()
+            self.leadership.stop(), self.gossip.entries.withdraw()
         )
         await asyncio.sleep(min(DRAIN_NOTICE_SECONDS, grace / 2))
         await self.server.stop_listening()
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import random
 import time
 
@@ -34,6 +36,8 @@
 # It knows once it has read the other members, after some 50 ms.
 INITIAL_CHECKS = 50
 INITIAL_CHECK_SECONDS = 0.02
+# Seconds that a stopping node waits for the answers to what it has ordered.
+STOP_SECONDS = 2.0
 
 
 class Leadership:
@@ -48,6 +52,14 @@
         generation: The group's generation at the last renewal.
         valid_until: Until when this node may give orders.
         is_holder: Whether the last renewal assigned partition 0.
+        waits_until: Until when another node may have acted since this one did,
+            or may still hold the authority of an earlier era of the store.
+        acted_at: When this node last ended an act.
+        unanswered_at: When its last act without an answer ended.
+        renewed_at: When the last answered renewal was sent.
+        acts: Calls under the authority that haven't been answered yet.
+        stopping: Whether the node stops; it doesn't join any more.
+        may_join_at: When it may join the group.
 
     >>> leadership = Leadership(settings, store, state, "edge-1-0193")
     >>> leadership.token(now=0.0) is None
@@ -75,9 +87,18 @@
         self.generation = 0
         self.valid_until = float("-inf")
         self.is_holder = False
-        # Until when another node may still hold the authority of an earlier
-        # era of the store.
         self.waits_until = float("-inf")
+        self.acted_at = float("-inf")
+        self.unanswered_at = float("-inf")
+        self.renewed_at = float("-inf")
+        self.acts = 0
+        self.acts_ended = asyncio.Event()
+        self.stopping = False
+        # A node that has left must not be joined again by an earlier call.
+        self.changing = asyncio.Lock()
+        self.may_join_at = float("-inf")
+        if not settings.node.first_start:
+            self.may_join_at = time.monotonic() + self.lease_seconds
         store.eras.listeners.append(self.store_returned)
 
     def store_returned(self) -> None:
@@ -94,18 +115,49 @@
 
     def token(self, now: float) -> int | None:
         """Returns the fencing token for orders, or None if not the holder."""
-        if now >= self.valid_until or now < self.waits_until:
+        if self.stopping or now >= self.valid_until or now < self.waits_until:
             return None
         return self.generation
 
+    @contextlib.contextmanager
+    def act(self) -> Iterator[int | None]:
+        """Has the authority kept until a call under it has been answered.
+
+        Yields:
+            The fencing token; None if this node may not act.
+        """
+        token = self.token(time.monotonic())
+        if token is None:
+            yield None
+            return
+        self.acts += 1
+        self.acts_ended.clear()
+        try:
+            yield token
+        except BaseException:
+            self.unanswered_at = time.monotonic()
+            raise
+        finally:
+            self.acted_at = time.monotonic()
+            self.acts -= 1
+            if not self.acts:
+                self.acts_ended.set()
+
     async def run(self) -> None:
-        """Renews the membership for as long as the node runs."""
+        """Renews the membership until the node stops.
+
+        A node that starts again joins once a lease has passed: it may have
+        acted just before, and others since.
+        """
+        await asyncio.sleep(max(0.0, self.may_join_at - time.monotonic()))
         for _ in range(INITIAL_CHECKS):
             if self.is_candidate():
                 break
             await asyncio.sleep(INITIAL_CHECK_SECONDS)
-        while True:
-            await self.check()
+        while not self.stopping:
+            async with self.changing:
+                if not self.stopping:
+                    await self.check()
             pause = self.lease_seconds / RENEWALS_PER_LEASE
             await asyncio.sleep(pause * random.uniform(0.8, 1.0))
 
@@ -141,8 +193,15 @@
             return
         self.state.call_answered()
         self.joined = True
-        self.generation = place.generation
         holds = 0 in place.partitions
+        was_silent = sent - self.renewed_at >= self.lease_seconds
+        if holds and (was_silent or not self.is_holder):
+            # Another node may have held the authority in between.
+            self.waits_until = max(
+                self.waits_until, self.acted_at + self.lease_seconds
+            )
+        self.renewed_at = sent
+        self.generation = place.generation
         self.valid_until = (
             sent + VALID_FRACTION * self.lease_seconds
             if holds
@@ -153,6 +212,29 @@
             event = events.ORDERS_GAINED if holds else events.ORDERS_LOST
             events.log(event, token=place.generation, member=self.member)
 
+    async def stop(self) -> None:
+        """Leaves the group for good.
+
+        What was ordered is answered first, so that it can't be carried out
+        after the orders of the next holder. Without an answer the membership is
+        left to expire.
+        """
+        self.stopping = True
+        async with self.changing:
+            if self.acts:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(STOP_SECONDS):
+                        await self.acts_ended.wait()
+            unanswered = time.monotonic() - self.unanswered_at
+            if self.acts or unanswered < self.lease_seconds:
+                events.log(
+                    events.LEADERSHIP_LAPSES,
+                    token=self.generation,
+                    member=self.member,
+                )
+                return
+            await self.leave()
+
     async def leave(self) -> None:
         """Leaves the group and gives up the authority."""
         self.valid_until = float("-inf")
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -86,6 +86,8 @@
         self.entered = False
         self.delayed = False
         self.withdrawn = False
+        # An entry that is being written must not come after its removal.
+        self.writing = asyncio.Lock()
         self.lost = False
         self.due = asyncio.Event()
         self.checked_at = -math.inf
@@ -194,10 +196,7 @@
             await self.reread()
 
     async def reread(self) -> None:
-        """Reads all entries again, until the store answers.
-
-        If this node was entered late, its first read came before its entry.
-        """
+        """Reads all entries again, as the first read came before the entry."""
         while True:
             if await self.read_all():
                 return
@@ -220,8 +219,8 @@
 
     async def enter(self) -> None:
         """Writes this node's entry to the store, until that succeeds."""
-        while True:
-            if await self.write_entry(self.members.own, False):
+        while not self.withdrawn:
+            if await self.write_own():
                 self.entered = True
                 self.on_readable()
                 return
@@ -229,6 +228,12 @@
             self.on_readable()
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def write_own(self) -> bool:
+        """Writes this node's entry unless it was withdrawn meanwhile."""
+        async with self.writing:
+            own = self.members.own
+            return not self.withdrawn and await self.write_entry(own, False)
+
     async def write_entry(
         self, member: members_module.Member, suspected: bool
     ) -> bool:
@@ -267,7 +272,8 @@
         If that fails, another node removes the entry later.
         """
         self.withdrawn = True
-        await self.put_record(self.members.own.node, b"")
+        async with self.writing:
+            await self.put_record(self.members.own.node, b"")
 
     async def check(self, observer: Observer) -> None:
         """Renews entries of running nodes and removes those of dead ones."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -213,34 +213,20 @@
                 done = state.busy or state.role == change.role
                 if token is None or done or not current:
                     # Tried again unless its entry shows the role by then.
-                    self.pending[change.engine] = PendingOrder(
-                        change.role, now + RETRY_SECONDS
-                    )
+                    later = PendingOrder(change.role, now + RETRY_SECONDS)
+                    self.pending[change.engine] = later
                     return
-                self.close_engine(
-                    change.engine, service.switch_time + CLOSED_SECONDS
-                )
+                closed = service.switch_time + CLOSED_SECONDS
+                self.close_engine(change.engine, closed)
                 await asyncio.sleep(ORDER_DELAY_SECONDS)
-                token = self.leadership.token(time.monotonic())
-                if token is None:
-                    self.directory.roles.close_until(
-                        change.engine, time.monotonic()
+                with self.leadership.act() as token:
+                    if token is None:
+                        now = time.monotonic()
+                        self.directory.roles.close_until(change.engine, now)
+                        return
+                    await self.send_order(
+                        service, replica, change, state, token
                     )
-                    return
-                order = types.Order(
-                    change.role, self.leadership.member, token, state.orders
-                )
-                events.log(
-                    events.ROLE_ORDERED,
-                    instance=change.engine,
-                    role=change.role,
-                    token=token,
-                    after=state.orders,
-                    prompts=round(self.splits[service.name].prompts, 3),
-                    streams=round(self.splits[service.name].streams, 3),
-                    demand=round(self.splits[service.name].demand, 3),
-                )
-                await self.endpoints.order(replica, order)
             self.follow_role_change(replica, change.role, service.switch_time)
         except (
             exceptions.EndpointError,
@@ -250,9 +236,8 @@
             if isinstance(error, exceptions.EndpointNotStarted):
                 # The order can't have arrived; retry soon.
                 until = time.monotonic() + RETRY_SECONDS
-            self.pending[change.engine] = PendingOrder(
-                change.role, until, False
-            )
+            failed = PendingOrder(change.role, until, False)
+            self.pending[change.engine] = failed
             events.log(
                 events.ROLE_ORDER_FAILED,
                 instance=change.engine,
@@ -260,6 +245,33 @@
                 reason=repr(error),
             )
 
+    async def send_order(
+        self,
+        service: types.Service,
+        replica: types.Replica,
+        change: role_changes.Change,
+        state: types.State,
+        token: int,
+    ) -> None:
+        """Sends one order with a fencing token.
+
+        Raises:
+            exceptions.EndpointError: It may or may not be carried out.
+        """
+        holder = self.leadership.member
+        order = types.Order(change.role, holder, token, state.orders)
+        events.log(
+            events.ROLE_ORDERED,
+            instance=change.engine,
+            role=change.role,
+            token=token,
+            after=state.orders,
+            prompts=round(self.splits[service.name].prompts, 3),
+            streams=round(self.splits[service.name].streams, 3),
+            demand=round(self.splits[service.name].demand, 3),
+        )
+        await self.endpoints.order(replica, order)
+
     def close_engine(self, instance: str, seconds: float) -> None:
         """Has all nodes send an engine no work while it changes its role.
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -283,9 +283,24 @@
         Raises:
             exceptions.OperationsUnavailable: It may or may not be carried out.
         """
-        token = self.leadership.token(time.monotonic())
-        if token is None or token <= self.refused_tokens.get(service.name, -1):
-            return
+        with self.leadership.act() as token:
+            refused = self.refused_tokens.get(service.name, -1)
+            if token is None or token <= refused:
+                return
+            await self.order_with(service, capacity, order, token)
+
+    async def order_with(
+        self,
+        service: types.Service,
+        capacity: capacity_module.Capacity,
+        order: capacity_module.Order,
+        token: int,
+    ) -> None:
+        """Gives one order with a fencing token.
+
+        Raises:
+            exceptions.OperationsUnavailable: It may or may not be carried out.
+        """
         now = time.monotonic()
         try:
             await self.operations.order_replicas(
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -238,9 +238,17 @@
         Raises:
             exceptions.PlatformError: It may or may not have been accepted.
         """
-        token = self.token()
-        if token is None:
-            return
+        with self.leadership.act() as token:
+            if token is None or token <= self.refused_token:
+                return
+            await self.report_with(index, token)
+
+    async def report_with(self, index: int, token: int) -> None:
+        """Sends a recorded window with a fencing token.
+
+        Raises:
+            exceptions.PlatformError: It may or may not have been accepted.
+        """
         try:
             await self.operations.report_usage(
                 self.recorded[index], self.node, token
