Take streams up after a kill of all gateways by what the store remembers

A caller that took a stream up with Last-Event-Id and without Resumes was joined to the version that was registered alone at that moment, also where another one had served a moment before: text of two versions. And after all gateways had been killed at once no take-up went on for 30 s, though a service had never had a second version: each gateway had watched the versions for a moment only.

What counts is for how long the versions of a service, and the services of a route, have been the same. That is now kept in the store at each change and taken over by a node that starts, where it is still so; a take-up without Resumes is held to the same rule as one that nobody remembers. A write can only make that time later, so that a wrong record refuses and never joins.

With two versions in service those that nobody remembers stay refused, at once.

--- a/features/steps/answer_statements_steps.py
+++ b/features/steps/answer_statements_steps.py
@@ -331,6 +331,7 @@
         port = server.sockets[0].getsockname()[1]
         replica = REPLICA._replace(address=f"127.0.0.1:{port}")
         client = replicas_module.Replicas(connection_pool.Pool())
+        report = replicas_module.REPORT
         checks = []
 
         def withhold(_):
@@ -340,9 +341,9 @@
 
         client.admission = withhold
         with contextlib.suppress(exceptions.EndpointWithheld):
-            await client.ask(replica, "GET", "/")
+            await client.ask(replica, report, "GET", "/")
             raise AssertionError("the request was sent")
-        assert await client.ask(replica, "GET", "/") == (200, b"ok")
+        assert await client.ask(replica, report, "GET", "/") == (200, b"ok")
         assert client.pool.opened == 1
         client.pool.close()
         server.close()
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -221,13 +221,16 @@
 
 @behave.given("two gateways before engines of two versions")
 def step_two_versions(context):
-    fleet = gateways.GatewayFleet()
-    context.fleet = fleet
+    context.fleet = gateways.GatewayFleet()
+    start_engines(context.fleet, ["v1", "v2", "v1", "v2"])
+
+
+def start_engines(fleet, versions):
+    """Starts decode engines of these versions and two gateways before them."""
     fleet.start_store()
     fleet.take_authority()
     wanted = [("reader-1", "prefill", "v1")]
-    for number in range(4):
-        version = f"v{1 + number % 2}"
+    for number, version in enumerate(versions):
         wanted.append((f"decoder-{number}", "decode", version))
     for name, stage, version in wanted:
         options = ["--stage", stage, "--version", version]
--- a/features/stopping_leaders.feature
+++ b/features/stopping_leaders.feature
@@ -17,6 +17,7 @@
       | the holder stops every 5 s and starts again     | 0.3   |
       | the holder is killed every 5 s and starts again | 0.2   |
       | the holder stops every 5 s and the store is slow | 0.2  |
+      | all partitions are given out anew every 4 s     | 0.15  |
 
   Scenario: A join that is under way when its gateway stops is answered before the leave
     Given a gateway whose join is under way
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -179,6 +179,7 @@
         # Seconds by which the VM's time of day is ahead.
         self.ahead = 0.0
         self.gateway.gossip.usage.clock = self.time_of_day
+        self.gateway.steady_records.clock = self.time_of_day
         reporter = self.gateway.duties.usage_reporter
         if reporter is not None:
             reporter.clock = self.time_of_day
@@ -202,6 +203,7 @@
         gateway.supervisor.start("fetch", gateway.store_copy.fetch)
         gateway.supervisor.start("leadership", gateway.leadership.run)
         gateway.supervisor.start("housekeeping", gateway.housekeeping)
+        gateway.supervisor.start("steady-records", gateway.steady_records.run)
         for name, function in gateway.duties.tasks().items():
             gateway.supervisor.start(name, function)
         if self.site.fleet is not None:
--- a/features/support/virtual_streams.py
+++ b/features/support/virtual_streams.py
@@ -15,6 +15,8 @@
 RETURN = 0.3
 # Seconds after its start from which a gateway is in touch.
 CONTACT = 3.0
+# Seconds between two looks for a gateway that is ready.
+LOOK = 0.05
 
 
 class TakeUp(NamedTuple):
@@ -79,6 +81,8 @@
         take_ups: All attempts at taking one up.
         started: When each gateway started.
         out_of_touch: Gateways whose attempts don't count.
+        names_attempt: Whether callers name the attempt that they take up.
+        is_balanced: Whether callers reach ready gateways only.
 
     >>> streams = StreamCallers(callers)
     >>> streams.keep_asking(rate=20.0)
@@ -93,6 +97,8 @@
         self.take_ups: list[TakeUp] = []
         self.started: dict[str, float] = {}
         self.out_of_touch: set[str] = set()
+        self.names_attempt = True
+        self.is_balanced = False
 
     def keep_asking(self, rate: float) -> None:
         """Lets callers ask for streams at random times."""
@@ -126,14 +132,17 @@
         self, stream: Stream, body: bytes, deadline: float, first: bool
     ) -> bool:
         """Makes one attempt; returns whether the stream is complete."""
-        node = self.site.rng.choice(list(self.site.nodes.values()))
+        node = await self.find_gateway()
         at = self.site.clock()
+        if at > deadline:
+            return True
         call = self.callers.call(KIND, body, deadline - at)
         before = len(stream.events)
         serving = 0
         if before:
+            resumes = stream.begun_as if self.names_attempt else ""
             call = call._replace(
-                resumes=stream.begun_as, last_event=str(stream.events[-1][0])
+                resumes=resumes, last_event=str(stream.events[-1][0])
             )
             serving = self.fleet.serving(stream.events[0][1])
         reply = Collector(stream.events)
@@ -152,6 +161,16 @@
             )
         return reply.ended
 
+    async def find_gateway(self):
+        """Picks a gateway; behind a balancer one that is ready."""
+        while True:
+            found = list(self.site.nodes.values())
+            if self.is_balanced:
+                found = [node for node in found if node.gateway.is_ready()]
+            if found:
+                return self.site.rng.choice(found)
+            await asyncio.sleep(LOOK)
+
     def is_in_touch(self, gateway: str, at: float) -> bool:
         """Whether a gateway counted for the rules at a time."""
         if gateway in self.out_of_touch:
--- a/packages/gypsumfold/src/gypsumfold/decisions/software_versions.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/software_versions.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple
 
 # Seconds after its begin within which a stream that nobody remembers may still
@@ -26,6 +27,12 @@
 class SteadyValues:
     """Remembers since when each key has had the same set of values.
 
+    Attributes:
+        found: The values of each key.
+        on_change: Called with each key whose values change.
+        first_age: Seconds for which a key that is new has had its values; over
+            0 where no stream can have begun before this node.
+
     >>> values = SteadyValues()
     >>> values.observe("swaps", frozenset(["lm"]), now=0.0)
     >>> values.sole("swaps", now=40.0)
@@ -34,14 +41,36 @@
 
     def __init__(self):
         self.found: dict[str, Steady] = {}
+        self.on_change: Callable[[str], None] = lambda key: None
+        self.first_age = 0.0
 
     def observe(
         self, key: str, value: frozenset[str | None], now: float
     ) -> None:
         """Records the values that a key has now."""
         before = self.found.get(key)
-        if before is None or before.value != value:
+        if before is None:
+            self.found[key] = Steady(value, now - self.first_age)
+        elif before.value != value:
             self.found[key] = Steady(value, now)
+        else:
+            return
+        self.on_change(key)
+
+    def adopt(
+        self, key: str, value: frozenset[str | None], since: float
+    ) -> bool:
+        """Takes over since when a key has had its values, from other nodes.
+
+        Returns:
+            Whether it has these values.
+        """
+        known = self.found.get(key)
+        if known is None or known.value != value:
+            return False
+        if since < known.since:
+            self.found[key] = Steady(value, since)
+        return True
 
     def retain(self, keys: set[str]) -> None:
         """Drops all other keys."""
--- a/packages/gypsumfold/src/gypsumfold/decisions/stream_origins.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/stream_origins.py
@@ -17,6 +17,8 @@
 # Origins remembered in each half of the retention; about 100 bytes each.
 MAX_ORIGINS = 50_000
 KEY_BYTES = 8
+# Key of no stream: asks what all living streams of a route began at.
+NO_STREAM = 0
 
 
 class Origin(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -266,6 +266,19 @@
     "An answer of the store names an era that cannot be read, or an earlier "
     "one.",
 )
+STEADY_ADOPTED = define(
+    248,
+    "steady-adopted",
+    "info",
+    "A starting node has taken over from the store for how long a service has "
+    "had the same software versions, or a route the same services.",
+)
+STEADY_UNSTORED = define(
+    249,
+    "steady-unstored",
+    "warning",
+    "A change of software versions or of routes could not be stored yet.",
+)
 ANSWER_NOT_DRAINED = define(
     344,
     "answer-not-drained",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -46,6 +46,7 @@
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import steady_records
 from gypsumfold.gateway import store_copy as store_copy_module
 from gypsumfold.gateway import supervision
 from gypsumfold.gateway import topic_watches
@@ -152,6 +153,8 @@
         if settings.prefill.moves:
             self.generations.prefills.moves.budget = self.budget
         self.origins = origins_module.Origins(self.directory)
+        if settings.node.first_start:
+            self.origins.start_with_system()
         self.generations.notify_begin = self.origins.begin
         self.configurations.listeners.append(self.origins.observe_configuration)
         self.leadership = leadership_module.Leadership(
@@ -311,6 +314,17 @@
             self.registrations,
             self.gossip,
         )
+        self.steady_records = steady_records.SteadyRecords(
+            self.store,
+            {
+                "service": self.directory.versions.steady,
+                "route": self.origins.route_services,
+            },
+            settings.node.first_start,
+        )
+        self.steady_records.may_write = self.gossip.is_store_reader
+        self.steady_records.is_complete = self.knows_site
+        self.origins.wait_until_read = self.steady_records.wait_until_read
         self.origins.registrations_age = lambda: (
             self.watches.registrations.staleness.age(clocks.now())
         )
@@ -354,15 +368,21 @@
             return False
         return self.directory.liveness.is_cut_off_from_most()
 
+    def knows_site(self) -> bool:
+        """Whether this node has a configuration and has read all replicas."""
+        if self.configurations.current is None:
+            return False
+        return self.watches.registrations.has_read_all
+
     def is_ready(self) -> bool:
         """Whether the balancer should send connections here."""
-        if self.stop.is_set() or self.configurations.current is None:
+        if self.stop.is_set():
             return False
         now = time.monotonic()
         for name in self.watches.tasks():
             if self.supervisor.is_failing(name, now):
                 return False
-        return self.watches.registrations.has_read_all
+        return self.knows_site()
 
     async def run(self) -> None:
         """Runs until `stop` is set, then shuts down."""
@@ -388,6 +408,7 @@
         self.supervisor.start("housekeeping", self.housekeeping)
         self.supervisor.start("liveness", self.liveness.run)
         self.supervisor.start("crash-records", self.crash_records.run)
+        self.supervisor.start("steady-records", self.steady_records.run)
         if not self.settings.node.first_start:
             self.supervisor.start("cache-lists", self.cache_lists.run)
             self.supervisor.start("crash-records-read", self.crash_records.read)
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -31,6 +31,10 @@
     """Finds no origin; used before there are other nodes."""
 
 
+async def wait_for_nothing() -> None:
+    """Waits for nothing; used where nothing is read."""
+
+
 class Origins:
     """Remembers, announces and finds the origins of streams.
 
@@ -40,6 +44,7 @@
             announcement.
         announce: Called with each origin that other nodes should know.
         ask: Asks other nodes for the origin of a stream on a route.
+        wait_until_read: Waits a moment for what a starting node reads.
         registrations_age: Returns the age of the known registrations.
         results: Number of streams taken up by how their origin was found.
 
@@ -54,6 +59,7 @@
         self.running: dict[int, float] = {}
         self.announce: Announce = lambda key, origin: None
         self.ask: Ask = ask_nobody
+        self.wait_until_read: Callable[[], Awaitable[None]] = wait_for_nothing
         self.registrations_age: Callable[[], float] = lambda: 0.0
         self.route_services = software_versions.SteadyValues()
         self.results = {"own": 0, "peer": 0, "sole": 0, "unknown": 0}
@@ -63,10 +69,20 @@
         now = time.monotonic()
         names = set()
         for route in configuration.routes.all():
+            if not route.resumable:
+                continue
             names.add(route.name)
             services = frozenset(target.service for target in route.targets)
             self.route_services.observe(route.name, services, now)
         self.route_services.retain(names)
+        # A route that comes later may be one that was removed.
+        self.route_services.first_age = 0.0
+
+    def start_with_system(self) -> None:
+        """Records that no stream has begun before this node."""
+        first_age = software_versions.STREAM_LIFE_SECONDS
+        self.route_services.first_age = first_age
+        self.directory.versions.steady.first_age = first_age
 
     def begin(self, progress: progress_module.Progress) -> None:
         """Records that the first event of a stream is about to be sent."""
@@ -148,25 +164,29 @@
     ) -> tuple[stream_origins.Origin | None, str]:
         """Finds a stream's origin; returns it and how it is known."""
         if not call.resumes:
-            # A caller that names no attempt: only a sole version can be meant.
-            origin = self.only_present(route)
-            return origin, "sole" if origin else "unknown"
+            await self.wait_until_read()
+            return await self.find_sole(route.name)
         key = stream_origins.stream_key(call.account, call.resumes)
         origin = self.memory.find(key, time.monotonic())
         if origin is not None:
             return origin, "own"
+        await self.wait_until_read()
         origin = await self.ask(key, route.name)
         if origin is not None:
             return origin, "peer"
         origin = self.sole(route.name)
         return origin, "sole" if origin else "unknown"
 
-    def only_present(self, route: routes.Route) -> stream_origins.Origin | None:
-        """Returns the only service and version that a route has now."""
-        if len(route.targets) != 1:
-            return None
-        service = route.targets[0].service
-        versions = self.directory.versions.current(service)
-        if len(versions) != 1:
-            return None
-        return stream_origins.Origin(service, next(iter(versions)))
+    async def find_sole(
+        self, route: str
+    ) -> tuple[stream_origins.Origin | None, str]:
+        """Finds the origin of a stream whose caller names no attempt.
+
+        Any stream that may still live can be meant, so only the origin that all
+        of them have counts.
+        """
+        origin = self.sole(route)
+        if origin is not None:
+            return origin, "sole"
+        origin = await self.ask(stream_origins.NO_STREAM, route)
+        return origin, "peer" if origin else "unknown"
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -113,6 +113,7 @@
 USAGE_TOPIC = "keyed.gypsumfold-usage"
 USAGE_TOTALS_TOPIC = "keyed.gypsumfold-usage-totals"
 CAPACITY_TOPIC = "keyed.gypsumfold-capacity"
+STEADY_TOPIC = "keyed.gypsumfold-steady"
 
 ROUTE_KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
