Write steady values only with a recent view, and take streams up without Resumes in processes

A gateway whose view of the registrations is old could have written that a service still had the versions of before, with the time of before, once the store had returned from a copy.

Real gateways that were all killed are tried with callers that name no attempt as well: 8 of 8 streams go on with one version, and are refused at once with two.

--- a/features/rejoined_streams.feature
+++ b/features/rejoined_streams.feature
@@ -66,12 +66,14 @@
   Scenario: A node that has started with the whole system knows that no stream began before
     Then a stream that nobody remembers goes on at a service of one version from its start
 
-  Scenario Outline: Real gateways: all are killed at once and callers take streams up: <versions>
+  Scenario Outline: Real gateways: all are killed at once and callers take streams up: <versions>, callers <how>
     Given two gateways before engines of <versions>
-    When callers read the begins of 8 streams and all gateways are killed and start again
+    When callers that <how> read the begins of 8 streams and all gateways are killed and start again
     Then the streams <end>
 
     Examples:
-      | versions     | end                                       |
-      | one version  | go on to their end                        |
-      | two versions | are refused at once, and none is mixed    |
+      | versions     | how                | end                                    |
+      | one version  | name their attempt | go on to their end                     |
+      | one version  | name no attempt    | go on to their end                     |
+      | two versions | name their attempt | are refused at once, and none is mixed |
+      | two versions | name no attempt    | are refused at once, and none is mixed |
--- a/features/steps/rejoined_streams_steps.py
+++ b/features/steps/rejoined_streams_steps.py
@@ -311,14 +311,16 @@
 
 
 @behave.when(
-    "callers read the begins of {count:d} streams and all gateways are killed "
-    "and start again"
+    "callers that {how} read the begins of {count:d} streams and all gateways "
+    "are killed and start again"
 )
-def step_killed(context, count):
+def step_killed(context, how, count):
     fleet = context.fleet
     # A record younger than the clocks' error says nothing.
     time.sleep(steady_records.CLOCK_ERROR_SECONDS)
     context.readers = [stream_readers.Reader(fleet) for _ in range(count)]
+    for reader in context.readers:
+        reader.names_attempt = how == "name their attempt"
     stream_versions_steps.read_all(context.readers, "edge-1", 3)
     for name in ("edge-1", "edge-2"):
         fleet[name].kill()
--- a/features/support/stream_readers.py
+++ b/features/support/stream_readers.py
@@ -21,6 +21,7 @@
         began: Id of the attempt that brought the first event.
         events: Id and version of each event, over all attempts.
         status: HTTP status of the last attempt; 0 where no head came.
+        names_attempt: Whether the caller names the attempt that it takes up.
 
     >>> reader = Reader(fleet)
     >>> reader.read("edge-1", events=3)
@@ -32,12 +33,14 @@
         self.began = ""
         self.events: list[tuple[int, str]] = []
         self.status = 0
+        self.names_attempt = True
 
     def read(self, gateway: str, events: int = 10**6, wait=WAIT) -> None:
         """Makes an attempt and reads until it ends or so many events came."""
         sent = gateways.headers(wait, CHAIN, stream=True)
         if self.began:
-            sent[names.RESUMES] = self.began
+            if self.names_attempt:
+                sent[names.RESUMES] = self.began
             sent[names.LAST_EVENT] = str(self.events[-1][0])
         process = self.fleet[gateway]
         connection = http.client.HTTPConnection(
--- a/packages/gypsumfold/src/gypsumfold/gateway/connection_pool.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connection_pool.py
@@ -42,8 +42,8 @@
         Args:
             address: IP:PORT of the replica.
             instance: Its instance id.
-            identity: What identifies the answer to the request.
             fresh: Whether to open one in any case.
+            identity: What identifies the answer to the request.
 
         Raises:
             exceptions.EndpointUnreachable: The address cannot be reached.
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -322,12 +322,14 @@
             },
             settings.node.first_start,
         )
-        self.steady_records.may_write = self.gossip.is_store_reader
-        self.steady_records.is_complete = self.knows_site
-        self.origins.wait_until_read = self.steady_records.wait_until_read
         self.origins.registrations_age = lambda: (
             self.watches.registrations.staleness.age(clocks.now())
         )
+        self.steady_records.may_write = lambda: (
+            self.gossip.is_store_reader() and self.origins.is_view_recent()
+        )
+        self.steady_records.is_complete = self.knows_site
+        self.origins.wait_until_read = self.steady_records.wait_until_read
         self.store_copy = store_copy_module.StoreCopy(
             self.registrations,
             self.configurations,
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -113,9 +113,13 @@
             self.memory.put(key, origin, now)
             self.announce(key, origin)
 
+    def is_view_recent(self) -> bool:
+        """Whether this node knows which versions are registered now."""
+        return self.registrations_age() <= software_versions.MAX_AGE_SECONDS
+
     def sole(self, route: str) -> stream_origins.Origin | None:
         """Returns the one origin that all living streams of a route have."""
-        if self.registrations_age() > software_versions.MAX_AGE_SECONDS:
+        if not self.is_view_recent():
             return None
         now = time.monotonic()
         service = self.route_services.sole(route, now)
--- a/packages/gypsumfold/src/gypsumfold/gateway/steady_records.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/steady_records.py
@@ -28,8 +28,8 @@
 GATHER_SECONDS = 0.05
 # Seconds between two checks whether a starting node can take over records.
 POLL_SECONDS = 0.05
-# Seconds between two checks whether a node that follows a relay writes now.
-FOLLOWER_POLL_SECONDS = 1.0
+# Seconds between two checks whether a node that may not write now may again.
+WRITER_POLL_SECONDS = 0.2
 # Longest time that a caller waits for a starting node to read, in seconds.
 READ_WAIT_SECONDS = 0.5
 # By how much the clocks of two VMs may differ, in seconds.
@@ -62,7 +62,7 @@
 
     Attributes:
         tables: The values by kind of key.
-        may_write: Whether this node writes for others.
+        may_write: Whether this node writes for others, and knows all changes.
         is_complete: Whether this node knows all present values.
         clock: Returns Unix seconds.
         was_read: Set once what was in the store at the start was taken over.
@@ -132,7 +132,7 @@
             await self.read()
             self.was_read.set()
         if not self.may_write():
-            await asyncio.sleep(FOLLOWER_POLL_SECONDS)
+            await asyncio.sleep(WRITER_POLL_SECONDS)
             return
         due = self.due()
         if not due:
