Heed a rejection without an attempt's id on a connection of the node's own calls

No answer to a call of the node's own says that a request has not run, so such a rejection can only be to a request. It is accepted, and its connection isn't used again, as after any answer without an id. The new scenario of late_answers.feature failed before (AnswerBroken).

--- a/features/late_answers.feature
+++ b/features/late_answers.feature
@@ -21,6 +21,12 @@
       | an attempt without an echo | an attempt without an echo | its own answer |
       | an attempt it rejects     | a report                    | no answer      |
 
+  # What a replica that rests says was not heeded, as its answers named no attempt.
+  Scenario: A rejection without an attempt's id is heeded after a call of the node's own
+    Given a replica that answers once
+    When a node sends it a report and then an attempt it rejects without an echo
+    Then the second one is rejected as not run
+
   Scenario: Requests share a connection where their answers can be told apart
     Given a replica that answers once
     When a node sends it 50 attempts and 10 reports in turn
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -75,6 +75,8 @@
             return head("409 Conflict" if self.orders > 1 else "202 OK", b"")
         if fields.get(names.STAGE.lower()) == "prefill":
             return head("200 OK", b'{"handle": "h-1"}', echo)
+        if path == "/silently-rejected":
+            return head("503 Unavailable", b"", f"{names.NOT_RUN}: 1")
         if path == "/rejected" and attempt not in self.rejected:
             self.rejected.add(attempt)
             return head("503 Unavailable", b"", echo, f"{names.NOT_RUN}: 1")
@@ -133,6 +135,8 @@
                 return "refused"
         if what == "an attempt without an echo":
             return await self.attempt("/silent", f"silent-{attempt}")
+        if what == "an attempt it rejects without an echo":
+            return await self.attempt("/silently-rejected", "a-3")
         if what == "an attempt to prefill":
             return await self.attempt("/rejected", "a-1", prefill=True)
         name = "a-2" if what == "another attempt" else "a-1"
@@ -145,6 +149,8 @@
         return "refused" if first == "an order" else True
     if then == "a report":
         return ORDERS[0]
+    if then == "an attempt it rejects without an echo":
+        return 503, b""
     if then == "an attempt without an echo":
         return 200, b"run 2"
     return (503, b"") if first.endswith("prefill") else (200, b"run 1")
@@ -191,6 +197,7 @@
     play(context, story)
 
 
+@behave.then("the second one is rejected as not run")
 @behave.then("the second one has its own answer")
 def step_own(context):
     assert context.found == context.own, (context.found, context.own)
--- a/packages/gypsumfold/src/gypsumfold/decisions/answer_identity.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/answer_identity.py
@@ -70,12 +70,16 @@
         if len(self.attempts) >= MAX_ATTEMPTS:
             self.may_continue = False
 
-    def find_mismatch(self, identity: Identity, attempt: str) -> str:
+    def find_mismatch(
+        self, identity: Identity, attempt: str, not_run: bool = False
+    ) -> str:
         """Compares an answer with the request that was sent last.
 
         Args:
             identity: What identifies the answer to that request.
             attempt: The attempt's id that the answer bears; empty for none.
+            not_run: Whether it says that the request has not run, which no
+                answer to a call of the node's own does.
 
         Returns:
             Why it is, or may be, the answer to another request; empty if it is
@@ -85,7 +89,7 @@
             return ""
         if attempt:
             return "an answer to another request came"
-        if self.calls:
+        if self.calls and not not_run:
             return "an answer without an id came that may be to another call"
         # A second answer like it couldn't be told from the next one.
         self.may_continue = False
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -30,6 +30,7 @@
 # Matches the timeout in seconds in a replica's Keep-Alive header.
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 ATTEMPT_FIELD = names.ATTEMPT.lower().encode()
+NOT_RUN_FIELD = names.NOT_RUN.lower().encode()
 # The node's own calls. An earlier report or list is only a moment old, and
 # nothing is read from the answer to a dropped handle; an earlier answer to an
 # order would be a wrong one.
@@ -304,12 +305,15 @@
         if not done:
             raise exceptions.AnswerBroken("the replica closed unanswered")
         attempt = ""
+        not_run = False
         for name, value in event.headers:
             if name == b"keep-alive":
                 connection.idle_timeout = parse_idle_timeout(value)
             elif name == ATTEMPT_FIELD:
                 attempt = value.decode("latin-1")
-        mismatch = connection.sent.find_mismatch(identity, attempt)
+            elif name == NOT_RUN_FIELD:
+                not_run = True
+        mismatch = connection.sent.find_mismatch(identity, attempt, not_run)
         if mismatch:
             connection.abort()
             raise exceptions.AnswerBroken(
