--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -149,7 +149,9 @@
         A node that starts again joins once a lease has passed: it may have
         acted just before, and others since.
         """
-        await asyncio.sleep(max(0.0, self.may_join_at - time.monotonic()))
+        wait = self.may_join_at - time.monotonic()
+        if wait > 0:
+            await asyncio.sleep(wait)
         for _ in range(INITIAL_CHECKS):
             if self.is_candidate():
                 break
