Log each call under the authority with the age of its permission

An act now yields a grant, which orders, usage reports and orders of replicas pass down to where they are sent. Line 617 (authority-used) names subject, token, incarnation, the age of the renewal by the clock that counts suspension, and the seconds between check and sending. 610 says how long this node waits before it acts. No decision is changed.

--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -225,7 +225,9 @@
         for name in DATA_CENTRES:
             for spot in (True, False):
                 order = capacity.Order(name, spot, 1)
-                await platform.order_replicas("lm", order, "edge-9", 9)
+                await platform.order_replicas(
+                    "lm", order, "edge-9", fixed_leader.grant(9)
+                )
         task = asyncio.create_task(lead.scaler.run())
         await asyncio.sleep(seconds)
         context.fenced = len(platform.duties.calls) - 6
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import behave
+from features.support import fixed_leader
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import types as decision_types
@@ -177,7 +178,9 @@
     elif name == "a usage report":
         operations = operations_module.Operations(address)
         with contextlib.suppress(exceptions.OperationsUnavailable):
-            await operations.report_usage(b"{}", "edge-1", 1)
+            await operations.report_usage(
+                b"{}", "edge-1", fixed_leader.grant(1)
+            )
         await operations.close()
     else:
         async with aiohttp.ClientSession() as session:
@@ -196,7 +199,7 @@
     elif name == "a cache list":
         await client.cache_list(replica)
     elif name == "an order":
-        await client.order(replica, ORDER)
+        await client.order(replica, ORDER, fixed_leader.grant(1))
     elif name == "a refused run":
         await refuse(client, replica, call)
     elif name in ("a store read", "a question", "a usage report"):
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -5,6 +5,7 @@
 import json
 
 import behave
+from features.support import fixed_leader
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import types as decision_types
@@ -130,7 +131,9 @@
             role = decision_types.Role.PREFILL
             order = types.Order(role, "edge-1", 7, 1)
             try:
-                return await self.endpoints.order(self.replica, order)
+                return await self.endpoints.order(
+                    self.replica, order, fixed_leader.grant(order.token)
+                )
             except exceptions.OrderRefused:
                 return "refused"
         if what == "an attempt without an echo":
--- a/features/steps/stopping_leaders_steps.py
+++ b/features/steps/stopping_leaders_steps.py
@@ -121,10 +121,11 @@
     async def order(self):
         """Orders again and again."""
         while True:
-            with self.leadership.act() as token:
-                if token is not None:
+            with self.leadership.act() as grant:
+                if grant is not None:
                     await asyncio.sleep(CALL)
-                    self.acts.append((self.site.clock(), self.name, token))
+                    act = (self.site.clock(), self.name, grant.token)
+                    self.acts.append(act)
             await asyncio.sleep(ORDER_INTERVAL)
 
     async def end(self, graceful):
@@ -222,9 +223,9 @@
     """Gives one order."""
     with (
         contextlib.suppress(exceptions.OperationsUnavailable),
-        context.leadership.act() as token,
+        context.leadership.act() as grant,
     ):
-        assert token is not None
+        assert grant is not None
         await asyncio.sleep(seconds)
         context.ended.append(context.site.clock())
         if fails:
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -352,7 +352,7 @@
         site = found.site
         await asyncio.sleep(40.0)
         seen = operations_module.encode_usage(1, {})
-        await found.platform.report_usage(seen, "edge-9", 9)
+        await found.platform.report_usage(seen, "edge-9", fixed_leader.grant(9))
         one = reporter(site.log, found.platform, 3, site.clock)
         for _ in range(4):
             await one.check()
--- a/features/support/fixed_leader.py
+++ b/features/support/fixed_leader.py
@@ -2,6 +2,14 @@
 
 import contextlib
 
+from gypsumfold import clocks
+from gypsumfold.gateway import grants
+
+
+def grant(token):
+    """A permission that lasts."""
+    return grants.Grant(token, "edge-1-1", clocks.now())
+
 
 class FixedLeader:
     """Stands for a gateway that holds the authority with some token."""
@@ -15,5 +23,5 @@
 
     @contextlib.contextmanager
     def act(self):
-        """Yields the token for one call."""
-        yield self.held
+        """Yields the permission for one call."""
+        yield None if self.held is None else grant(self.held)
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -14,6 +14,7 @@
 from features.support import made_up
 from gypsumfold import exceptions
 from gypsumfold.decisions import types as decision_types
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
 
@@ -758,7 +759,9 @@
         await self.take(replica)
         return types.CacheList([])
 
-    async def order(self, replica: types.Replica, order: types.Order) -> bool:
+    async def order(
+        self, replica: types.Replica, order: types.Order, grant: grants.Grant
+    ) -> bool:
         """Has an engine change its role, if those of this fleet do."""
         if self.fleet.switch_seconds is None:
             raise exceptions.OrderRefused("engines keep their roles")
--- a/features/support/virtual_operations.py
+++ b/features/support/virtual_operations.py
@@ -4,6 +4,7 @@
 import json
 
 from gypsumfold import exceptions
+from gypsumfold.gateway import grants
 from gypsumfold.platform import names
 from gypsumfold_standins import duties as duties_module
 
@@ -59,11 +60,13 @@
         loop = asyncio.get_running_loop()
         self.duties.carry_out(*wanted, loop.time())
 
-    async def report_usage(self, body: bytes, holder: str, token: int) -> None:
+    async def report_usage(
+        self, body: bytes, holder: str, grant: grants.Grant
+    ) -> None:
         """Takes a usage report."""
-        await self.call(names.USAGE_PATH, body, holder, token)
+        await self.call(names.USAGE_PATH, body, holder, grant.token)
 
-    async def order_replicas(self, service, order, holder, token) -> None:
+    async def order_replicas(self, service, order, holder, grant) -> None:
         """Takes an order of replicas."""
         if not order.spot and order.count < self.least_steady:
             self.refused += 1
@@ -75,7 +78,7 @@
             "spot": order.spot,
         }
         await self.call(
-            names.SCALE_PATH, json.dumps(body).encode(), holder, token
+            names.SCALE_PATH, json.dumps(body).encode(), holder, grant.token
         )
 
     async def close(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -573,6 +573,14 @@
     "A stopping node doesn't leave the group, as an order of it has not been "
     "answered; its membership expires.",
 )
+AUTHORITY_USED = define(
+    617,
+    "authority-used",
+    "info",
+    "A call under the authority is being sent: the age of the renewal as the "
+    "call was permitted, and the time from then until its bytes were handed "
+    "to the socket.",
+)
 ROLE_ORDERED = define(
     612, "role-ordered", "info", "An engine was ordered to change its role."
 )
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -57,6 +57,10 @@
     """The platform has seen a higher fencing token for the same duty."""
 
 
+class AuthorityEnded(PlatformError):
+    """This node's authority ended before a call under it was sent."""
+
+
 class VMListUnavailable(PlatformError):
     """The platform's list of VMs could not be read."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -16,6 +16,7 @@
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import settings as settings_module
 from gypsumfold.gateway import topic_watches
 from gypsumfold.platform import store as store_module
@@ -57,6 +58,7 @@
         acted_at: When this node last ended an act.
         unanswered_at: When its last act without an answer ended.
         renewed_at: When the last answered renewal was sent.
+        asked_at: The same, by `clocks.now`.
         acts: Calls under the authority that haven't been answered yet.
         stopping: Whether the node stops; it doesn't join any more.
         may_join_at: When it may join the group.
@@ -91,6 +93,7 @@
         self.acted_at = float("-inf")
         self.unanswered_at = float("-inf")
         self.renewed_at = float("-inf")
+        self.asked_at = float("-inf")
         self.acts = 0
         self.acts_ended = asyncio.Event()
         self.stopping = False
@@ -120,11 +123,11 @@
         return self.generation
 
     @contextlib.contextmanager
-    def act(self) -> Iterator[int | None]:
+    def act(self) -> Iterator[grants.Grant | None]:
         """Has the authority kept until a call under it has been answered.
 
         Yields:
-            The fencing token; None if this node may not act.
+            The permission; None if this node may not act.
         """
         token = self.token(time.monotonic())
         if token is None:
@@ -133,7 +136,7 @@
         self.acts += 1
         self.acts_ended.clear()
         try:
-            yield token
+            yield grants.Grant(token, self.member, self.asked_at)
         except BaseException:
             self.unanswered_at = time.monotonic()
             raise
@@ -203,6 +206,7 @@
                 self.waits_until, self.acted_at + self.lease_seconds
             )
         self.renewed_at = sent
+        self.asked_at = asked
         self.generation = place.generation
         self.valid_until = (
             sent + VALID_FRACTION * self.lease_seconds
@@ -212,7 +216,12 @@
         if holds != self.is_holder:
             self.is_holder = holds
             event = events.ORDERS_GAINED if holds else events.ORDERS_LOST
-            events.log(event, token=place.generation, member=self.member)
+            events.log(
+                event,
+                token=place.generation,
+                member=self.member,
+                waits=round(max(0.0, self.waits_until - time.monotonic()), 3),
+            )
 
     async def stop(self) -> None:
         """Leaves the group for good.
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -15,6 +15,7 @@
 from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import directory as directory_module
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import gossip as gossip_module
@@ -178,8 +179,7 @@
 
     def load(self, service: types.Service, now: float) -> role_split.Load:
         """Returns the load of all nodes on a service's engines."""
-        prompts = 0.0
-        streams = 0.0
+        prompts = streams = 0.0
         for replica in self.directory.known(service.name):
             prompts += self.prefix_router.queued_seconds(replica.instance, now)
             streams += self.directory.streams.total(replica.instance, now)
@@ -219,13 +219,13 @@
                 closed = service.switch_time + CLOSED_SECONDS
                 self.close_engine(change.engine, closed)
                 await asyncio.sleep(ORDER_DELAY_SECONDS)
-                with self.leadership.act() as token:
-                    if token is None:
+                with self.leadership.act() as grant:
+                    if grant is None:
                         now = time.monotonic()
                         self.directory.roles.close_until(change.engine, now)
                         return
                     await self.send_order(
-                        service, replica, change, state, token
+                        service, replica, change, state, grant
                     )
             self.follow_role_change(replica, change.role, service.switch_time)
         except (
@@ -251,26 +251,27 @@
         replica: types.Replica,
         change: role_changes.Change,
         state: types.State,
-        token: int,
+        grant: grants.Grant,
     ) -> None:
-        """Sends one order with a fencing token.
+        """Sends one order under the authority.
 
         Raises:
             exceptions.EndpointError: It may or may not be carried out.
         """
-        holder = self.leadership.member
-        order = types.Order(change.role, holder, token, state.orders)
+        order = types.Order(
+            change.role, grant.member, grant.token, state.orders
+        )
         events.log(
             events.ROLE_ORDERED,
             instance=change.engine,
             role=change.role,
-            token=token,
+            token=grant.token,
             after=state.orders,
             prompts=round(self.splits[service.name].prompts, 3),
             streams=round(self.splits[service.name].streams, 3),
             demand=round(self.splits[service.name].demand, 3),
         )
-        await self.endpoints.order(replica, order)
+        await self.endpoints.order(replica, order, grant)
 
     def close_engine(self, instance: str, seconds: float) -> None:
         """Has all nodes send an engine no work while it changes its role.
@@ -338,10 +339,9 @@
 def log_reserve(service: types.Service, split: role_split.RoleSplit) -> None:
     """Logs the spare decode engines of a service."""
     reserve = split.reserve
+    short, kept = events.ROLE_RESERVE_SHORT, events.ROLE_RESERVE_KEPT
     events.log(
-        events.ROLE_RESERVE_SHORT
-        if reserve.missing
-        else events.ROLE_RESERVE_KEPT,
+        short if reserve.missing else kept,
         service=service.name,
         needed=split.target,
         spares=reserve.spares,
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -11,6 +11,7 @@
 from gypsumfold.gateway import configurations as configurations_module
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import engine_needs
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
@@ -283,20 +284,20 @@
         Raises:
             exceptions.OperationsUnavailable: It may or may not be carried out.
         """
-        with self.leadership.act() as token:
+        with self.leadership.act() as grant:
             refused = self.refused_tokens.get(service.name, -1)
-            if token is None or token <= refused:
+            if grant is None or grant.token <= refused:
                 return
-            await self.order_with(service, capacity, order, token)
+            await self.order_with(service, capacity, order, grant)
 
     async def order_with(
         self,
         service: types.Service,
         capacity: capacity_module.Capacity,
         order: capacity_module.Order,
-        token: int,
+        grant: grants.Grant,
     ) -> None:
-        """Gives one order with a fencing token.
+        """Gives one order under the authority.
 
         Raises:
             exceptions.OperationsUnavailable: It may or may not be carried out.
@@ -304,7 +305,7 @@
         now = time.monotonic()
         try:
             await self.operations.order_replicas(
-                service.name, order, self.node, token
+                service.name, order, self.node, grant
             )
         except exceptions.DutyFenced as error:
             present = self.count_present(service)
@@ -313,14 +314,14 @@
                 capacity.record_unavailable(order, now)
             elif not capacity.record_refused(order, have.steady, now):
                 # Only reclaimable replicas may be unavailable.
-                self.refused_tokens[service.name] = token
+                self.refused_tokens[service.name] = grant.token
             events.log(
                 events.REPLICAS_REFUSED,
                 service=service.name,
                 data_centre=order.data_centre,
                 spot=order.spot,
                 count=order.count,
-                token=token,
+                token=grant.token,
                 reason=str(error),
             )
             return
@@ -335,5 +336,5 @@
             spot=order.spot,
             count=order.count,
             total=capacity.total,
-            token=token,
+            token=grant.token,
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -10,6 +10,7 @@
 from gypsumfold.decisions import client_keys
 from gypsumfold.decisions import routes
 from gypsumfold.decisions import types
+from gypsumfold.gateway import grants
 
 # Raw header fields in the order received, repeated names included.
 Fields = tuple[tuple[bytes, bytes], ...]
@@ -330,5 +331,7 @@
     async def cache_list(self, replica: Replica) -> CacheList:
         """Asks an engine which prefix blocks it has cached."""
 
-    async def order(self, replica: Replica, order: Order) -> bool:
+    async def order(
+        self, replica: Replica, order: Order, grant: grants.Grant
+    ) -> bool:
         """Sends an order; False if it is in force already."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -17,6 +17,7 @@
 from gypsumfold import exceptions
 from gypsumfold.decisions import metering
 from gypsumfold.decisions import polling
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
 from gypsumfold.gateway import usage as usage_module
 from gypsumfold.platform import names
@@ -238,27 +239,27 @@
         Raises:
             exceptions.PlatformError: It may or may not have been accepted.
         """
-        with self.leadership.act() as token:
-            if token is None or token <= self.refused_token:
+        with self.leadership.act() as grant:
+            if grant is None or grant.token <= self.refused_token:
                 return
-            await self.report_with(index, token)
+            await self.report_with(index, grant)
 
-    async def report_with(self, index: int, token: int) -> None:
-        """Sends a recorded window with a fencing token.
+    async def report_with(self, index: int, grant: grants.Grant) -> None:
+        """Sends a recorded window under the authority.
 
         Raises:
             exceptions.PlatformError: It may or may not have been accepted.
         """
         try:
             await self.operations.report_usage(
-                self.recorded[index], self.node, token
+                self.recorded[index], self.node, grant
             )
         except exceptions.DutyFenced as error:
-            self.refused_token = token
+            self.refused_token = grant.token
             events.log(
                 events.USAGE_FENCED,
                 window=index,
-                token=token,
+                token=grant.token,
                 reason=str(error),
             )
             return
@@ -266,7 +267,7 @@
         events.log(
             events.USAGE_REPORTED,
             window=index,
-            token=token,
+            token=grant.token,
             late=round(self.clock() - self.policy.end(index), 3),
         )
 
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -5,6 +5,7 @@
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import capacity
+from gypsumfold.gateway import grants
 from gypsumfold.platform import names
 
 # Time limit of one call in seconds.
@@ -44,7 +45,7 @@
     """Calls that only the holder of a duty may make.
 
     >>> operations = Operations("10.200.0.2:8287")
-    >>> await operations.report_usage(body, "edge-1", token=7)
+    >>> await operations.report_usage(body, "edge-1", grant)
     """
 
     def __init__(self, address: str):
@@ -57,23 +58,29 @@
         """Closes all connections."""
         await self.session.close()
 
-    async def report_usage(self, body: bytes, holder: str, token: int) -> None:
+    async def report_usage(
+        self, body: bytes, holder: str, grant: grants.Grant
+    ) -> None:
         """Reports the usage of one window.
 
         Args:
             body: An encoded report.
             holder: Name of this node.
-            token: Fencing token of the authority.
+            grant: The permission to call.
 
         Raises:
             exceptions.DutyFenced: Another node has used a higher token.
             exceptions.OperationsUnavailable: The report may or may not have
                 been accepted.
         """
-        await self.call(names.USAGE_PATH, body, holder, token)
+        await self.call(names.USAGE_PATH, body, holder, grant, names.USAGE_PATH)
 
     async def order_replicas(
-        self, service: str, order: capacity.Order, holder: str, token: int
+        self,
+        service: str,
+        order: capacity.Order,
+        holder: str,
+        grant: grants.Grant,
     ) -> None:
         """Orders a number of replicas.
 
@@ -81,7 +88,7 @@
             service: The service.
             order: How many, of which kind, and where.
             holder: Name of this node.
-            token: Fencing token of the authority.
+            grant: The permission to call.
 
         Raises:
             exceptions.DutyFenced: Another node has used a higher token, or
@@ -92,10 +99,16 @@
             service, order.data_centre, order.count, order.spot
         )
         body = msgspec.json.encode(record)
-        await self.call(names.SCALE_PATH, body, holder, token)
+        subject = f"{names.SCALE_PATH} {service} {order.data_centre}"
+        await self.call(names.SCALE_PATH, body, holder, grant, subject)
 
     async def call(
-        self, path: str, body: bytes, holder: str, token: int
+        self,
+        path: str,
+        body: bytes,
+        holder: str,
+        grant: grants.Grant,
+        subject: str,
     ) -> None:
         """Makes one call.
 
@@ -105,10 +118,11 @@
         """
         headers = {
             names.DUTY_HOLDER: holder,
-            names.FENCING_TOKEN: str(token),
+            names.FENCING_TOKEN: str(grant.token),
             "Content-Type": "application/json",
         }
         limit = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
+        grant.confirm(subject)
         try:
             async with self.session.post(
                 self.base + path, data=body, headers=headers, timeout=limit
@@ -120,7 +134,7 @@
                 f"{path}: {type(error).__name__}: {error}"
             ) from error
         if response.status == 409:
-            raise exceptions.DutyFenced(f"{path}: token {token}")
+            raise exceptions.DutyFenced(f"{path}: token {grant.token}")
         if response.status != 200:
             raise exceptions.OperationsUnavailable(f"{path}: {response.status}")
 
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -13,6 +13,7 @@
 from gypsumfold.decisions import answer_identity
 from gypsumfold.gateway import connection_pool
 from gypsumfold.gateway import connections
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import pooled_answers
 from gypsumfold.gateway import types
 from gypsumfold.platform import decoding
@@ -210,7 +211,9 @@
             raise exceptions.EndpointRefused(f"a list ended with {status}")
         return decoding.decode_cache_list(body)
 
-    async def order(self, replica: types.Replica, order: types.Order) -> bool:
+    async def order(
+        self, replica: types.Replica, order: types.Order, grant: grants.Grant
+    ) -> bool:
         """Sends an order; returns False if it is in effect already.
 
         Raises:
@@ -218,6 +221,7 @@
             exceptions.EndpointError: Its result is unknown.
         """
         body = decoding.encode_order(order)
+        grant.confirm(replica.instance)
         status, _ = await self.ask(
             replica, ORDER, "POST", names.ORDER_PATH, body
         )
