--- a/features/steps/stopping_leaders_steps.py
+++ b/features/steps/stopping_leaders_steps.py
@@ -7,6 +7,7 @@
 import behave
 from features.support import made_up
 from features.support import virtual_gateways
+from features.support import virtual_group
 
 from gypsumfold import exceptions
 from gypsumfold.gateway import leadership
@@ -23,82 +24,13 @@
 RESTART = 1.0
 
 
-class Group:
-    """The store's group: partition 0 goes to the first name.
-
-    A partition is taken away only once its holder knows the generation, has
-    left or is silent for a lease.
-
-    Attributes:
-        calls: Joins and leaves with their members, as they are answered.
-        delay: Seconds that a call takes.
-    """
-
-    def __init__(self, site):
-        self.site = site
-        self.eras = builtin_types.SimpleNamespace(listeners=[])
-        self.members = {}
-        self.generation = 0
-        # The generation in which the last new member joined; 0 once the
-        # partition has been given out since.
-        self.joined_in = 0
-        self.holder = ""
-        self.delay = CALL
-        self.calls = []
-
-    def expire(self):
-        """Drops silent members."""
-        for member, until in list(self.members.items()):
-            if until < self.site.clock():
-                self.remove(member)
-
-    def remove(self, member):
-        """Drops a member."""
-        del self.members[member]
-        self.generation += 1
-        if self.holder == member:
-            self.holder = ""
-
-    async def join(self, group, member, topic, seconds, generation):
-        """Joins or renews."""
-        await asyncio.sleep(self.delay)
-        self.expire()
-        if member not in self.members:
-            self.generation += 1
-            self.joined_in = self.generation
-        self.members[member] = self.site.clock() + seconds
-        if not self.holder:
-            self.holder = min(self.members)
-        elif self.holder == member and generation >= self.joined_in > 0:
-            # It gives the partition up to a member that has joined since.
-            self.holder = min(self.members)
-            self.joined_in = 0
-        self.calls.append(("join", member, self.site.clock()))
-        held = frozenset([0]) if self.holder == member else frozenset()
-        return store_module.Membership(self.generation, held)
-
-    async def leave(self, group, member):
-        """Leaves."""
-        await asyncio.sleep(self.delay)
-        if member in self.members:
-            self.remove(member)
-        self.calls.append(("leave", member, self.site.clock()))
-
-    def give_out(self):
-        """Gives the partition to the next member without being asked."""
-        names = sorted(self.members)
-        if names:
-            place = names.index(self.holder) if self.holder in names else -1
-            self.holder = names[(place + 1) % len(names)]
-            self.generation += 1
-
-
 def make(site, group, name, first_start=True):
     """One gateway's leadership."""
     settings = builtin_types.SimpleNamespace(
         orders=builtin_types.SimpleNamespace(lease_ms=LEASE * 1000),
         store=builtin_types.SimpleNamespace(shortest_lease_ms=1000),
         node=builtin_types.SimpleNamespace(first_start=first_start),
+        peers=builtin_types.SimpleNamespace(address=name.partition("-0")[0]),
     )
     state = topic_watches.StoreState(LEASE)
     return leadership.Leadership(settings, group, state, name)
@@ -141,7 +73,7 @@
     site = virtual_gateways.Site(1)
     context.acts = []
     context.seconds = seconds
-    group = Group(site)
+    group = virtual_group.Group(site)
     if what.endswith("slow"):
         group.delay = SLOW_CALL
 
@@ -203,7 +135,7 @@
 def begin(context):
     """Prepares one gateway's leadership in virtual time."""
     context.site = virtual_gateways.Site(1)
-    context.group = Group(context.site)
+    context.group = virtual_group.Group(context.site)
     context.leadership = make(context.site, context.group, "edge-1")
     context.ended = []
 
