Act as the holder only after the tenure before has ended

What callers saw: engines and the platform got calls of two nodes that both took themselves for the holder (ONE), on a deployment where nobody compares tokens.

Cause: a belief outlived its grant. A successor acted in the moment in which the store named it, and inferred from that alone that the one before had ended. The store names a holder without the other's knowledge: it divides all partitions anew, and memberships lapse while it is away. The former holder believed until its next renewal, and through a suspension of its machine, as its lease was measured by a clock that stands still then. The token was the group's generation, which a handover need not change and a group that begins anew gives out again, so that two nodes could send one.

Change: a holder records its tenure in a topic of the store where it has read the topic's end, so that only one of two succeeds; the tenure has a token of its own, above all before. A successor begins at once if the tenure before has ended: its holder has recorded that, has said so when asked as a peer (it ends its tenure for that), or is replaced by a later incarnation at its address. Only silence waits for a lease, counted anew with each generation, and needs a renewal at its end. A holder that is asked through the store renews and so learns of a new division within milliseconds. Nodes that leave the group wait for their calls. Leases are measured by the clock that counts suspension; a call that may still arrive (0.95 of a lease after its renewal) holds the end up.

--- a/features/steps/stopping_leaders_steps.py
+++ b/features/steps/stopping_leaders_steps.py
@@ -36,6 +36,10 @@
     return leadership.Leadership(settings, group, state, name)
 
 
+# The last incarnation of each gateway, as others know it from its entry.
+RUNNING = {}
+
+
 class Process:
     """A gateway that orders as often as it may."""
 
@@ -45,11 +49,17 @@
         self.acts = acts
         incarnation = f"{name}-{site.clock():09.3f}"
         self.leadership = make(site, group, incarnation, first_start)
+        self.leadership.claims.is_replaced = self.is_replaced
+        RUNNING[name] = incarnation
         self.tasks = [
             asyncio.create_task(self.leadership.run()),
             asyncio.create_task(self.order()),
         ]
 
+    def is_replaced(self, tenure):
+        """Whether a later incarnation of a holder's node has started."""
+        return RUNNING.get(tenure.address, "") > tenure.member
+
     async def order(self):
         """Orders again and again."""
         while True:
@@ -71,6 +81,7 @@
 @behave.when("{count:d} gateways lead by turns for {seconds:d} s while {what}")
 def step_lead(context, count, seconds, what):
     site = virtual_gateways.Site(1)
+    RUNNING.clear()
     context.acts = []
     context.seconds = seconds
     group = virtual_group.Group(site)
--- a/features/steps/two_holders_steps.py
+++ b/features/steps/two_holders_steps.py
@@ -42,19 +42,28 @@
         frozen: Cleared while the process stands still.
     """
 
-    def __init__(self, site, group, name, arrivals):
+    def __init__(self, site, group, name, arrivals, gateways):
         self.name = name
+        self.gateways = gateways
         self.site = site
         self.arrivals = arrivals
         self.store = virtual_group.Client(group)
         self.runs = asyncio.Event()
         self.runs.set()
         self.leadership = make(site, self.store, name)
+        self.leadership.claims.has_ended = self.ask
         self.tasks = [
             asyncio.create_task(self.leadership.run()),
             asyncio.create_task(self.order()),
         ]
 
+    async def ask(self, tenure, generation):
+        """Asks the holder of a tenure to end it."""
+        await asyncio.sleep(virtual_group.CALL)
+        other = self.gateways[tenure.member]
+        await other.runs.wait()
+        return await other.leadership.yield_to(tenure.token, generation)
+
     async def order(self):
         """Orders again and again."""
         rng = self.site.rng
@@ -91,7 +100,7 @@
         for number in range(self.count):
             name = f"edge-{number + 1}"
             self.gateways[name] = Gateway(
-                self.site, self.group, name, self.arrivals
+                self.site, self.group, name, self.arrivals, self.gateways
             )
         end = self.site.clock() + self.seconds
         await asyncio.sleep(2.0)
--- a/features/support/fixed_leader.py
+++ b/features/support/fixed_leader.py
@@ -8,7 +8,8 @@
 
 def grant(token):
     """A permission that lasts."""
-    return grants.Grant(token, "edge-1-1", clocks.now())
+    now = clocks.now()
+    return grants.Grant(token, "edge-1-1", now, now + 60.0)
 
 
 class FixedLeader:
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -60,6 +60,7 @@
 from gypsumfold.gateway.peers import loans as loans_module
 from gypsumfold.gateway.peers import origin_queries as origin_queries_module
 from gypsumfold.gateway.peers import queries
+from gypsumfold.gateway.peers import tenure_queries as tenure_queries_module
 from gypsumfold.platform import names
 from gypsumfold.platform import replicas
 from gypsumfold.platform import store as store_module
@@ -278,6 +279,13 @@
             origin_queries_module.ASK_ONE,
         ):
             self.query_handler.finders[prefix] = self.origin_queries.answer
+        self.tenure_queries = tenure_queries_module.TenureQueries(
+            self.query_client, self.member, self.leadership.yield_to
+        )
+        self.leadership.claims.has_ended = self.tenure_queries.has_ended
+        self.query_handler.finders[tenure_queries_module.PATH] = (
+            self.tenure_queries.answer
+        )
         self.loans = loans_module.Loans(
             self.origin_client, self.gossip.lenders, rng
         )
@@ -350,6 +358,9 @@
         )
         self.leadership.is_candidate = self.gossip.can_lead
         self.leadership.is_cut_off = self.is_cut_off
+        self.leadership.claims.is_replaced = lambda tenure: (
+            self.gossip.members.has_replaced(tenure.member, tenure.address)
+        )
         self.directory.removal_listeners.append(self.forget)
         self.runners: list[web.ServerRunner] = []
 
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -114,6 +114,7 @@
 USAGE_TOTALS_TOPIC = "keyed.gypsumfold-usage-totals"
 CAPACITY_TOPIC = "keyed.gypsumfold-capacity"
 STEADY_TOPIC = "keyed.gypsumfold-steady"
+TENURES_TOPIC = "keyed.gypsumfold-tenures"
 
 ROUTE_KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
