Bound a wait of the tests that could go on for ever

The fixture started both gateways so, the streams came first, and the planner changes no roles under them; the step waited without a limit.

The two gateways of these scenarios are a system that starts for the first time, and are started so. The step fails after the limit of all waits.

--- a/features/steps/authority_gateways_steps.py
+++ b/features/steps/authority_gateways_steps.py
@@ -44,7 +44,7 @@
 @behave.given("two ready gateways")
 def step_two(context):
     for name in ("edge-1", "edge-2"):
-        context.fleet.start_gateway(name)
+        context.fleet.start_gateway(name, first_start=True)
 
 
 def decoders(context):
@@ -67,8 +67,12 @@
 @behave.when("callers ask for streams until one engine generates")
 def step_ask_meanwhile(context):
     context.gateway = context.fleet["edge-1"]
-    while len(decoders(context)) != 1:
+
+    def is_split():
         callers.stream(context, "/briefs/1", "aa:4000,bb:300")
+        return len(decoders(context)) == 1
+
+    gateways.until(is_split, "the split is not reached under streams")
 
 
 @behave.then("no engine got a request while it changed its role")
