--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -97,6 +97,19 @@
                 self.change_group()
         return member == next(iter(self.joined))
 
+    def leave(self, member: str) -> None:
+        """Takes a member out of the group."""
+        if self.joined.pop(member, None) is not None:
+            self.joined_at.pop(member, None)
+            self.change_group()
+
+    def divide(self) -> None:
+        """Gives the partition to the next member without being asked."""
+        if self.joined:
+            first = next(iter(self.joined))
+            self.joined[first] = self.joined.pop(first)
+            self.change_group()
+
     def entered(self, topic: str) -> set[str]:
         """The keys of a topic that have a value."""
         return {record.key for record in self.newest(topic).records}
@@ -332,8 +345,14 @@
 
         return await self.call(answer)
 
-    async def leave(self, *arguments) -> None:
+    async def leave(self, group: str, member: str) -> None:
         """Leaves a group."""
 
+        def answer(over: bool) -> bool:
+            self.log.leave(member)
+            return True
+
+        await self.call(answer)
+
     async def close(self) -> None:
         """Ends nothing: there are no connections."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -18,6 +18,9 @@
 # on tenures is made again.
 WATCH_SECONDS = 20.0
 RETRY_SECONDS = 0.2
+# Leases after which changes of the group prolong the wait no more: a member
+# that comes and goes must not leave the site without a holder.
+MAX_WAIT_LEASES = 4
 
 
 async def has_no_answer(tenure: decisions.Tenure, generation: int) -> bool:
@@ -59,6 +62,8 @@
             assigned the authority in a generation; returns whether it is over.
         assigned_at: When this node has learned that the authority is its own;
             None if that is another node's.
+        first_assigned_at: When it has learned of that first; `assigned_at` is
+            later where the group has changed since.
         requested_at: The assignment for which the end of the tenure before was
             requested.
         asking: Asks the holder of the tenure before.
@@ -89,6 +94,7 @@
         self.has_ended: Callable[[decisions.Tenure, int], Awaitable[bool]]
         self.has_ended = has_no_answer
         self.assigned_at: float | None = None
+        self.first_assigned_at = float("-inf")
         self.requested_at: float | None = None
         self.asking: asyncio.Task | None = None
         self.over: decisions.Tenure | None = None
@@ -104,8 +110,13 @@
                 last renewal, so that another node may have had the authority
                 in between.
         """
-        if self.assigned_at is None or (self.tenure is None and has_changed):
-            self.assigned_at = clocks.now()
+        now = clocks.now()
+        if self.assigned_at is None:
+            self.assigned_at = self.first_assigned_at = now
+        patience = MAX_WAIT_LEASES * self.lease_seconds
+        is_waiting = self.tenure is None and has_changed
+        if is_waiting and now - self.first_assigned_at < patience:
+            self.assigned_at = now
         if self.task is not None and self.task.done():
             # Raises what has ended it.
             self.task.result()
