--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -570,8 +570,8 @@
     616,
     "leadership-lapses",
     "warning",
-    "A stopping node doesn't leave the group, as an order of it has not been "
-    "answered; its membership expires.",
+    "A call of a tenure that ends has not been answered and may still arrive: "
+    "the end isn't recorded, and the next holder waits for a lease.",
 )
 AUTHORITY_USED = define(
     617,
