--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -21,6 +21,7 @@
 from features.support import http as http_calls
 from features.support import processes
 from features.support import soak_arrivals
+from features.support import soak_authority
 from features.support import soak_callers
 from features.support import soak_parts
 from gypsumfold.platform import names
@@ -66,6 +67,8 @@
 EVENT = 0.1
 TAKE_UPS = 2
 RETURN = 0.3
+# Seconds of a lease, as gateways of a fleet are set up.
+LEASE = 1.5
 # Promises that nothing has run or will.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -120,6 +123,7 @@
         self.starts = dict.fromkeys(self.gateways, 1)
         self.started = 0.0
         self.parts = soak_parts.CrashingParts(self)
+        self.divisions = soak_authority.Divisions(fleet, seed)
 
     def prepare(self) -> None:
         """Starts the fleet, each replica and the store behind a proxy."""
@@ -165,6 +169,7 @@
         for thread in threads:
             thread.start()
         self.parts.spawn(self.parts.watch)
+        self.divisions.start()
         pending: list[tuple[float, Callable[[], None]]] = []
         end = self.started + self.seconds
         while time.monotonic() < end:
@@ -173,6 +178,7 @@
             pending = self.heal(pending, time.monotonic())
             self.revive(time.monotonic())
         self.heal(pending, float("inf"))
+        self.divisions.stop()
         self.calm()
         self.ended.set()
         for thread in threads:
@@ -639,6 +645,7 @@
                 first = holders.setdefault(order["fence"], order["holder"])
                 if first != order["holder"]:
                     found.append(f"{instance}: two holders of one token")
+            found += soak_authority.turns(instance, orders, LEASE)
         found += self.judge_arrivals()
         found += self.parts.broken()
         for name in self.gateways:
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -351,7 +351,7 @@
     async def order(self, request: web.Request) -> web.Response:
         """Takes an order to change the role."""
         body = msgspec.json.decode(await request.read())
-        self.orders.append(body)
+        self.orders.append({**body, "at": time.monotonic()})
         if body["fence"] < self.highest:
             return web.Response(status=412)
         self.highest = body["fence"]
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_store.py
@@ -125,6 +125,21 @@
             await self.put(*record)
         return serving.answer({"era": self.era})
 
+    async def divide(self, request: web.Request) -> web.Response:
+        """Gives the partitions to the next oldest member, without asking."""
+        if self.members:
+            oldest = min(self.members, key=lambda one: self.members[one][0])
+            _, until = self.members[oldest]
+            self.members[oldest] = (time.monotonic(), until)
+            self.change_group()
+        return serving.answer({})
+
+    async def lapse(self, request: web.Request) -> web.Response:
+        """Ends all memberships, as those that run out in an outage."""
+        self.members.clear()
+        self.change_group()
+        return serving.answer({})
+
     def change_group(self) -> None:
         """Begins a new generation of the group."""
         self.generation += 1
@@ -258,6 +273,8 @@
     app.router.add_post("/v1/log-leave", store.leave)
     app.router.add_post("/_test/write", store.write)
     app.router.add_post("/_test/go_back", store.go_back)
+    app.router.add_post("/_test/divide", store.divide)
+    app.router.add_post("/_test/lapse", store.lapse)
     app.router.add_get("/_test/record", store.record)
     app.on_response_prepare.append(store.name_era)
     serving.add_faults(app, faults)
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -319,6 +319,8 @@
                 events.ORDERS_LOST, token=tenure.token, member=self.member
             )
             self.claims.forget()
+            # The next renewal tells whether the authority is still its own.
+            self.valid_until = float("-inf")
             self.renew_soon.set()
         self.claims.ended_token = max(self.claims.ended_token, token)
         return await self.calls_have_ended()
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -64,7 +64,7 @@
             None if that is another node's.
         first_assigned_at: When it has learned of that first; `assigned_at` is
             later where the group has changed since.
-        requested_at: The assignment for which the end of the tenure before was
+        requested: The assignment and the token of the tenure whose end was
             requested.
         asking: Asks the holder of the tenure before.
         over: A tenure whose holder has answered that it is over.
@@ -95,7 +95,7 @@
         self.has_ended = has_no_answer
         self.assigned_at: float | None = None
         self.first_assigned_at = float("-inf")
-        self.requested_at: float | None = None
+        self.requested: tuple[float, int] | None = None
         self.asking: asyncio.Task | None = None
         self.over: decisions.Tenure | None = None
         self.tenure: decisions.Tenure | None = None
@@ -232,10 +232,12 @@
         Raises:
             exceptions.PlatformError: The store does not answer.
         """
-        if not claim.is_proven and self.requested_at != self.assigned_at:
-            self.requested_at = self.assigned_at
-            if page.last is not None:
-                self.asking = asyncio.create_task(self.ask(page.last))
+        last = page.last
+        request = (self.assigned_at, -1 if last is None else last.token)
+        if not claim.is_proven and self.requested != request:
+            self.requested = request
+            if last is not None:
+                self.asking = asyncio.create_task(self.ask(last))
             await self.tenures.request(self.own.member)
             return
         poll = asyncio.create_task(self.tenures.wait(page.end, wait))
