Give up a reservation that lapsed while its gateway was paused

What a replica saw: two gateways run copies of one suspected request at the same time, so that one more replica crashes, or an innocent request is blamed.

Cause: the other gateways drop a reservation that is not renewed for 1.5 s. Its owner waits 0.05 to 0.25 s for them and then runs on it, however long that wait has lasted; a gateway that is frozen or whose machine is suspended in it wakes with a reservation that another gateway may have taken.

Change: the owner gives it up where it may have lapsed, measured by the clock that counts suspension, and less the time in which the run becomes known.

Evidence: after_pauses.feature, "A suspected request runs twice", examples 3 and 4 (frozen and suspended for 4 s) failed before: both gateways might run.

--- a/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/quarantine.py
@@ -12,6 +12,7 @@
 import random
 import time
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold import outcomes
@@ -236,12 +237,21 @@
         for subject in suspects:
             self.canaries.reserve(subject, replica.instance)
         self.notify_peers()
+        # The others drop a reservation that is not renewed, as that of a node
+        # which is frozen or suspended, and know of the run a moment later.
+        propagation = self.propagation_time()
+        expires_at = (
+            clocks.now() + canaries_module.LIFETIME_SECONDS - propagation
+        )
         alone = False
         try:
-            await asyncio.sleep(self.propagation_time())
+            await asyncio.sleep(propagation)
             now = time.monotonic()
             self.admit(progress)
-            alone = self.runs.directory.eligible.is_usable(replica.instance)
+            alone = (
+                clocks.now() < expires_at
+                and self.runs.directory.eligible.is_usable(replica.instance)
+            )
             for subject in suspects:
                 if self.canaries.must_yield(subject, now):
                     alone = False
