Don't take for news what waited in the socket of a paused gateway

What callers saw, on paper: after a freeze of seconds a gateway sends without limit to a replica that names one, keeps from an engine that is open, takes an engine for one of its earlier role, or goes on with a copy of the store as recent that is as old as the freeze; a relay passes all but the last on.

Cause: ages and remaining times in reports and summaries count from when a datagram is read. What the kernel kept while the process was stopped, up to some 90 datagrams of the freeze's first moment, counted from when it woke.

Change: a gateway notices that it had no turn for 1 s, and takes from reports and summaries that it reads until 0.1 s after its next turn only departures, which are for good. All else is sent again. Updates on crashes, usage and origins hold whenever they arrive and are taken as before.

--- a/features/after_pauses.feature
+++ b/features/after_pauses.feature
@@ -12,3 +12,15 @@
       | frozen    | 1.4     | 1    |
       | frozen    | 4.0     | 1    |
       | suspended | 4.0     | 1    |
+
+  # What lay in its socket counted from when it was read, and was taken for news.
+  Scenario Outline: A gateway takes for news what it was sent before a freeze: <news>
+    Given 3 gateways and a replica with a limit of 5 a second
+    When one of them is frozen for 8 s just before it reads <news>
+    Then it does not count from when it woke
+
+    Examples:
+      | news                          |
+      | that the limit has ended      |
+      | that the replica is closed    |
+      | how recent a relay's copy is  |
--- a/features/steps/after_pauses_steps.py
+++ b/features/steps/after_pauses_steps.py
@@ -24,6 +24,12 @@
 )
 # Seconds until an update has reached all gateways; a pause begins halfway.
 PROPAGATION = 0.05
+INSTANCE = "app-1"
+# Seconds until gateways know each other, for which an engine is closed, and
+# until all gateways have been told something.
+SETTLED = 6.0
+CLOSED = 4.0
+HELD = 0.3
 
 
 def pause(context, how, seconds):
@@ -36,9 +42,9 @@
         context.suspended += seconds
 
 
-def play(context, story):
-    """Plays a story in which a machine may be suspended."""
-    context.suspended = 0.0
+def play(context, story, suspended=0.0):
+    """Plays a story in which a machine may be suspended, or was before."""
+    context.suspended = suspended
     loop_clock = virtual_gateways.Clock.__call__
 
     def monotonic(clock):
@@ -108,3 +114,122 @@
 @behave.then("{count:d} of the two gateways that want to run it may")
 def step_runs(context, count):
     assert sum(context.may_run) == count, context.may_run
+
+
+@behave.given("3 gateways and a replica with a limit of {rate:d} a second")
+def step_limit(context, rate):
+    context.site = virtual_gateways.Site(SEED)
+    context.rate = rate
+
+
+async def start(site):
+    """Starts gateways that know a replica."""
+    site.start(3, 1)
+    site.register(INSTANCE)
+    await site.pass_time(SETTLED)
+
+
+def name_limit(site, name, rate):
+    """Lets a gateway learn a replica's limit from an answer."""
+    directory = site.nodes[name].gateway.directory
+    directory.statements.record_rate_limit(
+        directory.replicas[INSTANCE], rate, site.clock()
+    )
+
+
+def tell(site, news):
+    """Lets a gateway have something to tell."""
+    if "limit" in news:
+        name_limit(site, "edge-1", None)
+    elif "closed" in news:
+        site.nodes["edge-1"].gateway.planner.close_engine(INSTANCE, CLOSED)
+    else:
+        site.nodes["edge-1"].gateway.gossip.changed.set()
+
+
+@behave.when(
+    "one of them is frozen for {seconds:g} s just before it reads {news}"
+)
+def step_frozen(context, seconds, news):
+    site = context.site
+    waiting = []
+    context.news = news
+
+    async def story():
+        await start(site)
+        name_limit(site, "edge-1", context.rate)
+        await site.pass_time(1.0)
+        deliver = site.deliver
+
+        def hold(data, receiver, sender):
+            if tuple(receiver) == site.nodes["edge-0"].address:
+                waiting.append((data, receiver, sender))
+
+        site.deliver = hold
+        context.told_at = site.clock()
+        tell(site, news)
+        await asyncio.sleep(HELD)
+        site.clock.now += seconds
+        for held in waiting:
+            deliver(*held)
+        context.seen = look(site.nodes["edge-0"].gateway, site.clock())
+        # Long after, it listens as before.
+        site.deliver = deliver
+        await site.pass_time(1.0)
+        name_limit(site, "edge-1", 2 * context.rate)
+        await site.pass_time(1.0)
+        context.later = look(site.nodes["edge-0"].gateway, site.clock())
+
+    site.play(story())
+
+
+def look(gateway, now):
+    """What a gateway knows: a limit, a closing, and its copy's age."""
+    return types.SimpleNamespace(
+        rate=gateway.directory.rate_limits.rate(INSTANCE, now),
+        closed_until=gateway.directory.roles.changing_until.get(INSTANCE, 0.0),
+        known_at=gateway.watches.registrations.staleness.known_at,
+        now=now,
+    )
+
+
+@behave.then("it does not count from when it woke")
+def step_not_news(context):
+    seen = context.seen
+    if "limit" in context.news:
+        assert seen.rate == context.rate, seen
+    elif "closed" in context.news:
+        assert seen.closed_until <= seen.now, seen
+    else:
+        assert seen.known_at <= context.told_at + HELD, seen
+    assert context.later.rate == 2 * context.rate, context.later
+
+
+@behave.given("3 gateways on machines that were once suspended for 60 s")
+def step_once_suspended(context):
+    context.site = virtual_gateways.Site(SEED)
+
+
+@behave.when("the holder is cut off from all others for {seconds:g} s")
+def step_holder_cut(context, seconds):
+    site = context.site
+
+    async def story():
+        await start(site)
+        for node in site.nodes.values():
+            leadership = node.gateway.leadership
+            if leadership.token(clocks.now()) is not None:
+                break
+        assert node.gateway.gossip.can_remove_entries()
+        site.cut([node.name])
+        site.dark.add(node.address)
+        await site.pass_time(seconds)
+        assert leadership.token(clocks.now()) is None
+        context.removes = node.gateway.gossip.can_remove_entries()
+
+    play(context, story, suspended=60.0)
+
+
+@behave.then("it does not remove the entries of others")
+def step_keeps(context):
+    assert not context.removes
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -16,6 +16,7 @@
 import math
 import time
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import bandwidth
@@ -67,6 +68,10 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
+# Seconds without a turn of this node after which datagrams may have waited in
+# its socket, and seconds from its next turn in which it reads what has waited.
+PAUSE_SECONDS = 1.0
+BACKLOG_SECONDS = 0.1
 # Fraction of the nodes from which the loads must be known to count as those of
 # the site. With fewer, a part of the network is likely cut off.
 MIN_HEARD_FRACTION = 0.75
@@ -171,6 +176,9 @@
         self.last_sequences: dict[str, int] = {}
         self.site_decoder = loads_module.LoadDeltaDecoder()
         self.announced_at = -math.inf
+        # When this node had its last turn, by `clocks.now`; None before.
+        self.ran_at: float | None = None
+        self.backlog_until = -math.inf
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
         prefix_router.listener = self
@@ -306,11 +314,13 @@
     async def run_relay(self) -> None:
         """Chooses a relay, and relays where this node is the relay."""
         while True:
+            self.record_turn()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
                     RELAY_INTERVAL_SECONDS - MIN_SEND_INTERVAL_SECONDS
                 ):
                     await self.urgent.wait()
+            self.record_turn()
             await asyncio.sleep(MIN_SEND_INTERVAL_SECONDS)
             if self.meshed:
                 continue
@@ -321,6 +331,22 @@
             self.resend_to_relay(now)
             self.send_summaries(now)
 
+    def record_turn(self) -> None:
+        """Records that this node runs, and notices if it was paused."""
+        if self.has_been_paused():
+            self.backlog_until = clocks.now() + BACKLOG_SECONDS
+        self.ran_at = clocks.now()
+
+    def has_been_paused(self) -> bool:
+        """Whether this node has had no turn for long."""
+        if self.ran_at is None:
+            return False
+        return clocks.now() - self.ran_at > PAUSE_SECONDS
+
+    def may_have_waited(self) -> bool:
+        """Whether a datagram that is read now may have waited for long."""
+        return self.has_been_paused() or clocks.now() < self.backlog_until
+
     def resend_to_relay(self, now: float) -> None:
         """Sends the relay the last change again, as datagrams may be lost."""
         if self.resend_due and self.choice.relay is not None:
@@ -427,6 +453,12 @@
             return
         now = self.clock()
         self.last_sequences[sender.member] = message.sequence
+        if (
+            isinstance(message, messages.Report | messages.Summary)
+            and self.may_have_waited()
+        ):
+            self.receive_late(message.updates, now)
+            return
         # This makes a node known that started after the entries were read.
         member = members_module.Member(
             sender.member,
@@ -450,6 +482,15 @@
         else:
             self.receive_summary(member, message, now)
 
+    def receive_late(self, updates: messages.Updates, now: float) -> None:
+        """Receives a datagram that may have waited while this node was paused.
+
+        Its ages and remaining times count from when it was sent, which is not
+        known. All but departures, which are for good, is sent again.
+        """
+        lasting = messages.Updates(departures=updates.departures)
+        self.remote_state.apply(lasting, now)
+
     def receive_report(
         self,
         member: members_module.Member,
