Ask for the holder's permission by the clock that it is measured with

Cause: since leases are measured by the clock that counts suspension, a mesh node that removes the entries of dead nodes asked with the monotonic clock, which is behind by all suspensions since the machine's start. The permission then never ended by time, and a cut off holder went on removing entries besides its successor. Removal reads the entries again first, so that little came of it.

Change: it asks with `clocks.now`.

Evidence: after_pauses.feature, "A holder whose machine was once suspended removes entries after its end" failed before. The same call is in role_planning.py (111, 212), usage_reports.py (105) and scaling.py (119), which this change doesn't touch.

--- a/features/after_pauses.feature
+++ b/features/after_pauses.feature
@@ -24,3 +24,9 @@
       | that the limit has ended      |
       | that the replica is closed    |
       | how recent a relay's copy is  |
+
+  # Its permission is measured by one clock, and a part of it asked by the other.
+  Scenario: A holder whose machine was once suspended removes entries after its end
+    Given 3 gateways on machines that were once suspended for 60 s
+    When the holder is cut off from all others for 5 s
+    Then it does not remove the entries of others
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -213,7 +213,7 @@
     def can_remove_entries(self) -> bool:
         """Whether this node removes the entries of dead nodes."""
         if self.meshed:
-            return self.leadership.token(self.clock()) is not None
+            return self.leadership.token(clocks.now()) is not None
         return self.relays.is_settled(self.clock())
 
     def can_renew(self, member: members_module.Member) -> bool:
