--- a/features/steps/tenure_sequences_steps.py
+++ b/features/steps/tenure_sequences_steps.py
@@ -170,6 +170,15 @@
     group.generation += 1
 
 
+async def reached(condition):
+    """Waits until a condition holds."""
+    for _ in range(int(WATCHED / 0.01)):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition does not come to hold")
+
+
 async def come_and_go(context, seconds):
     """Lets another member join and leave again and again."""
     stop_at = context.site.clock() + seconds
@@ -193,12 +202,10 @@
         former.store.cut = True
         former.leadership.claims.has_ended = no_answer
         waiting.claims.has_ended = no_answer
-        while waiting.claims.assigned_at is None:
-            await asyncio.sleep(0.01)
+        await reached(lambda: waiting.claims.assigned_at is not None)
         await come_and_go(context, waited)
         renewed_at = waiting.renewed_at
-        while waiting.renewed_at == renewed_at:
-            await asyncio.sleep(0.01)
+        await reached(lambda: waiting.renewed_at > renewed_at)
         former.store.cut = False
         give(context.group, former.name)
         context.group.members[former.name] = context.site.clock() + 3.0
