Keep to a rate limit over a pause in which nobody could renew it

What a replica saw, on paper: a gateway that was frozen for more than 10 s sends it, as it wakes, all requests that waited, though it has named a limit all the while.

Cause: a limit that nobody has renewed for 10 s ends. A frozen gateway hears of no renewal, and takes its own silence for the replica's.

Change: the seconds of a pause don't count as silence until 1.5 s after it, in which a limit that is in force is heard of again.

Evidence: after_pauses.feature, "A gateway that wakes sends without the limit that it knew", 30 s: 100 of 100 requests were permitted before, at most 4 now.

--- a/features/after_pauses.feature
+++ b/features/after_pauses.feature
@@ -25,6 +25,18 @@
       | that the replica is closed    |
       | how recent a relay's copy is  |
 
+  # A limit that nobody renews ends, and a frozen gateway doesn't hear that it is renewed.
+  Scenario Outline: A gateway that wakes sends without the limit that it knew: frozen for <seconds> s
+    Given 3 gateways and a replica with a limit of 5 a second
+    When one of them is frozen for <seconds> s
+    Then it has at most <most> permits at once as it wakes
+    And it has more than 20 permits once nobody has named the limit for long
+
+    Examples:
+      | seconds | most |
+      | 6       | 4    |
+      | 30      | 4    |
+
   # Its permission is measured by one clock, and a part of it asked by the other.
   Scenario: A holder whose machine was once suspended removes entries after its end
     Given 3 gateways on machines that were once suspended for 60 s
--- a/features/steps/after_pauses_steps.py
+++ b/features/steps/after_pauses_steps.py
@@ -30,6 +30,10 @@
 SETTLED = 6.0
 CLOSED = 4.0
 HELD = 0.3
+# Requests that a gateway would send at once, and seconds after which a limit
+# that nobody renews has ended.
+TRIES = 50
+EXPIRED = 15.0
 
 
 def pause(context, how, seconds):
@@ -233,3 +237,41 @@
 @behave.then("it does not remove the entries of others")
 def step_keeps(context):
     assert not context.removes
+
+
+def permits(node):
+    """How many requests a gateway may send at once to the replica."""
+    limits = node.gateway.directory.rate_limits
+    now = node.site.clock()
+    return sum(limits.take(INSTANCE, now) for _ in range(TRIES))
+
+
+@behave.when("one of them is frozen for {seconds:g} s")
+def step_freezes(context, seconds):
+    site = context.site
+
+    async def story():
+        await start(site)
+        name_limit(site, "edge-1", context.rate)
+        await site.pass_time(1.0)
+        site.clock.now += seconds
+        context.first = permits(site.nodes["edge-0"])
+        await site.pass_time(0.2)
+        context.first += permits(site.nodes["edge-0"])
+        await site.pass_time(max(4.0, EXPIRED - seconds))
+        context.last = permits(site.nodes["edge-0"])
+
+    site.play(story())
+
+
+@behave.then("it has at most {count:d} permits at once as it wakes")
+def step_few(context, count):
+    assert context.first <= count, context.first
+
+
+@behave.then(
+    "it has more than {count:d} permits once nobody has named the limit for "
+    "long"
+)
+def step_many(context, count):
+    assert context.last > count, context.last
--- a/packages/gypsumfold/src/gypsumfold/decisions/rate_limits.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/rate_limits.py
@@ -70,6 +70,8 @@
         named: What each replica said last.
         permits: This node's permits at replicas with a limit.
         share: Returns the fraction of a replica's limit that is this node's.
+        unheard_seconds: Returns the seconds for which this node was paused just
+            before, so that nobody could renew a limit here.
 
     >>> rate_limits = RateLimits()
     >>> rate_limits.observe("i-1", 4.7, sent_at=0.0)
@@ -82,6 +84,7 @@
         self.named: dict[str, Named] = {}
         self.permits: dict[str, Permits] = {}
         self.share: Callable[[str, float], float] = lambda instance, rate: 1.0
+        self.unheard_seconds: Callable[[], float] = lambda: 0.0
 
     def observe(
         self, instance: str, rate: float | None, sent_at: float
@@ -114,6 +117,8 @@
         if named is None or named.rate is None:
             return None
         age = now - named.sent_at
+        if age > EXPIRY_SECONDS:
+            age -= self.unheard_seconds()
         if age > EXPIRY_SECONDS and (
             (age - EXPIRY_SECONDS) * named.rate > EXPIRY_REQUESTS
         ):
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -72,6 +72,9 @@
 # its socket, and seconds from its next turn in which it reads what has waited.
 PAUSE_SECONDS = 1.0
 BACKLOG_SECONDS = 0.1
+# Seconds from that turn after which it has heard again of all rate limits that
+# are still in force: nodes send them once a second, and relays a moment later.
+INFORMED_SECONDS = 1.5
 # Fraction of the nodes from which the loads must be known to count as those of
 # the site. With fewer, a part of the network is likely cut off.
 MIN_HEARD_FRACTION = 0.75
@@ -178,7 +181,8 @@
         self.announced_at = -math.inf
         # When this node had its last turn, by `clocks.now`; None before.
         self.ran_at: float | None = None
-        self.backlog_until = -math.inf
+        self.paused_seconds = 0.0
+        self.woke_at = -math.inf
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
         prefix_router.listener = self
@@ -188,6 +192,7 @@
             self.announce_rate_limit
         )
         directory.statements.departure_listeners.append(self.announce_departure)
+        directory.rate_limits.unheard_seconds = self.unheard_seconds
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
@@ -333,19 +338,34 @@
 
     def record_turn(self) -> None:
         """Records that this node runs, and notices if it was paused."""
-        if self.has_been_paused():
-            self.backlog_until = clocks.now() + BACKLOG_SECONDS
-        self.ran_at = clocks.now()
+        now = clocks.now()
+        if self.has_been_paused(now):
+            self.paused_seconds = now - self.ran_at
+            self.woke_at = now
+        self.ran_at = now
 
-    def has_been_paused(self) -> bool:
-        """Whether this node has had no turn for long."""
-        if self.ran_at is None:
-            return False
-        return clocks.now() - self.ran_at > PAUSE_SECONDS
+    def has_been_paused(self, now: float) -> bool:
+        """Whether this node has had no turn for long, by `clocks.now`."""
+        return self.ran_at is not None and now - self.ran_at > PAUSE_SECONDS
 
     def may_have_waited(self) -> bool:
         """Whether a datagram that is read now may have waited for long."""
-        return self.has_been_paused() or clocks.now() < self.backlog_until
+        now = clocks.now()
+        return self.has_been_paused(now) or (
+            now - self.woke_at < BACKLOG_SECONDS
+        )
+
+    def unheard_seconds(self) -> float:
+        """Returns the seconds of a pause after which the others are unheard.
+
+        Their silence in these seconds proves nothing.
+        """
+        now = clocks.now()
+        if self.has_been_paused(now):
+            return now - self.ran_at
+        if now - self.woke_at < INFORMED_SECONDS:
+            return self.paused_seconds
+        return 0.0
 
     def resend_to_relay(self, now: float) -> None:
         """Sends the relay the last change again, as datagrams may be lost."""
