Take no gateway for dead over the silence of an own freeze

Cause: whether this node stalled was checked once, when a check of the entries began. One that was frozen while it read the entries for that check took all others for silent, marked the entries of all that run, and might remove one that was renewed during the freeze. The others then counted fewer nodes and took larger shares of the site's retries.

Change: it is checked again after the read.

Evidence: after_pauses.feature, "A gateway that was frozen takes running gateways for dead", failed before: edge-1, which ran, was marked.

--- a/features/after_pauses.feature
+++ b/features/after_pauses.feature
@@ -37,6 +37,13 @@
       | 6       | 4    |
       | 30      | 4    |
 
+  # All others had been silent for as long as the gateway itself was frozen.
+  Scenario: A gateway that was frozen takes running gateways for dead
+    Given 3 gateways of which one has died
+    When the holder is frozen for 40 s before it marks the entry of the dead one
+    Then it marks the entry of no gateway that runs
+    And it marks the entry of the dead one later
+
   # Its permission is measured by one clock, and a part of it asked by the other.
   Scenario: A holder whose machine was once suspended removes entries after its end
     Given 3 gateways on machines that were once suspended for 60 s
--- a/features/steps/after_pauses_steps.py
+++ b/features/steps/after_pauses_steps.py
@@ -9,6 +9,7 @@
 from features.support import virtual_gateways
 
 from gypsumfold import clocks
+from gypsumfold import events
 from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import crash_types
 from gypsumfold.gateway import crash_messages
@@ -34,6 +35,8 @@
 # that nobody renews has ended.
 TRIES = 50
 EXPIRED = 15.0
+# Seconds until a new holder has marked the entry of a silent gateway.
+DETECTED = 25.0
 
 
 def pause(context, how, seconds):
@@ -209,6 +212,14 @@
     assert context.later.rate == 2 * context.rate, context.later
 
 
+def holder(site):
+    """The gateway that may act."""
+    for node in site.nodes.values():
+        if node.gateway.leadership.token(clocks.now()) is not None:
+            return node
+    raise AssertionError("no gateway may act")
+
+
 @behave.given("3 gateways on machines that were once suspended for 60 s")
 def step_once_suspended(context):
     context.site = virtual_gateways.Site(SEED)
@@ -220,10 +231,8 @@
 
     async def story():
         await start(site)
-        for node in site.nodes.values():
-            leadership = node.gateway.leadership
-            if leadership.token(clocks.now()) is not None:
-                break
+        node = holder(site)
+        leadership = node.gateway.leadership
         assert node.gateway.gossip.can_remove_entries()
         site.cut([node.name])
         site.dark.add(node.address)
@@ -275,3 +284,57 @@
 )
 def step_many(context, count):
     assert context.last > count, context.last
+
+
+@behave.given("3 gateways of which one has died")
+def step_died(context):
+    context.site = virtual_gateways.Site(SEED)
+
+
+@behave.when(
+    "the holder is frozen for {seconds:g} s before it marks the entry of the "
+    "dead one"
+)
+def step_frozen_marking(context, seconds):
+    site = context.site
+    context.marked = []
+
+    def marked():
+        number = events.ENTRY_SUSPECTED.number
+        lines = [line for line in site.lines if line[1] == number]
+        return [fields["peer"] for _, _, fields in lines]
+
+    async def story():
+        await start(site)
+        node = holder(site)
+        names = sorted(name for name in site.nodes if name != node.name)
+        context.dead = names[0]
+        await site.kill(context.dead)
+        entries = node.gateway.gossip.entries
+        read_all = entries.read_all
+
+        async def frozen():
+            found = await read_all()
+            site.clock.now += seconds
+            entries.read_all = read_all
+            return found
+
+        entries.read_all = frozen
+        while entries.read_all is frozen:
+            await site.pass_time(0.5)
+        await site.pass_time(1.0)
+        context.marked = marked()
+        await site.pass_time(DETECTED)
+        context.marked_later = marked()
+
+    site.play(story())
+
+
+@behave.then("it marks the entry of no gateway that runs")
+def step_marks_none(context):
+    assert set(context.marked) <= {context.dead}, context.marked
+
+
+@behave.then("it marks the entry of the dead one later")
+def step_marks_dead(context):
+    assert set(context.marked_later) == {context.dead}, context.marked_later
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -279,7 +279,7 @@
         """Renews entries of running nodes and removes those of dead ones."""
         await self.renew(observer)
         now = self.clock()
-        stalled = now - self.checked_at > STALL_SECONDS
+        stalled = self.has_stalled()
         self.checked_at = now
         for member in self.members.not_seen_since(now - FORGET_AFTER_SECONDS):
             if observer.can_observe(member):
@@ -294,6 +294,10 @@
             await self.mark_suspected(observer)
         await self.remove_dead(observer)
 
+    def has_stalled(self) -> bool:
+        """Whether this node has stalled since its last check began."""
+        return self.clock() - self.checked_at > STALL_SECONDS
+
     async def renew(self, observer: Observer) -> None:
         """Renews this node's lost entry and suspected entries of others."""
         if self.lost and not self.withdrawn:
@@ -329,11 +333,15 @@
 
     def unobserved(self, observer: Observer) -> list[members_module.Member]:
         """Returns the silent nodes whose messages this node would receive."""
+        if self.has_stalled():
+            return []
         silent = self.others.to_suspect(self.members, self.clock())
         return [member for member in silent if observer.can_observe(member)]
 
     def removable(self, observer: Observer) -> list[members_module.Member]:
         """Returns the nodes whose suspected entries have expired."""
+        if self.has_stalled():
+            return []
         dead = self.others.expired(self.clock())
         return [member for member in dead if observer.can_observe(member)]
 
