Announce no confirmed role of an engine that another holder changes

What callers saw, on paper: where the authority moves within 5 s of a role change and the next holder changes the same engine again, requests are sent to the engine while it changes, and are refused there.

Cause: a holder announces a confirmed role for 5 s with each of its messages, also once it has lost the authority. Each message opens the engine at all nodes that the next holder has closed it at.

Change: a node without the authority drops its announcement where it hears of a closing. A holder keeps it, as relays may send it its own closing late.

Evidence: after_pauses.feature, "A former holder opens an engine that another one closes", failed before: the two other gateways, the new holder among them, took it for open.

--- a/features/after_pauses.feature
+++ b/features/after_pauses.feature
@@ -49,3 +49,9 @@
     Given 3 gateways on machines that were once suspended for 60 s
     When the holder is cut off from all others for 5 s
     Then it does not remove the entries of others
+
+  # A confirmed role was announced for 5 s, also after another holder had ordered another one.
+  Scenario: A former holder opens an engine that another one closes
+    Given 3 gateways and an engine whose role a former holder has confirmed
+    When another holder closes the engine for 4 s
+    Then no gateway takes it for open in the next 3 s
--- a/features/steps/after_pauses_steps.py
+++ b/features/steps/after_pauses_steps.py
@@ -12,6 +12,7 @@
 from gypsumfold import events
 from gypsumfold.decisions import canaries as canaries_module
 from gypsumfold.decisions import crash_types
+from gypsumfold.decisions import types as decision_types
 from gypsumfold.gateway import crash_messages
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import quarantine as quarantine_module
@@ -31,6 +32,9 @@
 SETTLED = 6.0
 CLOSED = 4.0
 HELD = 0.3
+# Seconds for which a role is confirmed, and for which gateways are watched.
+CONFIRMED = 5.0
+WATCHED = 3.0
 # Requests that a gateway would send at once, and seconds after which a limit
 # that nobody renews has ended.
 TRIES = 50
@@ -338,3 +342,43 @@
 @behave.then("it marks the entry of the dead one later")
 def step_marks_dead(context):
     assert set(context.marked_later) == {context.dead}, context.marked_later
+
+
+@behave.given(
+    "3 gateways and an engine whose role a former holder has confirmed"
+)
+def step_confirmed(context):
+    context.site = virtual_gateways.Site(SEED)
+
+
+@behave.when("another holder closes the engine for {seconds:g} s")
+def step_closes(context, seconds):
+    site = context.site
+    context.opened = []
+
+    def watch():
+        now = site.clock()
+        for name, node in site.nodes.items():
+            roles = node.gateway.directory.roles
+            if roles.changing_until.get(INSTANCE, 0.0) <= now:
+                context.opened.append((name, round(now, 2)))
+
+    async def story():
+        await start(site)
+        new = holder(site)
+        former = site.nodes[min(site.nodes.keys() - {new.name})]
+        former.gateway.gossip.announce_role(
+            INSTANCE, decision_types.Role.DECODE, CONFIRMED
+        )
+        await site.pass_time(0.5)
+        new.gateway.planner.close_engine(INSTANCE, seconds)
+        await site.pass_time(HELD)
+        site.watched = watch
+        await site.pass_time(WATCHED)
+
+    site.play(story())
+
+
+@behave.then("no gateway takes it for open in the next 3 s")
+def step_closed(context):
+    assert not context.opened, context.opened
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -525,7 +525,7 @@
                 self.receive_copy_state(member, report.copy_state, True)
             else:
                 self.relaying.add_mesh_node(member, now)
-            self.remote_state.apply(report.updates, now)
+            self.apply_updates(report.updates, now)
             return
         self.leave_mesh()
         if self.relaying.receive_report(member, report, now):
@@ -534,7 +534,7 @@
             self.send_to_nodes(due, now)
         if self.choice.relay is None:
             self.loads.set_remote(member.name, report.loads, until)
-        self.remote_state.apply(report.updates, now)
+        self.apply_updates(report.updates, now)
         if report.subscription_level == messages.SUBSCRIBE_ALL:
             self.forward(report.updates, now)
 
@@ -569,7 +569,7 @@
         self.loads.set_remote(
             relay.data_centre, others, now + loads_module.EXPIRY_SECONDS
         )
-        self.remote_state.apply(summary.updates, now)
+        self.apply_updates(summary.updates, now)
 
     def receive_copy_state(
         self,
@@ -599,10 +599,20 @@
         if best is not None and best.member.name == member.name:
             until = now + loads_module.EXPIRY_SECONDS
             self.loads.set_remote(data_centre, best.decoder.loads(now), until)
-            self.remote_state.apply(summary.updates, now)
+            self.apply_updates(summary.updates, now)
             if self.relaying.node_outbox.add_updates(summary.updates, now):
                 self.urgent.set()
 
+    def apply_updates(self, updates: messages.Updates, now: float) -> None:
+        """Applies what happened elsewhere.
+
+        A former holder of the authority no longer announces the role of an
+        engine that another holder changes by now: it would open the engine.
+        """
+        self.remote_state.apply(updates, now)
+        if self.leadership.token(clocks.now()) is None:
+            self.outbox.drop_roles(updates.closed)
+
     def forward(self, updates: messages.Updates, now: float) -> None:
         """Forwards updates of a node of this data centre."""
         self.relaying.relay_outbox.add_updates(updates, now)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/outbox.py
@@ -1,6 +1,7 @@
 """Updates that a node still has to send, its own or forwarded ones."""
 
 from collections.abc import Container
+from collections.abc import Iterable
 
 from gypsumfold.gateway.peers import messages
 
@@ -67,6 +68,11 @@
         self.closings.pop(engine, None)
         self.start_times[engine] = started_at
 
+    def drop_roles(self, closed: Iterable[str]) -> None:
+        """Drops the roles of engines that change them again."""
+        for engine in closed:
+            self.roles.pop(engine, None)
+
     def add_rate_limit(
         self, instance: str, rate: float | None, sent_at: float
     ) -> bool:
