Wait for each tenure that a silent holder begins, and after each drill

Two sequences of events, found by reading, in which two gateways acted:

A gateway that started with the whole system took a store that has returned from a copy without any tenure for one that never had any, and acted at once. It isn't the first any more once the store has returned.

A silent holder was back for a moment, began a new tenure and was cut off again, while another gateway's wait went on, as changes of the group don't begin a wait anew after four leases. A tenure that is new since the last read always does.

--- a/packages/gypsumfold/src/gypsumfold/gateway/grants.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/grants.py
@@ -6,6 +6,13 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 
+# Failures of a call after which nothing of it can arrive any more.
+UNSENT_OR_ANSWERED = (
+    exceptions.AuthorityEnded,
+    exceptions.EndpointNotStarted,
+    exceptions.OrderRefused,
+)
+
 
 class Grant:
     """The permission for one call of the node that holds the authority.
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -45,12 +45,6 @@
 INITIAL_CHECK_SECONDS = 0.02
 # Seconds that a node which ends its tenure waits for the answers to its calls.
 STOP_SECONDS = 2.0
-# Failures of a call after which nothing of it can arrive any more.
-UNSENT_OR_ANSWERED = (
-    exceptions.AuthorityEnded,
-    exceptions.EndpointNotStarted,
-    exceptions.OrderRefused,
-)
 
 
 class Leadership:
@@ -124,7 +118,9 @@
         The group may have other members now, and the record of the tenure may
         be missing.
         """
-        self.claims.tenure = None
+        self.claims.forget()
+        # Without any tenure, it may be missing in the copy.
+        self.claims.is_first = False
         self.valid_until = float("-inf")
         self.renew_soon.set()
 
@@ -158,7 +154,7 @@
         try:
             yield grant
         except BaseException as error:
-            if not isinstance(error, UNSENT_OR_ANSWERED):
+            if not isinstance(error, grants.UNSENT_OR_ANSWERED):
                 self.may_arrive_until = grant.ends_at
             raise
         finally:
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -66,6 +66,7 @@
             later where the group has changed since.
         requested: The assignment and the token of the tenure whose end was
             requested.
+        awaited: The last tenure that was read during this assignment.
         asking: Asks the holder of the tenure before.
         over: A tenure whose holder has answered that it is over.
         tenure: This node's tenure; None if it may not act.
@@ -96,6 +97,7 @@
         self.assigned_at: float | None = None
         self.first_assigned_at = float("-inf")
         self.requested: tuple[float, int] | None = None
+        self.awaited: decisions.Tenure | None = None
         self.asking: asyncio.Task | None = None
         self.over: decisions.Tenure | None = None
         self.tenure: decisions.Tenure | None = None
@@ -128,6 +130,7 @@
         """Drops the tenure: another node may have begun one since."""
         self.tenure = None
         self.assigned_at = None
+        self.awaited = None
         if self.asking is not None:
             self.asking.cancel()
             self.asking = None
@@ -179,6 +182,11 @@
             exceptions.PlatformError: The store does not answer.
         """
         page = await self.tenures.read()
+        if page.last != self.awaited:
+            # Its holder was assigned the authority later than this node.
+            if self.awaited is not None:
+                self.assigned_at = clocks.now()
+            self.awaited = page.last
         claim = self.assess(page.last)
         wait = claim.at - clocks.now()
         if wait > 0:
