Confirm an order's permission once its connection is open

Cause: the client of engines confirmed the permission and then waited for a connection, which takes up to 0.3 s to open and longer if the node is frozen meanwhile. The order was sent after its permission had ended.

Change: `exchange` takes the permission and confirms it after it has the connection, with nothing awaited before the write. A connection on which nothing was sent goes back to the pool.

Evidence: both examples of "An order is sent though its permission ended meanwhile" failed before (the order was answered, 0.2 s after its permission had ended) and pass now. "An order opens a connection although one is idle" passed before as well and guards the pool.

--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import re
 import socket
 import struct
 import time
@@ -35,6 +36,8 @@
 # SO_LINGER with a timeout of zero: closing resets the connection and drops what
 # the kernel has not sent yet.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Matches the timeout in seconds in a replica's Keep-Alive header.
+KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 NUMBERS = itertools.count(1)
 
 
@@ -251,3 +254,12 @@
         if not self.usable or self.lost or self.transport.is_closing():
             return False
         return now - self.idle_since < self.idle_timeout
+
+
+def parse_idle_timeout(value: bytes) -> float:
+    """Returns the idle timeout of a connection from its Keep-Alive header."""
+    found = KEEP_ALIVE_PATTERN.search(value)
+    if found is None:
+        return IDLE_TIMEOUT_SECONDS
+    timeout = float(found[1]) - IDLE_MARGIN_SECONDS
+    return min(timeout, IDLE_TIMEOUT_SECONDS)
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import contextlib
 import math
-import re
 import time
 
 import h11
@@ -28,8 +27,6 @@
 # cached prefix blocks.
 MAX_REPORT_BYTES = 1024 * 1024
 MAX_LIST_BYTES = 8 * 1024 * 1024
-# Matches the timeout in seconds in a replica's Keep-Alive header.
-KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 ATTEMPT_FIELD = names.ATTEMPT.lower().encode()
 NOT_RUN_FIELD = names.NOT_RUN.lower().encode()
 # The node's own calls. An earlier report or list is only a moment old, and
@@ -217,13 +214,13 @@
         """Sends an order; returns False if it is in effect already.
 
         Raises:
+            exceptions.AuthorityEnded: The permission ended; nothing was sent.
             exceptions.OrderRefused: The engine will not carry it out.
             exceptions.EndpointError: Its result is unknown.
         """
         body = decoding.encode_order(order)
-        grant.confirm(replica.instance)
         status, _ = await self.ask(
-            replica, ORDER, "POST", names.ORDER_PATH, body
+            replica, ORDER, "POST", names.ORDER_PATH, body, grant=grant
         )
         if status not in (200, 202):
             raise exceptions.OrderRefused(f"an order ended with {status}")
@@ -238,6 +235,7 @@
         body: bytes | None = None,
         fresh: bool = False,
         limit: int = MAX_REPORT_BYTES,
+        grant: grants.Grant | None = None,
     ) -> tuple[int, bytes]:
         """Makes a call of the node's own; returns status and body.
 
@@ -249,8 +247,10 @@
             body: JSON to send, if any.
             fresh: Whether to open a new connection in any case.
             limit: Largest number of bytes of the answer's body.
+            grant: The permission for a call under the authority.
 
         Raises:
+            exceptions.AuthorityEnded: The permission ended; nothing was sent.
             exceptions.EndpointError: It was not answered completely.
         """
         fields = [
@@ -260,7 +260,7 @@
         if body is not None:
             fields.append((b"Content-Type", b"application/json"))
         answer = await self.exchange(
-            replica, method, path, fields, body, identity, fresh
+            replica, method, path, fields, body, identity, fresh, grant
         )
         with contextlib.closing(answer):
             return answer.status, await answer.read(limit)
@@ -274,10 +274,12 @@
         body: bytes | None,
         identity: answer_identity.Identity = answer_identity.ANONYMOUS,
         fresh: bool = False,
+        grant: grants.Grant | None = None,
     ) -> pooled_answers.PooledAnswer:
         """Sends one request and waits for the head of its answer.
 
         Raises:
+            exceptions.AuthorityEnded: The permission ended; nothing was sent.
             exceptions.EndpointWithheld: The replica may be sent nothing now.
             exceptions.EndpointNotStarted: Nothing of it can have run.
             exceptions.AnswerBroken: It may have run.
@@ -292,7 +294,9 @@
         try:
             # The replica may have asked to back off meanwhile.
             self.admission(replica)
-        except exceptions.EndpointWithheld:
+            if grant is not None:
+                grant.confirm(replica.instance)
+        except (exceptions.EndpointWithheld, exceptions.AuthorityEnded):
             self.pool.put_back(replica.address, replica.instance, connection)
             raise
         done = False
@@ -312,7 +316,7 @@
         not_run = False
         for name, value in event.headers:
             if name == b"keep-alive":
-                connection.idle_timeout = parse_idle_timeout(value)
+                connection.idle_timeout = connections.parse_idle_timeout(value)
             elif name == ATTEMPT_FIELD:
                 attempt = value.decode("latin-1")
             elif name == NOT_RUN_FIELD:
@@ -334,12 +338,3 @@
             # Another instance may have given that answer.
             self.statement_listener(replica, answer.statement)
         return answer
-
-
-def parse_idle_timeout(value: bytes) -> float:
-    """Returns the idle timeout of a connection from its Keep-Alive header."""
-    found = KEEP_ALIVE_PATTERN.search(value)
-    if found is None:
-        return connections.IDLE_TIMEOUT_SECONDS
-    timeout = float(found[1]) - connections.IDLE_MARGIN_SECONDS
-    return min(timeout, connections.IDLE_TIMEOUT_SECONDS)
