End an order's connection with its permission

Cause: nothing bounded an order by its permission once it was written. The kernel resends for 5 s (TCP_USER_TIMEOUT), also for a process that is frozen; that of a killed process sends what it holds before it closes. The wait for the answer had only the planner's limit of 1 s, measured by a clock that stands still while a machine is suspended. An order that was answered while its bytes were still unacknowledged went back to the pool with its connection, and one that the socket did not take whole was kept in the node.

Change: before the write of an order its connection is set to reset on close (SO_LINGER 0) and to give up resending before the permission ends. Linux counts TCP_USER_TIMEOUT from the first retransmission after a tail loss probe, so two retransmission timeouts (and an eighth of rounding) are deducted; with less time than that left, the order is not sent. While its answer is awaited the permission is checked every 0.1 s by the clock that counts suspension, and the connection is reset when it has ended. An order that the socket does not take whole at once is dropped with a reset. After the answer the limits are lifted, unless bytes are still unacknowledged (SIOCOUTQ): then the connection is reset.

--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -10,19 +10,18 @@
 import itertools
 import re
 import socket
-import struct
 import time
 
 import h11
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import answer_identity
+from gypsumfold.gateway import call_expiry
+from gypsumfold.gateway import grants
 from gypsumfold.gateway import types
 
 # Largest head of an answer.
 MAX_HEAD_BYTES = 65536
-# Time after which the kernel closes a connection with unacknowledged bytes.
-UNACKNOWLEDGED_TIMEOUT_MS = 5000
 # Idle time after which a connection is not reused if the replica states no
 # timeout itself.
 IDLE_TIMEOUT_SECONDS = 10.0
@@ -33,9 +32,6 @@
 MAX_UNREAD_BYTES = 256 * 1024
 # Largest number of informational heads before an answer.
 MAX_INFORMATIONAL_HEADS = 16
-# SO_LINGER with a timeout of zero: closing resets the connection and drops what
-# the kernel has not sent yet.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Matches the timeout in seconds in a replica's Keep-Alive header.
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 NUMBERS = itertools.count(1)
@@ -47,6 +43,7 @@
     Attributes:
         number: Number of this connection among all of the process.
         sent: The requests sent on it so far.
+        expiry: Ends a call under the authority; None for any other request.
 
     >>> connection = await pool.acquire(address, instance)
     >>> connection.request(method, target, fields, body)
@@ -69,6 +66,7 @@
         self.last_received = 0.0
         self.unread_bytes = 0
         self.informational_heads = 0
+        self.expiry: call_expiry.CallExpiry | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and sets the socket's options."""
@@ -79,7 +77,7 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_TIMEOUT_MS,
+                call_expiry.UNACKNOWLEDGED_TIMEOUT_MS,
             )
 
     def data_received(self, data: bytes) -> None:
@@ -102,6 +100,9 @@
         self.usable = False
         self.lost = True
         self.error = error
+        if self.expiry is not None:
+            self.expiry.stop()
+            self.error = error or self.expiry.error
         self.wake_reader()
 
     def feed(self, data: bytes) -> None:
@@ -135,10 +136,33 @@
             sock = self.transport.get_extra_info("socket")
             if sock is not None:
                 sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    call_expiry.RESET_ON_CLOSE,
                 )
         self.transport.abort()
 
+    def permit(self, grant: grants.Grant, subject: str) -> None:
+        """Has the next request end with a permission; nothing may be awaited.
+
+        Args:
+            grant: The permission.
+            subject: What the request is about.
+
+        Raises:
+            exceptions.AuthorityEnded: It has ended; nothing may be sent.
+            exceptions.EndpointNotStarted: The connection was closed.
+        """
+        if not self.is_open():
+            raise exceptions.EndpointNotStarted("the connection was closed")
+        expiry = call_expiry.CallExpiry(self.transport, grant)
+        expiry.begin(subject)
+        self.expiry = expiry
+
+    def is_open(self) -> bool:
+        """Whether something may be written."""
+        return self.usable and not self.lost and not self.transport.is_closing()
+
     def request(
         self,
         method: str,
@@ -152,7 +176,7 @@
         Raises:
             exceptions.EndpointNotStarted: Nothing of it was sent.
         """
-        if not self.usable or self.transport.is_closing():
+        if not self.is_open():
             raise exceptions.EndpointNotStarted("the connection was closed")
         try:
             head = h11.Request(method=method, target=target, headers=fields)
@@ -166,6 +190,10 @@
         self.idle = False
         self.sent.record(identity)
         self.transport.write(data)
+        if self.expiry is not None and self.transport.get_write_buffer_size():
+            # What the node itself holds is sent at any time, or never.
+            self.abort()
+            raise exceptions.EndpointNotStarted("the socket's buffer is full")
 
     async def next_event(self):
         """Waits for the next event of the answer.
@@ -242,6 +270,10 @@
         if has_more or not self.usable or not self.sent.may_continue:
             self.abort()
             return False
+        if self.expiry is not None and not self.expiry.end():
+            self.abort()
+            return False
+        self.expiry = None
         self.parser.start_next_cycle()
         self.unread_bytes = 0
         self.informational_heads = 0
@@ -251,9 +283,7 @@
 
     def is_reusable(self, now: float) -> bool:
         """Whether the connection may be used for another request."""
-        if not self.usable or self.lost or self.transport.is_closing():
-            return False
-        return now - self.idle_since < self.idle_timeout
+        return self.is_open() and now - self.idle_since < self.idle_timeout
 
 
 def parse_idle_timeout(value: bytes) -> float:
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -295,7 +295,7 @@
             # The replica may have asked to back off meanwhile.
             self.admission(replica)
             if grant is not None:
-                grant.confirm(replica.instance)
+                connection.permit(grant, replica.instance)
         except (exceptions.EndpointWithheld, exceptions.AuthorityEnded):
             self.pool.put_back(replica.address, replica.instance, connection)
             raise
