Plan on after an order lost its authority before it was sent

Cause: the client of engines raises AuthorityEnded if the permission ends while the connection opens, which the planner did not handle: its task ended, and with it all planning of the node. Without a permission at all, the engine counted as ordered for 12 s, though nothing had been sent.

Evidence: both examples of "A planner's authority ends before its order is sent" failed before: with AuthorityEnded from the planner, and with 11.9 s until the next order. They pass now.

--- a/features/order_arrivals.feature
+++ b/features/order_arrivals.feature
@@ -77,3 +77,15 @@
     Given an engine that takes orders
     When a node with a permission for 30 s gives an order after a request
     Then the order has taken the connection that was open
+
+  # The planner's task ended, and the engine stayed closed.
+  Scenario Outline: A planner's authority ends before its order is sent: <moment>
+    Given a planner whose authority ends <moment>
+    When it orders an engine
+    Then it goes on, and the engine is open again
+    And it may order the engine again within 0.5 s
+
+    Examples:
+      | moment                         |
+      | before it may act              |
+      | as the connection is open      |
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -17,6 +17,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import role_events
 from gypsumfold.gateway import types
 from gypsumfold.gateway.peers import gossip as gossip_module
 
@@ -168,7 +169,7 @@
         before = split.reserve.state()
         planned = split.plan(views, self.load(service, now), now)
         if split.reserve.state() != before:
-            log_reserve(service, split)
+            role_events.log_reserve(service, split)
         if split.is_idle(now) and self.is_replacing(service.name):
             return
         async with asyncio.TaskGroup() as group:
@@ -221,13 +222,18 @@
                 await asyncio.sleep(ORDER_DELAY_SECONDS)
                 with self.leadership.act() as grant:
                     if grant is None:
-                        now = time.monotonic()
-                        self.directory.roles.close_until(change.engine, now)
-                        return
+                        raise exceptions.AuthorityEnded(change.engine)
                     await self.send_order(
                         service, replica, change, state, grant
                     )
             self.follow_role_change(replica, change.role, service.switch_time)
+        except exceptions.AuthorityEnded as error:
+            # Nothing was sent: the engine may get work and another order.
+            now = time.monotonic()
+            self.directory.roles.close_until(change.engine, now)
+            unsent = PendingOrder(change.role, now + RETRY_SECONDS, False)
+            self.pending[change.engine] = unsent
+            role_events.log_failed(change, error)
         except (
             exceptions.EndpointError,
             exceptions.RecordInvalid,
@@ -238,12 +244,7 @@
                 until = time.monotonic() + RETRY_SECONDS
             failed = PendingOrder(change.role, until, False)
             self.pending[change.engine] = failed
-            events.log(
-                events.ROLE_ORDER_FAILED,
-                instance=change.engine,
-                role=change.role,
-                reason=repr(error),
-            )
+            role_events.log_failed(change, error)
 
     async def send_order(
         self,
@@ -256,21 +257,14 @@
         """Sends one order under the authority.
 
         Raises:
+            exceptions.AuthorityEnded: The permission ended; nothing was sent.
             exceptions.EndpointError: It may or may not be carried out.
         """
         order = types.Order(
             change.role, grant.member, grant.token, state.orders
         )
-        events.log(
-            events.ROLE_ORDERED,
-            instance=change.engine,
-            role=change.role,
-            token=grant.token,
-            after=state.orders,
-            prompts=round(self.splits[service.name].prompts, 3),
-            streams=round(self.splits[service.name].streams, 3),
-            demand=round(self.splits[service.name].demand, 3),
-        )
+        split = self.splits[service.name]
+        role_events.log_ordered(order, change.engine, split)
         await self.endpoints.order(replica, order, grant)
 
     def close_engine(self, instance: str, seconds: float) -> None:
@@ -334,17 +328,3 @@
             self.directory.roles.confirm(replica.instance, role, until)
             self.gossip.announce_role(replica.instance, role, CONFIRMED_SECONDS)
             return
-
-
-def log_reserve(service: types.Service, split: role_split.RoleSplit) -> None:
-    """Logs the spare decode engines of a service."""
-    reserve = split.reserve
-    short, kept = events.ROLE_RESERVE_SHORT, events.ROLE_RESERVE_KEPT
-    events.log(
-        short if reserve.missing else kept,
-        service=service.name,
-        needed=split.target,
-        spares=reserve.spares,
-        missing=reserve.missing,
-        streams=round(split.streams, 3),
-    )
