Compare the planner's authority by the clock that counts suspension

Cause: the planner asked for its token with time.monotonic, while the authority ends by clocks.now. After a suspension the planner took itself for the holder, kept its plans and closed engines, although `act` permitted no order.

Change: both checks use clocks.now.

Evidence: "A planner plans on after its machine was suspended" failed before (its plans were kept) and passes now.

--- a/features/order_arrivals.feature
+++ b/features/order_arrivals.feature
@@ -89,3 +89,9 @@
       | moment                         |
       | before it may act              |
       | as the connection is open      |
+
+  # The planner compared the end of its authority with another clock.
+  Scenario: A planner plans on after its machine was suspended
+    Given a planner whose authority ended while its machine was suspended
+    When it checks its services
+    Then it has dropped its plans
--- a/features/steps/order_arrivals_steps.py
+++ b/features/steps/order_arrivals_steps.py
@@ -424,3 +424,21 @@
 def step_again(context, seconds):
     until = context.planner.pending[ENGINE].until
     assert until <= time.monotonic() + seconds, until - time.monotonic()
+
+
+@behave.given("a planner whose authority ended while its machine was suspended")
+def step_suspended_planner(context):
+    step_planner(context, "before it may act")
+    # By the clock that counts suspension, a minute has passed unseen.
+    context.planner.leadership.valid_until = time.monotonic() + 1.0
+
+
+@behave.when("it checks its services")
+def step_checks(context):
+    with mock.patch.object(clocks, "now", lambda: time.monotonic() + 60.0):
+        asyncio.run(context.planner.check())
+
+
+@behave.then("it has dropped its plans")
+def step_dropped(context):
+    assert not context.planner.splits, context.planner.splits
--- a/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/role_planning.py
@@ -5,6 +5,7 @@
 import time
 from typing import NamedTuple
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import decode_reserve
@@ -109,7 +110,7 @@
     async def check(self) -> None:
         """Plans all services if this node holds the authority."""
         now = time.monotonic()
-        if self.leadership.token(now) is None:
+        if self.leadership.token(clocks.now()) is None:
             self.pending.clear()
             self.splits.clear()
             return
@@ -210,7 +211,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 state = await self.endpoints.state(replica)
                 current = self.directory.receive_state(change.engine, state)
-                token = self.leadership.token(time.monotonic())
+                token = self.leadership.token(clocks.now())
                 done = state.busy or state.role == change.role
                 if token is None or done or not current:
                     # Tried again unless its entry shows the role by then.
