Send calls to the operations API on sockets that drop what comes late

What callers saw: with a slow or interrupted connection to the platform, a usage report or an order of replicas could arrive after its permission had ended, when another gateway was the holder.

Cause: the permission was confirmed before aiohttp opened the connection. A call lasted up to 1.5 s whatever was left of its permission, on the clock that stands still while a machine is suspended. The connection was closed in order without TCP_USER_TIMEOUT, so that the kernel delivered what it still held. A 307 or 308 had the report sent again, without a check.

Change: each call has a socket of its own. It is connected, then the permission is confirmed, and `sock_sendall` hands the bytes over within the same step of the event loop. SO_LINGER 0 and a TCP_USER_TIMEOUT of what is left of the call are set before. The call ends with its limit or its permission, by `clocks.now`, and its connection is reset unless the whole answer is there. No redirect is followed. Calls that were not sent, and calls answered with an error, have exceptions of their own: nothing of them can arrive any more.

--- /dev/null
+++ b/features/steps/duty_arrivals_steps.py
@@ -0,0 +1,260 @@
+"""Steps on when calls to the platform's operations API arrive."""
+
+import asyncio
+import contextlib
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from unittest import mock
+
+import behave
+
+from gypsumfold import clocks
+from gypsumfold import events
+from gypsumfold import exceptions
+from gypsumfold.gateway import grants
+from gypsumfold.platform import operations as operations_module
+
+HOST = "127.0.0.1"
+# Bytes that the platform's kernel takes at most while nobody reads.
+RECEIVE_BUFFER = 4096
+# Seconds that a step waits for what must happen.
+LIMIT = 20.0
+# Seconds after the end of a permission at which the platform reads.
+AFTERWARDS = 0.4
+# Seconds within which a call without an answer is cancelled.
+CANCEL_SECONDS = 0.2
+NEVER = 60.0
+MADE_UP_REPORT = b'{"windowSeq": 1, "counts": {}}'
+
+
+class Platform:
+    """The operations API as a socket.
+
+    Attributes:
+        received: What has come on all connections.
+        was_reset: Whether a connection was reset.
+    """
+
+    def __init__(self, backlog=8):
+        self.listener = socket.socket()
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
+        )
+        self.listener.bind((HOST, 0))
+        self.listener.listen(backlog)
+        self.listener.settimeout(LIMIT)
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.received = b""
+        self.was_reset = False
+
+    def accept(self):
+        """Accepts a connection."""
+        connection, _ = self.listener.accept()
+        connection.settimeout(LIMIT)
+        return connection
+
+    def has_connection(self, seconds):
+        """Whether a connection waits, or comes within some seconds."""
+        return bool(select.select([self.listener], [], [], seconds)[0])
+
+    def read(self, connection, size=1):
+        """Reads until the connection ends or a body's size has come."""
+        with connection:
+            try:
+                while len(self.received) < size:
+                    data = connection.recv(65536)
+                    if not data:
+                        return
+                    self.received += data
+            except ConnectionResetError:
+                self.was_reset = True
+
+
+class Caller:
+    """A gateway's process that makes one call."""
+
+    def __init__(self, address, seconds, size, cancel_after=NEVER):
+        self.child = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "features.support.duty_caller",
+                address,
+                str(seconds),
+                str(size),
+                str(cancel_after),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def until(self, line):
+        """Waits for a line; returns those before it."""
+        before = []
+        for found in self.child.stdout:
+            if found.strip() == line:
+                return before
+            before.append(found.strip())
+        raise AssertionError(f"{line} is not in {before}")
+
+    def end(self):
+        """Ends the process."""
+        self.child.kill()
+        self.child.communicate()
+
+
+def start(context, *arguments):
+    """Starts a gateway's process, which ends with the scenario."""
+    caller = Caller(*arguments)
+    context.add_cleanup(caller.end)
+    return caller
+
+
+@behave.given("a platform that accepts no connection for {seconds:g} s")
+def step_full(context, seconds):
+    context.platform = Platform(backlog=0)
+    context.seconds = seconds
+    # One connection fills the queue, so that the kernel ignores others.
+    filler = socket.create_connection(context.platform.listener.getsockname())
+    context.add_cleanup(filler.close)
+
+
+@behave.when("a usage report is sent with a permission of {seconds:g} s")
+def step_send(context, seconds):
+    platform = context.platform
+    size = len(MADE_UP_REPORT)
+    context.caller = start(context, platform.address, seconds, size)
+    if hasattr(context, "elsewhere"):
+        connection = platform.accept()
+        connection.recv(65536)
+        connection.sendall(
+            "HTTP/1.1 307 Temporary Redirect\r\n"
+            f"Location: http://{context.elsewhere.address}/usage\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        context.add_cleanup(connection.close)
+        return
+    # Its first packet is ignored, and the next one comes after a second.
+    context.caller.until("begins")
+    time.sleep(context.seconds)
+    platform.accept().close()
+
+
+@behave.then("nothing of it arrives")
+def step_nothing(context):
+    context.caller.until("ended")
+    platform = context.platform
+    while platform.has_connection(0.0):
+        platform.read(platform.accept())
+    assert platform.received == b"", platform.received
+
+
+@behave.given("a platform that reads nothing at first")
+def step_mute(context):
+    context.platform = Platform()
+
+
+@behave.when(
+    "a usage report of {size:d} kB is sent with a permission of {seconds:g} s, "
+    "and its gateway {trouble}"
+)
+def step_send_much(context, size, seconds, trouble):
+    context.size = size * 1000
+    cancels = trouble == "cancels it"
+    caller = start(
+        context,
+        context.platform.address,
+        seconds,
+        context.size,
+        CANCEL_SECONDS if cancels else NEVER,
+    )
+    caller.until(events.AUTHORITY_USED.name)
+    context.ends_at = time.monotonic() + seconds
+    context.connection = context.platform.accept()
+    assert context.connection.recv(1, socket.MSG_PEEK)
+    if trouble == "is killed":
+        caller.child.kill()
+        caller.child.wait()
+    elif trouble == "is frozen":
+        caller.child.send_signal(signal.SIGSTOP)
+    elif cancels:
+        caller.until("ended")
+
+
+@behave.when("the platform reads all that comes once the permission has ended")
+def step_read_late(context):
+    time.sleep(max(0.0, context.ends_at + AFTERWARDS - time.monotonic()))
+    step_read(context)
+
+
+@behave.when("the platform reads all that comes")
+def step_read(context):
+    context.platform.read(context.connection, context.size)
+
+
+@behave.then("not all of the report arrives, and its connection is reset")
+def step_reset(context):
+    received = len(context.platform.received)
+    assert received < context.size, (received, context.size)
+    assert context.platform.was_reset
+
+
+@behave.given("a platform that redirects reports to another address")
+def step_redirecting(context):
+    context.platform = Platform()
+    context.elsewhere = Platform()
+
+
+@behave.then("nothing of it arrives at the other address")
+def step_nothing_elsewhere(context):
+    elsewhere = context.elsewhere
+    if elsewhere.has_connection(0.5):
+        connection = elsewhere.accept()
+        raise AssertionError(connection.recv(65536))
+    context.caller.until("ended")
+
+
+@behave.when(
+    "the machine is suspended for {seconds:g} s while a usage report waits "
+    "for its answer"
+)
+def step_suspended(context, seconds):
+    ahead = 0.0
+    real = clocks.now
+
+    async def story():
+        nonlocal ahead
+        operations = operations_module.Operations(context.platform.address)
+        sent = asyncio.Event()
+        now = clocks.now()
+        grant = grants.Grant(1, "edge-1-1", now, now + seconds / 2)
+        with mock.patch.object(events, "log", lambda *_, **__: sent.set()):
+            task = asyncio.create_task(
+                operations.report_usage(MADE_UP_REPORT, "edge-1", grant)
+            )
+            await sent.wait()
+        ahead = seconds
+        await asyncio.wait({task}, timeout=LIMIT / 4)
+        context.has_ended = task.done()
+        task.cancel()
+        with contextlib.suppress(
+            asyncio.CancelledError, exceptions.PlatformError
+        ):
+            await task
+        await operations.close()
+
+    with (
+        mock.patch.object(clocks, "now", lambda: real() + ahead),
+        mock.patch.object(operations_module, "CALL_TIMEOUT_SECONDS", seconds),
+    ):
+        asyncio.run(story())
+
+
+@behave.then("the call has ended a moment later")
+def step_has_ended(context):
+    assert context.has_ended
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -53,6 +53,14 @@
     """The platform's own API refused a call, failed or did not answer."""
 
 
+class OperationsUnreachable(OperationsUnavailable):
+    """Nothing of a call was sent to the platform's own API."""
+
+
+class OperationsFailed(OperationsUnavailable):
+    """The platform's own API answered a call with an error."""
+
+
 class DutyFenced(PlatformError):
     """The platform has seen a higher fencing token for the same duty."""
 
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -1,16 +1,18 @@
 """The client of the platform's own API: usage reports and replicas."""
 
-import aiohttp
+import asyncio
+
 import msgspec
 
 from gypsumfold import exceptions
 from gypsumfold.decisions import capacity
 from gypsumfold.gateway import grants
+from gypsumfold.platform import fenced_calls
 from gypsumfold.platform import names
 
-# Time limit of one call in seconds.
+# Time limit of one call in seconds; its permission may end before.
 CALL_TIMEOUT_SECONDS = 1.5
-MAX_DRAINED_BYTES = 65536
+MAX_CONNECTIONS = 4
 
 
 class UsageRecord(msgspec.Struct):
@@ -49,14 +51,13 @@
     """
 
     def __init__(self, address: str):
-        self.base = f"http://{address}"
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=4, force_close=True)
-        )
+        self.address = address
+        self.permits = asyncio.Semaphore(MAX_CONNECTIONS)
+        self.is_closed = False
 
     async def close(self) -> None:
-        """Closes all connections."""
-        await self.session.close()
+        """Refuses further calls; one in progress ends with its task."""
+        self.is_closed = True
 
     async def report_usage(
         self, body: bytes, holder: str, grant: grants.Grant
@@ -113,30 +114,30 @@
         """Makes one call.
 
         Raises:
+            exceptions.AuthorityEnded: The permission had ended; nothing was
+                sent.
             exceptions.DutyFenced: Another node has used a higher token.
             exceptions.OperationsUnavailable: It failed or timed out.
         """
-        headers = {
-            names.DUTY_HOLDER: holder,
-            names.FENCING_TOKEN: str(grant.token),
-            "Content-Type": "application/json",
-        }
-        limit = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
-        grant.confirm(subject)
-        try:
-            async with self.session.post(
-                self.base + path, data=body, headers=headers, timeout=limit
-            ) as response:
-                # The body tells nothing, so it need not be read to its end.
-                await response.content.read(MAX_DRAINED_BYTES)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise exceptions.OperationsUnavailable(
-                f"{path}: {type(error).__name__}: {error}"
-            ) from error
-        if response.status == 409:
+        fields = (
+            (b"Host", self.address.encode()),
+            (b"Connection", b"close"),
+            (names.DUTY_HOLDER.encode(), holder.encode()),
+            (names.FENCING_TOKEN.encode(), str(grant.token).encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+        )
+        if self.is_closed:
+            raise exceptions.OperationsUnreachable(f"{path}: closed")
+        # Each call has a connection of its own.
+        async with self.permits:
+            status = await fenced_calls.FencedCall(
+                path, fields, body, subject, grant, CALL_TIMEOUT_SECONDS
+            ).run(self.address)
+        if status == 409:
             raise exceptions.DutyFenced(f"{path}: token {grant.token}")
-        if response.status != 200:
-            raise exceptions.OperationsUnavailable(f"{path}: {response.status}")
+        if status != 200:
+            raise exceptions.OperationsFailed(f"{path}: {status}")
 
 
 def encode_usage(window: int, counts: dict[str, int]) -> bytes:
