Ask for the holder's token by the clock that counts suspension

Cause: usage reports and orders of replicas asked the leadership for its token at a time of `time.monotonic`, while its validity is measured by `clocks.now`. After a suspension of the machine a former holder went on as one until its next renewal: it totalled windows in the store and kept the state of services that its successor changes. The permission of each call was checked by the right clock already.

Change: both pass `clocks.now`.

Evidence: the 2 scenarios that are added to duty_arrivals.feature failed before (the usage reporter also recorded a total) and pass now.

--- a/features/duty_arrivals.feature
+++ b/features/duty_arrivals.feature
@@ -44,3 +44,13 @@
     Given a platform that reads nothing at first
     When the machine is suspended for 60 s while a usage report waits for its answer
     Then the call has ended a moment later
+
+  # A leader was determined with a clock that stands still in a suspension.
+  Scenario Outline: A <duty> goes by an authority that ended in a suspension
+    When the <duty> of a gateway checks what is due after a suspension beyond its authority
+    Then it keeps nothing that only a leader knows
+
+    Examples:
+      | duty           |
+      | usage reporter |
+      | scaler         |
--- a/features/steps/duty_arrivals_steps.py
+++ b/features/steps/duty_arrivals_steps.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import types
 from unittest import mock
 
 import behave
@@ -15,7 +16,11 @@
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
+from gypsumfold.decisions import capacity
+from gypsumfold.decisions import metering
 from gypsumfold.gateway import grants
+from gypsumfold.gateway import scaling
+from gypsumfold.gateway import usage_reports
 from gypsumfold.platform import operations as operations_module
 
 HOST = "127.0.0.1"
@@ -258,3 +263,66 @@
 @behave.then("the call has ended a moment later")
 def step_has_ended(context):
     assert context.has_ended
+
+
+class Suspended:
+    """A leadership whose authority ended while the machine was suspended."""
+
+    def __init__(self):
+        self.valid_until = time.monotonic() + NEVER
+
+    def token(self, now):
+        """The token at a time of the clock that counts suspension."""
+        return 1 if now < self.valid_until else None
+
+    @contextlib.contextmanager
+    def act(self):
+        """Permits nothing."""
+        yield None
+
+
+def duty(name):
+    """What performs one duty, with something that a leader keeps."""
+    store = mock.AsyncMock(eras=types.SimpleNamespace(listeners=[]))
+    if name == "scaler":
+        found = scaling.Scaler(
+            store,
+            None,
+            Suspended(),
+            types.SimpleNamespace(current=None),
+            None,
+            None,
+            capacity.Policy(),
+            "edge-1",
+        )
+        found.capacities["lm"] = capacity.Capacity(3, found.policy)
+        return found
+    found = usage_reports.UsageReporter(
+        store,
+        None,
+        Suspended(),
+        metering.Policy(5.0, 10.0),
+        "edge-1",
+        clocks.now,
+    )
+    found.position = 7
+    return found
+
+
+@behave.when(
+    "the {name} of a gateway checks what is due after a suspension beyond its "
+    "authority"
+)
+def step_check(context, name):
+    now = clocks.now() + 2 * NEVER
+    context.duty = duty(name)
+    with mock.patch.object(clocks, "now", lambda: now):
+        asyncio.run(context.duty.check())
+
+
+@behave.then("it keeps nothing that only a leader knows")
+def step_keeps_nothing(context):
+    if isinstance(context.duty, scaling.Scaler):
+        assert not context.duty.capacities
+    else:
+        assert context.duty.position is None
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import capacity as capacity_module
@@ -116,7 +117,7 @@
         now = time.monotonic()
         if self.follower is not None:
             self.follower.usage.expire(now)
-        if self.leadership.token(now) is None:
+        if self.leadership.token(clocks.now()) is None:
             self.capacities.clear()
             self.growing_since.clear()
             self.stored_totals.clear()
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -102,7 +102,7 @@
 
     def token(self) -> int | None:
         """Returns the fencing token to report with; None if not the leader."""
-        token = self.leadership.token(time.monotonic())
+        token = self.leadership.token(clocks.now())
         if token is None or token <= self.refused_token:
             return None
         return token
