Keep the last byte of a long call until all else has arrived

Cause: TCP_USER_TIMEOUT begins anew with each part that the other side acknowledges. While a gateway was frozen, the kernel went on delivering a report of several segments over a slow connection, beyond the call's permission.

Change: a call that is longer than a segment is handed over without its last byte, which follows once the kernel holds nothing of it any more and only within the limit. So a call is completed by a single segment, for which the kernel's limit holds. This replaces handing over long calls in pieces.

--- a/features/duty_arrivals.feature
+++ b/features/duty_arrivals.feature
@@ -33,6 +33,13 @@
       | gets no answer |
       | is frozen      |
 
+  # The kernel's limit begins anew with each part that a slow platform takes.
+  Scenario: A report is delivered bit by bit beyond its permission while its gateway is frozen
+    Given a platform that reads nothing at first
+    When a usage report of 30 kB is sent with a permission of 1 s, and its gateway is frozen for 3 s
+    And the platform reads at most 20 kB a second
+    Then not all of the report arrives, and its connection is reset
+
   # The HTTP library followed a redirect and sent the report again, without a check.
   Scenario: A report is sent a second time below the check of its permission
     Given a platform that redirects reports to another address
--- a/features/steps/duty_arrivals_steps.py
+++ b/features/steps/duty_arrivals_steps.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import contextlib
-import select
 import signal
 import socket
-import subprocess
-import sys
+import threading
 import time
 import types
 from unittest import mock
 
 import behave
+from features.support import duty_platform
 
 from gypsumfold import clocks
 from gypsumfold import events
@@ -23,106 +22,23 @@
 from gypsumfold.gateway import usage_reports
 from gypsumfold.platform import operations as operations_module
 
-HOST = "127.0.0.1"
-# Bytes that the platform's kernel takes at most while nobody reads.
-RECEIVE_BUFFER = 4096
-# Seconds that a step waits for what must happen.
-LIMIT = 20.0
 # Seconds after the end of a permission at which the platform reads.
 AFTERWARDS = 0.4
 # Seconds within which a call without an answer is cancelled.
 CANCEL_SECONDS = 0.2
-NEVER = 60.0
 MADE_UP_REPORT = b'{"windowSeq": 1, "counts": {}}'
 
 
-class Platform:
-    """The operations API as a socket.
-
-    Attributes:
-        received: What has come on all connections.
-        was_reset: Whether a connection was reset.
-    """
-
-    def __init__(self, backlog=8):
-        self.listener = socket.socket()
-        self.listener.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
-        )
-        self.listener.bind((HOST, 0))
-        self.listener.listen(backlog)
-        self.listener.settimeout(LIMIT)
-        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
-        self.received = b""
-        self.was_reset = False
-
-    def accept(self):
-        """Accepts a connection."""
-        connection, _ = self.listener.accept()
-        connection.settimeout(LIMIT)
-        return connection
-
-    def has_connection(self, seconds):
-        """Whether a connection waits, or comes within some seconds."""
-        return bool(select.select([self.listener], [], [], seconds)[0])
-
-    def read(self, connection, size=1):
-        """Reads until the connection ends or a body's size has come."""
-        with connection:
-            try:
-                while len(self.received) < size:
-                    data = connection.recv(65536)
-                    if not data:
-                        return
-                    self.received += data
-            except ConnectionResetError:
-                self.was_reset = True
-
-
-class Caller:
-    """A gateway's process that makes one call."""
-
-    def __init__(self, address, seconds, size, cancel_after=NEVER):
-        self.child = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "features.support.duty_caller",
-                address,
-                str(seconds),
-                str(size),
-                str(cancel_after),
-            ],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-
-    def until(self, line):
-        """Waits for a line; returns those before it."""
-        before = []
-        for found in self.child.stdout:
-            if found.strip() == line:
-                return before
-            before.append(found.strip())
-        raise AssertionError(f"{line} is not in {before}")
-
-    def end(self):
-        """Ends the process."""
-        self.child.kill()
-        self.child.communicate()
-
-
 def start(context, *arguments):
     """Starts a gateway's process, which ends with the scenario."""
-    caller = Caller(*arguments)
+    caller = duty_platform.Caller(*arguments)
     context.add_cleanup(caller.end)
     return caller
 
 
 @behave.given("a platform that accepts no connection for {seconds:g} s")
 def step_full(context, seconds):
-    context.platform = Platform(backlog=0)
+    context.platform = duty_platform.Platform(backlog=0)
     context.seconds = seconds
     # One connection fills the queue, so that the kernel ignores others.
     filler = socket.create_connection(context.platform.listener.getsockname())
@@ -161,7 +77,7 @@
 
 @behave.given("a platform that reads nothing at first")
 def step_mute(context):
-    context.platform = Platform()
+    context.platform = duty_platform.Platform()
 
 
 @behave.when(
@@ -176,7 +92,7 @@
         context.platform.address,
         seconds,
         context.size,
-        CANCEL_SECONDS if cancels else NEVER,
+        CANCEL_SECONDS if cancels else duty_platform.NEVER,
     )
     caller.until(events.AUTHORITY_USED.name)
     context.ends_at = time.monotonic() + seconds
@@ -185,8 +101,14 @@
     if trouble == "is killed":
         caller.child.kill()
         caller.child.wait()
-    elif trouble == "is frozen":
+    elif trouble.startswith("is frozen"):
         caller.child.send_signal(signal.SIGSTOP)
+        if trouble == "is frozen for 3 s":
+            thaw = threading.Timer(
+                3.0, caller.child.send_signal, (signal.SIGCONT,)
+            )
+            thaw.start()
+            context.add_cleanup(thaw.cancel)
     elif cancels:
         caller.until("ended")
 
@@ -202,17 +124,24 @@
     context.platform.read(context.connection, context.size)
 
 
+@behave.when("the platform reads at most {rate:d} kB a second")
+def step_read_slowly(context, rate):
+    context.platform.read(
+        context.connection, context.size, rate * 10, pause=0.01
+    )
+
+
 @behave.then("not all of the report arrives, and its connection is reset")
 def step_reset(context):
-    received = len(context.platform.received)
-    assert received < context.size, (received, context.size)
-    assert context.platform.was_reset
+    platform = context.platform
+    assert not platform.is_whole(context.size), len(platform.received)
+    assert platform.was_reset
 
 
 @behave.given("a platform that redirects reports to another address")
 def step_redirecting(context):
-    context.platform = Platform()
-    context.elsewhere = Platform()
+    context.platform = duty_platform.Platform()
+    context.elsewhere = duty_platform.Platform()
 
 
 @behave.then("nothing of it arrives at the other address")
@@ -244,7 +173,7 @@
             )
             await sent.wait()
         ahead = seconds
-        await asyncio.wait({task}, timeout=LIMIT / 4)
+        await asyncio.wait({task}, timeout=duty_platform.LIMIT / 4)
         context.has_ended = task.done()
         task.cancel()
         with contextlib.suppress(
@@ -269,7 +198,7 @@
     """A leadership whose authority ended while the machine was suspended."""
 
     def __init__(self):
-        self.valid_until = time.monotonic() + NEVER
+        self.valid_until = time.monotonic() + duty_platform.NEVER
 
     def token(self, now):
         """The token at a time of the clock that counts suspension."""
@@ -314,7 +243,7 @@
     "authority"
 )
 def step_check(context, name):
-    now = clocks.now() + 2 * NEVER
+    now = clocks.now() + 2 * duty_platform.NEVER
     context.duty = duty(name)
     with mock.patch.object(clocks, "now", lambda: now):
         asyncio.run(context.duty.check())
--- a/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
@@ -9,8 +9,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 import h11
 
@@ -23,9 +26,8 @@
 # Most bytes that are read of an answer, with all that comes before its head.
 MAX_ANSWER_BYTES = 131072
 READ_BYTES = 65536
-# Bytes handed to the kernel at once. What it has not delivered of them is
-# dropped when the permission ends, even if this process can't run by then.
-PIECE_BYTES = 65536
+# Seconds between two looks whether all that was sent so far was acknowledged.
+ACKNOWLEDGED_SECONDS = 0.002
 # Seconds between two looks at the clock that counts suspension: the event
 # loop's timers stand still while the machine is suspended.
 CHECK_SECONDS = 0.05
@@ -165,13 +167,31 @@
             socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
         )
         data = memoryview(self.data)
-        for begin in range(0, len(data), PIECE_BYTES):
-            self.limit_delivery()
-            if not self.is_sent:
-                self.grant.confirm(self.subject)
-                self.is_sent = True
-            piece = data[begin : begin + PIECE_BYTES]
-            await loop.sock_sendall(self.sock, piece)
+        segment = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG)
+        # The kernel's limit begins anew with each part that is delivered. A
+        # longer request lacks its last byte until all else has arrived.
+        held = 1 if len(data) > segment else 0
+        end = len(data) - held
+        self.limit_delivery()
+        self.grant.confirm(self.subject)
+        self.is_sent = True
+        await loop.sock_sendall(self.sock, data[:end])
+        if not held:
+            return
+        while True:
+            # After the process was frozen, the timer may not have run yet.
+            if clocks.now() >= self.ends_at:
+                raise TimeoutError("the limit has passed")
+            if not self.unacknowledged():
+                break
+            await asyncio.sleep(ACKNOWLEDGED_SECONDS)
+        self.limit_delivery()
+        await loop.sock_sendall(self.sock, data[end:])
+
+    def unacknowledged(self) -> int:
+        """Returns the bytes that the kernel still holds."""
+        found = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(found, sys.byteorder)
 
     def limit_delivery(self) -> None:
         """Has the kernel give up what is not delivered when the call ends.
