Tell the leadership of a refused token, and go on with the next one

Cause: after a 409 a holder made no further call on that matter until its token rose, which it did with each generation of the group. A holder keeps its token for its whole tenure now, so that one 409 ended its usage reports, or all orders for a service, for as long as it stayed the holder. The platform answers 409 in a shortage of replicas as well, which can't be told from a higher token.

Change: a refused token is still never repeated. `RefusedTokens.listener` is told of it, and does nothing by default; the leadership is to begin a new tenure through the store, which only a node that is still the holder gets, with a higher token. Further refusals on a matter pause the calls for twice as long each time (usage from 0.25 s, replicas of a data centre from 4 s, 16 s at most), so that a shortage doesn't cause a tenure with each check.

The virtual platform confirms the permission of a call and waits no longer for its answer than the permission lasts, as the client does.

--- a/features/support/fixed_leader.py
+++ b/features/support/fixed_leader.py
@@ -13,10 +13,21 @@
 
 
 class FixedLeader:
-    """Stands for a gateway that holds the authority with some token."""
+    """Stands for a gateway that holds the authority with some token.
+
+    Attributes:
+        refused: The tokens of which it was told that they were refused.
+    """
 
     def __init__(self, held):
         self.held = held
+        self.refused = []
+
+    def begin_anew(self, token):
+        """Begins another tenure, as a token was refused."""
+        self.refused.append(token)
+        if token == self.held:
+            self.held = token + 1
 
     def token(self, now):
         """The fencing token."""
--- a/features/support/virtual_operations.py
+++ b/features/support/virtual_operations.py
@@ -22,7 +22,9 @@
             out some seconds later.
         least_steady: Fewer replicas of a data centre that can't be reclaimed
             are refused.
-        refused: Number of orders refused for it.
+        has_replicas: Whether orders of replicas that can't be reclaimed are
+            taken.
+        refused: Number of orders refused for these.
     """
 
     def __init__(self, rng, fenced: bool = True):
@@ -31,24 +33,27 @@
         self.silent = False
         self.late_share = 0.0
         self.least_steady = 0
+        self.has_replicas = True
         self.refused = 0
         self.tasks: set[asyncio.Task] = set()
 
     async def call(
-        self, path: str, body: bytes, holder: str, token: int
+        self, path: str, body: bytes, holder: str, grant: grants.Grant
     ) -> None:
         """Takes one call.
 
         Raises:
+            exceptions.AuthorityEnded: The permission has ended.
             exceptions.DutyFenced: A higher token was seen.
             exceptions.OperationsUnavailable: There is no answer.
         """
+        grant.confirm(path)
         await asyncio.sleep(CALL)
-        wanted = (path, json.loads(body), holder, token)
+        wanted = (path, json.loads(body), holder, grant.token)
         if self.silent or self.rng.random() < self.late_share:
             if not self.silent:
                 self.tasks.add(asyncio.create_task(self.later(wanted)))
-            await asyncio.sleep(GIVEN_UP)
+            await asyncio.sleep(min(GIVEN_UP, grant.remaining()))
             raise exceptions.OperationsUnavailable(path)
         loop = asyncio.get_running_loop()
         if self.duties.carry_out(*wanted, loop.time()) == 409:
@@ -64,11 +69,12 @@
         self, body: bytes, holder: str, grant: grants.Grant
     ) -> None:
         """Takes a usage report."""
-        await self.call(names.USAGE_PATH, body, holder, grant.token)
+        await self.call(names.USAGE_PATH, body, holder, grant)
 
     async def order_replicas(self, service, order, holder, grant) -> None:
         """Takes an order of replicas."""
-        if not order.spot and order.count < self.least_steady:
+        is_taken = self.has_replicas and order.count >= self.least_steady
+        if not order.spot and not is_taken:
             self.refused += 1
             raise exceptions.DutyFenced(names.SCALE_PATH)
         body = {
@@ -78,7 +84,7 @@
             "spot": order.spot,
         }
         await self.call(
-            names.SCALE_PATH, json.dumps(body).encode(), holder, grant.token
+            names.SCALE_PATH, json.dumps(body).encode(), holder, grant
         )
 
     async def close(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/scaling.py
@@ -14,6 +14,7 @@
 from gypsumfold.gateway import engine_needs
 from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import refused_tokens
 from gypsumfold.gateway import types
 from gypsumfold.platform import names
 from gypsumfold.platform import operations as operations_module
@@ -38,6 +39,7 @@
         capacities: State by service while this node leads.
         stored_totals: The number of engines needed, by service, that a later
             leader would start with.
+        refused: Fencing tokens that the platform has refused, by service.
         follower: Follows the load with the number of engines; None if the
             settings don't ask for it.
 
@@ -69,7 +71,9 @@
         self.node = node
         self.capacities: dict[str, capacity_module.Capacity] = {}
         self.growing_since: dict[str, float] = {}
-        self.refused_tokens: dict[str, int] = {}
+        self.refused = refused_tokens.RefusedTokens(
+            capacity_module.UNAVAILABLE_SECONDS
+        )
         self.stored_totals: dict[str, int] = {}
         self.store_after = 0.0
         self.follower: engine_needs.LoadFollower | None = None
@@ -286,8 +290,11 @@
             exceptions.OperationsUnavailable: It may or may not be carried out.
         """
         with self.leadership.act() as grant:
-            refused = self.refused_tokens.get(service.name, -1)
-            if grant is None or grant.token <= refused:
+            if grant is None:
+                return
+            # Orders of reclaimable replicas have a pause of their own.
+            part = "" if order.spot else order.data_centre
+            if not self.refused.may_call(service.name, part, grant.token):
                 return
             await self.order_with(service, capacity, order, grant)
 
@@ -304,6 +311,7 @@
             exceptions.OperationsUnavailable: It may or may not be carried out.
         """
         now = time.monotonic()
+        refused = self.refused
         try:
             await self.operations.order_replicas(
                 service.name, order, self.node, grant
@@ -314,8 +322,7 @@
             if order.spot:
                 capacity.record_unavailable(order, now)
             elif not capacity.record_refused(order, have.steady, now):
-                # Only reclaimable replicas may be unavailable.
-                self.refused_tokens[service.name] = grant.token
+                refused.record(service.name, order.data_centre, grant.token)
             events.log(
                 events.REPLICAS_REFUSED,
                 service=service.name,
@@ -329,6 +336,8 @@
         except exceptions.OperationsUnavailable:
             capacity.record_order(order, now)
             raise
+        if not order.spot:
+            refused.record_accepted(service.name, order.data_centre)
         capacity.record_order(order, now)
         events.log(
             events.REPLICAS_ORDERED,
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -19,6 +19,7 @@
 from gypsumfold.decisions import polling
 from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import refused_tokens
 from gypsumfold.gateway import usage as usage_module
 from gypsumfold.platform import names
 from gypsumfold.platform import operations as operations_module
@@ -41,7 +42,7 @@
         confirmed: Windows whose report was accepted.
         position: End of the topic of totals when it was last read; None if it
             has to be read again.
-        refused_token: Fencing token that the platform has refused.
+        refused: Fencing tokens that the platform has refused.
 
     >>> reporter = UsageReporter(
     ...     store, operations, leadership, policy, node="edge-1",
@@ -69,7 +70,7 @@
         self.recorded: dict[int, bytes] = {}
         self.confirmed: set[int] = set()
         self.position: int | None = None
-        self.refused_token = -1
+        self.refused = refused_tokens.RefusedTokens(CHECK_INTERVAL_SECONDS)
         # Windows that may have been totalled before this Unix time, in records
         # that the store has lost.
         self.lost_before = -math.inf
@@ -103,10 +104,14 @@
     def token(self) -> int | None:
         """Returns the fencing token to report with; None if not the leader."""
         token = self.leadership.token(clocks.now())
-        if token is None or token <= self.refused_token:
+        if token is None or not self.may_use(token):
             return None
         return token
 
+    def may_use(self, token: int) -> bool:
+        """Whether a token may be used as far as refusals go."""
+        return self.refused.may_call(names.USAGE_PATH, "", token)
+
     async def check(self) -> None:
         """Records and reports the windows that are due.
 
@@ -240,7 +245,7 @@
             exceptions.PlatformError: It may or may not have been accepted.
         """
         with self.leadership.act() as grant:
-            if grant is None or grant.token <= self.refused_token:
+            if grant is None or not self.may_use(grant.token):
                 return
             await self.report_with(index, grant)
 
@@ -255,7 +260,7 @@
                 self.recorded[index], self.node, grant
             )
         except exceptions.DutyFenced as error:
-            self.refused_token = grant.token
+            self.refused.record(names.USAGE_PATH, "", grant.token)
             events.log(
                 events.USAGE_FENCED,
                 window=index,
@@ -263,6 +268,7 @@
                 reason=str(error),
             )
             return
+        self.refused.record_accepted(names.USAGE_PATH, "")
         self.confirmed.add(index)
         events.log(
             events.USAGE_REPORTED,
