--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -19,6 +19,7 @@
 from gypsumfold.decisions import polling
 from gypsumfold.gateway import grants
 from gypsumfold.gateway import leadership as leadership_module
+from gypsumfold.gateway import refused_tokens
 from gypsumfold.gateway import usage as usage_module
 from gypsumfold.platform import names
 from gypsumfold.platform import operations as operations_module
@@ -29,6 +30,8 @@
 # Records of totals that are kept in the store: each window replaces the one of
 # as many windows before.
 RECORD_SLOTS = 16
+# Key of the record of what the store's present era lacks.
+LOSS_KEY = "loss"
 # Windows after which counts are deleted.
 EXPIRED_WINDOWS = 2 * metering.KEPT_WINDOWS
 
@@ -41,7 +44,7 @@
         confirmed: Windows whose report was accepted.
         position: End of the topic of totals when it was last read; None if it
             has to be read again.
-        refused_token: Fencing token that the platform has refused.
+        refused: Fencing tokens that the platform has refused.
 
     >>> reporter = UsageReporter(
     ...     store, operations, leadership, policy, node="edge-1",
@@ -69,10 +72,14 @@
         self.recorded: dict[int, bytes] = {}
         self.confirmed: set[int] = set()
         self.position: int | None = None
-        self.refused_token = -1
+        self.refused = refused_tokens.RefusedTokens(CHECK_INTERVAL_SECONDS)
         # Windows that may have been totalled before this Unix time, in records
         # that the store has lost.
         self.lost_before = -math.inf
+        # When this node knew the store's era, and the last era of which it
+        # knows what is lost.
+        self.known_from: float | None = None
+        self.learned_era: int | None = None
         self.is_lost = False
         store.eras.listeners.append(self.store_returned)
 
@@ -80,6 +87,7 @@
         """Records that the store has returned from an older copy."""
         self.position = None
         self.lost_before = self.clock()
+        self.learned_era = None
         self.is_lost = bool(self.recorded)
 
     async def run(self) -> None:
@@ -102,17 +110,23 @@
 
     def token(self) -> int | None:
         """Returns the fencing token to report with; None if not the leader."""
-        token = self.leadership.token(time.monotonic())
-        if token is None or token <= self.refused_token:
+        token = self.leadership.token(clocks.now())
+        if token is None or not self.may_use(token):
             return None
         return token
 
+    def may_use(self, token: int) -> bool:
+        """Whether a token may be used as far as refusals go."""
+        return self.refused.may_call(names.USAGE_PATH, "", token)
+
     async def check(self) -> None:
         """Records and reports the windows that are due.
 
         Raises:
             exceptions.PlatformError: A call failed; it may have taken effect.
         """
+        if self.known_from is None and self.store.eras.is_known:
+            self.known_from = self.clock()
         if self.token() is None:
             self.position = None
             return
@@ -125,6 +139,8 @@
             return
         if self.position is None:
             await self.read_recorded()
+        if self.learned_era != self.store.eras.current:
+            await self.learn_losses()
         if self.is_lost:
             await self.record_again()
         for step in steps:
@@ -142,6 +158,34 @@
         closed = metering.close_time(index, -math.inf, self.policy)
         return closed <= self.lost_before
 
+    async def learn_losses(self) -> None:
+        """Learns what totals the store may have lost before its present era.
+
+        A node that started in this era hasn't seen the store return. If only
+        an earlier era's losses are recorded, it was before this node's start.
+
+        Raises:
+            exceptions.PlatformError: The store does not answer.
+        """
+        page = await self.store.newest(names.USAGE_ERAS_TOPIC)
+        era = self.store.eras.current
+        if self.known_from is None:
+            self.known_from = self.clock()
+        for record in page.records:
+            if record.key != LOSS_KEY or not record.value:
+                continue
+            loss = operations_module.decode_loss(record.value)
+            before = loss.lost_before
+            if loss.era != era:
+                before = self.known_from
+            self.lost_before = max(self.lost_before, before)
+            if loss.era == era:
+                self.learned_era = era
+                return
+        value = operations_module.encode_loss(era, max(0.0, self.lost_before))
+        await self.store.put(names.USAGE_ERAS_TOPIC, LOSS_KEY, value)
+        self.learned_era = era
+
     async def record_again(self) -> None:
         """Writes the totals again that the store may have lost.
 
@@ -240,7 +284,7 @@
             exceptions.PlatformError: It may or may not have been accepted.
         """
         with self.leadership.act() as grant:
-            if grant is None or grant.token <= self.refused_token:
+            if grant is None or not self.may_use(grant.token):
                 return
             await self.report_with(index, grant)
 
@@ -255,7 +299,7 @@
                 self.recorded[index], self.node, grant
             )
         except exceptions.DutyFenced as error:
-            self.refused_token = grant.token
+            self.refused.record(names.USAGE_PATH, "", grant.token)
             events.log(
                 events.USAGE_FENCED,
                 window=index,
@@ -263,6 +307,7 @@
                 reason=str(error),
             )
             return
+        self.refused.record_accepted(names.USAGE_PATH, "")
         self.confirmed.add(index)
         events.log(
             events.USAGE_REPORTED,
