Begin a new tenure after a refused token

A holder keeps one token for its tenure, so that a refusal would silence it on a matter until it ends. It drops the tenure and, where the store still names it, records another one with a higher token.

--- a/packages/gypsumfold/src/gypsumfold/gateway/call_expiry.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/call_expiry.py
@@ -19,8 +19,7 @@
 TCP_INFO_RTO = struct.Struct("8xI")
 # The kernel counts TCP_USER_TIMEOUT from the first retransmission after a tail
 # loss probe. That is two retransmission timeouts after the write, each rounded
-# up by an eighth at most, and some ticks: 0.42 to 0.44 s were measured on an
-# idle machine with a retransmission timeout of 0.204 s.
+# up by an eighth at most, and some ticks.
 UNCOUNTED_TIMEOUTS = 2.4
 # Seconds between two checks of the permission while its call waits: the event
 # loop's clock stands still while a machine is suspended.
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -180,6 +180,9 @@
             self.prefix_router,
             self.gossip,
         )
+        for duty in (self.duties.usage_reporter, self.duties.scaler):
+            if duty is not None:
+                duty.refused.listener = self.leadership.replace_token
         self.authenticator = authentication.Authenticator(
             self.configurations,
             settings.accounts.policy,
--- a/packages/gypsumfold/src/gypsumfold/gateway/grants.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/grants.py
@@ -11,6 +11,8 @@
     exceptions.AuthorityEnded,
     exceptions.EndpointNotStarted,
     exceptions.OrderRefused,
+    exceptions.OperationsUnreachable,
+    exceptions.OperationsFailed,
 )
 
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -118,18 +118,15 @@
         The group may have other members now, and the record of the tenure may
         be missing.
         """
-        self.claims.forget()
+        self.give_up()
         # Without any tenure, it may be missing in the copy.
         self.claims.is_first = False
-        self.valid_until = float("-inf")
-        self.renew_soon.set()
 
     def token(self, now: float) -> int | None:
         """Returns the fencing token for orders, or None if not the holder."""
         tenure = self.claims.tenure
-        if self.stopping or tenure is None or now >= self.valid_until:
-            return None
-        return tenure.token
+        is_over = self.stopping or now >= self.valid_until
+        return None if is_over or tenure is None else tenure.token
 
     @contextlib.contextmanager
     def act(self) -> Iterator[grants.Grant | None]:
@@ -201,16 +198,14 @@
         leaves the group at once.
         """
         now = clocks.now()
-        if self.is_cut_off():
-            if self.joined:
-                await self.leave()
-            return
-        if self.is_candidate():
+        is_cut_off = self.is_cut_off()
+        if not is_cut_off and self.is_candidate():
             self.candidate_at = now
-        if now - self.candidate_at < STAY_SECONDS:
+        if not is_cut_off and now - self.candidate_at < STAY_SECONDS:
             await self.renew()
         elif self.joined:
-            await self.leave()
+            await self.end_tenure()
+            await self.leave_group()
 
     async def renew(self) -> None:
         """Renews the membership and updates what this node holds."""
@@ -314,13 +309,22 @@
             events.log(
                 events.ORDERS_LOST, token=tenure.token, member=self.member
             )
-            self.claims.forget()
-            # The next renewal tells whether the authority is still its own.
-            self.valid_until = float("-inf")
-            self.renew_soon.set()
+            self.give_up()
         self.claims.ended_token = max(self.claims.ended_token, token)
         return await self.calls_have_ended()
 
+    def replace_token(self, refused: int) -> None:
+        """Begins a tenure with a higher token, if the store still names it."""
+        tenure = self.claims.tenure
+        if tenure is not None and tenure.token == refused:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Drops the tenure; the next renewal tells whose the authority is."""
+        self.claims.forget()
+        self.valid_until = float("-inf")
+        self.renew_soon.set()
+
     async def stop(self) -> None:
         """Ends the tenure and leaves the group for good.
 
@@ -331,11 +335,6 @@
             if await self.end_tenure():
                 await self.leave_group()
 
-    async def leave(self) -> None:
-        """Ends the tenure and leaves the group."""
-        await self.end_tenure()
-        await self.leave_group()
-
     async def leave_group(self) -> None:
         """Leaves the group."""
         self.valid_until = float("-inf")
--- a/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
@@ -11,7 +11,6 @@
 import contextlib
 import fcntl
 import socket
-import struct
 import sys
 import termios
 
@@ -19,6 +18,7 @@
 
 from gypsumfold import clocks
 from gypsumfold import exceptions
+from gypsumfold.gateway import call_expiry
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import grants
 from gypsumfold.gateway import types
@@ -31,8 +31,6 @@
 # Seconds between two looks at the clock that counts suspension: the event
 # loop's timers stand still while the machine is suspended.
 CHECK_SECONDS = 0.05
-# SO_LINGER switched off.
-CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 
 
 @contextlib.asynccontextmanager
@@ -164,7 +162,7 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # Resets the connection even if the process is killed.
         self.sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
+            socket.SOL_SOCKET, socket.SO_LINGER, call_expiry.RESET_ON_CLOSE
         )
         data = memoryview(self.data)
         segment = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG)
@@ -233,6 +231,6 @@
             return
         if self.is_complete:
             self.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_IN_ORDER
+                socket.SOL_SOCKET, socket.SO_LINGER, call_expiry.ORDERLY_CLOSE
             )
         self.sock.close()
