Don't repeat a generation behind its first output

Cause: a generation on a route of the kind idempotent that isn't resumable was run again after its answer broke off, also when output of the first run had been sent. The second run's output came behind it, and filled the length that the first head had named: a success with both mixed, framed as whole.

Change: once output was sent, a stream that can't be resumed is abandoned, so that its caller sees it broken off.

--- /dev/null
+++ b/features/steps/cut_heads_steps.py
@@ -0,0 +1,45 @@
+"""Steps on answers that are cut, as the callers of a real gateway see them."""
+
+import behave
+from features.support import cut_cases
+from features.support import gateways
+
+# Ways in which an answer's end is marked, as in `cut_replicas.answer`.
+KINDS = ("length", "chunks", "trailers", "unframed", "1.0", "bare LF")
+ENDS = ("closed", "reset")
+
+
+@behave.given("a gateway before replicas that cut their answers")
+def step_site(context):
+    context.fleet = gateways.GatewayFleet()
+    context.site = cut_cases.Site(context.fleet)
+    context.add_cleanup(context.site.close)
+    context.site.start()
+    context.fleet.until_sharing("edge-1")
+
+
+@behave.when(
+    "answers of {content} on the routes {routes} are cut after each {step:d}th "
+    "byte of their {stage} run"
+)
+def step_cut(context, content, routes, step, stage):
+    run_stage(context, content, routes.split(" and "), stage, step)
+
+
+def run_stage(context, content, routes, stage, step):
+    cases = []
+    for kind in KINDS:
+        for ends in ENDS:
+            for cut in cut_cases.cuts(kind, ends, content, stage, step):
+                cases += [
+                    cut_cases.Case(route, cut, content) for route in routes
+                ]
+    context.site.run(cases)
+
+
+@behave.then("no answer looks more complete than it is")
+def step_sound(context):
+    found = context.site.violations
+    assert not found, (len(found), found[:3])
+    results = context.site.results
+    assert results.get("next sound", 0) > sum(results.values()) * 0.4, results
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -67,9 +67,31 @@
 
         Raises:
             exceptions.AnswerBroken: It ended early or is not valid.
+            exceptions.AnswerAbandoned: The same, and no other replica can
+                continue it.
             exceptions.EndpointFailed: It says that the replica failed; nothing
                 was forwarded.
         """
+        try:
+            await self.forward_answer(answer, progress, listener)
+        except exceptions.AnswerBroken as error:
+            if progress.answer_started and not self.resumable:
+                # Another run would send its output behind that of this one.
+                raise exceptions.AnswerAbandoned(str(error)) from error
+            raise
+
+    async def forward_answer(
+        self,
+        answer: types.Answer,
+        progress: progress_module.Progress,
+        listener: Listener,
+    ) -> None:
+        """Forwards one replica's answer to its end.
+
+        Raises:
+            exceptions.AnswerBroken: It ended early or is not valid.
+            exceptions.EndpointFailed: As `forward`.
+        """
         if answer.status >= 300:
             await self.forward_error(answer, progress)
             return
