Check JSON without framing on routes of streams as well

Cause: check_body was applied to plain calls only. On a route of streams, JSON with neither a length nor chunks was passed on as it came and ended with a last chunk wherever its connection was closed: a 200 with an empty or short body, framed as whole. Besides, an answer without the end of an event got no head on a resumable route (an AttributeError, 502 'the node failed').

Change: such JSON is read whole and checked before its head is sent; the head comes before what is pending. JSON nested too deep to be checked counts as cut.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -15,3 +15,17 @@
       | content |
       | events  |
       | json    |
+
+  # JSON without a length or chunks that was cut, also to nothing, was ended
+  # with a last chunk on the routes of streams.
+  Scenario: Cut JSON on a route of streams looks broken to its caller
+    Given a gateway before replicas that cut their answers
+    When answers of json on the routes briefs and swaps are cut after each 4th byte of their decode run
+    Then no answer looks more complete than it is
+
+  # On a resumable route an answer without an event's end got no head, and the
+  # gateway failed it.
+  Scenario: A whole answer that is no stream comes whole on a route of streams
+    Given a gateway before replicas that cut their answers
+    When whole answers of json are asked for on the routes briefs and swaps and repeats and seats
+    Then each of them comes whole
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 from features.support import cut_cases
+from features.support import cut_replicas
 from features.support import gateways
 
 # Ways in which an answer's end is marked, as in `cut_replicas.answer`.
@@ -43,3 +44,24 @@
     assert not found, (len(found), found[:3])
     results = context.site.results
     assert results.get("next sound", 0) > sum(results.values()) * 0.4, results
+
+
+@behave.when("whole answers of {content} are asked for on the routes {routes}")
+def step_whole(context, content, routes):
+    cases = []
+    for kind in KINDS:
+        cut = cut_replicas.Cut(kind, None, "kept")
+        for route in routes.split(" and "):
+            cases += [cut_cases.Case(route, cut, content)] * 2
+    context.cases = cases
+    context.site.run(cases)
+
+
+@behave.then("each of them comes whole")
+def step_all_whole(context):
+    assert not context.site.violations, context.site.violations[:3]
+    expected = {
+        "200 whole": len(context.cases),
+        "next sound": len(context.cases),
+    }
+    assert context.site.results == expected, context.site.results
--- a/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/plain_calls.py
@@ -322,16 +322,21 @@
     Raises:
         exceptions.AnswerBroken: The body is JSON and has been cut off.
     """
-    if answer.is_framed or not is_json(answer.fields):
+    if not is_unframed_json(answer):
         return
     try:
         msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise exceptions.AnswerBroken(
             "the connection ended inside the body"
         ) from error
 
 
+def is_unframed_json(answer: types.Answer) -> bool:
+    """Whether only its content tells where an answer ends."""
+    return not answer.is_framed and is_json(answer.fields)
+
+
 def is_json(fields: types.Fields) -> bool:
     """Whether header fields state that a body is JSON."""
     for name, value in fields:
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -96,6 +96,9 @@
             await self.forward_error(answer, progress)
             return
         plain_calls.check_answer(answer)
+        if plain_calls.is_unframed_json(answer):
+            await self.forward_whole(answer, progress, listener)
+            return
         self.pending = b""
         self.boundaries = event_boundaries.EventBoundaries()
         listener.bytes_received()
@@ -110,12 +113,36 @@
             await self.write(data, answer, progress)
             listener.output_forwarded()
         self.check_end(answer, progress)
-        if self.pending:
-            await self.reply.write(self.pending)
         if not progress.answer_started:
             await self.start_answer(answer, progress)
+        if self.pending:
+            await self.reply.write(self.pending)
         await self.reply.end()
 
+    async def forward_whole(
+        self,
+        answer: types.Answer,
+        progress: progress_module.Progress,
+        listener: Listener,
+    ) -> None:
+        """Forwards JSON without framing once it has proved to be whole.
+
+        Its connection is closed in the same way after a crash, so that only
+        the content tells whether it was cut.
+
+        Raises:
+            exceptions.AnswerBroken: It was, or would continue a stream.
+        """
+        if progress.answer_started:
+            raise exceptions.AnswerBroken("JSON can't continue a stream")
+        listener.bytes_received()
+        body = await answer.read()
+        plain_calls.check_body(answer, body)
+        listener.output_received()
+        progress.answer_started = True
+        await self.reply.send(answer.status, answer.reason, answer.fields, body)
+        listener.output_forwarded()
+
     def check_end(
         self, answer: types.Answer, progress: progress_module.Progress
     ) -> None:
