Send no body after HEAD, and none that differs from its length

Cause: the gateway's own errors went out with their body also as answers to HEAD, as the HTTP library sends what it is given; the caller read that body as its next answer. And on routes of streams an answer with a length beside its chunks was sent under that length: a body below it was filled with the bytes of the next answer on the connection, one above it was cut off as whole.

Change: HTTPReply writes nothing after HEAD and counts the body; one that exceeds its length or ends below it breaks off visibly. An answer to HEAD no longer says that the length is 0 where it isn't known.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -29,3 +29,24 @@
     Given a gateway before replicas that cut their answers
     When whole answers of json are asked for on the routes briefs and swaps and repeats and seats
     Then each of them comes whole
+
+  # An answer to HEAD came with the body of the gateway's error, which stood
+  # before the next answer on the connection.
+  Scenario: An answer to HEAD never has a body, so the next one is read as it is
+    Given a gateway before replicas that cut their answers
+    When answers to HEAD on the routes lookups and seats are cut after each 3rd byte
+    And whole answers to HEAD are asked for on the routes lookups and briefs and nowhere
+    Then no answer looks more complete than it is
+    And no bytes come between the answers to HEAD and to GET
+
+  # A length that the body doesn't have let the next answer's bytes fill it, or
+  # ended the body early.
+  Scenario Outline: A length beside chunks never ends a body early or late: <kind>
+    Given a gateway before replicas that cut their answers
+    When answers in <kind> are asked for on the routes seats and briefs and swaps and repeats
+    Then no answer looks more complete than it is
+
+    Examples:
+      | kind                        |
+      | chunks and a longer length  |
+      | chunks and a shorter length |
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -65,3 +65,47 @@
         "next sound": len(context.cases),
     }
     assert context.site.results == expected, context.site.results
+
+
+@behave.when(
+    "answers to HEAD on the routes {routes} are cut after each {step:d}rd byte"
+)
+def step_head_cut(context, routes, step):
+    cases = []
+    for ends in ENDS:
+        for cut in cut_cases.cuts("HEAD", ends, step=step):
+            for route in routes.split(" and "):
+                cases.append(cut_cases.Case(route, cut, method="HEAD"))
+    context.site.run(cases)
+
+
+@behave.when("whole answers to HEAD are asked for on the routes {routes}")
+def step_head_whole(context, routes):
+    context.exchanges = []
+    cut = cut_replicas.Cut("length")
+    after = cut_cases.Case("lookups", cut)
+    for route in routes.split(" and "):
+        case = cut_cases.Case(route, cut, method="HEAD")
+        context.exchanges.append(context.site.exchange([case, after]))
+
+
+@behave.then("no bytes come between the answers to HEAD and to GET")
+def step_head_apart(context):
+    assert context.exchanges
+    for data in context.exchanges:
+        head, _, rest = data.partition(b"\r\n\r\n")
+        assert rest.startswith(b"HTTP/1.1 200 "), data
+        assert rest.endswith(cut_replicas.BODY), data
+        # The length that the answer to GET would have isn't known.
+        assert b"content-length: 0" not in head.lower(), data
+
+
+@behave.when("answers in {kind} are asked for on the routes {routes}")
+def step_lengths(context, kind, routes):
+    cut = cut_replicas.Cut(kind, None, "kept")
+    cases = [
+        cut_cases.Case(route, cut)
+        for route in routes.split(" and ")
+        for _ in range(2)
+    ]
+    context.site.run(cases)
--- a/features/support/cut_cases.py
+++ b/features/support/cut_cases.py
@@ -110,15 +110,22 @@
         self, caller: cut_replicas.Caller, case: Case
     ) -> tuple[str, cut_replicas.Reply]:
         """Sends a case's request; returns its attempt and the answer."""
-        method = case.method or METHODS.get(case.route, "POST")
-        chain = "" if case.route in METHODS else CHAIN
-        fields = gateways.headers(10.0, chain, stream=case.content == "events")
-        fields[cut_replicas.CUT] = case.cut.encode()
-        attempt = fields[names.ATTEMPT]
-        body = attempt.encode() if method == "POST" else None
-        # Each target differs, as repeated failures of one are suspicious.
-        path = f"/{case.route}/{attempt}"
-        return attempt, caller.ask(method, path, body, fields)
+        method, path, body, fields = request(case)
+        answer = caller.ask(method, path, body, fields)
+        return fields[names.ATTEMPT], answer
+
+    def exchange(self, cases: list[Case], edge: str = "edge-1") -> bytes:
+        """Sends requests at once on one connection; returns all that comes."""
+        data = b""
+        for case in cases:
+            method, path, body, fields = request(case)
+            fields["Content-Length"] = str(len(body or b""))
+            if case == cases[-1]:
+                fields["Connection"] = "close"
+            lines = [f"{method} {path} HTTP/1.1"]
+            lines += [f"{name}: {value}" for name, value in fields.items()]
+            data += "\r\n".join([*lines, "", ""]).encode() + (body or b"")
+        return gateways.exchange(self.fleet[edge], data)
 
     def check(
         self, case: Case, attempt: str, reply: cut_replicas.Reply
@@ -130,7 +137,9 @@
         runs = self.replicas.runs_of(attempt)
         result = f"{reply.status} {'whole' if reply.is_whole else 'broken'}"
         wrong = ""
-        if runs > MAX_RUNS[case.route]:
+        if reply.body == cut_replicas.TIMED_OUT:
+            wrong = "the caller waits for more than comes"
+        elif runs > MAX_RUNS[case.route]:
             wrong = f"{runs} runs"
         elif reply.status and reply.status < 300:
             if reply.is_whole and reply.body != expected:
@@ -169,6 +178,18 @@
         self.replicas.close()
 
 
+def request(case: Case) -> tuple[str, str, bytes | None, dict[str, str]]:
+    """The method, path, body and header fields of a case's request."""
+    method = case.method or METHODS.get(case.route, "POST")
+    chain = "" if case.route in METHODS else CHAIN
+    fields = gateways.headers(10.0, chain, stream=case.content == "events")
+    fields[cut_replicas.CUT] = case.cut.encode()
+    attempt = fields[names.ATTEMPT]
+    body = attempt.encode() if method == "POST" else None
+    # Each target differs, as repeated failures of one are suspicious.
+    return method, f"/{case.route}/{attempt}", body, fields
+
+
 def may_be_whole(case: Case, body: bytes) -> bool:
     """Whether nothing can tell that a body was cut.
 
--- a/features/support/cut_replicas.py
+++ b/features/support/cut_replicas.py
@@ -23,7 +23,14 @@
 RESET_DELAY = 0.01
 # Seconds; far above what any exchange takes.
 LIMIT = 15.0
+# Stands for the body of an answer that neither ends nor breaks off.
+TIMED_OUT = b"timed out"
 BODY = b'{"seat": 7, "row": [1, 2]}'
+# What the length of an answer that has one beside chunks differs by.
+LENGTH_CHANGES = {
+    "chunks and a longer length": 9,
+    "chunks and a shorter length": -9,
+}
 # Bytes of a stream's chunks that end inside the second event.
 FIRST_SIZE = 33
 EVENTS = [f"id: {n}\ndata: t{n}\n\n".encode() for n in (1, 2, 3)]
@@ -85,9 +92,9 @@
             body = body.replace(b"7\r\n", b"7;n=v\r\n")
         if kind == "trailers":
             body = body[:-2] + b"Checked: 1\r\nBy: i-1\r\n\r\n"
-    elif kind == "chunks and a length":
+    elif kind in LENGTH_CHANGES:
         lines.append("Transfer-Encoding: chunked")
-        lines.append(f"Content-Length: {len(body) + 9}")
+        lines.append(f"Content-Length: {len(body) + LENGTH_CHANGES[kind]}")
         body = framed(body)
     elif kind == "unframed":
         lines.append("Connection: close")
@@ -320,11 +327,9 @@
             self.connection.request(method, path, body, fields)
             response = self.connection.getresponse()
         except (http.client.HTTPException, OSError) as error:
-            assert not isinstance(error, TimeoutError), (path, fields)
             self.connection.close()
             return Reply(0, repr(error).encode(), False)
         seal = response.headers.get(names.SEAL, "")
-        data = b""
         try:
             data = response.read()
             return Reply(response.status, data, True, seal)
@@ -332,8 +337,8 @@
             self.connection.close()
             return Reply(response.status, error.partial, False, seal)
         except OSError as error:
-            assert not isinstance(error, TimeoutError), (path, fields)
             self.connection.close()
+            data = TIMED_OUT if isinstance(error, TimeoutError) else b""
             return Reply(response.status, data, False, seal)
 
     def close(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -24,6 +24,8 @@
 # Longer than callers may keep a connection idle, so that a request never
 # arrives while the server closes the connection.
 KEEP_ALIVE_SECONDS = 90.0
+# Statuses of answers that never have a body, whatever length they name.
+BODILESS_STATUSES = (204, 304)
 # Time to send the last bytes of answers when the process ends.
 WRITE_TIMEOUT_SECONDS = 0.5
 
@@ -189,21 +191,35 @@
 
 
 class HTTPReply:
-    """An answer on a caller's connection."""
+    """An answer on a caller's connection.
+
+    Attributes:
+        is_head: Whether it answers HEAD, so that it never has a body: the
+            HTTP library sends what it is given, and the caller would read
+            that as its next answer.
+        missing: Bytes of the body that its length still promises; None if
+            it has no length.
+    """
 
     def __init__(self, request: web.BaseRequest, server: Server):
         self.request = request
         self.server = server
         self.response: web.StreamResponse | None = None
+        self.is_head = request.method == "HEAD"
+        self.missing: int | None = None
 
     async def send(
         self, status: int, reason: str, fields: types.Fields, body: bytes
     ) -> None:
         """Sends a complete answer."""
-        await self.start(status, reason, fields, len(body))
+        length: int | None = len(body)
+        if self.is_head and not body:
+            # The length that the answer to GET would have isn't known.
+            length = None
+        await self.start(status, reason, fields, length)
         if body:
-            await self.response.write(body)
-        await self.response.write_eof()
+            await self.write(body)
+        await self.end()
 
     async def start(
         self, status: int, reason: str, fields: types.Fields, length: int | None
@@ -215,21 +231,41 @@
         response = web.StreamResponse(
             status=status, reason=reason or None, headers=headers
         )
-        if length is None:
-            response.enable_chunked_encoding()
-        else:
+        if length is not None:
             response.content_length = length
+        elif not self.is_head:
+            response.enable_chunked_encoding()
+        if status not in BODILESS_STATUSES:
+            self.missing = length
         if self.server.stopping:
             response.force_close()
         self.response = response
         await response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
-        """Sends a chunk of the body."""
+        """Sends a chunk of the body.
+
+        Raises:
+            exceptions.AnswerBroken: The body is longer than its length.
+        """
+        if self.is_head:
+            return
+        if self.missing is not None:
+            if len(data) > self.missing:
+                # The HTTP library would drop the rest.
+                raise exceptions.AnswerBroken("the body exceeds its length")
+            self.missing -= len(data)
         await self.response.write(data)
 
     async def end(self) -> None:
-        """Ends the body; the answer is complete."""
+        """Ends the body; the answer is complete.
+
+        Raises:
+            exceptions.AnswerBroken: The body is shorter than its length: the
+                caller would read the next answer as its rest.
+        """
+        if self.missing and not self.is_head:
+            raise exceptions.AnswerBroken("the body is below its length")
         await self.response.write_eof()
 
     def abort(self) -> None:
