Test the hop between gateways with answers cut at each byte

The answer of a node that serves a forwarded request is cut after each byte, also inside a frame, closed and reset; it is complete only with the message of its end, and is repeated only before its head and for idempotent requests. Nothing was found: the test guards against a change that takes the end of the connection for the end of the answer.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -50,3 +50,15 @@
       | kind                        |
       | chunks and a longer length  |
       | chunks and a shorter length |
+
+  # Between two nodes only the last message tells that an answer is complete.
+  Scenario Outline: A node's answer to another one that is cut never looks complete: <framing>, <ends>, <kind>
+    When a node's answers in <framing> to a forwarded <kind> request are <ends> after each byte
+    Then each ends with the message of its end or looks broken, and runs as often as it may
+
+    Examples:
+      | framing  | ends   | kind           |
+      | chunks   | closed | idempotent     |
+      | chunks   | reset  | non_idempotent |
+      | unframed | closed | non_idempotent |
+      | length   | closed | idempotent     |
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -1,10 +1,18 @@
 """Steps on answers that are cut, as the callers of a real gateway see them."""
 
+import asyncio
+
 import behave
 from features.support import cut_cases
+from features.support import cut_hops
 from features.support import cut_replicas
 from features.support import gateways
 
+from gypsumfold import exceptions
+from gypsumfold import outcomes
+from gypsumfold.decisions import routes
+from gypsumfold.platform import names
+
 # Ways in which an answer's end is marked, as in `cut_replicas.answer`.
 KINDS = ("length", "chunks", "trailers", "unframed", "1.0", "bare LF")
 ENDS = ("closed", "reset")
@@ -109,3 +117,39 @@
         for _ in range(2)
     ]
     context.site.run(cases)
+
+
+@behave.when(
+    "a node's answers in {framing} to a forwarded {kind} request are {ends} "
+    "after each byte"
+)
+def step_hop(context, framing, kind, ends):
+    context.kind = names.ROUTE_KINDS[kind]
+    context.nodes, context.outcomes = asyncio.run(
+        cut_hops.forward_all(framing, ends, context.kind, "key")
+    )
+
+
+@behave.then(
+    "each ends with the message of its end or looks broken, and runs as often "
+    "as it may"
+)
+def step_hop_sound(context):
+    body = b"".join(cut_hops.PIECES)
+    for size, received, asked in context.outcomes:
+        assert asked[:1] == ["cutting"], (size, asked)
+        may_repeat = context.kind == routes.Kind.IDEMPOTENT
+        if size >= context.nodes.end:
+            assert received.is_complete, (size, received.error)
+        if received.is_complete:
+            assert received.body == body, (size, received.body)
+            assert size >= context.nodes.end or may_repeat, size
+            continue
+        # Before its head another node may still give the whole answer.
+        assert received.error is not None, size
+        assert not may_repeat or received.status, (size, received.error)
+        assert body.startswith(received.body), (size, received.body)
+        assert asked == ["cutting"], (size, asked)
+        if isinstance(received.error, exceptions.RequestError):
+            outcome = received.error.outcome
+            assert outcome == outcomes.Outcome.UNDETERMINED, (size, outcome)
