Test requests that end early and answers of a gateway that is killed

Requests are cut after each byte, closed and reset; answers stop at chosen bytes while their gateway is killed; and no prefix of a gateway's own answer looks complete. Nothing was found: the test guards against a gateway that runs a cut request, and against answers that end with their connection.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -62,3 +62,30 @@
       | chunks   | reset  | non_idempotent |
       | unframed | closed | non_idempotent |
       | length   | closed | idempotent     |
+
+  # A caller that ends inside its request has not sent it.
+  Scenario Outline: A request that ends early isn't run: <framing>, <ends>
+    Given a gateway before replicas that cut their answers
+    When requests in <framing> are <ends> after each byte
+    Then none of them runs or is answered as a success
+
+    Examples:
+      | framing  | ends   |
+      | a length | closed |
+      | a length | reset  |
+      | chunks   | closed |
+      | chunks   | reset  |
+
+  # The kernel closes the connections of a killed process in order, so that only
+  # the framing tells that an answer was cut.
+  Scenario: The answers of a gateway that is killed look broken
+    Given a gateway before replicas that cut their answers
+    When answers of each kind are read from a gateway
+    Then none looks complete before its last byte
+    When a gateway is killed while answers stop at each 4th byte
+    Then each caller sees its answer broken off
+
+  Scenario: A large answer of a gateway that is killed looks broken to a late reader
+    Given a gateway before replicas that cut their answers
+    When a gateway is killed while its caller has not read a large answer
+    Then the caller gets less than the length promises
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -6,6 +6,7 @@
 from features.support import cut_cases
 from features.support import cut_hops
 from features.support import cut_replicas
+from features.support import cut_requests
 from features.support import gateways
 
 from gypsumfold import exceptions
@@ -24,7 +25,6 @@
     context.site = cut_cases.Site(context.fleet)
     context.add_cleanup(context.site.close)
     context.site.start()
-    context.fleet.until_sharing("edge-1")
 
 
 @behave.when(
@@ -32,6 +32,7 @@
     "byte of their {stage} run"
 )
 def step_cut(context, content, routes, step, stage):
+    context.fleet.until_sharing("edge-1")
     run_stage(context, content, routes.split(" and "), stage, step)
 
 
@@ -153,3 +154,92 @@
         if isinstance(received.error, exceptions.RequestError):
             outcome = received.error.outcome
             assert outcome == outcomes.Outcome.UNDETERMINED, (size, outcome)
+
+
+@behave.when("requests in {framing} are {ends} after each byte")
+def step_requests(context, framing, ends):
+    address = (context.fleet["edge-1"].host, gateways.FRONT_PORT)
+    context.answers = cut_requests.cut_requests(address, framing, ends)
+    # A sound request comes after all of them.
+    case = cut_cases.Case("seats", cut_replicas.Cut("length"))
+    context.site.run([case])
+
+
+@behave.then("none of them runs or is answered as a success")
+def step_no_runs(context):
+    assert not context.site.violations, context.site.violations
+    assert len(context.answers) > 100
+    for attempt, data in context.answers.items():
+        assert not context.site.replicas.runs_of(attempt), (attempt, data)
+        assert not data or b" 400 " in data[:20], data
+
+
+@behave.when("a gateway is killed while answers stop at each {step:d}th byte")
+def step_killed(context, step):
+    callers = cut_requests.WaitingCallers(context.site)
+    cases = []
+    for kind, content in (("chunks", "events"), ("length", "json")):
+        for cut in cut_cases.cuts(kind, "held", content, "decode", step):
+            for route in ("briefs", "swaps"):
+                cases.append(cut_cases.Case(route, cut, content))
+    for cut in cut_cases.cuts("length", "held", step=step):
+        cases.append(cut_cases.Case("seats", cut))
+    callers.ask(cases)
+    gateways.until(
+        lambda: context.site.replicas.held >= len(cases), "not all stopped"
+    )
+    context.fleet["edge-1"].kill()
+    callers.wait()
+    context.cases = cases
+
+
+@behave.then("each caller sees its answer broken off")
+def step_each_broken(context):
+    assert not context.site.violations, context.site.violations[:3]
+    results = context.site.results
+    assert not any(" whole" in name for name in results), results
+    assert sum(results.values()) == len(context.cases), results
+    assert results.get("200 broken", 0) > 0, results
+
+
+@behave.when("a gateway is killed while its caller has not read a large answer")
+def step_read_late(context):
+    context.late = cut_requests.read_late(
+        context.site, context.fleet["edge-1"].kill
+    )
+
+
+@behave.then("the caller gets less than the length promises")
+def step_less(context):
+    found, length = context.late
+    assert length == cut_replicas.LARGE_BYTES, length
+    assert found < length, found
+
+
+@behave.when("answers of each kind are read from a gateway")
+def step_kinds(context):
+    context.read = []
+    for method, route, content, kind in (
+        ("POST", "seats", "json", "length"),
+        ("POST", "seats", "json", "unframed"),
+        ("POST", "briefs", "events", "unframed"),
+        ("POST", "briefs", "json", "chunks"),
+        ("POST", "swaps", "events", "length"),
+        ("GET", "lookups", "json", "204"),
+        ("GET", "nowhere", "json", "length"),
+        ("HEAD", "lookups", "json", "length"),
+        ("HEAD", "nowhere", "json", "length"),
+    ):
+        cut = cut_replicas.Cut(kind, None, "kept", "")
+        if route in ("briefs", "swaps"):
+            cut = cut._replace(stage="decode")
+        case = cut_cases.Case(route, cut, content, method)
+        context.read.append((method, context.site.exchange([case])))
+
+
+@behave.then("none looks complete before its last byte")
+def step_last_byte(context):
+    for method, data in context.read:
+        assert data.startswith(b"HTTP/1.1 "), data
+        found = cut_requests.complete_sizes(method, data)
+        assert found == [len(data)], (found, data)
--- a/features/support/cut_replicas.py
+++ b/features/support/cut_replicas.py
@@ -26,6 +26,7 @@
 # Stands for the body of an answer that neither ends nor breaks off.
 TIMED_OUT = b"timed out"
 BODY = b'{"seat": 7, "row": [1, 2]}'
+LARGE_BYTES = 6_000_000
 # What the length of an answer that has one beside chunks differs by.
 LENGTH_CHANGES = {
     "chunks and a longer length": 9,
@@ -42,7 +43,8 @@
     Attributes:
         kind: Name of the answer, as in `answer`.
         size: Bytes of it that are sent; None for all.
-        ends: "closed", "reset", or "kept" for no end.
+        ends: "closed", "reset", "kept" for no end, or "held" for an answer
+            that stops while its connection stays.
         stage: Which of an engine's answers it is: "prefill", "decode",
             "resume" or "first", the first of several runs; empty for any.
     """
@@ -96,6 +98,9 @@
         lines.append("Transfer-Encoding: chunked")
         lines.append(f"Content-Length: {len(body) + LENGTH_CHANGES[kind]}")
         body = framed(body)
+    elif kind == "large":
+        body = b"x" * LARGE_BYTES
+        lines.append(f"Content-Length: {len(body)}")
     elif kind == "unframed":
         lines.append("Connection: close")
     elif kind == "1.0":
@@ -145,6 +150,7 @@
     Attributes:
         runs: Attempt and target of each run, with the replica's instance.
         bodies: Body of each run's request by attempt.
+        held: Answers that stopped while their connection stayed.
 
     >>> replicas = CutReplicas()
     >>> replica = replicas.add("app")
@@ -154,6 +160,7 @@
     def __init__(self):
         self.runs: list[tuple[str, str, str]] = []
         self.bodies: dict[str, bytes] = {}
+        self.held = 0
         self.servers: list[asyncio.Server] = []
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(
@@ -216,12 +223,12 @@
             if found.get(names.EXPECTED_INSTANCE.lower()) is None:
                 raise OSError("no gateway's request")
             if not await self.answer(
-                replica, method, target, found, body, writer
+                replica, method, target, found, body, writer, reader
             ):
                 return
 
     async def answer(
-        self, replica, method, target, found, body, writer
+        self, replica, method, target, found, body, writer, reader
     ) -> bool:
         """Answers one request; returns whether the connection stays."""
         attempt = found.get(names.ATTEMPT.lower(), "")
@@ -274,6 +281,10 @@
                 await asyncio.sleep(0)
         if cut.ends == "kept" and kind != "unframed":
             return True
+        if cut.ends == "held":
+            self.held += 1
+            await reader.read()
+            return False
         if cut.ends == "reset":
             await asyncio.sleep(RESET_DELAY)
             reset(writer)
