--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -64,8 +64,9 @@
             None if that is another node's.
         first_assigned_at: When it has learned of that first; `assigned_at` is
             later where the group has changed since.
-        requested_at: The assignment for which the end of the tenure before was
+        requested: The assignment and the token of the tenure whose end was
             requested.
+        awaited: The last tenure that was read during this assignment.
         asking: Asks the holder of the tenure before.
         over: A tenure whose holder has answered that it is over.
         tenure: This node's tenure; None if it may not act.
@@ -95,7 +96,8 @@
         self.has_ended = has_no_answer
         self.assigned_at: float | None = None
         self.first_assigned_at = float("-inf")
-        self.requested_at: float | None = None
+        self.requested: tuple[float, int] | None = None
+        self.awaited: decisions.Tenure | None = None
         self.asking: asyncio.Task | None = None
         self.over: decisions.Tenure | None = None
         self.tenure: decisions.Tenure | None = None
@@ -128,6 +130,7 @@
         """Drops the tenure: another node may have begun one since."""
         self.tenure = None
         self.assigned_at = None
+        self.awaited = None
         if self.asking is not None:
             self.asking.cancel()
             self.asking = None
@@ -179,6 +182,11 @@
             exceptions.PlatformError: The store does not answer.
         """
         page = await self.tenures.read()
+        if page.last != self.awaited:
+            # Its holder was assigned the authority later than this node.
+            if self.awaited is not None:
+                self.assigned_at = clocks.now()
+            self.awaited = page.last
         claim = self.assess(page.last)
         wait = claim.at - clocks.now()
         if wait > 0:
@@ -232,10 +240,12 @@
         Raises:
             exceptions.PlatformError: The store does not answer.
         """
-        if not claim.is_proven and self.requested_at != self.assigned_at:
-            self.requested_at = self.assigned_at
-            if page.last is not None:
-                self.asking = asyncio.create_task(self.ask(page.last))
+        last = page.last
+        request = (self.assigned_at, -1 if last is None else last.token)
+        if not claim.is_proven and self.requested != request:
+            self.requested = request
+            if last is not None:
+                self.asking = asyncio.create_task(self.ask(last))
             await self.tenures.request(self.own.member)
             return
         poll = asyncio.create_task(self.tenures.wait(page.end, wait))
