--- a/features/steps/order_arrivals_steps.py
+++ b/features/steps/order_arrivals_steps.py
@@ -1,7 +1,6 @@
 """Steps on orders that must not arrive after their permission has ended."""
 
 import asyncio
-import contextlib
 import signal
 import socket
 import struct
@@ -12,22 +11,13 @@
 
 import behave
 from features.support import cut_links
-from features.support import made_up
 from features.support import ordering_node
 import uvloop
 
 from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
-from gypsumfold.decisions import role_changes
-from gypsumfold.decisions import types as decision_types
-from gypsumfold.gateway import connection_pool
-from gypsumfold.gateway import role_planning
-from gypsumfold.gateway import types
-
-ENGINE = "i-1"
-SERVICE = types.Service("lm", 0, cache_tokens=400_000)
-CHANGE = role_changes.Change(ENGINE, decision_types.Role.PREFILL)
+
 # Time after the permission's end at which a link is back.
 HEALED_SECONDS = 0.03
 # Until when the kernel of a frozen node has given up or resent an order.
@@ -35,29 +25,6 @@
 SETTLE_SECONDS = 0.02
 
 
-class SlowPool(connection_pool.Pool):
-    """A pool whose connections take long until they can be used."""
-
-    def __init__(self, seconds, freezes):
-        super().__init__()
-        self.seconds = seconds
-        self.freezes = freezes
-
-    async def open(self, address):
-        """Opens a connection and waits, or stops the whole event loop."""
-        connection = await super().open(address)
-        if self.freezes:
-            freeze(self.seconds)
-        else:
-            await asyncio.sleep(self.seconds)
-        return connection
-
-
-def freeze(seconds):
-    """Stops the whole event loop."""
-    time.sleep(seconds)
-
-
 @behave.given("an engine that takes orders")
 def step_engine(context):
     serve(context, answers=True)
@@ -110,7 +77,7 @@
         node.pool.seconds = 0.0
         await give(context, 30.0)
 
-    play(context, story, SlowPool(seconds, "frozen" in trouble))
+    play(context, story, ordering_node.SlowPool(seconds, "frozen" in trouble))
 
 
 @behave.then("the order is not sent, for want of authority")
@@ -256,7 +223,7 @@
         # A connection that can be used at once.
         await node.request()
         order = asyncio.create_task(give(context, permitted))
-        asyncio.get_running_loop().call_soon(freeze, seconds)
+        asyncio.get_running_loop().call_soon(ordering_node.freeze, seconds)
         await order
 
     play(context, story)
@@ -361,84 +328,3 @@
     cut_links.wait_until(lambda: engine.read() or engine.ended)
     assert engine.ended == "reset", engine.ended
     assert b"fence" not in engine.received
-
-
-class Authority:
-    """A leadership whose authority ends at some moment."""
-
-    def __init__(self, moment):
-        self.moment = moment
-        self.valid_until = float("inf")
-
-    def token(self, now):
-        """The token until the authority ends."""
-        return None if now >= self.valid_until else ordering_node.ORDER.token
-
-    @contextlib.contextmanager
-    def act(self):
-        """Yields no permission, or one that has ended."""
-        is_early = self.moment == "before it may act"
-        yield None if is_early else ordering_node.grant(0.0)
-
-
-async def fail_to_order(replica, order, grant):
-    """Confirms the permission as the client of engines does."""
-    grant.confirm(replica.instance)
-
-
-@behave.given("a planner whose authority ends {moment}")
-def step_planner(context, moment):
-    gossip = made_up.gossip()
-    directory = gossip.directory
-    role = decision_types.Role.DECODE
-    directory.put(
-        types.Replica(ENGINE, "lm", "127.0.0.1:1", "north", 8, False, role)
-    )
-    endpoints = mock.AsyncMock()
-    endpoints.state.return_value = types.State(role, False, 0, 0, 0)
-    endpoints.order = fail_to_order
-    context.planner = role_planning.RolePlanner(
-        Authority(moment),
-        directory,
-        mock.Mock(current=None),
-        endpoints,
-        gossip,
-        gossip.loads.prefix_router,
-    )
-    context.planner.splits["lm"] = mock.MagicMock()
-
-
-@behave.when("it orders an engine")
-def step_orders(context):
-    with mock.patch.object(events, "log"):
-        asyncio.run(context.planner.order(SERVICE, CHANGE))
-
-
-@behave.then("it goes on, and the engine is open again")
-def step_open(context):
-    until = context.planner.directory.roles.changing_until[ENGINE]
-    assert until <= time.monotonic(), until - time.monotonic()
-
-
-@behave.then("it may order the engine again within {seconds:g} s")
-def step_again(context, seconds):
-    until = context.planner.pending[ENGINE].until
-    assert until <= time.monotonic() + seconds, until - time.monotonic()
-
-
-@behave.given("a planner whose authority ended while its machine was suspended")
-def step_suspended_planner(context):
-    step_planner(context, "before it may act")
-    # By the clock that counts suspension, a minute has passed unseen.
-    context.planner.leadership.valid_until = time.monotonic() + 1.0
-
-
-@behave.when("it checks its services")
-def step_checks(context):
-    with mock.patch.object(clocks, "now", lambda: time.monotonic() + 60.0):
-        asyncio.run(context.planner.check())
-
-
-@behave.then("it has dropped its plans")
-def step_dropped(context):
-    assert not context.planner.splits, context.planner.splits
--- a/features/support/ordering_node.py
+++ b/features/support/ordering_node.py
@@ -30,6 +30,29 @@
 SENT_SECONDS = 0.03
 
 
+class SlowPool(connection_pool.Pool):
+    """A pool whose connections take long until they can be used."""
+
+    def __init__(self, seconds, freezes):
+        super().__init__()
+        self.seconds = seconds
+        self.freezes = freezes
+
+    async def open(self, address):
+        """Opens a connection and waits, or stops the whole event loop."""
+        connection = await super().open(address)
+        if self.freezes:
+            freeze(self.seconds)
+        else:
+            await asyncio.sleep(self.seconds)
+        return connection
+
+
+def freeze(seconds):
+    """Stops the whole event loop."""
+    time.sleep(seconds)
+
+
 class Node:
     """A node's client of one engine, with a real pool."""
 
