Count the wait from the first sight of the last tenure

Found by reading: a first read that comes late may show a tenure that is younger than the assignment, after which the wait has to begin anew; a record that can't be read would let tokens go down; a claim whose renewal fails at once was tried again without a pause.

--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -72,6 +72,8 @@
         tenure: This node's tenure; None if it may not act.
         ended_token: Highest token of which this node has said that its tenure
             is over.
+        highest_token: Highest token that was read; a later record may be
+            unreadable.
         task: Claims the tenure, then watches for requests to end it.
 
     >>> claims = TenureClaims(leadership, tenures, own, False, 3.0)
@@ -102,6 +104,7 @@
         self.over: decisions.Tenure | None = None
         self.tenure: decisions.Tenure | None = None
         self.ended_token = -1
+        self.highest_token = -1
         self.task: asyncio.Task | None = None
 
     def assign(self, has_changed: bool) -> None:
@@ -183,19 +186,22 @@
         """
         page = await self.tenures.read()
         if page.last != self.awaited:
-            # Its holder was assigned the authority later than this node.
-            if self.awaited is not None:
-                self.assigned_at = clocks.now()
+            # Its holder may have been assigned the authority later than this
+            # node.
             self.awaited = page.last
+            self.assigned_at = clocks.now()
+        if page.last is not None:
+            self.highest_token = max(self.highest_token, page.last.token)
         claim = self.assess(page.last)
         wait = claim.at - clocks.now()
         if wait > 0:
             await self.await_end(page, claim, wait)
             return
         if not claim.is_proven and not await self.has_lasted(page.last):
+            await asyncio.sleep(RETRY_SECONDS)
             return
         token = decisions.next_token(self.membership.generation, page.last)
-        token = max(token, self.ended_token + 1)
+        token = max(token, self.ended_token + 1, self.highest_token + 1)
         tenure = msgspec.structs.replace(self.own, token=token)
         if await self.tenures.write(tenure, page.end) is None:
             return
