--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -4,6 +4,13 @@
   followed by a sound request on the same connection of the caller. Operators of other
   systems saw a replica stop inside its answer's head, and a success without a body.
 
+  # A head that is cut is no answer, whatever the replica's HTTP library and the
+  # end of its connection.
+  Scenario: A cut answer to a plain call looks broken to its caller
+    Given a gateway before replicas that cut their answers
+    When answers of json on the routes seats and lookups are cut after each 7th byte of their only run
+    Then no answer looks more complete than it is
+
   # A second run's output came behind that of the first one; within the first
   # one's length both together looked complete.
   Scenario: A generation that may be repeated is not repeated behind its first output
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -16,6 +16,7 @@
 
 # Ways in which an answer's end is marked, as in `cut_replicas.answer`.
 KINDS = ("length", "chunks", "trailers", "unframed", "1.0", "bare LF")
+OTHER_KINDS = ("after 100", "extended", "204", "304")
 ENDS = ("closed", "reset")
 
 
@@ -32,7 +33,11 @@
     "byte of their {stage} run"
 )
 def step_cut(context, content, routes, step, stage):
-    run_stage(context, content, routes.split(" and "), stage, step)
+    kinds = KINDS
+    if stage == "only":
+        stage = ""
+        kinds = (*KINDS, *OTHER_KINDS)
+    run_stage(context, content, routes.split(" and "), stage, step, kinds)
 
 
 @behave.when(
