--- a/features/support/cut_cases.py
+++ b/features/support/cut_cases.py
@@ -143,6 +143,8 @@
             wrong = "the caller waits for more than comes"
         elif runs > MAX_RUNS[case.route]:
             wrong = f"{runs} runs"
+        elif runs and b'"not-run"' in reply.body:
+            wrong = "said not to have run, though it had"
         elif reply.status and reply.status < 300:
             if reply.is_whole and reply.body != expected:
                 if not may_be_whole(case, reply.body):
