--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -8,30 +8,30 @@
   # end of its connection.
   Scenario: A cut answer to a plain call looks broken to its caller
     Given a gateway before replicas that cut their answers
-    When answers of json on the routes seats and lookups are cut after each 7th byte of their only run
+    When answers of json on the routes seats and lookups are cut after each 11th byte of their only run
     Then no answer looks more complete than it is
 
   # A second run's output came behind that of the first one; within the first
   # one's length both together looked complete.
   Scenario: A generation that may be repeated is not repeated behind its first output
     Given a gateway before replicas that cut their answers
-    When answers of events on the routes repeats are cut after each 11th byte of their first run
-    And answers of json on the routes repeats are cut after each 11th byte of their first run
+    When answers of events on the routes repeats are cut after each 17th byte of their first run
+    And answers of json on the routes repeats are cut after each 17th byte of their first run
     Then no answer looks more complete than it is
 
   # JSON without a length or chunks that was cut, also to nothing, was ended
   # with a last chunk on the routes of streams.
   Scenario: Cut JSON on a route of streams looks broken to its caller
     Given a gateway before replicas that cut their answers
-    When answers of json on the routes briefs and swaps are cut after each 7th byte of their decode run
+    When answers of json on the routes briefs and swaps are cut after each 11th byte of their decode run
     Then no answer looks more complete than it is
 
   # A prefill's answer that is cut isn't a handle, and a stream's second answer
   # that is cut doesn't end the stream.
   Scenario: A cut prefill and a cut answer behind a resumed stream look broken
     Given a gateway before replicas that cut their answers
-    When answers of events on the routes briefs and swaps are cut after each 13th byte of their prefill run
-    And answers of events on the routes swaps are cut after each 13th byte of their resume run
+    When answers of events on the routes briefs and swaps are cut after each 17th byte of their prefill run
+    And answers of events on the routes swaps are cut after each 17th byte of their resume run
     Then no answer looks more complete than it is
 
   # On a resumable route an answer without an event's end got no head, and the
@@ -45,7 +45,7 @@
   # before the next answer on the connection.
   Scenario: An answer to HEAD never has a body, so the next one is read as it is
     Given a gateway before replicas that cut their answers
-    When answers to HEAD on the routes lookups and seats are cut after each 3rd byte
+    When answers to HEAD on the routes lookups and seats are cut after each 5th byte
     And whole answers to HEAD are asked for on the routes lookups and briefs and nowhere
     Then no answer looks more complete than it is
     And no bytes come between the answers to HEAD and to GET
@@ -88,7 +88,7 @@
     Given a gateway before replicas that cut their answers
     When answers of each kind are read from a gateway
     Then none looks complete before its last byte
-    When a gateway is killed while answers stop at each 4th byte
+    When a gateway is killed while answers stop at each 6th byte
     Then each caller sees its answer broken off
 
   Scenario: A large answer of a gateway that is killed looks broken to a late reader
@@ -100,7 +100,7 @@
   # the last event that had one, so that events came twice.
   Scenario: A stream is resumed only behind an event with an id
     Given a gateway before replicas that cut their answers
-    When streams with no ids are cut after each 2nd byte of their first run
-    And streams with some ids are cut after each 2nd byte of their first run
-    And streams with lines are cut after each 2nd byte of their first run
+    When streams with no ids are cut after each 4th byte of their first run
+    And streams with some ids are cut after each 4th byte of their first run
+    And streams with lines are cut after each 4th byte of their first run
     Then no answer looks more complete than it is
--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -41,11 +41,11 @@
 
 
 @behave.when(
-    "streams with {kind} are cut after each 2nd byte of their first run"
+    "streams with {kind} are cut after each {step:d}th byte of their first run"
 )
-def step_ids(context, kind):
+def step_ids(context, kind, step):
     content = "json" if kind == "lines" else "events"
-    run_stage(context, content, ["swaps"], "first", 2, [kind])
+    run_stage(context, content, ["swaps"], "first", step, [kind])
 
 
 def run_stage(context, content, routes, stage, step, kinds=KINDS):
@@ -89,7 +89,7 @@
 
 
 @behave.when(
-    "answers to HEAD on the routes {routes} are cut after each {step:d}rd byte"
+    "answers to HEAD on the routes {routes} are cut after each {step:d}th byte"
 )
 def step_head_cut(context, routes, step):
     cases = []
--- a/features/support/cut_cases.py
+++ b/features/support/cut_cases.py
@@ -4,6 +4,7 @@
 import threading
 from typing import NamedTuple
 
+from features.support import cut_callers
 from features.support import cut_replicas
 from features.support import gateways
 from gypsumfold.platform import names
@@ -91,7 +92,7 @@
         remaining = list(reversed(cases))
 
         def call() -> None:
-            caller = cut_replicas.Caller(
+            caller = cut_callers.Caller(
                 self.fleet[edge].host, gateways.FRONT_PORT
             )
             while remaining:
@@ -108,8 +109,8 @@
                 found.result()
 
     def ask(
-        self, caller: cut_replicas.Caller, case: Case
-    ) -> tuple[str, cut_replicas.Reply]:
+        self, caller: cut_callers.Caller, case: Case
+    ) -> tuple[str, cut_callers.Reply]:
         """Sends a case's request; returns its attempt and the answer."""
         method, path, body, fields = request(case)
         answer = caller.ask(method, path, body, fields)
@@ -128,9 +129,7 @@
             data += "\r\n".join([*lines, "", ""]).encode() + (body or b"")
         return gateways.exchange(self.fleet[edge], data)
 
-    def check(
-        self, case: Case, attempt: str, reply: cut_replicas.Reply
-    ) -> None:
+    def check(self, case: Case, attempt: str, reply: cut_callers.Reply) -> None:
         """Checks a case's answer and runs."""
         expected = STREAM if case.content == "events" else cut_replicas.BODY
         expected = cut_replicas.change_body(case.cut.kind, expected)
@@ -139,7 +138,7 @@
         runs = self.replicas.runs_of(attempt)
         result = f"{reply.status} {'whole' if reply.is_whole else 'broken'}"
         wrong = ""
-        if reply.body == cut_replicas.TIMED_OUT:
+        if reply.body == cut_callers.TIMED_OUT:
             wrong = "the caller waits for more than comes"
         elif runs > MAX_RUNS[case.route]:
             wrong = f"{runs} runs"
@@ -160,7 +159,7 @@
             if wrong:
                 self.violations.append(f"{wrong}: {case} got {reply}")
 
-    def check_next(self, caller: cut_replicas.Caller, before: Case) -> None:
+    def check_next(self, caller: cut_callers.Caller, before: Case) -> None:
         """Checks the answer to a sound request on the same connection."""
         case = Case("lookups", cut_replicas.Cut("length"))
         attempt, reply = self.ask(caller, case)
--- a/features/support/cut_replicas.py
+++ b/features/support/cut_replicas.py
@@ -1,11 +1,10 @@
-"""Replicas whose answers end at a chosen byte, and callers that notice.
+"""Replicas whose answers end at a chosen byte.
 
 A request says in its header `Cut` which answer its replica gives, after how
 many bytes the answer ends and how, so that cases can run side by side.
 """
 
 import asyncio
-import http.client
 import re
 import socket
 import struct
@@ -24,8 +23,6 @@
 RESET_DELAY = 0.01
 # Seconds; far above what any exchange takes.
 LIMIT = 15.0
-# Stands for the body of an answer that neither ends nor breaks off.
-TIMED_OUT = b"timed out"
 BODY = b'{"seat": 7, "row": [1, 2]}'
 LARGE_BYTES = 6_000_000
 LINES = b'{"n": 1}\n\n{"n": 2}\n\n{"n": 3}\n\n'
@@ -316,59 +313,3 @@
         socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
     )
     writer.transport.abort()
-
-
-class Reply(NamedTuple):
-    """What a caller received.
-
-    Attributes:
-        status: HTTP status; 0 without a whole head.
-        body: The body, or what came of it.
-        is_whole: Whether it looks complete.
-        seal: The seal in its head.
-    """
-
-    status: int
-    body: bytes
-    is_whole: bool
-    seal: str = ""
-
-
-class Caller:
-    """A caller that sends requests over one connection while it is open.
-
-    Attributes:
-        opened: Connections that were opened.
-    """
-
-    def __init__(self, host: str, port: int):
-        self.connection = http.client.HTTPConnection(host, port, timeout=LIMIT)
-        self.opened = 0
-
-    def ask(
-        self, method: str, path: str, body: bytes | None, fields: dict[str, str]
-    ) -> Reply:
-        """Sends a request and reads its answer to its end."""
-        if self.connection.sock is None:
-            self.opened += 1
-        try:
-            self.connection.request(method, path, body, fields)
-            response = self.connection.getresponse()
-        except (http.client.HTTPException, OSError) as error:
-            self.connection.close()
-            return Reply(0, repr(error).encode(), False)
-        seal = response.headers.get(names.SEAL, "")
-        try:
-            data = response.read()
-            return Reply(response.status, data, True, seal)
-        except http.client.IncompleteRead as error:
-            self.connection.close()
-            return Reply(response.status, error.partial, False, seal)
-        except OSError as error:
-            self.connection.close()
-            data = TIMED_OUT if isinstance(error, TimeoutError) else b""
-            return Reply(response.status, data, False, seal)
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self.connection.close()
--- a/features/support/cut_requests.py
+++ b/features/support/cut_requests.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from features.support import cut_callers
 from features.support import cut_cases
 from features.support import cut_replicas
 from features.support import gateways
@@ -125,7 +126,7 @@
 
     def call(self, case: cut_cases.Case) -> None:
         """Sends one request and checks what came of its answer."""
-        caller = cut_replicas.Caller(
+        caller = cut_callers.Caller(
             self.site.fleet["edge-1"].host, gateways.FRONT_PORT
         )
         self.site.check(case, *self.site.ask(caller, case))
