--- a/features/steps/cut_heads_steps.py
+++ b/features/steps/cut_heads_steps.py
@@ -16,6 +16,7 @@
 
 # Ways in which an answer's end is marked, as in `cut_replicas.answer`.
 KINDS = ("length", "chunks", "trailers", "unframed", "1.0", "bare LF")
+OTHER_KINDS = ("after 100", "extended", "204", "304")
 ENDS = ("closed", "reset")
 
 
@@ -32,13 +33,24 @@
     "byte of their {stage} run"
 )
 def step_cut(context, content, routes, step, stage):
-    context.fleet.until_sharing("edge-1")
-    run_stage(context, content, routes.split(" and "), stage, step)
+    kinds = KINDS
+    if stage == "only":
+        stage = ""
+        kinds = (*KINDS, *OTHER_KINDS)
+    run_stage(context, content, routes.split(" and "), stage, step, kinds)
 
 
-def run_stage(context, content, routes, stage, step):
+@behave.when(
+    "streams with {kind} are cut after each {step:d}th byte of their first run"
+)
+def step_ids(context, kind, step):
+    content = "json" if kind == "lines" else "events"
+    run_stage(context, content, ["swaps"], "first", step, [kind])
+
+
+def run_stage(context, content, routes, stage, step, kinds=KINDS):
     cases = []
-    for kind in KINDS:
+    for kind in kinds:
         for ends in ENDS:
             for cut in cut_cases.cuts(kind, ends, content, stage, step):
                 cases += [
@@ -77,7 +89,7 @@
 
 
 @behave.when(
-    "answers to HEAD on the routes {routes} are cut after each {step:d}rd byte"
+    "answers to HEAD on the routes {routes} are cut after each {step:d}th byte"
 )
 def step_head_cut(context, routes, step):
     cases = []
