Show which failed calls to the operations API can't arrive any more

Cause: the end of a tenure waits for calls that may still arrive. All failures of a call were of one type, so that a refused connection or an answer of 503 counted as such a call.

The leadership doesn't tell them apart yet.

--- a/features/duty_arrivals.feature
+++ b/features/duty_arrivals.feature
@@ -52,6 +52,18 @@
     When the machine is suspended for 60 s while a usage report waits for its answer
     Then the call has ended a moment later
 
+  # The end of a tenure waits for calls that may still arrive, which all failures counted as.
+  Scenario Outline: It isn't told apart whether a failed call may still arrive: the platform <answer>
+    When a report is sent to a platform that <answer>
+    Then it fails with <error>
+
+    Examples:
+      | answer         | error                 |
+      | can't be found | OperationsUnreachable |
+      | answers 503    | OperationsFailed      |
+      | answers 307    | OperationsFailed      |
+      | hangs up       | OperationsUnavailable |
+
   # A leader was determined with a clock that stands still in a suspension.
   Scenario Outline: A <duty> goes by an authority that ended in a suspension
     When the <duty> of a gateway checks what is due after a suspension beyond its authority
--- a/features/steps/duty_arrivals_steps.py
+++ b/features/steps/duty_arrivals_steps.py
@@ -11,6 +11,7 @@
 
 import behave
 from features.support import duty_platform
+from features.support import fixed_leader
 
 from gypsumfold import clocks
 from gypsumfold import events
@@ -194,6 +195,42 @@
     assert context.has_ended
 
 
+async def fail(answer):
+    """Sends a report to a platform; returns the type of the error."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if answer.startswith("answers"):
+            status = answer.split()[1]
+            head = f"HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n"
+            writer.write(head.encode())
+        writer.close()
+
+    host = duty_platform.HOST
+    server = await asyncio.start_server(serve, host, 0)
+    port = server.sockets[0].getsockname()[1]
+    if answer == "can't be found":
+        server.close()
+    operations = operations_module.Operations(f"{host}:{port}")
+    grant = fixed_leader.grant(1)
+    try:
+        await operations.report_usage(MADE_UP_REPORT, "edge-1", grant)
+    except exceptions.OperationsUnavailable as error:
+        return type(error)
+    finally:
+        server.close()
+
+
+@behave.when("a report is sent to a platform that {answer}")
+def step_fail(context, answer):
+    context.error = asyncio.run(fail(answer))
+
+
+@behave.then("it fails with {name}")
+def step_error(context, name):
+    assert context.error is getattr(exceptions, name), context.error
+
+
 class Suspended:
     """A leadership whose authority ended while the machine was suspended."""
 
