Try the token after a refused one at once

Cause: a holder whose token was refused waited 0.25 s with the next one, which the scenario "A gateway whose token was refused goes on reporting with it" of usage.feature doesn't allow; it failed on.

Change: pauses begin with the second refusal in a row.

--- a/packages/gypsumfold/src/gypsumfold/gateway/refused_tokens.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/refused_tokens.py
@@ -20,7 +20,7 @@
     """For how long a higher token isn't tried either.
 
     Attributes:
-        seconds: How long the pause is.
+        seconds: How long the pause is; 0 after the first refusal.
         ends_at: When it ends, by `clocks.now`.
     """
 
@@ -32,6 +32,7 @@
     """Decides which calls may be made after refusals.
 
     Attributes:
+        pause_seconds: The first pause.
         listener: Told of each refused token. It must not wait: the call's act
             has not ended yet.
 
@@ -62,12 +63,17 @@
         return pause is None or clocks.now() >= pause.ends_at
 
     def record(self, matter: str, part: str, token: int) -> None:
-        """Records that a token was refused; pauses double each time."""
+        """Records that a token was refused.
+
+        The next one is tried at once. From the second refusal in a row on,
+        each pause is twice as long as the one before.
+        """
         self.tokens[matter] = max(token, self.tokens.get(matter, -1))
-        seconds = self.pause_seconds
+        seconds = 0.0
         before = self.pauses.get((matter, part))
         if before is not None:
-            seconds = min(2 * before.seconds, LONGEST_PAUSE_SECONDS)
+            seconds = max(self.pause_seconds, 2 * before.seconds)
+            seconds = min(seconds, LONGEST_PAUSE_SECONDS)
         self.pauses[matter, part] = Pause(seconds, clocks.now() + seconds)
         self.listener(token)
 
