Send a known total again without reading the store first

Cause: after a failed call the reporter read the totals of all windows from the store before it sent anything again, also a report whose total it had recorded itself. A store that fell silent then cost the window, though the authority lasts for 2.4 s without it. The pause after a call without an answer didn't count the 1.5 s that the call had taken.

Change: windows whose total is known to be recorded are sent first, unless the store has returned from a copy; only others need the store. The pause counts what the call took.

Evidence: the scenario that is added to usage.feature failed before and passes now.

--- a/features/steps/usage_eras_steps.py
+++ b/features/steps/usage_eras_steps.py
@@ -1,6 +1,7 @@
 """Steps on reports of usage after the store has returned from a copy."""
 
 import asyncio
+import contextlib
 import random
 
 import behave
@@ -8,6 +9,7 @@
 from features.support import virtual_gateways
 from features.support import virtual_operations
 
+from gypsumfold import exceptions
 from gypsumfold.decisions import metering
 from gypsumfold.platform import names
 
@@ -86,3 +88,41 @@
         if closed > context.started_at + 1.0 and index not in found:
             missing.append(index)
     assert not missing, (missing, sorted(found))
+
+
+@behave.given("a leader whose report of a window had no answer")
+def step_unanswered(context):
+    context.site = site = virtual_gateways.Site(drills.SEED)
+    context.platform = virtual_operations.Platform(random.Random(drills.SEED))
+    context.reporter = drills.reporter(site, context.platform, 1)
+
+    async def story():
+        await asyncio.sleep(drills.POLICY.window + 1.0)
+        context.platform.silent = True
+        with contextlib.suppress(exceptions.OperationsUnavailable):
+            await context.reporter.check()
+        context.platform.silent = False
+
+    site.play(story())
+    assert len(context.reporter.recorded) == 1, context.reporter.recorded
+    assert not context.platform.duties.calls
+
+
+@behave.when("the store falls silent while its authority lasts")
+def step_silent(context):
+    async def story():
+        context.reporter.store.path.cut()
+        task = asyncio.create_task(context.reporter.run())
+        await asyncio.sleep(2.0)
+        await virtual_gateways.cancelled([task])
+
+    # As after a failed call.
+    context.reporter.position = None
+    context.site.play(story())
+
+
+@behave.then("the window is reported all the same")
+def step_reported_all_the_same(context):
+    accepted = context.platform.duties.accepted(names.USAGE_PATH)
+    found = {call.body["windowSeq"] for call in accepted}
+    assert set(context.reporter.recorded) <= found, found
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -46,6 +46,12 @@
     When a gateway that counts more becomes the leader
     Then it reports the recorded total
 
+  # Each attempt read the store first, also for a total that was known.
+  Scenario: A report without an answer waits for the store before it is sent again
+    Given a leader whose report of a window had no answer
+    When the store falls silent while its authority lasts
+    Then the window is reported all the same
+
   Scenario: A gateway whose token was refused goes on reporting with it
     Given a platform that has seen a higher token
     When a gateway reports 4 windows with its own
--- a/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/usage_reports.py
@@ -94,6 +94,7 @@
         """Reports for as long as the node runs."""
         failures = 0
         while True:
+            began = clocks.now()
             try:
                 await self.check()
                 failures = 0
@@ -103,8 +104,9 @@
                 events.log(
                     events.USAGE_DELAYED, failures=failures, reason=str(error)
                 )
+                took = clocks.now() - began
                 await asyncio.sleep(
-                    polling.retry_delay(failures, random.random())
+                    polling.retry_delay(failures, random.random(), took)
                 )
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
@@ -135,7 +137,12 @@
         steps = metering.due_steps(
             self.recorded, self.confirmed, regained_at, now, self.policy
         )
-        if not steps:
+        if not self.is_lost:
+            # The store need not answer for what is known to be recorded.
+            for step in steps:
+                if step.index in self.recorded:
+                    await self.report(step.index)
+        if all(step.index in self.confirmed for step in steps):
             return
         if self.position is None:
             await self.read_recorded()
