--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/gossip.py
@@ -16,6 +16,7 @@
 import math
 import time
 
+from gypsumfold import clocks
 from gypsumfold import events
 from gypsumfold import exceptions
 from gypsumfold.decisions import bandwidth
@@ -67,6 +68,13 @@
 RELAYED_PROPAGATION_SECONDS = 0.25
 # Seconds between two full datagrams while nothing changes.
 REFRESH_SECONDS = 1.0
+# Seconds without a turn of this node after which datagrams may have waited in
+# its socket, and seconds from its next turn in which it reads what has waited.
+PAUSE_SECONDS = 1.0
+BACKLOG_SECONDS = 0.1
+# Seconds from that turn after which it has heard again of all rate limits that
+# are still in force: nodes send them once a second, and relays a moment later.
+INFORMED_SECONDS = 1.5
 # Fraction of the nodes from which the loads must be known to count as those of
 # the site. With fewer, a part of the network is likely cut off.
 MIN_HEARD_FRACTION = 0.75
@@ -171,6 +179,10 @@
         self.last_sequences: dict[str, int] = {}
         self.site_decoder = loads_module.LoadDeltaDecoder()
         self.announced_at = -math.inf
+        # When this node had its last turn, by `clocks.now`; None before.
+        self.ran_at: float | None = None
+        self.paused_seconds = 0.0
+        self.woke_at = -math.inf
         self.changed = asyncio.Event()
         self.urgent = asyncio.Event()
         prefix_router.listener = self
@@ -180,6 +192,7 @@
             self.announce_rate_limit
         )
         directory.statements.departure_listeners.append(self.announce_departure)
+        directory.rate_limits.unheard_seconds = self.unheard_seconds
 
     def find_others(self) -> list[members_module.Member]:
         """Returns the other nodes that this one has heard of."""
@@ -205,7 +218,7 @@
     def can_remove_entries(self) -> bool:
         """Whether this node removes the entries of dead nodes."""
         if self.meshed:
-            return self.leadership.token(self.clock()) is not None
+            return self.leadership.token(clocks.now()) is not None
         return self.relays.is_settled(self.clock())
 
     def can_renew(self, member: members_module.Member) -> bool:
@@ -306,11 +319,13 @@
     async def run_relay(self) -> None:
         """Chooses a relay, and relays where this node is the relay."""
         while True:
+            self.record_turn()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
                     RELAY_INTERVAL_SECONDS - MIN_SEND_INTERVAL_SECONDS
                 ):
                     await self.urgent.wait()
+            self.record_turn()
             await asyncio.sleep(MIN_SEND_INTERVAL_SECONDS)
             if self.meshed:
                 continue
@@ -321,6 +336,37 @@
             self.resend_to_relay(now)
             self.send_summaries(now)
 
+    def record_turn(self) -> None:
+        """Records that this node runs, and notices if it was paused."""
+        now = clocks.now()
+        if self.has_been_paused(now):
+            self.paused_seconds = now - self.ran_at
+            self.woke_at = now
+        self.ran_at = now
+
+    def has_been_paused(self, now: float) -> bool:
+        """Whether this node has had no turn for long, by `clocks.now`."""
+        return self.ran_at is not None and now - self.ran_at > PAUSE_SECONDS
+
+    def may_have_waited(self) -> bool:
+        """Whether a datagram that is read now may have waited for long."""
+        now = clocks.now()
+        return self.has_been_paused(now) or (
+            now - self.woke_at < BACKLOG_SECONDS
+        )
+
+    def unheard_seconds(self) -> float:
+        """Returns the seconds of a pause after which the others are unheard.
+
+        Their silence in these seconds proves nothing.
+        """
+        now = clocks.now()
+        if self.has_been_paused(now):
+            return now - self.ran_at
+        if now - self.woke_at < INFORMED_SECONDS:
+            return self.paused_seconds
+        return 0.0
+
     def resend_to_relay(self, now: float) -> None:
         """Sends the relay the last change again, as datagrams may be lost."""
         if self.resend_due and self.choice.relay is not None:
@@ -427,6 +473,12 @@
             return
         now = self.clock()
         self.last_sequences[sender.member] = message.sequence
+        if (
+            isinstance(message, messages.Report | messages.Summary)
+            and self.may_have_waited()
+        ):
+            self.receive_late(message.updates, now)
+            return
         # This makes a node known that started after the entries were read.
         member = members_module.Member(
             sender.member,
@@ -450,6 +502,15 @@
         else:
             self.receive_summary(member, message, now)
 
+    def receive_late(self, updates: messages.Updates, now: float) -> None:
+        """Receives a datagram that may have waited while this node was paused.
+
+        Its ages and remaining times count from when it was sent, which is not
+        known. All but departures, which are for good, is sent again.
+        """
+        lasting = messages.Updates(departures=updates.departures)
+        self.remote_state.apply(lasting, now)
+
     def receive_report(
         self,
         member: members_module.Member,
@@ -464,7 +525,7 @@
                 self.receive_copy_state(member, report.copy_state, True)
             else:
                 self.relaying.add_mesh_node(member, now)
-            self.remote_state.apply(report.updates, now)
+            self.apply_updates(report.updates, now)
             return
         self.leave_mesh()
         if self.relaying.receive_report(member, report, now):
@@ -473,7 +534,7 @@
             self.send_to_nodes(due, now)
         if self.choice.relay is None:
             self.loads.set_remote(member.name, report.loads, until)
-        self.remote_state.apply(report.updates, now)
+        self.apply_updates(report.updates, now)
         if report.subscription_level == messages.SUBSCRIBE_ALL:
             self.forward(report.updates, now)
 
@@ -508,7 +569,7 @@
         self.loads.set_remote(
             relay.data_centre, others, now + loads_module.EXPIRY_SECONDS
         )
-        self.remote_state.apply(summary.updates, now)
+        self.apply_updates(summary.updates, now)
 
     def receive_copy_state(
         self,
@@ -538,10 +599,20 @@
         if best is not None and best.member.name == member.name:
             until = now + loads_module.EXPIRY_SECONDS
             self.loads.set_remote(data_centre, best.decoder.loads(now), until)
-            self.remote_state.apply(summary.updates, now)
+            self.apply_updates(summary.updates, now)
             if self.relaying.node_outbox.add_updates(summary.updates, now):
                 self.urgent.set()
 
+    def apply_updates(self, updates: messages.Updates, now: float) -> None:
+        """Applies what happened elsewhere.
+
+        A former holder of the authority no longer announces the role of an
+        engine that another holder changes by now: it would open the engine.
+        """
+        self.remote_state.apply(updates, now)
+        if self.leadership.token(clocks.now()) is None:
+            self.outbox.drop_roles(updates.closed)
+
     def forward(self, updates: messages.Updates, now: float) -> None:
         """Forwards updates of a node of this data centre."""
         self.relaying.relay_outbox.add_updates(updates, now)
@@ -701,8 +772,9 @@
     def limit_share(self, instance: str, rate: float) -> float:
         """Returns this node's fraction of a replica's rate limit.
 
-        In a mesh nodes hold it, else the relays of data centres. A node that
-        doesn't know the others, or that they may not count, holds nothing.
+        In a mesh nodes hold it, else the relays of data centres, each for the
+        nodes that follow it. A node that doesn't know the others, or that they
+        may not count, holds nothing.
         """
         if self.sharing_node_count() == 0 or self.is_partitioned():
             return 0.0
@@ -715,7 +787,20 @@
         if not self.relays.is_settled(self.clock()):
             return 0.0
         names = self.members.data_centres()
-        return rate_limits.holder_share(own.data_centre, names, instance, rate)
+        share = rate_limits.holder_share(own.data_centre, names, instance, rate)
+        return share * self.following_fraction()
+
+    def following_fraction(self) -> float:
+        """Returns the fraction of its data centre that this relay stands for.
+
+        Where the data centre is divided, or a former relay wakes, there are two
+        relays, which together must hold no more than one.
+        """
+        following = 1
+        for subscriber in self.relaying.subscribers.values():
+            following += subscriber.level == messages.SUBSCRIBE_ALL
+        known = len(self.members.ranked(self.members.own.data_centre))
+        return min(1.0, following / known)
 
     def announce_rate_limit(
         self, instance: str, rate: float | None, sent_at: float
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -18,6 +18,9 @@
 # on tenures is made again.
 WATCH_SECONDS = 20.0
 RETRY_SECONDS = 0.2
+# Leases after which changes of the group prolong the wait no more: a member
+# that comes and goes must not leave the site without a holder.
+MAX_WAIT_LEASES = 4
 
 
 async def has_no_answer(tenure: decisions.Tenure, generation: int) -> bool:
@@ -59,8 +62,11 @@
             assigned the authority in a generation; returns whether it is over.
         assigned_at: When this node has learned that the authority is its own;
             None if that is another node's.
-        requested_at: The assignment for which the end of the tenure before was
+        first_assigned_at: When it has learned of that first; `assigned_at` is
+            later where the group has changed since.
+        requested: The assignment and the token of the tenure whose end was
             requested.
+        awaited: The last tenure that was read during this assignment.
         asking: Asks the holder of the tenure before.
         over: A tenure whose holder has answered that it is over.
         tenure: This node's tenure; None if it may not act.
@@ -89,7 +95,9 @@
         self.has_ended: Callable[[decisions.Tenure, int], Awaitable[bool]]
         self.has_ended = has_no_answer
         self.assigned_at: float | None = None
-        self.requested_at: float | None = None
+        self.first_assigned_at = float("-inf")
+        self.requested: tuple[float, int] | None = None
+        self.awaited: decisions.Tenure | None = None
         self.asking: asyncio.Task | None = None
         self.over: decisions.Tenure | None = None
         self.tenure: decisions.Tenure | None = None
@@ -104,8 +112,13 @@
                 last renewal, so that another node may have had the authority
                 in between.
         """
-        if self.assigned_at is None or (self.tenure is None and has_changed):
-            self.assigned_at = clocks.now()
+        now = clocks.now()
+        if self.assigned_at is None:
+            self.assigned_at = self.first_assigned_at = now
+        patience = MAX_WAIT_LEASES * self.lease_seconds
+        is_waiting = self.tenure is None and has_changed
+        if is_waiting and now - self.first_assigned_at < patience:
+            self.assigned_at = now
         if self.task is not None and self.task.done():
             # Raises what has ended it.
             self.task.result()
@@ -117,6 +130,7 @@
         """Drops the tenure: another node may have begun one since."""
         self.tenure = None
         self.assigned_at = None
+        self.awaited = None
         if self.asking is not None:
             self.asking.cancel()
             self.asking = None
@@ -168,6 +182,11 @@
             exceptions.PlatformError: The store does not answer.
         """
         page = await self.tenures.read()
+        if page.last != self.awaited:
+            # Its holder was assigned the authority later than this node.
+            if self.awaited is not None:
+                self.assigned_at = clocks.now()
+            self.awaited = page.last
         claim = self.assess(page.last)
         wait = claim.at - clocks.now()
         if wait > 0:
@@ -221,10 +240,12 @@
         Raises:
             exceptions.PlatformError: The store does not answer.
         """
-        if not claim.is_proven and self.requested_at != self.assigned_at:
-            self.requested_at = self.assigned_at
-            if page.last is not None:
-                self.asking = asyncio.create_task(self.ask(page.last))
+        last = page.last
+        request = (self.assigned_at, -1 if last is None else last.token)
+        if not claim.is_proven and self.requested != request:
+            self.requested = request
+            if last is not None:
+                self.asking = asyncio.create_task(self.ask(last))
             await self.tenures.request(self.own.member)
             return
         poll = asyncio.create_task(self.tenures.wait(page.end, wait))
