--- a/features/duty_arrivals.feature
+++ b/features/duty_arrivals.feature
@@ -12,7 +12,7 @@
   # The connection was closed in order, so that the kernel delivered what it still held.
   Scenario Outline: A report arrives after its gateway has given it up: it <trouble>
     Given a platform that reads nothing at first
-    When a usage report of 100 kB is sent with a permission of 20 s, and its gateway <trouble>
+    When a usage report of 30 kB is sent with a permission of 20 s, and its gateway <trouble>
     And the platform reads all that comes
     Then not all of the report arrives, and its connection is reset
 
@@ -24,7 +24,7 @@
   # Neither a call's limit nor the kernel's followed from its permission.
   Scenario Outline: A report arrives after its permission has ended: its gateway <trouble>
     Given a platform that reads nothing at first
-    When a usage report of 100 kB is sent with a permission of 1 s, and its gateway <trouble>
+    When a usage report of 30 kB is sent with a permission of 1 s, and its gateway <trouble>
     And the platform reads all that comes once the permission has ended
     Then not all of the report arrives, and its connection is reset
 
@@ -52,6 +52,18 @@
     When the machine is suspended for 60 s while a usage report waits for its answer
     Then the call has ended a moment later
 
+  # The end of a tenure waits for calls that may still arrive, which all failures counted as.
+  Scenario Outline: It isn't told apart whether a failed call may still arrive: the platform <answer>
+    When a report is sent to a platform that <answer>
+    Then it fails with <error>
+
+    Examples:
+      | answer         | error                 |
+      | can't be found | OperationsUnreachable |
+      | answers 503    | OperationsFailed      |
+      | answers 307    | OperationsFailed      |
+      | hangs up       | OperationsUnavailable |
+
   # A leader was determined with a clock that stands still in a suspension.
   Scenario Outline: A <duty> goes by an authority that ended in a suspension
     When the <duty> of a gateway checks what is due after a suspension beyond its authority
