Count the kernel's extra retransmissions for calls to the platform as well

Linux counts TCP_USER_TIMEOUT from the first retransmission after a tail loss probe, so that what is left of a permission is too long for it.

--- a/packages/gypsumfold/src/gypsumfold/gateway/call_expiry.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/call_expiry.py
@@ -27,6 +27,15 @@
 MIN_DELAY_SECONDS = 0.001
 
 
+def uncounted_seconds(sock: socket.socket) -> float:
+    """Returns how much longer than TCP_USER_TIMEOUT the kernel may resend."""
+    info = sock.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_RTO.size
+    )
+    (microseconds,) = TCP_INFO_RTO.unpack(info)
+    return UNCOUNTED_TIMEOUTS * microseconds / 1e6
+
+
 class CallExpiry:
     """Resets a connection once the permission for its call has ended.
 
@@ -59,11 +68,7 @@
             exceptions.AuthorityEnded: The permission has ended, or the kernel
                 might resend the call for longer; nothing may be sent.
         """
-        info = self.sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_RTO.size
-        )
-        (microseconds,) = TCP_INFO_RTO.unpack(info)
-        needed = UNCOUNTED_TIMEOUTS * microseconds / 1e6
+        needed = uncounted_seconds(self.sock)
         seconds = self.grant.remaining() - needed
         if seconds <= 0:
             raise exceptions.AuthorityEnded(
--- a/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
@@ -195,11 +195,18 @@
         """Has the kernel give up what is not delivered when the call ends.
 
         It does so even while this process is frozen.
+
+        Raises:
+            TimeoutError: It might resend for longer.
         """
-        left = int((self.ends_at - clocks.now()) * 1000)
+        seconds = self.ends_at - clocks.now()
+        seconds -= call_expiry.uncounted_seconds(self.sock)
+        if seconds <= 0:
+            raise TimeoutError("too little is left of the limit")
         # Zero would stand for the system's default of minutes.
+        milliseconds = max(1, int(seconds * 1000))
         self.sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, left)
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
         )
 
     async def read(self) -> None:
