Bound the doublings of pauses

What callers saw: with a replica that had failed for more than an hour, each further failure there ended with 502 (the node failed) in place of a retry, and the replica was never paused again.

Cause: the pause was computed as a power of two that a float can't hold from the 1,025th pause on, before it was limited. The same expression stood in three other places.

--- a/packages/gypsumfold/src/gypsumfold/callers/call_runner.py
+++ b/packages/gypsumfold/src/gypsumfold/callers/call_runner.py
@@ -18,6 +18,8 @@
 # each).
 RETRY_DELAY_SECONDS = 0.05
 MAX_RETRY_DELAY_SECONDS = 0.8
+# Doublings of a pause; beyond a thousand a float overflows.
+MAX_DOUBLINGS = 20
 # Seconds after which a caller should retry if every replica failed: a few
 # polls of the replicas.
 RETRY_AFTER = 1.0
@@ -94,7 +96,8 @@
                 request=service_call.request._replace(avoid=avoid)
             )
             pause = min(
-                MAX_RETRY_DELAY_SECONDS, RETRY_DELAY_SECONDS * 2**failures
+                MAX_RETRY_DELAY_SECONDS,
+                RETRY_DELAY_SECONDS * 2 ** min(failures, MAX_DOUBLINGS),
             )
             await asyncio.sleep(pause * (1 + random.random()) / 2)
             if service_call.is_in_time() and permit():
--- a/packages/gypsumfold/src/gypsumfold/control/order_executor.py
+++ b/packages/gypsumfold/src/gypsumfold/control/order_executor.py
@@ -30,6 +30,8 @@
 # which takes several hundred appends a second from all services together.
 FIRST_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 60.0
+# Doublings of a pause; beyond a thousand a float overflows.
+MAX_DOUBLINGS = 20
 
 
 class Engine(NamedTuple):
@@ -180,7 +182,10 @@
     def count_attempt(self, engine: Engine) -> None:
         """Counts one attempt and sets when the next is due."""
         tries = self.attempts.get(engine.name, 0)
-        wait = min(FIRST_RETRY_SECONDS * 2**tries, MAX_RETRY_SECONDS)
+        wait = min(
+            FIRST_RETRY_SECONDS * 2 ** min(tries, MAX_DOUBLINGS),
+            MAX_RETRY_SECONDS,
+        )
         self.attempts[engine.name] = tries + 1
         self.next_attempt_at[engine.name] = clocks.now() + wait
 
--- a/packages/gypsumfold/src/gypsumfold/decisions/health.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/health.py
@@ -20,6 +20,8 @@
 # Length of the first pause, doubled for each further one.
 FIRST_PAUSE_SECONDS = 0.7
 MAX_PAUSE_SECONDS = 5.0
+# Doublings of a pause; beyond a thousand a float overflows.
+MAX_DOUBLINGS = 20
 
 
 class Health:
@@ -69,7 +71,10 @@
         ):
             count = self.pauses.get(replica, 0)
             self.pauses[replica] = count + 1
-            pause = min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2**count)
+            pause = min(
+                MAX_PAUSE_SECONDS,
+                FIRST_PAUSE_SECONDS * 2 ** min(count, MAX_DOUBLINGS),
+            )
             self.paused_until[replica] = now + pause * self.rng.uniform(
                 0.7, 1.0
             )
--- a/packages/gypsumfold/src/gypsumfold/decisions/outliers.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/outliers.py
@@ -23,6 +23,8 @@
 # Failures in a row after which a replica gets only probes; one or two happen
 # whenever a connection is cut.
 FAILURES_BEFORE_PAUSE = 3
+# Doublings of a pause; beyond a thousand a float overflows.
+MAX_DOUBLINGS = 20
 # Seconds until the first probe, doubled by each failed one.
 FIRST_PAUSE_SECONDS = 2.0
 MAX_PAUSE_SECONDS = 30.0
@@ -105,7 +107,8 @@
             return
         pause = min(
             MAX_PAUSE_SECONDS,
-            FIRST_PAUSE_SECONDS * 2 ** (count - FAILURES_BEFORE_PAUSE),
+            FIRST_PAUSE_SECONDS
+            * 2 ** min(count - FAILURES_BEFORE_PAUSE, MAX_DOUBLINGS),
         )
         self.paused_until[replica] = now + pause * self.rng.uniform(0.5, 1.0)
 
