Deduct from a call's limit what the kernel doesn't count

Cause: the kernel counts TCP_USER_TIMEOUT from the first retransmission after a tail loss probe, so that a frozen gateway's report still arrived after its permission over a link that was cut and came back.

Change: as for orders to engines, 2.4 retransmission timeouts are deducted; with less left, the call is not sent, or not completed.

Not run either: any other feature on this commit.

--- a/features/duty_arrivals.feature
+++ b/features/duty_arrivals.feature
@@ -33,6 +33,19 @@
       | gets no answer |
       | is frozen      |
 
+  # The kernel counts its limit only from the first retransmission after a probe.
+  Scenario Outline: A link holds a report up beyond its permission of <seconds> s: its gateway <state>
+    Given a platform over a link that is cut as a report is sent, and a gateway that <state>
+    When the link is back after the permission of <seconds> s has ended
+    Then the report does not arrive any more
+
+    Examples:
+      | state     | seconds |
+      | runs on   | 0.8     |
+      | is frozen | 0.8     |
+      | is frozen | 1.2     |
+      | is killed | 0.8     |
+
   # The kernel's limit begins anew with each part that a slow platform takes.
   Scenario: A report is delivered bit by bit beyond its permission while its gateway is frozen
     Given a platform that reads nothing at first
--- a/features/steps/duty_arrivals_steps.py
+++ b/features/steps/duty_arrivals_steps.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 import behave
+from features.support import cut_links
 from features.support import duty_platform
 from features.support import fixed_leader
 
@@ -125,6 +126,49 @@
     context.platform.read(context.connection, context.size)
 
 
+@behave.given(
+    "a platform over a link that is cut as a report is sent, and a gateway "
+    "that {state}"
+)
+def step_link(context, state):
+    context.state = state
+    context.engine = cut_links.Engine()
+    context.add_cleanup(context.engine.close)
+
+
+@behave.when("the link is back after the permission of {seconds:g} s has ended")
+def step_healed(context, seconds):
+    engine = context.engine
+    size = len(MADE_UP_REPORT)
+    caller = start(
+        context, engine.address, seconds, size, duty_platform.NEVER, "waits"
+    )
+    caller.until("begins")
+    ends_at = time.monotonic() + seconds
+    caller.until("connected")
+    engine.accept()
+    engine.cut()
+    caller.go_on()
+    caller.until(events.AUTHORITY_USED.name)
+    assert cut_links.wait_until(engine.is_owed)
+    if context.state == "is killed":
+        caller.child.kill()
+        caller.child.wait()
+    elif context.state == "is frozen":
+        caller.child.send_signal(signal.SIGSTOP)
+    time.sleep(max(0.0, ends_at - time.monotonic()))
+    engine.heal()
+
+
+@behave.then("the report does not arrive any more")
+def step_not_arrived(context):
+    engine = context.engine
+    # The kernel of the other side has either dropped the report or sent it.
+    assert cut_links.wait_until(lambda: not engine.is_owed())
+    engine.read()
+    assert engine.received == b"", engine.received
+
+
 @behave.when("the platform reads at most {rate:d} kB a second")
 def step_read_slowly(context, rate):
     context.platform.read(
--- a/features/support/duty_caller.py
+++ b/features/support/duty_caller.py
@@ -15,8 +15,15 @@
 from gypsumfold.platform import operations as operations_module
 
 
+def wait_for_line() -> bool:
+    """Waits for a line once the connection is open, before anything is sent."""
+    print("connected", flush=True)
+    sys.stdin.readline()
+    return True
+
+
 async def run(
-    address: str, seconds: float, size: int, cancel_after: float
+    address: str, seconds: float, size: int, cancel_after: float, waits: bool
 ) -> None:
     """Reports usage.
 
@@ -26,9 +33,12 @@
         size: Bytes of the report.
         cancel_after: Seconds after the confirmation of the permission until
             the call is cancelled.
+        waits: Whether to wait for a line with the connection open.
     """
     now = clocks.now()
     grant = grants.Grant(1, "edge-1-1", now, now + seconds)
+    if waits:
+        grant.is_current = wait_for_line
     operations = operations_module.Operations(address)
     print("begins", flush=True)
     call = asyncio.create_task(
@@ -53,5 +63,6 @@
             float(sys.argv[2]),
             int(sys.argv[3]),
             float(sys.argv[4]),
+            sys.argv[5:] == ["waits"],
         )
     )
--- a/features/support/duty_platform.py
+++ b/features/support/duty_platform.py
@@ -71,7 +71,7 @@
 class Caller:
     """A gateway's process that makes one call."""
 
-    def __init__(self, address, seconds, size, cancel_after=NEVER):
+    def __init__(self, address, seconds, size, cancel_after=NEVER, *flags):
         self.child = subprocess.Popen(
             [
                 sys.executable,
@@ -81,6 +81,7 @@
                 str(seconds),
                 str(size),
                 str(cancel_after),
+                *flags,
             ],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
@@ -94,8 +95,15 @@
             if found.strip() == line:
                 return before
             before.append(found.strip())
+            if before[-1] == "ended":
+                break
         raise AssertionError(f"{line} is not in {before}")
 
+    def go_on(self):
+        """Lets a process that waits with its connection open send."""
+        self.child.stdin.write("\n")
+        self.child.stdin.flush()
+
     def end(self):
         """Ends the process."""
         self.child.kill()
--- a/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/fenced_calls.py
@@ -107,8 +107,8 @@
             is read and dropped.
 
         Raises:
-            exceptions.AuthorityEnded: Nothing was sent, as the permission had
-                ended.
+            exceptions.AuthorityEnded: The request was not sent or not wholly,
+                as the permission had ended or was about to.
             exceptions.OperationsUnreachable: Nothing was sent.
             exceptions.OperationsUnavailable: There was no answer.
         """
@@ -155,7 +155,8 @@
         `sock_sendall`, so nothing runs between that and the confirmation.
 
         Raises:
-            exceptions.AuthorityEnded: The permission has ended.
+            exceptions.AuthorityEnded: The permission has ended, or ends before
+                the kernel would give up. The request can't be completed.
             OSError: The connection was lost.
         """
         loop = asyncio.get_running_loop()
@@ -192,14 +193,30 @@
         return int.from_bytes(found, sys.byteorder)
 
     def limit_delivery(self) -> None:
-        """Has the kernel give up what is not delivered when the call ends.
+        """Has the kernel give up sending before the permission ends.
 
         It does so even while this process is frozen.
+
+        Raises:
+            exceptions.AuthorityEnded: It may resend for longer.
         """
-        left = int((self.ends_at - clocks.now()) * 1000)
+        info = self.sock.getsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_INFO,
+            call_expiry.TCP_INFO_RTO.size,
+        )
+        (microseconds,) = call_expiry.TCP_INFO_RTO.unpack(info)
+        needed = call_expiry.UNCOUNTED_TIMEOUTS * microseconds / 1e6
+        seconds = self.grant.remaining() - needed
+        if seconds <= 0:
+            raise exceptions.AuthorityEnded(
+                f"{self.subject}: it may be resent for {needed:.3f} s"
+            )
         # Zero would stand for the system's default of minutes.
         self.sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, left)
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            max(1, int(seconds * 1000)),
         )
 
     async def read(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/platform/operations.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/operations.py
@@ -127,8 +127,8 @@
         """Makes one call.
 
         Raises:
-            exceptions.AuthorityEnded: The permission had ended; nothing was
-                sent.
+            exceptions.AuthorityEnded: The permission had ended or was about
+                to; the call can't arrive.
             exceptions.DutyFenced: Another node has used a higher token.
             exceptions.OperationsUnavailable: It failed or timed out.
         """
