--- a/features/support/cut_stores.py
+++ b/features/support/cut_stores.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from features.support import cut_replicas
+from features.support import fixed_leader
 from gypsumfold import exceptions
 from gypsumfold.platform import operations
 from gypsumfold.platform import store
@@ -48,20 +49,6 @@
     requests: int
 
 
-class Grant:
-    """A permission that never ends."""
-
-    token = 7
-    member = "edge-1"
-
-    def remaining(self) -> float:
-        """Seconds that are left."""
-        return LIMIT
-
-    def confirm(self, subject: str) -> None:
-        """Permits a call."""
-
-
 def newest_body() -> bytes:
     """A page of newest records."""
     items = [
@@ -101,7 +88,9 @@
 }
 OPERATION_CALLS = {
     "usage": Call(
-        lambda client: client.report_usage(b"{}", "edge-1", Grant()),
+        lambda client: client.report_usage(
+            b"{}", "edge-1", fixed_leader.grant(7)
+        ),
         b'{"accepted": true}',
         False,
     )
