--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -281,9 +281,10 @@
         await asyncio.sleep(2 * NETWORK)
         if tuple(address) in self.site.dark:
             await asyncio.sleep(queries.TIMEOUT_SECONDS)
+            raise exceptions.PeerUnreachable(path)
         other = self.site.at(address)
         if other is None:
-            raise exceptions.PeerUnreachable(path)
+            raise exceptions.PeerNotListening(path)
         found = await other.gateway.query_handler.answer(path)
         if not found:
             raise exceptions.PeerRefused(path)
--- a/packages/gypsumfold/src/gypsumfold/exceptions.py
+++ b/packages/gypsumfold/src/gypsumfold/exceptions.py
@@ -85,6 +85,10 @@
     """The peer could not be reached or stopped answering in time."""
 
 
+class PeerNotListening(PeerUnreachable):
+    """Nothing listens at the peer's address: its process has ended."""
+
+
 class FrameInvalid(PeerError):
     """A frame is too long, not authentic or not decodable."""
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -419,6 +419,9 @@
         for name, function in self.watches.tasks().items():
             self.supervisor.start(name, function)
         self.supervisor.start("fetch", self.store_copy.fetch)
+        # A gateway that doesn't listen counts as ended: it listens before it
+        # may act.
+        await self.serve(self.answer_peer, self.settings.peers.address)
         self.supervisor.start("leadership", self.leadership.run)
         self.supervisor.start("planner", self.planner.run)
         self.supervisor.start("housekeeping", self.housekeeping)
@@ -430,7 +433,6 @@
             self.supervisor.start("crash-records-read", self.crash_records.read)
         for name, function in self.duties.tasks().items():
             self.supervisor.start(name, function)
-        await self.serve(self.answer_peer, self.settings.peers.address)
         await self.server.start(self.settings.callers.front)
         await self.serve(self.answer_ready, self.settings.callers.ready)
         if self.settings.metrics.port:
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/queries.py
@@ -106,6 +106,7 @@
         """Sends a query to one node.
 
         Raises:
+            exceptions.PeerNotListening: Its VM refuses the connection.
             exceptions.PeerUnreachable: The node does not answer.
             exceptions.PeerRefused: It has no answer, or one that is too large.
             exceptions.RecordInvalid: The answer has no valid seal.
@@ -124,6 +125,11 @@
                         f"{path}: {response.status}, {length} bytes"
                     )
                 frame = await read_frame(response)
+        except aiohttp.ClientConnectorError as error:
+            failure = exceptions.PeerUnreachable
+            if isinstance(error.os_error, ConnectionRefusedError):
+                failure = exceptions.PeerNotListening
+            raise failure(f"{path}: {error!r}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise exceptions.PeerUnreachable(f"{path}: {error!r}") from error
         return self.sealer.open(frame)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/tenure_queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/tenure_queries.py
@@ -67,8 +67,9 @@
                 assigned the authority.
 
         Returns:
-            Whether the holder has said that nothing of it can arrive any more;
-            False also if it doesn't answer.
+            Whether nothing of the tenure can arrive any more, as its holder
+            has said, or as its process has ended; False also without an
+            answer.
         """
         host, _, port = tenure.address.rpartition(":")
         if not port.isdecimal():
@@ -78,6 +79,10 @@
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
                 found = await self.client.fetch((host, int(port)), path)
+        except exceptions.PeerNotListening:
+            # A process listens from its start until after its last call, also
+            # while it is frozen.
+            return True
         except (
             exceptions.PeerError,
             exceptions.RecordInvalid,
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -18,6 +18,8 @@
 # on tenures is made again.
 WATCH_SECONDS = 20.0
 RETRY_SECONDS = 0.2
+# Seconds until a holder that has not ended its tenure is asked again.
+ASK_SECONDS = 0.5
 # Leases after which changes of the group prolong the wait no more: a member
 # that comes and goes must not leave the site without a holder.
 MAX_WAIT_LEASES = 4
@@ -134,13 +136,11 @@
         self.tenure = None
         self.assigned_at = None
         self.awaited = None
-        if self.asking is not None:
-            self.asking.cancel()
-            self.asking = None
         self.cancel()
 
     def cancel(self) -> None:
         """Ends the task that claims the tenure, unless it runs this."""
+        self.stop_asking()
         task = self.task
         if task is None or task is asyncio.current_task():
             return
@@ -209,6 +209,7 @@
             await self.tenures.end(tenure)
             return
         self.tenure = tenure
+        self.stop_asking()
         events.log(
             events.ORDERS_GAINED,
             token=token,
@@ -216,7 +217,7 @@
             generation=self.membership.generation,
             before=page.last.member if page.last is not None else "",
             reason=claim.reason,
-            waited=round(clocks.now() - self.assigned_at, 3),
+            waited=round(clocks.now() - self.first_assigned_at, 3),
         )
 
     def assess(self, last: decisions.Tenure | None) -> decisions.Claim:
@@ -250,6 +251,7 @@
         request = (self.assigned_at, -1 if last is None else last.token)
         if not claim.is_proven and self.requested != request:
             self.requested = request
+            self.stop_asking()
             if last is not None:
                 self.asking = asyncio.create_task(self.ask(last))
             await self.tenures.request(self.own.member)
@@ -266,10 +268,22 @@
             # Raises what has ended it.
             poll.result()
 
+    def stop_asking(self) -> None:
+        """Asks the holder of the tenure before no more."""
+        if self.asking is not None:
+            self.asking.cancel()
+            self.asking = None
+
     async def ask(self, last: decisions.Tenure) -> None:
-        """Asks the holder of the tenure before to end it."""
-        if await self.has_ended(last, self.membership.generation):
-            self.over = last
+        """Asks the holder of the tenure before to end it, until it is over.
+
+        One that doesn't answer may be starting again.
+        """
+        while True:
+            if await self.has_ended(last, self.membership.generation):
+                self.over = last
+                return
+            await asyncio.sleep(ASK_SECONDS)
 
     async def has_lasted(self, last: decisions.Tenure | None) -> bool:
         """Whether the authority was assigned to this node all the while.
