--- a/features/steps/stopping_leaders_steps.py
+++ b/features/steps/stopping_leaders_steps.py
@@ -36,7 +36,7 @@
     return leadership.Leadership(settings, group, state, name)
 
 
-# The last incarnation of each gateway, as others know it from its entry.
+# The last incarnation of each gateway.
 RUNNING = {}
 
 
@@ -49,15 +49,16 @@
         self.acts = acts
         incarnation = f"{name}-{site.clock():09.3f}"
         self.leadership = make(site, group, incarnation, first_start)
-        self.leadership.claims.is_replaced = self.is_replaced
+        self.leadership.claims.has_ended = self.has_ended
         RUNNING[name] = incarnation
         self.tasks = [
             asyncio.create_task(self.leadership.run()),
             asyncio.create_task(self.order()),
         ]
 
-    def is_replaced(self, tenure):
-        """Whether a later incarnation of a holder's node has started."""
+    async def has_ended(self, tenure, generation):
+        """Whether another incarnation answers at a holder's address."""
+        await asyncio.sleep(CALL)
         return RUNNING.get(tenure.address, "") > tenure.member
 
     async def order(self):
--- a/features/steps/tenure_sequences_steps.py
+++ b/features/steps/tenure_sequences_steps.py
@@ -3,12 +3,19 @@
 import asyncio
 import types
 
+import aiohttp
 import behave
 from features.steps import two_holders_steps
 from features.support import virtual_gateways
 from features.support import virtual_group
+import msgspec
 
 from gypsumfold.decisions import eras
+from gypsumfold.decisions import tenures
+from gypsumfold.gateway.peers import queries
+from gypsumfold.gateway.peers import seals
+from gypsumfold.gateway.peers import tenure_queries
+from gypsumfold.platform import names
 
 SEED = 1
 # Seconds until a gateway acts, between the members' changes, and for which
@@ -229,3 +236,85 @@
     tokens = [token for _, _, token in context.arrivals]
     found = two_holders_steps.turns(context.arrivals)
     assert tokens == sorted(tokens) and not found, (found, context.arrivals)
+
+
+@behave.when(
+    "the one that acts is cut off and the store returns with an ended tenure "
+    "as the other reads"
+)
+def step_returned_as_read(context):
+    async def story():
+        await context.start()
+        group = context.group
+        holder = context.gateways[group.holder]
+        others = [one for one in context.gateways.values() if one != holder]
+        await holder.leadership.renew_now()
+        context.holder = holder.name
+        context.ends_at = holder.leadership.valid_until
+        before = tenures.Tenure("edge-9", "edge-9", 0, ended=True)
+        topic = group.topic(names.TENURES_TOPIC)
+        read = others[0].store.newest
+
+        async def newest(*arguments):
+            others[0].store.newest = read
+            del topic.records[:]
+            topic.append("tenure", msgspec.json.encode(before))
+            group.era += 1
+            group.generation = eras.token(group.era, group.generation)
+            return await read(*arguments)
+
+        write = others[0].store.put_at
+
+        async def put_at(*arguments):
+            found = await write(*arguments)
+            await asyncio.sleep(0.15)
+            return found
+
+        others[0].store.newest = newest
+        others[0].store.put_at = put_at
+        holder.store.cut = True
+        give(group, others[0].name)
+        await asyncio.sleep(WATCHED)
+        await end(context)
+
+    context.site.play(story())
+
+
+@behave.given("an address where {what}")
+def step_address(context, what):
+    context.what = what
+
+
+@behave.when("a gateway asks whether the tenure of its holder has ended")
+def step_asks(context):
+    sealer = seals.Sealer([])
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if "gives no answer" in context.what:
+            await asyncio.sleep(tenure_queries.TIMEOUT_SECONDS + 1.0)
+        body = sealer.seal(tenure_queries.ENDED)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        writer.close()
+
+    async def ask():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        if "nothing listens" in context.what:
+            server.close()
+            await server.wait_closed()
+        async with aiohttp.ClientSession() as session:
+            found = tenure_queries.TenureQueries(
+                queries.QueryClient(session, sealer), "edge-1-2", None
+            )
+            tenure = tenures.Tenure("edge-2-1", f"{host}:{port}", 5)
+            context.has_ended = await found.has_ended(tenure, 6)
+        server.close()
+
+    asyncio.run(ask())
+
+
+@behave.then("it takes it for {taken}")
+def step_taken(context, taken):
+    assert context.has_ended == (taken == "over"), context.has_ended
--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -92,13 +92,6 @@
         return []
 
 
-def made_id(rng: random.Random, now: float) -> uuid.UUID:
-    """A UUID of version 7: a later one is greater."""
-    milliseconds = int(now * 1000)
-    rest = rng.getrandbits(128) & ((1 << 80) - 1)
-    return uuid.UUID(int=milliseconds << 80 | rest)
-
-
 class Node:
     """One gateway, its way to the store and its socket."""
 
@@ -171,7 +164,7 @@
             )
             stack.enter_context(
                 mock.patch.object(
-                    uuid6, "uuid7", lambda: made_id(own, site.clock())
+                    uuid6, "uuid7", lambda: uuid.UUID(int=own.getrandbits(128))
                 )
             )
             self.gateway = gateway_module.Gateway(
--- a/features/tenure_sequences.feature
+++ b/features/tenure_sequences.feature
@@ -17,3 +17,21 @@
     Given 2 gateways that started with the whole system, one of which acts
     When the one that acts is cut off, members come and go for 13 s, and it is back for 0.2 s
     Then no two gateways act by turns, and tokens never go down
+
+  # A claim went on with the tenure of a copy, as its own read was the first to see the drill.
+  Scenario: The store returns from a copy as a successor reads the last tenure
+    Given 2 gateways that started with the whole system, one of which acts
+    When the one that acts is cut off and the store returns with an ended tenure as the other reads
+    Then no gateway acts until the permission of the one that acted has ended
+
+  # Each process has its own address; a refused connection tells that it has ended.
+  Scenario Outline: A successor asks at an address where <what>
+    Given an address where <what>
+    When a gateway asks whether the tenure of its holder has ended
+    Then it takes it for <taken>
+
+    Examples:
+      | what                       | taken     |
+      | nothing listens            | over      |
+      | another incarnation runs   | over      |
+      | somebody gives no answer   | not over  |
--- a/packages/gypsumfold/src/gypsumfold/decisions/members.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/members.py
@@ -98,21 +98,6 @@
             del self.names_by_node[member.node]
         self.rankings.clear()
 
-    def has_replaced(self, name: str, address: str) -> bool:
-        """Whether a later incarnation runs at a node's address.
-
-        Args:
-            name: The name of the node's incarnation.
-            address: Its IP and port; two processes can't use it at once.
-        """
-        for member in [self.own, *self.known.values()]:
-            host, port = member.address
-            if address != f"{host}:{port}" or member.name <= name:
-                continue
-            if name.startswith(f"{member.node}-"):
-                return True
-        return False
-
     def not_seen_since(self, since: float) -> list[Member]:
         """Returns the nodes that were last seen before `since`."""
         found = []
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -361,9 +361,6 @@
         )
         self.leadership.is_candidate = self.gossip.can_lead
         self.leadership.is_cut_off = self.is_cut_off
-        self.leadership.claims.is_replaced = lambda tenure: (
-            self.gossip.members.has_replaced(tenure.member, tenure.address)
-        )
         self.directory.removal_listeners.append(self.forget)
         self.runners: list[web.ServerRunner] = []
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/leadership.py
@@ -152,7 +152,9 @@
             yield grant
         except BaseException as error:
             if not isinstance(error, grants.UNSENT_OR_ANSWERED):
-                self.may_arrive_until = grant.ends_at
+                self.may_arrive_until = max(
+                    self.may_arrive_until, grant.ends_at
+                )
             raise
         finally:
             self.acted_at = clocks.now()
--- a/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/tenure_claims.py
@@ -53,15 +53,18 @@
     async def renew_now(self) -> None:
         """Renews without waiting until that is due."""
 
+    async def calls_have_ended(self) -> bool:
+        """Waits a moment until nothing of any call can arrive any more."""
+
 
 class TenureClaims:
     """Claims the tenure while the authority is assigned to this node.
 
     Attributes:
-        is_replaced: Whether a later incarnation runs in the place of a tenure's
-            holder.
         has_ended: Asks a holder to end its tenure, on behalf of a node that was
             assigned the authority in a generation; returns whether it is over.
+        assignment: Number of the present assignment, which changes with each
+            one and with its end.
         assigned_at: When this node has learned that the authority is its own;
             None if that is another node's.
         first_assigned_at: When it has learned of that first; `assigned_at` is
@@ -95,9 +98,9 @@
         self.own = own
         self.is_first = is_first
         self.lease_seconds = lease_seconds
-        self.is_replaced: Callable[[decisions.Tenure], bool] = lambda _: False
         self.has_ended: Callable[[decisions.Tenure, int], Awaitable[bool]]
         self.has_ended = has_no_answer
+        self.assignment = 0
         self.assigned_at: float | None = None
         self.first_assigned_at = float("-inf")
         self.requested: tuple[float, int] | None = None
@@ -119,6 +122,7 @@
         """
         now = clocks.now()
         if self.assigned_at is None:
+            self.assignment += 1
             self.assigned_at = self.first_assigned_at = now
         patience = MAX_WAIT_LEASES * self.lease_seconds
         is_waiting = self.tenure is None and has_changed
@@ -134,6 +138,7 @@
     def forget(self) -> None:
         """Drops the tenure: another node may have begun one since."""
         self.tenure = None
+        self.assignment += 1
         self.assigned_at = None
         self.awaited = None
         self.cancel()
@@ -171,9 +176,10 @@
             exceptions.PlatformError: The store does not answer.
         """
         page = await self.tenures.read()
+        if self.tenure != tenure:
+            return
         if page.last != tenure:
-            if self.tenure == tenure:
-                self.tenure = None
+            self.tenure = None
             return
         await self.tenures.wait(page.end, WATCH_SECONDS)
         await self.membership.renew_now()
@@ -184,14 +190,11 @@
         Raises:
             exceptions.PlatformError: The store does not answer.
         """
+        assignment = self.assignment
         page = await self.tenures.read()
-        if page.last != self.awaited:
-            # Its holder may have been assigned the authority later than this
-            # node.
-            self.awaited = page.last
-            self.assigned_at = clocks.now()
-        if page.last is not None:
-            self.highest_token = max(self.highest_token, page.last.token)
+        if assignment != self.assignment:
+            return
+        self.observe(page.last)
         claim = self.assess(page.last)
         wait = claim.at - clocks.now()
         if wait > 0:
@@ -200,13 +203,18 @@
         if not claim.is_proven and not await self.has_lasted(page.last):
             await asyncio.sleep(RETRY_SECONDS)
             return
+        if assignment != self.assignment:
+            return
         token = decisions.next_token(self.membership.generation, page.last)
         token = max(token, self.ended_token + 1, self.highest_token + 1)
         tenure = msgspec.structs.replace(self.own, token=token)
         if await self.tenures.write(tenure, page.end) is None:
             return
-        if not self.membership.is_assigned() or token <= self.ended_token:
-            await self.tenures.end(tenure)
+        is_lost = assignment != self.assignment or token <= self.ended_token
+        if is_lost or not self.membership.is_assigned():
+            # Calls of an earlier tenure may still be under way.
+            if await self.membership.calls_have_ended():
+                await self.tenures.end(tenure)
             return
         self.tenure = tenure
         self.stop_asking()
@@ -220,6 +228,19 @@
             waited=round(clocks.now() - self.first_assigned_at, 3),
         )
 
+    def observe(self, last: decisions.Tenure | None) -> None:
+        """Takes note of the last tenure.
+
+        The holder of one that is new since the last read may have been assigned
+        the authority later than this node, so the wait begins anew.
+        """
+        if last is not None:
+            self.is_first = False
+            self.highest_token = max(self.highest_token, last.token)
+        if last != self.awaited:
+            self.awaited = last
+            self.assigned_at = self.first_assigned_at = clocks.now()
+
     def assess(self, last: decisions.Tenure | None) -> decisions.Claim:
         """Decides when the tenure may begin."""
         candidate = decisions.Candidate(
@@ -229,11 +250,8 @@
             self.membership.generation,
             self.is_first,
         )
-        proof = ""
-        if last is not None and self.is_replaced(last):
-            proof = "replaced"
-        elif last is not None and last == self.over:
-            proof = "answered"
+        is_over = last is not None and last == self.over
+        proof = "answered" if is_over else ""
         return decisions.claim(candidate, last, proof, self.lease_seconds)
 
     async def await_end(
