Settings for the memory and descriptors of a process

The deployment fills them from the VM's limits.

Stand-ins take bodies as they are sent, and as many header fields as nodes may pass on. Feature files that begin with @alone run one by one after the others: what they check of a process's memory must not depend on other load.

--- a/features/run.py
+++ b/features/run.py
@@ -20,6 +20,9 @@
 # Feature files that run side by side. A fleet is a dozen processes that
 # mostly wait; four of them keep about half of 12 cores busy.
 WORKERS = 4
+# First line of a feature file that runs apart from all others: what it checks
+# of a process's memory must not depend on other load.
+ALONE = "@alone"
 # Statuses of behave that are no failure.
 FINE = ("passed", "skipped", "untested")
 # Characters of a failed step's message that the summary repeats.
@@ -125,12 +128,25 @@
 
 
 def run_all(paths: list[pathlib.Path], arguments: list[str]) -> list[Scenario]:
-    """Runs feature files side by side; prints each as it ends.
+    """Runs feature files side by side, then one by one those that run apart."""
+    together = []
+    apart = []
+    for path in paths:
+        lines = path.read_text().split("\n", 1)
+        (apart if lines[0].strip() == ALONE else together).append(path)
+    listed = run_files(together, arguments, WORKERS)
+    return listed + run_files(apart, arguments, 1)
+
+
+def run_files(
+    paths: list[pathlib.Path], arguments: list[str], workers: int
+) -> list[Scenario]:
+    """Runs feature files, some side by side; prints each as it ends.
 
     Each fleet has addresses of its own, so files do not meet.
     """
     listed = []
-    with futures.ThreadPoolExecutor(WORKERS) as pool:
+    with futures.ThreadPoolExecutor(workers) as pool:
         runs = [pool.submit(run_file, path, arguments) for path in paths]
         for each in futures.as_completed(runs):
             run = each.result()
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -90,6 +90,11 @@
         self.version = 0
         self.routes = [PLAIN, LOOKUP, BRIEF, SWAP]
         self.accounts: list[dict[str, Any]] | None = None
+        self.limits = {
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        }
         # Sections that are added to the settings of gateways.
         self.sections: dict[str, dict[str, Any]] = {}
         self.failed = False
@@ -177,11 +182,7 @@
                 {"name": "app", "maxConns": 96},
                 {"name": "lm", "maxConns": 360, "engine": ENGINE},
             ],
-            "limits": {
-                "maxBodyBytes": 65536,
-                "headerTimeoutMs": 3000,
-                "idleTimeoutMs": 15000,
-            },
+            "limits": self.limits,
         }
         if self.accounts is not None:
             value["tenants"] = self.accounts
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -60,6 +60,7 @@
         leaving: Whether each answer says that the replica leaves.
         rest: Seconds of rest for which each request is turned away; 0 for none.
         endless: Next runs whose answer never ends.
+        padding: Bytes that follow the seal in the body of a plain answer.
     """
 
     seconds: float = 0.02
@@ -83,6 +84,7 @@
     leaving: bool = False
     rest: float = 0.0
     endless: int = 0
+    padding: int = 0
 
     def takes(self, name: str) -> bool:
         """Counts a fault down and says whether it strikes now."""
@@ -256,9 +258,8 @@
         await asyncio.sleep(self.faults.seconds)
         if self.faults.takes("halved"):
             return await self.halve(request, headers)
-        response = web.Response(
-            headers=headers, body=self.seal(attempt).encode()
-        )
+        body = self.seal(attempt).encode() + b"x" * self.faults.padding
+        response = web.Response(headers=headers, body=body)
         if self.faults.takes("stray"):
             await response.prepare(request)
             await response.write_eof()
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/serving.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/serving.py
@@ -16,6 +16,9 @@
 
 # Bytes; above the log service's largest record and any test prompt.
 BODY_LIMIT = 8 * 1024 * 1024
+# Fields of a head, and bytes of a field: above what any node passes on.
+MAX_FIELDS = 32768
+MAX_FIELD_BYTES = 65536
 # Seconds between two looks at a condition.
 LOOK = 0.005
 
@@ -98,7 +101,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     runner = web.AppRunner(
-        application, access_log=None, handler_cancellation=True
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        auto_decompress=False,
+        max_headers=MAX_FIELDS,
+        max_field_size=MAX_FIELD_BYTES,
     )
     await runner.setup()
     await web.TCPSite(runner, address, port, shutdown_timeout=0.2).start()
--- a/packages/gypsumfold/src/gypsumfold/gateway/settings.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/settings.py
@@ -301,6 +301,18 @@
     grace_s: Seconds = 8.0
 
 
+class ProcessSection(settings_module.Section):
+    """What the VM allows the process.
+
+    Attributes:
+        memory_mb: Memory in megabytes (2**20 bytes).
+        descriptors: Open file descriptors; 0 for the system's own limit.
+    """
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 300.0
+    descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class MetricsSection(settings_module.Section):
     """Where counters and latency histograms are served; port 0: nowhere."""
 
@@ -332,6 +344,7 @@
     prefill: PrefillSection = PrefillSection()
     plain_calls: PlainCallsSection = PlainCallsSection()
     shutdown: ShutdownSection = ShutdownSection()
+    process: ProcessSection = ProcessSection()
     metrics: MetricsSection = MetricsSection()
 
 
