Pass bodies on as their callers sent them

Cause: the HTTP library decompresses bodies as it parses them, on each port, before the limit for bodies counts them. It no longer does; the limit and the replica see what was sent.

--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -443,7 +443,12 @@
         self, handle: Callable[..., Awaitable], address: str
     ) -> None:
         """Serves one handler on IP:PORT."""
-        server = web.Server(handle, access_log=None, handler_cancellation=True)
+        server = web.Server(
+            handle,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+        )
         self.runners.append(await server_module.listen(server, address))
 
     async def answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -62,6 +62,9 @@
             keepalive_timeout=KEEP_ALIVE_SECONDS,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            # A body reaches the replica as its caller has sent it, and takes
+            # no more memory than was received.
+            auto_decompress=False,
         )
         self.runner = await listen(server, address)
 
