Serve requests with as many header fields as fit into a head

A caller whose request had more than 128 fields got 400, "Too many headers received", in HTTP/1.0 and without a word on whether it had run, though its head was far below the operators' limit.

Cause: the HTTP library's own limit of 128 fields. It is now the number that the largest accepted head can hold.

--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -21,6 +21,8 @@
 # Largest request line and header field that the HTTP library accepts, in bytes;
 # the operators' limit for an entire head is below this.
 MAX_HEADER_BYTES = 65536
+# Fields of a head of that size: a name, a colon and a line end at least.
+MAX_FIELDS = MAX_HEADER_BYTES // 4
 # Longer than callers may keep a connection idle, so that a request never
 # arrives while the server closes the connection.
 KEEP_ALIVE_SECONDS = 90.0
@@ -62,6 +64,7 @@
             keepalive_timeout=KEEP_ALIVE_SECONDS,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_FIELDS,
             # A body reaches the replica as its caller has sent it, and takes
             # no more memory than was received.
             auto_decompress=False,
