Close idle connections to replicas that nobody will use again

Requests sent ahead under one attempt id left a connection to a replica open each: 12 clients with 1,000 requests took all 256 descriptors of a small node, which then accepted nobody.

Cause: an answer is told from late ones by its attempt's id, so a request finds no connection on which its id was sent before, and opens another. Idle connections were closed only by a request that looked at them, and nothing bounded their number. They are closed once their time is over, looked at each second, and the ones idle longest as soon as there are more than an eighth of the descriptors.

--- a/packages/gypsumfold/src/gypsumfold/gateway/connection_pool.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connection_pool.py
@@ -12,6 +12,8 @@
 # has been sent yet, so another replica can be tried before a lost packet would
 # be retransmitted (one second).
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Idle connections where the settings of the process say nothing.
+MAX_IDLE = 512
 
 
 class Pool:
@@ -19,12 +21,18 @@
 
     Attributes:
         held_bytes: Bytes of the bodies that are being read whole.
+        max_idle: Largest number of idle connections.
 
     >>> pool = Pool()
     >>> connection = await pool.acquire("10.1.64.9:8080", "i-7f3a91c2")
     """
 
-    def __init__(self, source: str = ""):
+    def __init__(
+        self,
+        source: str = "",
+        max_idle: int = MAX_IDLE,
+    ):
+        self.max_idle = max_idle
         self.local_address = (source, 0) if source else None
         self.idle: dict[tuple[str, str], list[connections.Connection]] = {}
         self.opened = 0
@@ -99,6 +107,36 @@
         if connection.reset_for_reuse():
             key = (address, instance)
             self.idle.setdefault(key, []).append(connection)
+            self.close_surplus()
+
+    def close_surplus(self) -> None:
+        """Closes the connections that were idle longest, if there are many."""
+        surplus = sum(map(len, self.idle.values())) - self.max_idle
+        for _ in range(surplus):
+            # Each list is in the order in which its connections became idle.
+            oldest = min(
+                (kept for kept in self.idle.values() if kept),
+                key=lambda kept: kept[0].idle_since,
+            )
+            oldest.pop(0).abort()
+
+    def close_expired(self, now: float) -> None:
+        """Closes idle connections that may not be used again.
+
+        A request looks only at the connections that it may use, so the others
+        would stay open.
+        """
+        for key, kept in list(self.idle.items()):
+            usable = []
+            for connection in kept:
+                if connection.is_reusable(now):
+                    usable.append(connection)
+                    continue
+                connection.abort()
+            if usable:
+                self.idle[key] = usable
+            else:
+                del self.idle[key]
 
     def put_back(
         self, address: str, instance: str, connection: connections.Connection
@@ -116,3 +154,12 @@
         """Closes all idle connections."""
         for address, instance in list(self.idle):
             self.discard(address, instance)
+
+
+def max_idle(descriptors: int) -> int:
+    """Returns how many idle connections a process may keep.
+
+    Args:
+        descriptors: Descriptors of the process; 0 if they aren't set.
+    """
+    return max(1, descriptors // 8) if descriptors else MAX_IDLE
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -123,7 +123,10 @@
             runs_module.InterruptedRuns(self.directory)
         )
         self.configurations = configurations_module.Configurations()
-        self.pool = connection_pool.Pool(settings.replicas.source)
+        self.pool = connection_pool.Pool(
+            settings.replicas.source,
+            connection_pool.max_idle(settings.process.descriptors),
+        )
         self.endpoints = replicas.Replicas(self.pool)
         self.directory.liveness.is_connected = self.endpoints.is_connected
         self.endpoints.statement_listener = self.directory.statements.record
@@ -480,6 +483,7 @@
                 self.reload.clear()
                 self.reload_settings()
             self.directory.expire(time.monotonic())
+            self.pool.close_expired(time.monotonic())
             self.share_retries()
             self.counters.open_requests.set(len(self.server.busy))
             self.counters.unusable.set(self.registrations.unreadable)
