--- a/packages/gypsumfold/src/gypsumfold/decisions/intake.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/intake.py
@@ -51,7 +51,17 @@
 
 
 class State(enum.Enum):
-    """What a connection is doing."""
+    """What a connection is doing.
+
+    Attributes:
+        IDLE: No byte of a request has come.
+        HEAD: A part of a head has come.
+        BODY: A head has come, and not the entire body.
+        SERVING: The request was read whole and has no complete answer.
+        ANSWERING: A whole answer is being sent, or the client has taken
+            nothing of an answer for some time.
+        DRAINING: The final answer came before the request was read whole.
+    """
 
     IDLE = "idle"
     HEAD = "head"
@@ -61,12 +71,6 @@
     DRAINING = "draining"
 
 
-# IDLE: no byte of a request has come. HEAD and BODY: a part of one has.
-# SERVING: it was read whole. ANSWERING: a whole answer is being sent, or the
-# client has taken nothing of one for some time. DRAINING: the final answer
-# came before the request was read whole.
-
-
 class Reason(enum.StrEnum):
     """Why a caller was refused or its connection closed."""
 
