--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -4,6 +4,7 @@
 import resource
 
 import behave
+from features.support import crowd_clients
 from features.support import crowds
 from features.support import gateway_calls as callers
 from features.support import gateways
@@ -65,7 +66,7 @@
     found = crowds.PLACES[place]
     clients = crowds.CROWDS[crowd](found)
     context.crowds.append(
-        crowds.Crowd(context.gateway.host, found.port, clients)
+        crowd_clients.Crowd(context.gateway.host, found.port, clients)
     )
     context.add_cleanup(context.crowds[-1].close)
     context.crowds[-1].wait_until_there()
--- a/features/support/soak_crowds.py
+++ b/features/support/soak_crowds.py
@@ -4,6 +4,7 @@
 import random
 import threading
 
+from features.support import crowd_clients
 from features.support import crowds
 from features.support import gateways
 from features.support import processes
@@ -66,7 +67,7 @@
             clients = clients[: self.random.randint(*CLIENTS)]
             stays = self.random.uniform(*STAYS)
             with contextlib.closing(
-                crowds.Crowd(process.host, place.port, clients)
+                crowd_clients.Crowd(process.host, place.port, clients)
             ):
                 self.ended.wait(stays)
             self.count += 1
