review: a case that fails to run exits with 2

An unforeseen error of a script ended with the exit code of a broken rule. The common end of the cases now stands once, in the stand-ins' folder.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,8 +4,6 @@
 the channel. With TROUBLE=0 it reads at once.
 """
 
-import os
-import pathlib
 import socket
 import sys
 import time
@@ -13,7 +11,6 @@
 import fleet
 import wire
 
-RECORD = str(pathlib.Path(__file__).with_name("record.txt"))
 # Bytes of an answer's body beside the attempt id: more than the kernel holds on
 # its way, which is 4 MB here and far less on a link with small windows.
 PADDING = 7_000_000
@@ -102,18 +99,5 @@
     return held
 
 
-def main() -> int:
-    """Runs the case; returns the exit code."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    with fleet.Fleet(RECORD) as deployment:
-        try:
-            held = play(deployment, has_trouble)
-        except (fleet.CannotRun, OSError) as error:
-            deployment.note(f"the case couldn't run: {error!r}")
-            return 2
-        deployment.note("the rule held" if held else "the rule was broken")
-        return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleet.run_case(play, __file__))
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -1,5 +1,6 @@
 """Starts a small deployment: gateways as the deploy file has it, stand-ins."""
 
+from collections.abc import Callable
 import contextlib
 import copy
 import http.client
@@ -15,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SUPPORT = pathlib.Path(__file__).resolve().parent
@@ -327,3 +329,24 @@
     def runs(self, name: str) -> list[dict]:
         """Returns what a replica has run."""
         return json.loads(call(self.addresses[name], "GET", "/_test/runs")[1])
+
+
+def run_case(play: Callable[[Fleet, bool], bool], script: str) -> int:
+    """Plays a case and writes its record; returns the exit code.
+
+    Args:
+        play: Plays it with or without the disruption; returns whether the rule
+            held.
+        script: Path of the case's script, beside which the record goes.
+    """
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = str(pathlib.Path(script).with_name("record.txt"))
+    with Fleet(record) as deployment:
+        try:
+            held = play(deployment, has_trouble)
+        except Exception:
+            # A failure of the case must not count as a broken rule.
+            deployment.note(f"the case couldn't run: {traceback.format_exc()}")
+            return 2
+        deployment.note("the rule held" if held else "the rule was broken")
+        return 0 if held else 1
