--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -34,7 +34,7 @@
 core_share = 0.537
 core_speed = 2
 link_mbps = 1000.0
-first_start = true
+first_start = {first_start}
 [callers]
 front = "{front}"
 ready = "{ready}"
@@ -145,6 +145,8 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, str] = {}
         self.config = copy.deepcopy(CONFIG)
+        self.ready_addresses: dict[str, str] = {}
+        self.settings: dict[str, str] = {}
         self.entries: dict[str, dict[str, object]] = {}
         self.phases: dict[str, float] = {}
         # When each replica writes its entry next.
@@ -233,17 +235,28 @@
         self.addresses[name] = free_address(host)
         ready = free_address(host)
         metrics = free_address(host).rpartition(":")[2]
-        path = self.folder / f"{name}.toml"
-        path.write_text(
-            SETTINGS.format(
-                name=name,
-                front=self.addresses[name],
-                ready=ready,
-                store=self.addresses["store"],
-                peers=free_address(host),
-                metrics=metrics,
-            )
+        self.ready_addresses[name] = ready
+        text = SETTINGS.format(
+            name=name,
+            first_start="{first_start}",
+            front=self.addresses[name],
+            ready=ready,
+            store=self.addresses["store"],
+            peers=free_address(host),
+            metrics=metrics,
         )
+        self.settings[name] = text
+        self.run_gateway(name, "true")
+        self.wait_until_ready(name)
+
+    def restart_gateway(self, name: str) -> None:
+        """Starts a gateway that has ended, on its addresses."""
+        self.run_gateway(name, "false")
+
+    def run_gateway(self, name: str, first_start: str) -> None:
+        """Starts a gateway's process with the command of the deploy file."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(self.settings[name].format(first_start=first_start))
         self.start(
             name,
             ["python3", "-m", "gypsumfold.gateway.main"],
@@ -253,7 +266,15 @@
                 "SSL_CERT_FILE": "/dev/null",
             },
         )
-        self.wait_until(name, ready, "/v1/readyz", lambda status: status == 200)
+
+    def wait_until_ready(self, name: str) -> None:
+        """Waits until a gateway says that it is ready."""
+        self.wait_until(
+            name,
+            self.ready_addresses[name],
+            "/v1/readyz",
+            lambda status: status == 200,
+        )
 
     def wait_until(self, name: str, address: str, path: str, fits) -> None:
         """Waits until a process gives an answer that fits."""
