--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -347,6 +347,12 @@
                 with contextlib.suppress(OSError, CannotRun):
                     self.write_entry(name)
 
+    def memory_mb(self, name: str) -> int:
+        """Returns a process's resident memory in MB (2**20 bytes)."""
+        pid = self.processes[name].pid
+        pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") // 2**20
+
     def runs(self, name: str) -> list[dict]:
         """Returns what a replica has run."""
         return json.loads(call(self.addresses[name], "GET", "/_test/runs")[1])
--- a/review/support-2/replica.py
+++ b/review/support-2/replica.py
@@ -12,6 +12,8 @@
 
 import wire
 
+# Bytes of the data of an event.
+EVENT_BYTES = 1000
 JSON = (("Content-Type", "application/json"),)
 
 
@@ -23,6 +25,7 @@
         self.seconds = options.work_ms / 1000
         self.slow_prefix = options.slow_prefix
         self.slow_seconds = options.slow_ms / 1000
+        self.events = options.events
         self.padding = b"x" * options.padding
         self.born = int(time.time() * 1000)
         self.running = 0
@@ -40,6 +43,11 @@
         if request.path == "/v1/report":
             report = {"queued": 0, "running": self.running, "born": self.born}
             return wire.Answer(200, json.dumps(report).encode(), JSON)
+        if request.path == "/v1/kv-list":
+            cached = {"epoch": 1, "nextToken": 0, "held": [], "born": self.born}
+            return wire.Answer(200, json.dumps(cached).encode(), JSON)
+        if request.path.startswith("/v1/"):
+            return wire.Answer(200)
         return await self.run(request)
 
     def time_of(self, target: str) -> float:
@@ -64,6 +72,8 @@
         finally:
             self.running -= 1
         row["ended"] = time.time()
+        if self.events:
+            return self.stream(attempt)
         fields = (
             ("Attempt-Id", attempt),
             ("Response-Seal", f"{self.instance}.{attempt}"),
@@ -71,6 +81,17 @@
         )
         return wire.Answer(200, attempt.encode() + self.padding, fields)
 
+    def stream(self, attempt: str) -> wire.Answer:
+        """Makes a stream of events, each with several tokens."""
+        fields = (
+            ("Attempt-Id", attempt),
+            ("Response-Seal", f"{self.instance}.{attempt}"),
+            ("Content-Type", "text/event-stream"),
+        )
+        data = b"x" * EVENT_BYTES
+        event = b"id: 1\ndata: " + data + b"\n\n"
+        return wire.Answer(200, event, fields, self.events)
+
 
 def main() -> None:
     """Serves a replica."""
@@ -79,6 +100,7 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--instance", required=True)
     parser.add_argument("--work-ms", type=float, default=20.0)
+    parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--slow-prefix", default="")
     parser.add_argument("--slow-ms", type=float, default=0.0)
     parser.add_argument("--padding", type=int, default=0)
--- a/review/support-2/wire.py
+++ b/review/support-2/wire.py
@@ -30,11 +30,19 @@
 
 
 class Answer(NamedTuple):
-    """One answer, sent whole."""
+    """One answer, sent whole.
+
+    Attributes:
+        status: HTTP status.
+        body: The body, or a part of it.
+        fields: Header fields, without the length.
+        repeats: How often the part is sent.
+    """
 
     status: int = 200
     body: bytes = b""
     fields: tuple[tuple[str, str], ...] = ()
+    repeats: int = 1
 
 
 Handle = Callable[[Request], Awaitable[Answer]]
@@ -69,12 +77,12 @@
     return Request(method, target, fields, await reader.readexactly(size))
 
 
-def encode(answer: Answer) -> bytes:
-    """Encodes an answer with its length."""
+def encode_head(answer: Answer) -> bytes:
+    """Encodes the head of an answer with its length."""
     lines = [f"HTTP/1.1 {answer.status} {REASONS.get(answer.status, 'Status')}"]
     lines += [f"{name}: {value}" for name, value in answer.fields]
-    lines.append(f"Content-Length: {len(answer.body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + answer.body
+    lines.append(f"Content-Length: {len(answer.body) * answer.repeats}")
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
 async def serve(handle: Handle, address: str, port: int) -> None:
@@ -87,8 +95,10 @@
         with contextlib.suppress(*ended):
             while True:
                 answer = await handle(await read_request(reader))
-                writer.write(encode(answer))
-                await writer.drain()
+                writer.write(encode_head(answer))
+                for _ in range(answer.repeats):
+                    writer.write(answer.body)
+                    await writer.drain()
         writer.close()
 
     server = await asyncio.start_server(connected, address, port, limit=1 << 20)
