--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 TROUBLE=0 the store answers.
 """
 
+import pathlib
 import signal
 import socket
 import sys
@@ -14,6 +15,8 @@
 import fleet
 import wire
 
+# What was sent, answered and run.
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 GATEWAYS = ("edge-north-apron-1", "edge-north-apron-2")
 REPLICAS = ("i-31b174c273", "i-7f3a91c2aa")
 # Milliseconds that a hold takes, and of its route's timeout.
@@ -163,4 +166,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleet.run_case(play, __file__))
+    sys.exit(fleet.run_case(play, RECORD))
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -134,11 +134,11 @@
 class Fleet:
     """The processes of one case, and its record.
 
-    >>> with Fleet("review/6/record.txt") as fleet:
+    >>> with Fleet(pathlib.Path("review/6/record.txt")) as fleet:
     ...     fleet.start_store()
     """
 
-    def __init__(self, record: str):
+    def __init__(self, record: pathlib.Path):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record_file = open(record, "w", encoding="utf-8")  # noqa: SIM115
         self.started = time.time()
@@ -358,16 +358,15 @@
         return json.loads(call(self.addresses[name], "GET", "/_test/runs")[1])
 
 
-def run_case(play: Callable[[Fleet, bool], bool], script: str) -> int:
+def run_case(play: Callable[[Fleet, bool], bool], record: pathlib.Path) -> int:
     """Plays a case and writes its record; returns the exit code.
 
     Args:
         play: Plays it with or without the disruption; returns whether the rule
             held.
-        script: Path of the case's script, beside which the record goes.
+        record: Path of the record.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = str(pathlib.Path(script).with_name("record.txt"))
     with Fleet(record) as deployment:
         try:
             held = play(deployment, has_trouble)
