Fix the times of a gateway's stop by its signal alone

Cause: Gateway.shut_down awaited the end of the tenure, the leave and the removal of its entry, up to 0.8 s for each call to the silent store, before the 2.9 s of the balancer's notice began. Two more losses that don't need the store: requests in progress 0.7 s before the kill were cut, and what was received behind a request in progress, or parsed but not begun, was dropped with its connection.

Each request ends in time: 504 if it may have run, 503 if not; one that hasn't been passed on is refused once less is left than requests of its route usually take. What was received whole by the end of the notice is served, the rest refused.

--- a/packages/gypsumfold/src/gypsumfold/decisions/intake.py
+++ b/packages/gypsumfold/src/gypsumfold/decisions/intake.py
@@ -80,6 +80,7 @@
     HEAD_TOO_SLOW = "head-too-slow"
     IDLE = "idle"
     NOT_DRAINED = "not-drained"
+    STOPPING = "stopping"
 
 
 class Room(NamedTuple):
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -89,6 +89,12 @@
     "error",
     "Requests still running at the shutdown's time limit were aborted.",
 )
+STOP_STEP = define(
+    111,
+    "stop-step",
+    "info",
+    "A step of a graceful shutdown has ended or was given up.",
+)
 REQUEST_ENDED = define(
     200, "request-ended", "info", "A request got its final answer."
 )
--- a/packages/gypsumfold/src/gypsumfold/gateway/caller_connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/caller_connections.py
@@ -43,6 +43,11 @@
         reading: Ends the read of a body that has to give way.
         dropped: Bytes received since the final answer.
         refusal: Answer to a head that came behind a request in progress.
+        received: Bytes received in all.
+        parsed: Those of them that were parsed.
+        cutoff: Bytes received when the node took in its last request; None
+            before that.
+        gave_way_for: Why the body that is being read isn't wanted any more.
     """
 
     def __init__(
@@ -56,6 +61,10 @@
         self.reading: asyncio.Timeout | None = None
         self.dropped = 0
         self.refusal: exceptions.RequestError | None = None
+        self.received = 0
+        self.parsed = 0
+        self.cutoff: int | None = None
+        self.gave_way_for = intake.Reason.NO_MEMORY
 
     def data_received(self, data: bytes) -> None:
         """Counts what was received, and parses it now or in its turn."""
@@ -63,6 +72,7 @@
             # The library goes on with what it has kept.
             self.parse(data)
             return
+        self.received += len(data)
         if self.closing or self.state is intake.State.DRAINING:
             self.drop(len(data))
         else:
@@ -74,7 +84,8 @@
             # The socket is read on, so that a close is noticed.
             return
         if len(self.unparsed) <= DIRECT_BYTES and self.may_parse():
-            self.parse_slice()
+            if self.parse_slice():
+                self.intake.turns.add(self)
             return
         self._pause_transport_reading()
         self.intake.turns.add(self)
@@ -103,8 +114,12 @@
         """Parses a slice; returns whether another one may follow now."""
         if self.transport is None or not self.may_parse():
             return False
-        data = bytes(self.unparsed[: turns.SLICE_BYTES])
-        del self.unparsed[: turns.SLICE_BYTES]
+        size = turns.SLICE_BYTES
+        if self.cutoff is not None and self.parsed < self.cutoff:
+            # No request before the cutoff is parsed with one behind it.
+            size = min(size, self.cutoff - self.parsed)
+        data = bytes(self.unparsed[:size])
+        del self.unparsed[:size]
         self.parse(data)
         if self.unparsed:
             return True
@@ -114,6 +129,7 @@
 
     def parse(self, data: bytes) -> None:
         """Parses bytes, and follows which part of a request they were."""
+        self.parsed += len(data)
         payload = self.last_payload
         had_body = payload is not None and not payload.is_eof()
         count = self._request_count
@@ -231,6 +247,7 @@
             self.abort()
             return
         if state is intake.State.BODY and self.reading is not None:
+            self.gave_way_for = reason
             self.release_down_to(0)
             self.enter(intake.State.DRAINING)
             self.stop_parsing()
@@ -246,6 +263,36 @@
             return
         self.abort()
 
+    def end_intake(self) -> None:
+        """Takes in no further request, as the node stops.
+
+        An idle connection is closed, and a request that isn't whole refused.
+        What was received is answered in its turn; `is_late` tells which of it
+        came too late to be served.
+        """
+        if self.cutoff is None:
+            self.cutoff = self.received
+        if self.closing or self.has_more():
+            return
+        if self.state is intake.State.IDLE:
+            self.force_close()
+        elif self.state is intake.State.HEAD:
+            self.intake.count(intake.Reason.STOPPING, self)
+            self.refuse(intake.Reason.STOPPING)
+        elif self.state is intake.State.BODY and self.reading is not None:
+            self.intake.count(intake.Reason.STOPPING, self)
+            self.give_way(intake.Reason.STOPPING)
+
+    def has_more(self) -> bool:
+        """Whether anything was received behind the present request."""
+        if self.unparsed or self._messages:
+            return True
+        return self.state is not intake.State.BODY and self.has_unread()
+
+    def is_late(self) -> bool:
+        """Whether the present request came after the node's last one."""
+        return self.cutoff is not None and self.parsed > self.cutoff
+
     def stop_parsing(self) -> None:
         """Drops what is received from now on; the connection will end."""
         self.closing = True
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -48,6 +48,7 @@
 from gypsumfold.gateway import runs as runs_module
 from gypsumfold.gateway import server as server_module
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway import shutdown as shutdown_module
 from gypsumfold.gateway import steady_records
 from gypsumfold.gateway import store_copy as store_copy_module
 from gypsumfold.gateway import supervision
@@ -69,16 +70,11 @@
 
 # Seconds between two checks of the settings file, log lines and gauges.
 HOUSEKEEPING_SECONDS = 1.0
-# Seconds for which a stopping node goes on listening: the balancer checks once
-# a second and removes a node after two negative answers.
-DRAIN_NOTICE_SECONDS = 2.9
 # Questions for the origins of streams that are open at the same time.
 MAX_ORIGIN_QUERIES = 64
 # Seconds for which a request that another node has served shows that it reaches
 # the replicas.
 CUT_OFF_EVIDENCE_SECONDS = 3.0
-# Seconds before the kill at which a stopping node gives its final answers.
-FINAL_ANSWER_SECONDS = 0.7
 
 
 class Gateway:
@@ -86,7 +82,7 @@
 
     Attributes:
         member: This incarnation's unique name among the nodes.
-        stop: Set to shut down.
+        stop: Set by `request_stop`.
         reload: Set to load the settings file again.
         settings_modified_at: Modification time of the loaded settings file.
 
@@ -370,6 +366,14 @@
         self.leadership.is_cut_off = self.is_cut_off
         self.directory.removal_listeners.append(self.forget)
         self.runners: list[web.ServerRunner] = []
+        self.shutdown = shutdown_module.Shutdown(
+            self.server, self.forward_server, self.handler.open_requests
+        )
+        self.shutdown.releases["authority"] = self.leadership.stop
+        self.shutdown.releases["entry"] = self.gossip.entries.withdraw
+        self.shutdown.flushes["usage"] = self.duties.flush
+        self.shutdown.closers["tasks"] = self.supervisor.cancel_all
+        self.shutdown.closers["connections"] = self.close_connections
 
     def forget(self, replica: types.Replica) -> None:
         """Drops what is kept for a removed replica."""
@@ -578,31 +582,20 @@
         self.planner.policy = self.settings.roles.policy
         self.generations.waits.refuse_early = self.settings.roles.refuse_early
 
-    async def shut_down(self) -> None:
-        """Shuts down without interrupting a request.
+    def request_stop(self) -> None:
+        """Begins the stop; further requests change nothing."""
+        self.shutdown.request()
+        self.stop.set()
 
-        Readiness checks fail at once. Requests that the balancer still sends
-        are served, and each answer closes its connection.
-        """
-        started = time.monotonic()
-        grace = self.settings.shutdown.grace_s
-        events.log(events.NODE_STOPPING, requests=len(self.server.busy))
-        self.server.stopping = True
-        self.forward_server.stopping = True
+    async def shut_down(self) -> None:
+        """Stops within the grace without interrupting a request."""
         if self.handler.plain_calls.shared is not None:
             self.handler.plain_calls.shared.stop()
-        await asyncio.gather(
-            self.leadership.stop(), self.gossip.entries.withdraw()
-        )
-        await asyncio.sleep(min(DRAIN_NOTICE_SECONDS, grace / 2))
-        await self.server.stop_listening()
-        end = started + grace - FINAL_ANSWER_SECONDS
-        await asyncio.gather(
-            self.server.wait_until_idle(end - time.monotonic()),
-            self.forward_server.wait_until_idle(end - time.monotonic()),
-        )
-        await self.duties.flush()
-        await self.supervisor.cancel_all()
+        await self.shutdown.run(self.settings.shutdown.grace_s)
+        self.lines.flush()
+
+    async def close_connections(self) -> None:
+        """Closes all connections to replicas, other nodes and the platform."""
         self.pool.close()
         await self.session.close()
         await self.loans.close()
@@ -610,8 +603,6 @@
         await self.forward_link.close()
         await self.duties.close()
         await self.store.close()
-        events.log(events.NODE_STOPPED)
-        self.lines.flush()
 
 
 def budget_policy(settings: settings_module.Settings) -> retry_budget.Policy:
--- a/packages/gypsumfold/src/gypsumfold/gateway/handling.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/handling.py
@@ -17,6 +17,7 @@
 from gypsumfold.gateway import directory as directory_module
 from gypsumfold.gateway import fingerprints
 from gypsumfold.gateway import generations as generations_module
+from gypsumfold.gateway import open_requests
 from gypsumfold.gateway import origins as origins_module
 from gypsumfold.gateway import plain_calls as plain_calls_module
 from gypsumfold.gateway import progress as progress_module
@@ -58,6 +59,9 @@
 class Handler:
     """Serves requests, each in its own task.
 
+    Attributes:
+        open_requests: The admitted requests in progress.
+
     >>> await handler.serve(call, reply)
     """
 
@@ -84,6 +88,7 @@
         self.usage = usage
         self.directory = directory
         self.forwarder = forwarder
+        self.open_requests = open_requests.OpenRequests()
 
     def check_head(self, call: types.Call) -> None:
         """Checks what can be told of a request before its body is read.
@@ -221,22 +226,17 @@
         progress: progress_module.Progress,
         serve: Serve,
     ) -> None:
-        """Serves a request; fails it once its deadline has passed."""
+        """Serves a request; fails it once its deadline has passed.
+
+        A node that stops may end it before.
+        """
         try:
-            async with asyncio.timeout(progress.time_left()):
-                await self.take_up(route, progress)
-                await serve(configuration, route, reply, progress)
+            async with asyncio.timeout(progress.time_left()) as timeout:
+                with self.open_requests.follow(route, progress, timeout):
+                    await self.take_up(route, progress)
+                    await serve(configuration, route, reply, progress)
         except TimeoutError as error:
-            if progress.answer_started:
-                raise exceptions.AnswerBroken("the deadline passed") from error
-            if progress.may_have_run:
-                raise exceptions.AnswerUndetermined(
-                    "no answer came before the deadline",
-                    outcomes.Outcome.UNDETERMINED,
-                ) from error
-            raise exceptions.Unavailable(
-                "the deadline passed", outcomes.Outcome.NOT_RUN, 0.0
-            ) from error
+            raise self.open_requests.timeout_error(progress) from error
 
     async def take_up(
         self, route: routes.Route, progress: progress_module.Progress
--- a/packages/gypsumfold/src/gypsumfold/gateway/main.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/main.py
@@ -47,7 +47,7 @@
     gateway = gateway_module.Gateway(settings, file, lines)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, gateway.stop.set)
+        loop.add_signal_handler(number, gateway.request_stop)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload.set)
     await gateway.run()
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/refusals.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/refusals.py
@@ -8,6 +8,7 @@
 from gypsumfold.callers import problems
 from gypsumfold.decisions import intake
 from gypsumfold.decisions import prompts as prompts_module
+from gypsumfold.gateway import open_requests
 from gypsumfold.gateway import progress as progress_module
 
 # Retry-After of a request for which the node has no room, in seconds.
@@ -54,6 +55,8 @@
         return exceptions.HeadTooSlow(
             "the head did not come in time", outcomes.Outcome.NOT_RUN
         )
+    if reason is intake.Reason.STOPPING:
+        return open_requests.refusal()
     return exceptions.Unavailable(
         "the node has no room for the request",
         outcomes.Outcome.NOT_RUN,
--- a/packages/gypsumfold/src/gypsumfold/gateway/request_bodies.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/request_bodies.py
@@ -23,7 +23,7 @@
 
     Raises:
         exceptions.BodyTooLarge: It has more bytes.
-        exceptions.Unavailable: There is no room for it.
+        exceptions.Unavailable: There is no room for it, or the node stops.
     """
     connection = request.protocol
     parts = []
@@ -37,7 +37,7 @@
                     raise too_large(limit)
     except TimeoutError as error:
         parts.clear()
-        raise refusals.intake_refusal(intake.Reason.NO_MEMORY) from error
+        raise refusals.intake_refusal(connection.gave_way_for) from error
     except BaseException:
         # The exception refers to this frame until it has been handled.
         parts.clear()
--- a/packages/gypsumfold/src/gypsumfold/gateway/server.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/server.py
@@ -1,7 +1,6 @@
 """HTTP server for callers: reads complete requests and streams answers."""
 
 import asyncio
-import contextlib
 import time
 
 from aiohttp import web
@@ -17,14 +16,15 @@
 from gypsumfold.gateway import handling
 from gypsumfold.gateway import intake as intake_module
 from gypsumfold.gateway import listeners
+from gypsumfold.gateway import refusals
 from gypsumfold.gateway import request_bodies
 from gypsumfold.gateway import types
 from gypsumfold.platform import ingress
 
 # Statuses of answers that never have a body, whatever length they name.
 BODILESS_STATUSES = (204, 304)
-# Time to send the last bytes of answers when the process ends.
-WRITE_TIMEOUT_SECONDS = 0.5
+# Seconds between two looks at the connections of a node that stops.
+CLOSE_INTERVAL_SECONDS = 0.05
 
 
 class Server:
@@ -32,7 +32,8 @@
 
     Attributes:
         busy: Connections with a request in progress.
-        stopping: Whether the connection is closed after each answer.
+        stopping: Whether a connection is closed after the answer to the last
+            request that was received on it.
 
     >>> server = Server(handler, intake)
     >>> await server.start("10.1.0.38:8149")
@@ -46,7 +47,6 @@
         self.handler = handler
         self.intake = room
         self.busy: set[web_protocol.RequestHandler] = set()
-        self.request_ended = asyncio.Event()
         self.stopping = False
         self.runner: web.ServerRunner | None = None
 
@@ -63,6 +63,8 @@
         call_id = ingress.call_id(tuple(request.raw_headers))
         try:
             call = await self.read(request, arrival)
+            if request.protocol.is_late():
+                raise refusals.intake_refusal(intake.Reason.STOPPING)
             await self.handler.serve(call, reply)
         except exceptions.RequestError as error:
             return await self.send_error(reply, error, call_id)
@@ -85,7 +87,6 @@
             return await self.send_error(reply, failure, call_id)
         finally:
             self.busy.discard(request.protocol)
-            self.request_ended.set()
         return reply.response
 
     async def read(
@@ -141,30 +142,20 @@
         await reply.send(error.status, "", tuple(raw), body)
         return reply.response
 
-    async def stop_listening(self) -> None:
-        """Accepts no more connections and closes the idle ones.
+    async def end_intake(self, until: float) -> None:
+        """Accepts no more connections; returns once all are closed.
 
-        From then on the HTTP library drops data on an idle connection without
-        closing it; it closes the others after their answer.
+        Args:
+            until: When those that are left are given up, in seconds on the
+                monotonic clock.
         """
         for site in list(self.runner.sites):
             await site.stop()
-        # Data received by now is handled as a request first.
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
         server = self.runner.server
-        server.pre_shutdown()
-        for connection in list(server.connections):
-            if connection not in self.busy:
-                connection.force_close()
-
-    async def wait_until_idle(self, timeout: float) -> None:
-        """Waits until no request is in progress, or the timeout in seconds."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout):
-                while self.busy:
-                    self.request_ended.clear()
-                    await self.request_ended.wait()
+        while server.connections and time.monotonic() < until:
+            for connection in list(server.connections):
+                connection.end_intake()
+            await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
         if self.busy:
             events.log(events.NODE_GAVE_UP, requests=len(self.busy))
 
@@ -225,7 +216,8 @@
             self.missing = length
         connection = self.request.protocol
         is_read = self.request.content.is_eof()
-        if self.server.stopping or connection.closing or not is_read:
+        is_last = self.server.stopping and not connection.has_more()
+        if is_last or connection.closing or not is_read:
             response.force_close()
         self.response = response
         await response.prepare(self.request)
