--- a/packages/gypsumfold/src/gypsumfold/shutdown.py
+++ b/packages/gypsumfold/src/gypsumfold/shutdown.py
@@ -1,10 +1,11 @@
 """The graceful shutdown of a node: its steps and their time limits.
 
-1. The readiness check fails, the next heartbeat informs the peers, and
-   leases are released. Requests that the load balancer still sends are
-   served, and each answer closes its connection.
+1. The readiness check fails and the next heartbeat informs the peers.
+   Requests that the load balancer still sends are served, and each answer
+   closes its connection. Leases are released meanwhile; the log may not
+   answer.
 2. After the balancer's notice time the node stops listening and closes idle
-   connections.
+   connections, whether the leases have been released or not.
 3. Requests of callers and peers that are in progress run to completion.
    Callers whose requests exceed the limit get a final answer that says so.
 4. The rest of the node is closed.
@@ -21,6 +22,8 @@
 # Time limit of one release. It cannot succeed while the log is down; the
 # lease then expires by itself.
 RELEASE_TIMEOUT_SECONDS = 5.0
+# Time limit for closing the rest of the node, which writes to the log again.
+CLOSE_TIMEOUT_SECONDS = 5.0
 # Time beyond the limit for the last bytes of an answer, including the final
 # answer to an abandoned request.
 FINAL_WRITE_SECONDS = 5.0
@@ -54,15 +57,30 @@
         """Stops the node; returns when all its tasks have ended."""
         node.stopping = True
         events.log(events.NODE_STOPPING)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(asyncio.sleep(self.settings.notice))
-            for name, release in self.releases.items():
-                group.create_task(self.release(name, release))
+        releases = []
+        for name, release in self.releases.items():
+            releases.append(asyncio.create_task(self.release(name, release)))
+        await asyncio.sleep(self.settings.notice)
         await node.stop_listening()
         await self.drain(node)
-        await node.close()
+        if releases:
+            await asyncio.wait(releases)
+        await self.close(node)
         events.log(events.NODE_STOPPED)
 
+    async def close(self, node) -> None:
+        """Closes the rest of the node; calls of the log may not be answered."""
+        closing = asyncio.create_task(node.close())
+        await asyncio.wait({closing}, timeout=CLOSE_TIMEOUT_SECONDS)
+        if not closing.done():
+            events.log(
+                events.STOP_STEP,
+                step="close",
+                outcome="given up",
+                seconds=CLOSE_TIMEOUT_SECONDS,
+            )
+            closing.cancel()
+
     async def release(
         self, name: str, release: Callable[[], Awaitable[None]]
     ) -> None:
