Take an answer without a length for whole only once its upload went through

A replica answered a long upload at once, without a length, closed its side in order, and the connection was reset as more of the upload arrived.

Cause: Connection.eof_received took the close for the answer's end while the request was still being sent.

Change: with unsent or unacknowledged bytes the end waits until the kernel has the acknowledgement, or an error.

--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -7,9 +7,13 @@
 """
 
 import asyncio
+import fcntl
 import itertools
+import os
 import re
 import socket
+import struct
+import termios
 import time
 
 import h11
@@ -30,6 +34,9 @@
 IDLE_MARGIN_SECONDS = 0.6
 # Unread bytes of a body beyond which reading from the socket is paused.
 MAX_UNREAD_BYTES = 256 * 1024
+# Seconds between two checks whether a request has been received after its
+# answer's connection was closed in order.
+UPLOAD_CHECK_SECONDS = 0.01
 # Largest number of informational heads before an answer.
 MAX_INFORMATIONAL_HEADS = 16
 # Matches the timeout in seconds in a replica's Keep-Alive header.
@@ -91,15 +98,45 @@
     def eof_received(self) -> bool:
         """Handles a clean close by the replica."""
         self.usable = False
-        if not self.idle:
-            self.feed(b"")
+        if self.idle:
+            return False
+        if self.has_unsent():
+            # The connection may still be reset, and an answer that has no
+            # other end has been broken off then.
+            self.check_upload()
+            return True
+        self.feed(b"")
         return False
 
+    def has_unsent(self) -> bool:
+        """Whether the other side may not have received the whole request."""
+        if self.transport.get_write_buffer_size():
+            return True
+        sock = self.transport.get_extra_info("socket")
+        return sock is not None and unacknowledged_bytes(sock) > 0
+
+    def check_upload(self) -> None:
+        """Ends the answer once its request has been received or has failed."""
+        if self.lost or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.error = OSError(code, os.strerror(code))
+            self.abort()
+            return
+        if self.has_unsent():
+            loop = asyncio.get_running_loop()
+            loop.call_later(UPLOAD_CHECK_SECONDS, self.check_upload)
+            return
+        self.feed(b"")
+        self.transport.close()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Handles the loss of the connection."""
         self.usable = False
         self.lost = True
-        self.error = error
+        self.error = error or self.error
         if self.expiry is not None:
             self.expiry.stop()
             self.error = error or self.expiry.error
@@ -286,6 +323,18 @@
         return self.is_open() and now - self.idle_since < self.idle_timeout
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns the sent bytes that the other side hasn't acknowledged.
+
+    None are known where the system doesn't tell.
+    """
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", found)[0]
+
+
 def parse_idle_timeout(value: bytes) -> float:
     """Returns the idle timeout of a connection from its Keep-Alive header."""
     found = KEEP_ALIVE_PATTERN.search(value)
