--- a/features/steps/early_answers_steps.py
+++ b/features/steps/early_answers_steps.py
@@ -28,6 +28,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 BODIES = {
     "a plain call": ("text/plain", b"part of a body"),
+    "a keyed call": ("application/json", b"[1]"),
     "a stream": ("text/event-stream", b"id: 1\ndata: t1\n\n"),
     "a prefill": ("application/json", b'{"handle":"ab","tokens":4}'),
 }
@@ -82,9 +83,13 @@
     connection.close()
 
 
-async def exchange(address: str, call: str, size: int) -> bool:
+async def exchange(
+    address: str, call: str, size: int, statements: list | None = None
+) -> bool:
     """Makes a call; returns whether its answer counts as whole."""
     client = replicas.Replicas(connection_pool.Pool())
+    if statements is not None:
+        client.statement_listener = lambda _, found: statements.append(found)
     replica = types.Replica("i-1", "s", address, "dc", 4, False)
     now = time.monotonic()
     request = types.Call(
@@ -104,7 +109,7 @@
             return True
         found = await client.send(replica, request, instructions)
         with contextlib.closing(found):
-            if call == "a plain call":
+            if call in ("a plain call", "a keyed call"):
                 await found.read()
                 return True
             reply = Recorded()
@@ -137,6 +142,43 @@
         thread.join()
 
 
+def answer_with(listener: socket.socket, call: str, status: str) -> None:
+    """Answers a request with a status, in a thread of its own."""
+    connection, _ = listener.accept()
+    content, body = BODIES[call]
+    head = (
+        f"HTTP/1.1 {status} X\r\n{names.SEAL}: s\r\nContent-Type: {content}"
+        f"\r\n{names.RATE_LIMIT}: 1\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with connection:
+        connection.recv(4096)
+        connection.sendall(head.encode() + body)
+        connection.recv(4096)
+
+
+@behave.when("a replica answers {call} with status {status}")
+def step_status(context, call, status):
+    context.statements = []
+    with socket.create_server((HOST, 0)) as listener:
+        address = f"{HOST}:{listener.getsockname()[1]}"
+        thread = threading.Thread(
+            target=answer_with, args=(listener, call, status)
+        )
+        thread.start()
+
+        async def story():
+            async with asyncio.timeout(LIMIT):
+                return await exchange(address, call, 20, context.statements)
+
+        context.is_whole = uvloop.run(story())
+        thread.join()
+
+
+@behave.then("nothing of what it says of its replica is heeded")
+def step_unheeded(context):
+    assert not context.statements, context.statements
+
+
 @behave.then("the answer has been broken off")
 def step_broken(context):
     assert not context.is_whole
--- a/packages/gypsumfold/src/gypsumfold/platform/names.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/names.py
@@ -52,6 +52,8 @@
 NOT_RUN = "Not-Run"
 RETRY_AFTER = "Retry-After"
 RATE_LIMIT = "Server-Limit"
+# Highest status of an answer in HTTP; parsers take any three digits.
+HIGHEST_STATUS = 599
 # Set by a replica that is about to shut down.
 LEAVING = "Server-Leaving"
 INSTANCE = "Instance-Id"
--- a/packages/gypsumfold/src/gypsumfold/platform/replicas.py
+++ b/packages/gypsumfold/src/gypsumfold/platform/replicas.py
@@ -312,6 +312,11 @@
                 connection.abort()
         if not done:
             raise exceptions.AnswerBroken("the replica closed unanswered")
+        if event.status_code > names.HIGHEST_STATUS:
+            connection.abort()
+            raise exceptions.AnswerBroken(
+                f"{event.status_code} is no status of an answer"
+            )
         attempt = ""
         not_run = False
         for name, value in event.headers:
