Bound what is held of streams that replicas pour

Cause: a chunk counted as used up once it was taken from the parser, while its caller had not taken it, so that each stream held over 1 MB; incomplete events of up to 1 MB a stream weren't counted together; and the kernel held megabytes a connection.

Change: a chunk is used up when the next one is asked for, 64 KB may be unread, incomplete events share the room for whole answers, and both sockets' buffers are set.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -106,6 +106,22 @@
     And the gateway says that it is ready
     And the gateway lives within its memory and descriptors
 
+  # The next bytes were read from a replica while the caller had not taken the last ones.
+  Scenario Outline: A crowd that doesn't read what engines pour without end: <what> at <place>
+    Given a gateway on a small VM with 1024 descriptors
+    And engines that pour <what> without end
+    When a crowd of "unread streams" comes to "<place>"
+    Then an ordinary caller is served
+    And the gateway says that it is ready
+    And the gateway lives within its memory and descriptors
+
+    Examples:
+      | what      | place             |
+      | events    | a stream route    |
+      | events    | a resumable route |
+      | one event | a stream route    |
+      | one event | a resumable route |
+
   Scenario Outline: Unfinished fields at <place> of a VM with many descriptors
     Given a gateway on a small VM with 1024 descriptors
     When a crowd of "unfinished fields" comes to "<place>"
--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -35,6 +35,8 @@
     context.fleet = fleet
     fleet.limits = crowds.LIMITS
     fleet.routes = [{**gateways.LOOKUP, "timeoutMs": 20_000}]
+    for route in (gateways.BRIEF, gateways.SWAP):
+        fleet.routes.append({**route, "timeoutMs": 20_000})
     fleet.sections["process"] = {
         "memory_mb": crowds.MEMORY_MB,
         "descriptors": descriptors,
@@ -61,6 +63,16 @@
         context.fleet[name].faults(padding=size * 1024)
 
 
+@behave.given("engines that pour {what} without end")
+def step_pour(context, what):
+    fault = "endless" if what == "one event" else "endless_events"
+    engines = ("lm-1", "lm-2", "lm-3", "lm-4")
+    context.fleet.start_replicas([(name, "lm", "decode") for name in engines])
+    for name in engines:
+        context.fleet[name].faults(**{fault: 1_000_000})
+        context.fleet.until_known("edge-1", name)
+
+
 @behave.when('a crowd of "{crowd}" comes to "{place}"')
 def step_crowd(context, crowd, place):
     found = crowds.PLACES[place]
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -68,6 +68,9 @@
     length = None
     is_framed = True
 
+    def hold(self, size, limit):
+        assert size <= limit, size
+
     async def chunks(self):
         """The body as it comes."""
         yield b"id: 1\ndata: a\n\n"
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -39,6 +39,8 @@
 
 PLACES = {
     "a route": Place(gateways.FRONT_PORT, "/lookups/1"),
+    "a stream route": Place(gateways.FRONT_PORT, "/briefs/1"),
+    "a resumable route": Place(gateways.FRONT_PORT, "/swaps/1"),
     "no route": Place(gateways.FRONT_PORT, "/nowhere/1"),
     "ready": Place(gateways.READY_PORT, names.READY_PATH),
     "peers": Place(gateways.PEER_PORT, forward_messages.PATH),
@@ -225,6 +227,22 @@
     return found
 
 
+def unread_streams(place: Place) -> list[crowd_clients.Client]:
+    """Requests for streams, which aren't read."""
+    found = []
+    for number in range(200):
+        data = head(
+            place,
+            number,
+            "GET",
+            f"{names.MODEL}: m",
+            f"{names.TOKEN_COUNTS}: 20,4000",
+            f"{names.CHAIN}: {number:x}:20",
+        )
+        found.append(crowd_clients.Client((data,), stays=True))
+    return found
+
+
 CROWDS: dict[str, Callable[[Place], list[crowd_clients.Client]]] = {
     "stopped bodies": stopped_bodies,
     "trickled bodies": trickled_bodies,
@@ -242,6 +260,7 @@
     "unfinished fields": unfinished_fields,
     "requests ahead": requests_ahead,
     "unread answers": unread_answers,
+    "unread streams": unread_streams,
 }
 
 
--- a/features/support/virtual_engines.py
+++ b/features/support/virtual_engines.py
@@ -240,6 +240,9 @@
         self.length = None
         self.reset = replica.fleet.resets()
 
+    def hold(self, size, limit):
+        assert size <= limit, size
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """The body as it comes."""
         fleet = self.replica.fleet
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -27,6 +27,8 @@
 
 # One piece of an answer that never ends.
 POURED = b"x" * 65536
+# Events that come again and again.
+POURED_EVENTS = b"id: 1\ndata: token-1\n\n" * 3000
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -60,6 +62,7 @@
         leaving: Whether each answer says that the replica leaves.
         rest: Seconds of rest for which each request is turned away; 0 for none.
         endless: Next runs whose answer never ends.
+        endless_events: Next runs whose stream of events never ends.
         padding: Bytes that follow the seal in the body of a plain answer.
     """
 
@@ -84,6 +87,7 @@
     leaving: bool = False
     rest: float = 0.0
     endless: int = 0
+    endless_events: int = 0
     padding: int = 0
 
     def takes(self, name: str) -> bool:
@@ -252,7 +256,9 @@
         if self.faults.takes("failing"):
             return web.Response(status=500, headers=headers, body=b"failed")
         if self.faults.takes("endless"):
-            return await self.pour(request, headers)
+            return await self.pour(request, headers, POURED)
+        if self.faults.takes("endless_events"):
+            return await self.pour(request, headers, POURED_EVENTS)
         if request.headers.get("Accept") == "text/event-stream":
             return await self.stream(request, headers)
         await asyncio.sleep(self.faults.seconds)
@@ -269,14 +275,14 @@
         return response
 
     async def pour(
-        self, request: web.Request, headers: dict[str, str]
+        self, request: web.Request, headers: dict[str, str], data: bytes
     ) -> web.StreamResponse:
         """Sends bytes without end until the caller closes."""
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
         while request.transport is not None:
-            await response.write(POURED)
+            await response.write(data)
             await asyncio.sleep(0)
         return response
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -32,8 +32,13 @@
 # A connection counts as closed this long before the replica's own timeout: a
 # request sent while the replica closes the connection may not be retried.
 IDLE_MARGIN_SECONDS = 0.6
-# Unread bytes of a body beyond which reading from the socket is paused.
-MAX_UNREAD_BYTES = 256 * 1024
+# Bytes of a body that its reader has not used up, beyond which reading from the
+# socket is paused, and the kernel's buffer for more of them.
+MAX_UNREAD_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# Bytes that are held of a stream whose caller takes none: unread ones, those of
+# one more read, and those that are being sent.
+STREAM_BYTES = MAX_UNREAD_BYTES + 2 * RECEIVE_BUFFER_BYTES
 # Seconds between two checks whether a request has been received after its
 # answer's connection was closed in order.
 UPLOAD_CHECK_SECONDS = 0.01
@@ -49,6 +54,8 @@
 
     Attributes:
         number: Number of this connection among all of the process.
+        unread_bytes: Received bytes that haven't been used up.
+        in_use: Bytes of the last event, which its reader holds.
         sent: The requests sent on it so far.
         expiry: Ends a call under the authority; None for any other request.
 
@@ -72,6 +79,7 @@
         self.idle_timeout = IDLE_TIMEOUT_SECONDS
         self.last_received = 0.0
         self.unread_bytes = 0
+        self.in_use = 0
         self.informational_heads = 0
         self.expiry: call_expiry.CallExpiry | None = None
 
@@ -86,6 +94,9 @@
                 socket.TCP_USER_TIMEOUT,
                 call_expiry.UNACKNOWLEDGED_TIMEOUT_MS,
             )
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; aborts if bytes arrive while no request waits."""
@@ -239,6 +250,7 @@
             exceptions.AnswerBroken: The connection was lost or the answer is
                 not valid.
         """
+        self.release_used()
         while True:
             try:
                 event = self.parser.next_event()
@@ -257,7 +269,7 @@
                 self.count_informational_head()
                 continue
             if isinstance(event, h11.Data):
-                self.consumed(len(event.data))
+                self.in_use = len(event.data)
             return event
 
     def count_informational_head(self) -> None:
@@ -271,8 +283,16 @@
             self.abort()
             raise exceptions.AnswerBroken("heads come without an answer")
 
+    def release_used(self) -> None:
+        """Counts the bytes of the last event as used up.
+
+        Its reader asks for the next event once the caller has taken them.
+        """
+        self.consumed(self.in_use)
+        self.in_use = 0
+
     def consumed(self, size: int) -> None:
-        """Resumes reading once enough bytes have been consumed."""
+        """Resumes reading once enough bytes have been used up."""
         self.unread_bytes = max(0, self.unread_bytes - size)
         if self.unread_bytes <= MAX_UNREAD_BYTES and not self.lost:
             self.transport.resume_reading()
@@ -313,6 +333,7 @@
         self.expiry = None
         self.parser.start_next_cycle()
         self.unread_bytes = 0
+        self.in_use = 0
         self.informational_heads = 0
         self.idle = True
         self.idle_since = time.monotonic()
--- a/packages/gypsumfold/src/gypsumfold/gateway/counted_connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/counted_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 import time
 
 from aiohttp import web
@@ -11,6 +12,10 @@
 from gypsumfold.gateway import connections
 from gypsumfold.gateway import intake as intake_module
 
+# Bytes of an answer that the kernel takes for a client that doesn't read; by
+# itself it would take megabytes.
+SEND_BUFFER_BYTES = 128 * 1024
+
 
 class CountedConnection(web_protocol.RequestHandler):
     """A connection whose bytes count in the process's intake.
@@ -52,6 +57,11 @@
         """Takes the connection in, if there is room for it."""
         super().connection_made(transport)
         self.wire = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
         peer = transport.get_extra_info("peername")
         self.client = peer[0] if peer else ""
         self.counted = self.intake.admit(self)
@@ -119,8 +129,8 @@
             return
         unsent = self.wire.get_write_buffer_size()
         if self.writing_paused:
-            # As much again as is read from a replica before that is paused.
-            unsent += connections.MAX_UNREAD_BYTES
+            # What is read from a replica before that is paused.
+            unsent += connections.STREAM_BYTES
         grown = unsent - self.unsent
         if grown or not self.writing_paused:
             self.stalled_since = None
--- a/packages/gypsumfold/src/gypsumfold/gateway/pooled_answers.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/pooled_answers.py
@@ -51,6 +51,7 @@
         has_no_body = method == "HEAD" or self.status in BODILESS_STATUSES
         self.is_framed = has_no_body or _is_framed(head)
         self.ended = False
+        self.held = 0
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it is received.
@@ -90,19 +91,35 @@
             async for chunk in self.chunks():
                 parts.append(chunk)
                 size += len(chunk)
-                self.pool.held_bytes += len(chunk)
-                if (
-                    size > limit
-                    or self.pool.held_bytes > self.pool.max_held_bytes
-                ):
-                    self.connection.abort()
-                    raise exceptions.AnswerBroken(
-                        f"a body of over {size} bytes is too large"
-                    )
+                self.hold(size, limit)
         finally:
-            self.pool.held_bytes -= size
+            self.release()
         return b"".join(parts)
 
+    def hold(self, size: int, limit: int) -> None:
+        """Counts the bytes of the body that are kept until more have come.
+
+        Args:
+            size: Bytes that are kept now.
+            limit: Largest number of them.
+
+        Raises:
+            exceptions.AnswerBroken: They are too many by themselves or together
+                with those of other answers.
+        """
+        self.pool.held_bytes += size - self.held
+        self.held = size
+        if size > limit or self.pool.held_bytes > self.pool.max_held_bytes:
+            self.connection.abort()
+            raise exceptions.AnswerBroken(
+                f"over {size} bytes are too many to be kept"
+            )
+
+    def release(self) -> None:
+        """Counts no bytes any more."""
+        self.pool.held_bytes -= self.held
+        self.held = 0
+
     async def drain(self) -> None:
         """Reads a body that is not needed; closes a long or slow one."""
         size = 0
@@ -123,6 +140,7 @@
 
     def close(self) -> None:
         """Ends the exchange; the replica cancels what still runs."""
+        self.release()
         if not self.ended:
             self.connection.abort()
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/streams.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/streams.py
@@ -112,7 +112,7 @@
             listener.bytes_received()
             self.boundaries.feed(data)
             if self.resumable:
-                data = self.take_complete_events(data)
+                data = self.take_complete_events(data, answer)
             if not data:
                 continue
             listener.output_received()
@@ -221,15 +221,15 @@
             await self.start_answer(answer, progress)
         await self.reply.write(data)
 
-    def take_complete_events(self, data: bytes) -> bytes:
+    def take_complete_events(self, data: bytes, answer: types.Answer) -> bytes:
         """Adds bytes and returns the complete events; the rest stays pending.
 
         Raises:
-            exceptions.AnswerBroken: An incomplete event is too large.
+            exceptions.AnswerBroken: The incomplete event is too large, by
+                itself or together with those of other streams.
         """
         self.pending += data
-        if self.boundaries.tail > MAX_EVENT_BYTES:
-            raise exceptions.AnswerBroken("an incomplete event is too large")
+        answer.hold(self.boundaries.tail, MAX_EVENT_BYTES)
         end = len(self.pending) - self.boundaries.tail
         complete = self.pending[:end]
         self.pending = self.pending[end:]
--- a/packages/gypsumfold/src/gypsumfold/gateway/types.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/types.py
@@ -241,6 +241,12 @@
         Raises `AnswerBroken` if it ends early or is too large.
         """
 
+    def hold(self, size: int, limit: int) -> None:
+        """Counts bytes of the body that are kept until more have come.
+
+        Raises `AnswerBroken` if there are too many.
+        """
+
     async def drain(self) -> None:
         """Reads a body that is not needed; closes a long or slow one."""
 
