Vouch for a sole software version only as of the question

A gateway that heard nothing for a moment vouched for the one version that it knew, while a stream had begun on another one through other gateways and was taken up at it.

Cause: a view of the registrations that was up to 2 s old counted as of now, here and for nodes that ask.

Change: before a node vouches for a sole origin it reads registrations and configuration up to the question (gateway/view_confirmations.py); questions at one time share a read. Without an answer in 0.25 s the stream is refused as not run (event 251). The virtual site's division also holds for questions and forwarded requests now; with them open nothing was seen.

--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -28,6 +28,7 @@
 from gypsumfold.gateway import gateway as gateway_module
 from gypsumfold.gateway import line_writer
 from gypsumfold.gateway import settings as settings_module
+from gypsumfold.gateway.peers import forwarding
 from gypsumfold.gateway.peers import queries
 from gypsumfold.platform import names
 from gypsumfold.platform import operations as operations_module
@@ -246,6 +247,9 @@
             exceptions.AnswerBroken: It ended meanwhile.
         """
         await asyncio.sleep(2 * NETWORK)
+        if self.site.is_divided(self.address, address):
+            await asyncio.sleep(forwarding.CONNECT_TIMEOUT_SECONDS)
+            raise exceptions.PeerUnreachable(f"{address}")
         other = self.site.at(address)
         if other is None:
             raise exceptions.PeerUnreachable(f"{address}")
@@ -260,6 +264,9 @@
         try:
             while data := await received.get():
                 await asyncio.sleep(NETWORK)
+                if self.site.is_divided(self.address, address):
+                    await asyncio.sleep(forwarding.SILENCE_TIMEOUT_SECONDS)
+                    break
                 yield data
         finally:
             task.cancel()
@@ -272,13 +279,17 @@
             exceptions.PeerUnreachable: It does not run.
         """
         await asyncio.sleep(2 * NETWORK)
-        if tuple(address) in self.site.dark:
+        is_divided = self.site.is_divided(self.address, address)
+        if is_divided or tuple(address) in self.site.dark:
             await asyncio.sleep(queries.TIMEOUT_SECONDS)
             raise exceptions.PeerUnreachable(path)
         other = self.site.at(address)
         if other is None:
             raise exceptions.PeerNotListening(path)
         found = await other.gateway.query_handler.answer(path)
+        if self.site.is_divided(self.address, address):
+            await asyncio.sleep(queries.TIMEOUT_SECONDS)
+            raise exceptions.PeerUnreachable(path)
         if not found:
             raise exceptions.PeerRefused(path)
         return found
@@ -414,9 +425,13 @@
             await self.nodes.pop(name).stop()
 
     def divide(self, names: list[str]) -> None:
-        """Lets no datagram pass between these gateways and the others."""
+        """Lets nothing pass between these gateways and the others."""
         self.divided = {self.nodes[name].address for name in names}
 
+    def is_divided(self, one: tuple, other: tuple) -> bool:
+        """Whether nothing passes between two gateways' addresses."""
+        return (tuple(one) in self.divided) != (tuple(other) in self.divided)
+
     def configure(self, version: int) -> None:
         """Writes a configuration."""
         value = {**made_up.CONFIGURATION, "version": version}
@@ -499,7 +514,7 @@
         """Delivers a datagram."""
         if self.loss and self.rng.random() < self.loss:
             return
-        if (tuple(receiver) in self.divided) != (sender in self.divided):
+        if self.is_divided(sender, receiver):
             return
         for node in self.nodes.values():
             if node.address == tuple(receiver):
--- a/packages/gypsumfold/src/gypsumfold/events.py
+++ b/packages/gypsumfold/src/gypsumfold/events.py
@@ -206,6 +206,13 @@
     "A caller takes up a stream; the software version that began it is known "
     "from this node's own memory, from a peer, as the sole one, or unknown.",
 )
+VIEW_UNCONFIRMED = define(
+    251,
+    "view-unconfirmed",
+    "warning",
+    "The store did not confirm in time what this node knows of replicas and "
+    "routes, so that a stream that nobody remembers is refused.",
+)
 LOAN_FAILED = define(
     238,
     "loan-failed",
--- a/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/gateway.py
@@ -55,6 +55,7 @@
 from gypsumfold.gateway import topic_watches
 from gypsumfold.gateway import traffic_log
 from gypsumfold.gateway import types
+from gypsumfold.gateway import view_confirmations
 from gypsumfold.gateway import watches as watches_module
 from gypsumfold.gateway.peers import forward_messages
 from gypsumfold.gateway.peers import forward_server
@@ -339,6 +340,9 @@
         self.origins.registrations_age = lambda: (
             self.watches.registrations.staleness.age(clocks.now())
         )
+        self.origins.confirm_view = view_confirmations.ViewConfirmations(
+            [self.watches.registrations, self.watches.configuration]
+        ).confirm
         self.steady_records.may_write = lambda: (
             self.gossip.is_store_reader() and self.origins.is_view_recent()
         )
--- a/packages/gypsumfold/src/gypsumfold/gateway/origins.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/origins.py
@@ -31,6 +31,11 @@
     """Finds no origin; used before there are other nodes."""
 
 
+async def confirm_unasked() -> bool:
+    """Takes what is known for what is so now; used where nothing is read."""
+    return True
+
+
 async def wait_for_nothing() -> None:
     """Waits for nothing; used where nothing is read."""
 
@@ -46,6 +51,8 @@
         ask: Asks other nodes for the origin of a stream on a route.
         wait_until_read: Waits a moment for what a starting node reads.
         registrations_age: Returns the age of the known registrations.
+        confirm_view: Reads the registrations and the configuration up to now;
+            returns whether the store has answered.
         results: Number of streams taken up by how their origin was found.
 
     >>> origins = Origins(directory)
@@ -61,6 +68,7 @@
         self.ask: Ask = ask_nobody
         self.wait_until_read: Callable[[], Awaitable[None]] = wait_for_nothing
         self.registrations_age: Callable[[], float] = lambda: 0.0
+        self.confirm_view: Callable[[], Awaitable[bool]] = confirm_unasked
         self.route_services = software_versions.SteadyValues()
         self.results = {"own": 0, "peer": 0, "sole": 0, "unknown": 0}
 
@@ -130,6 +138,18 @@
             return None
         return stream_origins.Origin(service, version)
 
+    async def confirm_sole(self, route: str) -> stream_origins.Origin | None:
+        """Returns the one origin of a route's living streams as of now.
+
+        A replica of another version may have registered since the last read,
+        have begun the stream through another node, and have ended.
+        """
+        if self.sole(route) is None:
+            return None
+        if not await self.confirm_view():
+            return None
+        return self.sole(route)
+
     async def resolve(
         self, call: types.Call, route: routes.Route
     ) -> stream_origins.Origin:
@@ -178,7 +198,7 @@
         origin = await self.ask(key, route.name)
         if origin is not None:
             return origin, "peer"
-        origin = self.sole(route.name)
+        origin = await self.confirm_sole(route.name)
         return origin, "sole" if origin else "unknown"
 
     async def find_sole(
@@ -189,7 +209,7 @@
         Any stream that may still live can be meant, so only the origin that all
         of them have counts.
         """
-        origin = self.sole(route)
+        origin = await self.confirm_sole(route)
         if origin is not None:
             return origin, "sole"
         origin = await self.ask(stream_origins.NO_STREAM, route)
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/origin_queries.py
@@ -195,7 +195,7 @@
             found = await self.ask_members(members, ASK_ONE, key, route)
             if found is not None:
                 return msgspec.msgpack.encode(found)
-        origin = self.origins.sole(route)
+        origin = await self.origins.confirm_sole(route)
         if origin is None:
             return b""
         return msgspec.msgpack.encode(OriginAnswer(*origin, False))
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -283,6 +283,24 @@
         # The store answers with an empty page after the entire wait.
         self.staleness.record_read(asked if page.records else asked + wait)
 
+    async def read_now(self) -> bool:
+        """Reads what has been written up to now, beside `run`.
+
+        Returns:
+            Whether this copy has all of it.
+
+        Raises:
+            exceptions.PlatformError: The store did not answer.
+        """
+        if self.is_suspect or not self.has_read_all:
+            return False
+        asked = clocks.now()
+        page = await self.store.read(self.topic, self.position, 0.0)
+        self.consumer.update(page.records)
+        self.position = max(page.end, self.position)
+        self.staleness.record_read(asked)
+        return not self.is_suspect
+
     async def read_page(self, start: int, wait: float) -> store_module.Page:
         """Reads records from an offset on.
 
