Drop replicas whose removal the store has deleted

Cause: a full read of the registrations took a replica for gone only if its entry was older than the newest one that was left. The one that had written last stayed known until the next full read.

Change: compares with the topic's end, which the read names.

The virtual store can delete a history now.

--- a/features/steps/fuzzing_steps.py
+++ b/features/steps/fuzzing_steps.py
@@ -222,7 +222,7 @@
         store_module.Record("i-2", good),
     ]
     for _ in range(3):
-        context.registrations.replace(context.records)
+        context.registrations.replace(context.records, 1)
         context.registrations.update(context.records)
 
 
@@ -273,7 +273,7 @@
     for number in range(count):
         own = value + str(number).encode()
         records.append(store_module.Record(f"i-{number}", own))
-    context.registrations.replace(records)
+    context.registrations.replace(records, 1)
 
 
 @behave.then("at most {size:d} kilobytes are kept of them")
--- a/features/support/virtual_store.py
+++ b/features/support/virtual_store.py
@@ -41,6 +41,8 @@
         self.written_at: dict[str, list[float]] = {}
         self.joined_at: dict[str, float] = {}
         self.generations: list[tuple[float, int]] = [(0.0, 1)]
+        # Offset of the first record of a topic whose history is left.
+        self.first: dict[str, int] = {}
 
     def go_back(self, seconds: float) -> list[tuple[str, str, Any]]:
         """Returns to a copy that is some seconds old.
@@ -121,6 +123,10 @@
         records.append(store_module.Record(key, body, len(records)))
         self.written_at.setdefault(topic, []).append(self.clock())
 
+    def forget(self, topic: str) -> None:
+        """Deletes a topic's history; the newest record of each key stays."""
+        self.first[topic] = len(self.topics.get(topic, []))
+
     def newest(self, topic: str) -> store_module.Page:
         """The newest record of each key that has one."""
         records = self.topics.get(topic, [])
@@ -132,10 +138,11 @@
         """The records from an offset on.
 
         Raises:
-            store_module.HistoryLost: The topic ends before it.
+            store_module.HistoryLost: The topic ends before it, or its history
+                was deleted.
         """
         records = self.topics.get(topic, [])
-        if start > len(records):
+        if start > len(records) or start < self.first.get(topic, 0):
             raise store_module.HistoryLost("410")
         return store_module.Page(records[start:], max(start, len(records)))
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/configurations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/configurations.py
@@ -39,7 +39,7 @@
         self.listeners: list[Callable[[types.Configuration], None]] = []
         self.changed = asyncio.Event()
 
-    def replace(self, records: list[store_module.Record]) -> None:
+    def replace(self, records: list[store_module.Record], end: int) -> None:
         """Applies the newest record of every key."""
         self.apply_records(records, "newest")
 
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -97,7 +97,7 @@
         self.on_mesh_exceeded: Callable[[], None] = lambda: None
         self.on_node_removed: Callable[[str], None] = members.remove
 
-    def replace(self, records: list[store_module.Record]) -> None:
+    def replace(self, records: list[store_module.Record], end: int) -> None:
         """Replaces all entries with those in the store."""
         self.read_once = True
         present = {record.key for record in records if record.value}
@@ -214,7 +214,7 @@
         except exceptions.PlatformError as error:
             self.leadership.state.call_failed(error, asked)
             return False
-        self.replace(page.records)
+        self.replace(page.records, page.end)
         return True
 
     async def enter(self) -> None:
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -53,14 +53,19 @@
         self.unreadable = 0
         self.on_change: Callable[[], None] = lambda: None
 
-    def replace(self, records: list[store_module.Record]) -> None:
-        """Replaces all entries by the newest record of every key."""
+    def replace(self, records: list[store_module.Record], end: int) -> None:
+        """Replaces all entries by the newest record of every key.
+
+        Args:
+            records: The records.
+            end: The topic's end. A key that was written before it and has no
+                record was removed, also if the record of that is gone.
+        """
         before = self.registry.digest
         self.apply_records(records)
         present = {record.key for record in records if record.value}
-        newest = max((record.offset for record in records), default=0)
         now = clocks.now()
-        for change in self.registry.missing(present, newest):
+        for change in self.registry.missing(present, end - 1):
             self.registry.put(change, now)
         for instance in list(self.directory.replicas):
             if instance not in self.registry.values:
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -94,8 +94,8 @@
 class Consumer(Protocol):
     """Receives the records of a keyed topic."""
 
-    def replace(self, records: list[store_module.Record]) -> None:
-        """Replaces all entries by the newest record of every key."""
+    def replace(self, records: list[store_module.Record], end: int) -> None:
+        """Replaces all entries by each key's newest record before an end."""
 
     def update(self, records: list[store_module.Record]) -> None:
         """Applies records written since the last read."""
@@ -258,7 +258,7 @@
                 topic=self.topic,
                 age=rounded_age(self.staleness, asked),
             )
-        self.consumer.replace(page.records)
+        self.consumer.replace(page.records, page.end)
         self.has_read_all = True
         self.position = page.end
         self.complete_at = asked
