Ignore SIGHUP from a gateway's first line on

Cause: the handler was set after all imports; until then the signal had its default action.

Change: main.py ignores the signal before it imports the process, which is a module of its own (gateway/process.py).

Measured: features/reload_signals.feature, 1 of 2 scenarios failed on the code before, both pass.

--- a/packages/gypsumfold/src/gypsumfold/gateway/main.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/main.py
@@ -1,18 +1,12 @@
 """Runs a gateway: ``gypsumfold gateway FILE`` or this module."""
 
-import asyncio
 import pathlib
 import signal
 import sys
 
 import click
-import uvloop
 
-from gypsumfold import events
 from gypsumfold import exceptions
-from gypsumfold.gateway import gateway as gateway_module
-from gypsumfold.gateway import line_writer as line_writer_module
-from gypsumfold.gateway import settings as settings_module
 
 # Exit code for an invalid settings file (EX_CONFIG of sysexits.h).
 EXIT_SETTINGS = 78
@@ -28,28 +22,16 @@
 )
 def main(file: pathlib.Path) -> None:
     """Run a gateway with the settings in FILE, until SIGTERM or SIGINT."""
+    # Changed settings must not end a process that starts: the signal's default
+    # action would, and most of a start is the import of the modules below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from gypsumfold.gateway import process
+
     try:
-        settings = settings_module.load(file)
+        process.run(file)
     except exceptions.SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_SETTINGS)
-    lines = line_writer_module.NonBlockingLineWriter(sys.stdout.fileno())
-    events.configure(settings.node.name, lines)
-    uvloop.run(serve(settings, file, lines))
-
-
-async def serve(
-    settings: settings_module.Settings,
-    file: pathlib.Path,
-    lines: line_writer_module.NonBlockingLineWriter,
-) -> None:
-    """Runs a gateway; the first signal starts its graceful shutdown."""
-    gateway = gateway_module.Gateway(settings, file, lines)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, gateway.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, gateway.reload.set)
-    await gateway.run()
 
 
 if __name__ == "__main__":
