--- a/features/support/virtual_gateways.py
+++ b/features/support/virtual_gateways.py
@@ -203,7 +203,7 @@
             gateway.supervisor.start(name, function)
         gateway.supervisor.start("fetch", gateway.store_copy.fetch)
         gateway.supervisor.start("leadership", gateway.leadership.run)
-        gateway.supervisor.start("housekeeping", gateway.housekeeping)
+        gateway.supervisor.start("housekeeping", gateway.housekeeping.run)
         gateway.supervisor.start("steady-records", gateway.steady_records.run)
         for name, function in gateway.duties.tasks().items():
             gateway.supervisor.start(name, function)
--- a/packages/gypsumfold/src/gypsumfold/gateway/connections.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/connections.py
@@ -7,13 +7,10 @@
 """
 
 import asyncio
-import fcntl
 import itertools
 import os
 import re
 import socket
-import struct
-import termios
 import time
 
 import h11
@@ -22,6 +19,7 @@
 from gypsumfold.decisions import answer_identity
 from gypsumfold.gateway import call_expiry
 from gypsumfold.gateway import grants
+from gypsumfold.gateway import replica_sockets
 from gypsumfold.gateway import types
 
 # Largest head of an answer.
@@ -33,12 +31,11 @@
 # request sent while the replica closes the connection may not be retried.
 IDLE_MARGIN_SECONDS = 0.6
 # Bytes of a body that its reader has not used up, beyond which reading from the
-# socket is paused, and the kernel's buffer for more of them.
+# socket is paused.
 MAX_UNREAD_BYTES = 64 * 1024
-RECEIVE_BUFFER_BYTES = 64 * 1024
 # Bytes that are held of a stream whose caller takes none: unread ones, those of
 # one more read, and those that are being sent.
-STREAM_BYTES = MAX_UNREAD_BYTES + 2 * RECEIVE_BUFFER_BYTES
+STREAM_BYTES = MAX_UNREAD_BYTES + 2 * replica_sockets.RECEIVE_BUFFER_BYTES
 # Seconds between two checks whether a request has been received after its
 # answer's connection was closed in order.
 UPLOAD_CHECK_SECONDS = 0.01
@@ -88,15 +85,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                call_expiry.UNACKNOWLEDGED_TIMEOUT_MS,
-            )
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+            replica_sockets.configure(sock)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; aborts if bytes arrive while no request waits."""
@@ -124,7 +113,9 @@
         if self.transport.get_write_buffer_size():
             return True
         sock = self.transport.get_extra_info("socket")
-        return sock is not None and unacknowledged_bytes(sock) > 0
+        return (
+            sock is not None and replica_sockets.unacknowledged_bytes(sock) > 0
+        )
 
     def check_upload(self) -> None:
         """Ends the answer once its request has been received or has failed."""
@@ -183,11 +174,7 @@
         if not self.idle and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
             if sock is not None:
-                sock.setsockopt(
-                    socket.SOL_SOCKET,
-                    socket.SO_LINGER,
-                    call_expiry.RESET_ON_CLOSE,
-                )
+                replica_sockets.reset_on_close(sock)
         self.transport.abort()
 
     def permit(self, grant: grants.Grant, subject: str) -> None:
@@ -344,18 +331,6 @@
         return self.is_open() and now - self.idle_since < self.idle_timeout
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Returns the sent bytes that the other side hasn't acknowledged.
-
-    None are known where the system doesn't tell.
-    """
-    try:
-        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    except OSError:
-        return 0
-    return struct.unpack("i", found)[0]
-
-
 def parse_idle_timeout(value: bytes) -> float:
     """Returns the idle timeout of a connection from its Keep-Alive header."""
     found = KEEP_ALIVE_PATTERN.search(value)
