--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -25,6 +25,7 @@
 from features.support import soak_callers
 from features.support import soak_crowds
 from features.support import soak_parts
+from features.support import soak_stops
 from gypsumfold.platform import names
 
 # Gateways and engines of a short run, and the number of gateways up to which
@@ -126,6 +127,10 @@
         self.parts = soak_parts.CrashingParts(self)
         self.divisions = soak_authority.Divisions(fleet, seed)
         self.crowds = soak_crowds.Crowds(fleet, seed, self.gateways)
+        self.replicas = (*PLAINS, *self.engines)
+        # When each gateway was cut off or frozen.
+        self.frozen: dict[str, list[float]] = {}
+        self.stops = soak_stops.Stops(self)
 
     def prepare(self) -> None:
         """Starts the fleet, each replica and the store behind a proxy."""
@@ -177,6 +182,7 @@
         end = self.started + self.seconds
         while time.monotonic() < end:
             pending.append(self.strike())
+            pending += self.stops.strike()
             time.sleep(self.random.uniform(*BETWEEN))
             pending = self.heal(pending, time.monotonic())
             self.revive(time.monotonic())
@@ -419,6 +425,7 @@
         """Pauses a gateway and lets it go on."""
         process = self.fleet[self.random.choice(self.gateways)]
         if process.alive and not process.frozen:
+            self.frozen.setdefault(process.name, []).append(time.monotonic())
             process.freeze()
 
         def undo() -> None:
@@ -524,7 +531,14 @@
             if process.frozen:
                 process.thaw()
         for name in (*PLAINS, *self.engines):
-            self.set_faults(name, rate_limit=0.0, rest=0.0, endless=0)
+            self.set_faults(
+                name,
+                rate_limit=0.0,
+                rest=0.0,
+                endless=0,
+                endless_events=0,
+                odd_status=0,
+            )
         self.replace_leaving()
         rng = random.Random(self.seed)
         limit = time.monotonic() + CALM
@@ -653,6 +667,7 @@
         found += self.judge_arrivals()
         found += self.parts.broken()
         found += self.crowds.broken()
+        found += self.stops.broken()
         for name in self.gateways:
             found += self.regressed(name)
         if not self.recovered:
@@ -673,6 +688,8 @@
             found.append(f"{ask}: said not to have run, ran {runs} times")
         if ask.status == 200 and ask.whole and not ask.sealed:
             found.append(f"{ask}: a success that nobody vouches for")
+        if ask.status > 599:
+            found.append(f"{ask}: no status of an answer")
         complete = ask.status == 200 and ask.whole
         if (
             complete
--- a/features/support/soak_callers.py
+++ b/features/support/soak_callers.py
@@ -117,6 +117,8 @@
                     break
             else:
                 whole = True
+                # The next answer on the connection could not be read else.
+                response.close()
                 if not response.will_close:
                     self.kept[gateway] = connection
         except http.client.IncompleteRead as error:
--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -62,6 +62,7 @@
         leaving: Whether each answer says that the replica leaves.
         rest: Seconds of rest for which each request is turned away; 0 for none.
         endless: Next runs whose answer never ends.
+        odd_status: Next runs whose answer has a status that HTTP doesn't know.
         endless_events: Next runs whose stream of events never ends.
         padding: Bytes that follow the seal in the body of a plain answer.
     """
@@ -88,6 +89,7 @@
     rest: float = 0.0
     endless: int = 0
     endless_events: int = 0
+    odd_status: int = 0
     padding: int = 0
 
     def takes(self, name: str) -> bool:
@@ -255,6 +257,8 @@
             del headers["Response-Seal"]
         if self.faults.takes("failing"):
             return web.Response(status=500, headers=headers, body=b"failed")
+        if self.faults.takes("odd_status"):
+            return web.Response(status=999, headers=headers, body=b"none")
         if self.faults.takes("endless"):
             return await self.pour(request, headers, POURED)
         if self.faults.takes("endless_events"):
