Keep the last entry written before an outage until the next full read

Change: within the grace a key that was the last to be written counts as before, and all keys are read again as it ends, also where a read waits.

--- a/features/steps/late_configurations_steps.py
+++ b/features/steps/late_configurations_steps.py
@@ -260,6 +260,7 @@
 def step_newer_announced(context, before):
     site = context.site
     consumer = mock.Mock()
+    consumer.replace.return_value = 0.0
 
     async def story():
         path = virtual_store.Path()
@@ -320,6 +321,7 @@
         answer = store_module.Answer(context.page, era=0)
         store.call = mock.AsyncMock(return_value=answer)
         consumer = mock.Mock()
+        consumer.replace.return_value = 0.0
         state = topic_watches.StoreState(CONTACT)
         topic = names.CONFIGURATION_TOPIC
         watch = topic_watches.TopicWatch(
--- a/packages/gypsumfold/src/gypsumfold/gateway/configurations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/configurations.py
@@ -39,9 +39,10 @@
         self.listeners: list[Callable[[types.Configuration], None]] = []
         self.changed = asyncio.Event()
 
-    def replace(self, records: list[store_module.Record], end: int) -> None:
+    def replace(self, records: list[store_module.Record], end: int) -> float:
         """Applies the newest record of every key."""
         self.apply_records(records, "newest")
+        return 0.0
 
     def update(self, records: list[store_module.Record]) -> None:
         """Applies records written since the last read."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/peers/entries.py
@@ -97,7 +97,7 @@
         self.on_mesh_exceeded: Callable[[], None] = lambda: None
         self.on_node_removed: Callable[[str], None] = members.remove
 
-    def replace(self, records: list[store_module.Record], end: int) -> None:
+    def replace(self, records: list[store_module.Record], end: int) -> float:
         """Replaces all entries with those in the store."""
         self.read_once = True
         present = {record.key for record in records if record.value}
@@ -109,6 +109,7 @@
         if self.members.own.node not in present:
             self.apply_removal(self.members.own.node)
         self.update(records)
+        return 0.0
 
     def update(self, records: list[store_module.Record]) -> None:
         """Applies entries that changed since the last read."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/registrations.py
@@ -53,24 +53,36 @@
         self.unreadable = 0
         self.on_change: Callable[[], None] = lambda: None
 
-    def replace(self, records: list[store_module.Record], end: int) -> None:
+    def replace(self, records: list[store_module.Record], end: int) -> float:
         """Replaces all entries by the newest record of every key.
 
+        A key that was written before the topic's end and has no record was
+        removed, also if the record of that is gone. Just after an outage, in
+        which entries of running replicas expire, one that was the last to be
+        written is kept until the next read shows whether it is back.
+
         Args:
             records: The records.
-            end: The topic's end. A key that was written before it and has no
-                record was removed, also if the record of that is gone.
+            end: The topic's end.
+
+        Returns:
+            Seconds until all keys should be read again; 0 for no need.
         """
         before = self.registry.digest
         self.apply_records(records)
         present = {record.key for record in records if record.value}
+        grace = self.state.grace()
+        last = end - 1
+        if grace > 0:
+            last = max((record.offset for record in records), default=0)
         now = clocks.now()
-        for change in self.registry.missing(present, end - 1):
+        for change in self.registry.missing(present, last):
             self.registry.put(change, now)
         for instance in list(self.directory.replicas):
             if instance not in self.registry.values:
-                self.drop(instance, self.state.grace())
+                self.drop(instance, grace)
         self.finish_read(before)
+        return grace
 
     def update(self, records: list[store_module.Record]) -> None:
         """Applies records written since the last read."""
--- a/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/topic_watches.py
@@ -94,8 +94,8 @@
 class Consumer(Protocol):
     """Receives the records of a keyed topic."""
 
-    def replace(self, records: list[store_module.Record], end: int) -> None:
-        """Replaces all entries by each key's newest record before an end."""
+    def replace(self, records: list[store_module.Record], end: int) -> float:
+        """Replaces all entries; returns seconds until the next read, or 0."""
 
     def update(self, records: list[store_module.Record]) -> None:
         """Applies records written since the last read."""
@@ -258,10 +258,12 @@
                 topic=self.topic,
                 age=rounded_age(self.staleness, asked),
             )
-        self.consumer.replace(page.records, page.end)
+        again = self.consumer.replace(page.records, page.end)
         self.has_read_all = True
         self.position = page.end
         self.complete_at = asked
+        if again:
+            self.complete_at += again - REREAD_SECONDS
         self.is_suspect = False
         self.staleness.record_read(asked)
 
@@ -270,7 +272,8 @@
         wait = 0.0
         if self.is_reader():
             await asyncio.sleep(self.pause())
-            wait = self.wait()
+            reread_at = self.complete_at + REREAD_SECONDS
+            wait = max(0.0, min(self.wait(), reread_at - clocks.now()))
         start = self.position
         asked = self.called_at = clocks.now()
         page = await self.read_page(start, wait)
