End a feature file that hangs, by its name

Change: a file that takes over 1500 s is aborted with the line where each of its threads stands, its processes are ended, and it counts as failed.

--- a/features/run.py
+++ b/features/run.py
@@ -5,9 +5,12 @@
 """
 
 from concurrent import futures
+import contextlib
 import json
+import os
 import pathlib
 import shutil
+import signal
 import subprocess
 import sys
 import textwrap
@@ -25,6 +28,11 @@
 ALONE = "@alone"
 # Statuses of behave that are no failure.
 FINE = ("passed", "skipped", "untested")
+# Seconds one feature file may take. A test that hangs fails by its name; a
+# run that is ended from outside says nothing of any.
+FILE_LIMIT = 1500.0
+# Seconds behave has to print where it hangs.
+TRACE_LIMIT = 10.0
 # Characters of a failed step's message that the summary repeats.
 REASON = 600
 
@@ -109,22 +117,46 @@
 def run_file(path: pathlib.Path, arguments: list[str]) -> Run:
     """Runs behave on one feature file, in a process of its own."""
     results = RESULTS / f"{path.stem}.json"
-    command = [sys.executable, "-m", "behave", str(path)]
-    command += ["--format", "progress3", "--outfile", "/dev/stdout"]
+    command = [sys.executable, "-X", "faulthandler", "-m", "behave", str(path)]
+    # The last format has no file of its own and goes to standard output.
     command += ["--format", "json", "--outfile", str(results)]
-    found = subprocess.run(
-        [*command, *arguments],
-        cwd=ROOT,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
-    )
+    command += ["--format", "progress3"]
+    printed = RESULTS / f"{path.stem}.txt"
+    with printed.open("a") as output:
+        behave = subprocess.Popen(
+            [*command, *arguments],
+            cwd=ROOT,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            start_new_session=True,
+        )
+        try:
+            code = behave.wait(FILE_LIMIT)
+        except subprocess.TimeoutExpired:
+            code = end_hanging(behave)
+            output.write(f"{path.name} took over {FILE_LIMIT:.0f} s\n")
+    text = printed.read_text(errors="replace")
     listed = []
-    if results.exists() and results.read_text().strip():
+    # behave that was ended leaves results that end in their middle.
+    with contextlib.suppress(FileNotFoundError, json.JSONDecodeError):
         listed = scenarios(json.loads(results.read_text()))
-    elif found.returncode:
-        listed = [Scenario(path.name, "failed")]
-    return Run(found.stdout, found.returncode, listed)
+    if code and all(one.status in FINE for one in listed):
+        where = text.rpartition("Current thread")[2]
+        listed.append(Scenario(path.name, "failed", where[:REASON]))
+    return Run(text, code, listed)
+
+
+def end_hanging(behave: subprocess.Popen) -> int:
+    """Ends a behave that hangs, with the processes that it started.
+
+    The abort makes it print the line where each of its threads stands.
+    """
+    behave.send_signal(signal.SIGABRT)
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        behave.wait(TRACE_LIMIT)
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(behave.pid, signal.SIGKILL)
+    return behave.wait()
 
 
 def run_all(paths: list[pathlib.Path], arguments: list[str]) -> list[Scenario]:
@@ -152,8 +184,6 @@
             run = each.result()
             print(run.output, flush=True)
             listed.extend(run.scenarios)
-            if run.code and all(one.status in FINE for one in run.scenarios):
-                listed.append(Scenario("behave itself", "failed"))
     return listed
 
 
