Give the test's consumer of the store's records what it must return

Change: the mock returns 0, and the step fails as soon as the task has ended. Sockets and threads of early_answers and the loop of reload_signals have limits of time too.

--- a/features/steps/early_answers_steps.py
+++ b/features/steps/early_answers_steps.py
@@ -69,6 +69,7 @@
 def answer(listener: socket.socket, call: str, then: str) -> None:
     """Answers a request at once, in a thread of its own."""
     connection, _ = listener.accept()
+    connection.settimeout(LIMIT)
     content, body = BODIES[call]
     head = f"HTTP/1.1 200 OK\r\n{names.SEAL}: s\r\nContent-Type: {content}\r\n"
     with contextlib.suppress(OSError):
@@ -126,10 +127,13 @@
 @behave.when("a replica answers {call} of {size:d} bytes at once{then}")
 def step_answer(context, call, size, then):
     with socket.create_server((HOST, 0)) as listener:
+        listener.settimeout(LIMIT)
         # The kernel would take some megabytes on a local connection.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED)
         address = f"{HOST}:{listener.getsockname()[1]}"
-        thread = threading.Thread(target=answer, args=(listener, call, then))
+        thread = threading.Thread(
+            target=answer, args=(listener, call, then), daemon=True
+        )
         thread.start()
 
         async def story():
@@ -145,6 +149,7 @@
 def answer_with(listener: socket.socket, call: str, status: str) -> None:
     """Answers a request with a status, in a thread of its own."""
     connection, _ = listener.accept()
+    connection.settimeout(LIMIT)
     content, body = BODIES[call]
     head = (
         f"HTTP/1.1 {status} X\r\n{names.SEAL}: s\r\nContent-Type: {content}"
@@ -160,9 +165,10 @@
 def step_status(context, call, status):
     context.statements = []
     with socket.create_server((HOST, 0)) as listener:
+        listener.settimeout(LIMIT)
         address = f"{HOST}:{listener.getsockname()[1]}"
         thread = threading.Thread(
-            target=answer_with, args=(listener, call, status)
+            target=answer_with, args=(listener, call, status), daemon=True
         )
         thread.start()
 
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -482,11 +482,13 @@
 )
 def step_forgetful(context):
     context.store = ForgetfulStore()
+    consumer = mock.Mock()
+    consumer.replace.return_value = 0.0
     context.watch = topic_watches.TopicWatch(
         context.store,
         topic_watches.StoreState(3.0),
         "",
-        mock.Mock(),
+        consumer,
         lambda: 0.0,
         lambda: 1.0,
     )
@@ -498,6 +500,7 @@
         task = asyncio.create_task(context.watch.run())
         while context.store.newest_calls < 2 and context.store.read_calls < 4:
             await asyncio.sleep(0.01)
+            assert not task.done(), task
             context.watch.confirm_relayed(10, clocks.now())
         task.cancel()
 
--- a/features/steps/reload_signals_steps.py
+++ b/features/steps/reload_signals_steps.py
@@ -37,7 +37,9 @@
     maps = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
     context.has_event_loop = EVENT_LOOP in maps
     context.gateway = process
+    limit = time.monotonic() + gateways.LIMIT
     while process.alive and not fleet.is_ready("edge-1"):
+        assert time.monotonic() < limit, "the gateway is not ready"
         with contextlib.suppress(ProcessLookupError):
             os.kill(process.pid, signal.SIGHUP)
         time.sleep(SIGNAL_SECONDS)
