--- a/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
+++ b/packages/gypsumfold-standins/src/gypsumfold_standins/platform_replica.py
@@ -16,111 +16,19 @@
 import click
 import msgspec
 
+from gypsumfold_standins import replica_faults
 from gypsumfold_standins import serving
 
-# Bytes that belong to no request.
-STRAY = (
-    b"HTTP/1.1 200 OK\r\nAttempt-Id: stray\r\nResponse-Seal: stray\r\n"
-    b"Content-Length: 5\r\n\r\nstray"
-)
-
-
-# One piece of an answer that never ends.
-POURED = b"x" * 65536
-# Events that come again and again.
-POURED_EVENTS = b"id: 1\ndata: token-1\n\n" * 3000
-
-
-class Faults(msgspec.Struct, forbid_unknown_fields=True):
-    """Switches for tests.
-
-    Attributes:
-        seconds: How long a prompt or a plain call takes.
-        event_seconds: Seconds between two events of a stream.
-        events: Events of a stream.
-        refused: Next requests that are refused as not run.
-        late: Next refusals that come a second time, where the next answer on
-            their connection is due.
-        reset: Next requests that run and whose connection is reset.
-        crossed: Next answers that name another attempt.
-        stray: Next answers that are followed by a second one.
-        unsealed: Next successes without the replica's seal.
-        failing: Next requests that run and end with 500.
-        broken: Next streams that break off in the middle of their third
-            event.
-        halved: Next plain answers of JSON with neither a length nor chunks
-            whose connection is closed in order in their middle.
-        unframed: Next streams with neither a length nor chunks; they end with
-            their connection, which is closed in order even if they break off.
-        crashing: Text of a body whose run ends the process; none if empty.
-        crashing_part: Begin of the id of a part of prompts, not their last one,
-            with which every run ends the process; none if empty.
-        silent: Nothing is answered any more.
-        orders_lost: Next orders carried out whose answer is dropped.
-        rate_limit: Requests a second from all nodes, named in each answer to a
-            request; none if 0.
-        leaving: Whether each answer says that the replica leaves.
-        rest: Seconds of rest for which each request is turned away; 0 for none.
-        endless: Next runs whose answer never ends.
-        odd_status: Next runs whose answer has a status that HTTP doesn't know.
-        endless_events: Next runs whose stream of events never ends.
-        padding: Bytes that follow the seal in the body of a plain answer.
-    """
-
-    seconds: float = 0.02
-    event_seconds: float = 0.02
-    events: int = 5
-    refused: int = 0
-    late: int = 0
-    reset: int = 0
-    crossed: int = 0
-    stray: int = 0
-    unsealed: int = 0
-    failing: int = 0
-    broken: int = 0
-    halved: int = 0
-    unframed: int = 0
-    crashing: str = ""
-    crashing_part: str = ""
-    silent: bool = False
-    orders_lost: int = 0
-    rate_limit: float = 0.0
-    leaving: bool = False
-    rest: float = 0.0
-    endless: int = 0
-    endless_events: int = 0
-    odd_status: int = 0
-    padding: int = 0
-
-    def takes(self, name: str) -> bool:
-        """Counts a fault down and says whether it strikes now."""
-        left = getattr(self, name)
-        if left <= 0:
-            return False
-        setattr(self, name, left - 1)
-        return True
-
-
-class StreamedAnswer(web.StreamResponse):
-    """A stream in chunks, or one that ends with its connection.
-
-    Attributes:
-        framed: Whether it is sent in chunks.
-    """
-
-    framed = True
-
-    @property
-    def _length_check(self) -> bool:
-        # The HTTP library adds chunks unless a subclass opts out by this name.
-        return self.framed
-
 
 class Replica:
     """The replica's state and its handlers."""
 
     def __init__(
-        self, faults: Faults, stage: str, switch: float, version: str = ""
+        self,
+        faults: replica_faults.Faults,
+        stage: str,
+        switch: float,
+        version: str = "",
     ):
         self.faults = faults
         self.version = version
@@ -260,49 +168,28 @@
         if self.faults.takes("odd_status"):
             return web.Response(status=999, headers=headers, body=b"none")
         if self.faults.takes("endless"):
-            return await self.pour(request, headers, POURED)
+            return await replica_faults.pour(
+                request, headers, replica_faults.POURED
+            )
         if self.faults.takes("endless_events"):
-            return await self.pour(request, headers, POURED_EVENTS)
+            return await replica_faults.pour(
+                request, headers, replica_faults.POURED_EVENTS
+            )
         if request.headers.get("Accept") == "text/event-stream":
             return await self.stream(request, headers)
         await asyncio.sleep(self.faults.seconds)
         if self.faults.takes("halved"):
-            return await self.halve(request, headers)
+            return await replica_faults.halve(request, headers)
         body = self.seal(attempt).encode() + b"x" * self.faults.padding
         response = web.Response(headers=headers, body=body)
         if self.faults.takes("stray"):
             await response.prepare(request)
             await response.write_eof()
-            request.transport.write(STRAY)
+            request.transport.write(replica_faults.STRAY)
             self.strays += 1
             self.waits.add(asyncio.create_task(self.until_closed(request)))
         return response
 
-    async def pour(
-        self, request: web.Request, headers: dict[str, str], data: bytes
-    ) -> web.StreamResponse:
-        """Sends bytes without end until the caller closes."""
-        response = web.StreamResponse(headers=headers)
-        response.content_type = "text/event-stream"
-        await response.prepare(request)
-        while request.transport is not None:
-            await response.write(data)
-            await asyncio.sleep(0)
-        return response
-
-    async def halve(
-        self, request: web.Request, headers: dict[str, str]
-    ) -> web.StreamResponse:
-        """Sends the first half of a JSON object and closes the connection."""
-        response = StreamedAnswer(headers=headers)
-        response.content_type = "application/json"
-        response.framed = False
-        response.force_close()
-        await response.prepare(request)
-        await response.write(b'{"seat": 7, "ta')
-        await response.write_eof()
-        return response
-
     async def until_closed(self, request: web.Request) -> None:
         """Counts a connection with stray bytes that the node has closed."""
 
@@ -317,7 +204,7 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         """Streams events, from the one after Last-Event-Id on."""
-        response = StreamedAnswer(headers=headers)
+        response = replica_faults.StreamedAnswer(headers=headers)
         response.content_type = "text/event-stream"
         if self.faults.takes("unframed"):
             response.framed = False
@@ -449,7 +336,7 @@
     address: str, port: int, stage: str, switch: float, version: str
 ) -> None:
     """Serve a replica of a service."""
-    replica = Replica(Faults(), stage, switch, version)
+    replica = Replica(replica_faults.Faults(), stage, switch, version)
     serving.run(serving.serve(application(replica), address, port))
 
 
