End a hanging feature file's processes one by one

In a session of their own the files went on when the runner was interrupted.

Change: they stay in the runner's group; of one that hangs, behave and what it started are ended by pid.

--- a/features/run.py
+++ b/features/run.py
@@ -7,7 +7,6 @@
 from concurrent import futures
 import contextlib
 import json
-import os
 import pathlib
 import shutil
 import signal
@@ -16,6 +15,8 @@
 import textwrap
 from typing import NamedTuple
 
+import psutil
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "reports" / "behave"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -128,7 +129,6 @@
             cwd=ROOT,
             stdout=output,
             stderr=subprocess.STDOUT,
-            start_new_session=True,
         )
         try:
             code = behave.wait(FILE_LIMIT)
@@ -151,11 +151,14 @@
 
     The abort makes it print the line where each of its threads stands.
     """
+    started = psutil.Process(behave.pid).children(recursive=True)
     behave.send_signal(signal.SIGABRT)
     with contextlib.suppress(subprocess.TimeoutExpired):
         behave.wait(TRACE_LIMIT)
-    with contextlib.suppress(ProcessLookupError):
-        os.killpg(behave.pid, signal.SIGKILL)
+    behave.kill()
+    for process in started:
+        with contextlib.suppress(psutil.NoSuchProcess):
+            process.kill()
     return behave.wait()
 
 
