--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -120,10 +120,15 @@
     "the reports of all windows add up to what replicas began for each account"
 )
 def step_add_up(context):
-    gateways.until(
-        lambda: reported(context) == begun(context),
-        f"{reported(context)} is not {begun(context)}",
-    )
+    def add_up() -> bool:
+        context.totals = reported(context), begun(context)
+        return context.totals[0] == context.totals[1]
+
+    try:
+        gateways.until(add_up, "the reports don't add up")
+    except AssertionError as error:
+        record = context.fleet["api"].test("record")["calls"]
+        raise AssertionError(f"{context.totals}: {record}") from error
 
 
 @behave.then("no window was reported with different counts")
