--- a/packages/gypsumfold/src/gypsumfold/gateway/open_requests.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/open_requests.py
@@ -46,7 +46,7 @@
         now = time.monotonic()
         loop_now = asyncio.get_running_loop().time()
         if end < call.deadline and not self.timeout.expired():
-            # Replicas are told the time that is left.
+            # Replicas receive this deadline with the request.
             self.progress.call = call._replace(deadline=end)
             self.timeout.reschedule(loop_now + end - now)
         self.timer = asyncio.get_running_loop().call_at(
--- a/packages/gypsumfold/src/gypsumfold/gateway/view_confirmations.py
+++ b/packages/gypsumfold/src/gypsumfold/gateway/view_confirmations.py
@@ -8,8 +8,7 @@
 from gypsumfold import events
 from gypsumfold import exceptions
 
-# Seconds for an answer, while a caller waits; the store answers in 4 ms, and in
-# 0.2 s when it is fifty times slower.
+# Seconds for an answer of the store, while a caller waits.
 ANSWER_SECONDS = 0.25
 # Least seconds between two reads; all that wait meanwhile share the next one.
 INTERVAL_SECONDS = 0.05
